--- /dev/null
+++ b/generate.go
@@ -0,0 +1,5 @@
+// Package cyclamenhoist holds the directives that regenerate committed code.
+package cyclamenhoist
+
+//go:generate protoc --go_out=. --go_opt=module=github.com/cyclamenhoist/cyclamenhoist pkg/record/recordpb/record.proto
+//go:generate protoc --go_out=. --go_opt=module=github.com/cyclamenhoist/cyclamenhoist --go-drpc_out=. --go-drpc_opt=module=github.com/cyclamenhoist/cyclamenhoist internal/peer/peerpb/peer.proto
