--- /dev/null
+++ b/internal/telemetry/doc.go
@@ -0,0 +1,2 @@
+// Package telemetry sets up logs, metrics and traces.
+package telemetry
