--- /dev/null
+++ b/pkg/lease/config.go
@@ -0,0 +1,53 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+)
+
+// The defaults of Config.
+const (
+	DefaultHeartbeatTimeout = 2 * time.Second
+	DefaultSealTimeout      = time.Second
+	DefaultClaimStagger     = 200 * time.Millisecond
+	DefaultRetry            = 500 * time.Millisecond
+	DefaultCopyTimeout      = time.Second
+	DefaultMemberTimeout    = 30 * time.Second
+	DefaultReclaimInterval  = 10 * time.Second
+	DefaultLiveLag          = 30 * time.Second
+	DefaultOrderLife        = 30 * time.Second
+)
+
+// Config is what a Machine is made with. Zero durations take the defaults.
+type Config struct {
+	// Self must never be used again after a restart.
+	Self        port.InstanceID
+	PeerAddress string
+	Zone        port.Zone
+	// ChecksFencing says whether a server refuses orders with an old fencing
+	// number. It is asked anew for each decision; nil means that none does.
+	ChecksFencing func(port.ServerID) bool
+	// HeartbeatTimeout is how long the holder may be silent before others
+	// claim.
+	HeartbeatTimeout time.Duration
+	// SealTimeout is how long a claimant waits for a copy holder's answer.
+	SealTimeout time.Duration
+	// ClaimStagger separates the claims of the members by their rank.
+	ClaimStagger time.Duration
+	// Retry is the pause before an order, read or append is tried again.
+	Retry time.Duration
+	// CopyTimeout is how long a proposal waits for all copies while the log is
+	// away before it is refused.
+	CopyTimeout time.Duration
+	// MemberTimeout is how long a member may be silent, and off the live list,
+	// before the holder takes it off the members.
+	MemberTimeout time.Duration
+	// ReclaimInterval is the shortest time between two claims of a holder that
+	// renews its copy holders.
+	ReclaimInterval time.Duration
+	// LiveLag is how far the live list may lag behind the truth.
+	LiveLag time.Duration
+	// OrderLife is how long an order may be in flight.
+	OrderLife time.Duration
+}
