fold: keep epochs in doubt until a later claim settles them

Cause: a claimant that reaches no copy holder must wait before it decides on servers that don't check fencing numbers. If it dies in the wait, its successor seals the claimant's own epoch easily and would know nothing of the older one. Change: a claim names the epochs in doubt; the zone's state keeps them with their copy holders. Conclusion: a doubt outlives the instance that had it.

--- a/pkg/fold/codec.go
+++ b/pkg/fold/codec.go
@@ -34,6 +34,9 @@
 		Zone: string(name), Epoch: int64(z.epoch), Holder: string(z.holder), Released: z.released,
 		Members: encodeMembers(z.members), CopyHolders: encodeMembers(z.copyHolders), Closed: z.closed,
 	}
+	for _, d := range z.doubts {
+		p.Doubts = append(p.Doubts, &recordpb.Doubt{Epoch: int64(d.Epoch), CopyHolders: encodeMembers(d.CopyHolders)})
+	}
 	z.byID.Scan(func(i *IntentState) bool {
 		p.Intents = append(p.Intents, &recordpb.IntentState{
 			Intent: i.Proto(), Offset: int64(i.Offset), Loaded: i.Loaded,
@@ -101,6 +104,9 @@
 	if z.copyHolders, err = decodeMembers(p.CopyHolders); err != nil {
 		return nil, err
 	}
+	if z.doubts, err = decodeDoubts(p.Doubts, z.epoch); err != nil {
+		return nil, err
+	}
 	for _, ip := range p.Intents {
 		i, err := record.IntentFromProto(ip.GetIntent())
 		if err != nil {
@@ -114,6 +120,26 @@
 	return z, nil
 }
 
+func decodeDoubts(encoded []*recordpb.Doubt, before port.Epoch) ([]Doubt, error) {
+	if len(encoded) > record.MaxDoubts {
+		return nil, errors.Wrap(ErrMalformedState, "doubts")
+	}
+	var doubts []Doubt
+	last := port.Epoch(0)
+	for _, p := range encoded {
+		members, err := decodeMembers(p.GetCopyHolders())
+		if err != nil {
+			return nil, err
+		}
+		d := Doubt{Epoch: port.Epoch(p.GetEpoch()), CopyHolders: members}
+		if d.Epoch <= last || d.Epoch >= before {
+			return nil, errors.Wrapf(ErrMalformedState, "doubt %d", d.Epoch)
+		}
+		doubts, last = append(doubts, d), d.Epoch
+	}
+	return doubts, nil
+}
+
 func decodeMembers(encoded []*recordpb.MemberState) ([]Member, error) {
 	if len(encoded) > MaxMembers {
 		return nil, errors.Wrap(ErrMalformedState, "members")
--- a/pkg/fold/doc.go
+++ b/pkg/fold/doc.go
@@ -13,7 +13,9 @@
 // offset are the epoch's copy holders until the next claim, whoever joins or
 // leaves in between, so that every reader of the claim knows the same set. The
 // copies that it carries become open intents. An unload among them proves that
-// the load it undoes was loaded, as holders only decide such unloads.
+// the load it undoes was loaded, as holders only decide such unloads. A claimant
+// that could stop none of the superseded epoch's copy holders names the epoch as
+// doubtful; the doubt stays until a later claim no longer names it.
 //
 // Intent: valid if its epoch is the zone's current one and its id is neither
 // open nor recently closed. A load is void if an intent for the same model and
--- a/pkg/fold/fold_test.go
+++ b/pkg/fold/fold_test.go
@@ -115,6 +115,33 @@
 	require.Equal(t, "y:1", z.Members[0].PeerAddress)
 }
 
+func TestDoubts(t *testing.T) {
+	p := newTape(t)
+	doubting := func(supersedes port.Epoch, named ...int64) port.Epoch {
+		return p.must(record.New("a", "x", &recordpb.Claim{Supersedes: int64(supersedes), Doubtful: named}))
+	}
+	doubts := func() (epochs []port.Epoch) {
+		for _, d := range p.state.Zone("a").Doubts {
+			require.Len(t, d.CopyHolders, 1)
+			epochs = append(epochs, d.Epoch)
+		}
+		return epochs
+	}
+	p.must(member("x", true))
+	e1 := doubting(0, 0, 1)
+	require.Empty(t, doubts(), "there was no epoch to doubt")
+	e2 := doubting(e1, int64(e1))
+	e3 := doubting(e2, int64(e1), int64(e2))
+	require.Equal(t, []port.Epoch{e1, e2}, doubts())
+	again, err := fold.Decode(p.state.Encode(), nil)
+	require.NoError(t, err)
+	require.Equal(t, p.state.Encode(), again.Encode())
+	e4 := doubting(e3, int64(e2))
+	require.Equal(t, []port.Epoch{e2}, doubts())
+	doubting(e4, int64(e1))
+	require.Empty(t, doubts(), "a settled doubt doesn't return")
+}
+
 func TestIntents(t *testing.T) {
 	p := newTape(t)
 	p.must(member("x", true))
--- a/pkg/fold/rules.go
+++ b/pkg/fold/rules.go
@@ -65,11 +65,24 @@
 		return reject(KindClaim, ReasonEpoch)
 	}
 	z.foldCopies(at, c.Copies)
+	z.foldDoubts(c.Doubtful)
 	z.epoch, z.holder, z.released = at, claimant, false
 	z.copyHolders = z.members
 	return accept(KindClaim)
 }
 
+// foldDoubts keeps those of the epochs in doubt, and of the epoch that ends,
+// that the claim names.
+func (z *zone) foldDoubts(named []int64) {
+	var doubts []Doubt
+	for _, d := range append(slices.Clip(z.doubts), Doubt{Epoch: z.epoch, CopyHolders: z.copyHolders}) {
+		if d.Epoch > 0 && slices.Contains(named, int64(d.Epoch)) {
+			doubts = append(doubts, d)
+		}
+	}
+	z.doubts = doubts
+}
+
 // foldCopies opens the copies of the epoch that ends, loads first, since an
 // unload among them proves that its load was loaded.
 func (z *zone) foldCopies(at port.Offset, copies []*recordpb.Intent) {
--- a/pkg/fold/zone.go
+++ b/pkg/fold/zone.go
@@ -39,6 +39,13 @@
 	Loaded bool
 }
 
+// Doubt is an ended epoch whose holder may still decide by copies that no later
+// claimant has seen.
+type Doubt struct {
+	Epoch       port.Epoch
+	CopyHolders []Member
+}
+
 // ZoneView is the state of one zone. It shares memory with the State and must
 // not be changed.
 type ZoneView struct {
@@ -49,6 +56,9 @@
 	Members []Member
 	// CopyHolders are the members when the epoch began; nil before any claim.
 	CopyHolders []Member
+	// Doubts are the ended epochs that the current claim names as doubtful, in
+	// their order.
+	Doubts []Doubt
 
 	zone *zone
 }
@@ -121,6 +131,7 @@
 	released    bool
 	members     []Member
 	copyHolders []Member
+	doubts      []Doubt
 	closed      []uint64
 	byID        *btree.BTreeG[*IntentState]
 	byPlace     *btree.BTreeG[*IntentState]
@@ -155,7 +166,7 @@
 func (z *zone) view() ZoneView {
 	return ZoneView{
 		Epoch: z.epoch, Holder: z.holder, Released: z.released,
-		Members: z.members, CopyHolders: z.copyHolders, zone: z,
+		Members: z.members, CopyHolders: z.copyHolders, Doubts: z.doubts, zone: z,
 	}
 }
 
--- a/pkg/lease/config.go
+++ b/pkg/lease/config.go
@@ -50,4 +50,43 @@
 	LiveLag time.Duration
 	// OrderLife is how long an order may be in flight.
 	OrderLife time.Duration
+
+	faults faults
+}
+
+// faults are planted by tests to see that the tests find them.
+type faults struct {
+	// orderBeforeReadBack sends orders without reading the intent back.
+	orderBeforeReadBack bool
+	// skipSeal claims without sealing anyone.
+	skipSeal bool
+	// aloneAnywhere lets a lone holder decide on servers that don't check.
+	aloneAnywhere bool
+	// skipFence trusts reads of servers where the number was not raised.
+	skipFence bool
+}
+
+func (c Config) withDefaults() Config {
+	for _, d := range []struct {
+		field *time.Duration
+		value time.Duration
+	}{
+		{&c.HeartbeatTimeout, DefaultHeartbeatTimeout},
+		{&c.SealTimeout, DefaultSealTimeout},
+		{&c.ClaimStagger, DefaultClaimStagger},
+		{&c.Retry, DefaultRetry},
+		{&c.CopyTimeout, DefaultCopyTimeout},
+		{&c.MemberTimeout, DefaultMemberTimeout},
+		{&c.ReclaimInterval, DefaultReclaimInterval},
+		{&c.LiveLag, DefaultLiveLag},
+		{&c.OrderLife, DefaultOrderLife},
+	} {
+		if *d.field == 0 {
+			*d.field = d.value
+		}
+	}
+	if c.ChecksFencing == nil {
+		c.ChecksFencing = func(port.ServerID) bool { return false }
+	}
+	return c
 }
--- a/pkg/record/check.go
+++ b/pkg/record/check.go
@@ -14,6 +14,8 @@
 	MaxTextBytes = 1024
 	// MaxCopies bounds the copies that one claim carries.
 	MaxCopies = 16384
+	// MaxDoubts bounds the epochs in doubt that one claim names.
+	MaxDoubts = 64
 	// MaxDocumentBytes bounds a targets document, in bytes.
 	MaxDocumentBytes = 1 << 20
 )
@@ -61,6 +63,9 @@
 	if len(c.Copies) > MaxCopies {
 		return errors.Wrapf(ErrMalformed, "claim with %d copies", len(c.Copies))
 	}
+	if len(c.Doubtful) > MaxDoubts {
+		return errors.Wrapf(ErrMalformed, "claim with %d doubts", len(c.Doubtful))
+	}
 	for _, i := range c.Copies {
 		if err := checkOwnIntent(r, i); err != nil {
 			return errors.Wrap(err, "copy")
