--- /dev/null
+++ b/pkg/lease/explore_test.go
@@ -0,0 +1,317 @@
+package lease
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fold"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/record"
+)
+
+// maxStates bounds one exploration; CYCLAMENHOIST_EXPLORE_STATES raises it.
+const maxStates = 20_000
+
+// action is one step of the world.
+type action struct {
+	name string
+	do   func(w *world)
+}
+
+// actions are all the steps that can come next.
+func (w *world) actions() []action {
+	var out []action
+	add := func(do func(w *world), format string, args ...any) {
+		out = append(out, action{name: fmt.Sprintf(format, args...), do: do})
+	}
+	for k, m := range w.net {
+		w.messageActions(add, k, m)
+	}
+	for i, n := range w.nodes {
+		for k, r := range n.appends {
+			w.appendActions(add, i, k, fmt.Sprintf("%T", r.Body))
+		}
+		if !n.dead {
+			w.nodeActions(add, i, n)
+		}
+	}
+	for _, s := range sortedKeys(w.engines) {
+		if w.left.restarts > 0 {
+			add(func(w *world) {
+				w.left.restarts--
+				e := w.engines[s]
+				e.incarnation++
+				e.fence, e.seen, e.loaded = 0, nil, nil
+			}, "restart %s", s)
+		}
+	}
+	return out
+}
+
+type adder func(do func(w *world), format string, args ...any)
+
+func (w *world) messageActions(add adder, k int, m message) {
+	add(func(w *world) { w.deliver(k) }, "deliver %s", m.key)
+	order, ok := m.effect.(Order)
+	if !ok || w.nodes[m.from].dead {
+		return
+	}
+	unknown := OrderEnded{IntentID: order.Intent.ID, Result: OrderUnknown}
+	if w.left.lateOrders > 0 {
+		// The sender gives up while the order is still on its way.
+		add(func(w *world) {
+			w.left.lateOrders--
+			w.net[k].key += " late"
+			w.net[k].from = -1
+			w.step(m.from, unknown)
+		}, "time out %s", m.key)
+	}
+	if w.left.lostAnswers > 0 {
+		add(func(w *world) {
+			w.left.lostAnswers--
+			e := w.engines[m.server]
+			e.seen, e.loaded = cloneMap(e.seen), cloneMap(e.loaded)
+			w.net = slices.Delete(w.net, k, k+1)
+			w.apply(e, order)
+			w.step(m.from, unknown)
+		}, "lose the answer of %s", m.key)
+	}
+}
+
+func (w *world) appendActions(add adder, i, k int, what string) {
+	n := w.nodes[i]
+	answered := !n.cut && !n.dead
+	if answered || n.cut {
+		add(func(w *world) { w.land(i, k, answered) }, "append %d %s", i, what)
+	}
+	if answered && w.left.lostAnswers > 0 {
+		add(func(w *world) {
+			w.left.lostAnswers--
+			w.land(i, k, false)
+		}, "append %d %s, answer lost", i, what)
+	}
+}
+
+func (w *world) nodeActions(add adder, i int, n *node) {
+	if !n.cut && n.m.Through() < w.newest().Through() {
+		add(func(w *world) { w.step(i, Folded{State: w.newest()}) }, "read %d", i)
+	}
+	if w.left.jumps > 0 {
+		add(func(w *world) {
+			w.left.jumps--
+			w.nodes[i].clock += jump
+			w.step(i, Tick{})
+		}, "time %d", i)
+	}
+	if w.left.cuts > 0 || n.cut {
+		add(func(w *world) {
+			n := w.nodes[i]
+			n.cut = !n.cut
+			if n.cut {
+				w.left.cuts--
+				w.step(i, LogDown{})
+				return
+			}
+			w.step(i, LogUp{})
+		}, "cut %d", i)
+	}
+	if w.left.deaths > 0 {
+		add(func(w *world) { w.die(i) }, "end %d", i)
+	}
+	w.proposals(add, i, n)
+}
+
+// die ends an instance. Its orders are past their life when the live list, which
+// the others get here, no longer names it.
+func (w *world) die(i int) {
+	w.left.deaths--
+	w.nodes[i].dead = true
+	w.net = slices.DeleteFunc(w.net, func(m message) bool {
+		_, order := m.effect.(Order)
+		return order
+	})
+	for j, n := range w.nodes {
+		if !n.dead {
+			w.step(j, w.list(time.Unix(int64(2+i), 0)))
+		}
+	}
+}
+
+func (w *world) list(at time.Time) LiveList {
+	l := LiveList{At: at}
+	for i, n := range w.nodes {
+		if !n.dead {
+			l.Instances = append(l.Instances, nodeID(i))
+		}
+	}
+	l.Servers = sortedKeys(w.engines)
+	return l
+}
+
+// proposals are what a controller would propose: one replica of each model, on
+// servers with room in the holder's own ledger.
+func (w *world) proposals(add adder, i int, n *node) {
+	if !n.m.IsHolder() {
+		return
+	}
+	replicas, used := map[port.ModelID]bool{}, map[port.ServerID]int64{}
+	for _, o := range n.m.Open() {
+		if o.Kind == port.OrderLoad {
+			replicas[o.Model] = true
+			used[o.Server]++
+		}
+		if o.Kind == port.OrderLoad && o.Loaded && w.left.unloads > 0 {
+			w.proposal(add, i, port.OrderUnload, o.Model, o.Server)
+		}
+	}
+	for k := range w.sc.models {
+		model := port.ModelID(fmt.Sprintf("m%d", k))
+		for _, s := range sortedKeys(w.engines) {
+			if !replicas[model] && used[s] < w.sc.share && n.m.ReadyOn(s) && w.left.loads > 0 {
+				w.proposal(add, i, port.OrderLoad, model, s)
+			}
+		}
+	}
+}
+
+func (w *world) proposal(add adder, i int, kind port.OrderKind, model port.ModelID, s port.ServerID) {
+	vet := w.nodes[i].m.term.vets[s]
+	if vet == nil {
+		return
+	}
+	intent := record.Intent{
+		ID: fmt.Sprint(kind[0:1], w.left.loads, w.left.unloads, "@", i), Kind: kind, Model: model,
+		Server: s, Bytes: 1, Incarnation: vet.seenIncarnation,
+	}
+	add(func(w *world) {
+		if kind == port.OrderLoad {
+			w.left.loads--
+		} else {
+			w.left.unloads--
+		}
+		w.step(i, Propose{Intent: intent})
+	}, "%s %s on %s by %d", kind, model, s, i)
+}
+
+// start builds the world: the first instances are members, instance 0 claims,
+// so that the members are its copy holders, and reads the servers.
+func (sc scenario) start(t *testing.T) *world {
+	w := &world{sc: &sc, left: sc.budget, engines: map[port.ServerID]*engine{}, prefixes: []*fold.State{fold.New(nil)}}
+	for s := range sc.servers {
+		w.engines[port.ServerID(fmt.Sprintf("s%d", s))] = &engine{incarnation: 1}
+	}
+	for i := range sc.nodes {
+		m := New(Config{
+			Self: nodeID(i), Zone: zoneName(), faults: sc.faults,
+			ChecksFencing: func(port.ServerID) bool { return sc.checks },
+		})
+		m.cfg.Retry, m.cfg.ClaimStagger = 0, 0
+		w.nodes = append(w.nodes, &node{m: m})
+	}
+	for i := range sc.holders {
+		w.step(i, w.list(time.Unix(1, 0)))
+		w.step(i, Folded{State: fold.New(nil)})
+	}
+	for i := sc.holders - 1; i >= 0; i-- {
+		w.nodes[i].m.state = fold.New(nil)
+		w.step(i, LogUp{})
+		w.land(i, 0, true)
+	}
+	w.step(0, Folded{State: w.newest()})
+	w.land(0, 0, true)
+	for i := range sc.nodes {
+		if i >= sc.holders {
+			w.step(i, w.list(time.Unix(1, 0)))
+			w.step(i, LogUp{})
+		}
+		w.step(i, Folded{State: w.newest()})
+	}
+	for len(w.net) > 0 {
+		w.deliver(0)
+	}
+	require.True(t, w.nodes[0].m.Ready(), "instance 0 holds the zone")
+	require.Len(t, w.newest().Zone(zoneName()).CopyHolders, sc.holders)
+	return w
+}
+
+// exploration is the result of visiting the states of a scenario.
+type exploration struct {
+	states    int
+	exhausted bool
+	broken    string
+	path      []string
+}
+
+// explore visits states depth first until none is left, the bound is reached or
+// a promise is broken. The stack holds the paths that are still to be taken.
+func (sc scenario) explore(t *testing.T, bound int) exploration {
+	type frame struct {
+		w    *world
+		todo []action
+		name string
+	}
+	first := sc.start(t)
+	visited := map[uint64]struct{}{first.key(): {}}
+	stack := []frame{{w: first, todo: first.actions()}}
+	for len(stack) > 0 && len(visited) < bound {
+		top := &stack[len(stack)-1]
+		if len(top.todo) == 0 {
+			stack = stack[:len(stack)-1]
+			continue
+		}
+		a := top.todo[0]
+		top.todo = top.todo[1:]
+		next := top.w.clone()
+		a.do(next)
+		if next.broken != "" {
+			e := exploration{states: len(visited), broken: next.broken}
+			for _, f := range append(stack, frame{name: a.name})[1:] {
+				e.path = append(e.path, f.name)
+			}
+			return e
+		}
+		key := next.key()
+		if _, ok := visited[key]; ok {
+			continue
+		}
+		visited[key] = struct{}{}
+		stack = append(stack, frame{w: next, todo: next.actions(), name: a.name})
+	}
+	return exploration{states: len(visited), exhausted: len(stack) == 0}
+}
+
+func (e exploration) trace() string { return e.broken + "\n" + strings.Join(e.path, "\n") }
+
+func bound(t *testing.T) int {
+	if v := os.Getenv("CYCLAMENHOIST_EXPLORE_STATES"); v != "" {
+		n, err := strconv.Atoi(v)
+		require.NoError(t, err)
+		return n
+	}
+	return maxStates
+}
+
+var scenarios = []scenario{
+	{name: "two copy holders", nodes: 2, holders: 2, models: 1, servers: 2, share: 1,
+		budget: budget{loads: 2, cuts: 1, jumps: 1}},
+}
+
+func TestExplore(t *testing.T) {
+	for _, sc := range scenarios {
+		for _, sc.checks = range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, checks %v", sc.name, sc.checks), func(t *testing.T) {
+				start := time.Now()
+				e := sc.explore(t, bound(t))
+				t.Logf("%d states, all: %v, %v", e.states, e.exhausted, time.Since(start))
+				require.Empty(t, e.broken, e.trace())
+			})
+		}
+	}
+}
--- /dev/null
+++ b/pkg/lease/world_test.go
@@ -0,0 +1,300 @@
+package lease
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fold"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/record"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/record/recordpb"
+)
+
+// budget bounds what may go wrong in one exploration.
+type budget struct {
+	loads, unloads, cuts, jumps, lostAnswers, lateOrders, restarts, deaths int
+}
+
+// node is one instance and its appends under way.
+type node struct {
+	m       *Machine
+	clock   time.Duration
+	cut     bool // from the log
+	dead    bool
+	appends []*recordpb.Record
+}
+
+// engine is one backend server.
+type engine struct {
+	incarnation int
+	fence       port.Epoch
+	seen        map[string]bool
+	loaded      map[port.ModelID]string // the order that loaded it
+}
+
+// message is one call or answer in the network; delivery is in any order.
+type message struct {
+	key      string
+	from, to int // instances; -1 for none
+	server   port.ServerID
+	event    Event  // for an instance
+	effect   Effect // for a server
+}
+
+// world is one state of the exploration.
+type world struct {
+	sc       *scenario
+	left     budget
+	nodes    []*node
+	engines  map[port.ServerID]*engine
+	net      []message
+	prefixes []*fold.State // prefixes[n] is the fold of n records
+	logHash  uint64
+	effects  map[string]int // effects of each order
+	broken   string
+}
+
+// scenario is what an exploration starts from.
+type scenario struct {
+	budget
+	name    string
+	nodes   int
+	holders int // of the nodes, how many are copy holders at the start
+	checks  bool
+	models  int
+	servers int
+	share   int64 // replicas that a server has room for
+	faults  faults
+}
+
+const jump = time.Hour
+
+func zoneName() port.Zone { return "a" }
+
+func nodeID(i int) port.InstanceID { return port.InstanceID(fmt.Sprintf("n%d", i)) }
+
+func (w *world) clone() *world {
+	c := *w
+	c.nodes = make([]*node, len(w.nodes))
+	for i, n := range w.nodes {
+		k := *n
+		k.appends = slices.Clone(n.appends)
+		c.nodes[i] = &k // the machine is cloned when it takes a step
+	}
+	c.engines = cloneAll(w.engines, func(e *engine) {})
+	c.net = slices.Clone(w.net)
+	c.prefixes = slices.Clip(w.prefixes)
+	return &c
+}
+
+// key identifies the state.
+func (w *world) key() uint64 {
+	var b bytes.Buffer
+	fmt.Fprint(&b, w.left, w.logHash, len(w.prefixes))
+	for _, n := range w.nodes {
+		fmt.Fprint(&b, "|N", n.cut, n.dead)
+		n.m.writeKey(&b)
+		var appends []string
+		for _, r := range n.appends {
+			var one strings.Builder
+			writeRecord(&one, r)
+			appends = append(appends, one.String())
+		}
+		slices.Sort(appends)
+		fmt.Fprint(&b, appends)
+	}
+	for _, s := range sortedKeys(w.engines) {
+		e := w.engines[s]
+		fmt.Fprint(&b, "|S", s, e.incarnation, e.fence, e.seen, e.loaded)
+	}
+	var keys []string
+	for _, m := range w.net {
+		keys = append(keys, m.key)
+	}
+	slices.Sort(keys)
+	fmt.Fprint(&b, keys, w.effects)
+	return xxhash.Sum64(b.Bytes())
+}
+
+// step gives an event to an instance and carries its effects into the world.
+func (w *world) step(i int, ev Event) {
+	n := w.nodes[i]
+	n.m = n.m.clone()
+	for _, e := range n.m.Step(n.clock, ev) {
+		w.effect(i, e)
+	}
+}
+
+func (w *world) effect(i int, e Effect) {
+	switch e := e.(type) {
+	case Append:
+		w.nodes[i].appends = append(w.nodes[i].appends, e.Record)
+	case SendSeal:
+		w.sendPeer(i, e.To.Instance, fmt.Sprint("seal", e.Epoch), SealRequested{Request: uint64(i), Claimant: nodeID(i), Epoch: e.Epoch})
+	case SendCopy:
+		w.sendPeer(i, e.To.Instance, fmt.Sprint("copy", e.Intent.ID, e.Intent.Epoch), CopyRequested{Request: uint64(i), Holder: nodeID(i), Intent: e.Intent})
+	case RaiseFence:
+		w.send(message{key: fmt.Sprint("raise", i, e.Server, e.Fence), from: i, to: -1, server: e.Server, effect: e})
+	case ReadServer:
+		w.send(message{key: fmt.Sprint("read", i, e.Server), from: i, to: -1, server: e.Server, effect: e})
+	case Order:
+		w.send(message{key: fmt.Sprint("order", i, e.Intent.ID, e.Fence), from: i, to: -1, server: e.Intent.Server, effect: e})
+	}
+}
+
+func (w *world) sendPeer(from int, to port.InstanceID, key string, ev Event) {
+	for i := range w.nodes {
+		if nodeID(i) == to {
+			w.send(message{key: fmt.Sprint(key, from, ">", i), from: from, to: i, event: ev})
+		}
+	}
+}
+
+// send puts a message into the network unless the same one is there.
+func (w *world) send(m message) {
+	for _, o := range w.net {
+		if o.key == m.key {
+			return
+		}
+	}
+	w.net = append(w.net, m)
+}
+
+// deliver takes message k out of the network and carries it out.
+func (w *world) deliver(k int) {
+	m := w.net[k]
+	w.net = slices.Delete(w.net, k, k+1)
+	if m.to < 0 {
+		w.serve(m)
+		return
+	}
+	n := w.nodes[m.to]
+	if n.dead {
+		return
+	}
+	n.m = n.m.clone()
+	for _, e := range n.m.Step(n.clock, m.event) {
+		switch e := e.(type) {
+		case ReplySeal:
+			epoch := m.event.(SealRequested).Epoch
+			reply := SealReply{From: nodeID(m.to), Epoch: epoch, Sealed: e.Sealed, Copies: e.Copies}
+			w.send(message{key: fmt.Sprint("sealed", epoch, m.to, ">", m.from, reply), from: m.to, to: m.from, event: reply})
+		case ReplyCopy:
+			i := m.event.(CopyRequested).Intent
+			reply := CopyReply{From: nodeID(m.to), IntentID: i.ID, Epoch: i.Epoch, Acknowledged: e.Acknowledged}
+			w.send(message{key: fmt.Sprint("copied", reply, ">", m.from), from: m.to, to: m.from, event: reply})
+		default:
+			w.effect(m.to, e)
+		}
+	}
+}
+
+// serve carries out a call to a server; its answer is a message again, but for
+// the end of an order, which comes at once.
+func (w *world) serve(m message) {
+	e := w.engines[m.server]
+	e.seen, e.loaded = cloneMap(e.seen), cloneMap(e.loaded)
+	switch c := m.effect.(type) {
+	case RaiseFence:
+		e.fence = max(e.fence, c.Fence)
+		w.send(message{key: fmt.Sprint("raised", m.from, c.Token), from: -1, to: m.from, event: FenceRaised{Token: c.Token, Server: m.server}})
+	case ReadServer:
+		r := e.report(m.server, w.sc.checks)
+		w.send(message{key: fmt.Sprint("report", m.from, r), from: -1, to: m.from, event: ServerRead{Token: c.Token, Report: r}})
+	case Order:
+		result := w.apply(e, c)
+		if !w.nodes[m.from].dead {
+			w.step(m.from, OrderEnded{IntentID: c.Intent.ID, Result: result})
+		}
+	}
+}
+
+func cloneMap[K comparable, V any](m map[K]V) map[K]V {
+	c := make(map[K]V, len(m))
+	for k, v := range m {
+		c[k] = v
+	}
+	return c
+}
+
+func (e *engine) report(id port.ServerID, checks bool) port.Report {
+	r := port.Report{Server: id, Incarnation: fmt.Sprint(e.incarnation)}
+	if checks {
+		r.Fence = e.fence
+	}
+	for _, model := range sortedKeys(e.loaded) {
+		r.Replicas = append(r.Replicas, port.Replica{Model: model, State: port.ReplicaReady, Bytes: 1, OrderID: e.loaded[model]})
+	}
+	return r
+}
+
+// apply is the engine: idempotent by the order's id, refusing old incarnations
+// and, if it checks, old fencing numbers. It knows nothing of our share.
+func (w *world) apply(e *engine, o Order) OrderResult {
+	i := o.Intent
+	if i.Incarnation != fmt.Sprint(e.incarnation) || w.sc.checks && o.Fence < e.fence {
+		return OrderNoEffect
+	}
+	e.fence = max(e.fence, o.Fence)
+	if e.seen[i.ID] {
+		return OrderDone
+	}
+	e.seen[i.ID] = true
+	w.effects = cloneMap(w.effects)
+	w.effects[i.ID]++
+	if i.Kind == port.OrderUnload {
+		delete(e.loaded, i.Model)
+	} else {
+		e.loaded[i.Model] = i.ID
+	}
+	w.check(i)
+	return OrderDone
+}
+
+// check holds the promises against the engines: each model is wanted once, so
+// more than one replica is more than was decided.
+func (w *world) check(i record.Intent) {
+	replicas := 0
+	for id, e := range w.engines {
+		if _, ok := e.loaded[i.Model]; ok {
+			replicas++
+		}
+		if int64(len(e.loaded)) > w.sc.share {
+			w.broken = fmt.Sprintf("server %s: %d replicas exceed the share", id, len(e.loaded))
+		}
+	}
+	if replicas > 1 {
+		w.broken = fmt.Sprintf("model %s loaded on %d servers, decided once", i.Model, replicas)
+	}
+	if w.effects[i.ID] > 1 {
+		w.broken = fmt.Sprintf("order %s had its effect %d times", i.ID, w.effects[i.ID])
+	}
+}
+
+// land brings append k of an instance into the log.
+func (w *world) land(i, k int, answered bool) {
+	r := w.nodes[i].appends[k]
+	w.nodes[i].appends = slices.Delete(w.nodes[i].appends, k, k+1)
+	payload, err := record.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	last := w.prefixes[len(w.prefixes)-1]
+	next := last.Clone()
+	next.Apply(port.Record{Offset: last.Through() + 1, Payload: payload})
+	w.prefixes = append(w.prefixes, next)
+	var b bytes.Buffer
+	fmt.Fprint(&b, w.logHash)
+	writeRecord(&b, r)
+	w.logHash = xxhash.Sum64(b.Bytes())
+	if answered {
+		w.step(i, AppendSettled{RecordID: r.Id, Appended: true, Offset: next.Through()})
+	}
+}
+
+func (w *world) newest() *fold.State { return w.prefixes[len(w.prefixes)-1] }
