Add stand-ins of the platform and the HTTP adapters of the ports

Cause: nothing can be tried end to end before the ports have adapters and the platform has stand-ins.

Change: adapters for log, engine, backend, weight store and live list over net/http; a request is sent at most once, since net/http by itself repeats one with an Idempotency-Key and a rewindable body on a dead kept-alive connection. Connections are sealed on failure, so that 'not sent' is exact. Stand-ins for all services with faults that can be switched by Go calls and over HTTP.

--- /dev/null
+++ b/internal/adapter/httpcall/conn.go
@@ -0,0 +1,96 @@
+package httpcall
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Limits of the transport.
+const (
+	dialTimeout          = 2 * time.Second
+	keepAlivePeriod      = 15 * time.Second
+	idleConnTimeout      = 60 * time.Second
+	maxIdleConns         = 4096
+	maxIdleConnsPerHost  = 256
+	maxResponseHeaderLen = 64 << 10
+)
+
+var errSealed = errors.New("connection sealed after a failed call")
+
+// trackedConn counts the writes to a connection, and refuses them once sealed.
+type trackedConn struct {
+	net.Conn
+	mu     sync.Mutex
+	writes uint64
+	sealed bool
+}
+
+// Write counts the write before it starts, so that the count never misses one.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, errSealed
+	}
+	c.writes++
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+func (c *trackedConn) started() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes
+}
+
+// seal ends the connection for writing and returns how many writes were started
+// before. After it returns, no further write starts.
+func (c *trackedConn) seal() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.writes
+}
+
+// tracked finds the trackedConn under a connection that net/http reports.
+func tracked(conn net.Conn) *trackedConn {
+	switch c := conn.(type) {
+	case *trackedConn:
+		return c
+	case *tls.Conn:
+		t, _ := c.NetConn().(*trackedConn)
+		return t
+	}
+	return nil
+}
+
+// NewTransport returns a transport for Send. It speaks HTTP/1.1 only, uses no
+// proxy and asks for no compression.
+func NewTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &trackedConn{Conn: conn}, nil
+		},
+		DisableCompression:     true,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxIdleConns:           maxIdleConns,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		MaxResponseHeaderBytes: maxResponseHeaderLen,
+	}
+}
+
+// NewClient returns a client over a new transport.
+func NewClient() *http.Client {
+	return &http.Client{Transport: NewTransport()}
+}
--- /dev/null
+++ b/internal/adapter/httpcall/status.go
@@ -0,0 +1,66 @@
+package httpcall
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+)
+
+// StatusError is an answer other than 200.
+type StatusError struct {
+	Status int
+	// Code is the value of "error" in a JSON body, empty without one.
+	Code string
+	// Body is the beginning of the answer's body.
+	Body []byte
+}
+
+// Error returns the status and the code.
+func (e *StatusError) Error() string {
+	if e.Code != "" {
+		return fmt.Sprintf("status %d: %s", e.Status, e.Code)
+	}
+	return fmt.Sprintf("status %d", e.Status)
+}
+
+// Unwrap returns the error of the ports that the status stands for. A status
+// that doesn't prove that nothing happened is port.ErrUnknownOutcome.
+func (e *StatusError) Unwrap() error {
+	switch e.Status {
+	case http.StatusConflict:
+		if e.Code == CodeFenced {
+			return port.ErrFenced
+		}
+		return port.ErrRefused
+	case http.StatusInsufficientStorage:
+		return port.ErrNoMemory
+	case http.StatusNotImplemented, http.StatusNotFound, http.StatusMethodNotAllowed:
+		return port.ErrNotSupported
+	case http.StatusGone:
+		return port.ErrTruncated
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return port.ErrRefused
+	}
+	if e.Status >= 400 && e.Status < 500 && e.Status != http.StatusRequestTimeout {
+		return port.ErrRefused
+	}
+	return port.ErrUnknownOutcome
+}
+
+// CodeFenced is the error code of a server that has seen a higher fencing number.
+const CodeFenced = "fenced"
+
+func readStatusError(resp *http.Response) error {
+	e := &StatusError{Status: resp.StatusCode}
+	// A body that can't be read leaves only the status to go by.
+	e.Body, _ = ReadBounded(resp.Body, errorBodyLimit)
+	var coded struct {
+		Error string `json:"error"`
+	}
+	if json.Unmarshal(e.Body, &coded) == nil {
+		e.Code = coded.Error
+	}
+	return e
+}
--- /dev/null
+++ b/internal/standin/control.go
@@ -0,0 +1,83 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/jsonc"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+)
+
+// control serves the faults and counters:
+//
+//	GET  /faults                   the faults in force
+//	PUT  /faults                   replaces them (JSON, comments allowed)
+//	GET  /counters                 what the stand-ins have seen
+//	GET  /servers                  the backend servers
+//	POST /servers/{id}/restart     a new incarnation of an engine
+//	POST /servers/{id}/leave       the server is leaving
+//	POST /servers/{id}/kill        the server dies without warning
+//	POST /servers/{id}/revive      a killed server comes back
+func (p *Platform) control() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/faults", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, p.Faults()) })
+	r.Put("/faults", p.servePutFaults)
+	r.Get("/counters", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, p.Counters()) })
+	r.Get("/servers", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, p.Servers) })
+	actions := map[string]func(port.ServerID) error{
+		"restart": p.RestartEngine, "leave": p.Leave, "kill": p.Kill, "revive": p.Revive,
+	}
+	r.Post("/servers/{id}/{action}", func(w http.ResponseWriter, r *http.Request) {
+		act, ok := actions[pathParam(r, "action")]
+		if !ok {
+			writeError(w, http.StatusNotFound, "no such action")
+			return
+		}
+		if err := act(port.ServerID(pathParam(r, "id"))); err != nil {
+			writeError(w, http.StatusNotFound, err.Error())
+			return
+		}
+		writeJSON(w, http.StatusOK, struct{}{})
+	})
+	return r
+}
+
+func (p *Platform) servePutFaults(w http.ResponseWriter, r *http.Request) {
+	body, err := readBody(w, r)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "body")
+		return
+	}
+	var faults Faults
+	if err := jsonc.Decode(body, &faults); err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	p.SetFaults(func(f *Faults) {
+		if faults.Servers == nil {
+			faults.Servers = make(map[port.ServerID]ServerFaults)
+		}
+		*f = faults
+	})
+	writeJSON(w, http.StatusOK, p.Faults())
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	return io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+}
+
+// pathParam returns a parameter of the path, unescaped.
+func pathParam(r *http.Request, name string) string {
+	value := chi.URLParam(r, name)
+	if r.URL.RawPath == "" {
+		return value
+	}
+	unescaped, err := url.PathUnescape(value)
+	if err != nil {
+		return value
+	}
+	return unescaped
+}
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,145 @@
+package standin_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httpbackend"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httpengine"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httplive"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httplog"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httpstore"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/standin"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+)
+
+const model = port.ModelID("entry-assistant")
+
+// fast returns settings whose loads and answers take milliseconds.
+func fast() standin.Settings {
+	s := standin.Defaults()
+	s.Engine.LoadOverhead = 0
+	s.Engine.TokensPerSecond = 5000
+	s.Store.BytesPerSecond = 1 << 42
+	s.Store.LoadsPerSecond = 1000
+	s.Log.AppendsPerSecond = 100000
+	s.Live.Lag = 0
+	return s
+}
+
+func start(t *testing.T, s standin.Settings) *standin.Platform {
+	t.Helper()
+	p, err := standin.Start(s)
+	require.NoError(t, err)
+	t.Cleanup(p.Close)
+	return p
+}
+
+func load(server port.Server, id string) port.Order {
+	return port.Order{ID: id, Kind: port.OrderLoad, Model: model, Bytes: 6 << 30, Fence: 1}
+}
+
+func streamRequest(t *testing.T, prompt string, tokens int) *http.Request {
+	t.Helper()
+	body, err := json.Marshal(map[string]any{
+		"model": model, "stream": true, "max_tokens": tokens,
+		"messages": []standin.Message{{Role: "user", Content: prompt}},
+	})
+	require.NoError(t, err)
+	r, err := http.NewRequest(http.MethodPost, "http://ignored/v1/chat/completions", bytes.NewReader(body))
+	require.NoError(t, err)
+	r.Header.Set("Content-Type", "application/json")
+	return r
+}
+
+// readStream returns the text, the chunk positions and whether the end marker came.
+func readStream(t *testing.T, body io.Reader) (text string, ids []string, done bool) {
+	t.Helper()
+	for event, err := range sse.Read(body, nil) {
+		if err != nil {
+			return text, ids, false
+		}
+		if event.Data == "[DONE]" {
+			return text, ids, true
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct{ Content string }
+			}
+		}
+		require.NoError(t, json.Unmarshal([]byte(event.Data), &chunk))
+		text += chunk.Choices[0].Delta.Content
+		ids = append(ids, event.LastEventID)
+	}
+	return text, ids, false
+}
+
+func TestWholePathOverTCP(t *testing.T) {
+	p := start(t, fast())
+	ctx := context.Background()
+
+	log := httplog.New(p.LogURL, nil)
+	first, err := log.Append(ctx, [][]byte{[]byte("a"), []byte("b")})
+	require.NoError(t, err)
+	require.Equal(t, port.Offset(1), first)
+	page, err := log.Read(ctx, 0, 10, 0)
+	require.NoError(t, err)
+	require.Equal(t, port.Page{Oldest: 1, End: 3, Records: []port.Record{{Offset: 1, Payload: []byte("a")}, {Offset: 2, Payload: []byte("b")}}}, page)
+
+	catalog, err := httpstore.New(p.StoreURL, nil).Catalog(ctx)
+	require.NoError(t, err)
+	require.Len(t, catalog, 4)
+
+	live := httplive.New(p.LiveURL, nil)
+	me := port.Instance{ID: "i 1/x", Zone: "zone-a", PeerAddress: "127.0.0.1:1"}
+	require.NoError(t, live.Announce(ctx, me))
+	set, err := live.List(ctx)
+	require.NoError(t, err)
+	require.Equal(t, []port.Instance{me}, set.Instances)
+	require.ElementsMatch(t, p.Servers, set.Servers)
+
+	engine := httpengine.New(nil)
+	server := p.Servers[0]
+	require.NoError(t, engine.Apply(ctx, server, load(server, "o1")))
+	report, err := engine.Report(ctx, server)
+	require.NoError(t, err)
+	require.Equal(t, []port.Replica{{Model: model, State: port.ReplicaReady, Bytes: 6 << 30, OrderID: "o1"}}, report.Replicas)
+
+	resp, err := httpbackend.New(nil).Do(ctx, server, streamRequest(t, "hello", 5))
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	text, ids, done := readStream(t, resp.Body)
+	want := standin.Answer(string(model), standin.ChatPrompt([]standin.Message{{Role: "user", Content: "hello"}}), 5)
+	require.True(t, done)
+	require.Equal(t, strings.Join(want, ""), text)
+	require.Equal(t, []string{"0", "1", "2", "3", "4", "5"}, ids)
+	require.Equal(t, 1, p.LoadsSeen(model))
+	require.Equal(t, 1, p.LoadedNow(model))
+}
+
+func TestFaultsOverControlURL(t *testing.T) {
+	p := start(t, fast())
+	put := func(body string) int {
+		r, err := http.NewRequest(http.MethodPut, p.ControlURL+"/faults", strings.NewReader(body))
+		require.NoError(t, err)
+		resp, err := http.DefaultClient.Do(r)
+		require.NoError(t, err)
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	require.Equal(t, http.StatusOK, put(`{"log": {"calls": {"down": true}}, "servers": {"zone-a-engine-1": {"hang_loads": true}}}`))
+	require.True(t, p.Faults().Log.Down)
+	require.True(t, p.Faults().Servers["zone-a-engine-1"].HangLoads)
+	require.Equal(t, http.StatusBadRequest, put(`{"log": {"downn": true}}`))
+	require.True(t, p.Faults().Log.Down, "a refused change leaves the faults as they were")
+	require.Equal(t, http.StatusOK, put(`{}`))
+	require.False(t, p.Faults().Log.Down)
+}
