--- /dev/null
+++ b/pkg/logclient/config.go
@@ -0,0 +1,120 @@
+package logclient
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fold"
+)
+
+// Config sets up a Client. Zero values stand for the defaults.
+type Config struct {
+	// Validate is the pure validity of a targets document.
+	Validate func(document []byte) error
+	// FetchState returns the encoded state of a peer. It is asked while the log
+	// is away, and when the log no longer keeps what this instance needs.
+	FetchState func(ctx context.Context) ([]byte, error)
+	// Rebase decides whether to go on from the first snapshot in the log, or
+	// from an appended one, when neither log nor peers have a state that joins
+	// on. It must return true only if no instance is left that has folded the
+	// log without a gap; own may be nil. Without Rebase the client waits.
+	Rebase func(ctx context.Context, own *fold.State) bool
+
+	// AppendsPerSecond is this instance's part of the service's append rate.
+	AppendsPerSecond float64
+	// AppendBurst is how many appends may follow one another at once.
+	AppendBurst int
+	// QueueRecords and QueueBytes bound the pending appends.
+	QueueRecords int
+	QueueBytes   int
+	// BatchRecords and BatchBytes bound what one append carries.
+	BatchRecords int
+	BatchBytes   int
+	// AppendTimeout bounds one call of the service.
+	AppendTimeout time.Duration
+
+	// ReadRecords is the most records of one read, PollWait how long a read
+	// waits at the end of the log.
+	ReadRecords int
+	PollWait    time.Duration
+	// ReadTimeout bounds a read beyond its wait.
+	ReadTimeout time.Duration
+	// FirstRetry and RetryLimit bound the pauses between tries, before jitter.
+	FirstRetry time.Duration
+	RetryLimit time.Duration
+	// SlowAfter is the duration from which a call counts as slow.
+	SlowAfter time.Duration
+	// DownAfter is how long after the last answer the log counts as down, if no
+	// read has failed before that.
+	DownAfter time.Duration
+	// PeerRefresh is the pause between questions to peers while the log is away.
+	PeerRefresh time.Duration
+
+	Snapshot SnapshotConfig
+	// Metrics receives the client's metrics; nil means a registry of its own.
+	Metrics metrics.Registry
+}
+
+// SnapshotConfig says when to append a snapshot of the state.
+type SnapshotConfig struct {
+	// Mine reports whether this instance is the one to append snapshots now.
+	// Two that both do so only waste an append. Without Mine none is appended.
+	Mine func(*fold.State) bool
+	// EveryRecords and Every are the most records and the most time between two
+	// snapshots. Every must lie well below the retention of the log.
+	EveryRecords int64
+	Every        time.Duration
+}
+
+// The defaults of Config.
+const (
+	defaultAppendsPerSecond = 40
+	defaultAppendBurst      = 10
+	defaultQueueRecords     = 4096
+	defaultQueueBytes       = 16 << 20
+	defaultBatchRecords     = 64
+	defaultBatchBytes       = 1 << 20
+	defaultAppendTimeout    = 2 * time.Second
+	defaultReadRecords      = 500
+	defaultPollWait         = time.Second
+	defaultReadTimeout      = 3 * time.Second
+	defaultFirstRetry       = 50 * time.Millisecond
+	defaultRetryLimit       = 2 * time.Second
+	defaultSlowAfter        = 250 * time.Millisecond
+	defaultDownAfter        = 5 * time.Second
+	defaultPeerRefresh      = 2 * time.Second
+	defaultSnapshotRecords  = 5000
+	defaultSnapshotEvery    = time.Hour
+)
+
+func orDefault[T int | int64 | float64 | time.Duration](value *T, standard T) {
+	if *value <= 0 {
+		*value = standard
+	}
+}
+
+func (c Config) withDefaults() Config {
+	orDefault(&c.AppendsPerSecond, defaultAppendsPerSecond)
+	orDefault(&c.AppendBurst, defaultAppendBurst)
+	orDefault(&c.QueueRecords, defaultQueueRecords)
+	orDefault(&c.QueueBytes, defaultQueueBytes)
+	orDefault(&c.BatchRecords, defaultBatchRecords)
+	orDefault(&c.BatchBytes, defaultBatchBytes)
+	orDefault(&c.AppendTimeout, defaultAppendTimeout)
+	orDefault(&c.ReadRecords, defaultReadRecords)
+	orDefault(&c.PollWait, defaultPollWait)
+	orDefault(&c.ReadTimeout, defaultReadTimeout)
+	orDefault(&c.FirstRetry, defaultFirstRetry)
+	orDefault(&c.RetryLimit, defaultRetryLimit)
+	orDefault(&c.SlowAfter, defaultSlowAfter)
+	orDefault(&c.DownAfter, defaultDownAfter)
+	orDefault(&c.PeerRefresh, defaultPeerRefresh)
+	orDefault(&c.Snapshot.EveryRecords, defaultSnapshotRecords)
+	orDefault(&c.Snapshot.Every, defaultSnapshotEvery)
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewRegistry()
+	}
+	return c
+}
--- /dev/null
+++ b/pkg/logclient/rapid_test.go
@@ -0,0 +1,181 @@
+package logclient_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fold"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/logclient"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/record"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/record/recordpb"
+)
+
+// script is one run: what two clients append and what goes wrong meanwhile.
+type script struct {
+	appends [2][]scripted
+	// outages are moments at which the log goes down or comes back.
+	outages  []time.Duration
+	faults   []appendFault
+	readings []readFault
+	lateBy   time.Duration
+}
+
+// scripted is one append.
+type scripted struct {
+	record   *recordpb.Record
+	at       time.Duration
+	patience time.Duration
+}
+
+func drawScript(t *rapid.T) script {
+	ms := func(low, high int, name string) time.Duration {
+		return time.Duration(rapid.IntRange(low, high).Draw(t, name)) * time.Millisecond
+	}
+	s := script{lateBy: ms(1, 3000, "late by")}
+	for range rapid.IntRange(0, 20).Draw(t, "append faults") {
+		s.faults = append(s.faults, appendFault(rapid.IntRange(0, int(appendFaults)-1).Draw(t, "append fault")))
+	}
+	for range rapid.IntRange(0, 20).Draw(t, "read faults") {
+		s.readings = append(s.readings, readFault(rapid.IntRange(0, int(readFaults)-1).Draw(t, "read fault")))
+	}
+	at := time.Duration(0)
+	for range 2 * rapid.IntRange(0, 2).Draw(t, "outages") {
+		at += ms(1, 4000, "until the next change")
+		s.outages = append(s.outages, at)
+	}
+	for c := range s.appends {
+		for n := range rapid.IntRange(0, 12).Draw(t, "appends") {
+			s.appends[c] = append(s.appends[c], scripted{
+				record: drawRecord(t, fmt.Sprintf("c%d-%d", c, n)), at: ms(0, 5000, "at"), patience: ms(0, 20000, "patience"),
+			})
+		}
+	}
+	return s
+}
+
+func drawRecord(t *rapid.T, id string) *recordpb.Record {
+	instance := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "instance")
+	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	case 0:
+		return record.NewWithID(id, "a", port.InstanceID(instance), &recordpb.Member{Instance: instance, Eligible: rapid.Bool().Draw(t, "eligible")})
+	case 1:
+		return record.NewWithID(id, "a", port.InstanceID(instance), &recordpb.Claim{Supersedes: rapid.Int64Range(0, 6).Draw(t, "supersedes")})
+	case 2:
+		intent := record.Intent{ID: id, Zone: "a", Epoch: port.Epoch(rapid.Int64Range(1, 6).Draw(t, "epoch")), Kind: port.OrderLoad, Model: "m", Server: "s", Bytes: 1}
+		return record.NewWithID(id, "a", port.InstanceID(instance), intent.Proto())
+	default:
+		return record.NewWithID(id, "a", port.InstanceID(instance), &recordpb.Targets{
+			Base: rapid.Int64Range(0, 6).Draw(t, "base"), Document: []byte(id), Publisher: instance,
+		})
+	}
+}
+
+// ending is what one append returned.
+type ending struct {
+	record *recordpb.Record
+	result logclient.Result
+	err    error
+}
+
+// play runs the script and returns the endings and the two clients' last states.
+func play(log *fakeLog, s script) ([]ending, [2]*fold.State) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait, runs sync.WaitGroup
+	var mu sync.Mutex
+	var endings []ending
+	var clients [2]*logclient.Client
+	for c := range clients {
+		clients[c] = logclient.New(log, logclient.Config{})
+		runs.Go(func() { _ = clients[c].Run(ctx) })
+		for _, a := range s.appends[c] {
+			wait.Go(func() {
+				time.Sleep(a.at)
+				callCtx, cancel := context.WithTimeout(ctx, a.patience)
+				defer cancel()
+				result, err := clients[c].Append(callCtx, a.record)
+				mu.Lock()
+				defer mu.Unlock()
+				endings = append(endings, ending{a.record, result, err})
+			})
+		}
+	}
+	for n, at := range s.outages {
+		wait.Go(func() {
+			time.Sleep(at)
+			log.setDown(n%2 == 0)
+		})
+	}
+	wait.Wait()
+	// Long enough for what is late to land, and for every pause to end.
+	time.Sleep(time.Minute)
+	states := [2]*fold.State{clients[0].State(), clients[1].State()}
+	cancel()
+	runs.Wait()
+	return endings, states
+}
+
+// judge compares the endings with the log as it is in the end.
+func judge(log *fakeLog, endings []ending, states [2]*fold.State) error {
+	_, records := log.all()
+	oracle := fold.New(nil)
+	first := make(map[string]logclient.Result)
+	payloads := make(map[string]string)
+	for n, payload := range records {
+		offset := port.Offset(n + 1)
+		verdict := oracle.Apply(port.Record{Offset: offset, Payload: payload})
+		r, err := record.Unmarshal(payload)
+		if err != nil {
+			return err
+		}
+		if _, ok := first[r.Id]; !ok {
+			first[r.Id] = logclient.Result{Offset: offset, Verdict: verdict}
+			payloads[r.Id] = string(payload)
+		} else if payloads[r.Id] != string(payload) {
+			return errors.Errorf("two records with the id %s", r.Id)
+		}
+	}
+	for _, e := range endings {
+		found, onLog := first[e.record.Id]
+		switch {
+		case e.err == nil && (!onLog || found != e.result):
+			return errors.Errorf("%s returned %v, the log has %v", e.record.Id, e.result, found)
+		case errors.Is(e.err, logclient.ErrNotAppended) && onLog:
+			return errors.Errorf("%s is said not to be on the log, but is at %d", e.record.Id, found.Offset)
+		case e.err != nil && !errors.Is(e.err, logclient.ErrNotAppended) && !errors.Is(e.err, logclient.ErrUnsettled):
+			return e.err
+		}
+	}
+	for c, state := range states {
+		if state == nil || string(state.Encode()) != string(oracle.Encode()) {
+			return errors.Errorf("client %d ended with another state than the fold of the log", c)
+		}
+	}
+	return nil
+}
+
+// TestRandomFaults: whatever goes wrong, each append that returned success is
+// exactly where it says, none that is said not to be on the log is there, no id
+// has two records, and both clients end with the fold of the log.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := drawScript(rt)
+		var verdict error
+		synctest.Test(t, func(*testing.T) {
+			log := newFakeLog()
+			log.appends, log.reads, log.lateBy = s.faults, s.readings, s.lateBy
+			endings, states := play(log, s)
+			verdict = judge(log, endings, states)
+		})
+		if verdict != nil {
+			rt.Fatal(verdict)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/logclient/tail.go
@@ -0,0 +1,149 @@
+package logclient
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fold"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+)
+
+// tail reads and folds the log. One goroutine uses it.
+type tail struct {
+	*Client
+	// work is the state being folded; nil before there is one.
+	work  *fold.State
+	retry backoffer
+	// askedPeers is when peers were last asked for their state.
+	askedPeers time.Time
+}
+
+func newTail(c *Client) *tail {
+	return &tail{Client: c, retry: c.config.newBackoff()}
+}
+
+func (t *tail) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := t.next(ctx)
+		if err == nil {
+			t.retry.Reset()
+			continue
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		t.metrics.readFailures.Inc(1)
+		t.health.readFailed(time.Now(), conditionOf(err), err)
+		t.askPeers(ctx)
+		pause(ctx, t.retry.NextBackOff())
+	}
+	return ctx.Err()
+}
+
+// conditionOf tells what a failed read says about the log.
+func conditionOf(err error) Condition {
+	switch {
+	case errors.Is(err, errGap), errors.Is(err, fold.ErrGap):
+		return ConditionGap
+	case errors.Is(err, fold.ErrRegressed):
+		return ConditionRegressed
+	}
+	return ConditionDown
+}
+
+func (t *tail) next(ctx context.Context) error {
+	if t.work == nil {
+		return t.join(ctx)
+	}
+	err := t.step(ctx)
+	if errors.Is(err, port.ErrTruncated) || errors.Is(err, fold.ErrGap) {
+		return t.join(ctx)
+	}
+	return err
+}
+
+// step reads and folds one page after the folded offset.
+func (t *tail) step(ctx context.Context) error {
+	readCtx, interrupt := context.WithCancel(ctx)
+	defer interrupt()
+	number, wait := t.book.beginRead(interrupt, time.Now(), t.config.PollWait)
+	started := time.Now()
+	page, err := t.read(readCtx, t.work.Through()+1, wait)
+	t.book.endRead()
+	if err != nil && readCtx.Err() != nil && ctx.Err() == nil {
+		return nil // interrupted to read at once for a doubtful append
+	}
+	if err != nil {
+		return err
+	}
+	if err := t.work.CheckBounds(page.Oldest, page.End); err != nil {
+		return err
+	}
+	if err := t.foldPage(page); err != nil {
+		return err
+	}
+	now := time.Now()
+	t.health.readThrough(now, now.Sub(started)-wait, t.work.Through(), page)
+	if t.work.Through()+1 >= page.End {
+		t.metrics.repeated.Inc(int64(t.book.reachedEnd(number, now)))
+	}
+	return nil
+}
+
+func (t *tail) read(ctx context.Context, from port.Offset, wait time.Duration) (port.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+t.config.ReadTimeout)
+	defer cancel()
+	return t.log.Read(ctx, from, t.config.ReadRecords, wait)
+}
+
+// foldPage folds the page's records, publishes the state, and settles the
+// appends that it shows, in this order: who sees an append settled finds it in
+// the state.
+func (t *tail) foldPage(page port.Page) error {
+	var seen []sighting
+	gap := false
+	before := t.work.Through()
+	for _, r := range page.Records {
+		verdict := t.work.Apply(r)
+		if verdict.Reason == fold.ReasonGap {
+			gap = true
+			break
+		}
+		if verdict.Reason == fold.ReasonOld {
+			continue
+		}
+		if verdict.Kind == fold.KindSnapshot {
+			t.snapshots.Store(&snapshotMark{offset: r.Offset, at: time.Now()})
+		}
+		if t.book.awaits(r.Payload) {
+			seen = append(seen, sighting{record: r, verdict: verdict})
+		}
+	}
+	t.metrics.records.Inc(int64(t.work.Through() - before))
+	caughtUp := t.work.Through()+1 >= page.End
+	if caughtUp || len(seen) > 0 || t.State() != nil {
+		t.publishWork()
+	}
+	t.book.sighted(seen)
+	t.book.passed(t.work.Through(), time.Now())
+	if gap {
+		return errors.Wrap(errHole, "fold page")
+	}
+	return nil
+}
+
+// errHole says that a page left out a record between two others.
+var errHole = errors.New("log left out a record")
+
+// publishWork publishes a copy of the state, if it went on. Only the tail
+// publishes, so that what is published never goes back.
+func (t *tail) publishWork() {
+	last := t.view.Load()
+	if last.state != nil && last.state.Through() >= t.work.Through() {
+		return
+	}
+	t.view.Store(&view{state: t.work.Clone(), changed: make(chan struct{})})
+	close(last.changed)
+}
