--- a/internal/adapter/httpcall/doc.go
+++ b/internal/adapter/httpcall/doc.go
@@ -4,8 +4,9 @@
 // net/http sends some requests again by itself when a kept-alive connection
 // turns out to be dead: those with an idempotent method and, less known, every
 // request with an Idempotency-Key header whose body can be rewound. For work
-// that must run at most once this is a silent second run, so Send makes each
-// request one that net/http never sends twice.
+// that must run at most once this is a silent second run. Send watches the
+// connections that a request is given, and ends a second one before anything can
+// be written to it, unless it is proved that nothing was written to the first.
 //
 // A failure is port.ErrNotSent only where no byte of the request was handed to
 // the operating system and none can be any more: the connections of NewTransport
--- a/internal/adapter/httpcall/send.go
+++ b/internal/adapter/httpcall/send.go
@@ -25,49 +25,54 @@
 // errorBodyLimit bounds what is read of an error answer, in bytes.
 const errorBodyLimit = 4 << 10
 
-// onceBody is a request body that net/http can't rewind. It is set even where
-// there is no body, because net/http repeats requests without one.
-type onceBody struct{ io.Reader }
-
-// Close closes the body beneath, if it can be closed.
-func (b onceBody) Close() error {
-	if c, ok := b.Reader.(io.Closer); ok {
-		return c.Close()
-	}
-	return nil
-}
-
 // attempt notes which connection a request was given.
 type attempt struct {
 	mu      sync.Mutex
-	got     bool
 	conn    net.Conn
 	started uint64
+	// mayBeSent is set once a connection was given up to which the request may
+	// have been written.
+	mayBeSent bool
 }
 
+// gotConn is called when the request is about to be written to a connection. It
+// gets here again when net/http tries the request on another one: the connection
+// is closed then, so that nothing can be written, unless it is proved that
+// nothing was on the last one.
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.got = true
+	a.giveUp()
+	if a.mayBeSent {
+		_ = info.Conn.Close()
+		return
+	}
 	a.conn = info.Conn
 	if t := tracked(info.Conn); t != nil {
 		a.started = t.started()
 	}
 }
 
-// sent reports whether any byte of the request may have been written, or may
-// still be. It ends the connection for further use.
-func (a *attempt) sent() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if !a.got {
-		return false
+// giveUp ends the present connection for writing, and notes whether any byte of
+// the request may have been written; a.mu is held.
+func (a *attempt) giveUp() {
+	if a.conn == nil {
+		return
 	}
 	t := tracked(a.conn)
-	if t == nil {
-		return true
+	if t == nil || t.seal() != a.started {
+		a.mayBeSent = true
 	}
-	return t.seal() != a.started
+	a.conn = nil
+}
+
+// sent reports whether any byte of the request may have been written. Nothing is
+// written after it returns.
+func (a *attempt) sent() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.giveUp()
+	return a.mayBeSent
 }
 
 // Send sends the request once over the client's transport, without following
@@ -76,15 +81,7 @@
 func Send(c *http.Client, r *http.Request) (*http.Response, error) {
 	a := &attempt{}
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: a.gotConn})
-	once := r.WithContext(ctx)
-	once.GetBody = nil
-	if r.Body == nil || r.Body == http.NoBody {
-		once.Body = onceBody{bytes.NewReader(nil)}
-		once.ContentLength = 0
-	} else {
-		once.Body = onceBody{r.Body}
-	}
-	resp, err := transportOf(c).RoundTrip(once)
+	resp, err := transportOf(c).RoundTrip(r.WithContext(ctx))
 	if err == nil {
 		return resp, nil
 	}
