--- a/internal/adapter/httpengine/httpengine.go
+++ b/internal/adapter/httpengine/httpengine.go
@@ -28,6 +28,9 @@
 	maxOrderBytes  = 64 << 10
 	reportTimeout  = 3 * time.Second
 	fenceTimeout   = 3 * time.Second
+	// maxServerBytes bounds the memory of a server and of all its replicas, so
+	// that sums over servers don't overflow.
+	maxServerBytes = int64(1) << 50
 )
 
 // Engine is a port.Engine over HTTP.
@@ -120,14 +123,21 @@
 	if r.Incarnation == "" {
 		return bad("no incarnation")
 	}
-	if r.MemoryBytes < 0 || r.OlderBytes < 0 || r.InFlight < 0 || r.Queued < 0 {
-		return bad("a negative amount")
+	for _, bytes := range []int64{r.MemoryBytes, r.OlderBytes} {
+		if bytes < 0 || bytes > maxServerBytes {
+			return bad("memory")
+		}
+	}
+	if r.InFlight < 0 || r.Queued < 0 {
+		return bad("a negative count")
 	}
+	left := maxServerBytes
 	seen := make(map[port.ModelID]bool, len(r.Replicas))
 	for _, replica := range r.Replicas {
-		if replica.Model == "" || replica.Bytes < 0 || seen[replica.Model] {
+		if replica.Model == "" || replica.Bytes < 0 || replica.Bytes > left || seen[replica.Model] {
 			return bad("replica " + string(replica.Model))
 		}
+		left -= replica.Bytes
 		seen[replica.Model] = true
 		switch replica.State {
 		case port.ReplicaLoading, port.ReplicaReady, port.ReplicaUnloading:
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -16,6 +16,7 @@
 // Limits of the log service.
 const (
 	maxReadRecords   = 1000
+	maxReadBytes     = 4 << 20
 	maxAppendRecords = 256
 	maxReadWait      = 60 * time.Second
 )
@@ -158,8 +159,14 @@
 	if from < l.oldest {
 		return http.StatusGone, page, l.grown
 	}
+	size := 0
 	for at := from; at < l.end() && len(page.Records) < limit; at++ {
-		page.Records = append(page.Records, httplog.Entry{Offset: at, Payload: l.records[at-l.oldest]})
+		payload := l.records[at-l.oldest]
+		size += len(payload)
+		if size > maxReadBytes && len(page.Records) > 0 {
+			break
+		}
+		page.Records = append(page.Records, httplog.Entry{Offset: at, Payload: payload})
 	}
 	return http.StatusOK, page, l.grown
 }
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -123,3 +123,17 @@
 		Live: LiveSettings{Lag: jsonc.Duration(500 * time.Millisecond)},
 	}
 }
+
+// Fast returns the defaults with loads and answers of a few milliseconds, no lag
+// and rates that nothing reaches.
+func Fast() Settings {
+	s := Defaults()
+	s.Engine.LoadOverhead = 0
+	s.Engine.TokensPerSecond = 5000
+	s.Engine.DiskBytesPerSecond = 1 << 42
+	s.Store.BytesPerSecond = 1 << 42
+	s.Store.LoadsPerSecond = 1000
+	s.Log.AppendsPerSecond = 100_000
+	s.Live.Lag = 0
+	return s
+}
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -23,18 +23,6 @@
 
 const model = port.ModelID("entry-assistant")
 
-// fast returns settings whose loads and answers take milliseconds.
-func fast() standin.Settings {
-	s := standin.Defaults()
-	s.Engine.LoadOverhead = 0
-	s.Engine.TokensPerSecond = 5000
-	s.Store.BytesPerSecond = 1 << 42
-	s.Store.LoadsPerSecond = 1000
-	s.Log.AppendsPerSecond = 100000
-	s.Live.Lag = 0
-	return s
-}
-
 func start(t *testing.T, s standin.Settings) *standin.Platform {
 	t.Helper()
 	p, err := standin.Start(s)
@@ -83,7 +71,7 @@
 }
 
 func TestWholePathOverTCP(t *testing.T) {
-	p := start(t, fast())
+	p := start(t, standin.Fast())
 	ctx := context.Background()
 
 	log := httplog.New(p.LogURL, nil)
@@ -126,7 +114,7 @@
 }
 
 func TestFaultsOverControlURL(t *testing.T) {
-	p := start(t, fast())
+	p := start(t, standin.Fast())
 	put := func(body string) int {
 		r, err := http.NewRequest(http.MethodPut, p.ControlURL+"/faults", strings.NewReader(body))
 		require.NoError(t, err)
