Serve callers through a filter chain with three endings

Cause: nothing took requests yet.

Change: internal/gateway with the OpenAI routes, plain services by path prefix, health checks, admission, waiting with one wake question per model, retries by what is proved, streams and draining; internal/problem for application/problem+json; pkg/queue and pkg/stream under it. Identity is an interface so far.

The contract test with the OpenAI client first failed: the library took a stream that ended in an error event for a whole answer, because the event had no member "error"; problems carry one now.

Conclusion: the request side can be wired.

--- /dev/null
+++ b/internal/gateway/classify.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/problem"
+)
+
+// The request headers that callers steer the gateway by.
+const (
+	// HeaderIdempotencyKey names the identity of a request.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderTimeout is the time, in seconds from the request's arrival, within
+	// which the caller wants its whole answer.
+	HeaderTimeout = "X-Request-Timeout"
+	// HeaderClass names the class of work.
+	HeaderClass = "X-Request-Class"
+)
+
+const (
+	maxTimeoutDigits = 16
+	maxTimeout       = 24 * time.Hour
+)
+
+// single returns the value of a header that may appear at most once.
+func single(h http.Header, name string) (string, error) {
+	values := h.Values(name)
+	switch len(values) {
+	case 0:
+		return "", nil
+	case 1:
+		return values[0], nil
+	default:
+		return "", problem.New(problem.BadHeader, "more than one "+name+" header")
+	}
+}
+
+// classify finds the class of the request. A class named by the caller doesn't
+// make work repeatable that the rules say is not.
+func (g *Gateway) classify(c *Call) error {
+	name, err := single(c.r.Header, HeaderClass)
+	if err != nil {
+		return err
+	}
+	c.class = c.view.Classify(ClassQuery{
+		Model:  c.model,
+		Path:   c.r.URL.Path,
+		Caller: c.caller,
+		Header: c.r.Header,
+	})
+	c.repeatable = c.class.Repeatable
+	if name != "" {
+		named, ok := c.view.Class(name)
+		if !ok {
+			return problem.New(problem.BadHeader, "there is no class of this name")
+		}
+		c.class = named
+		c.repeatable = c.repeatable && named.Repeatable
+	}
+	return c.Next()
+}
+
+// setDeadline works out until when the request is of use.
+func (g *Gateway) setDeadline(c *Call) error {
+	value, err := single(c.r.Header, HeaderTimeout)
+	if err != nil {
+		return err
+	}
+	timeout := g.config.MaxCall
+	if value != "" {
+		timeout, err = parseTimeout(value)
+		if err != nil {
+			return err
+		}
+	}
+	c.deadline = c.arrived.Add(timeout)
+	c.startBy = c.arrived.Add(min(time.Duration(c.class.MaxWait), timeout))
+	if !g.now().Before(c.startBy) {
+		return problem.New(problem.DeadlineExpired, "the deadline passed before the request had arrived whole")
+	}
+	return c.Next()
+}
+
+// parseTimeout reads a decimal number of seconds, such as "2.5".
+func parseTimeout(value string) (time.Duration, error) {
+	bad := problem.New(problem.BadHeader, HeaderTimeout+" must be a decimal number of seconds such as 2.5")
+	if value == "" || len(value) > maxTimeoutDigits {
+		return 0, bad
+	}
+	for _, b := range []byte(value) {
+		if (b < '0' || b > '9') && b != '.' {
+			return 0, bad
+		}
+	}
+	seconds, err := strconv.ParseFloat(value, 64)
+	if err != nil {
+		return 0, bad
+	}
+	if seconds == 0 {
+		return 0, problem.New(problem.DeadlineExpired, HeaderTimeout+" is zero")
+	}
+	if seconds >= maxTimeout.Seconds() {
+		return maxTimeout, nil
+	}
+	return time.Duration(seconds * float64(time.Second)), nil
+}
--- /dev/null
+++ b/internal/gateway/dedupe.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/problem"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/identity"
+)
+
+const (
+	maxKeyBytes = 255
+	// finishTimeout bounds how long the end of a run may take to be noted.
+	finishTimeout = time.Second
+	// maxKeptBody bounds the part of an answer that is kept for a repetition.
+	maxKeptBody = 16 << 10
+)
+
+// Claim is the answer to a request for the right to run.
+type Claim interface {
+	Verdict() identity.Verdict
+	// Result is set with the verdict identity.Finished.
+	Result() identity.Result
+	// Finish notes how the run ended. It is called once, after verdict
+	// identity.Run only.
+	Finish(ctx context.Context, r identity.Result)
+}
+
+// Deduplicator makes sure that one identity runs at most once.
+type Deduplicator interface {
+	Claim(ctx context.Context, r identity.Request) Claim
+}
+
+// recording is the copy of an answer that is kept with its identity.
+type recording struct {
+	result identity.Result
+}
+
+// deduplicate claims the identity of a request that isn't repeatable. Without
+// an idempotency key every arrival counts as a request of its own.
+func (g *Gateway) deduplicate(c *Call) error {
+	key, err := single(c.r.Header, HeaderIdempotencyKey)
+	if err != nil {
+		return err
+	}
+	if len(key) > maxKeyBytes {
+		return problem.New(problem.BadHeader, HeaderIdempotencyKey+" is longer than 255 bytes")
+	}
+	if c.repeatable {
+		return c.Next()
+	}
+	if key == "" {
+		if g.config.RequireIdempotencyKey {
+			return problem.New(problem.IdentityRequired, "send "+HeaderIdempotencyKey)
+		}
+		return c.Next()
+	}
+	if g.deps.Identity == nil {
+		return problem.New(problem.IdentityUnavailable, "this instance keeps no identities").After(minRetryAfter)
+	}
+	return g.runOnce(c, key)
+}
+
+func (g *Gateway) runOnce(c *Call, key string) error {
+	ctx, span := g.startSpan(c.ctx, "claim identity")
+	claim := g.deps.Identity.Claim(ctx, identity.Request{
+		Key:         identityKey(c, key),
+		Fingerprint: fingerprint(c),
+		Wait:        c.startBy.Sub(g.now()),
+	})
+	span.End()
+	if claim.Verdict() != identity.Run {
+		return g.replay(c, claim)
+	}
+	c.record = &recording{}
+	err := c.Next()
+	g.finish(c, claim)
+	return err
+}
+
+// finish notes the end of the run before a refusal goes out, so that the caller
+// can try again at once.
+func (g *Gateway) finish(c *Call, claim Claim) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), finishTimeout)
+	defer cancel()
+	switch {
+	case !c.mayRun:
+		claim.Finish(ctx, identity.Result{NotRun: true})
+	case c.record.result.Known:
+		// The backend server's answer is whole, even if the caller has gone.
+		claim.Finish(ctx, c.record.result)
+	default:
+		claim.Finish(ctx, identity.Result{})
+	}
+}
+
+// replay answers a request whose identity was claimed before.
+func (g *Gateway) replay(c *Call, claim Claim) error {
+	switch claim.Verdict() {
+	case identity.Finished:
+		return g.sendKept(c, claim.Result())
+	case identity.Running:
+		return problem.New(problem.IdentityRunning, "the first request hasn't ended yet").After(g.pace.retryAfter())
+	case identity.Unknown:
+		return problem.New(problem.IdentityUnknown, "the first request may have run")
+	case identity.Mismatch:
+		return problem.New(problem.IdentityMismatch, "the method, path or body differs from the first request's")
+	case identity.Full:
+		return problem.New(problem.IdentityUnavailable, "too many identities are kept").After(g.pace.retryAfter())
+	default:
+		return problem.New(problem.IdentityUnavailable, "the instances that keep the identity can't be reached").
+			After(g.pace.retryAfter())
+	}
+}
+
+func (g *Gateway) sendKept(c *Call, r identity.Result) error {
+	if r.BodyGone {
+		return problem.New(problem.AnswerGone, "the first request ran to its end")
+	}
+	copyHeader(c.w.Header(), r.Header)
+	c.w.Header().Set("Idempotency-Replayed", "true")
+	return g.sendWhole(c, r.Status, r.Body)
+}
+
+// identityKey separates the keys of different callers and services.
+func identityKey(c *Call, key string) identity.Key {
+	var digest identityHash
+	digest.add(c.caller)
+	digest.add(c.service)
+	digest.add(key)
+	return identity.Key(digest.sum())
+}
+
+func fingerprint(c *Call) identity.Fingerprint {
+	var digest identityHash
+	digest.add(c.r.Method)
+	digest.add(c.r.URL.RequestURI())
+	digest.addBytes(c.body)
+	return identity.Fingerprint(digest.sum())
+}
+
+func keptHeader(h http.Header) http.Header {
+	kept := http.Header{}
+	for _, name := range []string{"Content-Type", "Content-Encoding", "Location", "Etag"} {
+		if values := h.Values(name); len(values) > 0 {
+			kept[name] = values
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/phuslu/log"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/problem"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/queue"
+)
+
+// Gateway serves callers.
+type Gateway struct {
+	config  Config
+	deps    Deps
+	filters []Filter
+	queues  *queue.Set
+	// watchers holds the *watcher of each queue.Key that has waiting requests.
+	watchers   sync.Map
+	admission  admission
+	pace       pace
+	endings    endings
+	inProgress atomic.Int64
+	running    context.Context
+	stop       context.CancelFunc
+	background sync.WaitGroup
+	state      atomic.Int32
+}
+
+// New returns a gateway that takes requests as soon as its handler is served.
+func New(deps Deps) *Gateway {
+	if deps.Tracer == nil {
+		deps.Tracer = noop.NewTracerProvider().Tracer("")
+	}
+	if deps.Logger == nil {
+		deps.Logger = &log.Logger{Level: log.PanicLevel}
+	}
+	config := deps.Config.withDefaults()
+	g := &Gateway{
+		config: config,
+		deps:   deps,
+		queues: queue.NewSet(queue.Limits{
+			Requests: config.MaxWaiting,
+			Bytes:    config.MaxWaitingBytes,
+			PerKey:   config.MaxWaitingPerModel,
+		}),
+	}
+	g.running, g.stop = context.WithCancel(context.Background())
+	g.filters = []Filter{
+		FilterFunc(g.identify),
+		FilterFunc(g.classify),
+		FilterFunc(g.setDeadline),
+		FilterFunc(g.admit),
+		FilterFunc(g.deduplicate),
+		FilterFunc(g.forward),
+	}
+	return g
+}
+
+func (g *Gateway) now() time.Time { return g.deps.Clock.Now() }
+
+func (g *Gateway) startSpan(
+	ctx context.Context, name string, attributes ...attribute.KeyValue,
+) (context.Context, trace.Span) {
+	return g.deps.Tracer.Start(ctx, name, trace.WithAttributes(attributes...))
+}
+
+// Handler returns the callers' API.
+func (g *Gateway) Handler() http.Handler {
+	router := chi.NewRouter()
+	router.Post("/v1/chat/completions", g.serveEngine)
+	router.Post("/v1/completions", g.serveEngine)
+	router.Get("/v1/models", g.serveModels)
+	router.Get("/v1/models/*", g.serveModel)
+	router.Get("/livez", g.serveLive)
+	router.Get("/readyz", g.serveReady)
+	router.MethodNotAllowed(g.serveMethodNotAllowed)
+	router.NotFound(g.servePlain)
+	return router
+}
+
+// Server returns an HTTP server for the callers' API with the bounds of the
+// configuration.
+func (g *Gateway) Server() *http.Server {
+	return &http.Server{
+		Handler:           g.Handler(),
+		ReadHeaderTimeout: g.config.HeaderTimeout,
+		IdleTimeout:       g.config.IdleTimeout,
+		MaxHeaderBytes:    g.config.MaxHeaderBytes,
+	}
+}
+
+func (g *Gateway) serveEngine(w http.ResponseWriter, r *http.Request) { g.serve(w, r, true) }
+
+func (g *Gateway) servePlain(w http.ResponseWriter, r *http.Request) { g.serve(w, r, false) }
+
+func (g *Gateway) serveMethodNotAllowed(w http.ResponseWriter, r *http.Request) {
+	g.serveError(w, r, problem.New(problem.MethodNotAllowed, r.Method+" isn't allowed here"))
+}
+
+// serve takes one request through the chain to its ending.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, engine bool) {
+	c := g.newCall(w, r, g.filters)
+	c.engine = engine
+	defer c.span.End()
+	defer g.recoverPanic(c)
+	if g.stopped() {
+		g.end(c, problem.New(problem.Stopping, "another instance takes the request").After(minRetryAfter))
+		return
+	}
+	g.end(c, c.Next())
+}
+
+// recoverPanic ends a call whose handling failed. What it did isn't known.
+func (g *Gateway) recoverPanic(c *Call) {
+	value := recover()
+	if value == nil {
+		return
+	}
+	if c.ended {
+		// The ending is recorded; this only breaks the connection.
+		panic(value)
+	}
+	g.deps.Logger.Error().Str("trace_id", c.traceID).Any("panic", value).Msg("panic")
+	c.mayRun = true
+	g.end(c, problem.New(problem.Internal, "the instance failed"))
+}
+
+func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request, filters []Filter) *Call {
+	ctx := traceContext(r)
+	ctx, span := g.startSpan(ctx, "request", attribute.String("path", r.URL.Path))
+	c := &Call{
+		ctx:     ctx,
+		filters: filters,
+		w:       &responseWriter{ResponseWriter: w, control: http.NewResponseController(w)},
+		r:       r,
+		span:    span,
+		traceID: trace.SpanContextFromContext(ctx).TraceID().String(),
+		arrived: g.now(),
+	}
+	c.view = g.deps.Snapshot()
+	g.endings.accepted.Add(1)
+	g.inProgress.Add(1)
+	return c
+}
--- /dev/null
+++ b/internal/gateway/identify.go
@@ -0,0 +1,180 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"mime"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/problem"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+)
+
+// Caller is one authenticated caller and what it may reach.
+type Caller struct {
+	Name string
+	// KeySHA256 is the SHA-256 hash of the caller's API key.
+	KeySHA256 [sha256.Size]byte
+	// Models lists names of models, or prefixes of names that end in "*".
+	Models []string
+	// Paths lists prefixes of paths of plain services.
+	Paths []string
+}
+
+func (c *Caller) mayUseModel(model port.ModelID) bool {
+	for _, pattern := range c.Models {
+		prefix, isPrefix := strings.CutSuffix(pattern, "*")
+		if isPrefix && strings.HasPrefix(string(model), prefix) || pattern == string(model) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Caller) mayUsePath(path string) bool {
+	for _, prefix := range c.Paths {
+		if strings.HasPrefix(path, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// authenticate returns nil for anybody when no callers are configured.
+func (g *Gateway) authenticate(r *http.Request) (*Caller, error) {
+	if len(g.config.Callers) == 0 {
+		return nil, nil
+	}
+	values := r.Header.Values("Authorization")
+	if len(values) > 1 {
+		return nil, problem.New(problem.BadHeader, "more than one Authorization header")
+	}
+	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") || key == "" {
+		return nil, problem.New(problem.Unauthorized, "send Authorization: Bearer KEY")
+	}
+	hash := sha256.Sum256([]byte(key))
+	var found *Caller
+	// Every hash is compared, so that the time taken tells nothing.
+	for i := range g.config.Callers {
+		candidate := &g.config.Callers[i]
+		if subtle.ConstantTimeCompare(hash[:], candidate.KeySHA256[:]) == 1 {
+			found = candidate
+		}
+	}
+	if found == nil {
+		return nil, problem.New(problem.Unauthorized, "the API key isn't known")
+	}
+	return found, nil
+}
+
+// identify finds out who calls and what is asked for.
+func (g *Gateway) identify(c *Call) error {
+	caller, err := g.authenticate(c.r)
+	if err != nil {
+		return err
+	}
+	if caller != nil {
+		c.caller = caller.Name
+	}
+	if c.engine {
+		err = g.identifyModel(c, caller)
+	} else {
+		err = g.identifyService(c, caller)
+	}
+	if err != nil {
+		return err
+	}
+	return c.Next()
+}
+
+func (g *Gateway) identifyModel(c *Call, caller *Caller) error {
+	if err := checkJSONType(c.r.Header); err != nil {
+		return err
+	}
+	if err := g.readBody(c); err != nil {
+		return err
+	}
+	head, err := parseHead(c.body)
+	if err != nil {
+		return err
+	}
+	c.model, c.stream = port.ModelID(head.Model), head.Stream
+	if caller != nil && !caller.mayUseModel(c.model) {
+		return problem.New(problem.Forbidden, "the caller may not use this model")
+	}
+	info, ok := c.view.Model(c.model)
+	if !ok {
+		return problem.New(problem.UnknownModel, "GET /v1/models lists the models")
+	}
+	c.service = info.Service
+	return nil
+}
+
+func (g *Gateway) identifyService(c *Call, caller *Caller) error {
+	service, ok := c.view.Service(c.r.URL.Path)
+	if !ok {
+		return problem.New(problem.UnknownPath, "no service is configured for this path")
+	}
+	if caller != nil && !caller.mayUsePath(c.r.URL.Path) {
+		return problem.New(problem.Forbidden, "the caller may not use this path")
+	}
+	c.service = service.Name
+	return g.readBody(c)
+}
+
+func checkJSONType(h http.Header) error {
+	values := h.Values("Content-Type")
+	if len(values) > 1 {
+		return problem.New(problem.BadHeader, "more than one Content-Type header")
+	}
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	if err != nil || mediaType != "application/json" {
+		return problem.New(problem.UnsupportedMedia, "send application/json")
+	}
+	if encoding := h.Get("Content-Encoding"); encoding != "" && encoding != "identity" {
+		return problem.New(problem.UnsupportedMedia, "send the body without a content encoding")
+	}
+	return nil
+}
+
+// readBody reads the whole body within its bounds of size and time, so that
+// nothing runs for a request that doesn't arrive whole.
+func (g *Gateway) readBody(c *Call) error {
+	if c.r.ContentLength > g.config.MaxBodyBytes {
+		return bodyTooLarge()
+	}
+	if c.r.Body == nil || c.r.Body == http.NoBody {
+		return nil
+	}
+	// A writer that knows no deadlines is one of a test.
+	_ = c.w.control.SetReadDeadline(g.now().Add(g.config.BodyTimeout))
+	body, err := readAll(http.MaxBytesReader(c.w, c.r.Body, g.config.MaxBodyBytes), c.r.ContentLength)
+	if err != nil {
+		return bodyError(err)
+	}
+	_ = c.w.control.SetReadDeadline(time.Time{})
+	c.body = body
+	return nil
+}
+
+func bodyError(err error) error {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return bodyTooLarge()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return problem.New(problem.BodyTimeout, "the body didn't arrive in time")
+	default:
+		return problem.New(problem.BadRequest, "the body didn't arrive whole")
+	}
+}
+
+func bodyTooLarge() error {
+	return problem.New(problem.BodyTooLarge, "the body is larger than this instance takes")
+}
--- /dev/null
+++ b/pkg/queue/queue.go
@@ -0,0 +1,271 @@
+package queue
+
+import (
+	"container/heap"
+	"sort"
+	"time"
+)
+
+// Request is what the queue knows of one waiting request.
+type Request struct {
+	Class, Caller string
+	// Weight is the flow's share against other flows of the queue, at least 1.
+	Weight int
+	// Deadline is the last moment at which starting the request is of use.
+	Deadline time.Time
+	// Bytes is the memory that the request holds while it waits.
+	Bytes int64
+}
+
+// Ticket is one request's place in a queue.
+type Ticket struct {
+	Request
+	seq    uint64
+	flow   *flow
+	signal chan struct{}
+	// refusal is written before the ticket's signal is sent and read after.
+	refusal error
+}
+
+// before orders the tickets of a flow.
+func (t *Ticket) before(u *Ticket) bool {
+	if !t.Deadline.Equal(u.Deadline) {
+		return t.Deadline.Before(u.Deadline)
+	}
+	return t.seq < u.seq
+}
+
+type flowKey struct{ class, caller string }
+
+// flow is the waiting requests of one class and caller, earliest deadline first.
+type flow struct {
+	key     flowKey
+	weight  float64
+	tickets []*Ticket
+	// start is the virtual time at which the flow's next request is due.
+	start float64
+	index int
+}
+
+func (f *flow) head() *Ticket { return f.tickets[0] }
+func (f *flow) tail() *Ticket { return f.tickets[len(f.tickets)-1] }
+
+// position returns the index of the first ticket that isn't before t.
+func (f *flow) position(t *Ticket) int {
+	return sort.Search(len(f.tickets), func(i int) bool { return !f.tickets[i].before(t) })
+}
+
+func (f *flow) insert(t *Ticket) {
+	at := f.position(t)
+	f.tickets = append(f.tickets, nil)
+	copy(f.tickets[at+1:], f.tickets[at:])
+	f.tickets[at] = t
+}
+
+func (f *flow) remove(t *Ticket) {
+	at := f.position(t)
+	if at == 0 {
+		f.tickets[0] = nil
+		f.tickets = f.tickets[1:]
+		return
+	}
+	copy(f.tickets[at:], f.tickets[at+1:])
+	f.tickets[len(f.tickets)-1] = nil
+	f.tickets = f.tickets[:len(f.tickets)-1]
+}
+
+// flowHeap orders flows by virtual time, then by their most urgent request.
+type flowHeap []*flow
+
+func (h flowHeap) Len() int { return len(h) }
+
+func (h flowHeap) Less(i, j int) bool {
+	if h[i].start != h[j].start {
+		return h[i].start < h[j].start
+	}
+	return h[i].head().before(h[j].head())
+}
+
+func (h flowHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *flowHeap) Push(x any) {
+	f := x.(*flow)
+	f.index = len(*h)
+	*h = append(*h, f)
+}
+
+// Pop implements heap.Interface.
+func (h *flowHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return last
+}
+
+// finishSlack is how many emptied flows are remembered without a look at
+// whether they are due.
+const finishSlack = 64
+
+// Queue is the waiting requests of one model. It isn't safe for concurrent use.
+type Queue struct {
+	flows map[flowKey]*flow
+	order flowHeap
+	// finish is when a flow that has emptied is due again. Without it a flow
+	// with one request at a time would go first every time.
+	finish map[flowKey]float64
+	// virtual is the start of the flow that was served last.
+	virtual float64
+	seq     uint64
+	len     int
+}
+
+// New returns an empty queue.
+func New() *Queue {
+	return &Queue{flows: map[flowKey]*flow{}, finish: map[flowKey]float64{}}
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int { return q.len }
+
+// Push adds a request.
+func (q *Queue) Push(r Request) *Ticket {
+	q.seq++
+	t := &Ticket{Request: r, seq: q.seq}
+	key := flowKey{r.Class, r.Caller}
+	f := q.flows[key]
+	if f == nil {
+		f = &flow{key: key, weight: float64(max(r.Weight, 1)), start: max(q.virtual, q.finish[key])}
+		q.flows[key] = f
+		f.insert(t)
+		heap.Push(&q.order, f)
+	} else {
+		f.insert(t)
+		heap.Fix(&q.order, f.index)
+	}
+	t.flow = f
+	q.len++
+	return t
+}
+
+// Next returns the request whose turn it is, or nil.
+func (q *Queue) Next() *Ticket {
+	if q.len == 0 {
+		return nil
+	}
+	return q.order[0].head()
+}
+
+// Serve removes a request that is being started, at the cost of its flow's next
+// turn. It reports whether the request was in the queue.
+func (q *Queue) Serve(t *Ticket) bool {
+	f := t.flow
+	if f == nil {
+		return false
+	}
+	q.virtual = max(q.virtual, f.start)
+	f.start += 1 / f.weight
+	return q.Remove(t)
+}
+
+// Remove takes a request out that won't be started. It reports whether the
+// request was in the queue.
+func (q *Queue) Remove(t *Ticket) bool {
+	f := t.flow
+	if f == nil {
+		return false
+	}
+	t.flow = nil
+	q.len--
+	if len(f.tickets) == 1 {
+		// Leave the heap while its order can still be compared.
+		heap.Remove(&q.order, f.index)
+		delete(q.flows, f.key)
+		f.remove(t)
+		q.remember(f)
+		return true
+	}
+	f.remove(t)
+	heap.Fix(&q.order, f.index)
+	return true
+}
+
+// remember keeps when a flow that has emptied is due again, and now and then
+// forgets the flows that are due by now.
+func (q *Queue) remember(f *flow) {
+	if f.start > q.virtual {
+		q.finish[f.key] = f.start
+	}
+	if len(q.finish) <= 2*len(q.flows)+finishSlack {
+		return
+	}
+	for key, due := range q.finish {
+		if due <= q.virtual {
+			delete(q.finish, key)
+		}
+	}
+}
+
+// Refuse removes and returns every request whose deadline is before the time.
+func (q *Queue) Refuse(before time.Time) []*Ticket {
+	var refused []*Ticket
+	for _, f := range q.flows {
+		for _, t := range f.tickets {
+			if !t.Deadline.Before(before) {
+				break
+			}
+			refused = append(refused, t)
+		}
+	}
+	for _, t := range refused {
+		q.Remove(t)
+	}
+	return refused
+}
+
+// Drain removes and returns every request.
+func (q *Queue) Drain() []*Ticket {
+	tickets := make([]*Ticket, 0, q.len)
+	for t := q.Next(); t != nil; t = q.Next() {
+		q.Remove(t)
+		tickets = append(tickets, t)
+	}
+	return tickets
+}
+
+// Worst returns the request that is least likely to meet its deadline, with the
+// model ready at a given time: one that can't meet it at all, or else the last
+// in the flow that has most waiting for its weight.
+func (q *Queue) Worst(readyAt time.Time) *Ticket {
+	var longest *flow
+	for _, f := range q.flows {
+		if f.head().Deadline.Before(readyAt) {
+			return f.head()
+		}
+		if longest == nil || f.load() > longest.load() ||
+			f.load() == longest.load() && longest.tail().before(f.tail()) {
+			longest = f
+		}
+	}
+	if longest == nil {
+		return nil
+	}
+	return longest.tail()
+}
+
+func (f *flow) load() float64 { return float64(len(f.tickets)) / f.weight }
+
+// LatestDeadline returns the deadline of the most patient request.
+func (q *Queue) LatestDeadline() time.Time {
+	var latest time.Time
+	for _, f := range q.flows {
+		if deadline := f.tail().Deadline; deadline.After(latest) {
+			latest = deadline
+		}
+	}
+	return latest
+}
