--- a/pkg/queue/set_test.go
+++ b/pkg/queue/set_test.go
@@ -16,7 +16,7 @@
 // TestSetKeepsCount: every request that entered has exactly one end, each one
 // refused hears of it, and no bound is passed.
 func TestSetKeepsCount(t *testing.T) {
-	limits := Limits{Requests: 8, Bytes: 150, PerKey: 5}
+	limits := Limits{Requests: 6, Bytes: 150, PerKey: 3}
 	keys := []Key{{Model: "a"}, {Model: "b"}, {Service: "c"}}
 	type place struct {
 		key    Key
@@ -36,16 +36,18 @@
 			waiting = append(waiting[:at], waiting[at+1:]...)
 			return p
 		}
-		t.Repeat(map[string]func(*rapid.T){
-			"enter": func(t *rapid.T) {
+		enter := func(t *rapid.T) {
+			for range rapid.IntRange(1, 4).Draw(t, "burst") {
 				k := key(t)
 				ticket, _, err := s.Enter(k, drawRequest(t))
-				if err != nil {
-					return
+				if err == nil {
+					entered++
+					waiting = append(waiting, place{k, ticket})
 				}
-				entered++
-				waiting = append(waiting, place{k, ticket})
-			},
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"enter": enter,
 			"serve": func(t *rapid.T) { p := take(t); require.True(t, s.Serve(p.key, p.ticket)); served++ },
 			"leave": func(t *rapid.T) { p := take(t); require.True(t, s.Leave(p.key, p.ticket)); left++ },
 			"ready at": func(t *rapid.T) {
