--- /dev/null
+++ b/pkg/limit/adaptive.go
@@ -0,0 +1,219 @@
+package limit
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+// AdaptiveConfig bounds an adaptive concurrency limit. Zero fields take the
+// default.
+type AdaptiveConfig struct {
+	// Initial, Min and Max are in requests running at once.
+	Initial, Min, Max float64
+	// Window is the least time, and Samples the fewest results, between two
+	// changes of the limit.
+	Window  time.Duration
+	Samples int64
+	// Tolerance is by which factor latency may exceed its baseline before the
+	// limit goes down.
+	Tolerance float64
+	// Backoff is the factor on the limit after a window with an overload.
+	Backoff float64
+	// Smoothing is the weight of the newest window in the limit.
+	Smoothing float64
+	// BaselineDrift is the weight of the newest window when the baseline goes
+	// up; it goes down at once.
+	BaselineDrift float64
+}
+
+// The defaults of AdaptiveConfig.
+const (
+	DefaultInitial       = 16
+	DefaultMin           = 1
+	DefaultMax           = 512
+	DefaultWindow        = 250 * time.Millisecond
+	DefaultSamples       = 8
+	DefaultTolerance     = 1.5
+	DefaultBackoff       = 0.8
+	DefaultSmoothing     = 0.3
+	DefaultBaselineDrift = 0.02
+)
+
+// minGradient bounds how far one window can take the limit down.
+const minGradient = 0.5
+
+func (c AdaptiveConfig) withDefaults() AdaptiveConfig {
+	set(&c.Initial, DefaultInitial)
+	set(&c.Min, DefaultMin)
+	set(&c.Max, DefaultMax)
+	set(&c.Window, DefaultWindow)
+	set(&c.Samples, DefaultSamples)
+	set(&c.Tolerance, DefaultTolerance)
+	set(&c.Backoff, DefaultBackoff)
+	set(&c.Smoothing, DefaultSmoothing)
+	set(&c.BaselineDrift, DefaultBaselineDrift)
+	return c
+}
+
+func set[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Level is the state from which the next limit is worked out.
+type Level struct {
+	Limit float64
+	// Baseline is the latency of a server that isn't overloaded, in seconds;
+	// zero until the first window has closed.
+	Baseline float64
+}
+
+// Window sums up the results between two changes of a limit.
+type Window struct {
+	Results int64
+	// MeanLatency is in seconds, over the results that have a latency.
+	MeanLatency float64
+	// Peak is the largest number of requests that ran at once.
+	Peak int64
+	// Overloads counts refusals by the server for want of capacity.
+	Overloads int64
+}
+
+// Next works out the limit that follows from one window. It raises the limit
+// only if the window came near it, so that an idle server's limit stays put.
+func (c AdaptiveConfig) Next(l Level, w Window) Level {
+	c = c.withDefaults()
+	if w.Overloads > 0 {
+		l.Limit = c.clamp(l.Limit * c.Backoff)
+		return l
+	}
+	if w.MeanLatency <= 0 {
+		return l
+	}
+	l.Baseline = c.baseline(l.Baseline, w.MeanLatency)
+	gradient := c.Tolerance * l.Baseline / w.MeanLatency
+	gradient = math.Max(minGradient, math.Min(1, gradient))
+	target := l.Limit*gradient + math.Sqrt(l.Limit)
+	if target > l.Limit && float64(w.Peak)*2 < l.Limit {
+		return l
+	}
+	l.Limit = c.clamp(l.Limit + c.Smoothing*(target-l.Limit))
+	return l
+}
+
+func (c AdaptiveConfig) baseline(old, mean float64) float64 {
+	if old == 0 || mean < old {
+		return mean
+	}
+	return old + c.BaselineDrift*(mean-old)
+}
+
+func (c AdaptiveConfig) clamp(limit float64) float64 {
+	return math.Max(c.Min, math.Min(c.Max, limit))
+}
+
+// Adaptive is a concurrency limit that follows the latency and the refusals of
+// one server. It is safe for concurrent use and takes no lock.
+type Adaptive struct {
+	cfg AdaptiveConfig
+	// limit and baseline hold the bits of a float64. Only the goroutine that
+	// has set closing writes them.
+	limit, baseline atomic.Uint64
+	ceiling         atomic.Int64
+	closing         atomic.Bool
+
+	// The open window. A result that arrives while the window closes may be
+	// counted in either or neither: the limit is an estimate.
+	opened    atomic.Int64
+	results   atomic.Int64
+	latencies atomic.Int64
+	measured  atomic.Int64
+	peak      atomic.Int64
+	overloads atomic.Int64
+}
+
+// NewAdaptive returns a limit at its initial value.
+func NewAdaptive(cfg AdaptiveConfig) *Adaptive {
+	a := &Adaptive{cfg: cfg.withDefaults()}
+	a.limit.Store(math.Float64bits(a.cfg.Initial))
+	return a
+}
+
+// Limit is the number of requests that may run at once, at least 1.
+func (a *Adaptive) Limit() int64 {
+	limit := int64(math.Float64frombits(a.limit.Load()))
+	if ceiling := a.ceiling.Load(); ceiling > 0 && limit > ceiling {
+		limit = ceiling
+	}
+	return max(limit, 1)
+}
+
+// SetCeiling bounds the limit from outside, as by our share of a server that
+// an older system uses too; zero removes the bound.
+func (a *Adaptive) SetCeiling(requests int64) { a.ceiling.Store(requests) }
+
+// Started notes that a request has started as one of running.
+func (a *Adaptive) Started(running int64) {
+	for {
+		peak := a.peak.Load()
+		if running <= peak || a.peak.CompareAndSwap(peak, running) {
+			return
+		}
+	}
+}
+
+// Observe takes in the result of one request. The time since is that since any
+// fixed moment; latency is zero if there is none to learn from.
+func (a *Adaptive) Observe(since, latency time.Duration, overload bool) {
+	if overload {
+		a.overloads.Add(1)
+	}
+	if latency > 0 {
+		a.latencies.Add(int64(latency))
+		a.measured.Add(1)
+	}
+	n := a.results.Add(1)
+	if n < a.cfg.Samples || since-time.Duration(a.opened.Load()) < a.cfg.Window {
+		return
+	}
+	if a.closing.CompareAndSwap(false, true) {
+		a.close(since)
+		a.closing.Store(false)
+	}
+}
+
+func (a *Adaptive) close(since time.Duration) {
+	a.opened.Store(int64(since))
+	w := Window{
+		Results:   a.results.Swap(0),
+		Peak:      a.peak.Swap(0),
+		Overloads: a.overloads.Swap(0),
+	}
+	sum, measured := a.latencies.Swap(0), a.measured.Swap(0)
+	if measured > 0 {
+		w.MeanLatency = time.Duration(sum / measured).Seconds()
+	}
+	next := a.cfg.Next(a.level(), w)
+	a.limit.Store(math.Float64bits(next.Limit))
+	a.baseline.Store(math.Float64bits(next.Baseline))
+}
+
+func (a *Adaptive) level() Level {
+	return Level{
+		Limit:    math.Float64frombits(a.limit.Load()),
+		Baseline: math.Float64frombits(a.baseline.Load()),
+	}
+}
+
+// Ceiling splits a server's slots: ours is the part share of them, divided
+// among the instances that send to it, at least one each.
+func Ceiling(slots int, share float64, instances int) int64 {
+	if slots <= 0 {
+		return 0
+	}
+	ours := float64(slots) * share / float64(max(instances, 1))
+	return max(int64(ours), 1)
+}
--- /dev/null
+++ b/pkg/routing/bench_test.go
@@ -0,0 +1,83 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/membership"
+)
+
+// benchRouter knows 12,000 models, one of them ready on all servers.
+func benchRouter(candidates int) *Router {
+	views := make([]membership.ServerView, candidates)
+	for i := range views {
+		views[i] = view(fmt.Sprintf("server-%04d", i), "a", modelID(7))
+	}
+	r, _ := newRouter(Config{Limit: limit.AdaptiveConfig{Initial: 512}}, catalogue(12000), views...)
+	return r
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{2, 20, 200} {
+		for _, prefix := range []uint64{0, 1} {
+			b.Run(fmt.Sprintf("candidates=%d/prefix=%d", n, prefix), func(b *testing.B) {
+				r := benchRouter(n)
+				now := at(0)
+				b.ReportAllocs()
+				i := uint64(0)
+				for b.Loop() {
+					i++
+					c, err := r.Pick(now, Query{Model: modelID7, PrefixHash: prefix * mix(i), Seed: i})
+					if err != nil {
+						b.Fatal(err)
+					}
+					c.Done(now, served)
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkPickParallel(b *testing.B) {
+	r := benchRouter(200)
+	now := at(0)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for i := uint64(1); pb.Next(); i++ {
+			c, err := r.Pick(now, Query{Model: modelID7, PrefixHash: mix(i)})
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			c.Done(now, served)
+		}
+	})
+}
+
+const modelID7 = "model-00007"
+
+// BenchmarkSnapshot measures the snapshot that follows a change of one server.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, servers := range []int{100, 1000, 7700} {
+		b.Run(fmt.Sprintf("servers=%d/models=12000", servers), func(b *testing.B) {
+			views := make([]membership.ServerView, servers)
+			for i := range views {
+				views[i] = view(fmt.Sprintf("server-%04d", i), "a", modelID(i%12000), modelID((i+5000)%12000))
+			}
+			_, builder := newRouter(Config{}, catalogue(12000), views...)
+			with, without := views[0], view("server-0000", "a", modelID(0))
+			b.ReportAllocs()
+			for i := 1; b.Loop(); i++ {
+				v := with
+				if i%2 == 1 {
+					v = without
+				}
+				v.ReportAt = v.ReportAt.Add(1)
+				v.Report.Incarnation = fmt.Sprint(i)
+				builder.Update(v)
+				builder.Snapshot(at(0))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/routing/builder.go
@@ -0,0 +1,346 @@
+package routing
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/membership"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/retry"
+)
+
+// Builder makes snapshots from changes of membership and of the catalogue. It
+// belongs to one goroutine. The cost of a snapshot follows what has changed.
+type Builder struct {
+	router   *Router
+	servers  map[port.ServerID]*builtServer
+	groups   map[string]*groupStats
+	sizes    map[string]int
+	models   map[port.ModelID]*members
+	services map[string]*members
+	// catalogue says which models are known without any server.
+	catalogue map[port.ModelID]port.ModelInfo
+
+	dirtyModels   map[port.ModelID]struct{}
+	dirtyServices map[string]struct{}
+	last          *Snapshot
+}
+
+// builtServer is what the builder has put into sets for one server.
+type builtServer struct {
+	candidate   *Candidate
+	routable    bool
+	incarnation string
+	reportAt    time.Time
+	// reported lists all models of the last report, and ready those that the
+	// server is a candidate for.
+	replicas []port.Replica
+	ready    []port.ModelID
+}
+
+// members is the candidates of one set, in no order.
+type members struct {
+	like       Set
+	candidates []*Candidate
+}
+
+func newBuilder(r *Router) *Builder {
+	return &Builder{
+		router:        r,
+		servers:       make(map[port.ServerID]*builtServer),
+		groups:        make(map[string]*groupStats),
+		sizes:         make(map[string]int),
+		models:        make(map[port.ModelID]*members),
+		services:      make(map[string]*members),
+		catalogue:     make(map[port.ModelID]port.ModelInfo),
+		dirtyModels:   make(map[port.ModelID]struct{}),
+		dirtyServices: make(map[string]struct{}),
+		last:          &Snapshot{},
+	}
+}
+
+// SetCatalogue replaces the models that are known without any server.
+func (b *Builder) SetCatalogue(models []port.ModelInfo) {
+	old := b.catalogue
+	b.catalogue = make(map[port.ModelID]port.ModelInfo, len(models))
+	basesChanged := false
+	for _, m := range models {
+		b.catalogue[m.ID] = m
+		before, known := old[m.ID]
+		if known && before == m {
+			continue
+		}
+		basesChanged = basesChanged || before.Base != m.Base
+		b.model(m.ID, m.Service).like = Set{model: m.ID, base: m.Base, service: m.Service}
+		b.dirtyModels[m.ID] = struct{}{}
+	}
+	for id := range old {
+		if _, kept := b.catalogue[id]; !kept {
+			b.dirtyModels[id] = struct{}{}
+		}
+	}
+	if basesChanged {
+		for _, s := range b.servers {
+			b.place(s, b.readyModels(s))
+		}
+	}
+}
+
+// Update takes in what membership knows of one server.
+func (b *Builder) Update(v membership.ServerView) {
+	s := b.server(v.Server)
+	if v.Server.Leaving {
+		s.candidate.Stats.MarkLeaving()
+	}
+	if v.Reported {
+		b.report(s, &v)
+	}
+	if v.Routable != s.routable {
+		s.routable = v.Routable
+		b.enrol(s)
+	}
+	b.place(s, b.readyModels(s))
+}
+
+// Remove drops a server that membership no longer knows.
+func (b *Builder) Remove(id port.ServerID) {
+	s := b.servers[id]
+	if s == nil {
+		return
+	}
+	s.routable = false
+	b.enrol(s)
+	b.place(s, nil)
+	delete(b.servers, id)
+	service := s.candidate.Server.Service
+	b.resize(service, -1)
+	s.candidate.Stats.health.Forget(b.groups[service].ejection)
+}
+
+// Stats returns the numbers of one server, nil if it isn't known.
+func (b *Builder) Stats(id port.ServerID) *ServerStats {
+	if s := b.servers[id]; s != nil {
+		return s.candidate.Stats
+	}
+	return nil
+}
+
+// CacheEvent takes in one event of a server's prefix cache.
+func (b *Builder) CacheEvent(now time.Time, e CacheEvent) {
+	if s := b.servers[e.Server]; s != nil {
+		b.router.prefixes.apply(b.router.since(now), s.candidate.Stats, e)
+	}
+}
+
+// Snapshot returns what has been taken in. With no change of candidates since,
+// it returns the last snapshot again.
+func (b *Builder) Snapshot(now time.Time) *Snapshot {
+	if len(b.dirtyModels) == 0 && len(b.dirtyServices) == 0 {
+		return b.last
+	}
+	next := &Snapshot{At: now, shards: b.last.shards, services: b.last.services}
+	b.buildModels(next)
+	if len(b.dirtyServices) > 0 {
+		next.services = maps.Clone(next.services)
+		if next.services == nil {
+			next.services = make(map[string]*Set)
+		}
+		for name := range b.dirtyServices {
+			m := b.services[name]
+			next.services[name] = newSet(m.like, m.candidates)
+		}
+		clear(b.dirtyServices)
+	}
+	b.last = next
+	return next
+}
+
+func (b *Builder) buildModels(next *Snapshot) {
+	var copied [shardCount]bool
+	for id := range b.dirtyModels {
+		n := shardOf(id)
+		if !copied[n] {
+			copied[n] = true
+			next.shards[n] = maps.Clone(next.shards[n])
+			if next.shards[n] == nil {
+				next.shards[n] = make(shard)
+			}
+		}
+		m := b.models[id]
+		if _, listed := b.catalogue[id]; !listed && len(m.candidates) == 0 && !b.reportedAnywhere(id) {
+			delete(next.shards[n], id)
+			delete(b.models, id)
+			continue
+		}
+		next.shards[n][id] = newSet(m.like, m.candidates)
+	}
+	clear(b.dirtyModels)
+}
+
+// reportedAnywhere looks for a model that only servers know. Such models are few,
+// and the search runs only when the last ready replica goes.
+func (b *Builder) reportedAnywhere(id port.ModelID) bool {
+	for _, s := range b.servers {
+		if slices.ContainsFunc(s.replicas, func(r port.Replica) bool { return r.Model == id }) {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Builder) server(v port.Server) *builtServer {
+	s := b.servers[v.ID]
+	if s == nil {
+		key := xxhash.Sum64String(string(v.ID))
+		stats := &ServerStats{
+			id:      v.ID,
+			key:     max(key, 1),
+			group:   b.group(v.Service),
+			limiter: limit.NewAdaptive(b.router.cfg.Limit),
+		}
+		s = &builtServer{candidate: &Candidate{Server: v, Stats: stats}}
+		b.servers[v.ID] = s
+		b.resize(v.Service, 1)
+		return s
+	}
+	if s.candidate.Server.Address != v.Address || s.candidate.Server.Zone != v.Zone {
+		b.move(s, v)
+	}
+	return s
+}
+
+// move gives a server a new address or zone; its numbers stay.
+func (b *Builder) move(s *builtServer, v port.Server) {
+	ready, routable := s.ready, s.routable
+	s.routable = false
+	b.enrol(s)
+	b.place(s, nil)
+	v.Service = s.candidate.Server.Service
+	s.candidate = &Candidate{Server: v, Stats: s.candidate.Stats}
+	s.routable = routable
+	if routable {
+		b.enrol(s)
+	}
+	b.place(s, ready)
+}
+
+func (b *Builder) group(service string) *groupStats {
+	g := b.groups[service]
+	if g == nil {
+		g = &groupStats{ejection: retry.NewGroup(b.router.cfg.Eject)}
+		g.meanOthers.Store(math.Float64bits(0))
+		b.groups[service] = g
+	}
+	return g
+}
+
+func (b *Builder) resize(service string, by int) {
+	b.sizes[service] += by
+	b.groups[service].ejection.Resize(b.sizes[service])
+}
+
+func (b *Builder) report(s *builtServer, v *membership.ServerView) {
+	stats := s.candidate.Stats
+	at := b.router.since(v.ReportAt)
+	if s.incarnation != v.Report.Incarnation {
+		if s.incarnation != "" {
+			stats.cache.restart(at)
+		}
+		s.incarnation = v.Report.Incarnation
+	} else if !v.ReportAt.After(s.reportAt) {
+		return
+	}
+	s.reportAt = v.ReportAt
+	stats.report(v.Report.InFlight+v.Report.Queued, at)
+	for _, r := range v.Report.Replicas {
+		if b.models[r.Model] == nil {
+			b.model(r.Model, s.candidate.Server.Service)
+			b.dirtyModels[r.Model] = struct{}{}
+		}
+	}
+	s.replicas = v.Report.Replicas
+}
+
+// enrol puts the server into its service's set, or takes it out.
+func (b *Builder) enrol(s *builtServer) {
+	name := s.candidate.Server.Service
+	m := b.services[name]
+	if m == nil {
+		m = &members{like: Set{service: name}}
+		b.services[name] = m
+	}
+	if s.routable {
+		m.candidates = append(m.candidates, s.candidate)
+	} else {
+		m.remove(s.candidate)
+	}
+	b.dirtyServices[name] = struct{}{}
+}
+
+// place makes the server a candidate for exactly the given models.
+func (b *Builder) place(s *builtServer, ready []port.ModelID) {
+	for _, id := range s.ready {
+		if !slices.Contains(ready, id) {
+			b.models[id].remove(s.candidate)
+			b.dirtyModels[id] = struct{}{}
+		}
+	}
+	for _, id := range ready {
+		if !slices.Contains(s.ready, id) {
+			m := b.model(id, s.candidate.Server.Service)
+			m.candidates = append(m.candidates, s.candidate)
+			b.dirtyModels[id] = struct{}{}
+		}
+	}
+	s.ready = ready
+}
+
+// readyModels lists what the server can serve: ready replicas, adapters only
+// beside their base model.
+func (b *Builder) readyModels(s *builtServer) []port.ModelID {
+	if !s.routable {
+		return nil
+	}
+	var ready []port.ModelID
+	for _, r := range s.replicas {
+		if r.State != port.ReplicaReady || slices.Contains(ready, r.Model) {
+			continue
+		}
+		if base := b.catalogue[r.Model].Base; base != "" && !hasReady(s.replicas, base) {
+			continue
+		}
+		ready = append(ready, r.Model)
+	}
+	return ready
+}
+
+func hasReady(replicas []port.Replica, id port.ModelID) bool {
+	return slices.ContainsFunc(replicas, func(r port.Replica) bool {
+		return r.Model == id && r.State == port.ReplicaReady
+	})
+}
+
+func (b *Builder) model(id port.ModelID, service string) *members {
+	m := b.models[id]
+	if m == nil {
+		m = &members{like: Set{model: id, service: service}}
+		b.models[id] = m
+	}
+	return m
+}
+
+func (m *members) remove(c *Candidate) {
+	i := slices.Index(m.candidates, c)
+	if i < 0 {
+		return
+	}
+	last := len(m.candidates) - 1
+	m.candidates[i] = m.candidates[last]
+	m.candidates[last] = nil
+	m.candidates = m.candidates[:last]
+}
--- /dev/null
+++ b/pkg/routing/snapshot.go
@@ -0,0 +1,108 @@
+package routing
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+)
+
+// shardCount is the number of maps that the models are spread over. A change of
+// one model copies one of them.
+const shardCount = 256
+
+type shard map[port.ModelID]*Set
+
+// Snapshot is what a pick reads. It never changes.
+type Snapshot struct {
+	// At is when the snapshot was made.
+	At       time.Time
+	shards   [shardCount]shard
+	services map[string]*Set
+}
+
+// Set is the candidates for one model or one service, ordered by zone and ID.
+type Set struct {
+	model      port.ModelID
+	base       port.ModelID
+	service    string
+	candidates []*Candidate
+	// keys holds the hash of each candidate's ID: a scan of it stays in few
+	// cache lines.
+	keys  []uint64
+	zones []zoneRange
+}
+
+type zoneRange struct {
+	zone     port.Zone
+	from, to int
+}
+
+func shardOf(id port.ModelID) uint64 { return xxhash.Sum64String(string(id)) % shardCount }
+
+// Model returns the candidates for a model; ok is false for an unknown one.
+func (s *Snapshot) Model(id port.ModelID) (set *Set, ok bool) {
+	set, ok = s.shards[shardOf(id)][id]
+	return set, ok
+}
+
+// Service returns the servers of a service; ok is false for an unknown one.
+func (s *Snapshot) Service(name string) (set *Set, ok bool) {
+	set, ok = s.services[name]
+	return set, ok
+}
+
+// Models is the number of models known.
+func (s *Snapshot) Models() int {
+	n := 0
+	for _, sh := range s.shards {
+		n += len(sh)
+	}
+	return n
+}
+
+// Len is the number of candidates.
+func (s *Set) Len() int { return len(s.candidates) }
+
+// At returns one candidate.
+func (s *Set) At(i int) *Candidate { return s.candidates[i] }
+
+// ServiceName is the service that the candidates belong to.
+func (s *Set) ServiceName() string { return s.service }
+
+// Base is the model that an adapter is applied to; empty for others.
+func (s *Set) Base() port.ModelID { return s.base }
+
+func (s *Set) zoneRange(zone port.Zone) (from, to int) {
+	for _, r := range s.zones {
+		if r.zone == zone {
+			return r.from, r.to
+		}
+	}
+	return 0, 0
+}
+
+func newSet(like Set, members []*Candidate) *Set {
+	s := like
+	s.candidates = append([]*Candidate(nil), members...)
+	sort.Slice(s.candidates, func(i, j int) bool {
+		a, b := &s.candidates[i].Server, &s.candidates[j].Server
+		if a.Zone != b.Zone {
+			return a.Zone < b.Zone
+		}
+		return a.ID < b.ID
+	})
+	s.keys = make([]uint64, len(s.candidates))
+	s.zones = nil
+	for i, c := range s.candidates {
+		s.keys[i] = c.Stats.key
+		if n := len(s.zones); n > 0 && s.zones[n-1].zone == c.Server.Zone {
+			s.zones[n-1].to = i + 1
+			continue
+		}
+		s.zones = append(s.zones, zoneRange{zone: c.Server.Zone, from: i, to: i + 1})
+	}
+	return &s
+}
--- /dev/null
+++ b/pkg/routing/stats.go
@@ -0,0 +1,188 @@
+package routing
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/retry"
+)
+
+// ServerStats holds what changes with each request on one server. It outlives
+// snapshots. All methods are safe for concurrent use.
+//
+// Fields are updated one by one: a reader may see a new report's load with the
+// old report's time. It then misjudges one pick, which costs nothing but a
+// slightly worse choice.
+type ServerStats struct {
+	id    port.ServerID
+	key   uint64
+	group *groupStats
+
+	inFlight atomic.Int64
+	// others is the load that a report showed beyond our own requests, and
+	// reportedAt when, in nanoseconds of the router's time.
+	others     atomic.Int64
+	reportedAt atomic.Int64
+	// latency is the mean time to the first byte, in nanoseconds.
+	latency atomic.Int64
+	// total is the mean time that a request takes a slot, in nanoseconds.
+	total   atomic.Int64
+	leaving atomic.Bool
+
+	limiter *limit.Adaptive
+	health  retry.Health
+	cache   cacheState
+}
+
+// groupStats holds what the servers of one service share.
+type groupStats struct {
+	// meanOthers is the mean load by others, as the bits of a float64: what is
+	// expected of a server whose report is old.
+	meanOthers atomic.Uint64
+	ejection   *retry.Group
+}
+
+const (
+	// meanWeight is the weight of the newest result in a mean, as a shift.
+	meanWeight = 3
+	// groupWeight is the weight of the newest report in a service's mean load.
+	groupWeight = 0.05
+	// defaultLatency stands in for that of a server without results.
+	defaultLatency = 100 * time.Millisecond
+)
+
+// ID names the server.
+func (s *ServerStats) ID() port.ServerID { return s.id }
+
+// InFlight is how many of this instance's requests run on the server.
+func (s *ServerStats) InFlight() int64 { return s.inFlight.Load() }
+
+// Latency is the mean time to the first byte, zero if none was seen.
+func (s *ServerStats) Latency() time.Duration { return time.Duration(s.latency.Load()) }
+
+// Limit is how many of this instance's requests may run on the server at once.
+func (s *ServerStats) Limit() int64 { return s.limiter.Limit() }
+
+// SetCeiling bounds the limit to our share of the server; zero removes it.
+func (s *ServerStats) SetCeiling(requests int64) { s.limiter.SetCeiling(requests) }
+
+// MarkLeaving stops new work at once, before the next snapshot does.
+func (s *ServerStats) MarkLeaving() { s.leaving.Store(true) }
+
+// acquire takes a slot unless the server is at its limit.
+func (s *ServerStats) acquire() bool {
+	limit := s.limiter.Limit()
+	for {
+		running := s.inFlight.Load()
+		if running >= limit {
+			return false
+		}
+		if s.inFlight.CompareAndSwap(running, running+1) {
+			s.limiter.Started(running + 1)
+			return true
+		}
+	}
+}
+
+// admit takes a slot on a server that isn't ejected, or the right to probe it.
+func (s *ServerStats) admit(now time.Duration) (probe, ok bool) {
+	probe, ok = s.health.Admit(now)
+	if !ok {
+		return false, false
+	}
+	if !s.acquire() {
+		s.health.Released(probe)
+		return false, false
+	}
+	return probe, true
+}
+
+// report takes in the load of a report that describes the moment at. Our own
+// requests of that moment are taken to be those of now: what was sent since is
+// then counted too little by others, and in full by inFlight.
+func (s *ServerStats) report(load int, at time.Duration) {
+	others := max(int64(load)-s.inFlight.Load(), 0)
+	s.others.Store(others)
+	s.reportedAt.Store(int64(at))
+	s.group.observe(float64(others))
+}
+
+func (g *groupStats) observe(others float64) {
+	for {
+		old := g.meanOthers.Load()
+		mean := math.Float64frombits(old)
+		next := math.Float64bits(mean + groupWeight*(others-mean))
+		if g.meanOthers.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+// load estimates the requests on the server: our own, and those of others as the
+// report had them. With the report's age the estimate moves to the mean of the
+// service, since an old number says little of this server.
+func (s *ServerStats) load(now, halfLife time.Duration) float64 {
+	own := float64(s.inFlight.Load())
+	mean := math.Float64frombits(s.group.meanOthers.Load())
+	at := s.reportedAt.Load()
+	if at == 0 {
+		return own + mean
+	}
+	age := max(float64(int64(now)-at), 0) / float64(halfLife)
+	weight := 1 / (1 + age)
+	return own + weight*float64(s.others.Load()) + (1-weight)*mean
+}
+
+// finish takes in a result and gives the slot back.
+func (s *ServerStats) finish(now time.Duration, r Result, probe bool) {
+	s.inFlight.Add(-1)
+	latency := time.Duration(0)
+	if r.Outcome == OutcomeServed {
+		latency = r.FirstByte
+		observeMean(&s.latency, int64(r.FirstByte))
+		observeMean(&s.total, int64(r.Total))
+	}
+	if r.Outcome != OutcomeCanceled {
+		s.limiter.Observe(now, latency, r.Outcome == OutcomeOverloaded)
+	}
+	switch r.Outcome {
+	case OutcomeServed:
+		s.health.Succeeded(probe, s.group.ejection)
+	case OutcomeFailed:
+		s.health.Failed(now, probe, s.group.ejection)
+	default:
+		s.health.Released(probe)
+	}
+}
+
+// observeMean moves a mean towards a sample; a sample of zero says nothing.
+func observeMean(mean *atomic.Int64, sample int64) {
+	if sample <= 0 {
+		return
+	}
+	for {
+		old := mean.Load()
+		next := sample
+		if old > 0 {
+			next = old + (sample-old)>>meanWeight
+		}
+		if mean.CompareAndSwap(old, max(next, 1)) {
+			return
+		}
+	}
+}
+
+// retryAfter estimates when a slot comes free.
+func (s *ServerStats) retryAfter(now time.Duration) time.Duration {
+	if left := s.health.EjectedUntil() - now; left > 0 {
+		return left
+	}
+	total := time.Duration(s.total.Load())
+	if total == 0 {
+		total = defaultLatency
+	}
+	return total / time.Duration(max(s.inFlight.Load(), 1))
+}
