--- a/pkg/routing/builder.go
+++ b/pkg/routing/builder.go
@@ -20,6 +20,8 @@
 	router   *Router
 	servers  map[port.ServerID]*builtServer
 	groups   map[string]*groupStats
+	zones    map[port.Zone]*zoneStats
+	far      *retry.Group
 	sizes    map[string]int
 	models   map[port.ModelID]*members
 	services map[string]*members
@@ -49,11 +51,16 @@
 	candidates []*Candidate
 }
 
+// zoneEjection leaves out zones that can't be reached, all of them if need be.
+var zoneEjection = retry.EjectConfig{Failures: 8, MaxShare: 1}
+
 func newBuilder(r *Router) *Builder {
 	return &Builder{
 		router:        r,
 		servers:       make(map[port.ServerID]*builtServer),
 		groups:        make(map[string]*groupStats),
+		zones:         make(map[port.Zone]*zoneStats),
+		far:           retry.NewGroup(zoneEjection),
 		sizes:         make(map[string]int),
 		models:        make(map[port.ModelID]*members),
 		services:      make(map[string]*members),
@@ -107,6 +114,20 @@
 	b.place(s, b.readyModels(s))
 }
 
+// Sync takes in a whole view: it updates every server of it and removes the rest.
+func (b *Builder) Sync(servers []membership.ServerView) {
+	kept := make(map[port.ServerID]struct{}, len(servers))
+	for _, v := range servers {
+		b.Update(v)
+		kept[v.Server.ID] = struct{}{}
+	}
+	for id := range b.servers {
+		if _, ok := kept[id]; !ok {
+			b.Remove(id)
+		}
+	}
+}
+
 // Remove drops a server that membership no longer knows.
 func (b *Builder) Remove(id port.ServerID) {
 	s := b.servers[id]
@@ -201,26 +222,29 @@
 			id:      v.ID,
 			key:     max(key, 1),
 			group:   b.group(v.Service),
+			zone:    b.zone(v.Zone),
 			limiter: limit.NewAdaptive(b.router.cfg.Limit),
+
+			instances: &b.router.instances,
 		}
 		s = &builtServer{candidate: &Candidate{Server: v, Stats: stats}}
 		b.servers[v.ID] = s
 		b.resize(v.Service, 1)
 		return s
 	}
-	if s.candidate.Server.Address != v.Address || s.candidate.Server.Zone != v.Zone {
+	if s.candidate.Server.Address != v.Address {
 		b.move(s, v)
 	}
 	return s
 }
 
-// move gives a server a new address or zone; its numbers stay.
+// move gives a server a new address; its numbers, service and zone stay.
 func (b *Builder) move(s *builtServer, v port.Server) {
 	ready, routable := s.ready, s.routable
 	s.routable = false
 	b.enrol(s)
 	b.place(s, nil)
-	v.Service = s.candidate.Server.Service
+	v.Service, v.Zone = s.candidate.Server.Service, s.candidate.Server.Zone
 	s.candidate = &Candidate{Server: v, Stats: s.candidate.Stats}
 	s.routable = routable
 	if routable {
@@ -239,6 +263,20 @@
 	return g
 }
 
+// zone returns what the servers of another zone share, nil for the router's own.
+func (b *Builder) zone(zone port.Zone) *zoneStats {
+	if zone == b.router.cfg.Zone {
+		return nil
+	}
+	z := b.zones[zone]
+	if z == nil {
+		z = &zoneStats{group: b.far}
+		b.zones[zone] = z
+		b.far.Resize(len(b.zones))
+	}
+	return z
+}
+
 func (b *Builder) resize(service string, by int) {
 	b.sizes[service] += by
 	b.groups[service].ejection.Resize(b.sizes[service])
--- a/pkg/routing/pool.go
+++ b/pkg/routing/pool.go
@@ -35,7 +35,7 @@
 
 // Keep reports whether a candidate may be used and has a free slot.
 func (p *Pool) Keep(c *Candidate) bool {
-	return c.Stats.InFlight() < c.Stats.Limit() && c.Stats.health.Usable(p.now) && p.eligible(c)
+	return c.Stats.InFlight() < c.Stats.Limit() && c.Stats.usable(p.now) && p.eligible(c)
 }
 
 // eligible reports whether a candidate may be used once it has a free slot.
@@ -113,7 +113,7 @@
 type attempt struct {
 	term  atomic.Uint64
 	stats *ServerStats
-	probe bool
+	probe probes
 	pool  Pool
 }
 
--- a/pkg/routing/router.go
+++ b/pkg/routing/router.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -29,6 +30,9 @@
 	// GuessTrust what the rendezvous hash counts, where 1 is certain.
 	PrefixHalfLife time.Duration
 	GuessTrust     float64
+	// SpillAbove is the expected queueing time in the query's zone above which
+	// other zones are looked at, and by how much they must be better.
+	SpillAbove time.Duration
 	// PrefixTable is the number of prefixes remembered.
 	PrefixTable int
 }
@@ -39,6 +43,7 @@
 	DefaultPrefixHalfLife = time.Minute
 	DefaultGuessTrust     = 0.5
 	DefaultPrefixTable    = 1 << 14
+	DefaultSpillAbove     = 200 * time.Millisecond
 )
 
 func (c Config) withDefaults() Config {
@@ -48,21 +53,21 @@
 	if c.Picker == nil {
 		c.Picker = TwoChoices{}
 	}
-	if c.PrefixSaves == 0 {
-		c.PrefixSaves = DefaultPrefixSaves
-	}
-	if c.PrefixHalfLife == 0 {
-		c.PrefixHalfLife = DefaultPrefixHalfLife
-	}
-	if c.GuessTrust == 0 {
-		c.GuessTrust = DefaultGuessTrust
-	}
-	if c.PrefixTable == 0 {
-		c.PrefixTable = DefaultPrefixTable
-	}
+	setDefault(&c.PrefixSaves, DefaultPrefixSaves)
+	setDefault(&c.PrefixHalfLife, DefaultPrefixHalfLife)
+	setDefault(&c.GuessTrust, DefaultGuessTrust)
+	setDefault(&c.PrefixTable, DefaultPrefixTable)
+	setDefault(&c.SpillAbove, DefaultSpillAbove)
 	return c
 }
 
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
 // Router picks servers. It is safe for concurrent use.
 type Router struct {
 	cfg      Config
@@ -70,6 +75,8 @@
 	snapshot atomic.Pointer[Snapshot]
 	prefixes *prefixTable
 	attempts sync.Pool
+	// instances is how many instances send to the same servers.
+	instances atomic.Int64
 }
 
 // NewRouter returns a router with an empty snapshot. The time start is the origin
@@ -79,6 +86,7 @@
 	r.prefixes = newPrefixTable(r.cfg.PrefixTable)
 	r.attempts.New = func() any { return &attempt{pool: Pool{router: r}} }
 	r.snapshot.Store(&Snapshot{At: start})
+	r.SetInstances(1)
 	return r
 }
 
@@ -95,6 +103,10 @@
 	return b.Snapshot(now)
 }
 
+// SetInstances tells how many instances, this one included, send to the servers of
+// the router's zone.
+func (r *Router) SetInstances(n int) { r.instances.Store(int64(max(n, 1))) }
+
 // Publish puts a snapshot in force.
 func (r *Router) Publish(s *Snapshot) { r.snapshot.Store(s) }
 
@@ -140,37 +152,46 @@
 	return s.Service(q.Service)
 }
 
-// choose tries the zone's candidates, then all, and takes a slot.
+// choose takes a slot in the query's zone, or elsewhere if the zone has none or
+// its queues have grown long.
 func (a *attempt) choose() *Candidate {
 	p := &a.pool
 	zone := p.query.Zone
 	if zone == "" {
 		zone = p.router.cfg.Zone
 	}
-	p.from, p.to = p.set.zoneRange(zone)
-	if c := a.pickAndAdmit(); c != nil {
-		return c
-	}
-	p.from, p.to = 0, p.set.Len()
-	return a.pickAndAdmit()
-}
-
-func (a *attempt) pickAndAdmit() *Candidate {
-	p := &a.pool
+	from, to := p.set.zoneRange(zone)
 	for range acquireTries {
+		p.from, p.to = from, to
 		c := p.router.cfg.Picker.Pick(p)
+		p.from, p.to = 0, p.set.Len()
+		if c == nil || p.Cost(c) > p.router.cfg.SpillAbove.Seconds() {
+			c = a.spill(c)
+		}
 		if c == nil {
 			return nil
 		}
-		probe, ok := c.Stats.admit(p.now)
-		if ok {
-			a.probe = probe
+		var ok bool
+		if a.probe, ok = c.Stats.admit(p.now); ok {
 			return c
 		}
 	}
 	return nil
 }
 
+// spill picks among all zones, unless that gains too little over near.
+func (a *attempt) spill(near *Candidate) *Candidate {
+	p := &a.pool
+	c := p.router.cfg.Picker.Pick(p)
+	if near == nil || c == nil {
+		return cmp.Or(near, c)
+	}
+	if p.Cost(c)+p.router.cfg.SpillAbove.Seconds() < p.Cost(near) {
+		return c
+	}
+	return near
+}
+
 // failure tells whether the candidates are full or not to be used at all.
 func (a *attempt) failure() error {
 	p := &a.pool
--- a/pkg/routing/stats.go
+++ b/pkg/routing/stats.go
@@ -20,12 +20,17 @@
 	id    port.ServerID
 	key   uint64
 	group *groupStats
+	// zone is nil for servers of the router's own zone.
+	zone *zoneStats
 
 	inFlight atomic.Int64
-	// others is the load that a report showed beyond our own requests, and
-	// reportedAt when, in nanoseconds of the router's time.
+	// others is the load that a report showed beyond our own requests, own our
+	// requests then, and reportedAt when, in nanoseconds of the router's time.
 	others     atomic.Int64
+	own        atomic.Int64
 	reportedAt atomic.Int64
+	// instances is how many instances send to the server, this one included.
+	instances *atomic.Int64
 	// latency is the mean time to the first byte, in nanoseconds.
 	latency atomic.Int64
 	// total is the mean time that a request takes a slot, in nanoseconds.
@@ -45,6 +50,13 @@
 	ejection   *retry.Group
 }
 
+// zoneStats holds what the servers of another zone share: whether the zone can be
+// reached at all.
+type zoneStats struct {
+	health retry.Health
+	group  *retry.Group
+}
+
 const (
 	// meanWeight is the weight of the newest result in a mean, as a shift.
 	meanWeight = 3
@@ -87,25 +99,66 @@
 	}
 }
 
+// usable reports whether neither the server nor its zone is ejected.
+func (s *ServerStats) usable(now time.Duration) bool {
+	return s.health.Usable(now) && (s.zone == nil || s.zone.health.Usable(now))
+}
+
+// probes says which ejections a request puts to the test.
+type probes struct {
+	server, zone bool
+}
+
 // admit takes a slot on a server that isn't ejected, or the right to probe it.
-func (s *ServerStats) admit(now time.Duration) (probe, ok bool) {
-	probe, ok = s.health.Admit(now)
-	if !ok {
-		return false, false
+func (s *ServerStats) admit(now time.Duration) (p probes, ok bool) {
+	if p.server, ok = s.health.Admit(now); !ok {
+		return probes{}, false
+	}
+	if s.zone != nil {
+		if p.zone, ok = s.zone.health.Admit(now); !ok {
+			s.health.Released(p.server)
+			return probes{}, false
+		}
 	}
 	if !s.acquire() {
-		s.health.Released(probe)
-		return false, false
+		s.judge(now, OutcomeCanceled, p)
+		return probes{}, false
+	}
+	return p, true
+}
+
+// judge takes an outcome into the health of the server and its zone.
+func (s *ServerStats) judge(now time.Duration, o Outcome, p probes) {
+	switch o {
+	case OutcomeServed:
+		s.health.Succeeded(p.server, s.group.ejection)
+	case OutcomeFailed, OutcomeUnreachable:
+		s.health.Failed(now, p.server, s.group.ejection)
+	default:
+		s.health.Released(p.server)
+	}
+	if s.zone == nil {
+		return
+	}
+	switch o {
+	case OutcomeUnreachable:
+		s.zone.health.Failed(now, p.zone, s.zone.group)
+	case OutcomeCanceled:
+		s.zone.health.Released(p.zone)
+	default:
+		// Any answer shows that the zone can be reached.
+		s.zone.health.Succeeded(p.zone, s.zone.group)
 	}
-	return probe, true
 }
 
 // report takes in the load of a report that describes the moment at. Our own
 // requests of that moment are taken to be those of now: what was sent since is
 // then counted too little by others, and in full by inFlight.
 func (s *ServerStats) report(load int, at time.Duration) {
-	others := max(int64(load)-s.inFlight.Load(), 0)
+	own := s.inFlight.Load()
+	others := max(int64(load)-own, 0)
 	s.others.Store(others)
+	s.own.Store(own)
 	s.reportedAt.Store(int64(at))
 	s.group.observe(float64(others))
 }
@@ -121,23 +174,26 @@
 	}
 }
 
-// load estimates the requests on the server: our own, and those of others as the
-// report had them. With the report's age the estimate moves to the mean of the
+// load estimates the requests on the server: our own, those of others as the
+// report had them, and those that others have sent since. The balancer spreads
+// callers evenly, so each other instance is taken to have sent as many as this
+// one. With the report's age the estimate of others moves to the mean of the
 // service, since an old number says little of this server.
 func (s *ServerStats) load(now, halfLife time.Duration) float64 {
-	own := float64(s.inFlight.Load())
+	own := s.inFlight.Load()
 	mean := math.Float64frombits(s.group.meanOthers.Load())
 	at := s.reportedAt.Load()
 	if at == 0 {
-		return own + mean
+		return float64(own) + mean
 	}
 	age := max(float64(int64(now)-at), 0) / float64(halfLife)
 	weight := 1 / (1 + age)
-	return own + weight*float64(s.others.Load()) + (1-weight)*mean
+	since := max(own-s.own.Load(), 0) * (s.instances.Load() - 1)
+	return float64(own+since) + weight*float64(s.others.Load()) + (1-weight)*mean
 }
 
 // finish takes in a result and gives the slot back.
-func (s *ServerStats) finish(now time.Duration, r Result, probe bool) {
+func (s *ServerStats) finish(now time.Duration, r Result, p probes) {
 	s.inFlight.Add(-1)
 	latency := time.Duration(0)
 	if r.Outcome == OutcomeServed {
@@ -148,14 +204,7 @@
 	if r.Outcome != OutcomeCanceled {
 		s.limiter.Observe(now, latency, r.Outcome == OutcomeOverloaded)
 	}
-	switch r.Outcome {
-	case OutcomeServed:
-		s.health.Succeeded(probe, s.group.ejection)
-	case OutcomeFailed:
-		s.health.Failed(now, probe, s.group.ejection)
-	default:
-		s.health.Released(probe)
-	}
+	s.judge(now, r.Outcome, p)
 }
 
 // observeMean moves a mean towards a sample; a sample of zero says nothing.
@@ -177,7 +226,11 @@
 
 // retryAfter estimates when a slot comes free.
 func (s *ServerStats) retryAfter(now time.Duration) time.Duration {
-	if left := s.health.EjectedUntil() - now; left > 0 {
+	left := s.health.EjectedUntil() - now
+	if s.zone != nil {
+		left = max(left, s.zone.health.EjectedUntil()-now)
+	}
+	if left > 0 {
 		return left
 	}
 	total := time.Duration(s.total.Load())
--- a/pkg/routing/types.go
+++ b/pkg/routing/types.go
@@ -36,8 +36,12 @@
 	OutcomeServed Outcome = iota
 	// OutcomeOverloaded: the server refused for want of capacity.
 	OutcomeOverloaded
-	// OutcomeFailed: no connection, a reset, a time-out, or a server's error.
+	// OutcomeFailed: connection refused, a reset, a time-out, or a server's
+	// error.
 	OutcomeFailed
+	// OutcomeUnreachable: no answer to the attempt to connect. It counts against
+	// the server, and against its zone if that isn't the router's own.
+	OutcomeUnreachable
 	// OutcomeCanceled: the caller went away; it says nothing of the server.
 	OutcomeCanceled
 )
