Tighten the herd bound so that one random choice breaks it

Change: independent routers' excesses add up as the root of their number, which gives the tighter bound.

--- a/pkg/routing/quality_test.go
+++ b/pkg/routing/quality_test.go
@@ -78,15 +78,16 @@
 }
 
 // herdBound is the oracle: the level that a single router with perfect knowledge
-// would fill to, and on top what independent routers can lose by it. Each loses
-// at most the known excess of two random choices, log2 log n + O(1).
+// would fill to, and on top what independent routers can lose by it. Each exceeds
+// its own level by log2 log n + O(1), the known excess of two random choices;
+// independent excesses add up as the root of their number.
 func herdBound(loads []int) float64 {
 	sum := herdRequests
 	for _, l := range loads {
 		sum += l
 	}
 	level := float64(sum) / herdServers
-	return level + herdRouters*(math.Log2(math.Log(herdServers))+1)
+	return level + math.Sqrt(herdRouters)*(math.Log2(math.Log(herdServers))+1)
 }
 
 func TestNoHerdOnAStaleReport(t *testing.T) {
