--- a/pkg/routing/stats.go
+++ b/pkg/routing/stats.go
@@ -33,6 +33,7 @@
 	instances *atomic.Int64
 	// latency is the mean time to the first byte, in nanoseconds.
 	latency atomic.Int64
+	tail    retry.Quantile
 	// total is the mean time that a request takes a slot, in nanoseconds.
 	total   atomic.Int64
 	leaving atomic.Bool
@@ -62,6 +63,8 @@
 	meanWeight = 3
 	// groupWeight is the weight of the newest report in a service's mean load.
 	groupWeight = 0.05
+	// tailQuantile is the quantile that Tail follows.
+	tailQuantile = 0.95
 	// defaultLatency stands in for that of a server without results.
 	defaultLatency = 100 * time.Millisecond
 )
@@ -75,6 +78,10 @@
 // Latency is the mean time to the first byte, zero if none was seen.
 func (s *ServerStats) Latency() time.Duration { return time.Duration(s.latency.Load()) }
 
+// Tail is the 95th percentile of the time to the first byte, zero if none was
+// seen; a second attempt beside a slow first one starts after it.
+func (s *ServerStats) Tail() time.Duration { return s.tail.Value() }
+
 // Limit is how many of this instance's requests may run on the server at once.
 func (s *ServerStats) Limit() int64 { return s.limiter.Limit() }
 
@@ -199,6 +206,7 @@
 	if r.Outcome == OutcomeServed {
 		latency = r.FirstByte
 		observeMean(&s.latency, int64(r.FirstByte))
+		s.tail.Observe(tailQuantile, r.FirstByte)
 		observeMean(&s.total, int64(r.Total))
 	}
 	if r.Outcome != OutcomeCanceled {
--- a/pkg/routing/types.go
+++ b/pkg/routing/types.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/retry"
 )
 
 // Query describes the request that needs a server.
@@ -46,6 +47,23 @@
 	OutcomeCanceled
 )
 
+// OutcomeOf turns the fault of an attempt into what it says of the server.
+// connecting says that the attempt timed out before there was a connection.
+func OutcomeOf(f retry.Fault, connecting bool) Outcome {
+	switch f {
+	case retry.FaultNone:
+		return OutcomeServed
+	case retry.FaultRefused:
+		return OutcomeOverloaded
+	case retry.FaultCanceled:
+		return OutcomeCanceled
+	}
+	if connecting {
+		return OutcomeUnreachable
+	}
+	return OutcomeFailed
+}
+
 // Result is how a request on a picked server ended.
 type Result struct {
 	Outcome Outcome
