--- a/pkg/share/share.go
+++ b/pkg/share/share.go
@@ -65,24 +65,36 @@
 	return shares
 }
 
-// ReplicaZones returns the zones that may hold a replica of the model, with the
-// number for each. The numbers add up to limit. The zones are ranked by
-// rendezvous hashing, so that models spread over the zones and a model keeps its
-// zones when another zone is added or taken away.
-func ReplicaZones(model port.ModelID, limit int, zones []Weight) []int {
-	counts := make([]int, len(zones))
+// ReplicaZones returns the zones that may hold replicas of the model, best
+// first. The zones are ranked by rendezvous hashing, so that models spread over
+// the zones, and a model keeps its zones when others come or go.
+func ReplicaZones(model port.ModelID, limit int, zones []Weight) []port.Zone {
+	order := rank(model, zones)
+	order = order[:max(0, min(limit, len(order)))]
+	names := make([]port.Zone, len(order))
+	for place, i := range order {
+		names[place] = zones[i].Zone
+	}
+	return names
+}
+
+// ReplicaShare returns how many replicas of the model the zone may hold. Over
+// all zones the shares add up to limit.
+func ReplicaShare(model port.ModelID, limit int, zones []Weight, zone port.Zone) int {
 	if limit <= 0 || len(zones) == 0 {
-		return counts
+		return 0
 	}
-	order := rank(model, zones)
 	each, left := limit/len(zones), limit%len(zones)
-	for place, i := range order {
-		counts[i] = each
+	for place, i := range rank(model, zones) {
+		if zones[i].Zone != zone {
+			continue
+		}
 		if place < left {
-			counts[i]++
+			return each + 1
 		}
+		return each
 	}
-	return counts
+	return 0
 }
 
 // rank orders the zones' indexes by their score for the model, best first.
