Place loads by estimated time to ready

Cause: nothing decided where a model is loaded, what goes for it, or which load goes first at the weight store. Change: pkg/placement compares servers by the waiting that callers are expected to have: tier, measured speed, wait at the store, unloads and load of the server.

--- /dev/null
+++ b/pkg/placement/candidate.go
@@ -0,0 +1,210 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/ledger"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+)
+
+// candidate is one server on which the model could be loaded.
+type candidate struct {
+	server  *Server
+	loads   []Load
+	evict   []ledger.Hold
+	pending bool // memory has to become free first
+	readyIn time.Duration
+	startIn time.Duration
+	unload  time.Duration
+	store   bool
+	// cost is the expected waiting in seconds, of the callers now and of those
+	// of the models unloaded.
+	cost float64
+}
+
+func (c *candidate) better(other *candidate) bool {
+	if c.cost != other.cost {
+		return c.cost < other.cost
+	}
+	return c.server.ID < other.server.ID
+}
+
+// scratch keeps what is the same for all candidates.
+type scratch struct {
+	now     time.Time
+	request *Request
+	view    *View
+	// baseFull says that no replica of an adapter's base may be added.
+	baseFull bool
+	// slowdown and startIn are worked out when first needed.
+	slowdown float64
+	startIn  time.Duration
+}
+
+func newScratch(now time.Time, r *Request, v *View) *scratch {
+	s := &scratch{now: now, request: r, view: v}
+	if base := r.Model.Base; base != "" {
+		s.baseFull = v.Ledger.Replicas(base) >= v.replicaShare(base)
+	}
+	return s
+}
+
+func (s *scratch) store(took time.Duration) (startIn time.Duration, slowdown float64) {
+	if s.slowdown == 0 {
+		s.slowdown = s.view.Store.Slowdown(s.now)
+		s.startIn = s.view.Store.StartIn(s.now, s.request.storeLoad(took))
+	}
+	return s.startIn, s.slowdown
+}
+
+func (r *Request) storeLoad(took time.Duration) StoreLoad {
+	l := StoreLoad{
+		ID: string(r.Model.ID), Model: r.Model.ID, Took: took, Deadline: r.Patience, Waiting: r.Waiting,
+	}
+	if r.Class != nil {
+		l.Priority = r.Class.Priority
+	}
+	return l
+}
+
+// StoreLoad returns the entry for the StoreQueue that a plan stands for.
+func (p *Plan) StoreLoad(r *Request) StoreLoad { return r.storeLoad(p.ReadyIn - p.StartIn) }
+
+func (v *View) candidate(server *Server, s *scratch, t *tally) (candidate, bool) {
+	r := s.request
+	if server.Kind != port.KindEngine || server.Service != r.Model.Service {
+		return candidate{}, false
+	}
+	t.seen++
+	if server.Report == nil {
+		t.silent++
+		return candidate{}, false
+	}
+	if server.Leaving || server.Report.Leaving {
+		t.leaving++
+		return candidate{}, false
+	}
+	c := candidate{server: server}
+	if !v.addLoads(&c, s, t) {
+		return candidate{}, false
+	}
+	if lacking := v.makeRoom(&c, r); lacking > 0 {
+		t.addFull(lacking)
+		return candidate{}, false
+	}
+	v.estimate(&c, s)
+	return c, true
+}
+
+// addLoads lists what has to be loaded on the server; false if the model is
+// decided there already, or its base is being unloaded, or must not be added.
+func (v *View) addLoads(c *candidate, s *scratch, t *tally) bool {
+	r := s.request
+	if _, found := v.Ledger.Hold(c.server.ID, r.Model.ID); found {
+		t.occupied++
+		return false
+	}
+	if r.Model.Base != "" {
+		base, found := v.Ledger.Hold(c.server.ID, r.Model.Base)
+		if (found && base.Unload != "") || (!found && s.baseFull) {
+			t.noBase++
+			return false
+		}
+		if !found {
+			c.loads = append(c.loads, Load{Model: r.Base, Tier: tierOf(c.server.Report, r.Base.ID)})
+		}
+	}
+	c.loads = append(c.loads, Load{Model: r.Model, Tier: tierOf(c.server.Report, r.Model.ID)})
+	return true
+}
+
+func tierOf(r *port.Report, model port.ModelID) Tier {
+	switch {
+	case slices.Contains(r.CachedInMemory, model):
+		return TierMemory
+	case slices.Contains(r.CachedOnDisk, model):
+		return TierDisk
+	default:
+		return TierRemote
+	}
+}
+
+// estimate works out when the model would be ready and what that costs.
+func (v *View) estimate(c *candidate, s *scratch) {
+	r, id := s.request, c.server.ID
+	if c.pending {
+		c.unload = v.Speeds.UnloadTime()
+	}
+	var transfer time.Duration
+	for _, l := range c.loads {
+		took := v.Speeds.LoadTime(id, l.Tier, l.Model.Bytes)
+		if l.Tier == TierRemote {
+			startIn, slowdown := s.store(took)
+			c.store = true
+			c.startIn = startIn
+			took = time.Duration(float64(took) * slowdown)
+		}
+		transfer += took
+	}
+	if r.Model.Base != "" {
+		if base, found := v.Ledger.Hold(id, r.Model.Base); found && !base.Loaded {
+			transfer += v.readyIn(s.now, id, base)
+		}
+	}
+	c.startIn = max(c.startIn, c.unload)
+	c.readyIn = c.startIn + transfer
+	load := time.Duration(c.server.Report.InFlight)*inFlightCost + time.Duration(c.server.Report.Queued)*queuedCost
+	c.cost = float64(max(1, r.Waiting)) * (c.readyIn + load).Seconds()
+	for _, hold := range c.evict {
+		c.cost += v.worth(hold.Model)
+	}
+}
+
+func (c *candidate) plan(r *Request, t *tally, have replicas) Plan {
+	p := Plan{
+		Action: ActionLoad, Server: c.server.ID, Incarnation: c.server.Report.Incarnation,
+		Evict: c.evict, Loads: c.loads, Store: c.store, ReadyIn: c.readyIn, StartIn: c.startIn,
+	}
+	switch {
+	case len(c.evict) > 0:
+		p.Action = ActionEvict
+	case c.pending:
+		p.Action = ActionWait
+	}
+	p.Reason = c.reason(r, t, have)
+	return p
+}
+
+func (c *candidate) reason(r *Request, t *tally, have replicas) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d waiting for %s", r.Waiting, r.Model.ID)
+	if have.drain > 0 {
+		fmt.Fprintf(&b, ", %d replicas need %s for them", have.count, short(have.drain))
+	}
+	fmt.Fprintf(&b, ": ready on %s in %s", c.server.ID, short(c.readyIn))
+	for i, l := range c.loads {
+		verb := " with "
+		if i == 0 {
+			verb = ", loading "
+		}
+		fmt.Fprintf(&b, "%s%s from %s", verb, l.Model.ID, l.Tier)
+	}
+	if c.store && c.startIn > c.unload {
+		fmt.Fprintf(&b, ", %s of it waiting for the weight store", short(c.startIn))
+	}
+	for i, hold := range c.evict {
+		verb := ", "
+		if i == 0 {
+			verb = ", after unloading "
+		}
+		fmt.Fprintf(&b, "%s%s", verb, hold.Model)
+	}
+	if c.pending && len(c.evict) == 0 {
+		b.WriteString(", after an unload in progress")
+	}
+	fmt.Fprintf(&b, " (%s)", t)
+	return b.String()
+}
