Keep models by their own arrival history

Change: pkg/keepalive keeps a decaying histogram of gaps and a daily rhythm per model, and decides by the chance of the next arrival what staying loaded is worth against the idle time, exchanged by the operator's weight, under idle budgets; a model with a rhythm is loaded ahead. Without a history a model stays 10 minutes at a weight of one half.

--- /dev/null
+++ b/pkg/keepalive/keepalive_test.go
@@ -0,0 +1,255 @@
+package keepalive_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/keepalive"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+)
+
+const day = 24 * time.Hour
+
+var origin = time.Date(2026, 3, 2, 0, 0, 0, 0, time.UTC)
+
+func facts(model port.ModelID) keepalive.Facts {
+	return keepalive.Facts{Model: model, Accelerators: 0.25, ColdStart: 20 * time.Second, ReadySince: origin, Class: "c"}
+}
+
+// every returns a tracker of model m with n arrivals a gap apart, and the moment
+// of the last.
+func every(weight float64, gap time.Duration, n int) (*keepalive.Tracker, time.Time) {
+	t := keepalive.New(origin, weight)
+	at := origin
+	for range n {
+		at = at.Add(gap)
+		t.Arrived(at, "m")
+	}
+	return t, at
+}
+
+// rhythm returns a tracker of model m that is asked for on seven days in a row
+// from eight to ten o'clock, every few minutes.
+func rhythm(weight float64) *keepalive.Tracker {
+	t := keepalive.New(origin.Add(5*time.Hour), weight)
+	for d := range 7 {
+		for minute := 0; minute < 120; minute += 5 {
+			t.Arrived(origin.Add(time.Duration(d)*day+8*time.Hour+time.Duration(minute)*time.Minute), "m")
+		}
+	}
+	return t
+}
+
+func TestKeep(t *testing.T) {
+	for name, tc := range map[string]struct {
+		weight float64
+		gap    time.Duration
+		n      int
+		idle   time.Duration
+		keep   bool
+	}{
+		"no history, short":             {0.5, 0, 0, 9 * time.Minute, true},
+		"no history, long":              {0.5, 0, 0, 11 * time.Minute, false},
+		"no history, weight of a fifth": {0.2, 0, 0, 5 * time.Minute, false},
+		"two gaps are no history":       {0.5, time.Hour, 2, 11 * time.Minute, false},
+		"comes every five minutes":      {0.5, 5 * time.Minute, 20, 5 * time.Minute, true},
+		"has stopped coming":            {0.5, 5 * time.Minute, 20, 2 * time.Hour, false},
+		"comes every three days":        {0.5, 3 * day, 20, 5 * time.Minute, false},
+		"only cold starts count":        {1, 3 * day, 20, 2 * day, true},
+		"only idle hours count":         {0, 5 * time.Minute, 20, 2 * time.Minute, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker, last := every(tc.weight, tc.gap, tc.n)
+			f := facts("m")
+			f.ReadySince = last
+			v := tracker.Keep(last.Add(tc.idle), f)
+			require.Equal(t, tc.keep, v.Keep, v.Reason)
+			require.NotEmpty(t, v.Reason)
+			f.ReadySince = last.Add(tc.idle - time.Second)
+			require.True(t, tracker.Keep(last.Add(tc.idle), f).Keep, "just ready")
+		})
+	}
+}
+
+func TestRhythm(t *testing.T) {
+	tracker := rhythm(0.5)
+	for _, tc := range []struct {
+		at          time.Duration
+		ahead, keep bool
+	}{
+		{3 * time.Hour, false, false},
+		{6 * time.Hour, false, false},
+		{7*time.Hour + 52*time.Minute, true, true},
+		{12 * time.Hour, false, false},
+		{20 * time.Hour, false, false},
+	} {
+		now := origin.Add(7*day + tc.at)
+		v := tracker.Ahead(now, facts("m"))
+		require.Equal(t, tc.ahead, v.Keep, "ahead at %s", tc.at)
+		if v.Keep {
+			require.Equal(t, "asked for about this time on 100% of days", v.Reason)
+		}
+		require.Equal(t, tc.keep, tracker.Keep(now, facts("m")).Keep, "keep at %s", tc.at)
+	}
+	require.False(t, tracker.Ahead(origin.Add(20*day+8*time.Hour), facts("m")).Keep, "days without it")
+	require.False(t, tracker.Ahead(origin.Add(8*day), facts("other")).Keep)
+	allDay := keepalive.New(origin, 0.5)
+	for at := time.Duration(0); at < 7*day; at += 10 * time.Minute {
+		allDay.Arrived(origin.Add(at), "m")
+	}
+	require.False(t, allDay.Ahead(origin.Add(7*day), facts("m")).Keep, "no rhythm to wait for")
+}
+
+func TestAheadAndKeepDontAlternate(t *testing.T) {
+	tracker := rhythm(0.5)
+	f := facts("m")
+	loaded, changes := false, 0
+	for minute := range 24 * 60 {
+		now := origin.Add(7*day + time.Duration(minute)*time.Minute)
+		switch {
+		case !loaded && tracker.Ahead(now, f).Keep:
+			loaded, f.ReadySince = true, now
+			changes++
+		case loaded && !tracker.Keep(now, f).Keep:
+			loaded = false
+			changes++
+		}
+	}
+	require.Equal(t, 2, changes, "one load and one release on a day without arrivals")
+}
+
+func TestWorth(t *testing.T) {
+	often, last := every(0.5, 5*time.Minute, 20)
+	seldom, _ := every(0.5, 2*day, 20)
+	require.Greater(t, often.Worth(last, "m", time.Minute), 10*seldom.Worth(last, "m", time.Minute))
+	before := often.Worth(last, "m", time.Minute)
+	often.Woke("m", 50)
+	require.Greater(t, often.Worth(last, "m", time.Minute), 5*before, "more callers wait")
+	require.Zero(t, often.Worth(last, "other", time.Minute))
+}
+
+func TestReleasesKeepTheBudget(t *testing.T) {
+	tracker := keepalive.New(origin, 0.5)
+	var idle []keepalive.Facts
+	now := origin
+	for i := range 20 {
+		now = now.Add(time.Minute)
+		tracker.Arrived(now, "often")
+		if i%4 == 0 {
+			tracker.Arrived(now, "seldom")
+		}
+	}
+	for _, m := range []port.ModelID{"seldom", "often"} {
+		idle = append(idle, facts(m))
+	}
+	budget := func(limit float64) func(string) float64 { return func(string) float64 { return limit } }
+	models := func(list []keepalive.Release) []port.ModelID {
+		var names []port.ModelID
+		for _, r := range list {
+			names = append(names, r.Model)
+		}
+		return names
+	}
+	now = now.Add(time.Minute)
+	require.Empty(t, tracker.Releases(now, idle, budget(1), 1))
+	require.Equal(t, []port.ModelID{"seldom"}, models(tracker.Releases(now, idle, budget(0.25), 1)))
+	require.Equal(t, []port.ModelID{"seldom"}, models(tracker.Releases(now, idle, budget(1), 0.3)))
+	require.Equal(t, []port.ModelID{"often", "seldom"}, models(tracker.Releases(now, idle, budget(0), 1)))
+	idle[0].ReadySince = now
+	require.Equal(t, []port.ModelID{"often"}, models(tracker.Releases(now, idle, budget(0.25), 1)), "just ready")
+}
+
+// TestHistoriesStayInRange feeds arbitrary arrivals and checks that chances are
+// chances, that the worth grows with the cold start, and that a greater weight of
+// cold starts never releases what a smaller one keeps.
+func TestHistoriesStayInRange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		low, high := keepalive.New(origin, 0.3), keepalive.New(origin, 0.7)
+		now := origin
+		for _, gap := range rapid.SliceOfN(rapid.Int64Range(0, int64(10*day)), 0, 60).Draw(t, "gaps") {
+			now = now.Add(time.Duration(gap))
+			low.Arrived(now, "m")
+			high.Arrived(now, "m")
+		}
+		now = now.Add(time.Duration(rapid.Int64Range(0, int64(20*day)).Draw(t, "idle")))
+		worth := low.Worth(now, "m", time.Minute)
+		require.GreaterOrEqual(t, worth, 0.0)
+		require.LessOrEqual(t, worth, 60.0)
+		require.InDelta(t, 2*worth, low.Worth(now, "m", 2*time.Minute), 1e-6)
+		if low.Keep(now, facts("m")).Keep {
+			require.True(t, high.Keep(now, facts("m")).Keep)
+		}
+	})
+}
+
+const modelsAtFullSize = 12000
+
+func filled(models int) *keepalive.Tracker {
+	t := keepalive.New(origin, 0.5)
+	for i := range models {
+		for k := range 5 {
+			t.Arrived(origin.Add(time.Duration(k)*time.Hour), port.ModelID(fmt.Sprintf("adapter-%05d", i)))
+		}
+	}
+	return t
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func TestBytesPerModel(t *testing.T) {
+	before := heap()
+	tracker := filled(modelsAtFullSize)
+	require.Less(t, float64(heap()-before)/modelsAtFullSize, 220.0, "names included")
+	require.Equal(t, modelsAtFullSize, tracker.Models())
+}
+
+func BenchmarkBytes(b *testing.B) {
+	for _, models := range []int{120, 1200, modelsAtFullSize} {
+		b.Run(fmt.Sprintf("models=%d", models), func(b *testing.B) {
+			var t *keepalive.Tracker
+			before := heap()
+			for b.Loop() {
+				t = filled(models)
+			}
+			b.ReportMetric(float64(heap()-before)/float64(models), "bytes/model")
+			runtime.KeepAlive(t)
+		})
+	}
+}
+
+// BenchmarkReleases judges all models, all of them loaded and idle.
+func BenchmarkReleases(b *testing.B) {
+	for _, models := range []int{120, 1200, modelsAtFullSize} {
+		b.Run(fmt.Sprintf("models=%d", models), func(b *testing.B) {
+			t := filled(models)
+			idle := make([]keepalive.Facts, models)
+			for i := range idle {
+				idle[i] = facts(port.ModelID(fmt.Sprintf("adapter-%05d", i)))
+			}
+			now := origin.Add(5 * time.Hour)
+			b.ReportAllocs()
+			for b.Loop() {
+				t.Releases(now, idle, func(string) float64 { return 10 }, 10)
+			}
+		})
+	}
+}
+
+func BenchmarkArrived(b *testing.B) {
+	t := filled(modelsAtFullSize)
+	now := origin.Add(5 * time.Hour)
+	for b.Loop() {
+		now = now.Add(time.Minute)
+		t.Arrived(now, "adapter-00007")
+	}
+}
