--- a/pkg/keepalive/keepalive_test.go
+++ b/pkg/keepalive/keepalive_test.go
@@ -56,7 +56,8 @@
 		"no history, short":             {0.5, 0, 0, 9 * time.Minute, true},
 		"no history, long":              {0.5, 0, 0, 11 * time.Minute, false},
 		"no history, weight of a fifth": {0.2, 0, 0, 5 * time.Minute, false},
-		"two gaps are no history":       {0.5, time.Hour, 2, 11 * time.Minute, false},
+		"two gaps are no history":       {0.5, 3 * day, 3, 9 * time.Minute, true},
+		"three gaps are one":            {0.5, 3 * day, 4, 9 * time.Minute, false},
 		"comes every five minutes":      {0.5, 5 * time.Minute, 20, 5 * time.Minute, true},
 		"has stopped coming":            {0.5, 5 * time.Minute, 20, 2 * time.Hour, false},
 		"comes every three days":        {0.5, 3 * day, 20, 5 * time.Minute, false},
@@ -84,6 +85,7 @@
 	}{
 		{3 * time.Hour, false, false},
 		{6 * time.Hour, false, false},
+		{6*time.Hour + 45*time.Minute, false, true},
 		{7*time.Hour + 52*time.Minute, true, true},
 		{12 * time.Hour, false, false},
 		{20 * time.Hour, false, false},
@@ -105,6 +107,38 @@
 	require.False(t, allDay.Ahead(origin.Add(7*day), facts("m")).Keep, "no rhythm to wait for")
 }
 
+func TestQuietHoursEndKeeping(t *testing.T) {
+	// Both are asked for 20 and 25 minutes into each half hour, one of them from
+	// eight to ten o'clock only.
+	quiet, all := keepalive.New(origin, 0.5), keepalive.New(origin, 0.5)
+	now := origin.Add(6*day + 10*time.Hour + 10*time.Minute)
+	for at := origin.Add(20 * time.Minute); at.Before(now); at = at.Add(30 * time.Minute) {
+		for _, arrival := range []time.Time{at, at.Add(5 * time.Minute)} {
+			all.Arrived(arrival, "m")
+			if hour := arrival.Hour(); hour >= 8 && hour < 10 {
+				quiet.Arrived(arrival, "m")
+			}
+		}
+	}
+	require.True(t, all.Keep(now, facts("m")).Keep, "comes back within minutes")
+	require.False(t, quiet.Keep(now, facts("m")).Keep, "never comes back at this time of day")
+}
+
+func TestNewerGapsCountForMore(t *testing.T) {
+	tracker, last := every(0.5, 5*time.Minute, 60)
+	require.True(t, tracker.Keep(last.Add(4*time.Minute), facts("m")).Keep)
+	for range 200 {
+		last = last.Add(3 * day)
+		tracker.Arrived(last, "m")
+	}
+	require.False(t, tracker.Keep(last.Add(4*time.Minute), facts("m")).Keep)
+	for range 200 {
+		last = last.Add(5 * time.Minute)
+		tracker.Arrived(last, "m")
+	}
+	require.True(t, tracker.Keep(last.Add(4*time.Minute), facts("m")).Keep)
+}
+
 func TestAheadAndKeepDontAlternate(t *testing.T) {
 	tracker := rhythm(0.5)
 	f := facts("m")
