--- a/pkg/keepalive/keepalive_test.go
+++ b/pkg/keepalive/keepalive_test.go
@@ -98,6 +98,9 @@
 		}
 		require.Equal(t, tc.keep, tracker.Keep(now, facts("m")).Keep, "keep at %s", tc.at)
 	}
+	eager := rhythm(0.9)
+	require.False(t, eager.Ahead(origin.Add(7*day+6*time.Hour+45*time.Minute), facts("m")).Keep, "not yet")
+	require.True(t, eager.Ahead(origin.Add(7*day+7*time.Hour+50*time.Minute), facts("m")).Keep)
 	require.False(t, tracker.Ahead(origin.Add(20*day+8*time.Hour), facts("m")).Keep, "days without it")
 	require.False(t, tracker.Ahead(origin.Add(8*day), facts("other")).Keep)
 	allDay := keepalive.New(origin, 0.5)
