--- /dev/null
+++ b/internal/app/app.go
@@ -0,0 +1,228 @@
+// Package app puts one entry instance together and runs it.
+package app
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/phuslu/log"
+	"go.uber.org/dig"
+	"golang.org/x/net/netutil"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/configuration"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/decider"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/observer"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/gateway"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/settings"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/telemetry"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/tlsconf"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/logclient"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+)
+
+var (
+	// ErrListen means that a listener couldn't be opened.
+	ErrListen = errors.New("listen")
+	// ErrKey means that a caller's key in the settings isn't a SHA-256 hash.
+	ErrKey = errors.New("caller's key")
+	// ErrBuild means that the instance couldn't be put together.
+	ErrBuild = errors.New("build instance")
+)
+
+// Options are what an instance takes besides its settings.
+type Options struct {
+	// LogOutput receives the log.
+	LogOutput io.Writer
+	// WrapDialer and WrapTransport, if set, let tests cut connections to other
+	// instances and to the platform.
+	WrapDialer    func(peer.Dialer) peer.Dialer
+	WrapTransport func(http.RoundTripper) http.RoundTripper
+}
+
+// Instance is one entry instance.
+type Instance struct {
+	self      port.Instance
+	settings  *settings.Settings
+	logger    *log.Logger
+	listeners *listeners
+	tls       *tlsconf.Store
+	tracing   *telemetry.Tracing
+	log       *logclient.Client
+	observer  *observer.Observer
+	config    *configuration.Controller
+	decider   *decider.Decider
+	waker     *waker
+	gateway   *gateway.Gateway
+	peers     *peers
+	client    *peer.Client
+	operators *operators
+}
+
+type instanceParts struct {
+	dig.In
+
+	Self      port.Instance
+	Settings  *settings.Settings
+	Logger    *log.Logger
+	Listeners *listeners
+	TLS       *tlsconf.Store
+	Tracing   *telemetry.Tracing
+	Log       *logclient.Client
+	Observer  *observer.Observer
+	Config    *configuration.Controller
+	Decider   *decider.Decider
+	Waker     *waker
+	Gateway   *gateway.Gateway
+	Peers     *peers
+	Client    *peer.Client
+	Operators *operators
+}
+
+func newInstance(p instanceParts) *Instance {
+	return &Instance{
+		self: p.Self, settings: p.Settings, logger: p.Logger, listeners: p.Listeners, tls: p.TLS, tracing: p.Tracing,
+		log: p.Log, observer: p.Observer, config: p.Config, decider: p.Decider, waker: p.Waker, gateway: p.Gateway,
+		peers: p.Peers, client: p.Client, operators: p.Operators,
+	}
+}
+
+// New builds an instance and opens its listeners. Nothing is served before Run.
+func New(s *settings.Settings, o Options) (*Instance, error) {
+	container := dig.New()
+	for _, constructor := range append(constructors(),
+		func() *settings.Settings { return s }, func() Options { return o }) {
+		if err := container.Provide(constructor); err != nil {
+			return nil, errors.Join(ErrBuild, err)
+		}
+	}
+	var built *Instance
+	if err := container.Invoke(func(i *Instance) { built = i }); err != nil {
+		return nil, errors.Join(ErrBuild, dig.RootCause(err))
+	}
+	return built, nil
+}
+
+// Self describes the instance.
+func (i *Instance) Self() port.Instance { return i.self }
+
+// CallersAddress, OperatorsAddress return where the instance listens.
+func (i *Instance) CallersAddress() string { return i.listeners.callers.Addr().String() }
+
+// OperatorsAddress returns where operators reach the instance.
+func (i *Instance) OperatorsAddress() string { return i.listeners.operators.Addr().String() }
+
+const (
+	// handOverTimeout bounds giving up the zone's decisions.
+	handOverTimeout = 5 * time.Second
+	// closeTimeout bounds sending the last spans.
+	closeTimeout = 2 * time.Second
+	// operatorTimeout bounds reading an operator's header.
+	operatorTimeout = 10 * time.Second
+)
+
+// Run serves until stop ends, then stops gracefully: requests in progress end
+// and the zone's decisions are handed over. If kill ends, Run returns at once.
+func (i *Instance) Run(kill, stop context.Context) error {
+	defer i.listeners.close()
+	ctx, cancel := context.WithCancel(kill)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	i.logger.Info().Str("instance", string(i.self.ID)).Str("zone", string(i.self.Zone)).
+		Str("callers", i.CallersAddress()).Str("operators", i.OperatorsAddress()).
+		Str("peers", i.self.PeerAddress).Msg("instance_started")
+	i.startControllers(ctx, group)
+	i.startListeners(ctx, group)
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-stop.Done():
+		}
+		i.shutDown(ctx)
+		cancel()
+		return nil
+	})
+	err := group.Wait()
+	i.closeTracing()
+	i.logger.Info().Err(err).Str("instance", string(i.self.ID)).Msg("instance_ended")
+	return err
+}
+
+func (i *Instance) startControllers(ctx context.Context, group *errgroup.Group) {
+	for _, run := range []func(context.Context) error{
+		ignoreEnd(i.log.Run), i.observer.Run, i.config.Run, i.decider.Run, i.waker.run,
+	} {
+		group.Go(func() error { return run(ctx) })
+	}
+	if i.tls != nil {
+		group.Go(func() error { return i.tls.Watch(ctx) })
+	}
+}
+
+// ignoreEnd drops the error that only says that the context has ended.
+func ignoreEnd(run func(context.Context) error) func(context.Context) error {
+	return func(ctx context.Context) error {
+		if err := run(ctx); ctx.Err() == nil {
+			return err
+		}
+		return nil
+	}
+}
+
+func (i *Instance) startListeners(ctx context.Context, group *errgroup.Group) {
+	group.Go(func() error {
+		return peer.Serve(ctx, i.tls.Listen(i.listeners.peers), i.peers, i.tracing.Tracer, i.logger)
+	})
+	callers := netutil.LimitListener(i.listeners.callers, i.settings.Callers.MaxConnections)
+	i.serveHTTP(ctx, group, i.gateway.Server(), callers)
+	i.serveHTTP(ctx, group, &http.Server{
+		Handler: i.operators.handler(), ReadHeaderTimeout: operatorTimeout,
+	}, i.tls.Listen(i.listeners.operators))
+}
+
+func (i *Instance) serveHTTP(ctx context.Context, group *errgroup.Group, server *http.Server, l net.Listener) {
+	group.Go(func() error {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Join(ErrListen, err)
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+}
+
+// shutDown stops gracefully. Others hear at once that the instance is leaving.
+func (i *Instance) shutDown(ctx context.Context) {
+	i.logger.Info().Str("instance", string(i.self.ID)).Msg("shutdown_began")
+	i.observer.Leave()
+	drain, cancel := context.WithTimeout(ctx, i.settings.Shutdown.Delay.D()+i.settings.Shutdown.Limit.D())
+	defer cancel()
+	report := i.gateway.Drain(drain)
+	i.logger.Info().Int64("cut", report.Cut).Dur("took", report.Took).Msg("drained")
+	handOver, cancelHandOver := context.WithTimeout(ctx, handOverTimeout)
+	defer cancelHandOver()
+	if err := i.decider.HandOver(handOver); err != nil {
+		i.logger.Warn().Err(err).Msg("hand_over_failed")
+	}
+}
+
+func (i *Instance) closeTracing() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := i.tracing.Shutdown(ctx); err != nil {
+		i.logger.Warn().Err(err).Msg("spans_lost")
+	}
+	_ = i.client.Close()
+}
+
+func contextWithTimeout(r *http.Request, d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(r.Context(), d)
+}
--- /dev/null
+++ b/internal/app/provide.go
@@ -0,0 +1,302 @@
+package app
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httpbackend"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httpengine"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httplive"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httplog"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httpstore"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/configuration"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/decider"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/observer"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/gateway"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/settings"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/telemetry"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/tlsconf"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fold"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/logclient"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/routing"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/targets"
+)
+
+const (
+	// snapshotsPerRetention is how many snapshots are written in the span of
+	// records that the log is sure to keep.
+	snapshotsPerRetention = 4
+	// platformConnections bounds idle connections to the platform's services.
+	platformConnections = 64
+	liveInterval        = time.Second
+	// fetchTimeout bounds one question to another instance for its fold.
+	fetchTimeout = time.Second
+)
+
+// constructors lists what dig builds an instance from.
+func constructors() []any {
+	return []any{
+		newLogger, newTracing, newTLS, newListeners, newSelf, newPeerClient, newPlatformHTTP,
+		newLogPort, newEngine, newStore, newLive, newRouting, newUses, newObserver, newFetcher,
+		newLogClient, newConfiguration, newDecider, newRouter, newWaker, newGateway, newPeers,
+		newOperators, newInstance,
+		func() port.Clock { return port.SystemClock{} },
+		metrics.NewRegistry,
+	}
+}
+
+func newLogger(o Options, s *settings.Settings) *log.Logger {
+	return telemetry.NewLogger(o.LogOutput, s.Log.Level)
+}
+
+func newTracing(s *settings.Settings, self port.Instance) (*telemetry.Tracing, error) {
+	return telemetry.NewTracing(context.Background(), s.Tracing.OTLPURL, s.Tracing.SampleRatio, string(self.ID), string(self.Zone))
+}
+
+// newTLS returns nil where the settings say plaintext.
+func newTLS(s *settings.Settings, logger *log.Logger) (*tlsconf.Store, error) {
+	if s.TLS.Mode == settings.TLSPlaintext {
+		return nil, nil
+	}
+	return tlsconf.New(tlsconf.Files{CA: s.TLS.CA, Certificate: s.TLS.Certificate, Key: s.TLS.Key}, logger)
+}
+
+// listeners are the three sockets of an instance.
+type listeners struct{ callers, operators, peers net.Listener }
+
+func (l *listeners) close() {
+	for _, one := range []net.Listener{l.callers, l.operators, l.peers} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+}
+
+func newListeners(s *settings.Settings) (*listeners, error) {
+	l := &listeners{}
+	for _, one := range []struct {
+		address string
+		into    *net.Listener
+	}{
+		{s.Callers.Address, &l.callers}, {s.Operators.Address, &l.operators}, {s.Peers.Address, &l.peers},
+	} {
+		listener, err := net.Listen("tcp", one.address)
+		if err != nil {
+			l.close()
+			return nil, errors.Join(ErrListen, err)
+		}
+		*one.into = listener
+	}
+	return l, nil
+}
+
+func newSelf(s *settings.Settings, l *listeners) port.Instance {
+	self := port.Instance{ID: s.Instance.ID, Zone: s.Instance.Zone, PeerAddress: s.Peers.Advertise}
+	if self.ID == "" {
+		self.ID = port.InstanceID(uuid.NewString())
+	}
+	if self.PeerAddress == "" {
+		self.PeerAddress = l.peers.Addr().String()
+	}
+	return self
+}
+
+func newPeerClient(o Options, store *tlsconf.Store, t *telemetry.Tracing) *peer.Client {
+	dial := peer.Dialer(store.Dial)
+	if o.WrapDialer != nil {
+		dial = o.WrapDialer(dial)
+	}
+	return peer.NewClient(dial, t.Tracer)
+}
+
+// newPlatformHTTP serves calls of the platform and of engines' control.
+func newPlatformHTTP(o Options) *http.Client {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: platformConnections,
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		IdleConnTimeout:     time.Minute,
+	}
+	if o.WrapTransport != nil {
+		return &http.Client{Transport: o.WrapTransport(transport)}
+	}
+	return &http.Client{Transport: transport}
+}
+
+func newLogPort(s *settings.Settings, c *http.Client) port.Log {
+	return httplog.New(s.Platform.LogURL, c)
+}
+func newEngine(c *http.Client) port.Engine { return httpengine.New(c) }
+func newStore(s *settings.Settings, c *http.Client) port.WeightStore {
+	return httpstore.New(s.Platform.StoreURL, c)
+}
+func newLive(s *settings.Settings, c *http.Client) port.LiveList {
+	return httplive.New(s.Platform.LiveURL, c)
+}
+
+func newRouting(self port.Instance, clock port.Clock) *routing.Router {
+	return routing.NewRouter(routing.Config{Zone: self.Zone}, clock.Now())
+}
+
+func newUses() *observer.Uses { return &observer.Uses{} }
+
+func newObserver(
+	s *settings.Settings, self port.Instance, engine port.Engine, live port.LiveList, peers *peer.Client,
+	r *routing.Router, uses *observer.Uses, clock port.Clock, logger *log.Logger, registry metrics.Registry,
+) *observer.Observer {
+	return observer.New(observer.Config{
+		Self: self, Heartbeat: s.HeartbeatInterval(), ReportInterval: s.Deciding.ReportInterval.D(), LiveInterval: liveInterval,
+	}, observer.Deps{
+		Engine: engine, Live: live, Peers: peers, Router: r, Uses: uses, Clock: clock, Logger: logger, Metrics: registry,
+	})
+}
+
+func newFetcher(self port.Instance, o *observer.Observer, c *peer.Client) *stateFetcher {
+	return &stateFetcher{
+		self: self, observer: o, own: func() port.Offset { return 0 },
+		call: func(ctx context.Context, address string, through port.Offset) ([]byte, error) {
+			ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+			defer cancel()
+			reply, err := c.To(address).FetchState(ctx, &peerpb.FetchStateRequest{Through: int64(through)})
+			return reply.GetState(), err
+		},
+	}
+}
+
+func newLogClient(s *settings.Settings, l port.Log, self port.Instance, f *stateFetcher, registry metrics.Registry) *logclient.Client {
+	client := logclient.New(l, logclient.Config{
+		Validate:         targets.Validate,
+		FetchState:       f.fetch,
+		AppendsPerSecond: s.Platform.AppendsPerSecond,
+		Metrics:          registry,
+		Snapshot: logclient.SnapshotConfig{
+			EveryRecords: int64(s.Platform.LogRetentionRecords / snapshotsPerRetention),
+			// The holder of the first zone in order keeps the snapshots.
+			Mine: func(state *fold.State) bool {
+				for _, zone := range state.Zones() {
+					if v := state.Zone(zone); v.Holder != "" && !v.Released {
+						return v.Holder == self.ID
+					}
+				}
+				return false
+			},
+		},
+	})
+	f.own = func() port.Offset {
+		if state := client.State(); state != nil {
+			return state.Through()
+		}
+		return 0
+	}
+	return client
+}
+
+func newConfiguration(
+	c *logclient.Client, store port.WeightStore, o *observer.Observer, clock port.Clock, logger *log.Logger, registry metrics.Registry,
+) *configuration.Controller {
+	return configuration.New(configuration.Deps{
+		Log: c, Store: store, Sink: o, Clock: clock, Logger: logger, Metrics: registry,
+	})
+}
+
+func newDecider(
+	s *settings.Settings, self port.Instance, c *logclient.Client, engine port.Engine, o *observer.Observer,
+	peers *peer.Client, config *configuration.Controller, clock port.Clock, logger *log.Logger, registry metrics.Registry,
+) *decider.Decider {
+	d := decider.New(decider.Config{
+		Self: self, HolderTimeout: s.Deciding.HolderTimeout.D(), OrderLifetime: s.Deciding.OrderLifetime.D(),
+		LiveListLag: s.Deciding.LiveListLag.D(),
+	}, decider.Deps{
+		Log: c, Engine: engine, Observer: o, Peers: peers, Config: config, Clock: clock, Logger: logger, Metrics: registry,
+	})
+	o.SetListener(d)
+	return d
+}
+
+func newRouter(r *routing.Router, c *configuration.Controller, uses *observer.Uses, clock port.Clock) *router {
+	return &router{routing: r, config: c, uses: uses, start: clock.Now()}
+}
+
+func newWaker(
+	self port.Instance, d *decider.Decider, c *logclient.Client, config *configuration.Controller,
+	o *observer.Observer, p *peer.Client, r *routing.Router,
+) *waker {
+	return &waker{
+		self: self, decider: d, log: c, config: config, observer: o, peers: p, routing: r,
+		ready: map[port.ModelID]chan struct{}{},
+	}
+}
+
+func newGateway(
+	s *settings.Settings, r *router, w *waker, config *configuration.Controller, t *telemetry.Tracing,
+	clock port.Clock, logger *log.Logger,
+) (*gateway.Gateway, error) {
+	callers, err := callersOf(s.Keys)
+	if err != nil {
+		return nil, err
+	}
+	return gateway.New(gateway.Deps{
+		Config: gateway.Config{
+			MaxBodyBytes: s.Callers.MaxBodyBytes, MaxHeaderBytes: s.Callers.MaxHeaderBytes,
+			MaxWaiting: int64(s.Waiting.MaxRequests), MaxWaitingBytes: s.Waiting.MaxBytes,
+			HeaderTimeout: s.Callers.HeaderTimeout.D(), BodyTimeout: s.Callers.BodyTimeout.D(),
+			IdleTimeout: s.Callers.IdleTimeout.D(), WriteTimeout: s.Callers.WriteTimeout.D(),
+			LateArrivals: max(s.Shutdown.Delay.D(), 1), Callers: callers,
+		},
+		Snapshot: func() gateway.View { return view{config.View()} },
+		Router:   r, Waker: w, Clock: clock, Tracer: t.Tracer, Logger: logger,
+		Backend: httpbackend.New(newBackendHTTP()),
+	}), nil
+}
+
+// newBackendHTTP serves callers' requests; how long they take is theirs to say.
+func newBackendHTTP() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 256,
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}}
+}
+
+// callersOf turns keys into callers. A key without any list may reach all.
+func callersOf(keys []settings.Key) ([]gateway.Caller, error) {
+	var callers []gateway.Caller
+	for _, k := range keys {
+		c := gateway.Caller{Name: k.Caller, Models: k.Models, Paths: k.Paths}
+		if len(k.Models) == 0 && len(k.Paths) == 0 {
+			c.Models, c.Paths = []string{"*"}, []string{"/"}
+		}
+		sum, err := hex.DecodeString(k.SHA256)
+		if err != nil || len(sum) != sha256.Size {
+			return nil, errors.Wrap(ErrKey, k.Caller)
+		}
+		copy(c.KeySHA256[:], sum)
+		callers = append(callers, c)
+	}
+	return callers, nil
+}
+
+func newPeers(self port.Instance, d *decider.Decider, o *observer.Observer, c *logclient.Client) *peers {
+	return &peers{self: self, decider: d, observer: o, log: c}
+}
+
+func newOperators(
+	self port.Instance, c *logclient.Client, config *configuration.Controller, o *observer.Observer,
+	d *decider.Decider, g *gateway.Gateway, clock port.Clock, registry metrics.Registry,
+) *operators {
+	return &operators{
+		self: self, log: c, config: config, observer: o, decider: d, gateway: g, clock: clock, registry: registry,
+	}
+}
--- /dev/null
+++ b/internal/app/router.go
@@ -0,0 +1,95 @@
+package app
+
+import (
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/configuration"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/observer"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/gateway"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/retry"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/routing"
+)
+
+// router lets the gateway pick servers, within the services' retry budgets.
+type router struct {
+	routing *routing.Router
+	config  *configuration.Controller
+	uses    *observer.Uses
+	start   time.Time
+	// budgets holds a *retry.Budget for each service.
+	budgets sync.Map
+}
+
+func (r *router) budget(service string) *retry.Budget {
+	if b, ok := r.budgets.Load(service); ok {
+		return b.(*retry.Budget)
+	}
+	ratio := retry.DefaultRatio
+	if t := r.config.Targets(); t != nil {
+		if s, known := t.Service(service); known {
+			ratio = s.RetryRatio
+		}
+	}
+	b, _ := r.budgets.LoadOrStore(service, retry.NewBudget(retry.BudgetConfig{Ratio: ratio}))
+	return b.(*retry.Budget)
+}
+
+// Pick implements gateway.Router.
+func (r *router) Pick(now time.Time, q gateway.PickQuery) (gateway.Attempt, error) {
+	budget := r.budget(q.Service)
+	if q.Retry && !budget.Take(now.Sub(r.start)) {
+		return nil, gateway.ErrNoBudget
+	}
+	choice, err := r.routing.Pick(now, routing.Query{
+		Service: q.Service, Model: q.Model, PrefixHash: q.PrefixHash, Exclude: q.Exclude,
+	})
+	switch {
+	case err == nil:
+	case errors.Is(err, routing.ErrNoCapacity):
+		return nil, errors.Join(gateway.ErrNoCapacity, err)
+	default:
+		return nil, errors.Join(gateway.ErrNoReplica, err)
+	}
+	a := &attempt{choice: choice, end: func() {}}
+	if !q.Retry {
+		budget.First(now.Sub(r.start))
+	}
+	if q.Model != "" {
+		if !q.Retry {
+			r.uses.Arrive(q.Model, "")
+		}
+		a.end = r.uses.Begin(q.Model)
+	}
+	return a, nil
+}
+
+type attempt struct {
+	choice routing.Choice
+	end    func()
+}
+
+// Server implements gateway.Attempt.
+func (a *attempt) Server() port.Server { return a.choice.Server }
+
+// Done implements gateway.Attempt.
+func (a *attempt) Done(now time.Time, o gateway.Outcome) {
+	a.end()
+	a.choice.Done(now, routing.Result{Outcome: outcomeOf(o.Kind), FirstByte: o.FirstByte, Total: o.Total})
+}
+
+func outcomeOf(k gateway.OutcomeKind) routing.Outcome {
+	switch k {
+	case gateway.OutcomeAnswered:
+		return routing.OutcomeServed
+	case gateway.OutcomeRefused:
+		return routing.OutcomeOverloaded
+	case gateway.OutcomeCanceled:
+		return routing.OutcomeCanceled
+	default:
+		return routing.OutcomeFailed
+	}
+}
--- /dev/null
+++ b/internal/app/view.go
@@ -0,0 +1,53 @@
+package app
+
+import (
+	"time"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/configuration"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/gateway"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/jsonc"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/targets"
+)
+
+// unconfigured is the class of all requests before any configuration has been
+// accepted: nothing is repeated and nothing waits long.
+var unconfigured = &targets.Class{
+	Name: "unconfigured", StartWithin: jsonc.Duration(time.Second), MaxWait: jsonc.Duration(time.Second),
+}
+
+// view is one immutable state as one request sees it.
+type view struct{ *configuration.View }
+
+// Classify implements gateway.View.
+func (v view) Classify(q gateway.ClassQuery) *targets.Class {
+	if v.Targets == nil {
+		return unconfigured
+	}
+	return v.Targets.Classify(targets.Request{
+		Model: string(q.Model), Path: q.Path, Caller: q.Caller, Header: q.Header,
+	})
+}
+
+// Class implements gateway.View.
+func (v view) Class(name string) (*targets.Class, bool) {
+	if v.Targets == nil {
+		return nil, false
+	}
+	return v.Targets.Class(name)
+}
+
+// Models implements gateway.View.
+func (v view) Models() []port.ModelInfo { return v.View.Models }
+
+// Service implements gateway.View.
+func (v view) Service(path string) (targets.Service, bool) {
+	if v.Targets == nil {
+		return targets.Service{}, false
+	}
+	s, ok := v.Targets.PlainService(path)
+	if !ok {
+		return targets.Service{}, false
+	}
+	return *s, true
+}
--- /dev/null
+++ b/internal/app/waker.go
@@ -0,0 +1,194 @@
+package app
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/go-faster/errors"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/configuration"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/decider"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/observer"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/gateway"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/logclient"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/placement"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/routing"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/share"
+)
+
+// ErrNoDecider means that no deciding instance could be asked.
+var ErrNoDecider = errors.New("no deciding instance answers")
+
+// waker asks the deciding instances of the zones that may hold a replica.
+type waker struct {
+	self     port.Instance
+	decider  *decider.Decider
+	log      *logclient.Client
+	config   *configuration.Controller
+	observer *observer.Observer
+	peers    *peer.Client
+	routing  *routing.Router
+
+	mu    sync.Mutex // guards ready, off the path of warm requests
+	ready map[port.ModelID]chan struct{}
+}
+
+// elsewhere lists the refusals after which another zone may do better.
+var elsewhere = map[string]bool{
+	string(placement.WordNoMemory):  true,
+	string(placement.WordNoServer):  true,
+	string(placement.WordNoReplica): true,
+	decider.RefusalUndecidable:      true,
+}
+
+// Wake implements gateway.Waker.
+func (w *waker) Wake(ctx context.Context, q gateway.WakeQuery) (gateway.WakeReply, error) {
+	var first *gateway.WakeReply
+	for _, zone := range w.zones(q.Model) {
+		reply, err := w.ask(ctx, zone, q)
+		switch {
+		case err != nil:
+			continue
+		case reply.Accepted || !elsewhere[reply.Refusal]:
+			return reply, nil
+		case first == nil:
+			first = &reply
+		}
+	}
+	if first != nil {
+		return *first, nil
+	}
+	return gateway.WakeReply{}, ErrNoDecider
+}
+
+// zones lists the zones that may hold a replica of the model, the own one first.
+func (w *waker) zones(model port.ModelID) []port.Zone {
+	t := w.config.Targets()
+	if t == nil {
+		return nil
+	}
+	zones := share.ReplicaZones(model, t.Document.Limits.ReplicasPerModel, t.Document.ZoneWeights())
+	if at := slices.Index(zones, w.self.Zone); at > 0 {
+		zones = slices.Concat(zones[at:at+1], zones[:at], zones[at+1:])
+	}
+	return zones
+}
+
+func (w *waker) ask(ctx context.Context, zone port.Zone, q gateway.WakeQuery) (gateway.WakeReply, error) {
+	holder, address, known := w.holder(zone)
+	if !known {
+		return gateway.WakeReply{}, ErrNoDecider
+	}
+	if holder == w.self.ID {
+		return w.askOwn(ctx, q)
+	}
+	reply, err := w.peers.To(address).Wake(ctx, &peerpb.WakeRequest{
+		Model: string(q.Model), Zone: string(zone), PatienceMs: q.Patience.Milliseconds(),
+		Waiting: int32(q.Waiting), Class: q.Class, Instance: string(w.self.ID),
+	})
+	if err != nil {
+		return gateway.WakeReply{}, errors.Join(ErrNoDecider, err)
+	}
+	if transient(reply.Refusal) {
+		return gateway.WakeReply{}, errors.Wrap(ErrNoDecider, reply.Refusal)
+	}
+	return gateway.WakeReply{
+		Accepted: reply.Accepted, ReadyIn: milliseconds(reply.ReadyInMs), Refusal: reply.Refusal,
+		Detail: reply.Detail, RetryAfter: milliseconds(reply.RetryAfterMs),
+	}, nil
+}
+
+// transient refusals are of the instance asked, not of the model: the waiting
+// requests ask again.
+func transient(refusal string) bool {
+	switch refusal {
+	case decider.RefusalNotHolder, decider.RefusalNotReady, decider.RefusalStopping:
+		return true
+	}
+	return false
+}
+
+func (w *waker) askOwn(ctx context.Context, q gateway.WakeQuery) (gateway.WakeReply, error) {
+	reply, err := w.decider.Wake(ctx, decider.WakeRequest{
+		Model: q.Model, Class: q.Class, Patience: q.Patience, Waiting: q.Waiting, From: w.self.ID,
+	})
+	if err != nil {
+		return gateway.WakeReply{}, errors.Join(ErrNoDecider, err)
+	}
+	if transient(reply.Refusal) {
+		return gateway.WakeReply{}, errors.Wrap(ErrNoDecider, reply.Refusal)
+	}
+	return gateway.WakeReply(reply), nil
+}
+
+// holder returns a zone's holder as far as the log was read, and its address.
+func (w *waker) holder(zone port.Zone) (port.InstanceID, string, bool) {
+	state := w.log.State()
+	if state == nil {
+		return "", "", false
+	}
+	v := state.Zone(zone)
+	if v.Holder == "" || v.Released {
+		return "", "", false
+	}
+	for _, i := range w.observer.View().Instances {
+		if i.Instance.ID == v.Holder && i.Instance.PeerAddress != "" {
+			return v.Holder, i.Instance.PeerAddress, true
+		}
+	}
+	for _, m := range slices.Concat(v.Members, v.CopyHolders) {
+		if m.Instance == v.Holder {
+			return v.Holder, m.PeerAddress, true
+		}
+	}
+	return v.Holder, "", v.Holder == w.self.ID
+}
+
+// Ready implements gateway.Waker.
+func (w *waker) Ready(model port.ModelID) <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c, ok := w.ready[model]
+	if !ok {
+		c = make(chan struct{})
+		w.ready[model] = c
+	}
+	if w.routable(model) {
+		close(c)
+		delete(w.ready, model)
+	}
+	return c
+}
+
+func (w *waker) routable(model port.ModelID) bool {
+	set, known := w.routing.Snapshot().Model(model)
+	return known && set.Len() > 0
+}
+
+// run wakes those who wait for a model once it is routable.
+func (w *waker) run(ctx context.Context) error {
+	for {
+		published := w.observer.Published()
+		w.notify()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-published:
+		}
+	}
+}
+
+func (w *waker) notify() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for model, c := range w.ready {
+		if w.routable(model) {
+			close(c)
+			delete(w.ready, model)
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/decider/effects.go
@@ -0,0 +1,196 @@
+package decider
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fold"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/lease"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/logclient"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/record"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/record/recordpb"
+)
+
+const (
+	// peerTimeout bounds a call of another instance about the protocol.
+	peerTimeout = time.Second
+	// fenceTimeout bounds a call that raises a fencing number.
+	fenceTimeout = 2 * time.Second
+	// appendRetry is the pause before an append whose outcome stayed open is
+	// given to the log client again.
+	appendRetry = 200 * time.Millisecond
+)
+
+func (d *Decider) perform(ctx context.Context, effect lease.Effect) {
+	switch e := effect.(type) {
+	case lease.Append:
+		go d.appendRecord(ctx, e.Record)
+	case lease.SendSeal:
+		go d.sendSeal(ctx, e)
+	case lease.SendCopy:
+		go d.sendCopy(ctx, e)
+	case lease.ReplySeal:
+		answer(d.seals, e.Request, e)
+	case lease.ReplyCopy:
+		answer(d.copies, e.Request, e)
+	case lease.RaiseFence:
+		go d.raiseFence(ctx, e)
+	case lease.ReadServer:
+		go d.readServer(ctx, e)
+	case lease.Order:
+		d.send(ctx, e)
+	case lease.Refuse:
+		d.refused(e)
+	case lease.Closed:
+		d.closed(ctx, e)
+	case lease.Held:
+		d.held(e)
+	case lease.Lost:
+		d.lost(e)
+	case lease.Stopped:
+		close(d.stopped)
+	}
+}
+
+func answer[T any](waiting map[uint64]chan T, request uint64, reply T) {
+	if c, ok := waiting[request]; ok {
+		c <- reply
+		delete(waiting, request)
+	}
+}
+
+// event hands an event to the decider's goroutine.
+func (d *Decider) event(ctx context.Context, ev lease.Event) {
+	d.post(ctx, func(ctx context.Context) { d.step(ctx, ev) })
+}
+
+// appendRecord gives the record to the log until it is settled.
+func (d *Decider) appendRecord(ctx context.Context, r *recordpb.Record) {
+	for {
+		result, err := d.deps.Log.Append(ctx, r)
+		switch {
+		case err == nil:
+			d.event(ctx, lease.AppendSettled{RecordID: r.Id, Appended: true, Offset: result.Offset})
+			return
+		case errors.Is(err, logclient.ErrNotAppended):
+			d.event(ctx, lease.AppendSettled{RecordID: r.Id})
+			return
+		}
+		if !pause(ctx, appendRetry) {
+			return
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// addressOf returns where a member is reached now.
+func (d *Decider) addressOf(m fold.Member) string {
+	for _, i := range d.deps.Observer.View().Instances {
+		if i.Instance.ID == m.Instance && i.Instance.PeerAddress != "" {
+			return i.Instance.PeerAddress
+		}
+	}
+	return m.PeerAddress
+}
+
+func (d *Decider) sendSeal(ctx context.Context, e lease.SendSeal) {
+	call, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	reply, err := d.deps.Peers.To(d.addressOf(e.To)).Seal(call, &peerpb.SealRequest{
+		Zone: string(d.cfg.Self.Zone), Epoch: int64(e.Epoch), Claimant: string(d.cfg.Self.ID),
+	})
+	if err != nil {
+		d.event(ctx, lease.SealFailed{From: e.To.Instance, Epoch: e.Epoch})
+		return
+	}
+	copies, err := decodeIntents(reply.Copies)
+	if err != nil {
+		d.deps.Logger.Warn().Err(err).Str("peer", string(e.To.Instance)).Msg("seal_malformed")
+		d.event(ctx, lease.SealFailed{From: e.To.Instance, Epoch: e.Epoch})
+		return
+	}
+	d.event(ctx, lease.SealReply{From: e.To.Instance, Epoch: e.Epoch, Sealed: reply.Sealed, Copies: copies})
+}
+
+func decodeIntents(encoded []*recordpb.Intent) ([]record.Intent, error) {
+	var intents []record.Intent
+	for _, p := range encoded {
+		intent, err := record.IntentFromProto(p)
+		if err != nil {
+			return nil, err
+		}
+		intents = append(intents, intent)
+	}
+	return intents, nil
+}
+
+func (d *Decider) sendCopy(ctx context.Context, e lease.SendCopy) {
+	call, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	reply, err := d.deps.Peers.To(d.addressOf(e.To)).Copy(call, &peerpb.CopyRequest{
+		Zone: string(d.cfg.Self.Zone), Epoch: int64(e.Intent.Epoch), Holder: string(d.cfg.Self.ID),
+		Intent: e.Intent.Proto(),
+	})
+	if err != nil {
+		d.event(ctx, lease.CopyFailed{From: e.To.Instance, IntentID: e.Intent.ID, Epoch: e.Intent.Epoch})
+		return
+	}
+	d.event(ctx, lease.CopyReply{
+		From: e.To.Instance, IntentID: e.Intent.ID, Epoch: e.Intent.Epoch, Acknowledged: reply.Acknowledged,
+	})
+}
+
+func (d *Decider) raiseFence(ctx context.Context, e lease.RaiseFence) {
+	server, known := d.deps.Observer.Server(e.Server)
+	err := errors.Wrap(port.ErrNotSent, "server isn't known")
+	if known {
+		call, cancel := context.WithTimeout(ctx, fenceTimeout)
+		err = d.deps.Engine.RaiseFence(call, server, e.Fence)
+		cancel()
+	}
+	d.event(ctx, lease.FenceRaised{Token: e.Token, Server: e.Server, Err: err})
+}
+
+func (d *Decider) readServer(ctx context.Context, e lease.ReadServer) {
+	server, known := d.deps.Observer.Server(e.Server)
+	if !known {
+		d.event(ctx, lease.ServerRead{
+			Token: e.Token, Report: port.Report{Server: e.Server}, Err: errors.Wrap(port.ErrNotSent, "server isn't known"),
+		})
+		return
+	}
+	report, err := d.deps.Observer.Read(ctx, server)
+	if err != nil {
+		report.Server = e.Server
+	}
+	d.event(ctx, lease.ServerRead{Token: e.Token, Report: report, Err: err})
+}
+
+func (d *Decider) held(e lease.Held) {
+	d.store = nil
+	d.adoptTargets()
+	metrics.GetOrRegisterCounter("decider.terms", d.deps.Metrics).Inc(1)
+	metrics.GetOrRegisterGauge("decider.holder", d.deps.Metrics).Update(1)
+	d.deps.Logger.Info().Str("zone", string(d.cfg.Self.Zone)).Int64("epoch", int64(e.Epoch)).Msg("holder_began")
+}
+
+func (d *Decider) lost(e lease.Lost) {
+	clear(d.wakes)
+	metrics.GetOrRegisterGauge("decider.holder", d.deps.Metrics).Update(0)
+	d.deps.Logger.Info().Str("zone", string(d.cfg.Self.Zone)).Int64("epoch", int64(e.Epoch)).Msg("holder_ended")
+}
--- /dev/null
+++ b/internal/controller/decider/explain.go
@@ -0,0 +1,123 @@
+package decider
+
+import (
+	"context"
+	"time"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/ledger"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+)
+
+// reasonsKept bounds the decisions remembered of one model.
+const reasonsKept = 8
+
+// Reason is one decision on a model and why it was taken.
+type Reason struct {
+	At   time.Time `json:"at"`
+	Text string    `json:"text"`
+}
+
+// Explanation says why a model is, or isn't, loaded in this zone.
+type Explanation struct {
+	Holder  port.InstanceID `json:"holder"`
+	Epoch   port.Epoch      `json:"epoch"`
+	Holding bool            `json:"holding"`
+	Waiting int             `json:"waiting"`
+	// Replicas are the decided replicas by server.
+	Replicas map[port.ServerID]string `json:"replicas"`
+	Reasons  []Reason                 `json:"reasons"`
+}
+
+// note remembers a decision. The same text again only renews its time.
+func (d *Decider) note(model port.ModelID, text string) {
+	kept, _ := d.reasons.Get(model)
+	if n := len(kept); n > 0 && kept[n-1].Text == text {
+		kept[n-1].At = d.now()
+		return
+	}
+	kept = append(kept, Reason{At: d.now(), Text: text})
+	if len(kept) > reasonsKept {
+		kept = kept[len(kept)-reasonsKept:]
+	}
+	d.reasons.Add(model, kept)
+}
+
+// Explain returns what this instance knows of its zone's decisions on a model.
+func (d *Decider) Explain(ctx context.Context, model port.ModelID) (Explanation, error) {
+	out := make(chan Explanation, 1)
+	if !d.post(ctx, func(context.Context) { out <- d.explain(model) }) {
+		return Explanation{}, context.Canceled
+	}
+	select {
+	case e := <-out:
+		return e, nil
+	case <-ctx.Done():
+		return Explanation{}, context.Cause(ctx)
+	}
+}
+
+func (d *Decider) explain(model port.ModelID) Explanation {
+	holder, epoch := d.machine.Holder()
+	e := Explanation{Holder: holder, Epoch: epoch, Holding: d.machine.IsHolder(), Replicas: map[port.ServerID]string{}}
+	if w, waiting := d.wakes[model]; waiting {
+		e.Waiting = w.total()
+	}
+	for _, id := range d.ledger.Servers() {
+		if hold, found := d.ledger.Hold(id, model); found {
+			e.Replicas[id] = holdText(hold)
+		}
+	}
+	kept, _ := d.reasons.Get(model)
+	e.Reasons = append(e.Reasons, kept...)
+	return e
+}
+
+func holdText(h ledger.Hold) string {
+	switch {
+	case h.Unload != "":
+		return "unloading"
+	case h.Loaded:
+		return "loaded"
+	default:
+		return "loading"
+	}
+}
+
+// Status is what the decider knows of its zone.
+type Status struct {
+	Holder  port.InstanceID `json:"holder"`
+	Epoch   port.Epoch      `json:"epoch"`
+	Holding bool            `json:"holding"`
+	Ready   bool            `json:"ready"`
+	// Open counts the intents that hold memory, Waking the models that callers
+	// wait for, and StoreRunning and StoreWaiting the loads at the weight store.
+	Open         int `json:"open"`
+	Waking       int `json:"waking"`
+	StoreRunning int `json:"store_running"`
+	StoreWaiting int `json:"store_waiting"`
+}
+
+// Status returns the present status.
+func (d *Decider) Status(ctx context.Context) (Status, error) {
+	out := make(chan Status, 1)
+	do := func(context.Context) {
+		holder, epoch := d.machine.Holder()
+		s := Status{
+			Holder: holder, Epoch: epoch, Holding: d.machine.IsHolder(), Ready: d.deciding(),
+			Open: len(d.machine.Open()), Waking: len(d.wakes),
+		}
+		if d.store != nil {
+			s.StoreRunning, s.StoreWaiting = d.store.Running(), d.store.Waiting()
+		}
+		out <- s
+	}
+	if !d.post(ctx, do) {
+		return Status{}, context.Canceled
+	}
+	select {
+	case s := <-out:
+		return s, nil
+	case <-ctx.Done():
+		return Status{}, context.Cause(ctx)
+	}
+}
--- /dev/null
+++ b/internal/controller/decider/orders.go
@@ -0,0 +1,154 @@
+package decider
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/lease"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/placement"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/record"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/record/recordpb"
+)
+
+// order is one intent of this term, from its proposal to its end.
+type order struct {
+	intent record.Intent
+	tier   placement.Tier
+	sentAt time.Time
+}
+
+// propose gives one load or unload to the protocol.
+func (d *Decider) propose(ctx context.Context, intent record.Intent, tier placement.Tier) {
+	d.orders[intent.ID] = &order{intent: intent, tier: tier}
+	d.note(intent.Model, string(intent.Kind)+" on "+string(intent.Server)+": "+intent.Reason)
+	metrics.GetOrRegisterCounter("decider.proposed_"+string(intent.Kind), d.deps.Metrics).Inc(1)
+	d.step(ctx, lease.Propose{Intent: intent})
+}
+
+// send carries a cleared order to its server, beside the decider's goroutine.
+func (d *Decider) send(ctx context.Context, e lease.Order) {
+	if o, ok := d.orders[e.Intent.ID]; ok {
+		o.sentAt = d.now()
+	}
+	d.deps.Logger.Info().Str("order", e.Intent.ID).Str("kind", string(e.Intent.Kind)).
+		Str("model", string(e.Intent.Model)).Str("server", string(e.Intent.Server)).
+		Int64("epoch", int64(e.Fence)).Str("reason", e.Intent.Reason).Msg("order_sent")
+	go func() {
+		result, detail := d.apply(ctx, e)
+		d.event(ctx, lease.OrderEnded{IntentID: e.Intent.ID, Result: result, Detail: detail})
+	}()
+}
+
+func (d *Decider) apply(ctx context.Context, e lease.Order) (lease.OrderResult, string) {
+	server, known := d.deps.Observer.Server(e.Intent.Server)
+	if !known {
+		return lease.OrderNoEffect, "server isn't known"
+	}
+	if d.now().Sub(d.start) > e.NotAfter {
+		return lease.OrderNoEffect, "too late to send"
+	}
+	call, cancel := context.WithTimeout(ctx, d.cfg.OrderLifetime)
+	defer cancel()
+	err := d.deps.Engine.Apply(call, server, e.Intent.Order(e.Fence))
+	switch {
+	case err == nil:
+		// The news is on its way to the request path before the outcome is.
+		_, _ = d.deps.Observer.Read(ctx, server)
+		return lease.OrderDone, ""
+	case port.HadNoEffect(err):
+		return lease.OrderNoEffect, err.Error()
+	default:
+		return lease.OrderUnknown, err.Error()
+	}
+}
+
+func (d *Decider) refused(e lease.Refuse) {
+	o, ok := d.orders[e.IntentID]
+	if !ok {
+		return
+	}
+	delete(d.orders, e.IntentID)
+	d.endLoad(e.IntentID)
+	d.note(o.intent.Model, "not decided: "+string(e.Reason))
+	metrics.GetOrRegisterCounter("decider.refused", d.deps.Metrics).Inc(1)
+	d.deps.Logger.Info().Str("order", e.IntentID).Str("model", string(o.intent.Model)).
+		Str("reason", string(e.Reason)).Msg("proposal_refused")
+	if w, waiting := d.wakes[o.intent.Model]; waiting {
+		w.refuse(string(e.Reason), d.now(), e.RetryAfter)
+	}
+}
+
+// closed takes in the end of an order and goes on with what waited for it.
+func (d *Decider) closed(ctx context.Context, e lease.Closed) {
+	now := d.now()
+	d.endLoad(e.IntentID)
+	if o, ok := d.orders[e.IntentID]; ok {
+		delete(d.orders, e.IntentID)
+		d.measure(now, o, e.Result)
+		d.note(o.intent.Model, string(o.intent.Kind)+" on "+string(o.intent.Server)+" ended: "+resultText(e.Result))
+	}
+	d.deps.Logger.Info().Str("order", e.IntentID).Str("result", resultText(e.Result)).Msg("order_ended")
+	for model := range d.wakes {
+		d.plan(ctx, model)
+	}
+	d.pump(ctx)
+}
+
+func (d *Decider) measure(now time.Time, o *order, result recordpb.Outcome_Result) {
+	took := now.Sub(o.sentAt)
+	switch {
+	case o.sentAt.IsZero():
+	case o.intent.Kind == port.OrderLoad && result == recordpb.Outcome_RESULT_LOADED:
+		d.speeds.Loaded(o.intent.Server, o.tier, o.intent.Bytes, took)
+		metrics.GetOrRegisterTimer("decider.load", d.deps.Metrics).Update(took)
+	case o.intent.Kind == port.OrderUnload && result == recordpb.Outcome_RESULT_FREED:
+		d.speeds.Unloaded(took)
+	}
+}
+
+func resultText(r recordpb.Outcome_Result) string {
+	switch r {
+	case recordpb.Outcome_RESULT_LOADED:
+		return "loaded"
+	case recordpb.Outcome_RESULT_FREED:
+		return "freed"
+	case recordpb.Outcome_RESULT_LOST:
+		return "lost"
+	default:
+		return "unknown"
+	}
+}
+
+// endLoad gives a slot at the weight store back.
+func (d *Decider) endLoad(intentID string) {
+	if d.store != nil {
+		d.store.End(intentID)
+	}
+}
+
+// restore makes the ledger hold what the protocol counts.
+func (d *Decider) restore() {
+	open := d.machine.Open()
+	states := make([]*recordpb.IntentState, 0, len(open))
+	for i := range open {
+		states = append(states, &recordpb.IntentState{Intent: open[i].Proto(), Loaded: open[i].Loaded})
+	}
+	d.ledger.Restore(states)
+	loadedAt := make(map[string]time.Time, len(d.loadedAt))
+	for i := range open {
+		if at, known := d.loadedAt[open[i].ID]; known {
+			loadedAt[open[i].ID] = at
+		}
+	}
+	d.loadedAt = loadedAt
+}
+
+func (d *Decider) runningLoad(intent record.Intent) placement.StoreLoad {
+	return placement.StoreLoad{
+		ID: intent.ID, Model: intent.Model,
+		Took: d.speeds.LoadTime(intent.Server, placement.TierRemote, intent.Bytes),
+	}
+}
--- /dev/null
+++ b/internal/controller/decider/review.go
@@ -0,0 +1,283 @@
+package decider
+
+import (
+	"context"
+	"time"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/keepalive"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/ledger"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/membership"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/placement"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/share"
+)
+
+type serverView = membership.ServerView
+
+const (
+	// busyFor is how long after its last reported use a model counts as busy.
+	busyFor = 3 * time.Second
+	// aheadEvery is how many reviews lie between looks for models to load ahead.
+	aheadEvery = 60
+)
+
+// use is what the zone's instances last said of a model.
+type use struct {
+	class string
+	at    time.Time
+}
+
+// adoptTargets puts the newest limits in force in this zone. Until there are
+// any, there is no account of the weight store and nothing is decided.
+func (d *Decider) adoptTargets() {
+	t := d.deps.Config.Targets()
+	if t == nil || t.Version == d.version && d.store != nil {
+		return
+	}
+	d.version = t.Version
+	limits := t.Document.Limits
+	d.ledger.SetShare(limits.MemoryShare)
+	d.tracker.SetWeight(t.Document.ColdStartWeight)
+	weights := t.Document.ZoneWeights()
+	var perSecond float64
+	var atOnce int
+	if at := zoneIndex(weights, d.cfg.Self.Zone); at >= 0 {
+		perSecond = share.Fractions(limits.StoreLoadsPerSecond, weights)[at]
+		atOnce = share.Integers(limits.StoreLoadsAtOnce, weights)[at]
+	}
+	if d.store == nil {
+		d.newStore(perSecond, atOnce)
+		return
+	}
+	d.store.SetShare(perSecond, atOnce)
+}
+
+// newStore starts the account of the weight store for a new term. Loads that a
+// predecessor decided hold their slots.
+func (d *Decider) newStore(perSecond float64, atOnce int) {
+	now := d.now()
+	d.store = placement.NewStoreQueue(now, perSecond, atOnce)
+	for _, open := range d.machine.Open() {
+		if open.Kind == port.OrderLoad && !open.Loaded {
+			d.store.Start(now, d.runningLoad(open.Intent))
+		}
+	}
+}
+
+func zoneIndex(weights []share.Weight, zone port.Zone) int {
+	for i, w := range weights {
+		if w.Zone == zone {
+			return i
+		}
+	}
+	return -1
+}
+
+// fractionOf is this zone's part of a limit over all zones.
+func (d *Decider) fractionOf(limit float64) float64 {
+	weights := d.deps.Config.Targets().Document.ZoneWeights()
+	at := zoneIndex(weights, d.cfg.Self.Zone)
+	if at < 0 {
+		return 0
+	}
+	return share.Fractions(limit, weights)[at]
+}
+
+func (d *Decider) placementView(now time.Time) *placement.View {
+	t := d.deps.Config.Targets()
+	weights := t.Document.ZoneWeights()
+	view := &placement.View{
+		Ledger: d.ledger, Store: d.store, Speeds: &d.speeds,
+		ReplicaShare: func(model port.ModelID) int {
+			return share.ReplicaShare(model, t.Document.Limits.ReplicasPerModel, weights, d.cfg.Self.Zone)
+		},
+		Worth: func(model port.ModelID) float64 { return d.tracker.Worth(now, model, d.coldStart(model)) },
+		Busy:  func(_ port.ServerID, model port.ModelID) bool { return d.busy(now, model) },
+		BaseOf: func(model port.ModelID) port.ModelID {
+			info, _ := d.deps.Config.Model(model)
+			return info.Base
+		},
+	}
+	for _, v := range d.zoneEngines() {
+		s := placement.Server{Server: v.Server}
+		if v.Reported && d.machine.ReadyOn(v.Server.ID) {
+			report := v.Report
+			s.Report = &report
+		}
+		view.Servers = append(view.Servers, s)
+	}
+	return view
+}
+
+func (d *Decider) zoneEngines() []serverView {
+	var engines []serverView
+	for _, v := range d.deps.Observer.View().Servers {
+		if v.Server.Zone == d.cfg.Self.Zone && v.Server.Kind == port.KindEngine && (v.Routable || v.Server.Leaving) {
+			engines = append(engines, v)
+		}
+	}
+	return engines
+}
+
+func (d *Decider) coldStart(model port.ModelID) time.Duration {
+	info, _ := d.deps.Config.Model(model)
+	return d.speeds.LoadTime("", placement.TierRemote, info.Bytes)
+}
+
+func (d *Decider) busy(now time.Time, model port.ModelID) bool {
+	if _, waiting := d.wakes[model]; waiting {
+		return true
+	}
+	u, used := d.uses[model]
+	return used && now.Sub(u.at) < busyFor
+}
+
+// used takes in what an instance has used.
+func (d *Decider) used(uses []*peerpb.ModelUse) {
+	now := d.now()
+	for _, reported := range uses {
+		model := port.ModelID(reported.Model)
+		if _, known := d.deps.Config.Model(model); !known {
+			continue
+		}
+		d.uses[model] = use{class: reported.Class, at: now}
+		if reported.Arrived > 0 {
+			d.tracker.Arrived(now, model)
+		}
+	}
+}
+
+// review releases what isn't worth keeping, works shares down that were cut, and
+// loads ahead.
+func (d *Decider) review(ctx context.Context) {
+	if d.deps.Config.Targets() == nil {
+		return
+	}
+	now := d.now()
+	d.forgetWakes(now)
+	for model := range d.wakes {
+		d.plan(ctx, model)
+	}
+	d.workDown(ctx, now)
+	d.release(ctx, now)
+	if d.ticks%(reviewEvery*aheadEvery) == 0 {
+		d.loadAhead(ctx, now)
+	}
+}
+
+func (d *Decider) forgetWakes(now time.Time) {
+	for model, w := range d.wakes {
+		if now.After(w.patience) || now.Sub(w.asked) > wakeForget {
+			if w.total() > 0 {
+				d.tracker.Woke(model, w.total())
+			}
+			d.store.Leave(string(model))
+			delete(d.wakes, model)
+		}
+	}
+	for model, u := range d.uses {
+		if now.Sub(u.at) > time.Hour {
+			delete(d.uses, model)
+		}
+	}
+}
+
+func (d *Decider) workDown(ctx context.Context, now time.Time) {
+	worth := func(model port.ModelID) float64 { return d.tracker.Worth(now, model, d.coldStart(model)) }
+	for _, v := range d.zoneEngines() {
+		for _, hold := range d.ledger.WorkDown(v.Server.ID, worth) {
+			d.unload(ctx, v.Server.ID, hold.Model, "our share of the accelerator is exceeded")
+		}
+	}
+}
+
+// release unloads the idle models that the keep-alive gives up.
+func (d *Decider) release(ctx context.Context, now time.Time) {
+	t := d.deps.Config.Targets()
+	holders := map[port.ModelID][]port.ServerID{}
+	var idle []keepalive.Facts
+	for _, v := range d.zoneEngines() {
+		for hold := range d.ledger.Holds(v.Server.ID) {
+			if !hold.Loaded || hold.Unload != "" || d.busy(now, hold.Model) || d.hasAdapters(v.Server.ID, hold.Model) {
+				continue
+			}
+			if len(holders[hold.Model]) == 0 {
+				idle = append(idle, d.facts(&v, hold))
+			}
+			holders[hold.Model] = append(holders[hold.Model], v.Server.ID)
+		}
+	}
+	budget := func(name string) float64 {
+		class, known := t.Class(name)
+		if !known {
+			return 0
+		}
+		return d.fractionOf(class.IdleAccelerators)
+	}
+	for _, release := range d.tracker.Releases(now, idle, budget, d.fractionOf(t.Document.Limits.IdleAccelerators)) {
+		for _, server := range holders[release.Model] {
+			d.unload(ctx, server, release.Model, release.Reason)
+		}
+	}
+}
+
+func (d *Decider) facts(v *serverView, hold ledger.Hold) keepalive.Facts {
+	f := keepalive.Facts{
+		Model: hold.Model, ColdStart: d.coldStart(hold.Model), Class: d.classOf(hold.Model).Name,
+		ReadySince: d.readySince(hold.Intent),
+	}
+	if limit := d.ledger.Usage(v.Server.ID).Limit; limit > 0 {
+		f.Accelerators = float64(hold.Bytes) / float64(limit)
+	}
+	return f
+}
+
+// readySince is when a load ended, or when this term first saw it loaded.
+func (d *Decider) readySince(intent string) time.Time {
+	at, known := d.loadedAt[intent]
+	if !known {
+		at = d.now()
+		d.loadedAt[intent] = at
+	}
+	return at
+}
+
+func (d *Decider) hasAdapters(server port.ServerID, base port.ModelID) bool {
+	for hold := range d.ledger.Holds(server) {
+		if info, _ := d.deps.Config.Model(hold.Model); info.Base == base {
+			return true
+		}
+	}
+	return false
+}
+
+// loadAhead loads models whose rhythm says that they are wanted soon.
+func (d *Decider) loadAhead(ctx context.Context, now time.Time) {
+	for _, info := range d.deps.Config.Models() {
+		if _, waiting := d.wakes[info.ID]; waiting || d.ledger.Replicas(info.ID) > 0 {
+			continue
+		}
+		facts := keepalive.Facts{
+			Model: info.ID, Accelerators: d.typicalShare(info.Bytes), ColdStart: d.coldStart(info.ID),
+			Class: d.classOf(info.ID).Name,
+		}
+		if verdict := d.tracker.Ahead(now, facts); verdict.Keep {
+			d.note(info.ID, "loaded ahead: "+verdict.Reason)
+			d.wakes[info.ID] = &wake{class: facts.Class, asked: now, patience: now.Add(wakeForget), waiting: map[port.InstanceID]int{}}
+			d.plan(ctx, info.ID)
+		}
+	}
+	d.pump(ctx)
+}
+
+// typicalShare is the part of the zone's first reported accelerator that a model
+// of the size takes.
+func (d *Decider) typicalShare(bytes int64) float64 {
+	for _, v := range d.zoneEngines() {
+		if limit := d.ledger.Usage(v.Server.ID).Limit; limit > 0 {
+			return float64(bytes) / float64(limit)
+		}
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/controller/observer/observer.go
@@ -0,0 +1,206 @@
+// Package observer keeps what the instance knows of other instances and of
+// backend servers, and publishes it to the request path.
+package observer
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/membership"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/routing"
+)
+
+// Config sets up an Observer.
+type Config struct {
+	Self port.Instance
+	// Heartbeat is the interval of exchanges, ReportInterval that of reads of
+	// watched servers, LiveInterval that of reads of the live list.
+	Heartbeat, ReportInterval, LiveInterval time.Duration
+}
+
+// Listener is told what the observer learns. Its methods don't block.
+type Listener interface {
+	// PeerSeen says that an instance of the zone was in contact.
+	PeerSeen(id port.InstanceID, leaving bool)
+	LiveList(set port.LiveSet)
+	// ReportRead brings a report that was read from the server itself.
+	ReportRead(r port.Report)
+	// UsesReported brings the models that an instance has used.
+	UsesReported(from port.InstanceID, uses []*peerpb.ModelUse)
+}
+
+// Deps is what an Observer works with.
+type Deps struct {
+	Engine  port.Engine
+	Live    port.LiveList
+	Peers   *peer.Client
+	Router  *routing.Router
+	Uses    *Uses
+	Clock   port.Clock
+	Logger  *log.Logger
+	Metrics metrics.Registry
+}
+
+// Observer is the controller of membership.
+type Observer struct {
+	cfg      Config
+	deps     Deps
+	listener Listener
+
+	mu      sync.Mutex // guards table and builder, off the request path
+	table   *membership.Table
+	builder *routing.Builder
+
+	view      atomic.Pointer[membership.View]
+	listAt    atomic.Int64
+	published atomic.Pointer[chan struct{}]
+	holder    atomic.Pointer[port.InstanceID]
+	targets   atomic.Int64
+	// inForce holds the version of the configuration at other instances.
+	inForce sync.Map
+	dirty   chan struct{}
+	push    chan struct{}
+	reads   sync.Map // port.ServerID to *sync.Mutex
+}
+
+// New returns an observer that knows only its own instance.
+func New(cfg Config, deps Deps) *Observer {
+	o := &Observer{
+		cfg:     cfg,
+		deps:    deps,
+		table:   membership.NewTable(membership.Config{Self: cfg.Self}),
+		builder: deps.Router.NewBuilder(),
+		dirty:   make(chan struct{}, 1),
+		push:    make(chan struct{}, 1),
+	}
+	first := make(chan struct{})
+	o.published.Store(&first)
+	o.view.Store(&membership.View{})
+	return o
+}
+
+// SetListener names who is told. It is called once, before Run.
+func (o *Observer) SetListener(l Listener) { o.listener = l }
+
+// View returns what is known now.
+func (o *Observer) View() *membership.View { return o.view.Load() }
+
+// Published returns a channel that is closed at the next change of what the
+// request path sees.
+func (o *Observer) Published() <-chan struct{} { return *o.published.Load() }
+
+// SetHolder names the zone's holder, which is told of used models.
+func (o *Observer) SetHolder(id port.InstanceID) { o.holder.Store(&id) }
+
+// SetTargetsVersion sets the version of the configuration in force here.
+func (o *Observer) SetTargetsVersion(v port.Offset) { o.targets.Store(int64(v)) }
+
+// InForce returns the version of the configuration in force at another
+// instance, as it last said; zero if it hasn't.
+func (o *Observer) InForce(id port.InstanceID) port.Offset {
+	v, _ := o.inForce.Load(id)
+	version, _ := v.(port.Offset)
+	return version
+}
+
+// SetCatalogue takes in the models that can be loaded.
+func (o *Observer) SetCatalogue(models []port.ModelInfo) {
+	o.mu.Lock()
+	o.builder.SetCatalogue(models)
+	o.mu.Unlock()
+	signal(o.dirty)
+}
+
+// Leave tells others from now on that this instance is leaving.
+func (o *Observer) Leave() {
+	o.mu.Lock()
+	o.table.Leave()
+	o.mu.Unlock()
+	signal(o.push)
+}
+
+// Run observes until ctx ends.
+func (o *Observer) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return o.publishLoop(ctx) })
+	group.Go(func() error { return o.liveLoop(ctx) })
+	group.Go(func() error { return o.reportLoop(ctx) })
+	group.Go(func() error { return o.exchangeLoop(ctx) })
+	return group.Wait()
+}
+
+func (o *Observer) now() time.Time { return o.deps.Clock.Now() }
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// publishInterval bounds how often the request path gets a new snapshot.
+const publishInterval = 2 * time.Millisecond
+
+// publishLoop publishes after changes, several at once where they come fast.
+func (o *Observer) publishLoop(ctx context.Context) error {
+	refresh := time.NewTicker(time.Second)
+	defer refresh.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-o.dirty:
+		case <-refresh.C:
+			// Servers become unroutable by the mere passing of time.
+		}
+		o.publish()
+		if !pause(ctx, publishInterval) {
+			return nil
+		}
+	}
+}
+
+func (o *Observer) publish() {
+	now := o.now()
+	o.mu.Lock()
+	view := o.table.View(now)
+	o.builder.Sync(view.Servers)
+	snapshot := o.builder.Snapshot(now)
+	o.mu.Unlock()
+	o.view.Store(&view)
+	o.deps.Router.SetInstances(o.zoneInstances(&view))
+	o.deps.Router.Publish(snapshot)
+	next := make(chan struct{})
+	close(*o.published.Swap(&next))
+}
+
+func (o *Observer) zoneInstances(view *membership.View) int {
+	count := 1
+	for _, i := range view.Instances {
+		if i.Alive && i.Instance.Zone == o.cfg.Self.Zone && i.Instance.ID != o.cfg.Self.ID {
+			count++
+		}
+	}
+	return count
+}
+
+// pause waits and reports whether the whole time passed.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/gateway/endings.go
+++ b/internal/gateway/endings.go
@@ -52,6 +52,9 @@
 	if p == nil {
 		return
 	}
+	// Requests that wait for one model are refused with one problem.
+	own := *p
+	p = &own
 	p.TraceID = c.traceID
 	c.span.SetStatus(codes.Error, p.Kind.Type())
 	switch {
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,105 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+)
+
+var (
+	// ErrUnreachable: the instance didn't answer, or not in full.
+	ErrUnreachable = errors.New("instance unreachable")
+	// ErrFailed: the instance answered with a Failure.
+	ErrFailed = errors.New("instance refused")
+)
+
+// FailedError is ErrFailed with what the instance said.
+type FailedError struct {
+	Status  int
+	Failure Failure
+}
+
+// Error returns what the instance said.
+func (e *FailedError) Error() string { return e.Failure.Detail }
+
+// Is makes the error match ErrFailed.
+func (*FailedError) Is(target error) bool { return target == ErrFailed }
+
+// Client calls the operators' API of one instance.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the instance whose operators' listener has the
+// base URL.
+func NewClient(base string, c *http.Client) *Client {
+	return &Client{base: strings.TrimSuffix(base, "/"), http: c}
+}
+
+const maxAnswerBytes = 64 << 20
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte, into any) error {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Join(ErrUnreachable, err)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return errors.Join(ErrUnreachable, err)
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return errors.Join(ErrUnreachable, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		failed := &FailedError{Status: response.StatusCode}
+		if json.Unmarshal(answer, &failed.Failure) != nil || failed.Failure.Detail == "" {
+			failed.Failure.Detail = "status " + strconv.Itoa(response.StatusCode)
+		}
+		return failed
+	}
+	if err := json.Unmarshal(answer, into); err != nil {
+		return errors.Join(ErrUnreachable, err)
+	}
+	return nil
+}
+
+// Status returns what the instance sees.
+func (c *Client) Status(ctx context.Context) (*Status, error) {
+	var s Status
+	return &s, c.do(ctx, http.MethodGet, "/status", nil, &s)
+}
+
+// Explain returns why a model is, or isn't, loaded.
+func (c *Client) Explain(ctx context.Context, model port.ModelID) (*Explanation, error) {
+	var e Explanation
+	return &e, c.do(ctx, http.MethodGet, "/explain/"+url.PathEscape(string(model)), nil, &e)
+}
+
+// Targets returns the accepted configuration.
+func (c *Client) Targets(ctx context.Context) (*Targets, error) {
+	var t Targets
+	return &t, c.do(ctx, http.MethodGet, "/targets", nil, &t)
+}
+
+// Publish publishes a document on the version that it is based on, and returns
+// the version under which it was accepted. A call that failed may be repeated
+// with the same id; a new id is a new publish.
+func (c *Client) Publish(ctx context.Context, id uuid.UUID, base port.Offset, publisher string, document []byte) (port.Offset, error) {
+	query := url.Values{"id": {id.String()}, "base": {strconv.FormatInt(int64(base), 10)}, "publisher": {publisher}}
+	var p Published
+	err := c.do(ctx, http.MethodPost, "/targets?"+query.Encode(), document, &p)
+	return p.Version, err
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,119 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmetadata"
+	"storj.io/drpc/drpcpool"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/telemetry"
+)
+
+var (
+	// ErrUnreachable means that there is no connection; the call had no effect.
+	ErrUnreachable = errors.New("peer unreachable")
+	// ErrLost means that the call may have had its effect.
+	ErrLost = errors.New("peer call lost")
+)
+
+// Bounds of the pool of connections.
+const (
+	poolExpiration  = 2 * time.Minute
+	poolCapacity    = 256
+	poolPerPeer     = 8
+	dialTimeout     = time.Second
+	defaultDeadline = 5 * time.Second
+)
+
+// Dialer opens a connection to another instance.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// Client calls other instances. It is safe for concurrent use.
+type Client struct {
+	dial   Dialer
+	tracer trace.Tracer
+	pool   *drpcpool.Pool[string, *drpcconn.Conn]
+}
+
+// NewClient returns a client that connects by dial.
+func NewClient(dial Dialer, tracer trace.Tracer) *Client {
+	return &Client{
+		dial:   dial,
+		tracer: tracer,
+		pool: drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{
+			Expiration: poolExpiration, Capacity: poolCapacity, KeyCapacity: poolPerPeer,
+		}),
+	}
+}
+
+// Close closes all idle connections.
+func (c *Client) Close() error { return c.pool.Close() }
+
+// To returns the calls that the instance at the address answers. Their errors
+// are ErrUnreachable or ErrLost.
+func (c *Client) To(address string) peerpb.DRPCPeerClient {
+	return peerpb.NewDRPCPeerClient(&conn{client: c, address: address})
+}
+
+// conn is a drpc.Conn that takes a pooled connection for each call.
+type conn struct {
+	client  *Client
+	address string
+}
+
+func (c *conn) Close() error            { return nil }
+func (c *conn) Closed() <-chan struct{} { return nil }
+
+func (c *conn) NewStream(context.Context, string, drpc.Encoding) (drpc.Stream, error) {
+	return nil, errors.Wrap(ErrUnreachable, "streams aren't used between instances")
+}
+
+func (c *conn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+	if _, bounded := ctx.Deadline(); !bounded {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, defaultDeadline)
+		defer cancel()
+	}
+	ctx, span := c.client.tracer.Start(ctx, "peer call", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("rpc", rpc), attribute.String("peer", c.address)))
+	defer span.End()
+	dialFailed := false
+	pooled := c.client.pool.Get(ctx, c.address, func(ctx context.Context, address string) (*drpcconn.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		raw, err := c.client.dial(ctx, address)
+		if err != nil {
+			dialFailed = true
+			return nil, err
+		}
+		return drpcconn.New(raw), nil
+	})
+	defer pooled.Close()
+	err := pooled.Invoke(withTraceContext(ctx), rpc, enc, in, out)
+	switch {
+	case err == nil:
+		return nil
+	case dialFailed:
+		return errors.Join(ErrUnreachable, err)
+	default:
+		return errors.Join(ErrLost, err)
+	}
+}
+
+func withTraceContext(ctx context.Context) context.Context {
+	carrier := propagation.MapCarrier{}
+	telemetry.Propagator.Inject(ctx, carrier)
+	if len(carrier) == 0 {
+		return ctx
+	}
+	return drpcmetadata.AddPairs(ctx, carrier)
+}
--- /dev/null
+++ b/internal/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer carries calls between instances over drpc.
+package peer
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -244,3 +244,6 @@
 func (t *Table) View(now time.Time) View {
 	return View{At: now, Instances: t.Instances(now, ""), Servers: t.Servers(now, ""), ListAt: t.listAt}
 }
+
+// Version grows with every change of the table.
+func (t *Table) Version() uint64 { return t.version }
