--- a/pkg/logclient/config.go
+++ b/pkg/logclient/config.go
@@ -13,8 +13,10 @@
 type Config struct {
 	// Validate is the pure validity of a targets document.
 	Validate func(document []byte) error
-	// FetchState returns the encoded state of a peer. It is asked while the log
-	// is away, and when the log no longer keeps what this instance needs.
+	// FetchState returns the encoded state of a peer. It is asked every
+	// PeerRefresh while the log is away, and when the log no longer keeps what
+	// this instance needs. It should return an error, or nothing, rather than
+	// carry over a state that is no newer than the client's.
 	FetchState func(ctx context.Context) ([]byte, error)
 	// Rebase decides whether to go on from the first snapshot in the log, or
 	// from an appended one, when neither log nor peers have a state that joins
--- a/pkg/logclient/join.go
+++ b/pkg/logclient/join.go
@@ -89,7 +89,7 @@
 	}
 }
 
-// fetchPeer returns a peer's state, or nil.
+// fetchPeer returns a peer's state, or nil if no peer has one.
 func (t *tail) fetchPeer(ctx context.Context) *fold.State {
 	if t.config.FetchState == nil {
 		return nil
@@ -105,6 +105,9 @@
 		t.metrics.badPeerStates.Inc(1)
 		return nil
 	}
+	if state.Through() == 0 {
+		return nil // the peer has read nothing either
+	}
 	return state
 }
 
--- a/pkg/logclient/logclient_test.go
+++ b/pkg/logclient/logclient_test.go
@@ -199,6 +199,7 @@
 	for name, c := range map[string]struct {
 		forget   port.Offset
 		down     bool
+		empty    bool
 		peer     port.Offset
 		rebase   bool
 		through  port.Offset
@@ -211,6 +212,7 @@
 		"peer joins":                   {forget: 10, peer: 15, through: 20, same: true, expected: logclient.ConditionUp},
 		"peer too old to join":         {forget: 15, peer: 9, through: 9, expected: logclient.ConditionGap},
 		"log down, no peer":            {down: true, through: 0, expected: logclient.ConditionDown},
+		"log down, empty peer":         {down: true, empty: true, through: 0, expected: logclient.ConditionDown},
 		"log down, peer":               {down: true, peer: 13, through: 13, expected: logclient.ConditionDown},
 		"new base on the log":          {forget: 11, rebase: true, through: 20, expected: logclient.ConditionUp},
 		"new base, nothing on the log": {forget: 21, rebase: true, through: 21, expected: logclient.ConditionUp},
@@ -219,7 +221,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				log, want := base()
 				config := logclient.Config{Rebase: func(context.Context, *fold.State) bool { return c.rebase }}
-				if c.peer > 0 {
+				if c.peer > 0 || c.empty {
 					peer := foldedThrough(t, log, c.peer).Encode()
 					config.FetchState = func(context.Context) ([]byte, error) { return peer, nil }
 				}
