Stand-in faults without a lock, and no missed change

Cause: a hold (hang, stalled stream, hanging load) looked at the faults and then asked for the channel that tells of a change; a change in between was missed, and the hold went on until the next one. Every token and call took one lock.

Change: faults are an immutable set behind an atomic pointer; waitWhile fetches the channel before it looks. Tests of settings and addresses.

Conclusion: the race was found by reading; no test brings it about.

--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -1,7 +1,10 @@
 package standin
 
 import (
+	"context"
+	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/jsonc"
@@ -99,84 +102,102 @@
 	StallAt int `json:"stall_at"`
 }
 
-// faultSet guards the faults in force.
+// faultSet holds the faults in force. Readers take no lock; changes replace the
+// whole set.
 type faultSet struct {
 	mu      sync.Mutex
-	now     Faults
-	changed chan struct{}
+	now     atomic.Pointer[Faults]
+	changed atomic.Pointer[chan struct{}]
 }
 
 func newFaultSet() *faultSet {
-	return &faultSet{changed: make(chan struct{})}
+	f := &faultSet{}
+	f.now.Store(&Faults{})
+	changed := make(chan struct{})
+	f.changed.Store(&changed)
+	return f
 }
 
 // update applies change to the faults and wakes those who wait for a change.
 func (f *faultSet) update(change func(*Faults)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.now.Servers == nil {
-		f.now.Servers = make(map[port.ServerID]ServerFaults)
-	}
-	change(&f.now)
-	close(f.changed)
-	f.changed = make(chan struct{})
+	next := f.now.Load().clone()
+	change(next)
+	f.now.Store(next)
+	woken, changed := f.changed.Load(), make(chan struct{})
+	f.changed.Store(&changed)
+	close(*woken)
 }
 
-// snapshot returns a copy of the faults.
-func (f *faultSet) snapshot() Faults {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	copied := f.now
-	copied.Servers = make(map[port.ServerID]ServerFaults, len(f.now.Servers))
-	for id, server := range f.now.Servers {
-		copied.Servers[id] = server
-	}
-	return copied
+// clone returns a copy that shares nothing.
+func (f *Faults) clone() *Faults {
+	c := *f
+	c.Servers = make(map[port.ServerID]ServerFaults, len(f.Servers))
+	maps.Copy(c.Servers, f.Servers)
+	return &c
 }
 
-// onChange returns a channel that is closed at the next change.
-func (f *faultSet) onChange() <-chan struct{} {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.changed
+// current returns the faults, which must not be changed.
+func (f *faultSet) current() *Faults { return f.now.Load() }
+
+func (f *faultSet) server(id port.ServerID) ServerFaults { return f.current().Servers[id] }
+
+// waitWhile waits as long as a fault is in force, and reports whether it was
+// lifted before ctx ended.
+func (f *faultSet) waitWhile(ctx context.Context, inForce func() bool) bool {
+	for {
+		// Fetched before the look, so that no change is missed in between.
+		changed := *f.changed.Load()
+		if !inForce() {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		}
+	}
 }
 
 // take uses up one of the calls that a counted fault affects.
 func (f *faultSet) take(counter func(*Faults) *int) bool {
+	if *counter(f.current()) == 0 {
+		return false
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := counter(&f.now)
+	next := f.now.Load().clone()
+	n := counter(next)
 	if *n == 0 {
 		return false
 	}
 	if *n > 0 {
 		*n--
+		f.now.Store(next)
 	}
 	return true
 }
 
-func (f *faultSet) server(id port.ServerID) ServerFaults {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.now.Servers[id]
-}
-
 // takeServer is take for a counter of one server.
 func (f *faultSet) takeServer(id port.ServerID, counter func(*ServerFaults) *int) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	server, ok := f.now.Servers[id]
-	if !ok {
+	server := f.server(id)
+	if *counter(&server) == 0 {
 		return false
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := f.now.Load().clone()
+	server = next.Servers[id]
 	n := counter(&server)
 	if *n == 0 {
 		return false
 	}
 	if *n > 0 {
 		*n--
+		next.Servers[id] = server
+		f.now.Store(next)
 	}
-	f.now.Servers[id] = server
 	return true
 }
 
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -193,12 +193,9 @@
 	if !sleep(ctx, f.TokenDelay.D()) {
 		return false, false
 	}
-	for at > 0 && e.faults.server(e.server.ID).StallAt == at {
-		select {
-		case <-ctx.Done():
-			return false, false
-		case <-e.faults.onChange():
-		}
+	stalled := func() bool { return at > 0 && e.faults.server(e.server.ID).StallAt == at }
+	if !e.faults.waitWhile(ctx, stalled) {
+		return false, false
 	}
 	positions := []int{at}
 	switch {
--- a/internal/standin/live.go
+++ b/internal/standin/live.go
@@ -48,7 +48,7 @@
 	r := chi.NewRouter()
 	r.Use(inject(faultsOf{
 		set:  l.faults,
-		look: func() CallFaults { return l.faults.snapshot().Live.CallFaults },
+		look: func() CallFaults { return l.faults.current().Live.CallFaults },
 		take: func(c func(*CallFaults) *int) bool {
 			return l.faults.take(func(f *Faults) *int { return c(&f.Live.CallFaults) })
 		},
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -48,7 +48,7 @@
 	r := chi.NewRouter()
 	r.Use(inject(faultsOf{
 		set:  l.faults,
-		look: func() CallFaults { return l.faults.snapshot().Log.CallFaults },
+		look: func() CallFaults { return l.faults.current().Log.CallFaults },
 		take: func(c func(*CallFaults) *int) bool {
 			return l.faults.take(func(f *Faults) *int { return c(&f.Log.CallFaults) })
 		},
@@ -75,7 +75,7 @@
 		return
 	}
 	if l.faults.take(func(f *Faults) *int { return &f.Log.LateAppends }) {
-		late := l.faults.snapshot().Log.LateBy.D()
+		late := l.faults.current().Log.LateBy.D()
 		time.AfterFunc(late, func() { l.append(request.Records) })
 		reset(w)
 		return
--- a/internal/standin/middleware.go
+++ b/internal/standin/middleware.go
@@ -63,13 +63,7 @@
 
 // hang waits until the caller goes away or the fault is lifted.
 func hang(ctx context.Context, f faultsOf) {
-	for f.look().Hang {
-		select {
-		case <-ctx.Done():
-			return
-		case <-f.set.onChange():
-		}
-	}
+	f.set.waitWhile(ctx, func() bool { return f.look().Hang })
 }
 
 // writeHuge writes until the caller has had enough.
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -94,12 +94,8 @@
 	if !sleep(ctx, e.settings.LoadOverhead.D()+e.faults.server(e.server.ID).LoadDelay.D()) {
 		return cancelled
 	}
-	for e.faults.server(e.server.ID).HangLoads {
-		select {
-		case <-ctx.Done():
-			return cancelled
-		case <-e.faults.onChange():
-		}
+	if !e.faults.waitWhile(ctx, func() bool { return e.faults.server(e.server.ID).HangLoads }) {
+		return cancelled
 	}
 	return resultOK
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -189,7 +189,7 @@
 }
 
 // Faults returns a copy of the faults in force.
-func (p *Platform) Faults() Faults { return p.faults.snapshot() }
+func (p *Platform) Faults() Faults { return *p.faults.current().clone() }
 
 // SetFaults changes the faults in force.
 func (p *Platform) SetFaults(change func(*Faults)) { p.faults.update(change) }
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -18,6 +19,7 @@
 	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httplog"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httpstore"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/standin"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/jsonc"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -131,3 +133,33 @@
 	require.Equal(t, http.StatusOK, put(`{}`))
 	require.False(t, p.Faults().Log.Down)
 }
+
+func TestSettings(t *testing.T) {
+	s := standin.Defaults()
+	require.NoError(t, jsonc.Decode([]byte(`{/* the defaults are valid */}`), &s))
+	require.Equal(t, standin.Defaults(), s)
+	err := jsonc.Decode([]byte(`{"host": "nowhere", "zones": [], "log": {"retain_for": "0s"}, "stores": {}}`), &s)
+	var faults jsonc.Faults
+	require.ErrorAs(t, err, &faults)
+	require.Len(t, faults, 4, "%v", faults)
+}
+
+// TestAddresses: with a base port every listener has a known address.
+func TestAddresses(t *testing.T) {
+	s := standin.Fast()
+	var p *standin.Platform
+	for s.BasePort = 18460; p == nil; s.BasePort += 20 {
+		var err error
+		if p, err = standin.Start(s); err != nil {
+			require.ErrorIs(t, err, standin.ErrListen, "another process may have the port, nothing else")
+		}
+	}
+	defer p.Close()
+	s.BasePort -= 20
+	at := func(n int) string { return "127.0.0.1:" + strconv.Itoa(s.BasePort+n) }
+	require.Equal(t, "http://"+at(0), p.ControlURL)
+	require.Equal(t, "http://"+at(3), p.LiveURL)
+	require.Equal(t, at(4), p.Servers[0].Address)
+	_, err := standin.Start(s)
+	require.ErrorIs(t, err, standin.ErrListen)
+}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -43,7 +43,7 @@
 	r := chi.NewRouter()
 	r.Use(inject(faultsOf{
 		set:  s.faults,
-		look: func() CallFaults { return s.faults.snapshot().Store.CallFaults },
+		look: func() CallFaults { return s.faults.current().Store.CallFaults },
 		take: func(c func(*CallFaults) *int) bool {
 			return s.faults.take(func(f *Faults) *int { return c(&f.Store.CallFaults) })
 		},
@@ -98,7 +98,7 @@
 // speed returns the bytes per second of each transfer now; it is above zero
 // also when stalled, only too slow to matter.
 func (s *storeService) speed() float64 {
-	faults := s.faults.snapshot().Store
+	faults := s.faults.current().Store
 	speed := float64(s.settings.BytesPerSecond)
 	if faults.SpeedFactor > 0 {
 		speed *= faults.SpeedFactor
