Log client: first state at once, peers asked beside the tail

Cause: a client that joined at the log's end waited a whole poll before it published its first state; a peer that didn't answer kept the tail from a log that was back; a drained queue cost a turn of the append budget for nothing.

Change: the first read doesn't wait; the question to peers runs beside the tail, one at a time, and not after a single failed read; the writer looks at the queue before it waits for its turn.

Conclusion: a peer costs the tail no time.

--- a/pkg/logclient/book.go
+++ b/pkg/logclient/book.go
@@ -106,6 +106,13 @@
 	return b.count
 }
 
+// hasQueued reports whether the queue holds anything, given up or not.
+func (b *book) hasQueued() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.queue) > 0
+}
+
 // take returns the next batch to send.
 func (b *book) take() []*item {
 	b.mu.Lock()
--- a/pkg/logclient/join.go
+++ b/pkg/logclient/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -76,17 +77,56 @@
 	return true
 }
 
-// askPeers takes over a peer's state that is ahead, while the log can't be read.
+// peerQuestion asks peers for their state beside the tail, which goes on trying
+// to read the log. At most one question is under way.
+type peerQuestion struct {
+	group sync.WaitGroup
+	// busy holds a token while a question is under way.
+	busy   chan struct{}
+	answer chan *fold.State
+	asked  time.Time
+}
+
+func newPeerQuestion() *peerQuestion {
+	return &peerQuestion{busy: make(chan struct{}, 1), answer: make(chan *fold.State, 1)}
+}
+
+func (q *peerQuestion) wait() { q.group.Wait() }
+
+// askPeers takes over a peer's state that is ahead, while the log can't be read,
+// and asks for a newer one from time to time.
 func (t *tail) askPeers(ctx context.Context) {
-	if now := time.Now(); now.Sub(t.askedPeers) < t.config.PeerRefresh {
+	if t.health.view.Load().condition == ConditionUp {
+		return // a single failure
+	}
+	q := t.peers
+	select {
+	case peer := <-q.answer:
+		if t.adopt(peer) {
+			t.metrics.peerStates.Inc(1)
+			t.publishWork()
+		}
+	default:
+	}
+	now := time.Now()
+	if !q.asked.IsZero() && now.Sub(q.asked) < t.config.PeerRefresh {
 		return
 	}
-	t.askedPeers = time.Now()
-	peer := t.fetchPeer(ctx)
-	if peer != nil && t.adopt(peer) {
-		t.metrics.peerStates.Inc(1)
-		t.publishWork()
+	select {
+	case q.busy <- struct{}{}:
+	default:
+		return
 	}
+	q.asked = now
+	q.group.Go(func() {
+		defer func() { <-q.busy }()
+		if peer := t.fetchPeer(ctx); peer != nil {
+			select {
+			case q.answer <- peer:
+			default: // the last answer wasn't taken; the next question brings this one
+			}
+		}
+	})
 }
 
 // fetchPeer returns a peer's state, or nil if no peer has one.
--- a/pkg/logclient/logclient_test.go
+++ b/pkg/logclient/logclient_test.go
@@ -414,3 +414,36 @@
 		require.Equal(t, port.Offset(2), result.Offset)
 	})
 }
+
+// TestFirstStateComesAtOnce: a client that joins at the log's end doesn't wait
+// there before it publishes.
+func TestFirstStateComesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := run(t, newFakeLog(), logclient.Config{PollWait: time.Hour})
+		time.Sleep(10 * time.Millisecond)
+		require.NotNil(t, client.State())
+		require.True(t, client.Up())
+	})
+}
+
+// TestHangingPeer: a peer that doesn't answer doesn't keep the client from the
+// log when that is back.
+func TestHangingPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		client := run(t, log, logclient.Config{
+			ReadTimeout: time.Minute,
+			FetchState: func(ctx context.Context) ([]byte, error) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			},
+		})
+		appendOne(t, client, member(1))
+		log.setDown(true)
+		time.Sleep(10 * time.Second)
+		require.False(t, client.Up())
+		log.setDown(false)
+		time.Sleep(5 * time.Second)
+		require.True(t, client.Up())
+	})
+}
--- a/pkg/logclient/tail.go
+++ b/pkg/logclient/tail.go
@@ -16,15 +16,15 @@
 	// work is the state being folded; nil before there is one.
 	work  *fold.State
 	retry backoffer
-	// askedPeers is when peers were last asked for their state.
-	askedPeers time.Time
+	peers *peerQuestion
 }
 
 func newTail(c *Client) *tail {
-	return &tail{Client: c, retry: c.config.newBackoff()}
+	return &tail{Client: c, retry: c.config.newBackoff(), peers: newPeerQuestion()}
 }
 
 func (t *tail) run(ctx context.Context) error {
+	defer t.peers.wait()
 	for ctx.Err() == nil {
 		err := t.next(ctx)
 		if err == nil {
@@ -68,7 +68,11 @@
 func (t *tail) step(ctx context.Context) error {
 	readCtx, interrupt := context.WithCancel(ctx)
 	defer interrupt()
-	number, wait := t.book.beginRead(interrupt, time.Now(), t.config.PollWait)
+	limit := t.config.PollWait
+	if t.State() == nil {
+		limit = 0 // others wait for the first state
+	}
+	number, wait := t.book.beginRead(interrupt, time.Now(), limit)
 	started := time.Now()
 	page, err := t.read(readCtx, t.work.Through()+1, wait)
 	t.book.endRead()
--- a/pkg/logclient/writer.go
+++ b/pkg/logclient/writer.go
@@ -33,7 +33,7 @@
 
 // drain sends until the queue is empty.
 func (c *Client) drain(ctx context.Context, limiter *rate.Limiter, retry backoffer) error {
-	for {
+	for c.book.hasQueued() {
 		if !c.health.joined() {
 			// What is sent now could not be read back.
 			if !pause(ctx, c.config.FirstRetry) {
@@ -47,7 +47,7 @@
 		}
 		batch := c.book.take()
 		if len(batch) == 0 {
-			return ctx.Err()
+			continue // their callers have gone meanwhile
 		}
 		if c.send(ctx, batch) {
 			retry.Reset()
@@ -57,6 +57,7 @@
 			return ctx.Err()
 		}
 	}
+	return ctx.Err()
 }
 
 // send appends one batch and reports whether that succeeded.
