Claim identities at a majority of owners in every list that may still count

Cause: the same not repeatable request can arrive at two instances that disagree about who is a member, or again after the first instance has died.

--- a/internal/gateway/dedupe.go
+++ b/internal/gateway/dedupe.go
@@ -68,6 +68,7 @@
 		Key:         identityKey(c, key),
 		Fingerprint: fingerprint(c),
 		Wait:        c.startBy.Sub(g.now()),
+		RunFor:      c.deadline.Sub(g.now()),
 	})
 	span.End()
 	if claim.Verdict() != identity.Run {
--- /dev/null
+++ b/pkg/identity/claimer_test.go
@@ -0,0 +1,184 @@
+package identity
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+)
+
+func instanceID(i int) port.InstanceID { return port.InstanceID(fmt.Sprintf("i%d", i)) }
+func zoneName(i int) port.Zone         { return port.Zone(fmt.Sprintf("z%d", i)) }
+
+var errDown = errors.New("instance down")
+
+// net joins claimers in one process.
+type net struct {
+	claimers map[port.InstanceID]*Claimer
+	down     sync.Map
+}
+
+func (n *net) to(m Member) (*Claimer, error) {
+	if _, down := n.down.Load(m.ID); down {
+		return nil, errDown
+	}
+	return n.claimers[m.ID], nil
+}
+
+func (n *net) Claim(_ context.Context, m Member, a Ask) (Answer, error) {
+	c, err := n.to(m)
+	if err != nil {
+		return Answer{}, err
+	}
+	return c.Store.Claim(a), nil
+}
+
+func (n *net) Finish(_ context.Context, m Member, key Key, attempt string, r Result) error {
+	c, err := n.to(m)
+	if err != nil {
+		return err
+	}
+	c.Store.Finish(key, attempt, r)
+	return nil
+}
+
+func (n *net) HandOver(_ context.Context, m Member, kept []Kept) (int, error) {
+	c, err := n.to(m)
+	if err != nil {
+		return 0, err
+	}
+	for i, k := range kept {
+		if !c.Store.Import(k) {
+			return i, nil
+		}
+	}
+	return len(kept), nil
+}
+
+func newNet(size int) (*net, []Member) {
+	n := &net{claimers: map[port.InstanceID]*Claimer{}}
+	var members []Member
+	for i := range size {
+		members = append(members, Member{ID: instanceID(i), Zone: zoneName(i)})
+	}
+	for _, m := range members {
+		n.claimers[m.ID] = &Claimer{
+			Self:  m.ID,
+			Store: NewStore(port.SystemClock{}, Limits{Entries: 1600, BodyBytes: 1 << 20, Keep: time.Minute}),
+			Peers: n,
+			Clock: port.SystemClock{},
+			Lists: func(now time.Time) Lists {
+				return Lists{Version: 1, Members: [][]Member{members}, Usable: true, Until: now.Add(time.Minute)}
+			},
+			MaxRun: time.Minute,
+		}
+	}
+	return n, members
+}
+
+// TestManyClaimersOneRun: the same identity at every instance at once runs once,
+// and the others get its answer.
+func TestManyClaimersOneRun(t *testing.T) {
+	n, members := newNet(4)
+	var runs, answered atomic.Int32
+	var wg sync.WaitGroup
+	for i := range 20 {
+		claimer := n.claimers[members[i%4].ID]
+		wg.Go(func() {
+			claim := claimer.Claim(context.Background(), Request{Key: Key{7}, Wait: 10 * time.Second, RunFor: time.Minute})
+			switch claim.Verdict() {
+			case Run:
+				runs.Add(1)
+				claim.Finish(context.Background(), Result{Known: true, Status: 200})
+				answered.Add(1)
+			case Finished:
+				answered.Add(1)
+			default:
+				t.Errorf("verdict %d", claim.Verdict())
+			}
+		})
+	}
+	wg.Wait()
+	require.EqualValues(t, 1, runs.Load())
+	require.EqualValues(t, 20, answered.Load())
+}
+
+func TestOwnersDown(t *testing.T) {
+	n, members := newNet(3)
+	claim := func(by int) *Claim {
+		return n.claimers[members[by].ID].Claim(context.Background(), Request{Key: Key{9}, RunFor: time.Minute})
+	}
+	first := claim(0)
+	require.Equal(t, Run, first.Verdict())
+	first.Finish(context.Background(), Result{Known: true, Status: 201, Body: []byte("lodged")})
+
+	n.down.Store(first.holders[0].ID, true)
+	second := claim(1)
+	require.Equal(t, Finished, second.Verdict(), "one owner of three is down")
+	require.Equal(t, "lodged", string(second.Result().Body))
+
+	n.down.Store(first.holders[1].ID, true)
+	n.down.Store(members[0].ID, true)
+	n.down.Store(members[1].ID, true)
+	require.Equal(t, Unavailable, n.claimers[members[2].ID].
+		Claim(context.Background(), Request{Key: Key{10}, RunFor: time.Minute}).Verdict(), "no majority")
+}
+
+// TestHandOver: after a planned stop, the identities are found without the
+// instance that has left.
+func TestHandOver(t *testing.T) {
+	n, members := newNet(4)
+	leaving := n.claimers[members[0].ID]
+	const identities = 200
+	for i := range identities {
+		claim := leaving.Claim(context.Background(), Request{Key: Key{byte(i)}, RunFor: time.Minute})
+		require.Equal(t, Run, claim.Verdict())
+		claim.Finish(context.Background(), Result{Known: true, Status: 200})
+	}
+	base, ok := leaving.HandOver(context.Background())
+	require.True(t, ok)
+	require.EqualValues(t, 1, base)
+	n.down.Store(members[0].ID, true)
+	for _, c := range n.claimers {
+		c.Lists = func(now time.Time) Lists {
+			return Lists{
+				Version: 2, Members: [][]Member{members[1:], members}, Usable: true, Until: now.Add(time.Minute),
+				HandedOver: map[port.InstanceID]bool{members[0].ID: true},
+			}
+		}
+	}
+	for i := range identities {
+		claim := n.claimers[members[1].ID].Claim(context.Background(), Request{Key: Key{byte(i)}, RunFor: time.Minute})
+		require.Equal(t, Finished, claim.Verdict())
+	}
+}
+
+func BenchmarkOwners320(b *testing.B) {
+	var members []Member
+	for i := range 320 {
+		members = append(members, Member{ID: instanceID(i), Zone: zoneName(i % 6)})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		Owners(Key{1, 2, 3}, members)
+	}
+}
+
+func BenchmarkClaimFinish(b *testing.B) {
+	n, members := newNet(3)
+	c := n.claimers[members[0].ID]
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		claim := c.Claim(context.Background(), Request{Key: Key{byte(i), byte(i >> 8)}, RunFor: time.Minute})
+		claim.Finish(context.Background(), Result{NotRun: true})
+	}
+}
--- /dev/null
+++ b/pkg/identity/table_test.go
@@ -0,0 +1,130 @@
+package identity
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestTableBounds: a full table refuses and evicts nothing that is alive, and
+// its counters of bytes follow its contents.
+func TestTableBounds(t *testing.T) {
+	limits := Limits{Entries: 3, BodyBytes: 10, Keep: time.Minute}
+	type known struct {
+		attempt string
+		ends    time.Time
+		result  *Result
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		table := NewTable(limits)
+		live := map[Key]*known{}
+		drawKey := func(t *rapid.T) Key { return Key{byte(rapid.IntRange(0, 5).Draw(t, "key"))} }
+		attempts := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"claim": func(t *rapid.T) {
+				key := drawKey(t)
+				attempts++
+				attempt := fmt.Sprint(attempts)
+				run := time.Duration(rapid.IntRange(1, 50).Draw(t, "run")) * time.Second
+				got := table.Claim(now, Ask{Key: key, Attempt: attempt, RunFor: run})
+				k, ok := live[key]
+				switch {
+				case ok && k.result != nil && k.result.Known:
+					require.Equal(t, Finished, got.Verdict)
+					require.Equal(t, k.result.Status, got.Result.Status)
+				case ok && (k.result != nil || !now.Before(k.ends.Add(-limits.Keep))):
+					require.Equal(t, Unknown, got.Verdict)
+				case ok:
+					require.Equal(t, Running, got.Verdict)
+				case len(live) == limits.Entries:
+					require.Equal(t, Full, got.Verdict)
+				default:
+					require.Equal(t, Run, got.Verdict)
+					live[key] = &known{attempt: attempt, ends: now.Add(run + limits.Keep)}
+				}
+			},
+			"finish": func(t *rapid.T) {
+				key := drawKey(t)
+				k, ok := live[key]
+				if !ok {
+					t.Skip("nothing to finish")
+				}
+				r := rapid.SampledFrom([]Result{
+					{NotRun: true}, {}, {Known: true, Status: 200, Body: make([]byte, 6)},
+				}).Draw(t, "result")
+				table.Finish(now, key, "somebody else", r)
+				table.Finish(now, key, k.attempt, r)
+				switch {
+				case k.result != nil && k.result.Known:
+				case r.NotRun:
+					delete(live, key)
+				default:
+					k.result, k.ends = &r, now.Add(limits.Keep)
+				}
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds")) * time.Second)
+				for key, k := range live {
+					if !now.Before(k.ends) {
+						delete(live, key)
+					}
+				}
+				table.Expire(now)
+			},
+			"": func(t *rapid.T) {
+				require.Equal(t, len(live), table.Len())
+				var bytes int64
+				for _, e := range table.entries {
+					bytes += int64(len(e.result.Body))
+				}
+				require.Equal(t, bytes, table.bodyBytes)
+				require.LessOrEqual(t, bytes, limits.BodyBytes)
+			},
+		})
+	})
+}
+
+func TestClaimAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(Limits{Entries: 1, BodyBytes: 100, Keep: time.Minute})
+	ask := Ask{Key: Key{1}, Fingerprint: Fingerprint{1}, Attempt: "a", RunFor: time.Second}
+	require.Equal(t, Run, table.Claim(now, ask).Verdict)
+	require.Equal(t, Run, table.Claim(now, ask).Verdict, "the first answer was lost")
+	other := ask
+	other.Fingerprint = Fingerprint{2}
+	require.Equal(t, Mismatch, table.Claim(now, other).Verdict)
+	other = ask
+	other.Attempt = "b"
+	require.Equal(t, Running, table.Claim(now, other).Verdict)
+	require.Equal(t, Unknown, table.Claim(now.Add(time.Second), other).Verdict, "the claimant hasn't reported")
+	table.Finish(now, ask.Key, "a", Result{Known: true, Status: 201, Body: []byte("x")})
+	require.Equal(t, Answer{Finished, Result{Known: true, Status: 201, Body: []byte("x")}}, table.Claim(now, other))
+}
+
+func TestOwnersSpreadOverZones(t *testing.T) {
+	var members []Member
+	for i := range 12 {
+		members = append(members, Member{ID: instanceID(i), Zone: zoneName(i % 4)})
+	}
+	first := map[string]int{}
+	for i := range 1000 {
+		owners := Owners(Key{byte(i), byte(i >> 8)}, members)
+		require.Len(t, owners, ownersPerKey)
+		zones := map[string]bool{}
+		for _, o := range owners {
+			zones[string(o.Zone)] = true
+		}
+		require.Len(t, zones, ownersPerKey)
+		first[string(owners[0].ID)]++
+	}
+	for id, n := range first {
+		require.InDelta(t, 1000/12, n, 45, id)
+	}
+	require.Len(t, Owners(Key{1}, members[:2]), 2)
+	oneZone := []Member{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}
+	require.Len(t, Owners(Key{1}, oneZone), ownersPerKey)
+}
--- a/pkg/identity/types.go
+++ b/pkg/identity/types.go
@@ -21,6 +21,8 @@
 	Fingerprint Fingerprint
 	// Wait is how long to wait for a run of the same identity to end.
 	Wait time.Duration
+	// RunFor bounds the time until the request's own run has ended.
+	RunFor time.Duration
 }
 
 // Verdict is the answer to a Request.
