Claim identities over the peer protocol and in the filter chain

Cause: the gateway had only an interface for identities, and instances no messages for hand-over and for the history of members.

The end of a run is noted after a panic as well.

The row "panic" of TestRepeatedAfter was red before: the identity counted as running until its longest run was over, and the second caller was held for 5 s.

Conclusion: three gateways run one identity once and replay its answer.

--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -37,28 +37,25 @@
 	}
 }
 
-// classify finds the class of the request. A class named by the caller doesn't
-// make work repeatable that the rules say is not.
+// classify finds the class of the request.
 func (g *Gateway) classify(c *Call) error {
 	name, err := single(c.r.Header, HeaderClass)
 	if err != nil {
 		return err
 	}
+	if name != "" {
+		if _, ok := c.view.Class(name); !ok {
+			return problem.New(problem.BadHeader, "there is no class of this name")
+		}
+	}
 	c.class = c.view.Classify(ClassQuery{
-		Model:  c.model,
+		Model:  string(c.model),
 		Path:   c.r.URL.Path,
 		Caller: c.caller,
 		Header: c.r.Header,
+		Class:  name,
 	})
 	c.repeatable = c.class.Repeatable
-	if name != "" {
-		named, ok := c.view.Class(name)
-		if !ok {
-			return problem.New(problem.BadHeader, "there is no class of this name")
-		}
-		c.class = named
-		c.repeatable = c.repeatable && named.Repeatable
-	}
 	return c.Next()
 }
 
--- a/internal/gateway/dedupe.go
+++ b/internal/gateway/dedupe.go
@@ -32,6 +32,17 @@
 	Claim(ctx context.Context, r identity.Request) Claim
 }
 
+// claimer is a Deduplicator over an identity.Claimer.
+type claimer struct{ *identity.Claimer }
+
+// Claim implements Deduplicator.
+func (c claimer) Claim(ctx context.Context, r identity.Request) Claim {
+	return c.Claimer.Claim(ctx, r)
+}
+
+// Deduplicate returns the Deduplicator that claims identities with c.
+func Deduplicate(c *identity.Claimer) Deduplicator { return claimer{c} }
+
 // recording is the copy of an answer that is kept with its identity.
 type recording struct {
 	result identity.Result
@@ -75,9 +86,9 @@
 		return g.replay(c, claim)
 	}
 	c.record = &recording{}
-	err := c.Next()
-	g.finish(c, claim)
-	return err
+	// Also after a panic: otherwise the identity would count as running.
+	defer g.finish(c, claim)
+	return c.Next()
 }
 
 // finish notes the end of the run before a refusal goes out, so that the caller
--- /dev/null
+++ b/internal/gateway/dedupe_test.go
@@ -0,0 +1,178 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/problem"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/identity"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+)
+
+// peers joins the claimers of several gateways in one process.
+type peers struct {
+	claimers map[port.InstanceID]*identity.Claimer
+	down     atomic.Pointer[port.InstanceID]
+}
+
+var errPeerDown = errors.New("instance down")
+
+func (p *peers) to(m identity.Member) (*identity.Claimer, error) {
+	if down := p.down.Load(); down != nil && *down == m.ID {
+		return nil, errPeerDown
+	}
+	return p.claimers[m.ID], nil
+}
+
+func (p *peers) Claim(_ context.Context, m identity.Member, a identity.Ask) (identity.Answer, error) {
+	c, err := p.to(m)
+	if err != nil {
+		return identity.Answer{}, err
+	}
+	return c.Store.Claim(a), nil
+}
+
+func (p *peers) Finish(
+	_ context.Context, m identity.Member, key identity.Key, attempt string, r identity.Result,
+) error {
+	c, err := p.to(m)
+	if err != nil {
+		return err
+	}
+	c.Store.Finish(key, attempt, r)
+	return nil
+}
+
+func (*peers) HandOver(context.Context, identity.Member, []identity.Kept) (int, error) { return 0, nil }
+
+// newGateways returns gateways that share one backend and their identities.
+func newGateways(t *testing.T, n int, backend port.Backend) ([]*bench, *peers) {
+	p := &peers{claimers: map[port.InstanceID]*identity.Claimer{}}
+	var members []identity.Member
+	for i := range n {
+		id := port.InstanceID(string(rune('a' + i)))
+		members = append(members, identity.Member{ID: id, Zone: port.Zone(id)})
+	}
+	var benches []*bench
+	for _, m := range members {
+		p.claimers[m.ID] = &identity.Claimer{
+			Self:  m.ID,
+			Store: identity.NewStore(port.SystemClock{}, identity.Limits{Entries: 1600, BodyBytes: 1 << 20, Keep: time.Minute}),
+			Peers: p,
+			Clock: port.SystemClock{},
+			Lists: func(now time.Time) identity.Lists {
+				return identity.Lists{Members: [][]identity.Member{members}, Usable: true, Until: now.Add(time.Minute)}
+			},
+			MaxRun: time.Minute,
+		}
+		benches = append(benches, newBench(t, backend, func(d *Deps) {
+			d.Config.MaxAttempts = 2
+			d.Identity = Deduplicate(p.claimers[m.ID])
+		}))
+	}
+	return benches, p
+}
+
+const entryPath = "/entries/crews"
+
+// TestOneIdentityAtEveryInstance: the same entry sent to three instances at once
+// runs once, and every sender gets the answer of that run.
+func TestOneIdentityAtEveryInstance(t *testing.T) {
+	var runs atomic.Int32
+	benches, _ := newGateways(t, 3, overHTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		runs.Add(1)
+		w.Header().Set("Location", "/entries/crews/7")
+		w.WriteHeader(http.StatusCreated)
+		w.Write(append([]byte("entered "), body...))
+	}))
+	var wg sync.WaitGroup
+	replies := make([]reply, 12)
+	for i := range replies {
+		wg.Go(func() {
+			replies[i] = benches[i%3].send("POST", entryPath, "crew 7", HeaderIdempotencyKey, "k1")
+		})
+	}
+	wg.Wait()
+	require.EqualValues(t, 1, runs.Load())
+	for _, r := range replies {
+		require.Equal(t, http.StatusCreated, r.status, r.body)
+		require.Equal(t, "entered crew 7", r.body)
+		require.Equal(t, "/entries/crews/7", r.header.Get("Location"))
+	}
+	requireProblem(t, benches[1].send("POST", entryPath, "crew 8", HeaderIdempotencyKey, "k1"), problem.IdentityMismatch)
+	require.EqualValues(t, 1, runs.Load())
+}
+
+// TestRepeatedAfter plays how the first request of an identity ended, and what
+// the second, at another instance, is told.
+func TestRepeatedAfter(t *testing.T) {
+	rows := []struct {
+		name   string
+		first  fault
+		second *problem.Kind
+		runs   int
+	}{
+		{"nothing ran", faultNotSent, nil, 1},
+		{"refused by the server", faultRefused, nil, 1},
+		{"reset", faultReset, &problem.IdentityUnknown, 1},
+		{"answer broke off", faultBroken, &problem.IdentityUnknown, 1},
+		{"panic", faultPanic, &problem.IdentityUnknown, 1},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			var runs, calls atomic.Int32
+			benches, _ := newGateways(t, 3, backendFunc(func(_ context.Context, _ port.Server, r *http.Request) (*http.Response, error) {
+				f := row.first
+				if calls.Add(1) > 2 {
+					f = noFault
+				}
+				if f.runs {
+					runs.Add(1)
+				}
+				return f.do(r)
+			}))
+			first := benches[0].send("POST", entryPath, "crew", HeaderIdempotencyKey, "k")
+			require.NotEqual(t, http.StatusOK, first.status)
+			second := benches[1].send("POST", entryPath, "crew", HeaderIdempotencyKey, "k")
+			if row.second == nil {
+				require.Equal(t, http.StatusOK, second.status, second.body)
+			} else {
+				requireProblem(t, second, *row.second)
+			}
+			require.EqualValues(t, row.runs, runs.Load())
+		})
+	}
+}
+
+// TestNoMajority: with two of three owners gone nothing runs, and that is what
+// the caller is told.
+func TestNoMajority(t *testing.T) {
+	var runs atomic.Int32
+	benches, p := newGateways(t, 2, overHTTP(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	other := port.InstanceID("b")
+	p.down.Store(&other)
+	got := benches[0].send("POST", entryPath, "crew", HeaderIdempotencyKey, "k")
+	requireProblem(t, got, problem.IdentityUnavailable)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+	require.Zero(t, runs.Load())
+	require.Equal(t, http.StatusOK, benches[0].send("POST", entryPath, "crew").status, "no key, nothing to claim")
+}
+
+// TestLargeAnswerIsGone: an answer too large to be kept is not replayed in part.
+func TestLargeAnswerIsGone(t *testing.T) {
+	large := strings.Repeat("x", maxKeptBody+1)
+	benches, _ := newGateways(t, 2, overHTTP(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, large) }))
+	first := benches[0].send("POST", entryPath, "crew", HeaderIdempotencyKey, "k")
+	require.Equal(t, large, first.body)
+	requireProblem(t, benches[1].send("POST", entryPath, "crew", HeaderIdempotencyKey, "k"), problem.AnswerGone)
+}
--- a/internal/gateway/deps.go
+++ b/internal/gateway/deps.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -23,14 +22,20 @@
 	ErrNoBudget = errors.New("retry budget spent")
 )
 
-// ClassQuery is what the class of a request depends on.
-type ClassQuery struct {
-	Model  port.ModelID
-	Path   string
-	Caller string
-	Header http.Header
+// CapacityError is ErrNoCapacity with an estimate of when to try again.
+type CapacityError struct {
+	RetryAfter time.Duration
 }
 
+// Error implements error.
+func (e *CapacityError) Error() string { return ErrNoCapacity.Error() }
+
+// Unwrap returns ErrNoCapacity.
+func (e *CapacityError) Unwrap() error { return ErrNoCapacity }
+
+// ClassQuery is what the class of a request depends on.
+type ClassQuery = targets.Request
+
 // View is one immutable state of the system, as one request sees it.
 type View interface {
 	// Classify returns the class of a request, never nil.
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -31,7 +31,7 @@
 )
 
 func (fakeView) Classify(q ClassQuery) *targets.Class {
-	if strings.HasPrefix(q.Path, testPrefix) {
+	if strings.HasPrefix(q.Path, testPrefix) || q.Class == classEntry.Name {
 		return classEntry
 	}
 	return classChat
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -73,7 +73,7 @@
 	if p, ok := problem.As(err); ok {
 		return p
 	}
-	return problem.New(problem.NoCapacity, err.Error()).After(g.retryAfter(c.key()))
+	return g.noCapacity(c.key(), err)
 }
 
 // mayRetry: what isn't repeatable is tried again only after proof that nothing
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -116,11 +116,20 @@
 		return g.refusal(key, g.queues.Refused(key, ticket))
 	}
 	if errors.Is(reason, ErrNoCapacity) {
-		return problem.New(problem.NoCapacity, "every backend server is at its limit").After(g.retryAfter(key))
+		return g.noCapacity(key, reason)
 	}
 	return problem.New(problem.WaitedTooLong, "no backend server became ready in time").After(g.retryAfter(key))
 }
 
+func (g *Gateway) noCapacity(key queue.Key, reason error) *problem.Problem {
+	p := problem.New(problem.NoCapacity, "every backend server is at its limit").After(g.retryAfter(key))
+	var busy *CapacityError
+	if errors.As(reason, &busy) && busy.RetryAfter > 0 {
+		p.RetryAfter = busy.RetryAfter
+	}
+	return p
+}
+
 // refusal turns the queue's reason into the caller's.
 func (g *Gateway) refusal(key queue.Key, err error) error {
 	if p, ok := problem.As(err); ok {
--- /dev/null
+++ b/internal/identitypeer/convert.go
@@ -0,0 +1,173 @@
+package identitypeer
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/identity"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+)
+
+// ErrMalformed is returned for a message that can't be understood.
+var ErrMalformed = errors.New("malformed identity message")
+
+func toKey(b []byte) (identity.Key, error) {
+	if len(b) != identity.KeySize {
+		return identity.Key{}, ErrMalformed
+	}
+	return identity.Key(b), nil
+}
+
+func toFingerprint(b []byte) (identity.Fingerprint, error) {
+	if len(b) != identity.KeySize {
+		return identity.Fingerprint{}, ErrMalformed
+	}
+	return identity.Fingerprint(b), nil
+}
+
+func fromAsk(a identity.Ask) *peerpb.IdentityRequest {
+	return &peerpb.IdentityRequest{
+		Key:         a.Key[:],
+		Fingerprint: a.Fingerprint[:],
+		Attempt:     a.Attempt,
+		RunForMs:    a.RunFor.Milliseconds(),
+	}
+}
+
+func toAsk(m *peerpb.IdentityRequest) (identity.Ask, error) {
+	key, err := toKey(m.GetKey())
+	if err != nil {
+		return identity.Ask{}, err
+	}
+	fingerprint, err := toFingerprint(m.GetFingerprint())
+	if err != nil {
+		return identity.Ask{}, err
+	}
+	return identity.Ask{
+		Key:         key,
+		Fingerprint: fingerprint,
+		Attempt:     m.GetAttempt(),
+		RunFor:      milliseconds(m.GetRunForMs()),
+	}, nil
+}
+
+func milliseconds(ms int64) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
+
+var verdicts = map[identity.Verdict]peerpb.IdentityReply_Verdict{
+	identity.Unavailable: peerpb.IdentityReply_VERDICT_UNSPECIFIED,
+	identity.Run:         peerpb.IdentityReply_VERDICT_RUN,
+	identity.Running:     peerpb.IdentityReply_VERDICT_RUNNING,
+	identity.Finished:    peerpb.IdentityReply_VERDICT_FINISHED,
+	identity.Unknown:     peerpb.IdentityReply_VERDICT_UNKNOWN,
+	identity.Mismatch:    peerpb.IdentityReply_VERDICT_MISMATCH,
+	identity.Full:        peerpb.IdentityReply_VERDICT_FULL,
+}
+
+func fromAnswer(a identity.Answer) *peerpb.IdentityReply {
+	reply := &peerpb.IdentityReply{Verdict: verdicts[a.Verdict]}
+	if a.Verdict == identity.Finished {
+		reply.Result = fromResult(identity.Key{}, "", a.Result)
+	}
+	return reply
+}
+
+func toAnswer(m *peerpb.IdentityReply) identity.Answer {
+	for verdict, word := range verdicts {
+		if word == m.GetVerdict() {
+			return identity.Answer{Verdict: verdict, Result: toResult(m.GetResult())}
+		}
+	}
+	return identity.Answer{Verdict: identity.Unavailable}
+}
+
+func fromResult(key identity.Key, attempt string, r identity.Result) *peerpb.IdentityResult {
+	m := &peerpb.IdentityResult{
+		Key:      key[:],
+		Attempt:  attempt,
+		Known:    r.Known,
+		NotRun:   r.NotRun,
+		Status:   int32(r.Status),
+		Body:     r.Body,
+		BodyGone: r.BodyGone,
+	}
+	for name, values := range r.Header {
+		for _, value := range values {
+			m.Headers = append(m.Headers, &peerpb.Header{Name: name, Value: value})
+		}
+	}
+	return m
+}
+
+func toResult(m *peerpb.IdentityResult) identity.Result {
+	r := identity.Result{
+		NotRun:   m.GetNotRun(),
+		Known:    m.GetKnown(),
+		Status:   int(m.GetStatus()),
+		Body:     m.GetBody(),
+		BodyGone: m.GetBodyGone(),
+	}
+	for _, h := range m.GetHeaders() {
+		if r.Header == nil {
+			r.Header = http.Header{}
+		}
+		r.Header.Add(h.GetName(), h.GetValue())
+	}
+	return r
+}
+
+func fromKept(k identity.Kept) *peerpb.KeptIdentity {
+	return &peerpb.KeptIdentity{
+		Fingerprint: k.Fingerprint[:],
+		Running:     k.Running,
+		Finished:    k.Finished,
+		LapsesInMs:  k.LapsesIn.Milliseconds(),
+		ExpiresInMs: k.ExpiresIn.Milliseconds(),
+		Result:      fromResult(k.Key, k.Attempt, k.Result),
+	}
+}
+
+func toKept(m *peerpb.KeptIdentity) (identity.Kept, error) {
+	key, err := toKey(m.GetResult().GetKey())
+	if err != nil {
+		return identity.Kept{}, err
+	}
+	fingerprint, err := toFingerprint(m.GetFingerprint())
+	if err != nil {
+		return identity.Kept{}, err
+	}
+	return identity.Kept{
+		Key:         key,
+		Fingerprint: fingerprint,
+		Attempt:     m.GetResult().GetAttempt(),
+		Running:     m.GetRunning(),
+		Finished:    m.GetFinished(),
+		LapsesIn:    milliseconds(m.GetLapsesInMs()),
+		ExpiresIn:   milliseconds(m.GetExpiresInMs()),
+		Result:      toResult(m.GetResult()),
+	}, nil
+}
+
+func fromMembers(members []identity.Member) []*peerpb.IdentityMember {
+	list := make([]*peerpb.IdentityMember, len(members))
+	for i, m := range members {
+		list[i] = &peerpb.IdentityMember{Id: string(m.ID), Zone: string(m.Zone), PeerAddress: m.PeerAddress}
+	}
+	return list
+}
+
+func toMembers(list []*peerpb.IdentityMember) []identity.Member {
+	members := make([]identity.Member, len(list))
+	for i, m := range list {
+		members[i] = identity.Member{
+			ID:          port.InstanceID(m.GetId()),
+			Zone:        port.Zone(m.GetZone()),
+			PeerAddress: m.GetPeerAddress(),
+		}
+	}
+	return members
+}
--- /dev/null
+++ b/internal/identitypeer/server.go
@@ -0,0 +1,62 @@
+package identitypeer
+
+import (
+	"context"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/identity"
+)
+
+// Server answers the identity calls of other instances.
+type Server struct {
+	Store   *identity.Store
+	Tracker *Tracker
+}
+
+// ClaimIdentity implements peerpb.DRPCPeerServer.
+func (s *Server) ClaimIdentity(_ context.Context, m *peerpb.IdentityRequest) (*peerpb.IdentityReply, error) {
+	ask, err := toAsk(m)
+	if err != nil {
+		return nil, err
+	}
+	return fromAnswer(s.Store.Claim(ask)), nil
+}
+
+// FinishIdentity implements peerpb.DRPCPeerServer.
+func (s *Server) FinishIdentity(_ context.Context, m *peerpb.IdentityResult) (*peerpb.Empty, error) {
+	key, err := toKey(m.GetKey())
+	if err != nil {
+		return nil, err
+	}
+	s.Store.Finish(key, m.GetAttempt(), toResult(m))
+	return &peerpb.Empty{}, nil
+}
+
+// HandOverIdentities implements peerpb.DRPCPeerServer.
+func (s *Server) HandOverIdentities(
+	_ context.Context, m *peerpb.IdentityHandOver,
+) (*peerpb.IdentityHandOverReply, error) {
+	for i, kept := range m.GetKept() {
+		k, err := toKept(kept)
+		if err != nil {
+			return nil, err
+		}
+		if !s.Store.Import(k) {
+			return &peerpb.IdentityHandOverReply{Taken: int32(i)}, nil
+		}
+	}
+	return &peerpb.IdentityHandOverReply{Taken: int32(len(m.GetKept()))}, nil
+}
+
+// FetchMembers implements peerpb.DRPCPeerServer.
+func (s *Server) FetchMembers(context.Context, *peerpb.FetchMembersRequest) (*peerpb.FetchMembersReply, error) {
+	former, ages, complete := s.Tracker.Export()
+	reply := &peerpb.FetchMembersReply{Complete: complete}
+	for i, members := range former {
+		reply.Former = append(reply.Former, &peerpb.FormerMembers{
+			Members: fromMembers(members),
+			AgeMs:   ages[i].Milliseconds(),
+		})
+	}
+	return reply, nil
+}
