--- a/pkg/limit/adaptive.go
+++ b/pkg/limit/adaptive.go
@@ -22,26 +22,46 @@
 	Backoff float64
 	// Smoothing is the weight of the newest window in the limit.
 	Smoothing float64
-	// BaselineDrift is the weight of the newest window when the baseline goes
-	// up; it goes down at once.
-	BaselineDrift float64
+	// ProbeEvery is after how many windows at the limit the baseline is measured
+	// anew, and ProbeFactor the part of the limit that is allowed meanwhile.
+	ProbeEvery  int
+	ProbeFactor float64
 }
 
 // The defaults of AdaptiveConfig.
 const (
-	DefaultInitial       = 16
-	DefaultMin           = 1
-	DefaultMax           = 512
-	DefaultWindow        = 250 * time.Millisecond
-	DefaultSamples       = 8
-	DefaultTolerance     = 1.5
-	DefaultBackoff       = 0.8
-	DefaultSmoothing     = 0.3
-	DefaultBaselineDrift = 0.02
+	DefaultInitial     = 8
+	DefaultMin         = 1
+	DefaultMax         = 512
+	DefaultWindow      = 250 * time.Millisecond
+	DefaultSamples     = 8
+	DefaultTolerance   = 1.1
+	DefaultBackoff     = 0.8
+	DefaultSmoothing   = 0.3
+	DefaultProbeEvery  = 40
+	DefaultProbeFactor = 0.7
 )
 
-// minGradient bounds how far one window can take the limit down.
-const minGradient = 0.5
+const (
+	// minGradient bounds how far one window can take the limit down.
+	minGradient = 0.5
+	// probeWindows is how long a probe lasts. The first window still holds
+	// requests that started before it.
+	probeWindows = 2
+	// firstProbe is after how many windows the first probe comes. The time to
+	// the next doubles up to ProbeEvery: the first baselines may come from a
+	// limit that is far too high.
+	firstProbe = 5
+	// maxDoublings bounds the doublings.
+	maxDoublings = 16
+	// baselineWeight is the weight of the newest window in the baseline, and
+	// probeWeight that of a probe that shows a higher one.
+	baselineWeight = 0.1
+	probeWeight    = 0.5
+	// growth is the factor that the limit strives for while latency shows no
+	// sign of queueing.
+	growth = 2
+)
 
 func (c AdaptiveConfig) withDefaults() AdaptiveConfig {
 	set(&c.Initial, DefaultInitial)
@@ -52,7 +72,8 @@
 	set(&c.Tolerance, DefaultTolerance)
 	set(&c.Backoff, DefaultBackoff)
 	set(&c.Smoothing, DefaultSmoothing)
-	set(&c.BaselineDrift, DefaultBaselineDrift)
+	set(&c.ProbeEvery, DefaultProbeEvery)
+	set(&c.ProbeFactor, DefaultProbeFactor)
 	return c
 }
 
@@ -69,6 +90,13 @@
 	// Baseline is the latency of a server that isn't overloaded, in seconds;
 	// zero until the first window has closed.
 	Baseline float64
+	// Bound counts the windows at the limit with signs of queueing since the baseline was measured, and
+	// Probes the probes made.
+	Bound, Probes int
+	// Probing counts down the windows of a probe, after which the limit goes
+	// back to Held.
+	Probing int
+	Held    float64
 }
 
 // Window sums up the results between two changes of a limit.
@@ -82,33 +110,84 @@
 	Overloads int64
 }
 
-// Next works out the limit that follows from one window. It raises the limit
-// only if the window came near it, so that an idle server's limit stays put.
+// Next works out the limit that follows from one window: down with the ratio of
+// the baseline to the latency, and up by a step. It raises the limit only if the
+// window came near it, so that an idle server's limit stays put.
+//
+// Under lasting load no window shows the latency of an unloaded server. Letting
+// the baseline follow would raise the limit without end; instead the limit is
+// lowered for a moment from time to time, and the baseline measured then.
 func (c AdaptiveConfig) Next(l Level, w Window) Level {
 	c = c.withDefaults()
-	if w.Overloads > 0 {
-		l.Limit = c.clamp(l.Limit * c.Backoff)
+	switch {
+	case w.Overloads > 0:
+		l.Limit = c.clamp(max(l.Limit, l.Held) * c.Backoff)
+		l.Probing, l.Held = 0, 0
+		return l
+	case w.MeanLatency <= 0:
 		return l
+	case l.Probing > 0:
+		return c.probe(l, w)
 	}
-	if w.MeanLatency <= 0 {
+	bound := float64(w.Peak)*2 >= l.Limit
+	l.Baseline = baseline(l.Baseline, w.MeanLatency, bound)
+	if bound && !c.unloaded(l, w.MeanLatency) {
+		l.Bound++
+	}
+	if l.Bound >= min(c.ProbeEvery, firstProbe<<min(l.Probes, maxDoublings)) {
+		l.Bound, l.Probing, l.Held = 0, probeWindows, l.Limit
+		l.Probes++
+		l.Limit = c.clamp(l.Limit * c.ProbeFactor)
 		return l
 	}
-	l.Baseline = c.baseline(l.Baseline, w.MeanLatency)
-	gradient := c.Tolerance * l.Baseline / w.MeanLatency
-	gradient = math.Max(minGradient, math.Min(1, gradient))
-	target := l.Limit*gradient + math.Sqrt(l.Limit)
-	if target > l.Limit && float64(w.Peak)*2 < l.Limit {
+	target := c.target(l, w.MeanLatency)
+	if target > l.Limit && !bound {
 		return l
 	}
 	l.Limit = c.clamp(l.Limit + c.Smoothing*(target-l.Limit))
 	return l
 }
 
-func (c AdaptiveConfig) baseline(old, mean float64) float64 {
-	if old == 0 || mean < old {
+// probe goes on with a probe, and ends it with the baseline that it has shown.
+func (c AdaptiveConfig) probe(l Level, w Window) Level {
+	l.Probing--
+	if l.Probing > 0 {
+		return l
+	}
+	if w.MeanLatency < l.Baseline {
+		l.Baseline = w.MeanLatency
+	} else {
+		l.Baseline += probeWeight * (w.MeanLatency - l.Baseline)
+	}
+	l.Limit, l.Held = l.Held, 0
+	return l
+}
+
+// unloaded reports whether the latency shows no sign of queueing.
+func (c AdaptiveConfig) unloaded(l Level, latency float64) bool {
+	return latency < l.Baseline*(1+c.Tolerance)/2
+}
+
+// target is the limit that the latency speaks for.
+func (c AdaptiveConfig) target(l Level, latency float64) float64 {
+	if c.unloaded(l, latency) {
+		return l.Limit * growth
+	}
+	gradient := c.Tolerance * l.Baseline / latency
+	gradient = math.Max(minGradient, math.Min(1, gradient))
+	return l.Limit*gradient + math.Sqrt(l.Limit)/4
+}
+
+// baseline moves down with each window, and up only as long as the limit isn't
+// reached.
+func baseline(old, mean float64, bound bool) float64 {
+	if old == 0 {
 		return mean
 	}
-	return old + c.BaselineDrift*(mean-old)
+	if mean > old && bound {
+		return old
+	}
+	return old + baselineWeight*(mean-old)
 }
 
 func (c AdaptiveConfig) clamp(limit float64) float64 {
@@ -119,11 +198,12 @@
 // one server. It is safe for concurrent use and takes no lock.
 type Adaptive struct {
 	cfg AdaptiveConfig
-	// limit and baseline hold the bits of a float64. Only the goroutine that
-	// has set closing writes them.
-	limit, baseline atomic.Uint64
-	ceiling         atomic.Int64
-	closing         atomic.Bool
+	// limit holds the bits of a float64.
+	limit   atomic.Uint64
+	ceiling atomic.Int64
+	// level belongs to the goroutine that has set closing.
+	closing atomic.Bool
+	level   Level
 
 	// The open window. A result that arrives while the window closes may be
 	// counted in either or neither: the limit is an estimate.
@@ -138,6 +218,7 @@
 // NewAdaptive returns a limit at its initial value.
 func NewAdaptive(cfg AdaptiveConfig) *Adaptive {
 	a := &Adaptive{cfg: cfg.withDefaults()}
+	a.level.Limit = a.cfg.Initial
 	a.limit.Store(math.Float64bits(a.cfg.Initial))
 	return a
 }
@@ -176,7 +257,9 @@
 		a.measured.Add(1)
 	}
 	n := a.results.Add(1)
-	if n < a.cfg.Samples || since-time.Duration(a.opened.Load()) < a.cfg.Window {
+	// A window covers about as many requests as run at once, so that few long
+	// ones don't pass for a slow server.
+	if n < max(a.cfg.Samples, a.Limit()) || since-time.Duration(a.opened.Load()) < a.cfg.Window {
 		return
 	}
 	if a.closing.CompareAndSwap(false, true) {
@@ -196,16 +279,8 @@
 	if measured > 0 {
 		w.MeanLatency = time.Duration(sum / measured).Seconds()
 	}
-	next := a.cfg.Next(a.level(), w)
-	a.limit.Store(math.Float64bits(next.Limit))
-	a.baseline.Store(math.Float64bits(next.Baseline))
-}
-
-func (a *Adaptive) level() Level {
-	return Level{
-		Limit:    math.Float64frombits(a.limit.Load()),
-		Baseline: math.Float64frombits(a.baseline.Load()),
-	}
+	a.level = a.cfg.Next(a.level, w)
+	a.limit.Store(math.Float64bits(a.level.Limit))
 }
 
 // Ceiling splits a server's slots: ours is the part share of them, divided
--- /dev/null
+++ b/pkg/limit/goodput_test.go
@@ -0,0 +1,266 @@
+package limit
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/retry"
+)
+
+// The experiment's server runs requests side by side at full speed up to its
+// slots, and loses throughput beyond them.
+const (
+	goodputSlots    = 32
+	goodputService  = 100 * time.Millisecond
+	goodputDeadline = 500 * time.Millisecond
+	goodputTime     = 20 * time.Second
+	// goodputWarmup goes before; what arrives in it isn't counted.
+	goodputWarmup = 5 * time.Second
+	// goodputPenalty is the power with which requests beyond the slots slow all.
+	goodputPenalty = 1.5
+)
+
+// goodputCapacity is in requests a second.
+var goodputCapacity = goodputSlots / goodputService.Seconds()
+
+// policy decides what waits and what runs.
+type policy interface {
+	arrive(now time.Time, it *Item)
+	// next returns an item to start now, nil if there is none.
+	next(now time.Time, running int) *Item
+	done(now time.Time, latency time.Duration, running int)
+}
+
+// unlimited lets everything in at once.
+type unlimited struct{ items []*Item }
+
+func (u *unlimited) arrive(_ time.Time, it *Item) { u.items = append(u.items, it) }
+
+func (u *unlimited) next(time.Time, int) *Item {
+	if len(u.items) == 0 {
+		return nil
+	}
+	it := u.items[0]
+	u.items = u.items[1:]
+	return it
+}
+
+func (*unlimited) done(time.Time, time.Duration, int) {}
+
+// firstCome is a fixed limit with a queue in order of arrival.
+type firstCome struct{ unlimited }
+
+func (f *firstCome) next(now time.Time, running int) *Item {
+	if running >= goodputSlots {
+		return nil
+	}
+	return f.unlimited.next(now, running)
+}
+
+// fair is this package: Adaptive and Queue.
+type fair struct {
+	adaptive *Adaptive
+	queue    *Queue
+	start    time.Time
+	shed     int
+	// tail foretells the time that an item needs.
+	tail retry.Quantile
+}
+
+func newFair(now time.Time) *fair {
+	return &fair{adaptive: NewAdaptive(AdaptiveConfig{}), queue: NewQueue(QueueConfig{}),
+		start: now}
+}
+
+func (f *fair) arrive(now time.Time, it *Item) {
+	it.Service = f.tail.Value()
+	f.shed += len(f.queue.Offer(now, it))
+}
+
+func (f *fair) next(now time.Time, running int) *Item {
+	if int64(running) >= f.adaptive.Limit() {
+		return nil
+	}
+	it, shed := f.queue.Next(now)
+	f.shed += len(shed)
+	if it != nil {
+		f.adaptive.Started(int64(running + 1))
+	}
+	return it
+}
+
+func (f *fair) done(now time.Time, latency time.Duration, _ int) {
+	f.tail.Observe(0.9, latency)
+	f.adaptive.Observe(now.Sub(f.start), latency, false)
+}
+
+// job is an item on the server. The work of a job varies by half either way.
+type job struct {
+	item    *Item
+	left    float64
+	started time.Time
+}
+
+// experiment runs one policy in virtual time.
+type experiment struct {
+	now     time.Time
+	rng     *rand.Rand
+	policy  policy
+	running []*job
+	good    map[string]int
+	offered map[string]int
+	counted time.Time
+}
+
+const (
+	// heavyPart is the part of all arrivals that is the heavy caller's.
+	heavyPart = 0.8
+	// bulkShare is the part of the turns that the lower class is sure of: its
+	// weight is 2 beside the other's 32. It has three callers.
+	bulkShare   = 2.0 / 34
+	bulkCallers = 3
+)
+
+// arrival makes the next item; its class, caller and model are drawn.
+func (e *experiment) arrival() *Item {
+	it := &Item{Class: "bulk", Priority: 1, Caller: "heavy", Model: "m0",
+		Deadline: e.now.Add(goodputDeadline), Service: goodputService}
+	switch e.rng.IntN(10) {
+	case 0:
+		it.Class, it.Priority, it.Caller = "urgent", 5, "crew"
+	case 1:
+		it.Caller = fmt.Sprint("light", e.rng.IntN(2))
+	}
+	return it
+}
+
+// counts reports whether an item arrived after the warm-up.
+func (e *experiment) counts(it *Item) bool {
+	return !it.Deadline.Add(-goodputDeadline).Before(e.counted)
+}
+
+func (e *experiment) rate() float64 {
+	n := float64(len(e.running))
+	if n <= goodputSlots {
+		return 1 / goodputService.Seconds()
+	}
+	return math.Pow(goodputSlots/n, goodputPenalty) / goodputService.Seconds()
+}
+
+// advance moves the time on and works off the jobs meanwhile.
+func (e *experiment) advance(d time.Duration) {
+	rate := e.rate()
+	e.now = e.now.Add(d)
+	for _, j := range e.running {
+		j.left -= d.Seconds() * rate
+	}
+	kept := e.running[:0]
+	for _, j := range e.running {
+		switch {
+		case j.left <= 1e-9:
+			e.policy.done(e.now, e.now.Sub(j.started), len(e.running))
+			if !e.now.After(j.item.Deadline) && e.counts(j.item) {
+				e.good[j.item.Class+"/"+j.item.Caller]++
+			}
+		case e.now.Before(j.item.Deadline):
+			kept = append(kept, j)
+		}
+	}
+	e.running = kept
+}
+
+// untilEvent is the time to the next completion or the given time.
+func (e *experiment) untilEvent(until time.Duration) time.Duration {
+	rate := e.rate()
+	for _, j := range e.running {
+		until = min(until, time.Duration(j.left/rate*1e9)+1)
+	}
+	return max(until, 1)
+}
+
+func (e *experiment) run(load float64) {
+	e.counted = e.now.Add(goodputWarmup)
+	end := e.counted.Add(goodputTime)
+	next := e.now
+	for e.now.Before(end) {
+		if !e.now.Before(next) {
+			it := e.arrival()
+			if e.counts(it) {
+				e.offered[it.Class+"/"+it.Caller]++
+			}
+			e.policy.arrive(e.now, it)
+			gap := e.rng.ExpFloat64() / (load * goodputCapacity)
+			next = next.Add(time.Duration(gap * 1e9))
+		}
+		for {
+			it := e.policy.next(e.now, len(e.running))
+			if it == nil {
+				break
+			}
+			e.running = append(e.running, &job{item: it, left: 0.5 + e.rng.Float64(), started: e.now})
+		}
+		e.advance(e.untilEvent(next.Sub(e.now)))
+	}
+}
+
+// goodput returns the work done in time as a part of the capacity, and of what
+// each flow offered.
+func goodput(load float64, newPolicy func(time.Time) policy) (total float64, parts map[string]float64) {
+	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	e := &experiment{now: start, rng: rand.New(rand.NewPCG(7, 11)), policy: newPolicy(start),
+		good: map[string]int{}, offered: map[string]int{}}
+	e.run(load)
+	parts = map[string]float64{}
+	for flow, n := range e.offered {
+		total += float64(e.good[flow])
+		parts[flow] = float64(e.good[flow]) / float64(n)
+	}
+	return total / (goodputCapacity * goodputTime.Seconds()), parts
+}
+
+var policies = map[string]func(time.Time) policy{
+	"unlimited": func(time.Time) policy { return &unlimited{} },
+	"firstcome": func(time.Time) policy { return &firstCome{} },
+	"fair":      func(now time.Time) policy { return newFair(now) },
+}
+
+func TestOverloadDoesNotLowerGoodput(t *testing.T) {
+	full, _ := goodput(1, policies["fair"])
+	require.Greater(t, full, 0.9)
+	for _, load := range []float64{2, 4, 8} {
+		got, parts := goodput(load, policies["fair"])
+		t.Logf("load %v: goodput %.3f, parts %v", load, got, parts)
+		require.GreaterOrEqual(t, got, 0.97*full, "load %v", load)
+		require.Greater(t, parts["urgent/crew"], 0.9, "the higher class is served")
+		require.Greater(t, parts["bulk/heavy"]*load*heavyPart, full*bulkShare/bulkCallers,
+			"the lower class isn't starved")
+		require.Greater(t, parts["bulk/light0"], 2*parts["bulk/heavy"], "a heavy caller pays itself")
+	}
+	for _, baseline := range []string{"unlimited", "firstcome"} {
+		got, _ := goodput(4, policies[baseline])
+		require.Less(t, got, 0.8*full, "%s must show what the policy is for", baseline)
+	}
+}
+
+func BenchmarkGoodput(b *testing.B) {
+	for _, name := range []string{"unlimited", "firstcome", "fair"} {
+		for _, load := range []float64{0.5, 1, 2, 4} {
+			b.Run(fmt.Sprintf("%s/load=%v", name, load), func(b *testing.B) {
+				var total float64
+				var parts map[string]float64
+				for b.Loop() {
+					total, parts = goodput(load, policies[name])
+				}
+				b.ReportMetric(total, "goodput/capacity")
+				b.ReportMetric(parts["urgent/crew"], "urgent-served")
+				b.ReportMetric(parts["bulk/heavy"], "heavy-served")
+				b.ReportMetric(parts["bulk/light0"], "light-served")
+			})
+		}
+	}
+}
