Estimate running loads by what they read from

Two faults: a load in progress was estimated as if it read from disk from the start, and a tier with only small loads measured passed their fixed cost on to large ones as if it were speed. Change: Progress keeps start and estimate of every running load; a line through the measured times tells fixed cost from speed. Callers who come in bursts after a long gap count for gaps of that length only.

--- a/pkg/keepalive/policy.go
+++ b/pkg/keepalive/policy.go
@@ -56,11 +56,14 @@
 	Reason string
 }
 
+const blockSize = 64
+
 // Tracker holds the histories of all models. It isn't safe for concurrent use.
 type Tracker struct {
 	origin time.Time
 	index  map[port.ModelID]int32
-	list   []history
+	// blocks hold the histories without the slack of a growing slice.
+	blocks []*[blockSize]history
 	weight float64
 }
 
@@ -80,18 +83,22 @@
 	at := now.Sub(t.origin)
 	i, known := t.index[model]
 	if !known {
-		i = int32(len(t.list))
+		i = int32(len(t.index))
 		t.index[model] = i
-		t.list = append(t.list, history{last: at, day: int32(at / day), burst: 1})
+		if i%blockSize == 0 {
+			t.blocks = append(t.blocks, new([blockSize]history))
+		}
+		*t.at(i) = newHistory(at)
 	}
-	t.list[i].arrive(at)
+	t.at(i).arrive(at)
 }
 
-// Woke takes in how many callers waited for a cold start.
+func (t *Tracker) at(i int32) *history { return &t.blocks[i/blockSize][i%blockSize] }
+
+// Woke takes in how many callers waited for a cold start after the last gap.
 func (t *Tracker) Woke(model port.ModelID, waiting int) {
 	if i, known := t.index[model]; known {
-		h := &t.list[i]
-		h.burst += (float32(max(1, waiting)) - h.burst) / 4
+		t.at(i).burst(waiting)
 	}
 }
 
@@ -100,7 +107,7 @@
 
 func (t *Tracker) history(model port.ModelID) *history {
 	if i, known := t.index[model]; known {
-		return &t.list[i]
+		return t.at(i)
 	}
 	return nil
 }
@@ -113,18 +120,19 @@
 		return 0
 	}
 	f := h.forecast(now.Sub(t.origin))
-	return f.within(worthHorizon) * coldStart.Seconds() * float64(h.burst)
+	return f.within(worthHorizon) * coldStart.Seconds() * h.callers(f.age+worthHorizon/2)
 }
 
-// costs returns the price of a cold start and of a second of idling.
-func (t *Tracker) costs(h *history, f *Facts) (cold, idle float64) {
-	return t.weight * exchange * f.ColdStart.Seconds() * float64(h.burst), (1 - t.weight) * f.Accelerators
+// costs returns the price of a cold start, for each caller, and of a second of
+// idling.
+func (t *Tracker) costs(f *Facts) (cold, idle float64) {
+	return t.weight * exchange * f.ColdStart.Seconds(), (1 - t.weight) * f.Accelerators
 }
 
 // bestGain returns the largest gain over all moments until which the model could
 // be kept.
 func bestGain(f *forecast, cold, idle float64, limit time.Duration) (gain float64, until time.Duration) {
-	var arrived, idled float64
+	var saved, idled float64
 	left, from := 1.0, time.Duration(0)
 	for _, to := range horizon {
 		if to > limit {
@@ -133,10 +141,10 @@
 		p := left * f.arrival(from, to)
 		seconds := (to - from).Seconds()
 		idled += (left-p)*seconds + p*seconds/2
-		arrived += p
+		saved += p * cold * f.h.callers(f.age+to)
 		left -= p
 		from = to
-		if g := arrived*cold - idled*idle; g > gain {
+		if g := saved - idled*idle; g > gain {
 			gain, until = g, to
 		}
 	}
@@ -154,7 +162,7 @@
 		return t.keepByDefault(h, now, &facts)
 	}
 	f := h.forecast(at)
-	cold, idle := t.costs(h, &facts)
+	cold, idle := t.costs(&facts)
 	limit := horizon[len(horizon)-1]
 	if f.rhythmic {
 		limit = rhythmHorizon
@@ -190,17 +198,19 @@
 	if h == nil || h.seen < knownGaps {
 		return Verdict{}
 	}
-	f := h.forecast(now.Sub(t.origin))
-	if !f.rhythmic {
+	at := now.Sub(t.origin)
+	if h.roll(at); !h.rhythmic() {
 		return Verdict{}
 	}
+	f := h.forecast(at)
 	lead := max(aheadLead, 2*facts.ColdStart)
 	soon := f.within(lead + slotLength/2)
-	cold, idle := t.costs(h, &facts)
+	cold, idle := t.costs(&facts)
+	cold *= h.callers(f.age + lead)
 	if soon < regular/2 || soon*cold <= idle*lead.Seconds() {
 		return Verdict{}
 	}
-	gain, _ := bestGain(&f, cold, idle, rhythmHorizon)
+	gain, _ := bestGain(&f, cold/h.callers(f.age+lead), idle, rhythmHorizon)
 	if gain < aheadMargin*cold {
 		return Verdict{}
 	}
--- a/pkg/placement/candidate.go
+++ b/pkg/placement/candidate.go
@@ -151,7 +151,7 @@
 	}
 	if r.Model.Base != "" {
 		if base, found := v.Ledger.Hold(id, r.Model.Base); found && !base.Loaded {
-			transfer += v.readyIn(s.now, id, base)
+			transfer += v.readyIn(s.now, c.server, base)
 		}
 	}
 	c.startIn = max(c.startIn, c.unload)
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -106,7 +106,7 @@
 			continue
 		}
 		have.count++
-		readyIn := v.readyIn(now, id, hold)
+		readyIn := v.readyIn(now, &v.Servers[i], hold)
 		switch {
 		case hold.Unload != "":
 			have.unloading++
@@ -125,17 +125,22 @@
 
 // readyIn estimates when a decided replica can serve. One that is being unloaded
 // has to go first and be loaded again.
-func (v *View) readyIn(now time.Time, id port.ServerID, hold ledger.Hold) time.Duration {
-	switch {
-	case hold.Unload != "":
-		return v.Speeds.UnloadTime() + v.Speeds.LoadTime(id, TierDisk, hold.Bytes)
-	case hold.Loaded:
+func (v *View) readyIn(now time.Time, s *Server, hold ledger.Hold) time.Duration {
+	if hold.Loaded && hold.Unload == "" {
 		return 0
 	}
-	if left, ok := v.Store.ReadyIn(now, hold.Model); ok {
+	if left, ok := v.Progress.Left(now, s.ID, hold.Model); ok && !hold.Loaded {
 		return left
 	}
-	return v.Speeds.LoadTime(id, TierDisk, hold.Bytes)
+	tier := TierDisk
+	if s.Report != nil {
+		tier = tierOf(s.Report, hold.Model)
+	}
+	took := v.Speeds.LoadTime(s.ID, tier, hold.Bytes)
+	if hold.Unload != "" {
+		took += v.Speeds.UnloadTime()
+	}
+	return took
 }
 
 // wantsAnother reports whether the callers justify one more replica by their
--- a/pkg/placement/place_test.go
+++ b/pkg/placement/place_test.go
@@ -305,6 +305,40 @@
 	require.Equal(t, s.LoadTime("new", placement.TierRemote, gib), s.LoadTime("s", placement.TierRemote, gib))
 }
 
+func TestSpeedsTellFixedCostFromSpeed(t *testing.T) {
+	var s placement.Speeds
+	for i := range 30 {
+		// One second for each load, and two GiB a second.
+		quarters := 1 + i%3
+		s.Loaded("s", placement.TierDisk, int64(quarters)*gib/4, time.Second+time.Duration(quarters)*time.Second/8)
+	}
+	require.InDelta(t, 11, s.LoadTime("s", placement.TierDisk, 20*gib).Seconds(), 2, "small loads don't tell against large ones")
+	for i := range 20 {
+		gibs := time.Duration(4 + i%3*8)
+		s.Loaded("s", placement.TierDisk, int64(gibs)*gib, time.Second+gibs*5*time.Second)
+	}
+	require.InDelta(t, 101, s.LoadTime("s", placement.TierDisk, 20*gib).Seconds(), 10, "a tenth of the speed")
+}
+
+func TestReadyInOfRunningLoads(t *testing.T) {
+	z := newZone(2)
+	z.decide("s2", "m", 20)
+	z.Servers[1].Report.CachedInMemory = []port.ModelID{"m"}
+	plan, refusal := placement.Place(start, request("m", 20), &z.View)
+	require.Nil(t, refusal)
+	require.Equal(t, 2500*time.Millisecond, plan.ReadyIn, "by the tier, if only the intent is known")
+	z.Progress = &placement.Progress{}
+	z.Progress.Start(start.Add(-10*time.Second), "s2", "m", 30*time.Second)
+	plan, _ = placement.Place(start, request("m", 20), &z.View)
+	require.Equal(t, 20*time.Second, plan.ReadyIn)
+	plan, _ = placement.Place(start.Add(30*time.Second), request("m", 20), &z.View)
+	require.Equal(t, 20*time.Second, plan.ReadyIn, "overdue")
+	z.unload("s2", "m")
+	z.Progress.End("s2", "m")
+	plan, _ = placement.Place(start, request("m", 20), &z.View)
+	require.Equal(t, 4500*time.Millisecond, plan.ReadyIn, "unload and load again")
+}
+
 func TestShortfalls(t *testing.T) {
 	for name, tc := range map[string]struct {
 		wake placement.Wake
--- a/pkg/placement/store.go
+++ b/pkg/placement/store.go
@@ -129,24 +129,9 @@
 	return slowest
 }
 
-// left estimates how long a running load still takes. One that is overdue is
-// expected to take half as long again as it already has.
+// left estimates how long a running load still takes.
 func (r *runningLoad) left(now time.Time) time.Duration {
-	elapsed := now.Sub(r.started)
-	if elapsed < r.Took {
-		return r.Took - elapsed
-	}
-	return elapsed / 2
-}
-
-// ReadyIn estimates when a running load ends.
-func (q *StoreQueue) ReadyIn(now time.Time, model port.ModelID) (time.Duration, bool) {
-	for i := range q.running {
-		if q.running[i].Model == model {
-			return q.running[i].left(now), true
-		}
-	}
-	return 0, false
+	return progress{started: r.started, took: r.Took}.left(now)
 }
 
 // StartIn estimates how long a load would wait before it starts, if it were
@@ -161,7 +146,7 @@
 			others = append(others, w)
 		}
 	}
-	slots := q.slots(now)
+	slots := q.slots(now, len(others)+1)
 	for _, w := range q.order(now, append(others, l)) {
 		start := slots.take(w.Took)
 		if w.ID == l.ID {
@@ -178,7 +163,8 @@
 	interval time.Duration
 }
 
-func (q *StoreQueue) slots(now time.Time) slots {
+// slots returns the slots as far as loads can use them.
+func (q *StoreQueue) slots(now time.Time, loads int) slots {
 	s := slots{interval: q.interval(), next: max(0, q.nextStart.Sub(now))}
 	for i := range q.running {
 		s.free = append(s.free, q.running[i].left(now))
@@ -188,7 +174,7 @@
 	if extra := len(s.free) - q.atOnce; extra > 0 {
 		s.free = s.free[extra:]
 	}
-	for len(s.free) < q.atOnce {
+	for len(s.free) < min(q.atOnce, len(q.running)+loads) {
 		s.free = append(s.free, 0)
 	}
 	return s
@@ -236,7 +222,7 @@
 	if q.atOnce <= 0 {
 		return len(loads) == 0
 	}
-	s := q.slots(now)
+	s := q.slots(now, len(loads))
 	for _, l := range loads {
 		if end := s.take(l.Took) + l.Took; end > l.Deadline.Sub(now) {
 			return false
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -56,7 +56,11 @@
 	Ledger  *ledger.Ledger
 	Store   *StoreQueue
 	Speeds  *Speeds
-	// ReplicaShare is how many replicas of a model the zone may hold.
+	// Progress knows the loads that run; nil if nothing is known of them.
+	Progress *Progress
+	// ReplicaShare is how many replicas of a model the zone may hold. An adapter
+	// has its replicas in the zones of its base model, so that share.ReplicaShare
+	// is asked with the base model's name for both. Nil means one.
 	ReplicaShare func(port.ModelID) int
 	// Worth is the waiting, in seconds, that is expected if the model is
 	// unloaded now. Nil means zero.
