Wire request identities through the log's lists of members

Cause: requests that mustn't run twice were refused, since no instance kept identities.

Change: the log client calls hooks for every folded record, so that no list of members between two published states is missed; the app feeds them to the tracker, claims through the peer protocol and hands identities over at a planned stop, named in the record that takes the instance off the members. A new instance completes its history only from one that knows at least its own newest list: one behind would have left out the list that is current for it.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -22,6 +22,7 @@
 	"github.com/cyclamenhoist/cyclamenhoist/internal/settings"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/telemetry"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/tlsconf"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/identity"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/logclient"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
@@ -47,48 +48,52 @@
 
 // Instance is one entry instance.
 type Instance struct {
-	self      port.Instance
-	settings  *settings.Settings
-	logger    *log.Logger
-	listeners *listeners
-	tls       *tlsconf.Store
-	tracing   *telemetry.Tracing
-	log       *logclient.Client
-	observer  *observer.Observer
-	config    *configuration.Controller
-	decider   *decider.Decider
-	waker     *waker
-	gateway   *gateway.Gateway
-	peers     *peers
-	client    *peer.Client
-	operators *operators
+	self       port.Instance
+	settings   *settings.Settings
+	logger     *log.Logger
+	listeners  *listeners
+	tls        *tlsconf.Store
+	tracing    *telemetry.Tracing
+	log        *logclient.Client
+	observer   *observer.Observer
+	config     *configuration.Controller
+	decider    *decider.Decider
+	waker      *waker
+	gateway    *gateway.Gateway
+	peers      *peers
+	client     *peer.Client
+	operators  *operators
+	members    *members
+	identities *identity.Claimer
 }
 
 type instanceParts struct {
 	dig.In
 
-	Self      port.Instance
-	Settings  *settings.Settings
-	Logger    *log.Logger
-	Listeners *listeners
-	TLS       *tlsconf.Store
-	Tracing   *telemetry.Tracing
-	Log       *logclient.Client
-	Observer  *observer.Observer
-	Config    *configuration.Controller
-	Decider   *decider.Decider
-	Waker     *waker
-	Gateway   *gateway.Gateway
-	Peers     *peers
-	Client    *peer.Client
-	Operators *operators
+	Self       port.Instance
+	Settings   *settings.Settings
+	Logger     *log.Logger
+	Listeners  *listeners
+	TLS        *tlsconf.Store
+	Tracing    *telemetry.Tracing
+	Log        *logclient.Client
+	Observer   *observer.Observer
+	Config     *configuration.Controller
+	Decider    *decider.Decider
+	Waker      *waker
+	Gateway    *gateway.Gateway
+	Peers      *peers
+	Client     *peer.Client
+	Operators  *operators
+	Members    *members
+	Identities *identity.Claimer
 }
 
 func newInstance(p instanceParts) *Instance {
 	return &Instance{
 		self: p.Self, settings: p.Settings, logger: p.Logger, listeners: p.Listeners, tls: p.TLS, tracing: p.Tracing,
 		log: p.Log, observer: p.Observer, config: p.Config, decider: p.Decider, waker: p.Waker, gateway: p.Gateway,
-		peers: p.Peers, client: p.Client, operators: p.Operators,
+		peers: p.Peers, client: p.Client, operators: p.Operators, members: p.Members, identities: p.Identities,
 	}
 }
 
@@ -156,7 +161,7 @@
 
 func (i *Instance) startControllers(ctx context.Context, group *errgroup.Group) {
 	for _, run := range []func(context.Context) error{
-		ignoreEnd(i.log.Run), i.observer.Run, i.config.Run, i.decider.Run, i.waker.run,
+		ignoreEnd(i.log.Run), i.observer.Run, i.config.Run, i.decider.Run, i.waker.run, i.members.run,
 	} {
 		group.Go(func() error { return run(ctx) })
 	}
@@ -209,7 +214,12 @@
 	i.logger.Info().Int64("cut", report.Cut).Dur("took", report.Took).Msg("drained")
 	handOver, cancelHandOver := context.WithTimeout(ctx, handOverTimeout)
 	defer cancelHandOver()
-	if err := i.decider.HandOver(handOver); err != nil {
+	base, ok := i.identities.HandOver(handOver)
+	if !ok {
+		base = 0
+		i.logger.Warn().Msg("identities_not_handed_over")
+	}
+	if err := i.decider.HandOver(handOver, base); err != nil {
 		i.logger.Warn().Err(err).Msg("hand_over_failed")
 	}
 }
--- /dev/null
+++ b/internal/app/identities.go
@@ -0,0 +1,119 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/observer"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/gateway"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/identitypeer"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/settings"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fold"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/identity"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/record"
+)
+
+func newIdentityTimes(s *settings.Settings) identity.Times {
+	return identity.Times{Keep: s.Identity.Keep.D(), MaxRun: gateway.DefaultConfig().MaxCall, Stale: s.Identity.LogOutage.D()}
+}
+
+func newIdentityStore(s *settings.Settings, clock port.Clock) *identity.Store {
+	return identity.NewStore(clock, identity.Limits{
+		Entries: s.Identity.MaxEntries, BodyBytes: s.Identity.MaxBytes, Keep: s.Identity.Keep.D(),
+	})
+}
+
+func newIdentityClient(c *peer.Client) *identitypeer.Client {
+	return &identitypeer.Client{Dial: func(_ context.Context, address string) (peerpb.DRPCPeerClient, error) {
+		return c.To(address), nil
+	}}
+}
+
+func newTracker(clock port.Clock, times identity.Times) *identitypeer.Tracker {
+	return identitypeer.NewTracker(clock, times, false)
+}
+
+func newClaimer(
+	self port.Instance, store *identity.Store, client *identitypeer.Client, tracker *identitypeer.Tracker,
+	times identity.Times, clock port.Clock,
+) *identity.Claimer {
+	return &identity.Claimer{
+		Self: self.ID, Store: store, Peers: client, Clock: clock, Lists: tracker.Lists, MaxRun: times.MaxRun,
+	}
+}
+
+// members follows the lists of eligible instances on the log, which own the
+// identities of requests.
+type members struct {
+	self     port.Instance
+	tracker  *identitypeer.Tracker
+	client   *identitypeer.Client
+	observer *observer.Observer
+}
+
+func newMembers(
+	self port.Instance, t *identitypeer.Tracker, c *identitypeer.Client, o *observer.Observer,
+) *members {
+	return &members{self: self, tracker: t, client: c, observer: o}
+}
+
+// joined takes the list of a state that wasn't folded here. The empty prefix has
+// no lists before it.
+func (m *members) joined(state *fold.State) {
+	if state.Through() == 0 {
+		m.tracker.Import(nil, nil)
+		return
+	}
+	m.tracker.Observe(state.Through(), membersOf(state))
+}
+
+// folded takes every list, however soon the next one follows.
+func (m *members) folded(r port.Record, v fold.Verdict, state *fold.State) {
+	if v.Kind != fold.KindMember || !v.Accepted {
+		return
+	}
+	decoded, err := record.Unmarshal(r.Payload)
+	if err != nil {
+		return // the fold accepts no such record
+	}
+	if member := decoded.GetMember(); !member.GetEligible() && member.GetHandedOverBase() > 0 {
+		m.tracker.HandOver(port.InstanceID(member.GetInstance()), port.Offset(member.GetHandedOverBase()))
+	}
+	m.tracker.Observe(r.Offset, membersOf(state))
+}
+
+func membersOf(state *fold.State) []identity.Member {
+	var all []identity.Member
+	for _, zone := range state.Zones() {
+		for _, m := range state.Zone(zone).Members {
+			all = append(all, identity.Member{ID: m.Instance, Zone: zone, PeerAddress: m.PeerAddress})
+		}
+	}
+	return all
+}
+
+// historyRetry is the pause between questions for the lists before the start.
+const historyRetry = 500 * time.Millisecond
+
+// run completes the history of lists from another instance's.
+func (m *members) run(ctx context.Context) error {
+	for !m.tracker.Complete() {
+		for _, i := range m.observer.View().Instances {
+			if i.Alive && i.Instance.ID != m.self.ID && i.Instance.PeerAddress != "" && m.tracker.Version() > 0 &&
+				m.client.FetchMembers(ctx, i.Instance.PeerAddress, m.tracker) == nil {
+				return nil
+			}
+		}
+		timer := time.NewTimer(historyRetry)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		}
+	}
+	return nil
+}
--- a/internal/app/peers.go
+++ b/internal/app/peers.go
@@ -8,6 +8,7 @@
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/decider"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/observer"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/identitypeer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/logclient"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
@@ -20,11 +21,11 @@
 
 // peers answers the other instances.
 type peers struct {
-	peerpb.DRPCPeerUnimplementedServer
 	self     port.Instance
 	decider  *decider.Decider
 	observer *observer.Observer
 	log      *logclient.Client
+	*identitypeer.Server
 }
 
 func (p *peers) ownZone(zone string) error {
--- a/internal/app/provide.go
+++ b/internal/app/provide.go
@@ -22,12 +22,14 @@
 	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/decider"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/observer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/gateway"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/identitypeer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/settings"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/telemetry"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/tlsconf"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fold"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/identity"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/logclient"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/routing"
@@ -51,7 +53,7 @@
 		newLogger, newTracing, newTLS, newListeners, newSelf, newPeerClient, newPlatformHTTP,
 		newLogPort, newEngine, newStore, newLive, newRouting, newUses, newObserver, newFetcher,
 		newLogClient, newConfiguration, newDecider, newRouter, newWaker, newGateway, newPeers,
-		newOperators, newInstance,
+		newOperators, newInstance, newIdentityTimes, newIdentityStore, newIdentityClient, newClaimer, newTracker, newMembers,
 		func() port.Clock { return port.SystemClock{} },
 		metrics.NewRegistry,
 	}
@@ -174,12 +176,15 @@
 	}
 }
 
-func newLogClient(s *settings.Settings, l port.Log, self port.Instance, f *stateFetcher, registry metrics.Registry) *logclient.Client {
+func newLogClient(
+	s *settings.Settings, l port.Log, self port.Instance, f *stateFetcher, m *members, registry metrics.Registry,
+) *logclient.Client {
 	client := logclient.New(l, logclient.Config{
 		Validate:         targets.Validate,
 		FetchState:       f.fetch,
 		AppendsPerSecond: s.Platform.AppendsPerSecond,
 		Metrics:          registry,
+		Hooks:            logclient.Hooks{Joined: m.joined, Folded: m.folded, CaughtUp: m.tracker.Confirm},
 		Snapshot: logclient.SnapshotConfig{
 			EveryRecords: int64(s.Platform.LogRetentionRecords / snapshotsPerRetention),
 			// The holder of the first zone in order keeps the snapshots.
@@ -239,7 +244,7 @@
 }
 
 func newGateway(
-	s *settings.Settings, r *router, w *waker, config *configuration.Controller, t *telemetry.Tracing,
+	s *settings.Settings, r *router, w *waker, config *configuration.Controller, t *telemetry.Tracing, c *identity.Claimer,
 	clock port.Clock, logger *log.Logger,
 ) (*gateway.Gateway, error) {
 	callers, err := callersOf(s.Keys)
@@ -255,7 +260,7 @@
 			LateArrivals: max(s.Shutdown.Delay.D(), 1), Callers: callers,
 		},
 		Snapshot: func() gateway.View { return view{config.View()} },
-		Router:   r, Waker: w, Clock: clock, Tracer: t.Tracer, Logger: logger,
+		Router:   r, Waker: w, Identity: gateway.Deduplicate(c), Clock: clock, Tracer: t.Tracer, Logger: logger,
 		Backend: httpbackend.New(newBackendHTTP()),
 	}), nil
 }
@@ -288,8 +293,14 @@
 	return callers, nil
 }
 
-func newPeers(self port.Instance, d *decider.Decider, o *observer.Observer, c *logclient.Client) *peers {
-	return &peers{self: self, decider: d, observer: o, log: c}
+func newPeers(
+	self port.Instance, d *decider.Decider, o *observer.Observer, c *logclient.Client,
+	store *identity.Store, tracker *identitypeer.Tracker,
+) *peers {
+	return &peers{
+		self: self, decider: d, observer: o, log: c,
+		Server: &identitypeer.Server{Store: store, Tracker: tracker},
+	}
 }
 
 func newOperators(
--- a/internal/controller/decider/protocol.go
+++ b/internal/controller/decider/protocol.go
@@ -101,9 +101,9 @@
 }
 
 // HandOver gives the zone's decisions up for good and returns once that is
-// settled, or ctx ends.
-func (d *Decider) HandOver(ctx context.Context) error {
-	if !d.post(ctx, func(ctx context.Context) { d.step(ctx, lease.HandOver{}) }) {
+// settled, or ctx ends. identitiesBase is lease.HandOver.IdentitiesBase.
+func (d *Decider) HandOver(ctx context.Context, identitiesBase port.Offset) error {
+	if !d.post(ctx, func(ctx context.Context) { d.step(ctx, lease.HandOver{IdentitiesBase: identitiesBase}) }) {
 		return context.Canceled
 	}
 	select {
--- a/internal/identitypeer/client.go
+++ b/internal/identitypeer/client.go
@@ -75,13 +75,14 @@
 	return taken, nil
 }
 
-// FetchMembers completes a new instance's tracker from another instance's.
+// FetchMembers completes a new instance's tracker from that of another, which
+// must know the newest list that the tracker has.
 func (c *Client) FetchMembers(ctx context.Context, address string, t *Tracker) error {
 	link, err := c.Dial(ctx, address)
 	if err != nil {
 		return errors.Wrap(err, "dial")
 	}
-	reply, err := link.FetchMembers(ctx, &peerpb.FetchMembersRequest{})
+	reply, err := link.FetchMembers(ctx, &peerpb.FetchMembersRequest{Version: int64(t.Version())})
 	if err != nil {
 		return errors.Wrap(err, "fetch members")
 	}
--- a/internal/identitypeer/server.go
+++ b/internal/identitypeer/server.go
@@ -49,7 +49,11 @@
 }
 
 // FetchMembers implements peerpb.DRPCPeerServer.
-func (s *Server) FetchMembers(context.Context, *peerpb.FetchMembersRequest) (*peerpb.FetchMembersReply, error) {
+func (s *Server) FetchMembers(_ context.Context, m *peerpb.FetchMembersRequest) (*peerpb.FetchMembersReply, error) {
+	if int64(s.Tracker.Version()) < m.GetVersion() {
+		// The list that is current here may be a former one that the asker lacks.
+		return &peerpb.FetchMembersReply{}, nil
+	}
 	former, ages, complete := s.Tracker.Export()
 	reply := &peerpb.FetchMembersReply{Complete: complete}
 	for i, members := range former {
--- a/internal/identitypeer/tracker.go
+++ b/internal/identitypeer/tracker.go
@@ -27,6 +27,20 @@
 	t.history.Observe(t.clock.Now(), version, members)
 }
 
+// Version is History.Version.
+func (t *Tracker) Version() port.Offset {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.history.Version()
+}
+
+// Complete is History.Complete.
+func (t *Tracker) Complete() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.history.Complete(t.clock.Now())
+}
+
 // HandOver is History.HandOver.
 func (t *Tracker) HandOver(id port.InstanceID, base port.Offset) {
 	t.mu.Lock()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -116,7 +116,10 @@
 // Identity bounds the record of requests that mustn't run twice.
 type Identity struct {
 	// Keep is how long the answer of a finished request is kept.
-	Keep       jsonc.Duration `json:"keep" validate:"min=1s,max=24h"`
+	Keep jsonc.Duration `json:"keep" validate:"min=1s,max=24h"`
+	// LogOutage is how long after the log was last read such requests are still
+	// taken.
+	LogOutage  jsonc.Duration `json:"log_outage" validate:"min=1s,max=24h"`
 	MaxEntries int            `json:"max_entries" validate:"min=16,max=10000000"`
 	MaxBytes   int64          `json:"max_bytes" validate:"min=1024,max=17179869184"`
 }
--- a/pkg/identity/history.go
+++ b/pkg/identity/history.go
@@ -88,6 +88,12 @@
 	h.current = slices.Clone(members)
 }
 
+// Version is the offset of the newest list.
+func (h *History) Version() port.Offset { return h.version }
+
+// Complete reports whether every list that still counts is known.
+func (h *History) Complete(now time.Time) bool { return h.settled(now) }
+
 // HandOver notes that a member has handed all that it kept to the owners in the
 // list of the base version without it. It is called before Observe for the record
 // that takes the member off the list, and ignored if another change of members
--- a/pkg/lease/events.go
+++ b/pkg/lease/events.go
@@ -138,7 +138,12 @@
 )
 
 // HandOver starts the planned stop of the instance.
-type HandOver struct{}
+type HandOver struct {
+	// IdentitiesBase goes into the record that takes the instance off the
+	// members: the list as of this offset to whose owners the instance has handed
+	// its request identities. Zero if it hasn't.
+	IdentitiesBase port.Offset
+}
 
 func (Tick) event()          {}
 func (Folded) event()        {}
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -44,6 +44,8 @@
 	memberAt    port.Offset // of the last such record known to be in the log
 	removals    map[port.InstanceID]string
 	stopping    bool
+	// identitiesBase is that of the HandOver.
+	identitiesBase port.Offset
 	stopped     bool
 
 	// As the holder; nil otherwise.
@@ -140,7 +142,7 @@
 	case ServerRead:
 		m.serverRead(e)
 	case HandOver:
-		m.handOver()
+		m.handOver(e)
 	}
 }
 
--- a/pkg/lease/member.go
+++ b/pkg/lease/member.go
@@ -22,9 +22,11 @@
 func (m *Machine) busy() bool { return m.term != nil || m.claim != nil }
 
 func (m *Machine) appendMember(id port.InstanceID, eligible bool) string {
-	r := newRecord(m, &recordpb.Member{
-		Instance: string(id), Eligible: eligible, PeerAddress: m.addressOf(id),
-	})
+	body := &recordpb.Member{Instance: string(id), Eligible: eligible, PeerAddress: m.addressOf(id)}
+	if id == m.cfg.Self && !eligible {
+		body.HandedOverBase = int64(m.identitiesBase)
+	}
+	r := newRecord(m, body)
 	m.emit(Append{Record: r})
 	return r.Id
 }
@@ -72,8 +74,9 @@
 }
 
 // handOver begins the planned stop.
-func (m *Machine) handOver() {
+func (m *Machine) handOver(e HandOver) {
 	m.stopping = true
+	m.identitiesBase = e.IdentitiesBase
 	if m.claim != nil && m.claim.record == nil {
 		m.claim = nil // nobody has seen it
 	}
--- a/pkg/logclient/config.go
+++ b/pkg/logclient/config.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fold"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
 // Config sets up a Client. Zero values stand for the defaults.
@@ -55,10 +56,42 @@
 	PeerRefresh time.Duration
 
 	Snapshot SnapshotConfig
+	// Hooks follow the fold record by record.
+	Hooks Hooks
 	// Metrics receives the client's metrics; nil means a registry of its own.
 	Metrics metrics.Registry
 }
 
+// Hooks are called by the goroutine that reads the log, in order, and must not
+// block. Nil ones are left out.
+type Hooks struct {
+	// Joined brings a state that the tail goes on from without having folded it.
+	Joined func(*fold.State)
+	// Folded brings a record, what the fold made of it, and the state after it,
+	// which must not be kept.
+	Folded func(port.Record, fold.Verdict, *fold.State)
+	// CaughtUp says that a read sent at the given time reached the log's end.
+	CaughtUp func(asked time.Time)
+}
+
+func (h *Hooks) joined(s *fold.State) {
+	if h.Joined != nil {
+		h.Joined(s)
+	}
+}
+
+func (h *Hooks) folded(r port.Record, v fold.Verdict, s *fold.State) {
+	if h.Folded != nil {
+		h.Folded(r, v, s)
+	}
+}
+
+func (h *Hooks) caughtUp(asked time.Time) {
+	if h.CaughtUp != nil {
+		h.CaughtUp(asked)
+	}
+}
+
 // SnapshotConfig says when to append a snapshot of the state.
 type SnapshotConfig struct {
 	// Mine reports whether this instance is the one to append snapshots now.
--- a/pkg/logclient/join.go
+++ b/pkg/logclient/join.go
@@ -67,6 +67,7 @@
 	}
 	again := t.work != nil
 	t.work = state
+	t.config.Hooks.joined(state)
 	t.snapshots.Store(&snapshotMark{offset: state.Through(), at: time.Now(), assumed: true})
 	t.metrics.joins.Inc(1)
 	if again {
--- a/pkg/logclient/tail.go
+++ b/pkg/logclient/tail.go
@@ -91,6 +91,7 @@
 	now := time.Now()
 	t.health.readThrough(now, now.Sub(started)-wait, t.work.Through(), page)
 	if t.work.Through()+1 >= page.End {
+		t.config.Hooks.caughtUp(started)
 		t.metrics.repeated.Inc(int64(t.book.reachedEnd(number, now)))
 	}
 	return nil
@@ -118,6 +119,7 @@
 		if verdict.Reason == fold.ReasonOld {
 			continue
 		}
+		t.config.Hooks.folded(r, verdict, t.work)
 		if verdict.Kind == fold.KindSnapshot {
 			t.snapshots.Store(&snapshotMark{offset: r.Offset, at: time.Now()})
 		}
