Add the command line, the load generator and the demonstration's report

Cause: the system could only be reached from tests.

Conclusion: the whole path can be used by hand.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -116,7 +116,7 @@
 // Self describes the instance.
 func (i *Instance) Self() port.Instance { return i.self }
 
-// CallersAddress, OperatorsAddress return where the instance listens.
+// CallersAddress returns where callers reach the instance.
 func (i *Instance) CallersAddress() string { return i.listeners.callers.Addr().String() }
 
 // OperatorsAddress returns where operators reach the instance.
--- a/internal/app/peers.go
+++ b/internal/app/peers.go
@@ -92,7 +92,7 @@
 }
 
 func (f *stateFetcher) fetch(ctx context.Context) ([]byte, error) {
-	var last error = ErrNoDecider
+	last := ErrNoDecider
 	for _, sameZone := range []bool{true, false} {
 		for _, i := range f.observer.View().Instances {
 			if !i.Alive || i.Instance.ID == f.self.ID || i.Instance.PeerAddress == "" || (i.Instance.Zone == f.self.Zone) != sameZone {
--- a/internal/app/view.go
+++ b/internal/app/view.go
@@ -25,7 +25,7 @@
 		return unconfigured
 	}
 	return v.Targets.Classify(targets.Request{
-		Model: string(q.Model), Path: q.Path, Caller: q.Caller, Header: q.Header,
+		Model: q.Model, Path: q.Path, Caller: q.Caller, Header: q.Header,
 	})
 }
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -2,6 +2,7 @@
 package cli
 
 import (
+	"context"
 	"fmt"
 	"io"
 
@@ -11,24 +12,105 @@
 
 // The exit codes of every command.
 const (
-	ExitOK       = 0
-	ExitFailed   = 1
+	// ExitOK: the command did what it was asked.
+	ExitOK = 0
+	// ExitFailed: it didn't, or a promise was seen broken.
+	ExitFailed = 1
+	// ExitBadInput: a flag, a settings file or a targets file is faulty.
 	ExitBadInput = 2
+	// ExitLost: another publish was accepted first.
+	ExitLost = 3
+	// ExitUnknown: it isn't known whether a publish took effect.
+	ExitUnknown = 4
 )
 
+// exitError ends a command with a code other than ExitFailed.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+func (e *exitError) Unwrap() error { return e.err }
+
+func badInput(err error) error { return &exitError{code: ExitBadInput, err: err} }
+
+// environment is what commands write to, and the contexts that end them: stop
+// at the first signal, kill at the second.
+type environment struct {
+	stdout, stderr io.Writer
+	stop, kill     context.Context
+}
+
+// entry describes a subcommand for --help.
+type entry struct {
+	name, short, long string
+	command           flags.Commander
+}
+
+func entries(env *environment) []entry {
+	return []entry{
+		{"serve", "run one entry instance", serveHelp, &serveCommand{environment: env}},
+		{"check", "validate a settings or targets file", checkHelp, &checkCommand{environment: env}},
+		{"demo", "run everything in one process on loopback", demoHelp, &demoCommand{environment: env}},
+		{"standin", "run stand-ins of the platform and its servers", standinHelp, &standinCommand{environment: env}},
+		{"publish", "publish targets and limits", publishHelp, &publishCommand{environment: env}},
+		{"status", "show what an instance sees", statusHelp, &statusCommand{environment: env}},
+		{"explain", "say why a model is, or isn't, loaded", explainHelp, &explainCommand{environment: env}},
+		{"load", "generate load and report percentiles", loadHelp, &loadCommand{environment: env}},
+		{"completion", "print a shell completion script", completionHelp, &completionCommand{environment: env}},
+	}
+}
+
+const exitCodesHelp = `Exit codes: 0 done, 1 failed, 2 faulty flag or file, 3 publish lost against
+another, 4 not known whether a publish took effect.`
+
 // Run executes the command line and returns the exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
-	parser := flags.NewParser(&struct{}{}, flags.HelpFlag|flags.PassDoubleDash)
-	parser.Name = "cyclamenhoist"
-	_, err := parser.ParseArgs(args)
+	stop, kill, release := signals()
+	defer release()
+	env := &environment{stdout: stdout, stderr: stderr, stop: stop, kill: kill}
+	parser, err := newParser(env)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	_, err = parser.ParseArgs(args)
 	var flagErr *flags.Error
-	if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
+	switch {
+	case errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp:
 		fmt.Fprintln(stdout, flagErr.Message)
 		return ExitOK
-	}
-	if err != nil {
+	case errors.As(err, &flagErr):
+		fmt.Fprintln(stderr, flagErr.Message)
+		return ExitBadInput
+	case err != nil:
 		fmt.Fprintln(stderr, err)
+		return codeOf(err)
+	case parser.Active == nil:
+		parser.WriteHelp(stderr)
 		return ExitBadInput
 	}
 	return ExitOK
 }
+
+func codeOf(err error) int {
+	var exit *exitError
+	if errors.As(err, &exit) {
+		return exit.code
+	}
+	return ExitFailed
+}
+
+func newParser(env *environment) (*flags.Parser, error) {
+	parser := flags.NewNamedParser("cyclamenhoist", flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = "serves rarely used models on shared accelerators"
+	parser.LongDescription = "Serves rarely used models on shared accelerators.\n\n" + exitCodesHelp
+	parser.SubcommandsOptional = true
+	for _, e := range entries(env) {
+		if _, err := parser.AddCommand(e.name, e.short, e.long, e.command); err != nil {
+			return nil, errors.Wrap(err, "add command "+e.name)
+		}
+	}
+	return parser, nil
+}
--- /dev/null
+++ b/internal/cli/operators.go
@@ -0,0 +1,273 @@
+package cli
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/operator"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/telemetry"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/tlsconf"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/targets"
+)
+
+// target locates the instance that an operator's command asks.
+type target struct {
+	Operators   string        `long:"operators" value-name:"URL" default:"http://127.0.0.1:8081" description:"operators' listener of an instance"`
+	CA          string        `long:"ca" value-name:"FILE" description:"CA of the instances, for https"`
+	Certificate string        `long:"certificate" value-name:"FILE" description:"own certificate, for https"`
+	Key         string        `long:"key" value-name:"FILE" description:"own key, for https"`
+	Timeout     time.Duration `long:"timeout" default:"30s" description:"give up after this time"`
+	JSON        bool          `long:"json" description:"print JSON"`
+}
+
+func (t *target) client(log io.Writer) (*operator.Client, error) {
+	if !strings.HasPrefix(t.Operators, "https:") {
+		return operator.NewClient(t.Operators, http.DefaultClient), nil
+	}
+	store, err := tlsconf.New(tlsconf.Files{CA: t.CA, Certificate: t.Certificate, Key: t.Key}, telemetry.NewLogger(log, "warn"))
+	if err != nil {
+		return nil, badInput(err)
+	}
+	transport := &http.Transport{DialTLSContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+		return (&tls.Dialer{Config: store.Client()}).DialContext(ctx, "tcp", address)
+	}}
+	return operator.NewClient(t.Operators, &http.Client{Transport: transport}), nil
+}
+
+func printJSON(out io.Writer, body any) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(body)
+}
+
+const publishHelp = `Publishes the targets in FILE and waits until they are accepted. A publish is
+based on the version in force when the command starts, or on --base. If another
+publish on the same base is accepted first, the command says so and exits 3.
+A publish whose answer was lost is asked about again under the same id.
+
+Example:
+  cyclamenhoist publish --operators http://127.0.0.1:8081 targets.jsonc`
+
+type publishCommand struct {
+	*environment
+	target
+
+	Base      int64  `long:"base" default:"-1" default-mask:"the version in force" description:"version that the document is based on"`
+	Publisher string `long:"publisher" description:"name to record; the user's by default"`
+	ID        string `long:"id" description:"id of an earlier try whose outcome isn't known"`
+	Args      struct {
+		File string `positional-arg-name:"FILE" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute runs the command.
+func (c *publishCommand) Execute([]string) error {
+	document, err := os.ReadFile(c.Args.File)
+	if err != nil {
+		return badInput(err)
+	}
+	if err := targets.Validate(document); err != nil {
+		return badInput(err)
+	}
+	id, err := c.id()
+	if err != nil {
+		return badInput(err)
+	}
+	client, err := c.client(c.stderr)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.stop, c.Timeout)
+	defer cancel()
+	base := port.Offset(c.Base)
+	if base < 0 {
+		accepted, err := client.Targets(ctx)
+		if err != nil {
+			return err
+		}
+		base = accepted.Version
+	}
+	version, err := c.publish(ctx, client, id, base, document)
+	if err != nil {
+		return c.explainFailure(id, base, err)
+	}
+	if c.JSON {
+		return printJSON(c.stdout, operator.Published{Version: version})
+	}
+	fmt.Fprintf(c.stdout, "accepted as version %d, based on %d\n", version, base)
+	return nil
+}
+
+func (c *publishCommand) id() (uuid.UUID, error) {
+	if c.ID == "" {
+		return uuid.New(), nil
+	}
+	id, err := uuid.Parse(c.ID)
+	return id, errors.Wrap(err, "--id")
+}
+
+// publish tries under the same id until the outcome is known or ctx ends.
+func (c *publishCommand) publish(
+	ctx context.Context, client *operator.Client, id uuid.UUID, base port.Offset, document []byte,
+) (port.Offset, error) {
+	publisher := c.Publisher
+	if publisher == "" {
+		publisher = os.Getenv("USER")
+	}
+	return backoff.Retry(ctx, func() (port.Offset, error) {
+		version, err := client.Publish(ctx, id, base, publisher, document)
+		var failed *operator.FailedError
+		if errors.As(err, &failed) && !failed.Failure.Unknown {
+			return 0, backoff.Permanent(err)
+		}
+		return version, err
+	}, backoff.WithBackOff(backoff.NewExponentialBackOff()), backoff.WithMaxElapsedTime(c.Timeout))
+}
+
+func (c *publishCommand) explainFailure(id uuid.UUID, base port.Offset, err error) error {
+	var failed *operator.FailedError
+	switch {
+	case errors.As(err, &failed) && failed.Failure.Winner > 0:
+		return &exitError{code: ExitLost, err: errors.Errorf("lost: version %d by %q was accepted first; this publish was based on %d",
+			failed.Failure.Winner, failed.Failure.WinnerPublisher, base)}
+	case errors.As(err, &failed) && !failed.Failure.Unknown:
+		return err
+	default:
+		return &exitError{code: ExitUnknown, err: errors.Wrap(err, "not known whether it was accepted; ask again with --id "+id.String()+
+			fmt.Sprintf(" --base %d", base))}
+	}
+}
+
+const statusHelp = `Shows what an instance sees of the others, of the backend servers and of the
+platform, and how stale each source is.
+
+Example:
+  cyclamenhoist status --operators http://127.0.0.1:8081`
+
+type statusCommand struct {
+	*environment
+	target
+}
+
+// Execute runs the command.
+func (c *statusCommand) Execute([]string) error {
+	client, err := c.client(c.stderr)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.stop, c.Timeout)
+	defer cancel()
+	s, err := client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(c.stdout, s)
+	}
+	return writeStatus(c.stdout, s)
+}
+
+func age(seconds float64) string {
+	if seconds < 0 {
+		return "never"
+	}
+	return time.Duration(seconds * float64(time.Second)).Round(time.Millisecond).String()
+}
+
+func writeStatus(w io.Writer, s *operator.Status) error {
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(out, "instance\t%s in %s, ready: %v\n", s.Instance, s.Zone, s.Ready)
+	fmt.Fprintf(out, "targets\tversion %d\n", s.TargetsVersion)
+	fmt.Fprintf(out, "deciding\t%s, epoch %d, this instance: %v, ready: %v\n",
+		s.Deciding.Holder, s.Deciding.Epoch, s.Deciding.Holding, s.Deciding.Ready)
+	fmt.Fprintf(out, "decisions\t%d open, %d models waking, weight store %d running, %d waiting\n",
+		s.Deciding.Open, s.Deciding.Waking, s.Deciding.StoreRunning, s.Deciding.StoreWaiting)
+	fmt.Fprintf(out, "log\t%s, read %s ago, %d records behind\n", s.Log.State, age(s.Log.AgeSeconds), s.LogBehind)
+	fmt.Fprintf(out, "live list\tread %s ago\n", age(s.LiveList.AgeSeconds))
+	fmt.Fprintf(out, "catalogue\t%d models, read %s ago\n", s.Models, age(s.Catalogue.AgeSeconds))
+	e := s.Endings
+	fmt.Fprintf(out, "requests\t%d accepted, %d answered, %d refused, %d unknown, %d in progress\n",
+		e.Accepted, e.Answered, e.Refused, e.Unknown, e.InProgress)
+	fmt.Fprintln(out, "\ninstance\tzone\talive\tleaving\ttargets\tsilent for")
+	for _, i := range s.Instances {
+		fmt.Fprintf(out, "%s\t%s\t%v\t%v\t%d\t%s\n", i.ID, i.Zone, i.Alive, i.Leaving, i.Targets, age(i.SilentSeconds))
+	}
+	fmt.Fprintln(out, "\nserver\tzone\tservice\troutable\tleaving\treplicas\treport age")
+	for _, v := range s.Servers {
+		fmt.Fprintf(out, "%s\t%s\t%s\t%v\t%v\t%d\t%s\n", v.ID, v.Zone, v.Service, v.Routable, v.Leaving, v.Replicas, age(v.ReportSeconds))
+	}
+	return out.Flush()
+}
+
+const explainHelp = `Says why a model is, or isn't, loaded, and where, as the instance's zone has
+decided it.
+
+Example:
+  cyclamenhoist explain --operators http://127.0.0.1:8081 shoreline-summary`
+
+type explainCommand struct {
+	*environment
+	target
+
+	Args struct {
+		Model string `positional-arg-name:"MODEL" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute runs the command.
+func (c *explainCommand) Execute([]string) error {
+	client, err := c.client(c.stderr)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.stop, c.Timeout)
+	defer cancel()
+	e, err := client.Explain(ctx, port.ModelID(c.Args.Model))
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(c.stdout, e)
+	}
+	return writeExplanation(c.stdout, e)
+}
+
+func writeExplanation(w io.Writer, e *operator.Explanation) error {
+	fmt.Fprintf(w, "%s: %d bytes", e.Model.ID, e.Model.Bytes)
+	if e.Model.Base != "" {
+		fmt.Fprintf(w, ", an adapter of %s", e.Model.Base)
+	}
+	fmt.Fprintf(w, "\n%s: %d callers' requests wait; deciding instance %s\n", e.Zone, e.Decisions.Waiting, e.Decisions.Holder)
+	if len(e.Replicas) == 0 {
+		fmt.Fprintln(w, "no backend server reports it")
+	}
+	for _, r := range e.Replicas {
+		fmt.Fprintf(w, "%s on %s (%s)\n", r.State, r.Server, r.Zone)
+	}
+	for _, server := range slices.Sorted(maps.Keys(e.Decisions.Replicas)) {
+		fmt.Fprintf(w, "decided on %s: %s\n", server, e.Decisions.Replicas[server])
+	}
+	if !e.Decisions.Holding {
+		fmt.Fprintln(w, "the reasons are known to the deciding instance")
+	}
+	for _, reason := range e.Decisions.Reasons {
+		fmt.Fprintf(w, "%s  %s\n", reason.At.Format(time.RFC3339), reason.Text)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,100 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/go-faster/errors"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/app"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/settings"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/jsonc"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/targets"
+)
+
+const serveHelp = `Runs one entry instance with the settings in FILE. The whole file is validated
+before anything listens. The first SIGTERM or SIGINT stops the instance
+gracefully, the second ends it at once.
+
+Example:
+  cyclamenhoist serve --print-defaults > settings.jsonc
+  cyclamenhoist serve --settings settings.jsonc`
+
+type serveCommand struct {
+	*environment
+
+	Settings      string `long:"settings" value-name:"FILE" description:"settings in JSON with comments"`
+	PrintDefaults bool   `long:"print-defaults" description:"print a commented settings file with the defaults"`
+}
+
+// Execute runs the command.
+func (c *serveCommand) Execute([]string) error {
+	if c.PrintDefaults {
+		fmt.Fprint(c.stdout, settings.Example())
+		return nil
+	}
+	if c.Settings == "" {
+		return badInput(errors.New("give --settings FILE or --print-defaults"))
+	}
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return badInput(err)
+	}
+	instance, err := app.New(s, app.Options{LogOutput: c.stderr})
+	if err != nil {
+		return err
+	}
+	return instance.Run(c.kill, c.stop)
+}
+
+const checkHelp = `Validates a settings or a targets file and lists every fault with its path and
+what is allowed there.
+
+Examples:
+  cyclamenhoist check settings.jsonc
+  cyclamenhoist check --targets targets.jsonc
+  cyclamenhoist check --print-targets > targets.jsonc`
+
+type checkCommand struct {
+	*environment
+
+	Targets      bool `long:"targets" description:"the file holds targets; guessed from its keys otherwise"`
+	PrintTargets bool `long:"print-targets" description:"print a commented targets file"`
+	Args         struct {
+		File string `positional-arg-name:"FILE"`
+	} `positional-args:"yes"`
+}
+
+// Execute runs the command.
+func (c *checkCommand) Execute([]string) error {
+	if c.PrintTargets {
+		fmt.Fprint(c.stdout, targets.Example)
+		return nil
+	}
+	data, err := os.ReadFile(c.Args.File)
+	if err != nil {
+		return badInput(err)
+	}
+	kind := "settings"
+	if c.Targets || holdsTargets(data) {
+		kind = "targets"
+		err = targets.Validate(data)
+	} else {
+		_, err = settings.Parse(data)
+	}
+	if err != nil {
+		return badInput(err)
+	}
+	fmt.Fprintf(c.stdout, "%s: valid %s\n", c.Args.File, kind)
+	return nil
+}
+
+// holdsTargets guesses from the top-level keys what a file holds.
+func holdsTargets(data []byte) bool {
+	var keys struct {
+		Classes []any `json:"classes"`
+	}
+	// Other keys are faults here and don't matter.
+	_ = jsonc.Decode(data, &keys)
+	return keys.Classes != nil
+}
--- /dev/null
+++ b/internal/cli/signals.go
@@ -0,0 +1,31 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// signals returns a context that ends at the first signal to stop and one that
+// ends at the second.
+func signals() (stop, kill context.Context, release func()) {
+	stop, cancelStop := context.WithCancel(context.Background())
+	kill, cancelKill := context.WithCancel(context.Background())
+	received := make(chan os.Signal, 2)
+	signal.Notify(received, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		if _, open := <-received; open {
+			cancelStop()
+		}
+		if _, open := <-received; open {
+			cancelKill()
+		}
+	}()
+	return stop, kill, func() {
+		signal.Stop(received)
+		close(received)
+		cancelStop()
+		cancelKill()
+	}
+}
--- a/internal/controller/observer/observer.go
+++ b/internal/controller/observer/observer.go
@@ -61,7 +61,6 @@
 	builder *routing.Builder
 
 	view      atomic.Pointer[membership.View]
-	listAt    atomic.Int64
 	published atomic.Pointer[chan struct{}]
 	holder    atomic.Pointer[port.InstanceID]
 	targets   atomic.Int64
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -47,14 +47,15 @@
 
 // Start starts a cluster of two instances in each zone of the platform, and
 // returns once all of them follow the published targets and every zone has a
-// deciding instance.
-func Start(ctx context.Context, platform standin.Settings, logOutput io.Writer) (*Cluster, error) {
+// deciding instance. It gives up when ctx ends; the cluster itself lives until
+// kill ends, or Stop or Close.
+func Start(ctx, kill context.Context, platform standin.Settings, logOutput io.Writer) (*Cluster, error) {
 	p, err := standin.Start(platform)
 	if err != nil {
 		return nil, errors.Join(ErrStart, err)
 	}
-	kill, cancelKill := context.WithCancel(ctx)
-	stop, cancelStop := context.WithCancel(ctx)
+	kill, cancelKill := context.WithCancel(kill)
+	stop, cancelStop := context.WithCancel(kill)
 	c := &Cluster{Platform: p, kill: cancelKill, stop: cancelStop, group: &errgroup.Group{}}
 	for _, zone := range platform.Zones {
 		for range instancesPerZone {
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -55,7 +57,27 @@
 	}
 	ctx, span := g.startSpan(ctx, "wait")
 	defer span.End()
-	return g.wait(ctx, c, reason)
+	began := g.now()
+	attempt, err := g.wait(ctx, c, reason)
+	if err == nil {
+		tellWait(c.w.Header(), g.now().Sub(began), errors.Is(reason, ErrNoReplica))
+	}
+	return attempt, err
+}
+
+// The metrics of the Server-Timing header: how long the request waited for its
+// model to be loaded, or for room.
+const (
+	timingCold  = "cold"
+	timingQueue = "queue"
+)
+
+func tellWait(h http.Header, waited time.Duration, cold bool) {
+	name := timingQueue
+	if cold {
+		name = timingCold
+	}
+	h.Set("Server-Timing", fmt.Sprintf("%s;dur=%.1f", name, float64(waited.Microseconds())/1000))
 }
 
 // wait is one request's time in the queue of its model.
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -17,9 +17,9 @@
 )
 
 var (
-	// ErrUnreachable: the instance didn't answer, or not in full.
+	// ErrUnreachable means that the instance didn't answer, or not in full.
 	ErrUnreachable = errors.New("instance unreachable")
-	// ErrFailed: the instance answered with a Failure.
+	// ErrFailed means that the instance answered with a Failure.
 	ErrFailed = errors.New("instance refused")
 )
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -97,7 +97,7 @@
 		}
 		return drpcconn.New(raw), nil
 	})
-	defer pooled.Close()
+	defer func() { _ = pooled.Close() }()
 	err := pooled.Invoke(withTraceContext(ctx), rpc, enc, in, out)
 	switch {
 	case err == nil:
--- a/internal/tlsconf/tlsconf.go
+++ b/internal/tlsconf/tlsconf.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return errors.Join(ErrWatch, err)
 	}
-	defer watcher.Close()
+	defer func() { _ = watcher.Close() }()
 	// Folders are watched, since tools replace certificate files by renaming.
 	for _, name := range []string{s.files.CA, s.files.Certificate, s.files.Key} {
 		if err := watcher.Add(filepath.Dir(name)); err != nil {
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -46,7 +46,7 @@
 	stopping    bool
 	// identitiesBase is that of the HandOver.
 	identitiesBase port.Offset
-	stopped     bool
+	stopped        bool
 
 	// As the holder; nil otherwise.
 	term *term
