--- a/pkg/logclient/fake_test.go
+++ b/pkg/logclient/fake_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/record"
 )
 
 // appendFault is what happens to one append.
@@ -49,6 +51,8 @@
 	mu      sync.Mutex
 	oldest  port.Offset
 	records [][]byte
+	// full holds every record ever appended.
+	full    [][]byte
 	grown   chan struct{}
 	appends []appendFault
 	reads   []readFault
@@ -69,6 +73,7 @@
 	defer l.mu.Unlock()
 	first := l.end()
 	l.records = append(l.records, payloads...)
+	l.full = append(l.full, payloads...)
 	close(l.grown)
 	l.grown = make(chan struct{})
 	return first
@@ -180,6 +185,43 @@
 	l.oldest += port.Offset(n)
 }
 
+// forgetThroughSnapshot drops what the newest snapshot on the log covers, as a
+// retention does that snapshots keep ahead of.
+func (l *fakeLog) forgetThroughSnapshot() {
+	_, records := l.all()
+	through := port.Offset(0)
+	for _, payload := range records {
+		if r, err := record.Unmarshal(payload); err == nil && r.GetSnapshot() != nil {
+			through = max(through, port.Offset(r.GetSnapshot().Through))
+		}
+	}
+	l.forget(through + 1)
+}
+
+// cutLog is one client's way to the log, which can be cut.
+type cutLog struct {
+	*fakeLog
+	cut atomic.Bool
+}
+
+func (l *cutLog) Append(ctx context.Context, payloads [][]byte) (port.Offset, error) {
+	if l.cut.Load() {
+		return 0, port.ErrNotSent
+	}
+	return l.fakeLog.Append(ctx, payloads)
+}
+
+func (l *cutLog) Read(ctx context.Context, from port.Offset, limit int, wait time.Duration) (port.Page, error) {
+	if l.cut.Load() {
+		return port.Page{}, port.ErrNotSent
+	}
+	page, err := l.fakeLog.Read(ctx, from, limit, wait)
+	if l.cut.Load() {
+		return port.Page{}, port.ErrUnknownOutcome
+	}
+	return page, err
+}
+
 func (l *fakeLog) setDown(down bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/pkg/logclient/rapid_test.go
+++ b/pkg/logclient/rapid_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,7 +23,11 @@
 type script struct {
 	appends [2][]scripted
 	// outages are moments at which the log goes down or comes back.
-	outages  []time.Duration
+	outages []time.Duration
+	// cuts are moments at which the second client is cut off or comes back, and
+	// forgets those at which the log drops what its newest snapshot covers.
+	cuts     []time.Duration
+	forgets  []time.Duration
 	faults   []appendFault
 	readings []readFault
 	lateBy   time.Duration
@@ -46,11 +51,18 @@
 	for range rapid.IntRange(0, 20).Draw(t, "read faults") {
 		s.readings = append(s.readings, readFault(rapid.IntRange(0, int(readFaults)-1).Draw(t, "read fault")))
 	}
-	at := time.Duration(0)
-	for range 2 * rapid.IntRange(0, 2).Draw(t, "outages") {
-		at += ms(1, 4000, "until the next change")
-		s.outages = append(s.outages, at)
+	moments := func(n int, name string) []time.Duration {
+		var all []time.Duration
+		at := time.Duration(0)
+		for range n {
+			at += ms(1, 4000, name)
+			all = append(all, at)
+		}
+		return all
 	}
+	s.outages = moments(2*rapid.IntRange(0, 2).Draw(t, "outages"), "until the next change")
+	s.cuts = moments(2*rapid.IntRange(0, 2).Draw(t, "cuts"), "until the next cut or mend")
+	s.forgets = moments(rapid.IntRange(0, 3).Draw(t, "forgets"), "until the log forgets")
 	for c := range s.appends {
 		for n := range rapid.IntRange(0, 12).Draw(t, "appends") {
 			s.appends[c] = append(s.appends[c], scripted{
@@ -92,8 +104,15 @@
 	var mu sync.Mutex
 	var endings []ending
 	var clients [2]*logclient.Client
+	var logs [2]*cutLog
+	var keeps atomic.Bool
+	keeps.Store(true)
 	for c := range clients {
-		clients[c] = logclient.New(log, logclient.Config{})
+		logs[c] = &cutLog{fakeLog: log}
+		clients[c] = logclient.New(logs[c], logclient.Config{Snapshot: logclient.SnapshotConfig{
+			Mine:         func(*fold.State) bool { return c == 0 && keeps.Load() },
+			EveryRecords: 4, Every: 8 * time.Second,
+		}})
 		runs.Go(func() { _ = clients[c].Run(ctx) })
 		for _, a := range s.appends[c] {
 			wait.Go(func() {
@@ -107,13 +126,19 @@
 			})
 		}
 	}
-	for n, at := range s.outages {
-		wait.Go(func() {
-			time.Sleep(at)
-			log.setDown(n%2 == 0)
-		})
+	each := func(moments []time.Duration, do func(n int)) {
+		for n, at := range moments {
+			wait.Go(func() {
+				time.Sleep(at)
+				do(n)
+			})
+		}
 	}
+	each(s.outages, func(n int) { log.setDown(n%2 == 0) })
+	each(s.cuts, func(n int) { logs[1].cut.Store(n%2 == 0) })
+	each(s.forgets, func(int) { log.forgetThroughSnapshot() })
 	wait.Wait()
+	keeps.Store(false)
 	// Long enough for what is late to land, and for every pause to end.
 	time.Sleep(time.Minute)
 	states := [2]*fold.State{clients[0].State(), clients[1].State()}
@@ -124,11 +149,10 @@
 
 // judge compares the endings with the log as it is in the end.
 func judge(log *fakeLog, endings []ending, states [2]*fold.State) error {
-	_, records := log.all()
 	oracle := fold.New(nil)
 	first := make(map[string]logclient.Result)
 	payloads := make(map[string]string)
-	for n, payload := range records {
+	for n, payload := range log.full {
 		offset := port.Offset(n + 1)
 		verdict := oracle.Apply(port.Record{Offset: offset, Payload: payload})
 		r, err := record.Unmarshal(payload)
