--- a/pkg/logclient/fake_test.go
+++ b/pkg/logclient/fake_test.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/record"
 )
@@ -112,7 +111,7 @@
 		return port.Offset(1), nil
 	case appendHangs:
 		<-ctx.Done()
-		return 0, errors.Wrap(port.ErrUnknownOutcome, ctx.Err().Error())
+		return 0, fmt.Errorf("%w: %w", port.ErrUnknownOutcome, ctx.Err())
 	}
 	return l.add(payloads), nil
 }
--- a/pkg/logclient/health.go
+++ b/pkg/logclient/health.go
@@ -1,10 +1,13 @@
 package logclient
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -53,7 +56,8 @@
 	LastError error
 }
 
-// Failures in a row from which reads or appends count as failing.
+// Failures in a row from which reads or appends count as failing. A call that got
+// no answer in its time counts as that many.
 const (
 	readFailuresDown       = 2
 	appendFailuresRefusing = 3
@@ -138,6 +142,9 @@
 func (h *health) readFailed(now time.Time, c Condition, err error) {
 	h.change(func(v *healthView) {
 		v.readFails++
+		if errors.Is(err, context.DeadlineExceeded) {
+			v.readFails = max(v.readFails, readFailuresDown)
+		}
 		v.readErr = err
 		if c != ConditionDown || v.condition == ConditionStarting || v.readFails >= readFailuresDown {
 			v.condition = c
@@ -168,6 +175,9 @@
 			return
 		}
 		v.appendFails++
+		if errors.Is(err, context.DeadlineExceeded) {
+			v.appendFails = max(v.appendFails, appendFailuresRefusing)
+		}
 	})
 }
 
--- a/pkg/logclient/logclient_test.go
+++ b/pkg/logclient/logclient_test.go
@@ -300,6 +300,33 @@
 	})
 }
 
+// TestUnansweredCallsCountAtOnce: a service that swallows a call is not waited for
+// a second time before that shows.
+func TestUnansweredCallsCountAtOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		hang func(*fakeLog)
+		want logclient.Condition
+	}{
+		"read":   {func(l *fakeLog) { l.reads = []readFault{readHangs, readHangs} }, logclient.ConditionDown},
+		"append": {func(l *fakeLog) { l.appends = []appendFault{appendHangs, appendHangs, appendHangs, appendHangs} }, logclient.ConditionRefusing},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := newFakeLog()
+				client := run(t, log, logclient.Config{})
+				appendOne(t, client, member(1))
+				log.mu.Lock()
+				c.hang(log)
+				log.mu.Unlock()
+				go client.Append(t.Context(), member(2))
+				time.Sleep(4500 * time.Millisecond)
+				require.Equal(t, c.want, client.Staleness().Condition)
+				require.False(t, client.Up())
+			})
+		})
+	}
+}
+
 // TestForgottenWhileAway: a client that was paused for longer than the retention
 // joins again, and an append that it can't vouch for is unsettled.
 func TestForgottenWhileAway(t *testing.T) {
