--- a/pkg/logclient/fake_test.go
+++ b/pkg/logclient/fake_test.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/record"
 )
 
 // appendFault is what happens to one append.
@@ -49,6 +50,8 @@
 	mu      sync.Mutex
 	oldest  port.Offset
 	records [][]byte
+	// full holds every record ever appended.
+	full    [][]byte
 	grown   chan struct{}
 	appends []appendFault
 	reads   []readFault
@@ -69,6 +72,7 @@
 	defer l.mu.Unlock()
 	first := l.end()
 	l.records = append(l.records, payloads...)
+	l.full = append(l.full, payloads...)
 	close(l.grown)
 	l.grown = make(chan struct{})
 	return first
@@ -107,7 +111,7 @@
 		return port.Offset(1), nil
 	case appendHangs:
 		<-ctx.Done()
-		return 0, errors.Wrap(port.ErrUnknownOutcome, ctx.Err().Error())
+		return 0, fmt.Errorf("%w: %w", port.ErrUnknownOutcome, ctx.Err())
 	}
 	return l.add(payloads), nil
 }
@@ -180,6 +184,43 @@
 	l.oldest += port.Offset(n)
 }
 
+// forgetThroughSnapshot drops what the newest snapshot on the log covers, as a
+// retention does that snapshots keep ahead of.
+func (l *fakeLog) forgetThroughSnapshot() {
+	_, records := l.all()
+	through := port.Offset(0)
+	for _, payload := range records {
+		if r, err := record.Unmarshal(payload); err == nil && r.GetSnapshot() != nil {
+			through = max(through, port.Offset(r.GetSnapshot().Through))
+		}
+	}
+	l.forget(through + 1)
+}
+
+// cutLog is one client's way to the log, which can be cut.
+type cutLog struct {
+	*fakeLog
+	cut atomic.Bool
+}
+
+func (l *cutLog) Append(ctx context.Context, payloads [][]byte) (port.Offset, error) {
+	if l.cut.Load() {
+		return 0, port.ErrNotSent
+	}
+	return l.fakeLog.Append(ctx, payloads)
+}
+
+func (l *cutLog) Read(ctx context.Context, from port.Offset, limit int, wait time.Duration) (port.Page, error) {
+	if l.cut.Load() {
+		return port.Page{}, port.ErrNotSent
+	}
+	page, err := l.fakeLog.Read(ctx, from, limit, wait)
+	if l.cut.Load() {
+		return port.Page{}, port.ErrUnknownOutcome
+	}
+	return page, err
+}
+
 func (l *fakeLog) setDown(down bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
