--- a/pkg/stream/assembler.go
+++ b/pkg/stream/assembler.go
@@ -84,8 +84,10 @@
 	a.earlyBytes = 0
 }
 
-// Add takes a chunk and appends to ready the data that can be passed on now. The
-// position of an end marker is that of the chunk before it, or the next.
+// Add takes a chunk and appends to ready the data that can be passed on now. An
+// end marker may have a position of its own, one past the last chunk's; without
+// one it has, as in every stream of events, that of the event before it, and a
+// last chunk that is missing can't be noticed.
 func (a *Assembler) Add(c Chunk, ready []string) ([]string, error) {
 	if a.ended {
 		return ready, ErrAfterEnd
@@ -169,7 +171,7 @@
 	if len(a.early) > 0 {
 		return ErrGap
 	}
-	if position != NoPosition && !a.plain && position != a.next && position != a.next-1 {
+	if position > a.next && !a.plain {
 		return ErrGap
 	}
 	a.ended = true
