--- a/pkg/membership/delta.go
+++ b/pkg/membership/delta.go
@@ -20,11 +20,15 @@
 // maxWants bounds the servers asked for in one delta.
 const maxWants = 256
 
+// peer returns the state for a peer. It is kept only for instances that the table
+// knows, which bounds it.
 func (t *Table) peer(id port.InstanceID) *peerState {
 	p := t.peers[id]
 	if p == nil {
 		p = &peerState{wants: make(map[port.ServerID]struct{})}
-		t.peers[id] = p
+		if t.instances[id] != nil {
+			t.peers[id] = p
+		}
 	}
 	return p
 }
@@ -39,7 +43,7 @@
 		Version:   t.version,
 		Seen:      p.merged,
 	}
-	d.Instances = t.instanceDelta(peer.ID, p)
+	d.Instances = t.instanceDelta(peer, p)
 	d.Servers = t.serverDelta(now, peer, p)
 	for id := range p.wants {
 		d.Want = append(d.Want, id)
@@ -47,14 +51,18 @@
 	return d
 }
 
-func (t *Table) instanceDelta(peer port.InstanceID, p *peerState) []InstanceObservation {
+func (t *Table) instanceDelta(peer port.Instance, p *peerState) []InstanceObservation {
 	var out []InstanceObservation
+	near := peer.Zone == t.cfg.Self.Zone
 	for el := t.instanceOrder.Front(); el != nil; el = el.Next() {
 		e := el.Value.(*instanceEntry)
 		if e.any <= p.acked {
 			break
 		}
-		if e.source == peer || e.instance.ID == peer {
+		if e.source == peer.ID || e.instance.ID == peer.ID {
+			continue
+		}
+		if !near && e.state <= p.acked && e.far <= p.acked {
 			continue
 		}
 		o := InstanceObservation{Instance: e.instance, Heartbeat: e.heartbeat}
--- a/pkg/membership/instance.go
+++ b/pkg/membership/instance.go
@@ -10,9 +10,11 @@
 // instanceEntry is the table's state for one other instance.
 type instanceEntry struct {
 	instance  port.Instance
+	hash      uint64
 	heartbeat uint64
-	// told is the heartbeat that was last passed on to others.
-	told     uint64
+	// far is the table version at which the heartbeat last passed a multiple of
+	// the stride for other zones.
+	far      uint64
 	lastSign time.Time
 	// firstSeen and kept bound how long an instance counts without a sign.
 	firstSeen, kept time.Time
@@ -50,7 +52,7 @@
 		t.refused++
 		return nil
 	}
-	e := &instanceEntry{instance: i, firstSeen: now, kept: now}
+	e := &instanceEntry{instance: i, hash: hashID(string(i.ID)), firstSeen: now, kept: now}
 	t.instances[i.ID] = e
 	t.changedInstance(e, true, "")
 	return e
@@ -79,15 +81,15 @@
 	if heartbeat <= e.heartbeat {
 		return
 	}
+	strides := heartbeat/t.cfg.FarHeartbeatStride - e.heartbeat/t.cfg.FarHeartbeatStride
 	e.heartbeat = heartbeat
 	e.lastSign, e.kept = now, now
-	stride := uint64(1)
-	if e.instance.Zone != t.cfg.Self.Zone {
-		stride = t.cfg.FarHeartbeatStride
+	if e.instance.Zone != t.cfg.Self.Zone && strides == 0 {
+		return
 	}
-	if heartbeat >= e.told+stride {
-		e.told = heartbeat
-		t.changedInstance(e, false, source)
+	t.changedInstance(e, false, source)
+	if strides > 0 {
+		e.far = t.version
 	}
 }
 
--- a/pkg/membership/server.go
+++ b/pkg/membership/server.go
@@ -28,7 +28,9 @@
 	past       []string
 	revival    revival
 
-	listed   bool
+	listed bool
+	// listedAt is when a live list last named the server.
+	listedAt time.Time
 	lastSign time.Time
 
 	// toldLoad and toldAt are the load that the others were last told, and when.
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -14,6 +14,8 @@
 	version   uint64
 	heartbeat uint64
 	leaving   bool
+	// round counts the calls of Links, and hash is that of this instance's ID.
+	round, hash uint64
 
 	servers   map[port.ServerID]*serverEntry
 	instances map[port.InstanceID]*instanceEntry
@@ -29,6 +31,7 @@
 func NewTable(cfg Config) *Table {
 	return &Table{
 		cfg:           cfg.withDefaults(),
+		hash:          hashID(string(cfg.Self.ID)),
 		leaving:       cfg.Self.Leaving,
 		servers:       make(map[port.ServerID]*serverEntry),
 		instances:     make(map[port.InstanceID]*instanceEntry),
@@ -55,9 +58,10 @@
 }
 
 // MergeLive takes in one answer of the live list. An answer compiled before one
-// that was merged already is only searched for leaving marks.
+// that was merged a short while ago is only searched for leaving marks; after that
+// while the platform's clock is taken to have been set back.
 func (t *Table) MergeLive(now time.Time, set port.LiveSet) {
-	outdated := !set.At.IsZero() && set.At.Before(t.listCompiled)
+	outdated := set.At.Before(t.listCompiled) && now.Sub(t.listAt) < t.cfg.ListGrace
 	if !outdated {
 		t.listAt, t.listCompiled = now, set.At
 		for _, e := range t.servers {
@@ -88,7 +92,7 @@
 	}
 	if !outdated {
 		e.listed = true
-		e.lastSign = now
+		e.listedAt, e.lastSign = now, now
 	}
 	if s.Leaving {
 		t.markServerLeaving(e, "")
@@ -140,8 +144,13 @@
 	if step < t.cfg.LoadFloor {
 		step = t.cfg.LoadFloor
 	}
+	refresh := t.cfg.LoadRefresh
+	if !e.listed {
+		// Only fresh reports show that the server is alive.
+		refresh = t.cfg.ReportFresh / 2
+	}
 	diff := e.load() - e.toldLoad
-	return diff >= step || -diff >= step || now.Sub(e.toldAt) >= t.cfg.LoadRefresh
+	return diff >= step || -diff >= step || now.Sub(e.toldAt) >= refresh
 }
 
 func (t *Table) markServerLeaving(e *serverEntry, source port.InstanceID) {
@@ -228,6 +237,7 @@
 
 func (t *Table) serverView(now time.Time, e *serverEntry) ServerView {
 	fresh := e.reported() && now.Sub(e.reportAt) < t.cfg.ReportFresh
+	listed := e.listed || !e.listedAt.IsZero() && now.Sub(e.listedAt) < t.cfg.UnlistedGrace
 	return ServerView{
 		Server:   e.server,
 		Reported: e.reported(),
@@ -236,7 +246,7 @@
 		Listed:   e.listed,
 		// With no list at all, as after a start during an outage, whatever
 		// peers tell of is taken.
-		Routable: !e.server.Leaving && (e.listed || fresh || t.listAt.IsZero()),
+		Routable: !e.server.Leaving && (listed || fresh || t.listAt.IsZero()),
 	}
 }
 
--- a/pkg/membership/table_test.go
+++ b/pkg/membership/table_test.go
@@ -102,11 +102,28 @@
 			tb.MergeReport(at(-time.Minute), server("s1"), report("i1", 1, 0))
 			tb.MergeLive(at(0), live())
 		}, false},
+		{"just gone off the list", func(tb *Table) {
+			tb.MergeLive(at(0), live(server("s1")))
+			tb.MergeLive(at(0), live())
+		}, true},
+		{"gone off the list a while ago", func(tb *Table) {
+			tb.MergeLive(at(-time.Minute), live(server("s1")))
+			tb.MergeLive(at(-59*time.Second), live())
+		}, false},
+		{"the list's clock set back, first the old list is trusted", func(tb *Table) {
+			tb.MergeLive(at(-time.Minute), live())
+			tb.MergeLive(at(-59*time.Second), port.LiveSet{At: start.Add(-time.Hour), Servers: []port.Server{server("s1")}})
+			tb.MergeReport(at(-59*time.Second), server("s1"), report("i1", 1, 0))
+		}, false},
+		{"the list's clock set back, then the new one", func(tb *Table) {
+			tb.MergeLive(at(-time.Minute), live())
+			tb.MergeLive(at(0), port.LiveSet{At: start.Add(-time.Hour), Servers: []port.Server{server("s1")}})
+		}, true},
 		{"never a list", func(tb *Table) {
 			tb.MergeReport(at(-time.Minute), server("s1"), report("i1", 1, 0))
 		}, true},
 		{"an outdated list takes nothing back", func(tb *Table) {
-			tb.MergeLive(at(0), live(server("s1")))
+			tb.MergeLive(at(-9500*time.Millisecond), live(server("s1")))
 			tb.MergeLive(at(0), port.LiveSet{At: start.Add(-time.Second)})
 		}, true},
 		{"an outdated list still tells who leaves", func(tb *Table) {
--- a/pkg/membership/types.go
+++ b/pkg/membership/types.go
@@ -19,6 +19,10 @@
 	// ReportFresh is how long a report proves that a server is alive which the
 	// live list doesn't name.
 	ReportFresh time.Duration
+	// UnlistedGrace is how long a server stays routable that the live list has
+	// stopped to name, so that reports of those that are alive can arrive. It
+	// exceeds ReportFresh.
+	UnlistedGrace time.Duration
 	// ForgetAfter is how long a dead instance or a vanished server is kept, so
 	// that late news of it isn't taken for a new arrival.
 	ForgetAfter time.Duration
@@ -42,12 +46,13 @@
 	DefaultFarDeadAfter       = 45 * time.Second
 	DefaultListGrace          = 30 * time.Second
 	DefaultReportFresh        = 5 * time.Second
+	DefaultUnlistedGrace      = 2 * DefaultReportFresh
 	DefaultForgetAfter        = time.Hour
 	DefaultMaxServers         = 16384
 	DefaultMaxInstances       = 2048
-	DefaultLoadStep           = 0.25
-	DefaultLoadFloor          = 2
-	DefaultLoadRefresh        = 20 * time.Second
+	DefaultLoadStep           = 0.5
+	DefaultLoadFloor          = 8
+	DefaultLoadRefresh        = time.Minute
 	DefaultFarHeartbeatStride = 10
 )
 
@@ -56,6 +61,7 @@
 	setDefault(&c.FarDeadAfter, DefaultFarDeadAfter)
 	setDefault(&c.ListGrace, DefaultListGrace)
 	setDefault(&c.ReportFresh, DefaultReportFresh)
+	setDefault(&c.UnlistedGrace, DefaultUnlistedGrace)
 	setDefault(&c.ForgetAfter, DefaultForgetAfter)
 	setDefault(&c.MaxServers, DefaultMaxServers)
 	setDefault(&c.MaxInstances, DefaultMaxInstances)
--- /dev/null
+++ b/pkg/membership/watch.go
@@ -0,0 +1,84 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+)
+
+// WatchersPerServer is how many instances of its zone read each server.
+const WatchersPerServer = 2
+
+// Watch returns the servers that self reads: each server has the given number of
+// watchers among the instances, chosen by rendezvous hashing, so that a change of
+// instances moves few servers. The instances include self.
+func Watch(self port.InstanceID, servers []port.ServerID, instances []port.InstanceID, watchers int) []port.ServerID {
+	own := hashID(string(self))
+	others := make([]uint64, 0, len(instances))
+	for _, id := range instances {
+		if id != self {
+			others = append(others, hashID(string(id)))
+		}
+	}
+	var watched []port.ServerID
+	for _, s := range servers {
+		if above(hashID(string(s)), own, others) < watchers {
+			watched = append(watched, s)
+		}
+	}
+	return watched
+}
+
+// above counts the others whose weight for a key is above own.
+func above(key, own uint64, others []uint64) int {
+	n, weight := 0, mix(key^own)
+	for _, o := range others {
+		if mix(key^o) > weight {
+			n++
+		}
+	}
+	return n
+}
+
+func hashID(id string) uint64 { return xxhash.Sum64String(id) }
+
+// mix spreads the bits of x (the finaliser of MurmurHash3).
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
+
+// Watched returns the servers of this zone that this instance reads now. Leaving
+// instances hand their servers over; a server that has vanished is given up once
+// it has been silent for a while.
+func (t *Table) Watched(now time.Time) []port.ServerID {
+	var servers []port.ServerID
+	for _, v := range t.Servers(now, t.cfg.Self.Zone) {
+		silent := v.Reported && now.Sub(v.ReportAt) > watchSilent
+		if v.Listed || t.listAt.IsZero() || !silent {
+			servers = append(servers, v.Server.ID)
+		}
+	}
+	self := t.Self()
+	instances := []port.InstanceID{self.ID}
+	staying := 0
+	for _, v := range t.Instances(now, self.Zone) {
+		if v.Alive && !v.Instance.Leaving {
+			instances = append(instances, v.Instance.ID)
+			staying++
+		}
+	}
+	if self.Leaving && staying >= WatchersPerServer {
+		return nil
+	}
+	return Watch(self.ID, servers, instances, WatchersPerServer)
+}
+
+// watchSilent is how long a server off the live list is read without an answer.
+const watchSilent = time.Minute
