Exchange sparsely and publish only what has changed

Cause: every instance exchanged with every other and published the whole table each time, which doesn't scale to 320 instances and 7,700 servers; and a holder that no link reached directly counted as silent.

Change: the observer exchanges with the table's links, reads its share of the servers, tells the machine every sign of an instance, by whatever way it came, and brings only changed servers to the router's builder, with a whole refresh a second. Uses of models go to the holder once a second. The decider takes reports that came by others into its ledger. Calls of backend servers and the platform go over the client that proves what wasn't sent.

--- a/internal/app/provide.go
+++ b/internal/app/provide.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httpbackend"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httpcall"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httpengine"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httplive"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httplog"
@@ -40,9 +41,7 @@
 	// snapshotsPerRetention is how many snapshots are written in the span of
 	// records that the log is sure to keep.
 	snapshotsPerRetention = 4
-	// platformConnections bounds idle connections to the platform's services.
-	platformConnections = 64
-	liveInterval        = time.Second
+	liveInterval          = time.Second
 	// fetchTimeout bounds one question to another instance for its fold.
 	fetchTimeout = time.Second
 )
@@ -125,15 +124,10 @@
 
 // newPlatformHTTP serves calls of the platform and of engines' control.
 func newPlatformHTTP(o Options) *http.Client {
-	transport := &http.Transport{
-		MaxIdleConnsPerHost: platformConnections,
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		IdleConnTimeout:     time.Minute,
+	if o.WrapTransport == nil {
+		return httpcall.NewClient()
 	}
-	if o.WrapTransport != nil {
-		return &http.Client{Transport: o.WrapTransport(transport)}
-	}
-	return &http.Client{Transport: transport}
+	return &http.Client{Transport: o.WrapTransport(httpcall.NewTransport())}
 }
 
 func newLogPort(s *settings.Settings, c *http.Client) port.Log {
@@ -261,20 +255,10 @@
 		},
 		Snapshot: func() gateway.View { return view{config.View()} },
 		Router:   r, Waker: w, Identity: gateway.Deduplicate(c), Clock: clock, Tracer: t.Tracer, Logger: logger,
-		Backend: httpbackend.New(newBackendHTTP()),
+		Backend: httpbackend.New(httpcall.NewClient()),
 	}), nil
 }
 
-// newBackendHTTP serves callers' requests; how long they take is theirs to say.
-func newBackendHTTP() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 256,
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-	}}
-}
-
 // callersOf turns keys into callers. A key without any list may reach all.
 func callersOf(keys []settings.Key) ([]gateway.Caller, error) {
 	var callers []gateway.Caller
--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -119,7 +119,10 @@
 		return uuid.New(), nil
 	}
 	id, err := uuid.Parse(c.ID)
-	return id, errors.Wrap(err, "--id")
+	if err != nil {
+		return uuid.UUID{}, errors.Wrap(err, "--id")
+	}
+	return id, nil
 }
 
 // publish tries under the same id until the outcome is known or ctx ends.
--- a/internal/controller/decider/decider.go
+++ b/internal/controller/decider/decider.go
@@ -40,7 +40,8 @@
 type Observer interface {
 	View() *membership.View
 	Read(ctx context.Context, s port.Server) (port.Report, error)
-	Server(id port.ServerID) (port.Server, bool)
+	Server(id port.ServerID) (membership.ServerView, bool)
+	ZoneServers() []membership.ServerView
 	SetHolder(id port.InstanceID)
 }
 
@@ -144,7 +145,7 @@
 	if t == nil || !known {
 		return false
 	}
-	service, ok := t.Service(server.Service)
+	service, ok := t.Service(server.Server.Service)
 	return ok && service.ChecksFencing
 }
 
--- a/internal/controller/decider/effects.go
+++ b/internal/controller/decider/effects.go
@@ -160,7 +160,7 @@
 	err := errors.Wrap(port.ErrNotSent, "server isn't known")
 	if known {
 		call, cancel := context.WithTimeout(ctx, fenceTimeout)
-		err = d.deps.Engine.RaiseFence(call, server, e.Fence)
+		err = d.deps.Engine.RaiseFence(call, server.Server, e.Fence)
 		cancel()
 	}
 	d.event(ctx, lease.FenceRaised{Token: e.Token, Server: e.Server, Err: err})
@@ -174,7 +174,7 @@
 		})
 		return
 	}
-	report, err := d.deps.Observer.Read(ctx, server)
+	report, err := d.deps.Observer.Read(ctx, server.Server)
 	if err != nil {
 		report.Server = e.Server
 	}
--- a/internal/controller/decider/orders.go
+++ b/internal/controller/decider/orders.go
@@ -52,11 +52,11 @@
 	}
 	call, cancel := context.WithTimeout(ctx, d.cfg.OrderLifetime)
 	defer cancel()
-	err := d.deps.Engine.Apply(call, server, e.Intent.Order(e.Fence))
+	err := d.deps.Engine.Apply(call, server.Server, e.Intent.Order(e.Fence))
 	switch {
 	case err == nil:
 		// The news is on its way to the request path before the outcome is.
-		_, _ = d.deps.Observer.Read(ctx, server)
+		_, _ = d.deps.Observer.Read(ctx, server.Server)
 		return lease.OrderDone, ""
 	case port.HadNoEffect(err):
 		return lease.OrderNoEffect, err.Error()
--- a/internal/controller/decider/review.go
+++ b/internal/controller/decider/review.go
@@ -100,6 +100,7 @@
 		},
 	}
 	for _, v := range d.zoneEngines() {
+		d.observe(&v)
 		s := placement.Server{Server: v.Server}
 		if v.Reported && d.machine.ReadyOn(v.Server.ID) {
 			report := v.Report
@@ -112,14 +113,30 @@
 
 func (d *Decider) zoneEngines() []serverView {
 	var engines []serverView
-	for _, v := range d.deps.Observer.View().Servers {
-		if v.Server.Zone == d.cfg.Self.Zone && v.Server.Kind == port.KindEngine && (v.Routable || v.Server.Leaving) {
+	for _, v := range d.deps.Observer.ZoneServers() {
+		if v.Server.Kind == port.KindEngine && (v.Routable || v.Server.Leaving) {
 			engines = append(engines, v)
 		}
 	}
 	return engines
 }
 
+// observe takes in a report that came by other instances. Which of two
+// incarnations is the newer one only a read of the server itself can tell.
+func (d *Decider) observe(v *serverView) {
+	if !v.Reported {
+		return
+	}
+	if d.ledger.Observe(&v.Report, false) == ledger.NeedsRead {
+		server := v.Server
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), fenceTimeout)
+			defer cancel()
+			_, _ = d.deps.Observer.Read(ctx, server)
+		}()
+	}
+}
+
 func (d *Decider) coldStart(model port.ModelID) time.Duration {
 	info, _ := d.deps.Config.Model(model)
 	return d.speeds.LoadTime("", placement.TierRemote, info.Bytes)
--- a/internal/controller/decider/wake.go
+++ b/internal/controller/decider/wake.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -256,12 +255,8 @@
 }
 
 func (d *Decider) incarnation(id port.ServerID) string {
-	servers := d.deps.Observer.View().Servers
-	at := slices.IndexFunc(servers, func(v serverView) bool { return v.Server.ID == id })
-	if at < 0 {
-		return ""
-	}
-	return servers[at].Report.Incarnation
+	server, _ := d.deps.Observer.Server(id)
+	return server.Report.Incarnation
 }
 
 // classOf is the class under whose budget a model stands.
--- a/internal/controller/observer/exchange.go
+++ b/internal/controller/observer/exchange.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
-	"github.com/cyclamenhoist/cyclamenhoist/pkg/membership"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -15,29 +15,25 @@
 	exchangeTimeout = time.Second
 	// pushInterval bounds how often news is sent outside the heartbeat.
 	pushInterval = 5 * time.Millisecond
+	// useInterval is how often the holder is told of used models.
+	useInterval = time.Second
 )
 
 // exchangeLoop exchanges with the linked instances at each heartbeat, and at
-// once with those that lack news.
+// once with those of them that lack news.
 func (o *Observer) exchangeLoop(ctx context.Context) error {
 	busy := &inProgress{peers: map[port.InstanceID]bool{}}
-	next := o.now()
+	heartbeat := time.NewTicker(o.cfg.Heartbeat)
+	defer heartbeat.Stop()
 	for {
-		wait := max(0, next.Sub(o.now()))
-		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
-			timer.Stop()
 			return nil
-		case <-timer.C:
-			next = o.now().Add(spread(o.cfg.Heartbeat))
-			o.mu.Lock()
-			o.table.Beat()
-			o.mu.Unlock()
-			o.exchangeWith(ctx, busy, o.links(), true)
+		case <-heartbeat.C:
+			o.exchangeWith(ctx, busy, o.beat())
+			o.tellSigns()
 		case <-o.push:
-			timer.Stop()
-			o.exchangeWith(ctx, busy, o.lacking(), false)
+			o.exchangeWith(ctx, busy, o.lacking())
 			if !pause(ctx, pushInterval) {
 				return nil
 			}
@@ -45,6 +41,51 @@
 	}
 }
 
+// beat advances the heartbeat and returns whom to tell.
+func (o *Observer) beat() []port.Instance {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.Beat()
+	o.links = o.table.Links(o.now())
+	return o.links
+}
+
+// lacking returns the linked instances that lack something.
+func (o *Observer) lacking() []port.Instance {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(o.links), func(i port.Instance) bool { return !o.table.Changed(i.ID) })
+}
+
+// useLoop tells the holder once a second which models were used here.
+func (o *Observer) useLoop(ctx context.Context) error {
+	for pause(ctx, spread(useInterval)) {
+		holder := o.holder.Load()
+		if holder == nil || *holder == "" {
+			continue
+		}
+		uses := o.deps.Uses.Take()
+		switch {
+		case len(uses) == 0:
+		case *holder == o.cfg.Self.ID:
+			o.listener.UsesReported(*holder, uses)
+		default:
+			o.tellUses(ctx, *holder, uses)
+		}
+	}
+	return nil
+}
+
+func (o *Observer) tellUses(ctx context.Context, holder port.InstanceID, uses []*peerpb.ModelUse) {
+	for _, i := range o.View().Instances {
+		if i.Instance.ID == holder && i.Instance.PeerAddress != "" {
+			o.exchange(ctx, i.Instance, uses)
+			return
+		}
+	}
+	o.deps.Uses.Restore(uses)
+}
+
 // inProgress keeps a slow peer from having more than one exchange at a time.
 type inProgress struct {
 	mu    sync.Mutex
@@ -67,28 +108,29 @@
 	delete(p.peers, id)
 }
 
-func (o *Observer) exchangeWith(ctx context.Context, busy *inProgress, peers []port.Instance, heartbeat bool) {
+func (o *Observer) exchangeWith(ctx context.Context, busy *inProgress, peers []port.Instance) {
 	for _, to := range peers {
 		if !busy.begin(to.ID) {
 			continue
 		}
 		go func() {
 			defer busy.end(to.ID)
-			o.exchange(ctx, to, heartbeat)
+			o.exchange(ctx, to, nil)
 		}()
 	}
 }
 
-func (o *Observer) exchange(ctx context.Context, to port.Instance, heartbeat bool) {
+func (o *Observer) exchange(ctx context.Context, to port.Instance, uses []*peerpb.ModelUse) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	message := o.deltaFor(to)
-	if holder := o.holder.Load(); heartbeat && holder != nil && *holder == to.ID {
-		message.Uses = o.deps.Uses.Take()
-	}
+	message.Uses = uses
 	reply, err := o.deps.Peers.To(to.PeerAddress).Exchange(ctx, message)
 	if err != nil {
-		o.deps.Uses.Restore(message.Uses)
+		o.deps.Uses.Restore(uses)
+		o.mu.Lock()
+		o.table.ContactFailed(o.now(), to.ID)
+		o.mu.Unlock()
 		return
 	}
 	o.merge(reply)
@@ -115,9 +157,6 @@
 		signal(o.dirty)
 		signal(o.push)
 	}
-	if delta.From.Zone == o.cfg.Self.Zone {
-		o.listener.PeerSeen(delta.From.ID, delta.From.Leaving)
-	}
 }
 
 // Exchange answers another instance's exchange.
@@ -129,29 +168,3 @@
 	}
 	return o.deltaFor(from), nil
 }
-
-// links returns whom to exchange with at a heartbeat.
-func (o *Observer) links() []port.Instance {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	view := o.table.View(o.now())
-	return o.reachable(&view, func(membership.InstanceView) bool { return true })
-}
-
-// lacking returns whom to tell news at once.
-func (o *Observer) lacking() []port.Instance {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	view := o.table.View(o.now())
-	return o.reachable(&view, func(i membership.InstanceView) bool { return o.table.Changed(i.Instance.ID) })
-}
-
-func (o *Observer) reachable(view *membership.View, keep func(membership.InstanceView) bool) []port.Instance {
-	var peers []port.Instance
-	for _, i := range view.Instances {
-		if i.Instance.ID != o.cfg.Self.ID && i.Alive && i.Instance.PeerAddress != "" && keep(i) {
-			peers = append(peers, i.Instance)
-		}
-	}
-	return peers
-}
--- a/internal/controller/observer/observer.go
+++ b/internal/controller/observer/observer.go
@@ -29,7 +29,7 @@
 
 // Listener is told what the observer learns. Its methods don't block.
 type Listener interface {
-	// PeerSeen says that an instance of the zone was in contact.
+	// PeerSeen says that an instance of the zone has given a sign.
 	PeerSeen(id port.InstanceID, leaving bool)
 	LiveList(set port.LiveSet)
 	// ReportRead brings a report that was read from the server itself.
@@ -56,9 +56,17 @@
 	deps     Deps
 	listener Listener
 
-	mu      sync.Mutex // guards table and builder, off the request path
+	mu      sync.Mutex // guards the fields up to built, off the request path
 	table   *membership.Table
 	builder *routing.Builder
+	// links are the instances to exchange with until the next heartbeat.
+	links []port.Instance
+	// built is the table's version that the builder has.
+	built uint64
+
+	// seen holds the last sign of each instance that the listener was told of. It
+	// belongs to the goroutine that exchanges.
+	seen map[port.InstanceID]time.Time
 
 	view      atomic.Pointer[membership.View]
 	published atomic.Pointer[chan struct{}]
@@ -78,6 +86,7 @@
 		deps:    deps,
 		table:   membership.NewTable(membership.Config{Self: cfg.Self}),
 		builder: deps.Router.NewBuilder(),
+		seen:    map[port.InstanceID]time.Time{},
 		dirty:   make(chan struct{}, 1),
 		push:    make(chan struct{}, 1),
 	}
@@ -134,6 +143,7 @@
 	group.Go(func() error { return o.liveLoop(ctx) })
 	group.Go(func() error { return o.reportLoop(ctx) })
 	group.Go(func() error { return o.exchangeLoop(ctx) })
+	group.Go(func() error { return o.useLoop(ctx) })
 	return group.Wait()
 }
 
@@ -146,33 +156,55 @@
 	}
 }
 
-// publishInterval bounds how often the request path gets a new snapshot.
-const publishInterval = 2 * time.Millisecond
+const (
+	// publishInterval bounds how often the request path gets a new snapshot.
+	publishInterval = 2 * time.Millisecond
+	// refreshInterval is how often everything is published anew, since servers
+	// become unroutable by the mere passing of time.
+	refreshInterval = time.Second
+)
 
 // publishLoop publishes after changes, several at once where they come fast.
 func (o *Observer) publishLoop(ctx context.Context) error {
-	refresh := time.NewTicker(time.Second)
+	refresh := time.NewTicker(refreshInterval)
 	defer refresh.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-o.dirty:
+			o.publish(o.update)
 		case <-refresh.C:
-			// Servers become unroutable by the mere passing of time.
+			o.publish(o.refresh)
 		}
-		o.publish()
 		if !pause(ctx, publishInterval) {
 			return nil
 		}
 	}
 }
 
-func (o *Observer) publish() {
-	now := o.now()
-	o.mu.Lock()
+// update brings the changed servers to the builder. The servers of the view stay
+// those of the last refresh.
+func (o *Observer) update(now time.Time) membership.View {
+	for _, v := range o.table.ServersSince(now, o.built) {
+		o.builder.Update(v)
+	}
+	view := *o.view.Load()
+	view.At, view.Instances = now, o.table.Instances(now, "")
+	return view
+}
+
+func (o *Observer) refresh(now time.Time) membership.View {
 	view := o.table.View(now)
 	o.builder.Sync(view.Servers)
+	return view
+}
+
+func (o *Observer) publish(collect func(time.Time) membership.View) {
+	now := o.now()
+	o.mu.Lock()
+	view := collect(now)
+	o.built = o.table.Version()
 	snapshot := o.builder.Snapshot(now)
 	o.mu.Unlock()
 	o.view.Store(&view)
@@ -182,6 +214,24 @@
 	close(*o.published.Swap(&next))
 }
 
+// tellSigns tells the listener which instances of the zone have given a sign,
+// to whomever they gave it.
+func (o *Observer) tellSigns() {
+	now := o.now()
+	o.mu.Lock()
+	instances := o.table.Instances(now, o.cfg.Self.Zone)
+	o.mu.Unlock()
+	signs := make(map[port.InstanceID]time.Time, len(instances))
+	for _, i := range instances {
+		id := i.Instance.ID
+		signs[id] = i.LastSign
+		if i.LastSign.After(o.seen[id]) {
+			o.listener.PeerSeen(id, i.Instance.Leaving)
+		}
+	}
+	o.seen = signs
+}
+
 func (o *Observer) zoneInstances(view *membership.View) int {
 	count := 1
 	for _, i := range view.Instances {
--- a/internal/controller/observer/sources.go
+++ b/internal/controller/observer/sources.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/membership"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -106,21 +107,28 @@
 	return report, nil
 }
 
+// ZoneServers returns what is known of the zone's backend servers now.
+func (o *Observer) ZoneServers() []membership.ServerView {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Servers(o.now(), o.cfg.Self.Zone)
+}
+
 // Server returns what is known of one backend server.
-func (o *Observer) Server(id port.ServerID) (port.Server, bool) {
+func (o *Observer) Server(id port.ServerID) (membership.ServerView, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	v, ok := o.table.Server(o.now(), id)
-	return v.Server, ok
+	return o.table.Server(o.now(), id)
 }
 
 // watched returns the engines of the zone that this instance reads.
 func (o *Observer) watched() []port.Server {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	now := o.now()
 	var servers []port.Server
-	for _, v := range o.table.Servers(o.now(), o.cfg.Self.Zone) {
-		if v.Server.Kind == port.KindEngine && (v.Listed || v.Routable) {
+	for _, id := range o.table.Watched(now) {
+		if v, known := o.table.Server(now, id); known && v.Server.Kind == port.KindEngine {
 			servers = append(servers, v.Server)
 		}
 	}
