Refuse bad input before anything runs

Cause: bad input was only covered in part. An empty Idempotency-Key counted as none, a path with dot segments could leave the prefix that the caller may reach, /entries let through /entries-admin, and a caller that was refused early could keep its connection by never sending its body.

Conclusion: net/http refuses two lengths, unknown codings and a space before the colon; with a length and chunks it goes by the chunks, and the backend server gets a body with a new frame.

--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -24,17 +24,19 @@
 	maxTimeout       = 24 * time.Hour
 )
 
-// single returns the value of a header that may appear at most once.
+// single returns the value of a header that may appear at most once, and then
+// not empty.
 func single(h http.Header, name string) (string, error) {
 	values := h.Values(name)
-	switch len(values) {
-	case 0:
+	switch {
+	case len(values) == 0:
 		return "", nil
-	case 1:
-		return values[0], nil
-	default:
+	case len(values) > 1:
 		return "", problem.New(problem.BadHeader, "more than one "+name+" header")
+	case values[0] == "":
+		return "", problem.New(problem.BadHeader, name+" is empty")
 	}
+	return values[0], nil
 }
 
 // classify finds the class of the request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,7 @@
 // Handler returns the callers' API.
 func (g *Gateway) Handler() http.Handler {
 	router := chi.NewRouter()
+	router.Use(g.boundBody)
 	router.Post("/v1/chat/completions", g.serveEngine)
 	router.Post("/v1/completions", g.serveEngine)
 	router.Get("/v1/models", g.serveModels)
--- a/internal/gateway/identify.go
+++ b/internal/gateway/identify.go
@@ -38,7 +38,24 @@
 
 func (c *Caller) mayUsePath(path string) bool {
 	for _, prefix := range c.Paths {
-		if strings.HasPrefix(path, prefix) {
+		if underPath(path, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// underPath reports whether the path is the prefix or lies below it.
+func underPath(path, prefix string) bool {
+	rest, ok := strings.CutPrefix(path, strings.TrimSuffix(prefix, "/"))
+	return ok && (rest == "" || rest[0] == '/')
+}
+
+// hasDotSegment reports whether a backend server could read the path as one
+// outside of the prefix by which it was routed and allowed.
+func hasDotSegment(path string) bool {
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
 			return true
 		}
 	}
@@ -117,6 +134,9 @@
 }
 
 func (g *Gateway) identifyService(c *Call, caller *Caller) error {
+	if hasDotSegment(c.r.URL.Path) {
+		return problem.New(problem.BadRequest, "the path has a dot segment")
+	}
 	service, ok := c.view.Service(c.r.URL.Path)
 	if !ok {
 		return problem.New(problem.UnknownPath, "no service is configured for this path")
@@ -143,6 +163,18 @@
 	return nil
 }
 
+// boundBody bounds the time for which a request's body may take to arrive, also
+// where the request is refused before the body is read.
+func (g *Gateway) boundBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body != nil && r.Body != http.NoBody {
+			// A writer that knows no deadlines is one of a test.
+			_ = http.NewResponseController(w).SetReadDeadline(g.now().Add(g.config.BodyTimeout))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // readBody reads the whole body within its bounds of size and time, so that
 // nothing runs for a request that doesn't arrive whole.
 func (g *Gateway) readBody(c *Call) error {
@@ -152,8 +184,6 @@
 	if c.r.Body == nil || c.r.Body == http.NoBody {
 		return nil
 	}
-	// A writer that knows no deadlines is one of a test.
-	_ = c.w.control.SetReadDeadline(g.now().Add(g.config.BodyTimeout))
 	body, err := readAll(http.MaxBytesReader(c.w, c.r.Body, g.config.MaxBodyBytes), c.r.ContentLength)
 	if err != nil {
 		return bodyError(err)
