--- a/pkg/membership/server.go
+++ b/pkg/membership/server.go
@@ -21,6 +21,7 @@
 // serverEntry is the table's state for one server.
 type serverEntry struct {
 	server     port.Server
+	hash       uint64
 	generation uint64
 	report     port.Report
 	reportAt   time.Time
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -166,7 +166,7 @@
 		t.refused++
 		return nil
 	}
-	e := &serverEntry{server: s, lastSign: now}
+	e := &serverEntry{server: s, hash: hashID(string(s.ID)), lastSign: now}
 	t.servers[s.ID] = e
 	t.changedServer(e, true, "")
 	return e
--- a/pkg/membership/watch.go
+++ b/pkg/membership/watch.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -54,30 +55,35 @@
 	return x
 }
 
-// Watched returns the servers of this zone that this instance reads now. Leaving
-// instances hand their servers over; a server that has vanished is given up once
-// it has been silent for a while.
+// Watched returns the servers of this zone that this instance reads now, in the
+// order of their IDs. Leaving instances hand their servers over; a server that has
+// vanished is given up once it has been silent for a while.
 func (t *Table) Watched(now time.Time) []port.ServerID {
-	var servers []port.ServerID
-	for _, v := range t.Servers(now, t.cfg.Self.Zone) {
-		silent := v.Reported && now.Sub(v.ReportAt) > watchSilent
-		if v.Listed || t.listAt.IsZero() || !silent {
-			servers = append(servers, v.Server.ID)
+	var others []uint64
+	for _, e := range t.instances {
+		if e.instance.Zone == t.cfg.Self.Zone && !e.instance.Leaving && t.alive(now, e) {
+			others = append(others, e.hash)
 		}
 	}
-	self := t.Self()
-	instances := []port.InstanceID{self.ID}
-	staying := 0
-	for _, v := range t.Instances(now, self.Zone) {
-		if v.Alive && !v.Instance.Leaving {
-			instances = append(instances, v.Instance.ID)
-			staying++
+	if t.leaving && len(others) >= WatchersPerServer {
+		return nil
+	}
+	var watched []port.ServerID
+	for _, e := range t.servers {
+		if t.worthReading(now, e) && above(e.hash, t.hash, others) < WatchersPerServer {
+			watched = append(watched, e.server.ID)
 		}
 	}
-	if self.Leaving && staying >= WatchersPerServer {
-		return nil
+	slices.Sort(watched)
+	return watched
+}
+
+func (t *Table) worthReading(now time.Time, e *serverEntry) bool {
+	if e.server.Zone != t.cfg.Self.Zone {
+		return false
 	}
-	return Watch(self.ID, servers, instances, WatchersPerServer)
+	silent := e.reported() && now.Sub(e.reportAt) > watchSilent
+	return e.listed || t.listAt.IsZero() || !silent
 }
 
 // watchSilent is how long a server off the live list is read without an answer.
