--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -55,7 +57,27 @@
 	}
 	ctx, span := g.startSpan(ctx, "wait")
 	defer span.End()
-	return g.wait(ctx, c, reason)
+	began := g.now()
+	attempt, err := g.wait(ctx, c, reason)
+	if err == nil {
+		tellWait(c.w.Header(), g.now().Sub(began), errors.Is(reason, ErrNoReplica))
+	}
+	return attempt, err
+}
+
+// The metrics of the Server-Timing header: how long the request waited for its
+// model to be loaded, or for room.
+const (
+	timingCold  = "cold"
+	timingQueue = "queue"
+)
+
+func tellWait(h http.Header, waited time.Duration, cold bool) {
+	name := timingQueue
+	if cold {
+		name = timingCold
+	}
+	h.Set("Server-Timing", fmt.Sprintf("%s;dur=%.1f", name, float64(waited.Microseconds())/1000))
 }
 
 // wait is one request's time in the queue of its model.
@@ -116,11 +138,20 @@
 		return g.refusal(key, g.queues.Refused(key, ticket))
 	}
 	if errors.Is(reason, ErrNoCapacity) {
-		return problem.New(problem.NoCapacity, "every backend server is at its limit").After(g.retryAfter(key))
+		return g.noCapacity(key, reason)
 	}
 	return problem.New(problem.WaitedTooLong, "no backend server became ready in time").After(g.retryAfter(key))
 }
 
+func (g *Gateway) noCapacity(key queue.Key, reason error) *problem.Problem {
+	p := problem.New(problem.NoCapacity, "every backend server is at its limit").After(g.retryAfter(key))
+	var busy *CapacityError
+	if errors.As(reason, &busy) && busy.RetryAfter > 0 {
+		p.RetryAfter = busy.RetryAfter
+	}
+	return p
+}
+
 // refusal turns the queue's reason into the caller's.
 func (g *Gateway) refusal(key queue.Key, err error) error {
 	if p, ok := problem.As(err); ok {
--- a/pkg/logclient/logclient_test.go
+++ b/pkg/logclient/logclient_test.go
@@ -199,6 +199,7 @@
 	for name, c := range map[string]struct {
 		forget   port.Offset
 		down     bool
+		empty    bool
 		peer     port.Offset
 		rebase   bool
 		through  port.Offset
@@ -211,6 +212,7 @@
 		"peer joins":                   {forget: 10, peer: 15, through: 20, same: true, expected: logclient.ConditionUp},
 		"peer too old to join":         {forget: 15, peer: 9, through: 9, expected: logclient.ConditionGap},
 		"log down, no peer":            {down: true, through: 0, expected: logclient.ConditionDown},
+		"log down, empty peer":         {down: true, empty: true, through: 0, expected: logclient.ConditionDown},
 		"log down, peer":               {down: true, peer: 13, through: 13, expected: logclient.ConditionDown},
 		"new base on the log":          {forget: 11, rebase: true, through: 20, expected: logclient.ConditionUp},
 		"new base, nothing on the log": {forget: 21, rebase: true, through: 21, expected: logclient.ConditionUp},
@@ -219,7 +221,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				log, want := base()
 				config := logclient.Config{Rebase: func(context.Context, *fold.State) bool { return c.rebase }}
-				if c.peer > 0 {
+				if c.peer > 0 || c.empty {
 					peer := foldedThrough(t, log, c.peer).Encode()
 					config.FetchState = func(context.Context) ([]byte, error) { return peer, nil }
 				}
@@ -298,6 +300,33 @@
 	})
 }
 
+// TestUnansweredCallsCountAtOnce: a service that swallows a call is not waited for
+// a second time before that shows.
+func TestUnansweredCallsCountAtOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		hang func(*fakeLog)
+		want logclient.Condition
+	}{
+		"read":   {func(l *fakeLog) { l.reads = []readFault{readHangs, readHangs} }, logclient.ConditionDown},
+		"append": {func(l *fakeLog) { l.appends = []appendFault{appendHangs, appendHangs, appendHangs, appendHangs} }, logclient.ConditionRefusing},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := newFakeLog()
+				client := run(t, log, logclient.Config{})
+				appendOne(t, client, member(1))
+				log.mu.Lock()
+				c.hang(log)
+				log.mu.Unlock()
+				go client.Append(t.Context(), member(2))
+				time.Sleep(4500 * time.Millisecond)
+				require.Equal(t, c.want, client.Staleness().Condition)
+				require.False(t, client.Up())
+			})
+		})
+	}
+}
+
 // TestForgottenWhileAway: a client that was paused for longer than the retention
 // joins again, and an append that it can't vouch for is unsettled.
 func TestForgottenWhileAway(t *testing.T) {
@@ -412,3 +441,36 @@
 		require.Equal(t, port.Offset(2), result.Offset)
 	})
 }
+
+// TestFirstStateComesAtOnce: a client that joins at the log's end doesn't wait
+// there before it publishes.
+func TestFirstStateComesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := run(t, newFakeLog(), logclient.Config{PollWait: time.Hour})
+		time.Sleep(10 * time.Millisecond)
+		require.NotNil(t, client.State())
+		require.True(t, client.Up())
+	})
+}
+
+// TestHangingPeer: a peer that doesn't answer doesn't keep the client from the
+// log when that is back.
+func TestHangingPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		client := run(t, log, logclient.Config{
+			ReadTimeout: time.Minute,
+			FetchState: func(ctx context.Context) ([]byte, error) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			},
+		})
+		appendOne(t, client, member(1))
+		log.setDown(true)
+		time.Sleep(10 * time.Second)
+		require.False(t, client.Up())
+		log.setDown(false)
+		time.Sleep(5 * time.Second)
+		require.True(t, client.Up())
+	})
+}
