Exchange and read once a second by default

Cause: at the two-year size a daemon reads 48 servers and exchanges with 14 peers each interval; at 250 ms that is four times what it may spend.

Change: heartbeat and report interval 1 s, the holder's timeout 3 s. The membership benchmark measures the messages as they are now.

--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -97,6 +97,7 @@
 	s.Platform.LogURL, s.Platform.StoreURL, s.Platform.LiveURL = p.LogURL, p.StoreURL, p.LiveURL
 	s.Shutdown.Delay = jsonc.Duration(drainDelay)
 	s.Deciding.Heartbeat = jsonc.Duration(100 * time.Millisecond)
+	s.Deciding.HolderTimeout = jsonc.Duration(2 * time.Second)
 	s.Deciding.ReportInterval = jsonc.Duration(100 * time.Millisecond)
 	return &s
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -24,7 +24,7 @@
 			text: `{"instance": {"zone": "a"}, ` + platform + `,
 				"callers": {"address": "nowhere", "max_body_bytes": 5, "colour": "red"},
 				"shutdown": {"limit": "soon"},
-				"deciding": {"heartbeat": "1s"}}`,
+				"deciding": {"heartbeat": "2s"}}`,
 			paths: []string{"callers.address", "callers.colour", "callers.max_body_bytes",
 				"shutdown.limit", "deciding.holder_timeout"},
 		},
--- a/pkg/membership/bench_test.go
+++ b/pkg/membership/bench_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
@@ -124,27 +123,26 @@
 // wireSize is the size of a delta as a message between instances.
 func wireSize(d *Delta) int {
 	m := &peerpb.Delta{
-		From: string(d.From.ID), Zone: string(d.From.Zone), PeerAddress: d.From.PeerAddress,
-		Leaving: d.From.Leaving, Heartbeat: d.Heartbeat,
+		From:    wireInstance(InstanceObservation{Instance: d.From, Heartbeat: d.Heartbeat}),
+		Version: d.Version, Seen: d.Seen,
 	}
-	extra := 2 + protowire.SizeVarint(d.Version) + protowire.SizeVarint(d.Seen)
 	for _, o := range d.Instances {
-		m.Instances = append(m.Instances, &peerpb.InstanceObservation{
-			Id: string(o.Instance.ID), Zone: string(o.Instance.Zone), PeerAddress: o.Instance.PeerAddress,
-			Leaving: o.Instance.Leaving, Heartbeat: o.Heartbeat,
-		})
+		m.Instances = append(m.Instances, wireInstance(o))
 	}
 	for i := range d.Servers {
 		m.Servers = append(m.Servers, wireServer(&d.Servers[i]))
-		extra += 2 + protowire.SizeVarint(d.Servers[i].Generation)
-		if d.Servers[i].LoadOnly {
-			extra += 3 + 10
-		}
 	}
 	for _, id := range d.Want {
-		extra += 2 + len(id)
+		m.Want = append(m.Want, string(id))
+	}
+	return proto.Size(m)
+}
+
+func wireInstance(o InstanceObservation) *peerpb.InstanceObservation {
+	return &peerpb.InstanceObservation{
+		Id: string(o.Instance.ID), Zone: string(o.Instance.Zone), PeerAddress: o.Instance.PeerAddress,
+		Leaving: o.Instance.Leaving, Heartbeat: o.Heartbeat, HeartbeatOnly: o.HeartbeatOnly,
 	}
-	return proto.Size(m) + extra
 }
 
 func wireServer(o *ServerObservation) *peerpb.ServerObservation {
@@ -152,12 +150,16 @@
 	m := &peerpb.ServerObservation{
 		Id: string(o.Server.ID), Zone: string(o.Server.Zone), Service: o.Server.Service,
 		Kind: string(o.Server.Kind), Address: o.Server.Address, Leaving: o.Server.Leaving,
-		Incarnation: r.Incarnation, Sequence: r.Sequence, MemoryBytes: r.MemoryBytes, OlderBytes: r.OlderBytes,
-		InFlight: int32(r.InFlight), Queued: int32(r.Queued), AgeMs: o.Age.Milliseconds(),
+		Generation: o.Generation, AgeMs: o.Age.Milliseconds(), LoadOnly: o.LoadOnly, StateHash: o.StateHash,
+		Report: &peerpb.Report{
+			Incarnation: r.Incarnation, Sequence: r.Sequence, Fence: int64(r.Fence),
+			MemoryBytes: r.MemoryBytes, OlderBytes: r.OlderBytes,
+			InFlight: int32(r.InFlight), Queued: int32(r.Queued), Leaving: r.Leaving,
+		},
 	}
-	for _, rep := range r.Replicas {
-		m.Replicas = append(m.Replicas, &peerpb.ReplicaObservation{
-			Model: string(rep.Model), State: 1, Bytes: rep.Bytes, OrderId: rep.OrderID,
+	for _, replica := range r.Replicas {
+		m.Report.Replicas = append(m.Report.Replicas, &peerpb.Replica{
+			Model: string(replica.Model), State: string(replica.State), Bytes: replica.Bytes, OrderId: replica.OrderID,
 		})
 	}
 	return m
