--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -107,6 +107,17 @@
 	parser.ShortDescription = "serves rarely used models on shared accelerators"
 	parser.LongDescription = "Serves rarely used models on shared accelerators.\n\n" + exitCodesHelp
 	parser.SubcommandsOptional = true
+	parser.CommandHandler = func(command flags.Commander, args []string) error {
+		switch {
+		case len(args) > 0 && command == nil:
+			return badInput(errors.Errorf("unknown command %q", args[0]))
+		case len(args) > 0:
+			return badInput(errors.Errorf("unexpected argument %q", args[0]))
+		case command == nil:
+			return nil
+		}
+		return command.Execute(args)
+	}
 	for _, e := range entries(env) {
 		if _, err := parser.AddCommand(e.name, e.short, e.long, e.command); err != nil {
 			return nil, errors.Wrap(err, "add command "+e.name)
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -29,10 +29,15 @@
 
 	Settings      string `long:"settings" value-name:"FILE" description:"settings in JSON with comments; defaults otherwise"`
 	PrintDefaults bool   `long:"print-defaults" description:"print the default settings"`
+	PrintTargets  bool   `long:"print-targets" description:"print targets that fit the default settings"`
 }
 
 // Execute runs the command.
 func (c *standinCommand) Execute([]string) error {
+	if c.PrintTargets {
+		fmt.Fprint(c.stdout, standin.Targets)
+		return nil
+	}
 	s := standin.Defaults()
 	s.BasePort = standinPort
 	if c.PrintDefaults {
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -1,12 +1,18 @@
 package standin
 
 import (
+	_ "embed" // the targets
 	"time"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/jsonc"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
+// Targets is a targets document that fits the default settings.
+//
+//go:embed targets.jsonc
+var Targets string
+
 // Settings describes a platform to stand in for.
 type Settings struct {
 	// Host is the address that every stand-in listens on.
