Reserve the address at which tests are refused

Cause: TestConnectionRefused of the weight store's adapter failed once in a full run: the port of the closed stand-in had been taken by another test's server, which reset the connection. Ruled out: the adapter, which called that unknown, rightly.

Change: internal/testnet binds a port without listening, so that connections are refused as long as the test holds it; the three tests that closed a listener use it.

Conclusion: the verdict no longer depends on what else runs.

--- a/internal/adapter/httpcall/httpcall_test.go
+++ b/internal/adapter/httpcall/httpcall_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httpcall"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/testnet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -151,16 +152,16 @@
 }
 
 func TestFailures(t *testing.T) {
-	refused, err := net.Listen("tcp", "127.0.0.1:0")
+	refused, release, err := testnet.RefusingAddress()
 	require.NoError(t, err)
-	refused.Close()
+	defer release()
 	reset := func(conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0) }
 	var seen runs
 	servers := map[string]struct {
 		address string
 		want    error
 	}{
-		"connection refused": {refused.Addr().String(), port.ErrNotSent},
+		"connection refused": {refused, port.ErrNotSent},
 		"no such address":    {"127.0.0.1:0", port.ErrNotSent},
 		"reset at the first byte": {rawServer(t, func(_ int, conn net.Conn) {
 			_, _ = conn.Read(make([]byte, 1))
--- a/internal/adapter/httplog/contract_test.go
+++ b/internal/adapter/httplog/contract_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httplog"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/standin"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/testnet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/jsonc"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
@@ -77,9 +78,11 @@
 }
 
 func TestConnectionRefused(t *testing.T) {
-	p, log := start(t, standin.Fast())
-	p.Close()
-	_, err := log.Append(context.Background(), payloads(0, 1))
+	address, release, err := testnet.RefusingAddress()
+	require.NoError(t, err)
+	defer release()
+	log := httplog.New("http://"+address, nil)
+	_, err = log.Append(context.Background(), payloads(0, 1))
 	require.ErrorIs(t, err, port.ErrNotSent)
 	_, err = log.Read(context.Background(), 1, 1, 0)
 	require.ErrorIs(t, err, port.ErrNotSent)
--- a/internal/adapter/httpstore/contract_test.go
+++ b/internal/adapter/httpstore/contract_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httpstore"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/standin"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/testnet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/jsonc"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
@@ -49,9 +50,9 @@
 }
 
 func TestConnectionRefused(t *testing.T) {
-	p, err := standin.Start(standin.Fast())
+	address, release, err := testnet.RefusingAddress()
 	require.NoError(t, err)
-	p.Close()
-	_, err = httpstore.New(p.StoreURL, nil).Catalog(context.Background())
+	defer release()
+	_, err = httpstore.New("http://"+address, nil).Catalog(context.Background())
 	require.ErrorIs(t, err, port.ErrNotSent)
 }
