Split limits safely across versions, explain from any instance, account for misses

Cause: while zones follow different targets, shares of two versions could add up to more than the limit, and a replica whose zone changed could be decided in both; explain knew reasons only at the deciding instance; nothing said which class misses its targets; no second replica was ever planned, as the time that a request occupies a server was not known.

Change: a zone uses the least share since the oldest version that another zone may follow, counts what others hold beyond their share, and unloads what is above its own. Any instance asks the holder to explain. Wake-ups are accounted by class and shown in the status; uses carry the mean service time; the endings of requests are metrics.

Conclusion: limits hold during a change of targets as far as versions are told between zones; a zone that can't be heard keeps its old share.

--- a/internal/app/operators.go
+++ b/internal/app/operators.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -17,6 +18,7 @@
 	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/observer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/gateway"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/operator"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/telemetry"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fold"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/jsonc"
@@ -35,6 +37,7 @@
 	observer *observer.Observer
 	decider  *decider.Decider
 	gateway  *gateway.Gateway
+	waker    *waker
 	clock    port.Clock
 	registry metrics.Registry
 }
@@ -115,7 +118,7 @@
 		writeJSON(w, http.StatusServiceUnavailable, operator.Failure{Detail: "the instance is stopping"})
 		return
 	}
-	out := operator.Explanation{Model: info, Zone: o.self.Zone, Decisions: explained}
+	out := operator.Explanation{Model: info, Zone: o.self.Zone, Decisions: o.fromHolder(r.Context(), model, explained)}
 	for _, v := range o.observer.View().Servers {
 		for _, replica := range v.Report.Replicas {
 			if replica.Model == model {
@@ -126,6 +129,20 @@
 	writeJSON(w, http.StatusOK, out)
 }
 
+// fromHolder asks the holder of the zone, which knows the reasons, if it can be
+// reached.
+func (o *operators) fromHolder(ctx context.Context, model port.ModelID, own decider.Explanation) decider.Explanation {
+	holder, address, known := o.waker.holder(o.self.Zone)
+	if own.Holding || !known || holder == o.self.ID {
+		return own
+	}
+	reply, err := o.waker.peers.To(address).Explain(ctx, &peerpb.ExplainRequest{Model: string(model)})
+	if err != nil {
+		return own
+	}
+	return decodeExplanation(reply)
+}
+
 func (o *operators) serveTargets(w http.ResponseWriter, _ *http.Request) {
 	state := o.log.State()
 	if state == nil {
--- a/internal/app/peers.go
+++ b/internal/app/peers.go
@@ -53,6 +53,38 @@
 	}, nil
 }
 
+// Explain implements the peer protocol.
+func (p *peers) Explain(ctx context.Context, m *peerpb.ExplainRequest) (*peerpb.ExplainReply, error) {
+	e, err := p.decider.Explain(ctx, port.ModelID(m.Model))
+	if err != nil {
+		return nil, err
+	}
+	reply := &peerpb.ExplainReply{
+		Holder: string(e.Holder), Epoch: int64(e.Epoch), Holding: e.Holding, Waiting: int32(e.Waiting), Replicas: map[string]string{},
+	}
+	for server, state := range e.Replicas {
+		reply.Replicas[string(server)] = state
+	}
+	for _, r := range e.Reasons {
+		reply.Reasons = append(reply.Reasons, &peerpb.DecisionReason{AtUnixMs: r.At.UnixMilli(), Text: r.Text})
+	}
+	return reply, nil
+}
+
+func decodeExplanation(m *peerpb.ExplainReply) decider.Explanation {
+	e := decider.Explanation{
+		Holder: port.InstanceID(m.Holder), Epoch: port.Epoch(m.Epoch), Holding: m.Holding, Waiting: int(m.Waiting),
+		Replicas: map[port.ServerID]string{},
+	}
+	for server, state := range m.Replicas {
+		e.Replicas[port.ServerID(server)] = state
+	}
+	for _, r := range m.Reasons {
+		e.Reasons = append(e.Reasons, decider.Reason{At: time.UnixMilli(r.AtUnixMs), Text: r.Text})
+	}
+	return e
+}
+
 // Copy implements the peer protocol.
 func (p *peers) Copy(ctx context.Context, m *peerpb.CopyRequest) (*peerpb.CopyReply, error) {
 	if err := p.ownZone(m.Zone); err != nil {
--- a/internal/app/provide.go
+++ b/internal/app/provide.go
@@ -289,9 +289,23 @@
 
 func newOperators(
 	self port.Instance, c *logclient.Client, config *configuration.Controller, o *observer.Observer,
-	d *decider.Decider, g *gateway.Gateway, clock port.Clock, registry metrics.Registry,
+	d *decider.Decider, g *gateway.Gateway, w *waker, clock port.Clock, registry metrics.Registry,
 ) *operators {
+	registerEndings(registry, g)
 	return &operators{
-		self: self, log: c, config: config, observer: o, decider: d, gateway: g, clock: clock, registry: registry,
+		self: self, log: c, config: config, observer: o, decider: d, gateway: g, waker: w, clock: clock, registry: registry,
+	}
+}
+
+// registerEndings makes the counters of requests metrics.
+func registerEndings(registry metrics.Registry, g *gateway.Gateway) {
+	for name, value := range map[string]func(gateway.Endings) int64{
+		"requests.accepted_total": func(e gateway.Endings) int64 { return e.Accepted },
+		"requests.answered_total": func(e gateway.Endings) int64 { return e.Answered },
+		"requests.refused_total":  func(e gateway.Endings) int64 { return e.Refused },
+		"requests.unknown_total":  func(e gateway.Endings) int64 { return e.Unknown },
+		"requests.in_progress":    func(e gateway.Endings) int64 { return e.InProgress },
+	} {
+		metrics.NewRegisteredFunctionalGauge(name, registry, func() int64 { return value(g.Endings()) })
 	}
 }
--- a/internal/app/router.go
+++ b/internal/app/router.go
@@ -54,22 +54,19 @@
 	default:
 		return nil, errors.Join(gateway.ErrNoReplica, err)
 	}
-	a := &attempt{choice: choice, end: func() {}}
+	a := &attempt{choice: choice, end: func(time.Duration) {}}
 	if !q.Retry {
 		budget.First(now.Sub(r.start))
 	}
 	if q.Model != "" {
-		if !q.Retry {
-			r.uses.Arrive(q.Model, "")
-		}
-		a.end = r.uses.Begin(q.Model)
+		a.end = r.uses.Begin(q.Model, !q.Retry)
 	}
 	return a, nil
 }
 
 type attempt struct {
 	choice routing.Choice
-	end    func()
+	end    func(took time.Duration)
 }
 
 // Server implements gateway.Attempt.
@@ -77,7 +74,7 @@
 
 // Done implements gateway.Attempt.
 func (a *attempt) Done(now time.Time, o gateway.Outcome) {
-	a.end()
+	a.end(o.Total)
 	a.choice.Done(now, routing.Result{Outcome: outcomeOf(o.Kind), FirstByte: o.FirstByte, Total: o.Total})
 }
 
--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -204,6 +204,10 @@
 	fmt.Fprintf(out, "log\t%s, read %s ago, %d records behind\n", s.Log.State, age(s.Log.AgeSeconds), s.LogBehind)
 	fmt.Fprintf(out, "live list\tread %s ago\n", age(s.LiveList.AgeSeconds))
 	fmt.Fprintf(out, "catalogue\t%d models, read %s ago\n", s.Models, age(s.Catalogue.AgeSeconds))
+	for _, miss := range s.Deciding.Shortfalls {
+		fmt.Fprintf(out, "class %s\tmisses its target in %.0f%% of wake-ups, %.0f%% refused, late by %s: %s\n",
+			miss.Class, 100*miss.Missed, 100*miss.Refused, miss.Excess.Round(time.Millisecond), miss.Needs)
+	}
 	e := s.Endings
 	fmt.Fprintf(out, "requests\t%d accepted, %d answered, %d refused, %d unknown, %d in progress\n",
 		e.Accepted, e.Answered, e.Refused, e.Unknown, e.InProgress)
@@ -267,7 +271,7 @@
 		fmt.Fprintf(w, "decided on %s: %s\n", server, e.Decisions.Replicas[server])
 	}
 	if !e.Decisions.Holding {
-		fmt.Fprintln(w, "the reasons are known to the deciding instance")
+		fmt.Fprintln(w, "the deciding instance, which knows the reasons, didn't answer")
 	}
 	for _, reason := range e.Decisions.Reasons {
 		fmt.Fprintf(w, "%s  %s\n", reason.At.Format(time.RFC3339), reason.Text)
--- a/internal/controller/decider/decider.go
+++ b/internal/controller/decider/decider.go
@@ -42,6 +42,8 @@
 	Read(ctx context.Context, s port.Server) (port.Report, error)
 	Server(id port.ServerID) (membership.ServerView, bool)
 	ZoneServers() []membership.ServerView
+	Slots(id port.ServerID) int
+	InForce(id port.InstanceID) port.Offset
 	SetHolder(id port.InstanceID)
 }
 
@@ -94,7 +96,8 @@
 	store   *placement.StoreQueue
 	speeds  placement.Speeds
 	tracker *keepalive.Tracker
-	version port.Offset
+	limits  limits
+	missed  placement.Accounts
 	wakes   map[port.ModelID]*wake
 	orders  map[string]*order
 	uses    map[port.ModelID]use
--- a/internal/controller/decider/explain.go
+++ b/internal/controller/decider/explain.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/ledger"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/placement"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -95,6 +96,8 @@
 	Waking       int `json:"waking"`
 	StoreRunning int `json:"store_running"`
 	StoreWaiting int `json:"store_waiting"`
+	// Shortfalls are the classes that miss their targets here.
+	Shortfalls []placement.Shortfall `json:"shortfalls"`
 }
 
 // Status returns the present status.
@@ -104,7 +107,7 @@
 		holder, epoch := d.machine.Holder()
 		s := Status{
 			Holder: holder, Epoch: epoch, Holding: d.machine.IsHolder(), Ready: d.deciding(),
-			Open: len(d.machine.Open()), Waking: len(d.wakes),
+			Open: len(d.machine.Open()), Waking: len(d.wakes), Shortfalls: d.missed.Shortfalls(d.now()),
 		}
 		if d.store != nil {
 			s.StoreRunning, s.StoreWaiting = d.store.Running(), d.store.Waiting()
--- /dev/null
+++ b/internal/controller/decider/limits.go
@@ -0,0 +1,153 @@
+package decider
+
+import (
+	"context"
+	"math"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/share"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/targets"
+)
+
+// limits is this zone's part of the limits over all zones. While zones may have
+// different versions of the targets in force, the zone uses the least share that
+// it has had since the oldest of them.
+type limits struct {
+	targets *targets.Compiled
+	// former is the targets before, until every other zone follows the present
+	// ones.
+	former    *targets.Compiled
+	weights   []share.Weight
+	zone      port.Zone
+	perSecond share.Window
+	atOnce    share.Window
+}
+
+// adopt takes in newer targets.
+func (l *limits) adopt(t *targets.Compiled, zone port.Zone) {
+	l.former, l.targets, l.zone = l.targets, t, zone
+	l.weights = t.Document.ZoneWeights()
+	l.perSecond.Push(t.Version, l.part(t.Document.Limits.StoreLoadsPerSecond))
+	atOnce := 0
+	if at := l.index(); at >= 0 {
+		atOnce = share.Integers(t.Document.Limits.StoreLoadsAtOnce, l.weights)[at]
+	}
+	l.atOnce.Push(t.Version, float64(atOnce))
+}
+
+// confirm takes in the lowest version that the other zones are known to follow.
+func (l *limits) confirm(lowest port.Offset) {
+	l.perSecond.Confirm(lowest)
+	l.atOnce.Confirm(lowest)
+	if l.targets != nil && lowest >= l.targets.Version {
+		l.former = nil
+	}
+}
+
+func (l *limits) index() int {
+	for i, w := range l.weights {
+		if w.Zone == l.zone {
+			return i
+		}
+	}
+	return -1
+}
+
+// part is this zone's part of a limit over all zones.
+func (l *limits) part(limit float64) float64 {
+	at := l.index()
+	if at < 0 {
+		return 0
+	}
+	return share.Fractions(limit, l.weights)[at]
+}
+
+// replicas is how many replicas of a model the zone may hold.
+func (l *limits) replicas(model port.ModelID) int {
+	allowed := replicaShare(l.targets, model, l.zone)
+	if l.former != nil {
+		allowed = min(allowed, replicaShare(l.former, model, l.zone))
+	}
+	return allowed
+}
+
+func replicaShare(t *targets.Compiled, model port.ModelID, zone port.Zone) int {
+	return share.ReplicaShare(model, t.Document.Limits.ReplicasPerModel, t.Document.ZoneWeights(), zone)
+}
+
+// adoptTargets puts the newest limits in force in this zone. Until there are
+// any, there is no account of the weight store and nothing is decided.
+func (d *Decider) adoptTargets() {
+	t := d.deps.Config.Targets()
+	if t == nil {
+		return
+	}
+	if d.limits.targets == nil || t.Version > d.limits.targets.Version {
+		d.limits.adopt(t, d.cfg.Self.Zone)
+		d.ledger.SetShare(t.Document.Limits.MemoryShare)
+		d.tracker.SetWeight(t.Document.ColdStartWeight)
+	}
+	d.limits.confirm(d.lowestInForce())
+	perSecond, atOnce := d.limits.perSecond.Share(), int(math.Floor(d.limits.atOnce.Share()))
+	if d.store == nil {
+		d.newStore(perSecond, atOnce)
+		return
+	}
+	d.store.SetShare(perSecond, atOnce)
+}
+
+// lowestInForce is the lowest version that the instances of other zones are
+// known to follow. A zone that hasn't told follows none.
+func (d *Decider) lowestInForce() port.Offset {
+	lowest := map[port.Zone]port.Offset{}
+	for _, i := range d.deps.Observer.View().Instances {
+		version := d.deps.Observer.InForce(i.Instance.ID)
+		if version == 0 {
+			continue
+		}
+		if known, ok := lowest[i.Instance.Zone]; !ok || version < known {
+			lowest[i.Instance.Zone] = version
+		}
+	}
+	return share.Lowest(d.limits.weights, d.cfg.Self.Zone, lowest)
+}
+
+// replicaShare returns how many replicas of a model may be decided here. What
+// other zones are known to hold beyond their share counts against this one.
+func (d *Decider) replicaShare() func(port.ModelID) int {
+	limit := d.limits.targets.Document.Limits.ReplicasPerModel
+	var elsewhere map[port.ModelID]int
+	return func(model port.ModelID) int {
+		if elsewhere == nil {
+			elsewhere = d.replicasElsewhere()
+		}
+		return max(0, min(d.limits.replicas(model), limit-elsewhere[model]))
+	}
+}
+
+func (d *Decider) replicasElsewhere() map[port.ModelID]int {
+	count := map[port.ModelID]int{}
+	for _, v := range d.deps.Observer.View().Servers {
+		if v.Server.Zone == d.cfg.Self.Zone || !v.Routable {
+			continue
+		}
+		for _, replica := range v.Report.Replicas {
+			count[replica.Model]++
+		}
+	}
+	return count
+}
+
+// giveUpReplicas unloads what the zone holds beyond its share of replicas, as
+// after a change of the limit or of the zones.
+func (d *Decider) giveUpReplicas(ctx context.Context) {
+	held := map[port.ModelID]int{}
+	for _, v := range d.zoneEngines() {
+		for hold := range d.ledger.Holds(v.Server.ID) {
+			held[hold.Model]++
+			if held[hold.Model] > d.limits.replicas(hold.Model) && !d.hasAdapters(v.Server.ID, hold.Model) {
+				d.unload(ctx, v.Server.ID, hold.Model, "above this zone's share of replicas")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/decider/limits_test.go
@@ -0,0 +1,72 @@
+package decider
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/targets"
+)
+
+func compiled(t *testing.T, version port.Offset, replace ...string) *targets.Compiled {
+	doc, err := targets.Parse([]byte(strings.NewReplacer(replace...).Replace(targets.Example)))
+	require.NoError(t, err)
+	c, err := targets.Compile(doc)
+	require.NoError(t, err)
+	c.Version = version
+	return c
+}
+
+const (
+	evenWeights = `{"name": "zone-a", "weight": 1}`
+	moreForA    = `{"name": "zone-a", "weight": 3}`
+)
+
+// TestSharesGrowOnlyOnceOthersFollow: while another zone may still use the
+// larger share that it had, this zone doesn't use the larger one that it gets.
+func TestSharesGrowOnlyOnceOthersFollow(t *testing.T) {
+	var l limits
+	l.adopt(compiled(t, 5), "zone-a")
+	require.InDelta(t, 2, l.atOnce.Share(), 0)
+
+	l.adopt(compiled(t, 9, evenWeights, moreForA), "zone-a")
+	l.confirm(5)
+	require.InDelta(t, 2, l.atOnce.Share(), 0, "zone-b follows version 5")
+	l.confirm(9)
+	require.InDelta(t, 3, l.atOnce.Share(), 0)
+
+	l.adopt(compiled(t, 12), "zone-a")
+	require.InDelta(t, 2, l.atOnce.Share(), 0, "a smaller share is in force at once")
+	require.Zero(t, (&limits{targets: l.targets, weights: l.weights, zone: "zone-c"}).part(10), "a zone without a part")
+}
+
+// TestReplicaSharesOverlap: a replica whose zone changes may be decided by
+// neither zone until both follow the new targets.
+func TestReplicaSharesOverlap(t *testing.T) {
+	one := []string{`"replicas_per_model": 2`, `"replicas_per_model": 1`}
+	before, after := compiled(t, 5, one...), compiled(t, 9, append(one, `"zone-b"`, `"zone-c"`)...)
+	moved := 0
+	for n := range 200 {
+		model := port.ModelID("m" + strings.Repeat("x", n))
+		sum := 0
+		for _, zone := range []port.Zone{"zone-a", "zone-b", "zone-c"} {
+			var l limits
+			l.adopt(before, zone)
+			l.confirm(5)
+			settled := l.replicas(model)
+			l.adopt(after, zone)
+			l.confirm(5)
+			require.LessOrEqual(t, l.replicas(model), settled)
+			sum += l.replicas(model)
+			l.confirm(9)
+			require.Equal(t, replicaShare(after, model, zone), l.replicas(model))
+		}
+		require.LessOrEqual(t, sum, 1)
+		if sum == 0 {
+			moved++
+		}
+	}
+	require.Positive(t, moved, "the change moves some models")
+}
--- a/internal/controller/decider/review.go
+++ b/internal/controller/decider/review.go
@@ -10,7 +10,6 @@
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/membership"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/placement"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
-	"github.com/cyclamenhoist/cyclamenhoist/pkg/share"
 )
 
 type serverView = membership.ServerView
@@ -24,33 +23,8 @@
 
 // use is what the zone's instances last said of a model.
 type use struct {
-	class string
-	at    time.Time
-}
-
-// adoptTargets puts the newest limits in force in this zone. Until there are
-// any, there is no account of the weight store and nothing is decided.
-func (d *Decider) adoptTargets() {
-	t := d.deps.Config.Targets()
-	if t == nil || t.Version == d.version && d.store != nil {
-		return
-	}
-	d.version = t.Version
-	limits := t.Document.Limits
-	d.ledger.SetShare(limits.MemoryShare)
-	d.tracker.SetWeight(t.Document.ColdStartWeight)
-	weights := t.Document.ZoneWeights()
-	var perSecond float64
-	var atOnce int
-	if at := zoneIndex(weights, d.cfg.Self.Zone); at >= 0 {
-		perSecond = share.Fractions(limits.StoreLoadsPerSecond, weights)[at]
-		atOnce = share.Integers(limits.StoreLoadsAtOnce, weights)[at]
-	}
-	if d.store == nil {
-		d.newStore(perSecond, atOnce)
-		return
-	}
-	d.store.SetShare(perSecond, atOnce)
+	at      time.Time
+	service time.Duration
 }
 
 // newStore starts the account of the weight store for a new term. Loads that a
@@ -65,33 +39,9 @@
 	}
 }
 
-func zoneIndex(weights []share.Weight, zone port.Zone) int {
-	for i, w := range weights {
-		if w.Zone == zone {
-			return i
-		}
-	}
-	return -1
-}
-
-// fractionOf is this zone's part of a limit over all zones.
-func (d *Decider) fractionOf(limit float64) float64 {
-	weights := d.deps.Config.Targets().Document.ZoneWeights()
-	at := zoneIndex(weights, d.cfg.Self.Zone)
-	if at < 0 {
-		return 0
-	}
-	return share.Fractions(limit, weights)[at]
-}
-
 func (d *Decider) placementView(now time.Time) *placement.View {
-	t := d.deps.Config.Targets()
-	weights := t.Document.ZoneWeights()
 	view := &placement.View{
-		Ledger: d.ledger, Store: d.store, Speeds: &d.speeds,
-		ReplicaShare: func(model port.ModelID) int {
-			return share.ReplicaShare(model, t.Document.Limits.ReplicasPerModel, weights, d.cfg.Self.Zone)
-		},
+		Ledger: d.ledger, Store: d.store, Speeds: &d.speeds, ReplicaShare: d.replicaShare(),
 		Worth: func(model port.ModelID) float64 { return d.tracker.Worth(now, model, d.coldStart(model)) },
 		Busy:  func(_ port.ServerID, model port.ModelID) bool { return d.busy(now, model) },
 		BaseOf: func(model port.ModelID) port.ModelID {
@@ -158,7 +108,7 @@
 		if _, known := d.deps.Config.Model(model); !known {
 			continue
 		}
-		d.uses[model] = use{class: reported.Class, at: now}
+		d.uses[model] = use{at: now, service: time.Duration(reported.ServiceMs) * time.Millisecond}
 		if reported.Arrived > 0 {
 			d.tracker.Arrived(now, model)
 		}
@@ -177,6 +127,7 @@
 		d.plan(ctx, model)
 	}
 	d.workDown(ctx, now)
+	d.giveUpReplicas(ctx)
 	d.release(ctx, now)
 	if d.ticks%(reviewEvery*aheadEvery) == 0 {
 		d.loadAhead(ctx, now)
@@ -230,9 +181,9 @@
 		if !known {
 			return 0
 		}
-		return d.fractionOf(class.IdleAccelerators)
+		return d.limits.part(class.IdleAccelerators)
 	}
-	for _, release := range d.tracker.Releases(now, idle, budget, d.fractionOf(t.Document.Limits.IdleAccelerators)) {
+	for _, release := range d.tracker.Releases(now, idle, budget, d.limits.part(t.Document.Limits.IdleAccelerators)) {
 		for _, server := range holders[release.Model] {
 			d.unload(ctx, server, release.Model, release.Reason)
 		}
--- a/internal/controller/decider/wake.go
+++ b/internal/controller/decider/wake.go
@@ -60,6 +60,8 @@
 	retryAfter   time.Duration
 	readyIn      time.Duration
 	refusal      *placement.Refusal
+	// accounted: the wake-up has been counted for its class.
+	accounted bool
 }
 
 func (w *wake) refuse(why string, now time.Time, retryAfter time.Duration) {
@@ -110,6 +112,7 @@
 		w = &wake{class: r.Class, waiting: map[port.InstanceID]int{}}
 		d.wakes[r.Model] = w
 	}
+	d.tracker.Arrived(now, r.Model)
 	w.asked = now
 	w.waiting[r.From] = r.Waiting
 	if until := now.Add(r.Patience); until.After(w.patience) {
@@ -155,6 +158,7 @@
 	view := d.placementView(now)
 	plan, refusal := placement.Place(now, &request, view)
 	w.readyIn, w.refusal, w.refusedWhy = plan.ReadyIn, refusal, ""
+	d.account(now, w, &request, &plan)
 	if refusal != nil {
 		d.note(model, "refused: "+refusal.Error())
 	}
@@ -185,9 +189,24 @@
 		}
 	}
 	r.Class, _ = t.Class(w.class)
+	r.ServiceTime = d.uses[model].service
+	for _, id := range d.ledger.Servers() {
+		if hold, found := d.ledger.Hold(id, model); found && hold.Loaded {
+			r.Slots = max(r.Slots, d.deps.Observer.Slots(id))
+		}
+	}
 	return r, true
 }
 
+// account counts a wake-up of a cold model once for its class.
+func (d *Decider) account(now time.Time, w *wake, r *placement.Request, plan *placement.Plan) {
+	if w.accounted || r.Class == nil || r.Waiting == 0 || w.refusal == nil && plan.Action != placement.ActionLoad {
+		return
+	}
+	w.accounted = true
+	d.missed.Record(now, placement.Wake{Class: r.Class, Plan: *plan, Refusal: w.refusal})
+}
+
 // pump starts the loads from the weight store that may start now. Each is placed
 // anew, since the zone may have changed while it waited.
 func (d *Decider) pump(ctx context.Context) {
@@ -261,11 +280,5 @@
 
 // classOf is the class under whose budget a model stands.
 func (d *Decider) classOf(model port.ModelID) *targets.Class {
-	t := d.deps.Config.Targets()
-	if u, ok := d.uses[model]; ok {
-		if class, known := t.Class(u.class); known {
-			return class
-		}
-	}
-	return t.Classify(targets.Request{Model: string(model)})
+	return d.deps.Config.Targets().Classify(targets.Request{Model: string(model)})
 }
--- a/internal/controller/observer/sources.go
+++ b/internal/controller/observer/sources.go
@@ -114,6 +114,16 @@
 	return o.table.Servers(o.now(), o.cfg.Self.Zone)
 }
 
+// Slots returns how many requests at once a server is given from here.
+func (o *Observer) Slots(id port.ServerID) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if stats := o.builder.Stats(id); stats != nil {
+		return int(stats.Limit())
+	}
+	return 0
+}
+
 // Server returns what is known of one backend server.
 func (o *Observer) Server(id port.ServerID) (membership.ServerView, bool) {
 	o.mu.Lock()
--- a/internal/controller/observer/uses.go
+++ b/internal/controller/observer/uses.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
@@ -14,7 +15,8 @@
 
 type useCounter struct {
 	arrived, inProgress atomic.Int32
-	class               atomic.Pointer[string]
+	// service is the mean time of a request on its server, in nanoseconds.
+	service atomic.Int64
 }
 
 func (u *Uses) counter(model port.ModelID) *useCounter {
@@ -25,20 +27,36 @@
 	return c.(*useCounter)
 }
 
-// Arrive counts an arrival, whether or not the model is loaded.
-func (u *Uses) Arrive(model port.ModelID, class string) {
+// Begin counts a request as in progress, and as an arrival if it is the first
+// attempt, until the returned function is called with the time that it took on
+// its server.
+func (u *Uses) Begin(model port.ModelID, first bool) (end func(took time.Duration)) {
 	c := u.counter(model)
-	c.arrived.Add(1)
-	if old := c.class.Load(); old == nil || *old != class {
-		c.class.Store(&class)
+	if first {
+		c.arrived.Add(1)
+	}
+	c.inProgress.Add(1)
+	return func(took time.Duration) {
+		c.inProgress.Add(-1)
+		c.observe(took)
 	}
 }
 
-// Begin counts a request as in progress until the returned function is called.
-func (u *Uses) Begin(model port.ModelID) (end func()) {
-	c := u.counter(model)
-	c.inProgress.Add(1)
-	return func() { c.inProgress.Add(-1) }
+// serviceSmoothing is the part by which one request moves the mean.
+const serviceSmoothing = 8
+
+// observe moves the mean. Of two at the same moment one may be lost, which
+// changes the mean by an eighth of one sample.
+func (c *useCounter) observe(took time.Duration) {
+	if took <= 0 {
+		return
+	}
+	mean := c.service.Load()
+	if mean == 0 {
+		c.service.Store(int64(took))
+		return
+	}
+	c.service.Store(mean + (int64(took)-mean)/serviceSmoothing)
 }
 
 // Take returns what to tell the holder, and starts counting arrivals anew. An
@@ -51,11 +69,10 @@
 		if arrived == 0 && inProgress == 0 {
 			return true
 		}
-		use := &peerpb.ModelUse{Model: string(model.(port.ModelID)), Arrived: arrived, InProgress: inProgress}
-		if class := c.class.Load(); class != nil {
-			use.Class = *class
-		}
-		uses = append(uses, use)
+		uses = append(uses, &peerpb.ModelUse{
+			Model: string(model.(port.ModelID)), Arrived: arrived, InProgress: inProgress,
+			ServiceMs: time.Duration(c.service.Load()).Milliseconds(),
+		})
 		return true
 	})
 	return uses
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"regexp"
 	"slices"
+	"strings"
 
 	"github.com/go-faster/errors"
 	dto "github.com/prometheus/client_model/go"
@@ -17,7 +18,11 @@
 // ErrEncode means that the metrics couldn't be written out.
 var ErrEncode = errors.New("encode metrics")
 
-const metricPrefix = "cyclamenhoist_"
+const (
+	metricPrefix = "cyclamenhoist_"
+	// counterSuffix marks gauges that only ever grow.
+	counterSuffix = "_total"
+)
 
 var invalidInName = regexp.MustCompile(`[^a-zA-Z0-9_]`)
 
@@ -52,15 +57,16 @@
 func toFamily(name string, metric any) *dto.MetricFamily {
 	switch m := metric.(type) {
 	case metrics.Counter:
-		return family(name, dto.MetricType_COUNTER, &dto.Metric{
-			Counter: &dto.Counter{Value: proto.Float64(float64(m.Count()))}})
+		return counter(name, float64(m.Count()))
 	case metrics.Gauge:
+		if strings.HasSuffix(name, counterSuffix) {
+			return counter(name, float64(m.Value()))
+		}
 		return gauge(name, float64(m.Value()))
 	case metrics.GaugeFloat64:
 		return gauge(name, m.Value())
 	case metrics.Meter:
-		return family(name, dto.MetricType_COUNTER, &dto.Metric{
-			Counter: &dto.Counter{Value: proto.Float64(float64(m.Snapshot().Count()))}})
+		return counter(name, float64(m.Snapshot().Count()))
 	case metrics.Histogram:
 		s := m.Snapshot()
 		return summary(name, s.Count(), float64(s.Sum()), s.Percentiles(shownQuantiles))
@@ -72,6 +78,10 @@
 	}
 }
 
+func counter(name string, value float64) *dto.MetricFamily {
+	return family(name, dto.MetricType_COUNTER, &dto.Metric{Counter: &dto.Counter{Value: proto.Float64(value)}})
+}
+
 func gauge(name string, value float64) *dto.MetricFamily {
 	return family(name, dto.MetricType_GAUGE, &dto.Metric{Gauge: &dto.Gauge{Value: proto.Float64(value)}})
 }
