lease: test that the protocol gets on; stop repeated member removals

Cause: the new test of renewal never settled: a holder that had taken a dead member off appended the removal again at every step until it read it back, as fast as the log answered. Change: a removal that is in the log is not given again before the log was read that far. Tests of takeover within 5 s, hand-over, renewal, outages with and without other copy holders, doubts left to time and settled by a late seal, servers restarted and gone. Conclusion: each way of taking over is ready within 5 s of virtual time.

--- /dev/null
+++ b/pkg/lease/live_test.go
@@ -0,0 +1,287 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/record"
+)
+
+// live runs a world in which everything arrives at once, to see that the
+// protocol gets on.
+type live struct {
+	*world
+	t     *testing.T
+	now   time.Duration
+	notes []Effect
+	logUp bool
+}
+
+const tick = 100 * time.Millisecond
+
+func newLive(t *testing.T, sc scenario) *live {
+	sc.models, sc.servers, sc.share = 2, 2, 2
+	l := &live{world: sc.start(t), t: t, logUp: true}
+	l.note = func(_ int, e Effect) { l.notes = append(l.notes, e) }
+	for _, n := range l.nodes {
+		n.m.cfg.Retry, n.m.cfg.ClaimStagger = DefaultRetry, DefaultClaimStagger
+	}
+	return l
+}
+
+// run lets time pass for all instances that aren't dead.
+func (l *live) run(d time.Duration) {
+	for end := l.now + d; l.now < end; l.now += tick {
+		for i, n := range l.nodes {
+			n.clock = l.now
+			if n.dead {
+				continue
+			}
+			for j, o := range l.nodes {
+				if i != j && !o.dead {
+					l.step(i, PeerAlive{Instance: nodeID(j)})
+				}
+			}
+			l.step(i, Tick{})
+		}
+		l.settle()
+	}
+}
+
+// settle lands, reads and delivers until nothing is left to do.
+func (l *live) settle() {
+	for range 1000 {
+		idle := true
+		for i, n := range l.nodes {
+			if n.dead || n.cut {
+				continue
+			}
+			for len(n.appends) > 0 {
+				l.land(i, 0, true)
+				idle = false
+			}
+			if n.m.Through() < l.newest().Through() {
+				l.step(i, Folded{State: l.newest()})
+				idle = false
+			}
+		}
+		for len(l.net) > 0 {
+			l.deliver(0)
+			idle = false
+		}
+		if idle {
+			return
+		}
+	}
+	l.t.Fatal("never settles")
+}
+
+func (l *live) cutAll(cut bool) {
+	for i, n := range l.nodes {
+		n.cut = cut
+		if cut {
+			l.step(i, LogDown{})
+		} else {
+			l.step(i, LogUp{})
+		}
+	}
+	l.settle()
+}
+
+func (l *live) propose(i int, id string, kind port.OrderKind, s port.ServerID) {
+	l.step(i, Propose{Intent: record.Intent{ID: id, Kind: kind, Model: "m0", Server: s, Bytes: 1, Incarnation: "1"}})
+	l.settle()
+}
+
+func (l *live) refusals() []Refusal {
+	var out []Refusal
+	for _, e := range l.notes {
+		if r, ok := e.(Refuse); ok {
+			out = append(out, r.Reason)
+		}
+	}
+	return out
+}
+
+func (l *live) loadedOn(s port.ServerID) bool { return len(l.engines[s].loaded) > 0 }
+
+func TestLoadAndUnload(t *testing.T) {
+	l := newLive(t, scenario{nodes: 2, holders: 2})
+	l.propose(0, "l", port.OrderLoad, "s0")
+	require.True(t, l.loadedOn("s0"))
+	open := l.nodes[0].m.Open()
+	require.Len(t, open, 1)
+	require.True(t, open[0].Loaded)
+	l.propose(0, "again", port.OrderLoad, "s0")
+	l.propose(0, "u", port.OrderUnload, "s0")
+	require.False(t, l.loadedOn("s0"))
+	require.Empty(t, l.nodes[0].m.Open())
+	l.propose(0, "u2", port.OrderUnload, "s0")
+	l.propose(1, "other", port.OrderLoad, "s1")
+	require.Equal(t, []Refusal{RefusedOccupied, RefusedNotLoaded, RefusedNotHolder}, l.refusals())
+	require.Zero(t, l.newest().Zone(zoneName()).IntentCount())
+	require.Empty(t, l.nodes[0].m.term.entries, "nothing is left to do")
+	require.Empty(t, l.nodes[0].m.term.gone)
+}
+
+// TestTakeover: a new holder decides within 5 s of the old one's death, whatever
+// its part before and whether servers check.
+func TestTakeover(t *testing.T) {
+	for name, sc := range map[string]scenario{
+		"copy holder":                  {nodes: 2, holders: 2},
+		"copy holder, servers check":   {nodes: 2, holders: 2, checks: true},
+		"newcomer of a lone holder":    {nodes: 2, holders: 1},
+		"newcomer, servers check":      {nodes: 2, holders: 1, checks: true},
+		"newcomer beside copy holders": {nodes: 3, holders: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLive(t, sc)
+			l.run(time.Second)
+			l.propose(0, "l", port.OrderLoad, "s0")
+			l.nodes[0].dead = true
+			l.run(5 * time.Second)
+			holder := -1
+			for i, n := range l.nodes {
+				if !n.dead && n.m.ReadyOn("s0") && n.m.ReadyOn("s1") {
+					require.Equal(t, -1, holder, "one holder")
+					holder = i
+				}
+			}
+			require.Positive(t, holder)
+			require.Len(t, l.nodes[holder].m.Open(), 1, "the predecessor's load is known")
+			l.propose(holder, "k", port.OrderLoad, "s1")
+			require.True(t, l.loadedOn("s1"))
+		})
+	}
+}
+
+func TestHandOver(t *testing.T) {
+	l := newLive(t, scenario{nodes: 2, holders: 2})
+	l.propose(0, "l", port.OrderLoad, "s0")
+	l.step(0, HandOver{})
+	l.propose(0, "k", port.OrderLoad, "s1")
+	l.settle()
+	require.Contains(t, l.notes, Effect(Stopped{}))
+	require.True(t, l.nodes[1].m.ReadyOn("s0"), "no timeout has to pass")
+	require.False(t, l.newest().Zone(zoneName()).IsMember(nodeID(0)))
+	require.False(t, l.loadedOn("s1"))
+	require.Equal(t, []Refusal{RefusedStopping}, l.refusals())
+}
+
+func TestRenewalTakesInNewMembers(t *testing.T) {
+	l := newLive(t, scenario{nodes: 2, holders: 1})
+	l.run(DefaultReclaimInterval + time.Second)
+	z := l.newest().Zone(zoneName())
+	require.Equal(t, nodeID(0), z.Holder)
+	require.Len(t, z.CopyHolders, 2)
+	epoch := z.Epoch
+	l.run(2 * DefaultReclaimInterval)
+	require.Equal(t, epoch, l.newest().Zone(zoneName()).Epoch, "renewed once")
+	l.nodes[1].dead = true
+	l.step(0, l.list(time.Unix(9, 0)))
+	l.run(DefaultMemberTimeout + 2*time.Second)
+	require.Len(t, l.newest().Zone(zoneName()).CopyHolders, 1, "the dead one is taken off")
+	l.propose(0, "l", port.OrderLoad, "s0")
+	require.True(t, l.loadedOn("s0"), "the term goes on")
+}
+
+func TestOutage(t *testing.T) {
+	l := newLive(t, scenario{nodes: 2, holders: 2})
+	l.cutAll(true)
+	l.propose(0, "l", port.OrderLoad, "s0")
+	require.True(t, l.loadedOn("s0"))
+	l.propose(0, "u", port.OrderUnload, "s0")
+	require.False(t, l.loadedOn("s0"))
+	l.propose(0, "l2", port.OrderLoad, "s0")
+	require.True(t, l.loadedOn("s0"))
+	require.Len(t, l.nodes[0].m.Open(), 1)
+	l.nodes[1].dead = true
+	l.propose(0, "k", port.OrderLoad, "s1")
+	l.run(DefaultCopyTimeout + 2*tick)
+	require.Equal(t, []Refusal{RefusedLogAway}, l.refusals())
+	require.Len(t, l.nodes[0].m.Open(), 2, "the copy may be stored, so it counts")
+	l.cutAll(false)
+	l.run(5 * time.Second)
+	require.False(t, l.loadedOn("s1"))
+	var ids []string
+	for i := range l.newest().Zone(zoneName()).Intents() {
+		ids = append(ids, i.ID)
+		require.True(t, i.Loaded)
+	}
+	require.Equal(t, []string{"l2"}, ids)
+	require.Empty(t, l.nodes[0].m.term.entries)
+}
+
+func TestOutageAlone(t *testing.T) {
+	for _, checks := range []bool{false, true} {
+		l := newLive(t, scenario{nodes: 1, holders: 1, checks: checks})
+		l.cutAll(true)
+		l.propose(0, "l", port.OrderLoad, "s0")
+		require.Equal(t, checks, l.loadedOn("s0"))
+		if !checks {
+			require.Equal(t, []Refusal{RefusedAlone}, l.refusals())
+		}
+	}
+}
+
+// TestDoubtIsLeftToTime: a claimant that reaches no copy holder decides on
+// servers that don't check only after they are off the live list, and its lag
+// and the life of an order have passed.
+func TestDoubtIsLeftToTime(t *testing.T) {
+	l := newLive(t, scenario{nodes: 3, holders: 2})
+	l.run(time.Second)
+	l.nodes[0].dead, l.nodes[1].dead = true, true
+	l.run(10 * time.Second)
+	m := func() *Machine { return l.nodes[2].m }
+	require.True(t, m().IsHolder())
+	require.Len(t, l.newest().Zone(zoneName()).Doubts, 1)
+	l.run(DefaultLiveLag + DefaultOrderLife)
+	require.False(t, m().ReadyOn("s0"), "the copy holders are on the live list")
+	l.step(2, l.list(time.Unix(9, 0)))
+	l.run(DefaultLiveLag + DefaultOrderLife - time.Second)
+	require.False(t, m().ReadyOn("s0"))
+	l.run(2 * time.Second)
+	require.True(t, m().ReadyOn("s0"))
+	l.run(DefaultReclaimInterval + DefaultMemberTimeout)
+	require.Empty(t, l.newest().Zone(zoneName()).Doubts, "the renewed claim drops the doubt")
+}
+
+// TestDoubtIsSettledByLateSeal: the copy holder that comes back hands over its
+// copies and ends the wait.
+func TestDoubtIsSettledByLateSeal(t *testing.T) {
+	l := newLive(t, scenario{nodes: 3, holders: 2})
+	l.run(time.Second)
+	l.nodes[0].cut, l.nodes[1].cut = true, true
+	l.step(0, LogDown{})
+	l.step(0, Propose{Intent: record.Intent{ID: "l", Kind: port.OrderLoad, Model: "m0", Server: "s0", Bytes: 1, Incarnation: "1"}})
+	l.deliver(0) // the copy
+	l.net = nil  // its answer is lost
+	l.nodes[0].dead, l.nodes[1].dead = true, true
+	l.run(10 * time.Second)
+	require.True(t, l.nodes[2].m.IsHolder())
+	require.False(t, l.nodes[2].m.ReadyOn("s0"))
+	l.nodes[1].dead, l.nodes[1].cut = false, false
+	l.run(2 * time.Second)
+	require.True(t, l.nodes[2].m.ReadyOn("s0"))
+	require.True(t, l.loadedOn("s0"), "the copy counts as decided")
+}
+
+func TestServerGoneOrRestarted(t *testing.T) {
+	l := newLive(t, scenario{nodes: 1, holders: 1})
+	l.propose(0, "l", port.OrderLoad, "s0")
+	l.propose(0, "k", port.OrderLoad, "s1")
+	l.engines["s0"].incarnation, l.engines["s0"].seen, l.engines["s0"].loaded = 2, nil, nil
+	l.step(0, ServerRead{Report: l.engines["s0"].report("s0", false)})
+	l.settle()
+	require.Len(t, l.nodes[0].m.Open(), 1, "the restarted engine lost its load")
+	delete(l.engines, "s1")
+	l.step(0, l.list(time.Unix(9, 0)))
+	l.run(DefaultLiveLag + DefaultOrderLife - time.Second)
+	require.Len(t, l.nodes[0].m.Open(), 1)
+	l.run(2 * time.Second)
+	require.Empty(t, l.nodes[0].m.Open())
+	require.Zero(t, l.newest().Zone(zoneName()).IntentCount())
+}
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -42,7 +42,7 @@
 	memberOut   string // id of the record that was last given
 	memberRetry time.Duration
 	memberAt    port.Offset // of the last such record known to be in the log
-	removals    map[port.InstanceID]string
+	removals    map[port.InstanceID]pending
 	stopping    bool
 	stopped     bool
 
@@ -80,7 +80,7 @@
 	return &Machine{
 		cfg: cfg.withDefaults(), heard: map[port.InstanceID]time.Duration{},
 		leaving: map[port.InstanceID]bool{}, copies: map[string]record.Intent{},
-		removals: map[port.InstanceID]string{},
+		removals: map[port.InstanceID]pending{},
 	}
 }
 
--- a/pkg/lease/member.go
+++ b/pkg/lease/member.go
@@ -15,18 +15,18 @@
 		m.zone.IsMember(m.cfg.Self) == eligible || m.stopping && m.busy() {
 		return
 	}
-	m.memberOut = m.appendMember(m.cfg.Self, eligible)
+	r := m.memberRecord(m.cfg.Self, eligible)
+	m.memberOut = r.Id
+	m.emit(Append{Record: r})
 }
 
 // busy reports whether a stop must wait for the end of a term or a claim.
 func (m *Machine) busy() bool { return m.term != nil || m.claim != nil }
 
-func (m *Machine) appendMember(id port.InstanceID, eligible bool) string {
-	r := newRecord(m, &recordpb.Member{
+func (m *Machine) memberRecord(id port.InstanceID, eligible bool) *recordpb.Record {
+	return newRecord(m, &recordpb.Member{
 		Instance: string(id), Eligible: eligible, PeerAddress: m.addressOf(id),
 	})
-	m.emit(Append{Record: r})
-	return r.Id
 }
 
 func (m *Machine) addressOf(id port.InstanceID) string {
@@ -42,9 +42,9 @@
 		m.memberOut, m.memberRetry, m.memberAt = "", retry, max(m.memberAt, e.Offset)
 		return true
 	}
-	for id, record := range m.removals {
-		if record == e.RecordID {
-			delete(m.removals, id)
+	for id, p := range m.removals {
+		if p.settle(e, retry) {
+			m.removals[id] = p
 			return true
 		}
 	}
@@ -61,13 +61,22 @@
 	if !m.logUp || !m.live.known {
 		return
 	}
+	for id, p := range m.removals {
+		if p.offset > 0 && m.state.Through() >= p.offset {
+			delete(m.removals, id)
+		}
+	}
 	for _, o := range m.zone.Members {
 		last := max(m.heard[o.Instance], m.term.since)
-		if o.Instance == m.cfg.Self || m.live.instances[o.Instance] || m.removals[o.Instance] != "" ||
-			m.now < last+m.cfg.MemberTimeout {
+		if o.Instance == m.cfg.Self || m.live.instances[o.Instance] || m.now < last+m.cfg.MemberTimeout {
 			continue
 		}
-		m.removals[o.Instance] = m.appendMember(o.Instance, false)
+		p := m.removals[o.Instance]
+		if p.record == nil {
+			p.record = m.memberRecord(o.Instance, false)
+		}
+		m.give(&p)
+		m.removals[o.Instance] = p
 	}
 }
 
--- a/pkg/lease/world_test.go
+++ b/pkg/lease/world_test.go
@@ -54,6 +54,7 @@
 	logHash  uint64
 	effects  map[string]int // effects of each order
 	broken   string
+	note     func(i int, e Effect) // of other effects; may be nil
 }
 
 // scenario is what an exploration starts from.
@@ -154,6 +155,10 @@
 		w.send(message{key: fmt.Sprint("read", i, e.Server), from: i, to: -1, server: e.Server, effect: e})
 	case Order:
 		w.send(message{key: fmt.Sprint("order", i, e.Intent.ID, e.Fence), from: i, to: -1, server: e.Intent.Server, effect: e})
+	default:
+		if w.note != nil {
+			w.note(i, e)
+		}
 	}
 }
 
