Prove streams whole under faults, and notice a missing last chunk

Cause: streams through the gateway were unproved. The chaos test found two faults: a stream whose last chunk got lost ended with its end marker, which has no position, and was passed on as whole; an engine's 503 was counted as an answer.

Change: an end marker counts only once a finish reason has come, where the engine states the field at all; an engine's 429, 502, 503 and 504 become a problem of unknown effect.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -19,7 +19,10 @@
 
 // answer passes a backend server's answer on.
 func (g *Gateway) answer(ctx context.Context, c *Call, place *place, response *http.Response) *failure {
-	if isRetriedStatus(response.StatusCode) && c.repeatable && c.attempts+1 < g.config.MaxAttempts {
+	// An engine's failure isn't its answer. That of a plain service may be, and
+	// the caller gets it unless another server can be tried.
+	last := !c.repeatable || c.attempts+1 >= g.config.MaxAttempts
+	if isRetriedStatus(response.StatusCode) && (c.engine || !last) {
 		return place.fail(&failure{kind: OutcomeServerError,
 			problem: problem.New(problem.ServerFailed, "the backend server answered "+response.Status)})
 	}
--- /dev/null
+++ b/internal/gateway/drain_test.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/problem"
+)
+
+// TestDrain follows a shutdown: readiness fails first, late arrivals are served,
+// waiting and running requests end, then nothing is taken.
+func TestDrain(t *testing.T) {
+	release := make(chan struct{})
+	b := newBench(t, overHTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == entryPath {
+			<-release
+		}
+		engine(w, r)
+	}), func(d *Deps) { d.Config.LateArrivals = 300 * time.Millisecond })
+	require.Equal(t, http.StatusOK, b.send("GET", "/readyz", "").status)
+	replies := make(chan reply, 2)
+	go func() { replies <- b.chat(coldBody) }()
+	go func() { replies <- b.send("POST", entryPath, chatBody) }()
+	require.Eventually(t, func() bool { return b.gateway.Endings().InProgress == 2 }, 5*time.Second, time.Millisecond)
+
+	drained := make(chan DrainReport, 1)
+	go func() { drained <- b.gateway.Drain(context.Background()) }()
+	require.Eventually(t, func() bool { return !b.gateway.Ready() }, 5*time.Second, time.Millisecond)
+	require.Equal(t, http.StatusServiceUnavailable, b.send("GET", "/readyz", "").status)
+	require.Equal(t, http.StatusOK, b.send("GET", "/livez", "").status)
+	require.Equal(t, http.StatusOK, b.chat(chatBody).status, "a late arrival")
+
+	require.Eventually(t, b.gateway.stopped, 5*time.Second, time.Millisecond)
+	requireProblem(t, b.chat(chatBody), problem.Stopping)
+	require.Empty(t, drained, "two requests are in progress")
+	b.router.setReady(coldModel)
+	close(b.waker.ready)
+	close(release)
+	for range 2 {
+		require.Equal(t, http.StatusOK, (<-replies).status)
+	}
+	require.Zero(t, (<-drained).Cut)
+}
+
+// TestDrainBound: at the bound Drain reports what is cut.
+func TestDrainBound(t *testing.T) {
+	b := newBench(t, overHTTP(t, func(_ http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}), func(d *Deps) { d.Config.LateArrivals = time.Nanosecond })
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan reply, 1)
+	go func() { done <- b.send("POST", entryPath, "crew", HeaderTimeout, "0.5") }()
+	require.Eventually(t, func() bool { return b.gateway.Endings().InProgress == 1 }, 5*time.Second, time.Millisecond)
+	cancel()
+	require.EqualValues(t, 1, b.gateway.Drain(ctx).Cut)
+	requireProblem(t, <-done, problem.AnswerTimeout)
+}
--- a/internal/gateway/endings_test.go
+++ b/internal/gateway/endings_test.go
@@ -121,6 +121,7 @@
 		{[]fault{faultBroken, noFault}, true, broken, 0, 1},
 		{[]fault{faultShort, noFault}, false, nil, 200, 2},
 		{[]fault{faultBusy, noFault}, false, nil, 200, 2},
+		{[]fault{faultBusy, faultBusy}, false, unknown, 0, 2},
 		{[]fault{faultBusy, noFault}, true, nil, 503, 1},
 		{[]fault{faultNotSent, faultReset}, true, unknown, 0, 2},
 		{[]fault{faultReset, faultNotSent}, false, unknown, 0, 2},
--- a/internal/gateway/openai_test.go
+++ b/internal/gateway/openai_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/openai/openai-go/v3"
@@ -40,6 +41,7 @@
 		for i, word := range []string{"The ", "beach ", "grew."} {
 			writeEvent(w, i, chunkJSON(word))
 		}
+		writeEvent(w, 3, strings.Replace(chunkJSON(""), "null", `"stop"`, 1))
 		fmt.Fprint(w, "data: [DONE]\n\n")
 	default:
 		w.Header().Set("Content-Type", "application/json")
--- a/internal/gateway/sse.go
+++ b/internal/gateway/sse.go
@@ -60,16 +60,13 @@
 // answerStream passes a stream of events on, chunk by chunk.
 func (g *Gateway) answerStream(ctx context.Context, c *Call, place *place, response *http.Response) *failure {
 	if c.events == nil {
-		c.events = &events{
-			assembler: stream.NewAssembler(maxEarlyChunks, g.config.MaxEventBytes),
-			pacer:     g.newPacer(c),
-		}
+		c.events = newEvents(stream.NewAssembler(maxEarlyChunks, g.config.MaxEventBytes), g.newPacer(c))
 	}
 	c.events.begin(c, response)
 	err := c.events.assembler.Copy(response.Body, g.config.MaxEventBytes, c.events.send)
 	if err == nil {
 		place.release(OutcomeAnswered)
-		return c.events.finish(c, response)
+		return c.events.end(c, response)
 	}
 	c.events.assembler.Restart()
 	return place.fail(g.streamFailure(ctx, c, err))
@@ -94,6 +91,13 @@
 	begun     bool
 	sent      int64
 	writeErr  error
+	finish    finishReason
+}
+
+func newEvents(a *stream.Assembler, p *pacer) *events {
+	e := &events{assembler: a, pacer: p}
+	a.RequireAtEnd(e.finish.complete)
+	return e
 }
 
 // resumable reports whether a stream has begun and another server can go on
@@ -117,6 +121,7 @@
 	message := &sse.Message{ID: sse.ID(strconv.FormatInt(e.sent, 10))}
 	message.AppendData(data)
 	e.sent++
+	e.finish.note(data)
 	return e.write(message)
 }
 
@@ -129,7 +134,7 @@
 	return e.writeErr
 }
 
-func (e *events) finish(c *Call, response *http.Response) *failure {
+func (e *events) end(c *Call, response *http.Response) *failure {
 	if c.record != nil {
 		c.record.result = identity.Result{Known: true, Status: response.StatusCode, BodyGone: true}
 	}
--- a/pkg/stream/assembler.go
+++ b/pkg/stream/assembler.go
@@ -56,6 +56,7 @@
 	last       uint64
 	positioned bool
 	plain      bool
+	complete   func() bool
 	early      map[int64]string
 	earlyBytes int
 	ended      bool
@@ -67,6 +68,11 @@
 	return &Assembler{maxEarly: maxEarly, maxEarlyBytes: maxEarlyBytes}
 }
 
+// RequireAtEnd makes the end marker count only if complete then returns true of
+// the chunks passed on so far. It notices a last chunk that is missing where the
+// end marker has no position.
+func (a *Assembler) RequireAtEnd(complete func() bool) { a.complete = complete }
+
 // Next returns the position of the next chunk wanted.
 func (a *Assembler) Next() int64 { return a.next }
 
@@ -86,8 +92,8 @@
 
 // Add takes a chunk and appends to ready the data that can be passed on now. An
 // end marker may have a position of its own, one past the last chunk's; without
-// one it has, as in every stream of events, that of the event before it, and a
-// last chunk that is missing can't be noticed.
+// one it has, as in every stream of events, that of the event before it; see
+// RequireAtEnd.
 func (a *Assembler) Add(c Chunk, ready []string) ([]string, error) {
 	if a.ended {
 		return ready, ErrAfterEnd
@@ -174,6 +180,9 @@
 	if position > a.next && !a.plain {
 		return ErrGap
 	}
+	if a.complete != nil && !a.complete() {
+		return ErrGap
+	}
 	a.ended = true
 	return nil
 }
--- a/pkg/stream/stream_test.go
+++ b/pkg/stream/stream_test.go
@@ -144,6 +144,18 @@
 	require.NoError(t, err)
 }
 
+// TestRequireAtEnd: a stream whose last chunk is missing isn't whole, and goes on.
+func TestRequireAtEnd(t *testing.T) {
+	a := NewAssembler(1, 100)
+	var got string
+	a.RequireAtEnd(func() bool { return strings.HasSuffix(got, "z") })
+	emit := func(data string) error { got += data; return nil }
+	require.ErrorIs(t, a.Copy(strings.NewReader("id: 0\ndata: a\n\ndata: [DONE]\n\n"), 100, emit), ErrGap)
+	require.False(t, a.Whole())
+	require.NoError(t, a.Copy(strings.NewReader("id: 1\ndata: z\n\ndata: [DONE]\n\n"), 100, emit))
+	require.True(t, a.Whole())
+}
+
 func TestCopyBroken(t *testing.T) {
 	reader := iotest.TimeoutReader(iotest.OneByteReader(strings.NewReader("data: a\n\ndata: [DONE]\n\n")))
 	err := NewAssembler(1, 1).Copy(reader, 1000, func(string) error { return nil })
