--- a/pkg/identity/round.go
+++ b/pkg/identity/round.go
@@ -12,45 +12,67 @@
 // ownersPerKey is how many instances keep each identity.
 const ownersPerKey = 3
 
+// typicalZones and typicalIDBytes size buffers; more of either only costs time.
+const (
+	typicalZones   = 18
+	typicalIDBytes = 64
+)
+
+// scored is a member with its rank for one identity.
+type scored struct {
+	member *Member
+	score  uint64
+}
+
+// higher orders members by rank; IDs settle a tie, so that all agree.
+func higher(a, b scored) int {
+	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member.ID, b.member.ID))
+}
+
 // Owners returns the instances that keep an identity, the first to be asked
 // first: the highest by rendezvous hash, in different zones as far as possible.
 func Owners(key Key, members []Member) []Member {
-	ranked := rank(key, members)
-	owners := make([]Member, 0, ownersPerKey)
-	var rest []Member
-	for _, m := range ranked {
-		if slices.ContainsFunc(owners, func(o Member) bool { return o.Zone == m.Zone }) {
-			rest = append(rest, m)
-			continue
-		}
-		if owners = append(owners, m); len(owners) == ownersPerKey {
-			return owners
+	best := make([]scored, 0, typicalZones)
+	buffer := make([]byte, 0, KeySize+typicalIDBytes)
+	for i := range members {
+		m := &members[i]
+		buffer = append(append(buffer[:0], key[:]...), m.ID...)
+		s := scored{m, xxhash.Sum64(buffer)}
+		at := slices.IndexFunc(best, func(b scored) bool { return b.member.Zone == m.Zone })
+		switch {
+		case at < 0:
+			best = append(best, s)
+		case higher(s, best[at]) < 0:
+			best[at] = s
 		}
 	}
-	return append(owners, rest[:min(len(rest), ownersPerKey-len(owners))]...)
+	slices.SortFunc(best, higher)
+	owners := make([]Member, 0, ownersPerKey)
+	for _, s := range best[:min(len(best), ownersPerKey)] {
+		owners = append(owners, *s.member)
+	}
+	if len(owners) < ownersPerKey && len(owners) < len(members) {
+		owners = fill(key, members, owners)
+	}
+	return owners
 }
 
-func rank(key Key, members []Member) []Member {
-	type scored struct {
-		member Member
-		score  uint64
-	}
-	all := make([]scored, len(members))
-	for i, m := range members {
-		var digest xxhash.Digest
-		digest.Reset()
-		_, _ = digest.Write(key[:])
-		_, _ = digest.WriteString(string(m.ID))
-		all[i] = scored{m, digest.Sum64()}
+// fill adds the highest of the members that aren't owners yet, where there are
+// fewer zones than owners.
+func fill(key Key, members, owners []Member) []Member {
+	var rest []scored
+	for i := range members {
+		m := &members[i]
+		if slices.ContainsFunc(owners, func(o Member) bool { return o.ID == m.ID }) {
+			continue
+		}
+		rest = append(rest, scored{m, xxhash.Sum64(append(key[:len(key):len(key)], m.ID...))})
 	}
-	slices.SortFunc(all, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member.ID, b.member.ID))
-	})
-	ranked := make([]Member, len(all))
-	for i, s := range all {
-		ranked[i] = s.member
+	slices.SortFunc(rest, higher)
+	for _, s := range rest[:min(len(rest), ownersPerKey-len(owners))] {
+		owners = append(owners, *s.member)
 	}
-	return ranked
+	return owners
 }
 
 // quorum is the owners of one list, of which a majority has to grant.
--- a/pkg/identity/table_test.go
+++ b/pkg/identity/table_test.go
@@ -1,12 +1,17 @@
 package identity
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
 // TestTableBounds: a full table refuses and evicts nothing that is alive, and
@@ -105,6 +110,37 @@
 	require.Equal(t, Answer{Finished, Result{Known: true, Status: 201, Body: []byte("x")}}, table.Claim(now, other))
 }
 
+// TestOwnersAgainstOracle compares with the members sorted from the highest on,
+// of which the first of each zone is taken, and then the rest.
+func TestOwnersAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var members []Member
+		zones := rapid.IntRange(1, 5).Draw(t, "zones")
+		for i := range rapid.IntRange(0, 12).Draw(t, "members") {
+			members = append(members, Member{ID: instanceID(i), Zone: zoneName(i % zones)})
+		}
+		key := Key{byte(rapid.IntRange(0, 255).Draw(t, "key"))}
+		score := func(m Member) uint64 { return xxhash.Sum64String(string(key[:]) + string(m.ID)) }
+		sorted := slices.Clone(members)
+		slices.SortFunc(sorted, func(a, b Member) int { return cmp.Compare(score(b), score(a)) })
+		var first, rest []Member
+		seen := map[port.Zone]bool{}
+		for _, m := range sorted {
+			if seen[m.Zone] {
+				rest = append(rest, m)
+			} else {
+				first = append(first, m)
+			}
+			seen[m.Zone] = true
+		}
+		if len(first) < ownersPerKey {
+			first = append(first, rest...)
+		}
+		want := append([]Member{}, first[:min(len(first), ownersPerKey)]...)
+		require.Equal(t, want, Owners(key, members))
+	})
+}
+
 func TestOwnersSpreadOverZones(t *testing.T) {
 	var members []Member
 	for i := range 12 {
