--- a/pkg/membership/server.go
+++ b/pkg/membership/server.go
@@ -21,6 +21,7 @@
 // serverEntry is the table's state for one server.
 type serverEntry struct {
 	server     port.Server
+	hash       uint64
 	generation uint64
 	report     port.Report
 	reportAt   time.Time
@@ -28,7 +29,9 @@
 	past       []string
 	revival    revival
 
-	listed   bool
+	listed bool
+	// listedAt is when a live list last named the server.
+	listedAt time.Time
 	lastSign time.Time
 
 	// toldLoad and toldAt are the load that the others were last told, and when.
