--- a/internal/gateway/endings_test.go
+++ b/internal/gateway/endings_test.go
@@ -162,6 +162,29 @@
 	}
 }
 
+// TestWaitingRetryCountsOnce: a request that wasn't run and waits for another
+// server is held to the retry budget once, not whenever it looks.
+func TestWaitingRetryCountsOnce(t *testing.T) {
+	var attempts atomic.Int32
+	var b *bench
+	b = newBench(t, backendFunc(func(context.Context, port.Server, *http.Request) (*http.Response, error) {
+		if attempts.Add(1) > 1 {
+			return whole(200, wholeChat), nil
+		}
+		b.router.mu.Lock()
+		defer b.router.mu.Unlock()
+		b.router.absent[testModel] = true
+		return nil, errors.Wrap(port.ErrNotSent, "connection refused")
+	}))
+	done := make(chan reply, 1)
+	go func() { done <- b.chat(chatBody) }()
+	// Looks go on while the watcher asks; two questions are many looks apart.
+	require.Eventually(t, func() bool { return b.waker.questions() >= 2 }, 10*time.Second, time.Millisecond)
+	b.router.setReady(testModel)
+	require.Equal(t, http.StatusOK, (<-done).status)
+	require.Equal(t, 1, b.router.retries)
+}
+
 // TestBurstOnColdModel: however many requests wait, one question goes out, and
 // all are answered once the model is ready.
 func TestBurstOnColdModel(t *testing.T) {
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -75,6 +75,7 @@
 	absent   map[port.ModelID]bool
 	busy     int
 	outcomes []OutcomeKind
+	retries  int
 }
 
 type fakeAttempt struct {
@@ -94,6 +95,9 @@
 func (r *fakeRouter) Pick(_ time.Time, q PickQuery) (Attempt, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if q.Retry {
+		r.retries++
+	}
 	if r.absent[q.Model] {
 		return nil, ErrNoReplica
 	}
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -98,6 +98,10 @@
 	}
 	// The place in the queue may have come free between the pick and Enter.
 	g.queues.Kick(key)
+	query := c.query(nil)
+	// A retry was held to its budget when it was first looked for; looking again
+	// is not another.
+	query.Retry = false
 	timer := time.NewTimer(c.startBy.Sub(g.now()))
 	defer timer.Stop()
 	for {
@@ -113,7 +117,7 @@
 			return nil, g.refusal(key, err)
 		}
 		var attempt Attempt
-		attempt, reason = g.deps.Router.Pick(g.now(), c.query(nil))
+		attempt, reason = g.deps.Router.Pick(g.now(), query)
 		if reason == nil {
 			return g.start(key, ticket, attempt)
 		}
