Play faults against identities at three instances; measure goodput

Cause: at most once was checked for one fault at a time, and goodput under overload not at all.

Change: TestChaosIdentities, BenchmarkGoodput.

--- a/internal/gateway/dedupe_test.go
+++ b/internal/gateway/dedupe_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -176,3 +178,54 @@
 	require.Equal(t, large, first.body)
 	requireProblem(t, benches[1].send("POST", entryPath, "crew", HeaderIdempotencyKey, "k"), problem.AnswerGone)
 }
+
+// TestChaosIdentities sends entries to three instances at once while servers
+// refuse, reset and break off and an instance goes and comes back. An entry runs
+// at most once, and one that all its senders were told is not run, didn't.
+func TestChaosIdentities(t *testing.T) {
+	const identities, senders = 60, 4
+	faults := []fault{noFault, noFault, noFault, faultNotSent, faultRefused, faultReset, faultBroken, faultPanic}
+	random := rand.New(rand.NewPCG(3, 4))
+	var mu sync.Mutex
+	runs := map[string]int{}
+	benches, p := newGateways(t, 3, backendFunc(func(_ context.Context, _ port.Server, r *http.Request) (*http.Response, error) {
+		mu.Lock()
+		f := faults[random.IntN(len(faults))]
+		if f.runs {
+			runs[r.Header.Get(HeaderIdempotencyKey)]++
+		}
+		mu.Unlock()
+		return f.do(r)
+	}))
+	answers := map[string]int{}
+	for i := range identities {
+		key := fmt.Sprint("k", i)
+		p.down.Store(nil)
+		if i%3 == 0 {
+			down := port.InstanceID(string(rune('a' + i%2)))
+			p.down.Store(&down)
+		}
+		replies := make([]reply, senders)
+		var wg sync.WaitGroup
+		for n := range senders {
+			wg.Go(func() {
+				replies[n] = benches[(i+n)%3].send("POST", entryPath, "crew", HeaderIdempotencyKey, key, HeaderTimeout, "0.2")
+			})
+		}
+		wg.Wait()
+		notRun := 0
+		for _, r := range replies {
+			if r.status == http.StatusOK {
+				answers[key]++
+			}
+			if strings.Contains(r.body, `"ran":"not_run"`) {
+				notRun++
+			}
+		}
+		require.LessOrEqual(t, runs[key], 1, key)
+		require.False(t, answers[key] > 0 && runs[key] == 0, "%s answered without a run", key)
+		require.False(t, notRun == senders && runs[key] > 0, "%s ran, and nobody was told", key)
+	}
+	require.Greater(t, len(runs), identities/3)
+	require.Greater(t, len(answers), identities/4)
+}
--- /dev/null
+++ b/internal/gateway/goodput_test.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/jsonc"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/targets"
+)
+
+// statusWriter keeps the status of a response without a connection.
+type statusWriter struct {
+	discardWriter
+	status int
+}
+
+func (w *statusWriter) WriteHeader(status int) { w.status = status }
+
+// hurriedView has a class whose requests may wait for as long as a few runs take.
+type hurriedView struct{ fakeView }
+
+func (hurriedView) Classify(ClassQuery) *targets.Class {
+	return &targets.Class{Name: "hurried", MaxWait: jsonc.Duration(100 * time.Millisecond), Repeatable: true}
+}
+
+// BenchmarkGoodput sends requests at multiples of what the backend servers can do,
+// whether or not earlier ones have ended, and reports the answered per second.
+func BenchmarkGoodput(b *testing.B) {
+	const places, service, span = 20, 20 * time.Millisecond, 2 * time.Second
+	const capacity = float64(places) / 0.020
+	for _, load := range []float64{0.5, 1, 2, 4} {
+		b.Run(fmt.Sprintf("load=%v", load), func(b *testing.B) {
+			for b.Loop() {
+				bench := newBench(b, backendFunc(func(context.Context, port.Server, *http.Request) (*http.Response, error) {
+					time.Sleep(service)
+					return whole(200, wholeChat), nil
+				}), func(d *Deps) { d.Snapshot = func() View { return hurriedView{} } })
+				bench.router.capacity = places
+				var answered, refused atomic.Int64
+				var wg sync.WaitGroup
+				handler := bench.gateway.Handler()
+				interval := time.Duration(float64(time.Second) / (capacity * load))
+				start := time.Now()
+				for sent := 0; time.Since(start) < span; sent++ {
+					time.Sleep(time.Until(start.Add(time.Duration(sent) * interval)))
+					wg.Go(func() {
+						r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", bytes.NewReader([]byte(chatBody)))
+						r.Header.Set("Content-Type", "application/json")
+						w := &statusWriter{discardWriter: discardWriter{http.Header{}}}
+						handler.ServeHTTP(w, r)
+						if w.status == http.StatusOK {
+							answered.Add(1)
+						} else {
+							refused.Add(1)
+						}
+					})
+				}
+				wg.Wait()
+				took := time.Since(start).Seconds()
+				b.ReportMetric(float64(answered.Load())/took/capacity, "goodput/capacity")
+				b.ReportMetric(float64(refused.Load())/took, "refused/s")
+			}
+		})
+	}
+}
