Publish from the changes of the table instead of the whole of it

Change: Table.Changes returns the servers that have changed since an earlier call, and Builder.Apply takes them in. Models off the catalogue are looked at again when a report no longer names them or its server goes. Membership alone orders reports. The traffic benchmark counts the real messages.

Conclusion: owners should call Changes(now, since, false) after events, and with expire once a second, in place of View and Sync.

--- a/pkg/membership/bench_test.go
+++ b/pkg/membership/bench_test.go
@@ -8,10 +8,6 @@
 	"testing"
 	"time"
 
-	"google.golang.org/protobuf/encoding/protowire"
-	"google.golang.org/protobuf/proto"
-
-	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -121,55 +117,13 @@
 	return n
 }
 
-// wireSize is the size of a delta as a message between instances.
-func wireSize(d *Delta) int {
-	m := &peerpb.Delta{
-		From: string(d.From.ID), Zone: string(d.From.Zone), PeerAddress: d.From.PeerAddress,
-		Leaving: d.From.Leaving, Heartbeat: d.Heartbeat,
-	}
-	extra := 2 + protowire.SizeVarint(d.Version) + protowire.SizeVarint(d.Seen)
-	for _, o := range d.Instances {
-		m.Instances = append(m.Instances, &peerpb.InstanceObservation{
-			Id: string(o.Instance.ID), Zone: string(o.Instance.Zone), PeerAddress: o.Instance.PeerAddress,
-			Leaving: o.Instance.Leaving, Heartbeat: o.Heartbeat,
-		})
-	}
-	for i := range d.Servers {
-		m.Servers = append(m.Servers, wireServer(&d.Servers[i]))
-		extra += 2 + protowire.SizeVarint(d.Servers[i].Generation)
-		if d.Servers[i].LoadOnly {
-			extra += 3 + 10
-		}
-	}
-	for _, id := range d.Want {
-		extra += 2 + len(id)
-	}
-	return proto.Size(m) + extra
-}
-
-func wireServer(o *ServerObservation) *peerpb.ServerObservation {
-	r := &o.Report
-	m := &peerpb.ServerObservation{
-		Id: string(o.Server.ID), Zone: string(o.Server.Zone), Service: o.Server.Service,
-		Kind: string(o.Server.Kind), Address: o.Server.Address, Leaving: o.Server.Leaving,
-		Incarnation: r.Incarnation, Sequence: r.Sequence, MemoryBytes: r.MemoryBytes, OlderBytes: r.OlderBytes,
-		InFlight: int32(r.InFlight), Queued: int32(r.Queued), AgeMs: o.Age.Milliseconds(),
-	}
-	for _, rep := range r.Replicas {
-		m.Replicas = append(m.Replicas, &peerpb.ReplicaObservation{
-			Model: string(rep.Model), State: 1, Bytes: rep.Bytes, OrderId: rep.OrderID,
-		})
-	}
-	return m
-}
-
 // traffic counts what each instance sends and receives.
 type traffic struct {
 	bytes, messages map[port.InstanceID]int
 }
 
 func (c *traffic) count(from, to *Table, d *Delta) {
-	n := wireSize(d)
+	n := encodedSize(d)
 	for _, id := range []port.InstanceID{from.Self().ID, to.Self().ID} {
 		c.bytes[id] += n
 		c.messages[id]++
--- a/pkg/membership/server.go
+++ b/pkg/membership/server.go
@@ -38,6 +38,13 @@
 	toldLoad int
 	toldAt   time.Time
 
+	// routable is what Changes last told of the server.
+	routable bool
+	// local and place order the entry among all changes, those that others
+	// aren't told of too.
+	local uint64
+	place *list.Element
+
 	mark
 }
 
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -22,6 +22,7 @@
 	peers     map[port.InstanceID]*peerState
 	// serverOrder and instanceOrder hold the entries, latest change first.
 	serverOrder, instanceOrder *list.List
+	changes                    changeLog
 
 	listAt, listCompiled time.Time
 	refused              uint64
@@ -38,6 +39,7 @@
 		peers:         make(map[port.InstanceID]*peerState),
 		serverOrder:   list.New(),
 		instanceOrder: list.New(),
+		changes:       changeLog{order: list.New()},
 	}
 }
 
@@ -78,6 +80,7 @@
 		t.mergeListedInstance(now, i, outdated)
 	}
 	t.forget(now)
+	t.checkAllRoutable(now)
 }
 
 func (t *Table) mergeListedServer(now time.Time, s port.Server, outdated bool) {
@@ -124,6 +127,7 @@
 
 // take adopts a report and marks what others must be told.
 func (t *Table) take(now time.Time, e *serverEntry, generation uint64, r port.Report, at time.Time, source port.InstanceID) {
+	t.changes.touch(e)
 	before, known := e.stateHash, e.reported() && e.generation == generation
 	e.adopt(generation, r, at)
 	switch {
@@ -158,6 +162,7 @@
 		return
 	}
 	e.server.Leaving = true
+	t.changes.touch(e)
 	t.changedServer(e, true, source)
 }
 
@@ -168,6 +173,7 @@
 	}
 	e := &serverEntry{server: s, hash: hashID(string(s.ID)), lastSign: now}
 	t.servers[s.ID] = e
+	t.changes.touch(e)
 	t.changedServer(e, true, "")
 	return e
 }
@@ -201,6 +207,7 @@
 	for id, e := range t.servers {
 		if !e.listed && now.Sub(e.lastSign) > t.cfg.ForgetAfter {
 			t.serverOrder.Remove(e.element)
+			t.changes.remove(e)
 			delete(t.servers, id)
 		}
 	}
@@ -236,20 +243,27 @@
 }
 
 func (t *Table) serverView(now time.Time, e *serverEntry) ServerView {
-	fresh := e.reported() && now.Sub(e.reportAt) < t.cfg.ReportFresh
-	listed := e.listed || !e.listedAt.IsZero() && now.Sub(e.listedAt) < t.cfg.UnlistedGrace
 	return ServerView{
 		Server:   e.server,
 		Reported: e.reported(),
 		Report:   e.report,
 		ReportAt: e.reportAt,
 		Listed:   e.listed,
-		// With no list at all, as after a start during an outage, whatever
-		// peers tell of is taken.
-		Routable: !e.server.Leaving && (listed || fresh || t.listAt.IsZero()),
+		Routable: t.routable(now, e),
 	}
 }
 
+func (t *Table) routable(now time.Time, e *serverEntry) bool {
+	if e.server.Leaving {
+		return false
+	}
+	fresh := e.reported() && now.Sub(e.reportAt) < t.cfg.ReportFresh
+	listed := e.listed || !e.listedAt.IsZero() && now.Sub(e.listedAt) < t.cfg.UnlistedGrace
+	// With no list at all, as after a start during an outage, whatever peers
+	// tell of is taken.
+	return listed || fresh || t.listAt.IsZero()
+}
+
 // View copies the whole table.
 func (t *Table) View(now time.Time) View {
 	return View{At: now, Instances: t.Instances(now, ""), Servers: t.Servers(now, ""), ListAt: t.listAt}
--- a/pkg/routing/builder.go
+++ b/pkg/routing/builder.go
@@ -38,7 +38,7 @@
 	candidate   *Candidate
 	routable    bool
 	incarnation string
-	reportAt    time.Time
+	sequence    uint64
 	// reported lists all models of the last report, and ready those that the
 	// server is a candidate for.
 	replicas []port.Replica
@@ -128,6 +128,20 @@
 	}
 }
 
+// Apply takes in what has changed in a table of membership.
+func (b *Builder) Apply(c membership.Changes) {
+	if c.All {
+		b.Sync(c.Servers)
+		return
+	}
+	for _, v := range c.Servers {
+		b.Update(v)
+	}
+	for _, id := range c.Gone {
+		b.Remove(id)
+	}
+}
+
 // Remove drops a server that membership no longer knows.
 func (b *Builder) Remove(id port.ServerID) {
 	s := b.servers[id]
@@ -137,6 +151,7 @@
 	s.routable = false
 	b.enrol(s)
 	b.place(s, nil)
+	b.doubt(s.replicas)
 	delete(b.servers, id)
 	service := s.candidate.Server.Service
 	b.resize(service, -1)
@@ -282,6 +297,8 @@
 	b.groups[service].ejection.Resize(b.sizes[service])
 }
 
+// report takes in a report unless it is the one that was taken in last. Which of
+// two is the newer one is for membership to say.
 func (b *Builder) report(s *builtServer, v *membership.ServerView) {
 	stats := s.candidate.Stats
 	at := b.router.since(v.ReportAt)
@@ -290,10 +307,10 @@
 			stats.cache.restart(at)
 		}
 		s.incarnation = v.Report.Incarnation
-	} else if !v.ReportAt.After(s.reportAt) {
+	} else if v.Report.Sequence == s.sequence {
 		return
 	}
-	s.reportAt = v.ReportAt
+	s.sequence = v.Report.Sequence
 	stats.report(v.Report.InFlight+v.Report.Queued, at)
 	for _, r := range v.Report.Replicas {
 		if b.models[r.Model] == nil {
@@ -301,9 +318,19 @@
 			b.dirtyModels[r.Model] = struct{}{}
 		}
 	}
+	b.doubt(s.replicas)
 	s.replicas = v.Report.Replicas
 }
 
+// doubt has models looked at again that may be known by no one any more.
+func (b *Builder) doubt(replicas []port.Replica) {
+	for _, r := range replicas {
+		if _, listed := b.catalogue[r.Model]; !listed {
+			b.dirtyModels[r.Model] = struct{}{}
+		}
+	}
+}
+
 // enrol puts the server into its service's set, or takes it out.
 func (b *Builder) enrol(s *builtServer) {
 	name := s.candidate.Server.Service
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -138,7 +138,7 @@
 		require.Equal(t, port.ServerID("s2"), c.Server.ID)
 	}
 	gone := view("s2", "a", "ad")
-	gone.ReportAt = at(time.Second)
+	gone.Report.Sequence, gone.ReportAt = 2, at(time.Second)
 	b.Update(gone)
 	r.Publish(b.Snapshot(at(time.Second)))
 	_, err := r.Pick(at(time.Second), Query{Model: "ad"})
