--- a/pkg/routing/quality_test.go
+++ b/pkg/routing/quality_test.go
@@ -248,7 +248,26 @@
 	s := b.Stats("busy")
 	mean := math.Float64frombits(s.group.meanOthers.Load())
 	since := b.router.since(at(0))
-	require.InDelta(t, 100, s.load(since, time.Second), 0.1)
-	require.InDelta(t, (100+mean)/2, s.load(since+time.Second, time.Second), 0.1)
-	require.InDelta(t, mean, s.load(since+time.Hour, time.Second), 0.1)
+	ages := LoadScorer{ReportFresh: time.Second, NewsDelay: time.Second}
+	require.InDelta(t, 100, s.load(since+time.Second, ages), 0.1)
+	require.InDelta(t, (100+mean)/2, s.load(since+2*time.Second, ages), 0.1)
+	require.InDelta(t, mean, s.load(since+time.Hour, ages), 0.1)
+}
+
+// TestSentByOthersUntilNewsArrives looks at one server after this instance has
+// sent it ten requests, as seven others will have done.
+func TestSentByOthersUntilNewsArrives(t *testing.T) {
+	r, b := newRouter(Config{Limit: limit.AdaptiveConfig{Initial: 64}}, nil, view("s1", "a", "m"))
+	r.SetInstances(8)
+	for range 10 {
+		pickAt(t, r, 0, Query{Model: "m"})
+	}
+	s, since := b.Stats("s1"), r.since(at(0))
+	ages := LoadScorer{ReportFresh: time.Hour, NewsDelay: 2 * time.Second}
+	require.InDelta(t, 80, s.load(since+2*time.Second, ages), 0.1)
+	require.InDelta(t, 45, s.load(since+4*time.Second, ages), 0.1)
+	v := view("s1", "a", "m")
+	v.Report.Sequence, v.Report.InFlight, v.ReportAt = 2, 83, at(4*time.Second)
+	b.Update(v)
+	require.InDelta(t, 83, s.load(since+4*time.Second, ages), 0.1, "a new report counts all of them")
 }
--- a/pkg/routing/router.go
+++ b/pkg/routing/router.go
@@ -48,7 +48,7 @@
 
 func (c Config) withDefaults() Config {
 	if c.Scorer == nil {
-		c.Scorer = LoadScorer{ReportHalfLife: DefaultReportHalfLife}
+		c.Scorer = LoadScorer{ReportFresh: DefaultReportFresh, NewsDelay: DefaultNewsDelay}
 	}
 	if c.Picker == nil {
 		c.Picker = TwoChoices{}
--- a/pkg/routing/score.go
+++ b/pkg/routing/score.go
@@ -5,12 +5,18 @@
 // LoadScorer estimates the queueing time at a server: the mean time to the first
 // byte, scaled by the load against the limit.
 type LoadScorer struct {
-	// ReportHalfLife is the age at which a report counts by half.
-	ReportHalfLife time.Duration
+	// ReportFresh is up to which age a report counts in full. Membership holds
+	// back small changes of load, so that no news means little change.
+	ReportFresh time.Duration
+	// NewsDelay is how long a large change of load takes to become known.
+	NewsDelay time.Duration
 }
 
-// DefaultReportHalfLife is that of the default scorer.
-const DefaultReportHalfLife = 2 * time.Second
+// The ages of the default scorer.
+const (
+	DefaultReportFresh = 30 * time.Second
+	DefaultNewsDelay   = 2 * time.Second
+)
 
 // Cost is the expected queueing time in seconds.
 func (s LoadScorer) Cost(now time.Duration, _ *Query, c *Candidate) float64 {
@@ -18,7 +24,7 @@
 	if latency == 0 {
 		latency = defaultLatency
 	}
-	load := c.Stats.load(now, s.ReportHalfLife)
+	load := c.Stats.load(now, s)
 	return latency.Seconds() * (load + 1) / float64(c.Stats.Limit())
 }
 
--- a/pkg/routing/stats.go
+++ b/pkg/routing/stats.go
@@ -184,19 +184,28 @@
 // load estimates the requests on the server: our own, those of others as the
 // report had them, and those that others have sent since. The balancer spreads
 // callers evenly, so each other instance is taken to have sent as many as this
-// one. With the report's age the estimate of others moves to the mean of the
-// service, since an old number says little of this server.
-func (s *ServerStats) load(now, halfLife time.Duration) float64 {
+// one. That holds until news of them would have arrived. An old report says little
+// of this server, so the estimate of others then moves to the mean of the service.
+func (s *ServerStats) load(now time.Duration, ages LoadScorer) float64 {
 	own := s.inFlight.Load()
 	mean := math.Float64frombits(s.group.meanOthers.Load())
 	at := s.reportedAt.Load()
 	if at == 0 {
 		return float64(own) + mean
 	}
-	age := max(float64(int64(now)-at), 0) / float64(halfLife)
-	weight := 1 / (1 + age)
+	age := now - time.Duration(at)
+	weight := weightAt(age, ages.ReportFresh)
+	others := weight*float64(s.others.Load()) + (1-weight)*mean
 	since := max(own-s.own.Load(), 0) * (s.instances.Load() - 1)
-	return float64(own+since) + weight*float64(s.others.Load()) + (1-weight)*mean
+	return float64(own) + others + weightAt(age, ages.NewsDelay)*float64(since)
+}
+
+// weightAt is 1 up to an age, and falls in inverse proportion after it.
+func weightAt(age, full time.Duration) float64 {
+	if age <= full {
+		return 1
+	}
+	return float64(full) / float64(age)
 }
 
 // finish takes in a result and gives the slot back.
