--- a/pkg/membership/bench_test.go
+++ b/pkg/membership/bench_test.go
@@ -8,9 +8,6 @@
 	"testing"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
-	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -120,58 +117,13 @@
 	return n
 }
 
-// wireSize is the size of a delta as a message between instances.
-func wireSize(d *Delta) int {
-	m := &peerpb.Delta{
-		From:    wireInstance(InstanceObservation{Instance: d.From, Heartbeat: d.Heartbeat}),
-		Version: d.Version, Seen: d.Seen,
-	}
-	for _, o := range d.Instances {
-		m.Instances = append(m.Instances, wireInstance(o))
-	}
-	for i := range d.Servers {
-		m.Servers = append(m.Servers, wireServer(&d.Servers[i]))
-	}
-	for _, id := range d.Want {
-		m.Want = append(m.Want, string(id))
-	}
-	return proto.Size(m)
-}
-
-func wireInstance(o InstanceObservation) *peerpb.InstanceObservation {
-	return &peerpb.InstanceObservation{
-		Id: string(o.Instance.ID), Zone: string(o.Instance.Zone), PeerAddress: o.Instance.PeerAddress,
-		Leaving: o.Instance.Leaving, Heartbeat: o.Heartbeat, HeartbeatOnly: o.HeartbeatOnly,
-	}
-}
-
-func wireServer(o *ServerObservation) *peerpb.ServerObservation {
-	r := &o.Report
-	m := &peerpb.ServerObservation{
-		Id: string(o.Server.ID), Zone: string(o.Server.Zone), Service: o.Server.Service,
-		Kind: string(o.Server.Kind), Address: o.Server.Address, Leaving: o.Server.Leaving,
-		Generation: o.Generation, AgeMs: o.Age.Milliseconds(), LoadOnly: o.LoadOnly, StateHash: o.StateHash,
-		Report: &peerpb.Report{
-			Incarnation: r.Incarnation, Sequence: r.Sequence, Fence: int64(r.Fence),
-			MemoryBytes: r.MemoryBytes, OlderBytes: r.OlderBytes,
-			InFlight: int32(r.InFlight), Queued: int32(r.Queued), Leaving: r.Leaving,
-		},
-	}
-	for _, replica := range r.Replicas {
-		m.Report.Replicas = append(m.Report.Replicas, &peerpb.Replica{
-			Model: string(replica.Model), State: string(replica.State), Bytes: replica.Bytes, OrderId: replica.OrderID,
-		})
-	}
-	return m
-}
-
 // traffic counts what each instance sends and receives.
 type traffic struct {
 	bytes, messages map[port.InstanceID]int
 }
 
 func (c *traffic) count(from, to *Table, d *Delta) {
-	n := wireSize(d)
+	n := encodedSize(d)
 	for _, id := range []port.InstanceID{from.Self().ID, to.Self().ID} {
 		c.bytes[id] += n
 		c.messages[id]++
