--- a/pkg/keepalive/forecast.go
+++ b/pkg/keepalive/forecast.go
@@ -33,6 +33,9 @@
 	rhythmic bool
 	// above holds the weight of gaps in the bucket and all longer ones.
 	above [gapBuckets + 1]float64
+	// known is the survival at knownAt, since steps follow one another.
+	knownAt time.Duration
+	known   float64
 }
 
 func (h *history) forecast(now time.Duration) forecast {
@@ -62,7 +65,12 @@
 // arrival is the chance of an arrival between two offsets from now, given that
 // there is none before.
 func (f *forecast) arrival(from, to time.Duration) float64 {
-	byGap := 1 - f.survival(f.age+to)/f.survival(f.age+from)
+	if f.known == 0 || f.knownAt != from {
+		f.known = f.survival(f.age + from)
+	}
+	after := f.survival(f.age + to)
+	byGap := 1 - after/f.known
+	f.knownAt, f.known = to, after
 	if !f.rhythmic {
 		return byGap
 	}
--- a/pkg/keepalive/history.go
+++ b/pkg/keepalive/history.go
@@ -69,9 +69,9 @@
 }
 
 // burst takes in how many callers waited after the last gap.
-func (h *history) burst(callers int) {
+func (h *history) burst(callers float64) {
 	was := int(h.bursts[h.class])
-	now := min(max(callers, 1)*burstUnit, math.MaxUint16)
+	now := int(min(max(callers, 1)*burstUnit, math.MaxUint16))
 	h.bursts[h.class] = uint16(was + (now-was)/burstDecay)
 }
 
--- a/pkg/keepalive/policy.go
+++ b/pkg/keepalive/policy.go
@@ -18,6 +18,8 @@
 	// exchange is how many seconds of one idle accelerator are worth one second
 	// of waiting of one caller, at a cold_start_weight of one half.
 	exchange = 60.0
+	// tailScale is the wait, in seconds, beyond which its cost grows faster.
+	tailScale = 5.0
 	// aheadMargin is the part of a cold start's cost that loading ahead has to
 	// gain.
 	aheadMargin = 0.3
@@ -95,13 +97,21 @@
 
 func (t *Tracker) at(i int32) *history { return &t.blocks[i/blockSize][i%blockSize] }
 
-// Woke takes in how many callers waited for a cold start after the last gap.
-func (t *Tracker) Woke(model port.ModelID, waiting int) {
-	if i, known := t.index[model]; known {
-		t.at(i).burst(waiting)
+// Woke takes in a cold start after the last gap: the sum of its callers' waits
+// and how long it took from the first of them on. Their ratio is the number of
+// callers as if all had come at once.
+func (t *Tracker) Woke(model port.ModelID, waits, took time.Duration) {
+	if i, known := t.index[model]; known && took > 0 {
+		t.at(i).burst(waits.Seconds() / took.Seconds())
 	}
 }
 
+// WaitCost is what a wait of one caller counts for, in seconds. Beyond
+// tailScale it grows with the square, since the tail is what callers mind.
+func WaitCost(wait time.Duration) float64 {
+	return wait.Seconds() * max(1, wait.Seconds()/tailScale)
+}
+
 // Models returns the number of histories.
 func (t *Tracker) Models() int { return len(t.index) }
 
@@ -120,13 +130,13 @@
 		return 0
 	}
 	f := h.forecast(now.Sub(t.origin))
-	return f.within(worthHorizon) * coldStart.Seconds() * h.callers(f.age+worthHorizon/2)
+	return f.within(worthHorizon) * WaitCost(coldStart) * h.callers(f.age+worthHorizon/2)
 }
 
 // costs returns the price of a cold start, for each caller, and of a second of
 // idling.
 func (t *Tracker) costs(f *Facts) (cold, idle float64) {
-	return t.weight * exchange * f.ColdStart.Seconds(), (1 - t.weight) * f.Accelerators
+	return t.weight * exchange * WaitCost(f.ColdStart), (1 - t.weight) * f.Accelerators
 }
 
 // bestGain returns the largest gain over all moments until which the model could
@@ -186,7 +196,7 @@
 		return Verdict{Reason: fmt.Sprintf("idle for %s, kept %s without a history", age.Round(time.Second), keep)}
 	}
 	return Verdict{
-		Keep: true, Gain: t.weight * exchange * facts.ColdStart.Seconds() * (1 - age.Seconds()/keep.Seconds()),
+		Keep: true, Gain: t.weight * exchange * WaitCost(facts.ColdStart) * (1 - age.Seconds()/keep.Seconds()),
 		Reason: fmt.Sprintf("kept %s without a history", keep),
 	}
 }
@@ -202,8 +212,11 @@
 	if h.roll(at); !h.rhythmic() {
 		return Verdict{}
 	}
-	f := h.forecast(at)
 	lead := max(aheadLead, 2*facts.ColdStart)
+	if max(h.slot(at), h.slot(at+lead), h.slot(at+lead+slotLength/2)) < regular {
+		return Verdict{}
+	}
+	f := h.forecast(at)
 	soon := f.within(lead + slotLength/2)
 	cold, idle := t.costs(&facts)
 	cold *= h.callers(f.age + lead)
--- a/pkg/placement/candidate.go
+++ b/pkg/placement/candidate.go
@@ -23,6 +23,8 @@
 	// cost is the expected waiting in seconds, of the callers now and of those
 	// of the models unloaded.
 	cost float64
+	// evictedWorth is the part of cost that comes from the models unloaded.
+	evictedWorth float64
 }
 
 func (c *candidate) better(other *candidate) bool {
@@ -96,6 +98,10 @@
 		return candidate{}, false
 	}
 	v.estimate(&c, s)
+	if r.Waiting == 0 && c.evictedWorth > r.Worth/2 {
+		t.addFull(0)
+		return candidate{}, false
+	}
 	return c, true
 }
 
@@ -159,8 +165,9 @@
 	load := time.Duration(c.server.Report.InFlight)*inFlightCost + time.Duration(c.server.Report.Queued)*queuedCost
 	c.cost = float64(max(1, r.Waiting)) * (c.readyIn + load).Seconds()
 	for _, hold := range c.evict {
-		c.cost += v.worth(hold.Model)
+		c.evictedWorth += v.worth(hold.Model)
 	}
+	c.cost += c.evictedWorth
 }
 
 func (c *candidate) plan(r *Request, t *tally, have replicas) Plan {
--- a/pkg/placement/place_test.go
+++ b/pkg/placement/place_test.go
@@ -71,6 +71,11 @@
 	}
 }
 
+func ahead(r *placement.Request, worth float64) *placement.Request {
+	r.Waiting, r.Patience, r.Worth = 0, time.Time{}, worth
+	return r
+}
+
 func evicted(p placement.Plan) []port.ModelID {
 	var models []port.ModelID
 	for _, h := range p.Evict {
@@ -165,6 +170,22 @@
 			},
 			request: request("m", 30), action: placement.ActionEvict, server: "s1", evict: []port.ModelID{"large"}, loads: 1,
 		},
+		"ahead, in place of what is worth less": {
+			zone: func(z *zone) {
+				z.Servers = z.Servers[:1]
+				z.load("s1", "a", 40)
+				z.worth["a"] = 4
+			},
+			request: ahead(request("m", 10), 9), action: placement.ActionEvict, server: "s1", evict: []port.ModelID{"a"}, loads: 1,
+		},
+		"ahead, not in place of what is worth as much": {
+			zone: func(z *zone) {
+				z.Servers = z.Servers[:1]
+				z.load("s1", "a", 40)
+				z.worth["a"] = 5
+			},
+			request: ahead(request("m", 10), 9), word: placement.WordNoMemory,
+		},
 		"busy ones stay": {
 			zone: func(z *zone) {
 				for _, s := range []port.ServerID{"s1", "s2", "s3"} {
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -41,6 +41,9 @@
 	// no second replica is planned.
 	ServiceTime time.Duration
 	Slots       int
+	// Worth is the waiting, in seconds, that a load is expected to save if nobody
+	// waits for it yet. Only replicas worth less than half of it are unloaded.
+	Worth float64
 }
 
 // Server is a backend server as the decision sees it.
