Keep the call that the decider uses

Change: Woke takes a number of callers again; Waited takes sums of waits. TierOf is exported, so that the decider can estimate a reload by the tier that holds the checkpoint.

--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -43,7 +43,7 @@
 }
 
 func (p *history) woke(m *modelState, waits, took time.Duration) {
-	p.tracker.Woke(m.spec.info.ID, waits, took)
+	p.tracker.Waited(m.spec.info.ID, waits, took)
 }
 
 func (p *history) facts(m *modelState) keepalive.Facts {
--- a/pkg/keepalive/policy.go
+++ b/pkg/keepalive/policy.go
@@ -97,10 +97,17 @@
 
 func (t *Tracker) at(i int32) *history { return &t.blocks[i/blockSize][i%blockSize] }
 
-// Woke takes in a cold start after the last gap: the sum of its callers' waits
-// and how long it took from the first of them on. Their ratio is the number of
-// callers as if all had come at once.
-func (t *Tracker) Woke(model port.ModelID, waits, took time.Duration) {
+// Woke takes in how many callers waited for a cold start after the last gap.
+func (t *Tracker) Woke(model port.ModelID, waiting int) {
+	if i, known := t.index[model]; known {
+		t.at(i).burst(float64(waiting))
+	}
+}
+
+// Waited takes in the same where the waits are known: their sum, and how long it
+// took from the first caller until the model was ready. Their ratio is the
+// number of callers as if all had come at once.
+func (t *Tracker) Waited(model port.ModelID, waits, took time.Duration) {
 	if i, known := t.index[model]; known && took > 0 {
 		t.at(i).burst(waits.Seconds() / took.Seconds())
 	}
--- a/pkg/placement/candidate.go
+++ b/pkg/placement/candidate.go
@@ -120,14 +120,15 @@
 			return false
 		}
 		if !found {
-			c.loads = append(c.loads, Load{Model: r.Base, Tier: tierOf(c.server.Report, r.Base.ID)})
+			c.loads = append(c.loads, Load{Model: r.Base, Tier: TierOf(c.server.Report, r.Base.ID)})
 		}
 	}
-	c.loads = append(c.loads, Load{Model: r.Model, Tier: tierOf(c.server.Report, r.Model.ID)})
+	c.loads = append(c.loads, Load{Model: r.Model, Tier: TierOf(c.server.Report, r.Model.ID)})
 	return true
 }
 
-func tierOf(r *port.Report, model port.ModelID) Tier {
+// TierOf returns the fastest tier that a server can read a model from.
+func TierOf(r *port.Report, model port.ModelID) Tier {
 	switch {
 	case slices.Contains(r.CachedInMemory, model):
 		return TierMemory
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -134,7 +134,7 @@
 	}
 	tier := TierDisk
 	if s.Report != nil {
-		tier = tierOf(s.Report, hold.Model)
+		tier = TierOf(s.Report, hold.Model)
 	}
 	took := v.Speeds.LoadTime(s.ID, tier, hold.Bytes)
 	if hold.Unload != "" {
