--- a/pkg/targets/targets_test.go
+++ b/pkg/targets/targets_test.go
@@ -1,6 +1,8 @@
 package targets_test
 
 import (
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -190,12 +192,43 @@
 	})
 }
 
-func BenchmarkClassify(b *testing.B) {
-	c, err := targets.Compile(targets.Default())
+// withRules returns the example with that many rules for models.
+func withRules(b *testing.B, rules int) []byte {
+	doc := targets.Default()
+	doc.Rules = nil
+	for i := range rules {
+		doc.Rules = append(doc.Rules, targets.Rule{Class: "batch", Model: fmt.Sprintf("model-%04d*", i), Caller: "crew"})
+	}
+	data, err := json.Marshal(doc)
 	require.NoError(b, err)
-	header := http.Header{"X-Priority": {"low"}}
-	b.ReportAllocs()
-	for b.Loop() {
-		c.Classify(targets.Request{Model: "report-7", Path: "/v1/completions", Header: header})
+	return data
+}
+
+var ruleCounts = []int{10, 100, 1000}
+
+func BenchmarkParse(b *testing.B) {
+	for _, rules := range ruleCounts {
+		b.Run(fmt.Sprintf("rules=%d", rules), func(b *testing.B) {
+			data := withRules(b, rules)
+			b.SetBytes(int64(len(data)))
+			for b.Loop() {
+				require.NoError(b, targets.Validate(data))
+			}
+		})
+	}
+}
+
+func BenchmarkClassify(b *testing.B) {
+	for _, rules := range ruleCounts {
+		b.Run(fmt.Sprintf("rules=%d", rules), func(b *testing.B) {
+			doc, err := targets.Parse(withRules(b, rules))
+			require.NoError(b, err)
+			c, err := targets.Compile(doc)
+			require.NoError(b, err)
+			b.ReportAllocs()
+			for b.Loop() {
+				c.Classify(targets.Request{Model: "other", Path: "/v1/completions", Caller: "crew"})
+			}
+		})
 	}
 }
