--- a/pkg/placement/candidate.go
+++ b/pkg/placement/candidate.go
@@ -23,6 +23,8 @@
 	// cost is the expected waiting in seconds, of the callers now and of those
 	// of the models unloaded.
 	cost float64
+	// evictedWorth is the part of cost that comes from the models unloaded.
+	evictedWorth float64
 }
 
 func (c *candidate) better(other *candidate) bool {
@@ -96,6 +98,10 @@
 		return candidate{}, false
 	}
 	v.estimate(&c, s)
+	if r.Waiting == 0 && c.evictedWorth > r.Worth/2 {
+		t.addFull(0)
+		return candidate{}, false
+	}
 	return c, true
 }
 
@@ -114,14 +120,15 @@
 			return false
 		}
 		if !found {
-			c.loads = append(c.loads, Load{Model: r.Base, Tier: tierOf(c.server.Report, r.Base.ID)})
+			c.loads = append(c.loads, Load{Model: r.Base, Tier: TierOf(c.server.Report, r.Base.ID)})
 		}
 	}
-	c.loads = append(c.loads, Load{Model: r.Model, Tier: tierOf(c.server.Report, r.Model.ID)})
+	c.loads = append(c.loads, Load{Model: r.Model, Tier: TierOf(c.server.Report, r.Model.ID)})
 	return true
 }
 
-func tierOf(r *port.Report, model port.ModelID) Tier {
+// TierOf returns the fastest tier that a server can read a model from.
+func TierOf(r *port.Report, model port.ModelID) Tier {
 	switch {
 	case slices.Contains(r.CachedInMemory, model):
 		return TierMemory
@@ -159,8 +166,9 @@
 	load := time.Duration(c.server.Report.InFlight)*inFlightCost + time.Duration(c.server.Report.Queued)*queuedCost
 	c.cost = float64(max(1, r.Waiting)) * (c.readyIn + load).Seconds()
 	for _, hold := range c.evict {
-		c.cost += v.worth(hold.Model)
+		c.evictedWorth += v.worth(hold.Model)
 	}
+	c.cost += c.evictedWorth
 }
 
 func (c *candidate) plan(r *Request, t *tally, have replicas) Plan {
