Publish from the table's changes

Change: the observer uses membership.Changes and routing's Builder.Apply.

Conclusion: one way is left, whose cost follows the changes.

--- a/internal/controller/observer/observer.go
+++ b/internal/controller/observer/observer.go
@@ -61,7 +61,7 @@
 	builder *routing.Builder
 	// links are the instances to exchange with until the next heartbeat.
 	links []port.Instance
-	// built is the table's version that the builder has.
+	// built is what of the table's changes the builder has.
 	built uint64
 
 	// seen holds the last sign of each instance that the listener was told of. It
@@ -173,9 +173,9 @@
 		case <-ctx.Done():
 			return nil
 		case <-o.dirty:
-			o.publish(o.update)
+			o.publish(false)
 		case <-refresh.C:
-			o.publish(o.refresh)
+			o.publish(true)
 		}
 		if !pause(ctx, publishInterval) {
 			return nil
@@ -183,29 +183,21 @@
 	}
 }
 
-// update brings the changed servers to the builder. The servers of the view stay
-// those of the last refresh.
-func (o *Observer) update(now time.Time) membership.View {
-	for _, v := range o.table.ServersSince(now, o.built) {
-		o.builder.Update(v)
-	}
-	view := *o.view.Load()
-	view.At, view.Instances = now, o.table.Instances(now, "")
-	return view
-}
-
-func (o *Observer) refresh(now time.Time) membership.View {
-	view := o.table.View(now)
-	o.builder.Sync(view.Servers)
-	return view
-}
-
-func (o *Observer) publish(collect func(time.Time) membership.View) {
+// publish brings what has changed to the request path. With refresh, servers
+// that have become unroutable by the passing of time count as changed, and the
+// view has all servers anew; between refreshes it keeps those of the last one.
+func (o *Observer) publish(refresh bool) {
 	now := o.now()
 	o.mu.Lock()
-	view := collect(now)
-	o.built = o.table.Version()
+	changes := o.table.Changes(now, o.built, refresh)
+	o.built = changes.Through
+	o.builder.Apply(changes)
 	snapshot := o.builder.Snapshot(now)
+	view := *o.view.Load()
+	if refresh {
+		view = o.table.View(now)
+	}
+	view.At, view.Instances = now, o.table.Instances(now, "")
 	o.mu.Unlock()
 	o.view.Store(&view)
 	o.deps.Router.SetInstances(o.zoneInstances(&view))
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -233,21 +233,6 @@
 	return views
 }
 
-// ServersSince returns the servers that have changed since the table had the
-// given version, latest first. What changes by the mere passing of time, as
-// Routable may, isn't among them.
-func (t *Table) ServersSince(now time.Time, version uint64) []ServerView {
-	var views []ServerView
-	for el := t.serverOrder.Front(); el != nil; el = el.Next() {
-		e := el.Value.(*serverEntry)
-		if e.any <= version {
-			break
-		}
-		views = append(views, t.serverView(now, e))
-	}
-	return views
-}
-
 // Server returns what is known of one server.
 func (t *Table) Server(now time.Time, id port.ServerID) (ServerView, bool) {
 	e := t.servers[id]
