--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -1,24 +1,60 @@
 package telemetry
 
 import (
+	"bytes"
+	"context"
 	"io"
+	"strconv"
+	"strings"
 
 	"github.com/phuslu/log"
 	"go.opentelemetry.io/otel/trace"
-
-	"context"
 )
 
-// NewLogger returns a logger that writes one line of key=value pairs an event.
+// NewLogger returns a logger that writes one line of key=value pairs an event:
+// the time, the level, the event's name, and what belongs to it.
 func NewLogger(out io.Writer, level string) *log.Logger {
 	return &log.Logger{
 		Level:      log.ParseLevel(level),
 		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
-		Writer: &log.ConsoleWriter{
-			Writer:    out,
-			Formatter: log.LogfmtFormatter{TimeField: "time"}.Formatter,
-		},
+		Writer:     &log.ConsoleWriter{Writer: out, Formatter: writePairs},
+	}
+}
+
+// absent is how a nil error is logged; it is left out.
+const absent = "null"
+
+func writePairs(out io.Writer, args *log.FormatterArgs) (int, error) {
+	var line bytes.Buffer
+	pair := func(key, value string) {
+		if value == absent {
+			return
+		}
+		if line.Len() > 0 {
+			line.WriteByte(' ')
+		}
+		line.WriteString(key)
+		line.WriteByte('=')
+		line.WriteString(quoted(value))
+	}
+	pair("time", args.Time)
+	pair("level", args.Level)
+	if args.Message != "" {
+		pair("event", args.Message)
+	}
+	for _, kv := range args.KeyValues {
+		pair(kv.Key, kv.Value)
+	}
+	line.WriteByte('\n')
+	return out.Write(line.Bytes())
+}
+
+// quoted puts a value in quotes where it would be read as more than one.
+func quoted(value string) string {
+	if value == "" || strings.ContainsFunc(value, func(r rune) bool { return r <= ' ' || r == '"' || r == '=' || r == 0x7f }) {
+		return strconv.Quote(value)
 	}
+	return value
 }
 
 // TraceID returns the trace id in ctx, or the empty string.
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -33,10 +33,9 @@
 func TestLoggerWritesOneLineOfPairs(t *testing.T) {
 	var out bytes.Buffer
 	logger := telemetry.NewLogger(&out, "info")
-	logger.Info().Str("model", "crew entry\ndraft").Int("waiting", 3).Msg("wake")
+	logger.Info().Str("model", "crew entry\ndraft").Str("server", "").Int("waiting", 3).Err(nil).Msg("wake")
 	logger.Debug().Msg("hidden")
-	line := out.String()
-	require.Equal(t, 1, strings.Count(line, "\n"), line)
-	require.Contains(t, line, "waiting=3")
-	require.Contains(t, line, "wake")
+	_, pairs, found := strings.Cut(out.String(), " ")
+	require.True(t, found)
+	require.Equal(t, "level=info event=wake model=\"crew entry\\ndraft\" server=\"\" waiting=3\n", pairs)
 }
