Finish work with an identity when its caller goes; give places on at once

Cause: an entry whose caller's connection broke was cancelled, so that sending it again could only say unknown. A waiting request heard of a free place only after the answer had been sent to the caller of the one before.

The place's release kicks the queue.

Figures: TestCallerGoneWhileEntryRuns fails with the caller's context.

Conclusion: the repeated entry gets its answer.

--- a/internal/gateway/dedupe_test.go
+++ b/internal/gateway/dedupe_test.go
@@ -156,6 +156,41 @@
 	}
 }
 
+// TestCallerGoneWhileEntryRuns: an entry whose caller goes runs to its end, and
+// the caller gets the answer when it sends the entry again elsewhere.
+func TestCallerGoneWhileEntryRuns(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	var runs atomic.Int32
+	benches, _ := newGateways(t, 3, overHTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		runs.Add(1)
+		close(started)
+		select {
+		case <-release:
+			io.WriteString(w, "entered")
+		case <-r.Context().Done():
+		}
+	}))
+	ctx, cancel := context.WithCancel(t.Context())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, benches[0].url+entryPath, strings.NewReader("crew"))
+	require.NoError(t, err)
+	request.Header.Set(HeaderIdempotencyKey, "k")
+	gone := make(chan error, 1)
+	go func() {
+		_, err := http.DefaultClient.Do(request)
+		gone <- err
+	}()
+	<-started
+	cancel()
+	require.Error(t, <-gone)
+	again := make(chan reply, 1)
+	go func() { again <- benches[1].send("POST", entryPath, "crew", HeaderIdempotencyKey, "k") }()
+	require.Eventually(t, func() bool { return benches[1].gateway.Endings().InProgress == 1 }, 5*time.Second, time.Millisecond)
+	close(release)
+	require.Equal(t, "entered", (<-again).body)
+	require.EqualValues(t, 1, runs.Load())
+}
+
 // TestNoMajority: with two of three owners gone nothing runs, and that is what
 // the caller is told.
 func TestNoMajority(t *testing.T) {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -17,6 +17,7 @@
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/problem"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/queue"
 )
 
 const (
@@ -42,6 +43,14 @@
 func (g *Gateway) forward(c *Call) error {
 	ctx, cancel := context.WithDeadline(c.ctx, c.deadline)
 	defer cancel()
+	run := ctx
+	if c.record != nil {
+		// Work with an identity goes on when its caller goes: whoever sends it
+		// again gets the answer.
+		var cancelRun context.CancelFunc
+		run, cancelRun = context.WithDeadline(context.WithoutCancel(c.ctx), c.deadline)
+		defer cancelRun()
+	}
 	var excluded []port.ServerID
 	var last *failure
 	delays := backoff.NewExponentialBackOff()
@@ -52,9 +61,8 @@
 		if err != nil {
 			return g.acquireProblem(c, last, err)
 		}
-		last = g.try(ctx, c, attempt)
+		last = g.try(run, c, attempt)
 		c.attempts++
-		g.queues.Kick(c.key())
 		if last == nil {
 			return nil
 		}
@@ -104,7 +112,7 @@
 	server := attempt.Server()
 	ctx, span := g.startSpan(ctx, "forward", attribute.String("server", string(server.ID)))
 	defer span.End()
-	place := &place{attempt: attempt, g: g, started: g.now()}
+	place := &place{attempt: attempt, g: g, key: c.key(), started: g.now()}
 	defer place.release(OutcomeCanceled)
 	request, err := g.outbound(ctx, c, server)
 	if err != nil {
@@ -129,6 +137,7 @@
 type place struct {
 	attempt   Attempt
 	g         *Gateway
+	key       queue.Key
 	started   time.Time
 	firstByte time.Duration
 	released  bool
@@ -141,6 +150,7 @@
 	p.released = true
 	now := p.g.now()
 	p.attempt.Done(now, Outcome{Kind: kind, FirstByte: p.firstByte, Total: now.Sub(p.started)})
+	p.g.queues.Kick(p.key)
 }
 
 func (p *place) fail(f *failure) *failure {
