Scan candidates for a prefix with one multiplication each

Cause: with 200 candidates two thirds of a pick with a prefix went into hashing.

Change: the rendezvous weight mixes the prefix once and each key by one multiplication, keys being hashes already; known holders are looked up in a scan of their own, only where there are any. A test checks that prefixes spread evenly and that a server's going moves only its own.

--- a/pkg/routing/pool.go
+++ b/pkg/routing/pool.go
@@ -74,29 +74,49 @@
 	if saves == 0 {
 		saves = p.router.cfg.PrefixSaves
 	}
+	best, trust := p.holder(prefix)
+	if trust < p.router.cfg.GuessTrust {
+		best, trust = p.rendezvous(prefix), p.router.cfg.GuessTrust
+	}
+	if best < 0 {
+		return nil, 0
+	}
+	return p.At(best), trust * saves.Seconds()
+}
+
+// holder returns the candidate that is known to hold the prefix and is trusted
+// most, and how far.
+func (p *Pool) holder(prefix uint64) (best int, trust float64) {
 	bucket := p.router.prefixes.bucket(prefix)
-	known := bucket.prefix.Load() == prefix
-	best, guess, top, trust := -1, -1, uint64(0), 0.0
+	if bucket.prefix.Load() != prefix {
+		return -1, 0
+	}
 	for i, key := range p.set.keys[p.from:p.to] {
-		if h := mix(prefix ^ key); h >= top {
-			top, guess = h, i
-		}
-		if !known {
-			continue
-		}
 		if t := p.trust(bucket, i, key); t > trust {
 			best, trust = i, t
 		}
 	}
-	if trust < p.router.cfg.GuessTrust {
-		best, trust = guess, p.router.cfg.GuessTrust
-	}
-	if best < 0 {
-		return nil, 0
+	return best, trust
+}
+
+// rendezvous returns the candidate with the highest weight for the prefix, -1 if
+// there is none. Keys are hashes already, so that one multiplication mixes enough.
+func (p *Pool) rendezvous(prefix uint64) int {
+	best, top := -1, uint64(0)
+	seed := mix(prefix)
+	for i, key := range p.set.keys[p.from:p.to] {
+		h := (seed ^ key) * rendezvousFactor
+		h ^= h >> 32
+		if h >= top {
+			top, best = h, i
+		}
 	}
-	return p.At(best), trust * saves.Seconds()
+	return best
 }
 
+// rendezvousFactor is the odd number nearest to 2^64 over the golden ratio.
+const rendezvousFactor = 0x9e3779b97f4a7c15
+
 // trust says how likely a holder still has the prefix: an event grows old, and a
 // gap in the events voids it.
 func (p *Pool) trust(b *prefixBucket, i int, key uint64) float64 {
--- a/pkg/routing/quality_test.go
+++ b/pkg/routing/quality_test.go
@@ -160,6 +160,37 @@
 	}
 }
 
+// TestRendezvousSpreads sends many prefixes and checks that the servers get about
+// equal parts of them, and that one server less moves its own prefixes only.
+func TestRendezvousSpreads(t *testing.T) {
+	const servers, prefixes = 10, 10_000
+	r, b := affinityRouter(servers)
+	place := func() map[uint64]port.ServerID {
+		at0 := make(map[uint64]port.ServerID)
+		for i := range uint64(prefixes) {
+			c := pickAt(t, r, 0, Query{Model: "m", PrefixHash: i + 1, PrefixSaves: time.Hour})
+			c.Done(at(0), Result{Outcome: OutcomeCanceled})
+			at0[i] = c.Server.ID
+		}
+		return at0
+	}
+	before := place()
+	count := make(map[port.ServerID]int)
+	for _, id := range before {
+		count[id]++
+	}
+	for id, n := range count {
+		require.InDelta(t, prefixes/servers, n, 150, id)
+	}
+	b.Remove("s04")
+	r.Publish(b.Snapshot(at(0)))
+	for prefix, id := range place() {
+		if before[prefix] != "s04" {
+			require.Equal(t, before[prefix], id)
+		}
+	}
+}
+
 func TestAffinityEndsWithAnEngineRestart(t *testing.T) {
 	r, b := affinityRouter(10)
 	q := Query{Model: "m", PrefixHash: 42}
