--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -44,6 +44,15 @@
 	// instances and to the platform.
 	WrapDialer    func(peer.Dialer) peer.Dialer
 	WrapTransport func(http.RoundTripper) http.RoundTripper
+	// WrapBackend, if set, does the same for callers' requests to backend
+	// servers.
+	WrapBackend func(http.RoundTripper) http.RoundTripper
+	// WrapListener, if set, lets tests hold up what callers, operators and other
+	// instances send.
+	WrapListener func(net.Listener) net.Listener
+	// Gate, if set, is called before each step of the decider. Tests block in it
+	// to pause an instance, which then goes on with what it believed.
+	Gate func()
 }
 
 // Instance is one entry instance.
--- a/internal/app/provide.go
+++ b/internal/app/provide.go
@@ -85,7 +85,7 @@
 	}
 }
 
-func newListeners(s *settings.Settings) (*listeners, error) {
+func newListeners(s *settings.Settings, o Options) (*listeners, error) {
 	l := &listeners{}
 	for _, one := range []struct {
 		address string
@@ -98,6 +98,9 @@
 			l.close()
 			return nil, errors.Join(ErrListen, err)
 		}
+		if o.WrapListener != nil {
+			listener = o.WrapListener(listener)
+		}
 		*one.into = listener
 	}
 	return l, nil
@@ -123,11 +126,14 @@
 }
 
 // newPlatformHTTP serves calls of the platform and of engines' control.
-func newPlatformHTTP(o Options) *http.Client {
-	if o.WrapTransport == nil {
-		return httpcall.NewClient()
+func newPlatformHTTP(o Options) *http.Client { return newHTTP(o.WrapTransport) }
+
+func newHTTP(wrap func(http.RoundTripper) http.RoundTripper) *http.Client {
+	client := httpcall.NewClient()
+	if wrap != nil {
+		client.Transport = wrap(httpcall.NewTransport())
 	}
-	return &http.Client{Transport: o.WrapTransport(httpcall.NewTransport())}
+	return client
 }
 
 func newLogPort(s *settings.Settings, c *http.Client) port.Log {
@@ -211,11 +217,11 @@
 
 func newDecider(
 	s *settings.Settings, self port.Instance, c *logclient.Client, engine port.Engine, o *observer.Observer,
-	peers *peer.Client, config *configuration.Controller, clock port.Clock, logger *log.Logger, registry metrics.Registry,
+	peers *peer.Client, config *configuration.Controller, clock port.Clock, logger *log.Logger, registry metrics.Registry, opts Options,
 ) *decider.Decider {
 	d := decider.New(decider.Config{
 		Self: self, HolderTimeout: s.Deciding.HolderTimeout.D(), OrderLifetime: s.Deciding.OrderLifetime.D(),
-		LiveListLag: s.Deciding.LiveListLag.D(),
+		LiveListLag: s.Deciding.LiveListLag.D(), Gate: opts.Gate,
 	}, decider.Deps{
 		Log: c, Engine: engine, Observer: o, Peers: peers, Config: config, Clock: clock, Logger: logger, Metrics: registry,
 	})
@@ -239,7 +245,7 @@
 
 func newGateway(
 	s *settings.Settings, r *router, w *waker, config *configuration.Controller, t *telemetry.Tracing, c *identity.Claimer,
-	clock port.Clock, logger *log.Logger,
+	clock port.Clock, logger *log.Logger, o Options,
 ) (*gateway.Gateway, error) {
 	callers, err := callersOf(s.Keys)
 	if err != nil {
@@ -255,7 +261,7 @@
 		},
 		Snapshot: func() gateway.View { return view{config.View()} },
 		Router:   r, Waker: w, Identity: gateway.Deduplicate(c), Clock: clock, Tracer: t.Tracer, Logger: logger,
-		Backend: httpbackend.New(httpcall.NewClient()),
+		Backend: httpbackend.New(newHTTP(o.WrapBackend)),
 	}), nil
 }
 
--- a/internal/controller/decider/decider.go
+++ b/internal/controller/decider/decider.go
@@ -34,6 +34,8 @@
 	OrderLifetime time.Duration
 	// LiveListLag is the longest time by which the live list lags.
 	LiveListLag time.Duration
+	// Gate, if set, is called before each step. It may block.
+	Gate func()
 }
 
 // Observer is what the decider needs of the controller of membership.
@@ -165,18 +167,27 @@
 		case <-ctx.Done():
 			return nil
 		case do := <-d.inbox:
+			d.gate()
 			do(ctx)
 		case <-changed:
+			d.gate()
 			state, changed = d.deps.Log.Watch()
 			if state != nil {
 				d.step(ctx, lease.Folded{State: state})
 			}
 		case <-ticker.C:
+			d.gate()
 			d.tick(ctx)
 		}
 	}
 }
 
+func (d *Decider) gate() {
+	if d.cfg.Gate != nil {
+		d.cfg.Gate()
+	}
+}
+
 func (d *Decider) tick(ctx context.Context) {
 	if up := d.deps.Log.Up(); up != d.logUp {
 		d.logUp = up
--- a/internal/controller/decider/explain.go
+++ b/internal/controller/decider/explain.go
@@ -89,6 +89,9 @@
 	Epoch   port.Epoch      `json:"epoch"`
 	Holding bool            `json:"holding"`
 	Ready   bool            `json:"ready"`
+	// Members counts the instances of the zone that are eligible as far as the
+	// log was read.
+	Members int `json:"members"`
 	// Open counts the intents that hold memory, Waking the models that callers
 	// wait for, and StoreRunning and StoreWaiting the loads at the weight store.
 	Open         int `json:"open"`
@@ -106,6 +109,9 @@
 			Holder: holder, Epoch: epoch, Holding: d.machine.IsHolder(), Ready: d.deciding(),
 			Open: len(d.machine.Open()), Waking: len(d.wakes),
 		}
+		if state := d.deps.Log.State(); state != nil {
+			s.Members = len(state.Zone(d.cfg.Self.Zone).Members)
+		}
 		if d.store != nil {
 			s.StoreRunning, s.StoreWaiting = d.store.Running(), d.store.Waiting()
 		}
