Relay records of the log to instances that can't read it

Cause: an instance without the log asked peers for a whole state every 2 s. At 12,000 replicas that is about 1.8 MB a time (150 B a replica), far above 25 KB/s, and hooks saw no record of it.

A whole state is asked for only where no peer has the first record any more.

Conclusion: the traffic of a cut zone follows the changes.

--- a/internal/app/peers.go
+++ b/internal/app/peers.go
@@ -115,29 +115,19 @@
 	return &peerpb.FetchStateReply{State: state.Encode()}, nil
 }
 
-// stateFetcher asks another instance for its fold, the own zone's first.
-type stateFetcher struct {
-	self     port.Instance
-	observer *observer.Observer
-	call     func(ctx context.Context, address string, through port.Offset) ([]byte, error)
-	own      func() port.Offset
-}
+// maxRecordBytes bounds the records in one answer.
+const maxRecordBytes = 256 << 10
 
-func (f *stateFetcher) fetch(ctx context.Context) ([]byte, error) {
-	last := ErrNoDecider
-	for _, sameZone := range []bool{true, false} {
-		for _, i := range f.observer.View().Instances {
-			if !i.Alive || i.Instance.ID == f.self.ID || i.Instance.PeerAddress == "" || (i.Instance.Zone == f.self.Zone) != sameZone {
-				continue
-			}
-			state, err := f.call(ctx, i.Instance.PeerAddress, f.own())
-			if err == nil && len(state) > 0 {
-				return state, nil
-			}
-			if err != nil {
-				last = err
-			}
-		}
+// FetchRecords implements the peer protocol.
+func (p *peers) FetchRecords(_ context.Context, m *peerpb.FetchRecordsRequest) (*peerpb.FetchRecordsReply, error) {
+	state := p.log.State()
+	if state == nil || int64(state.Through()) < m.From {
+		return &peerpb.FetchRecordsReply{}, nil
+	}
+	reply := &peerpb.FetchRecordsReply{}
+	for _, r := range p.log.Recent(port.Offset(m.From), maxRecordBytes) {
+		reply.Payloads = append(reply.Payloads, r.Payload)
 	}
-	return nil, last
+	reply.Forgotten = len(reply.Payloads) == 0
+	return reply, nil
 }
--- a/internal/app/provide.go
+++ b/internal/app/provide.go
@@ -25,7 +25,6 @@
 	"github.com/cyclamenhoist/cyclamenhoist/internal/gateway"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/identitypeer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
-	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/settings"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/telemetry"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/tlsconf"
@@ -42,8 +41,6 @@
 	// records that the log is sure to keep.
 	snapshotsPerRetention = 4
 	liveInterval          = time.Second
-	// fetchTimeout bounds one question to another instance for its fold.
-	fetchTimeout = time.Second
 )
 
 // constructors lists what dig builds an instance from.
@@ -164,24 +161,13 @@
 	})
 }
 
-func newFetcher(self port.Instance, o *observer.Observer, c *peer.Client) *stateFetcher {
-	return &stateFetcher{
-		self: self, observer: o, own: func() port.Offset { return 0 },
-		call: func(ctx context.Context, address string, through port.Offset) ([]byte, error) {
-			ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-			defer cancel()
-			reply, err := c.To(address).FetchState(ctx, &peerpb.FetchStateRequest{Through: int64(through)})
-			return reply.GetState(), err
-		},
-	}
-}
-
 func newLogClient(
-	s *settings.Settings, l port.Log, self port.Instance, f *stateFetcher, m *members, registry metrics.Registry,
+	s *settings.Settings, l port.Log, self port.Instance, f *fetcher, m *members, registry metrics.Registry,
 ) *logclient.Client {
 	client := logclient.New(l, logclient.Config{
 		Validate:         targets.Validate,
-		FetchState:       f.fetch,
+		FetchState:       f.state,
+		FetchRecords:     f.records,
 		AppendsPerSecond: s.Platform.AppendsPerSecond,
 		Metrics:          registry,
 		Hooks:            logclient.Hooks{Joined: m.joined, Folded: m.folded, CaughtUp: m.tracker.Confirm},
@@ -198,7 +184,7 @@
 			},
 		},
 	})
-	f.own = func() port.Offset {
+	f.through = func() port.Offset {
 		if state := client.State(); state != nil {
 			return state.Through()
 		}
--- a/pkg/logclient/client.go
+++ b/pkg/logclient/client.go
@@ -35,6 +35,7 @@
 	view    atomic.Pointer[view]
 	// snapshots is where the tail last saw a snapshot record.
 	snapshots atomic.Pointer[snapshotMark]
+	relay     relay
 	running   atomic.Bool
 }
 
--- a/pkg/logclient/config.go
+++ b/pkg/logclient/config.go
@@ -19,6 +19,10 @@
 	// this instance needs. It should return an error, or nothing, rather than
 	// carry over a state that is no newer than the client's.
 	FetchState func(ctx context.Context) ([]byte, error)
+	// FetchRecords returns records from an offset on that a peer has read; none,
+	// without an error, if no peer is ahead. It is asked first while the log is
+	// away; where it fails, FetchState is.
+	FetchRecords func(ctx context.Context, from port.Offset) ([]port.Record, error)
 	// Rebase decides whether to go on from the first snapshot in the log, or
 	// from an appended one, when neither log nor peers have a state that joins
 	// on. It must return true only if no instance is left that has folded the
--- a/pkg/logclient/join.go
+++ b/pkg/logclient/join.go
@@ -84,12 +84,12 @@
 	group sync.WaitGroup
 	// busy holds a token while a question is under way.
 	busy   chan struct{}
-	answer chan *fold.State
+	answer chan answerOfPeers
 	asked  time.Time
 }
 
 func newPeerQuestion() *peerQuestion {
-	return &peerQuestion{busy: make(chan struct{}, 1), answer: make(chan *fold.State, 1)}
+	return &peerQuestion{busy: make(chan struct{}, 1), answer: make(chan answerOfPeers, 1)}
 }
 
 func (q *peerQuestion) wait() { q.group.Wait() }
@@ -102,10 +102,9 @@
 	}
 	q := t.peers
 	select {
-	case peer := <-q.answer:
-		if t.adopt(peer) {
+	case told := <-q.answer:
+		if t.takeAnswer(told) {
 			t.metrics.peerStates.Inc(1)
-			t.publishWork()
 		}
 	default:
 	}
@@ -119,17 +118,35 @@
 		return
 	}
 	q.asked = now
+	from := port.Offset(0)
+	if t.work != nil {
+		from = t.work.Through() + 1
+	}
 	q.group.Go(func() {
 		defer func() { <-q.busy }()
-		if peer := t.fetchPeer(ctx); peer != nil {
+		if told := t.ask(ctx, from); !told.empty() {
 			select {
-			case q.answer <- peer:
+			case q.answer <- told:
 			default: // the last answer wasn't taken; the next question brings this one
 			}
 		}
 	})
 }
 
+// ask asks peers for the records from an offset on, or, where none has them, for
+// a whole state, which is much larger.
+func (t *tail) ask(ctx context.Context, from port.Offset) answerOfPeers {
+	if from > 0 && t.config.FetchRecords != nil {
+		call, cancel := context.WithTimeout(ctx, t.config.ReadTimeout)
+		defer cancel()
+		records, err := t.config.FetchRecords(call, from)
+		if err == nil {
+			return answerOfPeers{records: records}
+		}
+	}
+	return answerOfPeers{state: t.fetchPeer(ctx)}
+}
+
 // fetchPeer returns a peer's state, or nil if no peer has one.
 func (t *tail) fetchPeer(ctx context.Context) *fold.State {
 	if t.config.FetchState == nil {
--- a/pkg/logclient/tail.go
+++ b/pkg/logclient/tail.go
@@ -120,6 +120,7 @@
 			continue
 		}
 		t.config.Hooks.folded(r, verdict, t.work)
+		t.relay.add(r)
 		if verdict.Kind == fold.KindSnapshot {
 			t.snapshots.Store(&snapshotMark{offset: r.Offset, at: time.Now()})
 		}
