--- a/pkg/retry/eject.go
+++ b/pkg/retry/eject.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 )
@@ -9,6 +10,9 @@
 type EjectConfig struct {
 	// Failures is how many failures in a row get a server ejected.
 	Failures int64
+	// FailureRate is the part of recent results, a few dozen, that gets a
+	// server ejected whose failures aren't in a row.
+	FailureRate float64
 	// MaxShare is the part of a service's servers that may be ejected at once;
 	// beyond it failing servers stay in use, since a fault that hits so many
 	// is rarely the servers' own.
@@ -21,6 +25,7 @@
 // The defaults of EjectConfig.
 const (
 	DefaultEjectFailures = 5
+	DefaultEjectRate     = 0.5
 	DefaultEjectMaxShare = 0.5
 	DefaultEjectBase     = time.Second
 	DefaultEjectMax      = 30 * time.Second
@@ -28,6 +33,7 @@
 
 func (c EjectConfig) withDefaults() EjectConfig {
 	set(&c.Failures, DefaultEjectFailures)
+	set(&c.FailureRate, DefaultEjectRate)
 	set(&c.MaxShare, DefaultEjectMaxShare)
 	set(&c.Base, DefaultEjectBase)
 	set(&c.Max, DefaultEjectMax)
@@ -90,6 +96,9 @@
 // compare-and-swap, and a result that races with it counts before or after it.
 type Health struct {
 	failures atomic.Int64
+	// rate is the mean of recent results, where a failure is 1, as the bits of a
+	// float64.
+	rate atomic.Uint64
 	// until is when an ejection ends, in nanoseconds of the owner's time; zero
 	// while the server is in use.
 	until   atomic.Int64
@@ -124,6 +133,7 @@
 // Succeeded takes in a success. A probe's success ends the ejection.
 func (h *Health) Succeeded(probe bool, g *Group) {
 	h.failures.Store(0)
+	h.observe(0)
 	if !probe {
 		if h.until.Load() == 0 {
 			h.earlier.Store(0)
@@ -137,13 +147,16 @@
 // Failed takes in a failure, and ejects the server if there were enough in a
 // row and the group's cap allows it. It reports whether it did.
 func (h *Health) Failed(now time.Duration, probe bool, g *Group) bool {
-	failures := h.failures.Add(1)
+	failures, rate := h.failures.Add(1), h.observe(1)
 	if probe {
 		h.until.Store(int64(now + g.cfg.Length(h.earlier.Add(1)-1)))
 		h.probing.Store(false)
 		return true
 	}
-	if failures < g.cfg.Failures || h.until.Load() != 0 || !g.enter() {
+	if failures < g.cfg.Failures && rate < g.cfg.FailureRate {
+		return false
+	}
+	if h.until.Load() != 0 || !g.enter() {
 		return false
 	}
 	until := int64(now + g.cfg.Length(h.earlier.Load()))
@@ -165,7 +178,23 @@
 // Forget takes a server that no longer exists out of its group's count.
 func (h *Health) Forget(g *Group) { h.leave(g) }
 
+// rateWeight is the weight of the newest result in the rate. Starting from zero,
+// it takes 22 failures on end, or more among successes, to pass a half.
+const rateWeight = 1.0 / 32
+
+func (h *Health) observe(result float64) float64 {
+	for {
+		old := h.rate.Load()
+		rate := math.Float64frombits(old)
+		rate += rateWeight * (result - rate)
+		if h.rate.CompareAndSwap(old, math.Float64bits(rate)) {
+			return rate
+		}
+	}
+}
+
 func (h *Health) leave(g *Group) {
+	h.rate.Store(0)
 	if h.until.Swap(0) != 0 {
 		g.ejected.Add(-1)
 	}
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -239,6 +239,42 @@
 	require.EqualValues(t, 0, g.Ejected())
 }
 
+// TestEjectionByRate lets a server fail in a part of its requests, never five in a
+// row.
+func TestEjectionByRate(t *testing.T) {
+	cases := []struct {
+		name    string
+		good    int
+		failing int
+		ejected bool
+	}{
+		{"two in three", 1, 2, true},
+		{"one in three", 2, 1, false},
+		{"one in ten", 9, 1, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewGroup(EjectConfig{})
+			g.Resize(4)
+			var h Health
+			for range 200 {
+				for range c.good {
+					h.Succeeded(false, g)
+				}
+				for range c.failing {
+					h.Failed(0, false, g)
+				}
+			}
+			require.Equal(t, c.ejected, !h.Usable(0))
+			if c.ejected {
+				probe, _ := h.Admit(DefaultEjectBase)
+				h.Succeeded(probe, g)
+				require.False(t, h.Failed(DefaultEjectBase, false, g), "a server that is back starts afresh")
+			}
+		})
+	}
+}
+
 func TestHedge(t *testing.T) {
 	cases := []struct {
 		name              string
