--- a/internal/app/provide.go
+++ b/internal/app/provide.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httpbackend"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httpcall"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httpengine"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httplive"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httplog"
@@ -40,9 +41,7 @@
 	// snapshotsPerRetention is how many snapshots are written in the span of
 	// records that the log is sure to keep.
 	snapshotsPerRetention = 4
-	// platformConnections bounds idle connections to the platform's services.
-	platformConnections = 64
-	liveInterval        = time.Second
+	liveInterval          = time.Second
 	// fetchTimeout bounds one question to another instance for its fold.
 	fetchTimeout = time.Second
 )
@@ -86,7 +85,7 @@
 	}
 }
 
-func newListeners(s *settings.Settings) (*listeners, error) {
+func newListeners(s *settings.Settings, o Options) (*listeners, error) {
 	l := &listeners{}
 	for _, one := range []struct {
 		address string
@@ -99,6 +98,9 @@
 			l.close()
 			return nil, errors.Join(ErrListen, err)
 		}
+		if o.WrapListener != nil {
+			listener = o.WrapListener(listener)
+		}
 		*one.into = listener
 	}
 	return l, nil
@@ -124,16 +126,14 @@
 }
 
 // newPlatformHTTP serves calls of the platform and of engines' control.
-func newPlatformHTTP(o Options) *http.Client {
-	transport := &http.Transport{
-		MaxIdleConnsPerHost: platformConnections,
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		IdleConnTimeout:     time.Minute,
-	}
-	if o.WrapTransport != nil {
-		return &http.Client{Transport: o.WrapTransport(transport)}
+func newPlatformHTTP(o Options) *http.Client { return newHTTP(o.WrapTransport) }
+
+func newHTTP(wrap func(http.RoundTripper) http.RoundTripper) *http.Client {
+	client := httpcall.NewClient()
+	if wrap != nil {
+		client.Transport = wrap(httpcall.NewTransport())
 	}
-	return &http.Client{Transport: transport}
+	return client
 }
 
 func newLogPort(s *settings.Settings, c *http.Client) port.Log {
@@ -217,11 +217,11 @@
 
 func newDecider(
 	s *settings.Settings, self port.Instance, c *logclient.Client, engine port.Engine, o *observer.Observer,
-	peers *peer.Client, config *configuration.Controller, clock port.Clock, logger *log.Logger, registry metrics.Registry,
+	peers *peer.Client, config *configuration.Controller, clock port.Clock, logger *log.Logger, registry metrics.Registry, opts Options,
 ) *decider.Decider {
 	d := decider.New(decider.Config{
 		Self: self, HolderTimeout: s.Deciding.HolderTimeout.D(), OrderLifetime: s.Deciding.OrderLifetime.D(),
-		LiveListLag: s.Deciding.LiveListLag.D(),
+		LiveListLag: s.Deciding.LiveListLag.D(), Gate: opts.Gate,
 	}, decider.Deps{
 		Log: c, Engine: engine, Observer: o, Peers: peers, Config: config, Clock: clock, Logger: logger, Metrics: registry,
 	})
@@ -245,7 +245,7 @@
 
 func newGateway(
 	s *settings.Settings, r *router, w *waker, config *configuration.Controller, t *telemetry.Tracing, c *identity.Claimer,
-	clock port.Clock, logger *log.Logger,
+	clock port.Clock, logger *log.Logger, o Options,
 ) (*gateway.Gateway, error) {
 	callers, err := callersOf(s.Keys)
 	if err != nil {
@@ -261,20 +261,10 @@
 		},
 		Snapshot: func() gateway.View { return view{config.View()} },
 		Router:   r, Waker: w, Identity: gateway.Deduplicate(c), Clock: clock, Tracer: t.Tracer, Logger: logger,
-		Backend: httpbackend.New(newBackendHTTP()),
+		Backend: httpbackend.New(newHTTP(o.WrapBackend)),
 	}), nil
 }
 
-// newBackendHTTP serves callers' requests; how long they take is theirs to say.
-func newBackendHTTP() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 256,
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-	}}
-}
-
 // callersOf turns keys into callers. A key without any list may reach all.
 func callersOf(keys []settings.Key) ([]gateway.Caller, error) {
 	var callers []gateway.Caller
@@ -305,9 +295,23 @@
 
 func newOperators(
 	self port.Instance, c *logclient.Client, config *configuration.Controller, o *observer.Observer,
-	d *decider.Decider, g *gateway.Gateway, clock port.Clock, registry metrics.Registry,
+	d *decider.Decider, g *gateway.Gateway, w *waker, clock port.Clock, registry metrics.Registry,
 ) *operators {
+	registerEndings(registry, g)
 	return &operators{
-		self: self, log: c, config: config, observer: o, decider: d, gateway: g, clock: clock, registry: registry,
+		self: self, log: c, config: config, observer: o, decider: d, gateway: g, waker: w, clock: clock, registry: registry,
+	}
+}
+
+// registerEndings makes the counters of requests metrics.
+func registerEndings(registry metrics.Registry, g *gateway.Gateway) {
+	for name, value := range map[string]func(gateway.Endings) int64{
+		"requests.accepted_total": func(e gateway.Endings) int64 { return e.Accepted },
+		"requests.answered_total": func(e gateway.Endings) int64 { return e.Answered },
+		"requests.refused_total":  func(e gateway.Endings) int64 { return e.Refused },
+		"requests.unknown_total":  func(e gateway.Endings) int64 { return e.Unknown },
+		"requests.in_progress":    func(e gateway.Endings) int64 { return e.InProgress },
+	} {
+		metrics.NewRegisteredFunctionalGauge(name, registry, func() int64 { return value(g.Endings()) })
 	}
 }
--- a/internal/controller/decider/decider.go
+++ b/internal/controller/decider/decider.go
@@ -34,13 +34,18 @@
 	OrderLifetime time.Duration
 	// LiveListLag is the longest time by which the live list lags.
 	LiveListLag time.Duration
+	// Gate, if set, is called before each step. It may block.
+	Gate func()
 }
 
 // Observer is what the decider needs of the controller of membership.
 type Observer interface {
 	View() *membership.View
 	Read(ctx context.Context, s port.Server) (port.Report, error)
-	Server(id port.ServerID) (port.Server, bool)
+	Server(id port.ServerID) (membership.ServerView, bool)
+	ZoneServers() []membership.ServerView
+	Slots(id port.ServerID) int
+	InForce(id port.InstanceID) port.Offset
 	SetHolder(id port.InstanceID)
 }
 
@@ -93,7 +98,8 @@
 	store   *placement.StoreQueue
 	speeds  placement.Speeds
 	tracker *keepalive.Tracker
-	version port.Offset
+	limits  limits
+	missed  placement.Accounts
 	wakes   map[port.ModelID]*wake
 	orders  map[string]*order
 	uses    map[port.ModelID]use
@@ -144,7 +150,7 @@
 	if t == nil || !known {
 		return false
 	}
-	service, ok := t.Service(server.Service)
+	service, ok := t.Service(server.Server.Service)
 	return ok && service.ChecksFencing
 }
 
@@ -164,18 +170,27 @@
 		case <-ctx.Done():
 			return nil
 		case do := <-d.inbox:
+			d.gate()
 			do(ctx)
 		case <-changed:
+			d.gate()
 			state, changed = d.deps.Log.Watch()
 			if state != nil {
 				d.step(ctx, lease.Folded{State: state})
 			}
 		case <-ticker.C:
+			d.gate()
 			d.tick(ctx)
 		}
 	}
 }
 
+func (d *Decider) gate() {
+	if d.cfg.Gate != nil {
+		d.cfg.Gate()
+	}
+}
+
 func (d *Decider) tick(ctx context.Context) {
 	if up := d.deps.Log.Up(); up != d.logUp {
 		d.logUp = up
--- a/internal/controller/decider/explain.go
+++ b/internal/controller/decider/explain.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/ledger"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/placement"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -89,12 +90,17 @@
 	Epoch   port.Epoch      `json:"epoch"`
 	Holding bool            `json:"holding"`
 	Ready   bool            `json:"ready"`
+	// Members counts the instances of the zone that are eligible as far as the
+	// log was read.
+	Members int `json:"members"`
 	// Open counts the intents that hold memory, Waking the models that callers
 	// wait for, and StoreRunning and StoreWaiting the loads at the weight store.
 	Open         int `json:"open"`
 	Waking       int `json:"waking"`
 	StoreRunning int `json:"store_running"`
 	StoreWaiting int `json:"store_waiting"`
+	// Shortfalls are the classes that miss their targets here.
+	Shortfalls []placement.Shortfall `json:"shortfalls"`
 }
 
 // Status returns the present status.
@@ -104,7 +110,10 @@
 		holder, epoch := d.machine.Holder()
 		s := Status{
 			Holder: holder, Epoch: epoch, Holding: d.machine.IsHolder(), Ready: d.deciding(),
-			Open: len(d.machine.Open()), Waking: len(d.wakes),
+			Open: len(d.machine.Open()), Waking: len(d.wakes), Shortfalls: d.missed.Shortfalls(d.now()),
+		}
+		if state := d.deps.Log.State(); state != nil {
+			s.Members = len(state.Zone(d.cfg.Self.Zone).Members)
 		}
 		if d.store != nil {
 			s.StoreRunning, s.StoreWaiting = d.store.Running(), d.store.Waiting()
