Let the cost of a wait grow with its square from 2.5 s on

Change: tailScale from 5 s to 2.5 s. Tried as well and put back: 10 s, 1.2 s, and loading ahead five minutes before at a third of the margin.

--- a/pkg/keepalive/policy.go
+++ b/pkg/keepalive/policy.go
@@ -19,7 +19,7 @@
 	// of waiting of one caller, at a cold_start_weight of one half.
 	exchange = 60.0
 	// tailScale is the wait, in seconds, beyond which its cost grows faster.
-	tailScale = 5.0
+	tailScale = 2.5
 	// aheadMargin is the part of a cold start's cost that loading ahead has to
 	// gain.
 	aheadMargin = 0.3
