Spread the least chance in quiet hours over time

The test had found a fault: the least chance of an arrival in a quiet half hour, one in a hundred, was added for each step of the look ahead, of which the first are 15 seconds long. Change: it holds for the half hour and is spread over the steps. The check on nearness went, since the slots are looked at first and no test could tell it.

--- a/pkg/keepalive/forecast.go
+++ b/pkg/keepalive/forecast.go
@@ -11,6 +11,9 @@
 	priorWeight = 1.0
 	// neverWeight is the weight, in gaps, of the model never coming back.
 	neverWeight = 0.5
+	// leastShare is the least share of days on which a model comes, or doesn't
+	// come, in any half hour.
+	leastShare = 0.01
 )
 
 // horizon holds the offsets at which the future is looked at.
@@ -74,14 +77,14 @@
 	if !f.rhythmic {
 		return byGap
 	}
-	middle := f.now + (from+to)/2
-	share := f.h.slot(middle)
-	byDay := 1 - math.Pow(1-min(share, 0.98), min(1, float64(to-from)/float64(slotLength)))
+	share := f.h.slot(f.now + (from+to)/2)
+	chance := min(max(share, leastShare), 1-leastShare)
+	byDay := 1 - math.Pow(1-chance, min(1, float64(to-from)/float64(slotLength)))
 	switch {
 	case share >= regular:
 		return max(byGap, byDay)
 	case share < quiet:
-		return min(byGap, byDay+0.01)
+		return min(byGap, byDay)
 	default:
 		return byGap
 	}
--- a/pkg/keepalive/policy.go
+++ b/pkg/keepalive/policy.go
@@ -224,14 +224,9 @@
 		return Verdict{}
 	}
 	f := h.forecast(at)
-	soon := f.within(lead + slotLength/2)
 	cold, idle := t.costs(&facts)
-	cold *= h.callers(f.age + lead)
-	if soon < regular/2 || soon*cold <= idle*lead.Seconds() {
-		return Verdict{}
-	}
-	gain, _ := bestGain(&f, cold/h.callers(f.age+lead), idle, rhythmHorizon)
-	if gain < aheadMargin*cold {
+	gain, _ := bestGain(&f, cold, idle, rhythmHorizon)
+	if gain < aheadMargin*cold*h.callers(f.age+lead) {
 		return Verdict{}
 	}
 	return Verdict{Keep: true, Gain: gain, Reason: fmt.Sprintf("asked for about this time on %.0f%% of days",
