--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -58,6 +58,7 @@
 		{"status", "show what an instance sees", statusHelp, &statusCommand{environment: env}},
 		{"explain", "say why a model is, or isn't, loaded", explainHelp, &explainCommand{environment: env}},
 		{"load", "generate load and report percentiles", loadHelp, &loadCommand{environment: env}},
+		{"experiment", "compare placement policies in virtual time", experimentHelp, &experimentCommand{environment: env}},
 		{"completion", "print a shell completion script", completionHelp, &completionCommand{environment: env}},
 	}
 }
