lease: take a given-up unload back; explore servers that don't check again

Cause: since the scenarios ran in parallel they shared one variable, so that each was explored twice with servers that check fencing numbers. With that mended the exploration found a fault: an unload that was refused in an outage and whose intent reached the log later was recorded as done, though its order was never sent; the model was loaded a second time elsewhere. Change: each scenario has its own copy; an intent that was never ordered ends as freed for a load and as still loaded for an unload; small scenarios are visited to the last state; hand-over joins the scenarios.

--- a/pkg/lease/decide.go
+++ b/pkg/lease/decide.go
@@ -180,7 +180,7 @@
 func (m *Machine) decide(e *entry) {
 	if e.decided || e.refused {
 		if e.refused && !e.decided && e.onLog && e.result == resultNone {
-			m.end(e, resultFreed) // never ordered
+			m.endUnordered(e)
 		}
 		return
 	}
@@ -229,11 +229,19 @@
 		if v := m.term.vets[e.intent.Server]; v != nil {
 			v.again = true
 		}
-	case load:
-		m.end(e, resultFreed)
 	default:
+		m.endUnordered(e)
+	}
+}
+
+// endUnordered ends an intent that has had no effect and never will: a load's
+// memory is free, an unload's model is still loaded.
+func (m *Machine) endUnordered(e *entry) {
+	if e.intent.Kind == port.OrderUnload {
 		m.end(e, resultLoaded)
+		return
 	}
+	m.end(e, resultFreed)
 }
 
 // report brings the outcome of an intent into the log.
--- a/pkg/lease/entry.go
+++ b/pkg/lease/entry.go
@@ -191,7 +191,7 @@
 func (m *Machine) closePhantom(i *fold.IntentState) {
 	e := m.track(i.Intent)
 	e.refused = true
-	m.end(e, resultFreed)
+	m.endUnordered(e)
 }
 
 func (m *Machine) foldedEntry(e *entry) {
--- a/pkg/lease/explore_test.go
+++ b/pkg/lease/explore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -134,6 +135,12 @@
 	if w.left.deaths > 0 {
 		add(func(w *world) { w.die(i) }, "end %d", i)
 	}
+	if w.left.handOvers > 0 && !n.m.stopping {
+		add(func(w *world) {
+			w.left.handOvers--
+			w.step(i, HandOver{})
+		}, "hand over %d", i)
+	}
 	w.proposals(add, i, n)
 }
 
@@ -334,6 +341,39 @@
 	return maxStates
 }
 
+// small are scenarios whose states are visited to the last one.
+var small = []scenario{
+	{name: "burst and takeover", nodes: 2, holders: 2, servers: 2, budget: budget{loads: 2, jumps: 1}},
+	{name: "outage and takeover", nodes: 2, holders: 2, servers: 1, budget: budget{loads: 1, cuts: 1, jumps: 1}},
+	{name: "lone holder, newcomer, outage", nodes: 2, holders: 1, servers: 1, budget: budget{loads: 1, cuts: 1, jumps: 1}},
+	{name: "two models for one server", nodes: 2, holders: 2, models: 2, servers: 1, budget: budget{loads: 2, jumps: 1}},
+	{name: "restart", nodes: 2, holders: 2, servers: 1, budget: budget{loads: 1, jumps: 1, restarts: 1}},
+	{name: "lost answer", nodes: 2, holders: 2, servers: 1, budget: budget{loads: 1, jumps: 1, lostAnswers: 1}},
+	{name: "hand-over", nodes: 2, holders: 2, servers: 1, budget: budget{loads: 1, handOvers: 1}},
+	{name: "three instances", nodes: 3, holders: 3, servers: 1, budget: budget{loads: 2, jumps: 1}},
+}
+
+// TestExploreAll visits every state of the small scenarios.
+func TestExploreAll(t *testing.T) {
+	var total atomic.Int64
+	t.Cleanup(func() { t.Logf("%d states in all", total.Load()) })
+	for _, sc := range small {
+		sc.models, sc.share = max(1, sc.models), 1
+		for _, checks := range []bool{false, true} {
+			sc := sc
+			sc.checks = checks
+			t.Run(fmt.Sprintf("%s, checks %v", sc.name, sc.checks), func(t *testing.T) {
+				t.Parallel()
+				e := sc.explore(t, math.MaxInt, 0)
+				require.Empty(t, e.broken, e.trace())
+				require.True(t, e.exhausted)
+				total.Add(int64(e.states))
+				t.Logf("all %d states", e.states)
+			})
+		}
+	}
+}
+
 // scenarios are explored with servers that check fencing numbers and with
 // servers that don't.
 var scenarios = []scenario{
@@ -347,6 +387,10 @@
 		budget: budget{loads: 2, unloads: 1, jumps: 1, lateOrders: 1, restarts: 1}},
 	{name: "two copy holders and newcomer", nodes: 3, holders: 2, models: 1, servers: 2, share: 1,
 		budget: budget{loads: 2, cuts: 1, jumps: 2}},
+	{name: "hand-over in an outage", nodes: 2, holders: 2, models: 1, servers: 2, share: 1,
+		budget: budget{loads: 2, cuts: 1, jumps: 1, lostAnswers: 1, handOvers: 1}},
+	{name: "hand-over of a lone holder", nodes: 2, holders: 1, models: 1, servers: 2, share: 1,
+		budget: budget{loads: 2, unloads: 1, cuts: 1, lateOrders: 1, handOvers: 1}},
 	{name: "copy holders end", nodes: 3, holders: 2, models: 1, servers: 2, share: 1,
 		budget: budget{loads: 2, cuts: 1, jumps: 3, deaths: 2}},
 	{name: "all at once", nodes: 3, holders: 2, models: 2, servers: 2, share: 1,
@@ -359,7 +403,9 @@
 	var total atomic.Int64
 	t.Cleanup(func() { t.Logf("%d states in all", total.Load()) })
 	for _, sc := range scenarios {
-		for _, sc.checks = range []bool{false, true} {
+		for _, checks := range []bool{false, true} {
+			sc := sc
+			sc.checks = checks
 			t.Run(fmt.Sprintf("%s, checks %v", sc.name, sc.checks), func(t *testing.T) {
 				t.Parallel()
 				e := sc.explore(t, bound(t), 0)
--- a/pkg/lease/live_test.go
+++ b/pkg/lease/live_test.go
@@ -227,6 +227,21 @@
 	}
 }
 
+// TestUnloadGivenUp: an unload that was refused in an outage, but whose intent
+// reached the log, leaves the replica loaded.
+func TestUnloadGivenUp(t *testing.T) {
+	l := newLive(t, scenario{nodes: 1, holders: 1})
+	l.propose(0, "l", port.OrderLoad, "s0")
+	l.step(0, Propose{Intent: record.Intent{ID: "u", Kind: port.OrderUnload, Model: "m0", Server: "s0", Incarnation: "1"}})
+	l.step(0, LogDown{})
+	require.Equal(t, []Refusal{RefusedAlone}, l.refusals())
+	l.step(0, LogUp{})
+	l.run(time.Second)
+	require.True(t, l.loadedOn("s0"))
+	require.Len(t, l.nodes[0].m.Open(), 1)
+	require.Equal(t, 1, l.newest().Zone(zoneName()).IntentCount(), "the unload was taken back")
+}
+
 // TestDoubtIsLeftToTime: a claimant that reaches no copy holder decides on
 // servers that don't check only after they are off the live list, and its lag
 // and the life of an order have passed.
--- a/pkg/lease/world_test.go
+++ b/pkg/lease/world_test.go
@@ -13,7 +13,7 @@
 
 // budget bounds what may go wrong in one exploration.
 type budget struct {
-	loads, unloads, cuts, jumps, lostAnswers, lateOrders, refusals, restarts, deaths int
+	loads, unloads, cuts, jumps, lostAnswers, lateOrders, refusals, restarts, deaths, handOvers int
 }
 
 // node is one instance and its appends under way.
@@ -96,7 +96,7 @@
 func (w *world) key() uint64 {
 	k := &keyer{b: make([]byte, 0, 512)}
 	l := w.left
-	for _, v := range []int{l.loads, l.unloads, l.cuts, l.jumps, l.lostAnswers, l.lateOrders, l.refusals, l.restarts, l.deaths} {
+	for _, v := range []int{l.loads, l.unloads, l.cuts, l.jumps, l.lostAnswers, l.lateOrders, l.refusals, l.restarts, l.deaths, l.handOvers} {
 		k.ints(int64(v))
 	}
 	k.ints(int64(w.logHash), int64(len(w.prefixes)))
