--- a/pkg/lease/live_test.go
+++ b/pkg/lease/live_test.go
@@ -290,6 +290,7 @@
 	l.propose(0, "k", port.OrderLoad, "s1")
 	l.engines["s0"].incarnation, l.engines["s0"].seen, l.engines["s0"].loaded = 2, nil, nil
 	l.step(0, ServerRead{Report: l.engines["s0"].report("s0", false)})
+	l.step(0, Tick{})
 	l.settle()
 	require.Len(t, l.nodes[0].m.Open(), 1, "the restarted engine lost its load")
 	delete(l.engines, "s1")
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -91,12 +91,24 @@
 	m.step++
 	m.out = nil
 	m.take(ev)
-	if m.state != nil && !m.stopped {
+	if m.state != nil && !m.stopped && !isFrequent(ev) {
 		m.reconcile()
 	}
 	return m.out
 }
 
+// isFrequent reports whether the event comes many times a second. What follows
+// from such an event waits for the next Tick.
+func isFrequent(ev Event) bool {
+	switch e := ev.(type) {
+	case PeerAlive:
+		return true
+	case ServerRead:
+		return e.Token == 0
+	}
+	return false
+}
+
 func (m *Machine) take(ev Event) {
 	switch e := ev.(type) {
 	case Folded:
--- a/pkg/lease/vet.go
+++ b/pkg/lease/vet.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -34,11 +33,15 @@
 
 // reconcileVets raises the fencing number and reads wherever that is due.
 func (m *Machine) reconcileVets() {
-	for _, id := range slices.Sorted(maps.Keys(m.term.vets)) {
-		v := m.term.vets[id]
-		if v.done && !v.again || v.raiseToken != 0 || v.readToken != 0 || m.now < v.retry {
-			continue
+	var due []port.ServerID
+	for id, v := range m.term.vets {
+		if (!v.done || v.again) && v.raiseToken == 0 && v.readToken == 0 && m.now >= v.retry {
+			due = append(due, id)
 		}
+	}
+	slices.Sort(due)
+	for _, id := range due {
+		v := m.term.vets[id]
 		if m.cfg.ChecksFencing(id) && !v.raised && !m.cfg.faults.skipFence {
 			v.raiseToken = m.nextID()
 			m.emit(RaiseFence{Token: v.raiseToken, Server: id, Fence: m.term.epoch})
@@ -57,18 +60,22 @@
 // comes back is read again before anything is decided on it.
 func (m *Machine) reconcileGone() {
 	m.expectServers()
-	for _, id := range slices.Sorted(maps.Keys(m.term.vets)) {
-		v := m.term.vets[id]
+	var gone []port.ServerID
+	for id, v := range m.term.vets {
 		switch {
 		case m.live.servers[id]:
 			v.missing = false
 		case !v.missing:
 			v.missing, v.missingAt = true, m.now
 		case m.now >= v.missingAt+m.cfg.LiveLag+m.cfg.OrderLife:
-			m.closeAllOn(id)
-			delete(m.term.vets, id)
+			gone = append(gone, id)
 		}
 	}
+	slices.Sort(gone)
+	for _, id := range gone {
+		m.closeAllOn(id)
+		delete(m.term.vets, id)
+	}
 }
 
 // expectServers takes in the servers that the live list or an open intent
