--- /dev/null
+++ b/internal/app/peers.go
@@ -0,0 +1,133 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/decider"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/observer"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/identitypeer"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/logclient"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+)
+
+// ErrOtherZone means that a question was meant for another zone's instances.
+var ErrOtherZone = errors.New("asked for another availability zone")
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// peers answers the other instances.
+type peers struct {
+	self     port.Instance
+	decider  *decider.Decider
+	observer *observer.Observer
+	log      *logclient.Client
+	*identitypeer.Server
+}
+
+func (p *peers) ownZone(zone string) error {
+	if zone != string(p.self.Zone) {
+		return errors.Wrap(ErrOtherZone, zone)
+	}
+	return nil
+}
+
+// Wake implements the peer protocol.
+func (p *peers) Wake(ctx context.Context, m *peerpb.WakeRequest) (*peerpb.WakeReply, error) {
+	if err := p.ownZone(m.Zone); err != nil {
+		return nil, err
+	}
+	reply, err := p.decider.Wake(ctx, decider.WakeRequest{
+		Model: port.ModelID(m.Model), Class: m.Class, Patience: milliseconds(m.PatienceMs),
+		Waiting: int(m.Waiting), From: port.InstanceID(m.Instance),
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.WakeReply{
+		Accepted: reply.Accepted, ReadyInMs: reply.ReadyIn.Milliseconds(), Refusal: reply.Refusal,
+		Detail: reply.Detail, RetryAfterMs: reply.RetryAfter.Milliseconds(),
+	}, nil
+}
+
+// Explain implements the peer protocol.
+func (p *peers) Explain(ctx context.Context, m *peerpb.ExplainRequest) (*peerpb.ExplainReply, error) {
+	e, err := p.decider.Explain(ctx, port.ModelID(m.Model))
+	if err != nil {
+		return nil, err
+	}
+	reply := &peerpb.ExplainReply{
+		Holder: string(e.Holder), Epoch: int64(e.Epoch), Holding: e.Holding, Waiting: int32(e.Waiting), Replicas: map[string]string{},
+	}
+	for server, state := range e.Replicas {
+		reply.Replicas[string(server)] = state
+	}
+	for _, r := range e.Reasons {
+		reply.Reasons = append(reply.Reasons, &peerpb.DecisionReason{AtUnixMs: r.At.UnixMilli(), Text: r.Text})
+	}
+	return reply, nil
+}
+
+func decodeExplanation(m *peerpb.ExplainReply) decider.Explanation {
+	e := decider.Explanation{
+		Holder: port.InstanceID(m.Holder), Epoch: port.Epoch(m.Epoch), Holding: m.Holding, Waiting: int(m.Waiting),
+		Replicas: map[port.ServerID]string{},
+	}
+	for server, state := range m.Replicas {
+		e.Replicas[port.ServerID(server)] = state
+	}
+	for _, r := range m.Reasons {
+		e.Reasons = append(e.Reasons, decider.Reason{At: time.UnixMilli(r.AtUnixMs), Text: r.Text})
+	}
+	return e
+}
+
+// Copy implements the peer protocol.
+func (p *peers) Copy(ctx context.Context, m *peerpb.CopyRequest) (*peerpb.CopyReply, error) {
+	if err := p.ownZone(m.Zone); err != nil {
+		return nil, err
+	}
+	return p.decider.Copy(ctx, m)
+}
+
+// Seal implements the peer protocol.
+func (p *peers) Seal(ctx context.Context, m *peerpb.SealRequest) (*peerpb.SealReply, error) {
+	if err := p.ownZone(m.Zone); err != nil {
+		return nil, err
+	}
+	return p.decider.Seal(ctx, m)
+}
+
+// Exchange implements the peer protocol.
+func (p *peers) Exchange(ctx context.Context, m *peerpb.Delta) (*peerpb.Delta, error) {
+	return p.observer.Exchange(ctx, m)
+}
+
+// FetchState implements the peer protocol.
+func (p *peers) FetchState(_ context.Context, m *peerpb.FetchStateRequest) (*peerpb.FetchStateReply, error) {
+	state := p.log.State()
+	if state == nil || int64(state.Through()) <= m.Through {
+		return &peerpb.FetchStateReply{}, nil
+	}
+	return &peerpb.FetchStateReply{State: state.Encode()}, nil
+}
+
+// maxRecordBytes bounds the records in one answer.
+const maxRecordBytes = 256 << 10
+
+// FetchRecords implements the peer protocol.
+func (p *peers) FetchRecords(_ context.Context, m *peerpb.FetchRecordsRequest) (*peerpb.FetchRecordsReply, error) {
+	state := p.log.State()
+	if state == nil || int64(state.Through()) < m.From {
+		return &peerpb.FetchRecordsReply{}, nil
+	}
+	reply := &peerpb.FetchRecordsReply{}
+	for _, r := range p.log.Recent(port.Offset(m.From), maxRecordBytes) {
+		reply.Payloads = append(reply.Payloads, r.Payload)
+	}
+	reply.Forgotten = len(reply.Payloads) == 0
+	return reply, nil
+}
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -44,7 +44,9 @@
 	memberAt    port.Offset // of the last such record known to be in the log
 	removals    map[port.InstanceID]pending
 	stopping    bool
-	stopped     bool
+	// identitiesBase is that of the HandOver.
+	identitiesBase port.Offset
+	stopped        bool
 
 	// As the holder; nil otherwise.
 	term *term
@@ -152,7 +154,7 @@
 	case ServerRead:
 		m.serverRead(e)
 	case HandOver:
-		m.handOver()
+		m.handOver(e)
 	}
 }
 
