Keep identities claimable through upgrades, and with fewer owners left

Cause: a new instance didn't learn who had handed over before it joined, so that after a rolling upgrade the newest instance refused all work with an identity. A former list asked for a majority where fewer suffice. The list of the very first instance counts as one of one owner, whose death would stop that work for a while.

Change: the past that a new instance fetches names those that handed over; a former list needs only as many owners as leave no majority to others; Times.MinMembers. internal/app follows the changed call.

--- a/internal/app/identities.go
+++ b/internal/app/identities.go
@@ -64,7 +64,7 @@
 // no lists before it.
 func (m *members) joined(state *fold.State) {
 	if state.Through() == 0 {
-		m.tracker.Import(nil, nil)
+		m.tracker.Import(identity.Past{})
 		return
 	}
 	m.tracker.Observe(state.Through(), membersOf(state))
--- a/internal/identitypeer/client.go
+++ b/internal/identitypeer/client.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/identity"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
 // ErrIncomplete is returned when the instance asked doesn't know all lists that
@@ -89,12 +89,14 @@
 	if !reply.GetComplete() {
 		return ErrIncomplete
 	}
-	var former [][]identity.Member
-	var ages []time.Duration
+	var past identity.Past
 	for _, f := range reply.GetFormer() {
-		former = append(former, toMembers(f.GetMembers()))
-		ages = append(ages, milliseconds(f.GetAgeMs()))
+		past.Former = append(past.Former, toMembers(f.GetMembers()))
+		past.Ages = append(past.Ages, milliseconds(f.GetAgeMs()))
 	}
-	t.Import(former, ages)
+	for _, id := range reply.GetHandedOver() {
+		past.HandedOver = append(past.HandedOver, port.InstanceID(id))
+	}
+	t.Import(past)
 	return nil
 }
--- a/internal/identitypeer/identitypeer_test.go
+++ b/internal/identitypeer/identitypeer_test.go
@@ -137,6 +137,7 @@
 	server, client := newPair(limits)
 	a, b := []identity.Member{{ID: "a", Zone: "z", PeerAddress: "192.0.2.1:7"}}, []identity.Member{{ID: "b"}}
 	server.Tracker.Observe(1, a)
+	server.Tracker.HandOver("a", 1)
 	server.Tracker.Observe(2, b)
 	newcomer := NewTracker(port.SystemClock{}, identity.Times{Keep: time.Minute, Stale: time.Minute}, false)
 	newcomer.Observe(2, b)
@@ -147,6 +148,7 @@
 	lists := newcomer.Lists(now)
 	require.True(t, lists.Usable)
 	require.Equal(t, [][]identity.Member{b, a}, lists.Members)
+	require.True(t, lists.HandedOver["a"])
 	incomplete, unsure := newPair(limits)
 	incomplete.Tracker = NewTracker(port.SystemClock{}, identity.Times{Keep: time.Minute}, false)
 	require.ErrorIs(t, unsure.FetchMembers(t.Context(), "", newcomer), ErrIncomplete)
--- a/internal/identitypeer/server.go
+++ b/internal/identitypeer/server.go
@@ -54,13 +54,16 @@
 		// The list that is current here may be a former one that the asker lacks.
 		return &peerpb.FetchMembersReply{}, nil
 	}
-	former, ages, complete := s.Tracker.Export()
+	past, complete := s.Tracker.Export()
 	reply := &peerpb.FetchMembersReply{Complete: complete}
-	for i, members := range former {
+	for i, members := range past.Former {
 		reply.Former = append(reply.Former, &peerpb.FormerMembers{
 			Members: fromMembers(members),
-			AgeMs:   ages[i].Milliseconds(),
+			AgeMs:   past.Ages[i].Milliseconds(),
 		})
 	}
+	for _, id := range past.HandedOver {
+		reply.HandedOver = append(reply.HandedOver, string(id))
+	}
 	return reply, nil
 }
--- a/internal/identitypeer/tracker.go
+++ b/internal/identitypeer/tracker.go
@@ -63,7 +63,7 @@
 }
 
 // Export is History.Export at the present time.
-func (t *Tracker) Export() ([][]identity.Member, []time.Duration, bool) {
+func (t *Tracker) Export() (identity.Past, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.history.Export(t.clock.Now())
@@ -71,8 +71,8 @@
 
 // Import is History.Import at the present time, after the ages were stated: a
 // list may be dropped late, but not early.
-func (t *Tracker) Import(former [][]identity.Member, ages []time.Duration) {
+func (t *Tracker) Import(p identity.Past) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.history.Import(t.clock.Now(), former, ages)
+	t.history.Import(t.clock.Now(), p)
 }
--- a/pkg/identity/claimer_test.go
+++ b/pkg/identity/claimer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -160,6 +161,65 @@
 	}
 }
 
+// TestRollingReplacement replaces every instance, one after the other, each with
+// a hand-over. Every identity is still found, and new ones can be claimed.
+func TestRollingReplacement(t *testing.T) {
+	const size, identities = 4, 50
+	n, _ := newNet(2 * size)
+	times := Times{Keep: time.Minute, MaxRun: time.Minute, Stale: time.Minute}
+	histories := map[port.InstanceID]*History{}
+	var list []Member
+	version := port.Offset(0)
+	publish := func() {
+		version++
+		for _, h := range histories {
+			h.Observe(time.Now(), version, list)
+			h.Confirm(time.Now())
+		}
+	}
+	join := func(i int) {
+		m := Member{ID: instanceID(i), Zone: zoneName(i % size)}
+		h := NewHistory(time.Now(), times, len(list) == 0)
+		for _, other := range list {
+			past, ok := histories[other.ID].Export(time.Now())
+			require.True(t, ok)
+			h.Observe(time.Now(), version, list)
+			h.Import(time.Now(), past)
+			break
+		}
+		histories[m.ID] = h
+		n.claimers[m.ID].Lists = h.Lists
+		list = append(slices.Clone(list), m)
+		publish()
+	}
+	claim := func(i, identity int) *Claim {
+		return n.claimers[instanceID(i)].Claim(context.Background(), Request{Key: Key{byte(identity)}, RunFor: time.Second})
+	}
+	for i := range size {
+		join(i)
+	}
+	for k := range identities {
+		c := claim(k%size, k)
+		require.Equal(t, Run, c.Verdict())
+		c.Finish(context.Background(), Result{Known: true, Status: 200})
+	}
+	for i := range size {
+		join(size + i)
+		base, ok := n.claimers[instanceID(i)].HandOver(context.Background())
+		require.True(t, ok)
+		for _, h := range histories {
+			h.HandOver(instanceID(i), base)
+		}
+		list = slices.DeleteFunc(slices.Clone(list), func(m Member) bool { return m.ID == instanceID(i) })
+		publish()
+		n.down.Store(instanceID(i), true)
+	}
+	for k := range identities {
+		require.Equal(t, Finished, claim(size+k%size, k).Verdict(), k)
+	}
+	require.Equal(t, Run, claim(2*size-1, identities).Verdict(), "the newest instance")
+}
+
 func BenchmarkOwners320(b *testing.B) {
 	var members []Member
 	for i := range 320 {
--- a/pkg/identity/history.go
+++ b/pkg/identity/history.go
@@ -38,6 +38,11 @@
 	MaxRun time.Duration
 	// Stale is how long after the log's end was last read the lists are used.
 	Stale time.Duration
+	// MinMembers is how many members a list needs for claims to be made by it; 0
+	// stands for 1. With 1, all work with an identity stops for a while when the
+	// first instance of all dies soon after the second has joined. It must be the
+	// same at all instances.
+	MinMembers int
 }
 
 // window is how long a list counts after it was seen to be superseded.
@@ -109,21 +114,36 @@
 // at the time asked: no newer list existed then.
 func (h *History) Confirm(asked time.Time) { h.confirmed = asked }
 
-// Export returns the former lists with their ages, for an instance that wasn't
-// there. ok is false if this history is itself incomplete.
-func (h *History) Export(now time.Time) (former [][]Member, ages []time.Duration, ok bool) {
+// Past is what a new instance can't read from the log any more.
+type Past struct {
+	// Former holds the lists that still count, and Ages the times since they were
+	// seen to be superseded.
+	Former [][]Member
+	Ages   []time.Duration
+	// HandedOver names the members of these lists that have handed over.
+	HandedOver []port.InstanceID
+}
+
+// Export returns the past for an instance that wasn't there. ok is false if this
+// history is itself incomplete.
+func (h *History) Export(now time.Time) (p Past, ok bool) {
 	h.prune(now)
 	for _, l := range h.former {
-		former = append(former, l.members)
-		ages = append(ages, now.Sub(l.superseded))
+		p.Former = append(p.Former, l.members)
+		p.Ages = append(p.Ages, now.Sub(l.superseded))
 	}
-	return former, ages, h.settled(now)
+	p.HandedOver = slices.Sorted(maps.Keys(h.handedOver))
+	return p, h.settled(now)
 }
 
-// Import takes the former lists of another instance's complete history.
-func (h *History) Import(now time.Time, former [][]Member, ages []time.Duration) {
-	for i, members := range former {
-		h.former = append(h.former, list{members: members, superseded: now.Add(-ages[i])})
+// Import takes the past from another instance's complete history.
+func (h *History) Import(now time.Time, p Past) {
+	for i, members := range p.Former {
+		h.former = append(h.former, list{members: members, superseded: now.Add(-p.Ages[i])})
+	}
+	h.handedOver = maps.Clone(h.handedOver)
+	for _, id := range p.HandedOver {
+		h.handedOver[id] = true
 	}
 	h.complete = true
 }
@@ -134,11 +154,13 @@
 	lists := Lists{Version: h.version, HandedOver: h.handedOver}
 	lists.Members = append(lists.Members, h.current)
 	for _, l := range h.former {
-		lists.Members = append(lists.Members, l.members)
+		if len(l.members) >= h.times.MinMembers {
+			lists.Members = append(lists.Members, l.members)
+		}
 	}
 	lists.Until = h.confirmed.Add(h.times.Stale)
 	fresh := !h.confirmed.IsZero() && now.Before(lists.Until)
-	lists.Usable = fresh && h.settled(now) && len(h.current) > 0
+	lists.Usable = fresh && h.settled(now) && len(h.current) >= max(h.times.MinMembers, 1)
 	return lists
 }
 
@@ -146,8 +168,22 @@
 	return h.complete || now.Sub(h.started) > h.times.window()
 }
 
+// prune forgets the lists that have ceased to count, and who handed over in them.
 func (h *History) prune(now time.Time) {
+	before := len(h.former)
 	h.former = slices.DeleteFunc(h.former, func(l list) bool {
 		return now.Sub(l.superseded) > h.times.window()
 	})
+	if len(h.former) == before || len(h.handedOver) == 0 {
+		return
+	}
+	kept := map[port.InstanceID]bool{}
+	for _, l := range h.former {
+		for _, m := range l.members {
+			if h.handedOver[m.ID] {
+				kept[m.ID] = true
+			}
+		}
+	}
+	h.handedOver = kept
 }
--- a/pkg/identity/history_test.go
+++ b/pkg/identity/history_test.go
@@ -45,11 +45,11 @@
 	newcomer.Observe(later, 2, b)
 	newcomer.Confirm(later)
 	require.False(t, newcomer.Lists(later).Usable, "the list before the first record read may still count")
-	former, ages, ok := old.Export(later.Add(time.Second))
+	past, ok := old.Export(later.Add(time.Second))
 	require.True(t, ok)
-	_, _, ok = newcomer.Export(later)
+	_, ok = newcomer.Export(later)
 	require.False(t, ok, "an incomplete history is no source")
-	newcomer.Import(later.Add(time.Second), former, ages)
+	newcomer.Import(later.Add(time.Second), past)
 	lists := newcomer.Lists(later.Add(time.Second))
 	require.True(t, lists.Usable)
 	require.Equal(t, [][]Member{b, a}, lists.Members)
@@ -74,6 +74,19 @@
 	require.True(t, h.Lists(start).HandedOver["a"])
 }
 
+// TestMinMembers: a list too short for claims has never been one to ask.
+func TestMinMembers(t *testing.T) {
+	start := time.Unix(1000, 0)
+	h := NewHistory(start, Times{Stale: time.Minute, MinMembers: 2}, true)
+	a, ab := []Member{{ID: "a"}}, []Member{{ID: "a"}, {ID: "b"}}
+	h.Observe(start, 1, a)
+	h.Confirm(start)
+	require.False(t, h.Lists(start).Usable)
+	h.Observe(start, 2, ab)
+	require.True(t, h.Lists(start).Usable)
+	require.Equal(t, [][]Member{ab}, h.Lists(start).Members)
+}
+
 // TestRoundTooLong: a claim whose lists went out of date while it asked doesn't
 // run, and gives back what it was granted.
 func TestRoundTooLong(t *testing.T) {
--- a/pkg/identity/round.go
+++ b/pkg/identity/round.go
@@ -75,7 +75,7 @@
 	return owners
 }
 
-// quorum is the owners of one list, of which a majority has to grant.
+// quorum is the owners of one list, of which so many have to grant.
 type quorum struct {
 	owners []Member
 	need   int
@@ -92,23 +92,30 @@
 	decided bool
 }
 
-// NewRound returns the round of a claim under the given lists.
+// NewRound returns the round of a claim under the given lists. It needs a
+// majority in the current list, and in each former one as many as leave no
+// majority to others. Of two claims, that by the older list has its majority there.
 func NewRound(key Key, lists Lists) *Round {
 	r := &Round{answers: map[port.InstanceID]Answer{}}
 	if !lists.Usable {
 		r.decide(Answer{Verdict: Unavailable})
 		return r
 	}
-	for _, members := range lists.Members {
-		r.addQuorum(Owners(key, members), lists.HandedOver)
+	for i, members := range lists.Members {
+		owners := Owners(key, members)
+		majority := len(owners)/2 + 1
+		need := majority
+		if i > 0 {
+			need = len(owners) - majority + 1
+		}
+		r.addQuorum(owners, need, lists.HandedOver)
 	}
 	return r
 }
 
 // addQuorum counts an owner that has handed over as one that granted: what it
 // kept is known to a majority of the owners in the list without it.
-func (r *Round) addQuorum(owners []Member, handedOver map[port.InstanceID]bool) {
-	need := len(owners)/2 + 1
+func (r *Round) addQuorum(owners []Member, need int, handedOver map[port.InstanceID]bool) {
 	var left []Member
 	for _, owner := range owners {
 		if handedOver[owner.ID] {
