--- a/pkg/keepalive/policy.go
+++ b/pkg/keepalive/policy.go
@@ -19,7 +19,7 @@
 	// of waiting of one caller, at a cold_start_weight of one half.
 	exchange = 60.0
 	// tailScale is the wait, in seconds, beyond which its cost grows faster.
-	tailScale = 5.0
+	tailScale = 2.5
 	// aheadMargin is the part of a cold start's cost that loading ahead has to
 	// gain.
 	aheadMargin = 0.3
@@ -224,14 +224,9 @@
 		return Verdict{}
 	}
 	f := h.forecast(at)
-	soon := f.within(lead + slotLength/2)
 	cold, idle := t.costs(&facts)
-	cold *= h.callers(f.age + lead)
-	if soon < regular/2 || soon*cold <= idle*lead.Seconds() {
-		return Verdict{}
-	}
-	gain, _ := bestGain(&f, cold/h.callers(f.age+lead), idle, rhythmHorizon)
-	if gain < aheadMargin*cold {
+	gain, _ := bestGain(&f, cold, idle, rhythmHorizon)
+	if gain < aheadMargin*cold*h.callers(f.age+lead) {
 		return Verdict{}
 	}
 	return Verdict{Keep: true, Gain: gain, Reason: fmt.Sprintf("asked for about this time on %.0f%% of days",
