Keep runs of unknown end for their full time; hand over only to lists that count

Cause: a run reported with an unknown end may go on until it lapses, but its identity was kept only from the report. With MinMembers 2, an instance could hand over to the owners in a list of one, which doesn't count and is never asked.

Change: only a known answer shortens the time; a hand-over to a list that is too short is ignored. TestAtMostOnce draws MinMembers.

Without the first change TestTableBounds and TestUnknownRunIsKept fail.

--- a/pkg/identity/history.go
+++ b/pkg/identity/history.go
@@ -101,13 +101,15 @@
 
 // HandOver notes that a member has handed all that it kept to the owners in the
 // list of the base version without it. It is called before Observe for the record
-// that takes the member off the list, and ignored if another change of members
-// came between: the owners may be others then.
+// that takes the member off the list. It is ignored if another change of members
+// came between, as the owners may be others then, and if the list without the
+// member is too short to count.
 func (h *History) HandOver(id port.InstanceID, base port.Offset) {
-	if base == h.version {
-		h.handedOver = maps.Clone(h.handedOver)
-		h.handedOver[id] = true
+	if base != h.version || len(h.current)-1 < h.times.MinMembers {
+		return
 	}
+	h.handedOver = maps.Clone(h.handedOver)
+	h.handedOver[id] = true
 }
 
 // Confirm notes that the log has been read to its end by a read that was sent
--- a/pkg/identity/history_test.go
+++ b/pkg/identity/history_test.go
@@ -87,6 +87,16 @@
 	require.Equal(t, [][]Member{ab}, h.Lists(start).Members)
 }
 
+// TestHandOverToShortList: owners in a list that doesn't count are never asked,
+// so what was handed to them would be lost.
+func TestHandOverToShortList(t *testing.T) {
+	start := time.Unix(1000, 0)
+	h := NewHistory(start, Times{Stale: time.Minute, MinMembers: 2}, true)
+	h.Observe(start, 1, []Member{{ID: "a"}, {ID: "b"}})
+	h.HandOver("a", 1)
+	require.False(t, h.Lists(start).HandedOver["a"])
+}
+
 // TestRoundTooLong: a claim whose lists went out of date while it asked doesn't
 // run, and gives back what it was granted.
 func TestRoundTooLong(t *testing.T) {
--- a/pkg/identity/table.go
+++ b/pkg/identity/table.go
@@ -157,11 +157,13 @@
 		t.remove(e)
 		return
 	}
-	e.state = entryUnknown
-	if r.Known {
-		e.state = entryFinished
-		e.result = t.fit(r)
+	if !r.Known {
+		// The run may still be going on, until it lapses.
+		e.state = entryUnknown
+		return
 	}
+	e.state = entryFinished
+	e.result = t.fit(r)
 	e.expires = now.Add(t.limits.Keep)
 	heap.Fix(&t.order, e.index)
 }
--- a/pkg/identity/table_test.go
+++ b/pkg/identity/table_test.go
@@ -67,8 +67,10 @@
 				case k.result != nil && k.result.Known:
 				case r.NotRun:
 					delete(live, key)
-				default:
+				case r.Known:
 					k.result, k.ends = &r, now.Add(limits.Keep)
+				default:
+					k.result = &r
 				}
 			},
 			"time": func(t *rapid.T) {
@@ -93,6 +95,18 @@
 	})
 }
 
+// TestUnknownRunIsKept: a run of unknown end may go on until it lapses, and its
+// identity is kept from then.
+func TestUnknownRunIsKept(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(Limits{Entries: 1, Keep: time.Minute})
+	ask := Ask{Key: Key{1}, Attempt: "a", RunFor: 10 * time.Minute}
+	require.Equal(t, Run, table.Claim(now, ask).Verdict)
+	table.Finish(now, ask.Key, "a", Result{})
+	require.Equal(t, Unknown, table.Claim(now.Add(11*time.Minute-1), ask).Verdict)
+	require.Equal(t, Run, table.Claim(now.Add(11*time.Minute), ask).Verdict)
+}
+
 func TestClaimAgain(t *testing.T) {
 	now := time.Unix(1000, 0)
 	table := NewTable(Limits{Entries: 1, BodyBytes: 100, Keep: time.Minute})
--- a/pkg/identity/world_test.go
+++ b/pkg/identity/world_test.go
@@ -17,6 +17,7 @@
 // and claims under way at them, one question at a time.
 type world struct {
 	now       time.Time
+	times     Times
 	log       []change
 	instances []*instance
 	claims    []*claimRun
@@ -54,8 +55,10 @@
 	over    bool
 }
 
-func newWorld() *world {
-	return &world{now: time.Unix(1000, 0), runs: map[Key][]time.Time{}}
+func newWorld(minMembers int) *world {
+	times := testTimes
+	times.MinMembers = minMembers
+	return &world{times: times, now: time.Unix(1000, 0), runs: map[Key][]time.Time{}}
 }
 
 func (w *world) members() []Member {
@@ -71,7 +74,7 @@
 	i := &instance{
 		member:  m,
 		table:   NewTable(Limits{Entries: 6, BodyBytes: 100, Keep: testTimes.Keep}),
-		history: NewHistory(w.now, testTimes, true),
+		history: NewHistory(w.now, w.times, true),
 	}
 	w.instances = append(w.instances, i)
 	w.log = append(w.log, change{members: append(append([]Member(nil), w.members()...), m)})
@@ -249,7 +252,7 @@
 
 // playWorld returns how many claims were granted.
 func playWorld(t *rapid.T) int {
-	w := newWorld()
+	w := newWorld(rapid.SampledFrom([]int{0, 2, 3}).Draw(t, "min members"))
 	for range rapid.IntRange(2, 5).Draw(t, "members") {
 		w.join()
 	}
