Share hashes and defaults instead of repeating them

Change: internal/hash64 holds the hashes; cmp.Or and cmp.Compare do the rest.

Conclusion: no change of behaviour.

--- a/pkg/limit/adaptive.go
+++ b/pkg/limit/adaptive.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"cmp"
 	"math"
 	"sync/atomic"
 	"time"
@@ -64,26 +65,19 @@
 )
 
 func (c AdaptiveConfig) withDefaults() AdaptiveConfig {
-	set(&c.Initial, DefaultInitial)
-	set(&c.Min, DefaultMin)
-	set(&c.Max, DefaultMax)
-	set(&c.Window, DefaultWindow)
-	set(&c.Samples, DefaultSamples)
-	set(&c.Tolerance, DefaultTolerance)
-	set(&c.Backoff, DefaultBackoff)
-	set(&c.Smoothing, DefaultSmoothing)
-	set(&c.ProbeEvery, DefaultProbeEvery)
-	set(&c.ProbeFactor, DefaultProbeFactor)
+	c.Initial = cmp.Or(c.Initial, DefaultInitial)
+	c.Min = cmp.Or(c.Min, DefaultMin)
+	c.Max = cmp.Or(c.Max, DefaultMax)
+	c.Window = cmp.Or(c.Window, DefaultWindow)
+	c.Samples = cmp.Or(c.Samples, DefaultSamples)
+	c.Tolerance = cmp.Or(c.Tolerance, DefaultTolerance)
+	c.Backoff = cmp.Or(c.Backoff, DefaultBackoff)
+	c.Smoothing = cmp.Or(c.Smoothing, DefaultSmoothing)
+	c.ProbeEvery = cmp.Or(c.ProbeEvery, DefaultProbeEvery)
+	c.ProbeFactor = cmp.Or(c.ProbeFactor, DefaultProbeFactor)
 	return c
 }
 
-func set[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Level is the state from which the next limit is worked out.
 type Level struct {
 	Limit float64
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -38,7 +39,7 @@
 	for _, k := range cases {
 		t.Run(k.name, func(t *testing.T) {
 			got := c.Next(level, k.w).Limit
-			require.Equal(t, k.up, compare(got, level.Limit))
+			require.Equal(t, k.up, cmp.Compare(got, level.Limit))
 		})
 	}
 }
--- a/pkg/limit/queue.go
+++ b/pkg/limit/queue.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -37,8 +38,8 @@
 
 // NewQueue returns an empty queue.
 func NewQueue(cfg QueueConfig) *Queue {
-	set(&cfg.Items, DefaultQueueItems)
-	set(&cfg.Bytes, DefaultQueueBytes)
+	cfg.Items = cmp.Or(cfg.Items, DefaultQueueItems)
+	cfg.Bytes = cmp.Or(cfg.Bytes, DefaultQueueBytes)
 	return &Queue{cfg: cfg, root: newNode("", nil, 1)}
 }
 
--- a/pkg/limit/tree.go
+++ b/pkg/limit/tree.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -97,7 +98,7 @@
 // next finds the leaf whose turn it is.
 func (n *node) next() *leaf {
 	for n.leaf == nil {
-		n = slices.MinFunc(n.active, func(a, b *node) int { return compare(a.pass, b.pass) })
+		n = slices.MinFunc(n.active, func(a, b *node) int { return cmp.Compare(a.pass, b.pass) })
 	}
 	return n.leaf
 }
@@ -114,7 +115,7 @@
 func (n *node) longest() *leaf {
 	for n.leaf == nil {
 		n = slices.MaxFunc(n.active, func(a, b *node) int {
-			return compare(float64(a.queued)/a.weight, float64(b.queued)/b.weight)
+			return cmp.Compare(float64(a.queued)/a.weight, float64(b.queued)/b.weight)
 		})
 	}
 	return n.leaf
@@ -182,14 +183,3 @@
 	}
 	return least, spare
 }
-
-func compare(a, b float64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
--- a/pkg/membership/instance.go
+++ b/pkg/membership/instance.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/hash64"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -52,7 +53,7 @@
 		t.refused++
 		return nil
 	}
-	e := &instanceEntry{instance: i, hash: hashID(string(i.ID)), firstSeen: now, kept: now}
+	e := &instanceEntry{instance: i, hash: hash64.String(string(i.ID)), firstSeen: now, kept: now}
 	t.instances[i.ID] = e
 	t.changedInstance(e, true, "")
 	return e
--- a/pkg/membership/links.go
+++ b/pkg/membership/links.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/hash64"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -86,7 +87,7 @@
 
 // farLink picks the link to another zone, if this instance is the one to hold it.
 func (t *Table) farLink(zone port.Zone, zones map[port.Zone][]*instanceEntry) (port.Instance, bool) {
-	key := hashID(string(t.cfg.Self.Zone) + "\x00" + string(zone))
+	key := hash64.String(string(t.cfg.Self.Zone) + "\x00" + string(zone))
 	var near []uint64
 	for _, e := range zones[t.cfg.Self.Zone] {
 		if !e.instance.Leaving {
@@ -109,7 +110,7 @@
 			}
 			return -1
 		}
-		return cmp.Compare(mix(key^a.hash), mix(key^b.hash))
+		return cmp.Compare(hash64.Mix(key^a.hash), hash64.Mix(key^b.hash))
 	})
 }
 
@@ -129,6 +130,6 @@
 		return port.Instance{}, false
 	}
 	slices.SortFunc(lost, byHash)
-	turn := mix(t.round ^ t.hash)
+	turn := hash64.Mix(t.round ^ t.hash)
 	return lost[turn%uint64(len(lost))].instance, true
 }
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/hash64"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -32,7 +33,7 @@
 func NewTable(cfg Config) *Table {
 	return &Table{
 		cfg:           cfg.withDefaults(),
-		hash:          hashID(string(cfg.Self.ID)),
+		hash:          hash64.String(string(cfg.Self.ID)),
 		leaving:       cfg.Self.Leaving,
 		servers:       make(map[port.ServerID]*serverEntry),
 		instances:     make(map[port.InstanceID]*instanceEntry),
@@ -171,7 +172,7 @@
 		t.refused++
 		return nil
 	}
-	e := &serverEntry{server: s, hash: hashID(string(s.ID)), lastSign: now}
+	e := &serverEntry{server: s, hash: hash64.String(string(s.ID)), lastSign: now}
 	t.servers[s.ID] = e
 	t.changes.touch(e)
 	t.changedServer(e, true, "")
--- a/pkg/membership/types.go
+++ b/pkg/membership/types.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
@@ -57,28 +58,21 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.DeadAfter, DefaultDeadAfter)
-	setDefault(&c.FarDeadAfter, DefaultFarDeadAfter)
-	setDefault(&c.ListGrace, DefaultListGrace)
-	setDefault(&c.ReportFresh, DefaultReportFresh)
-	setDefault(&c.UnlistedGrace, DefaultUnlistedGrace)
-	setDefault(&c.ForgetAfter, DefaultForgetAfter)
-	setDefault(&c.MaxServers, DefaultMaxServers)
-	setDefault(&c.MaxInstances, DefaultMaxInstances)
-	setDefault(&c.LoadStep, DefaultLoadStep)
-	setDefault(&c.LoadFloor, DefaultLoadFloor)
-	setDefault(&c.LoadRefresh, DefaultLoadRefresh)
-	setDefault(&c.FarHeartbeatStride, DefaultFarHeartbeatStride)
+	c.DeadAfter = cmp.Or(c.DeadAfter, DefaultDeadAfter)
+	c.FarDeadAfter = cmp.Or(c.FarDeadAfter, DefaultFarDeadAfter)
+	c.ListGrace = cmp.Or(c.ListGrace, DefaultListGrace)
+	c.ReportFresh = cmp.Or(c.ReportFresh, DefaultReportFresh)
+	c.UnlistedGrace = cmp.Or(c.UnlistedGrace, DefaultUnlistedGrace)
+	c.ForgetAfter = cmp.Or(c.ForgetAfter, DefaultForgetAfter)
+	c.MaxServers = cmp.Or(c.MaxServers, DefaultMaxServers)
+	c.MaxInstances = cmp.Or(c.MaxInstances, DefaultMaxInstances)
+	c.LoadStep = cmp.Or(c.LoadStep, DefaultLoadStep)
+	c.LoadFloor = cmp.Or(c.LoadFloor, DefaultLoadFloor)
+	c.LoadRefresh = cmp.Or(c.LoadRefresh, DefaultLoadRefresh)
+	c.FarHeartbeatStride = cmp.Or(c.FarHeartbeatStride, DefaultFarHeartbeatStride)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // ServerView is what the table knows of one backend server.
 type ServerView struct {
 	Server port.Server
--- a/pkg/membership/watch.go
+++ b/pkg/membership/watch.go
@@ -4,8 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/cyclamenhoist/cyclamenhoist/internal/hash64"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -16,16 +15,16 @@
 // watchers among the instances, chosen by rendezvous hashing, so that a change of
 // instances moves few servers. The instances include self.
 func Watch(self port.InstanceID, servers []port.ServerID, instances []port.InstanceID, watchers int) []port.ServerID {
-	own := hashID(string(self))
+	own := hash64.String(string(self))
 	others := make([]uint64, 0, len(instances))
 	for _, id := range instances {
 		if id != self {
-			others = append(others, hashID(string(id)))
+			others = append(others, hash64.String(string(id)))
 		}
 	}
 	var watched []port.ServerID
 	for _, s := range servers {
-		if above(hashID(string(s)), own, others) < watchers {
+		if above(hash64.String(string(s)), own, others) < watchers {
 			watched = append(watched, s)
 		}
 	}
@@ -34,27 +33,15 @@
 
 // above counts the others whose weight for a key is above own.
 func above(key, own uint64, others []uint64) int {
-	n, weight := 0, mix(key^own)
+	n, weight := 0, hash64.Mix(key^own)
 	for _, o := range others {
-		if mix(key^o) > weight {
+		if hash64.Mix(key^o) > weight {
 			n++
 		}
 	}
 	return n
 }
 
-func hashID(id string) uint64 { return xxhash.Sum64String(id) }
-
-// mix spreads the bits of x (the finaliser of MurmurHash3).
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-	return x
-}
-
 // Watched returns the servers of this zone that this instance reads now, in the
 // order of their IDs. Leaving instances hand their servers over; a server that has
 // vanished is given up once it has been silent for a while.
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"cmp"
 	"sync/atomic"
 	"time"
 )
@@ -41,8 +42,8 @@
 
 // NewBudget returns a full budget.
 func NewBudget(cfg BudgetConfig) *Budget {
-	set(&cfg.PerSecond, DefaultPerSecond)
-	set(&cfg.Burst, DefaultBurst)
+	cfg.PerSecond = cmp.Or(cfg.PerSecond, DefaultPerSecond)
+	cfg.Burst = cmp.Or(cfg.Burst, DefaultBurst)
 	b := &Budget{
 		perFirst:  int64(cfg.Ratio * tokenUnit),
 		perSecond: int64(cfg.PerSecond * tokenUnit),
--- a/pkg/retry/decide.go
+++ b/pkg/retry/decide.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -54,10 +55,10 @@
 )
 
 func (c Config) withDefaults() Config {
-	set(&c.Attempts, DefaultAttempts)
-	set(&c.BackoffBase, DefaultBackoffBase)
-	set(&c.BackoffMax, DefaultBackoffMax)
-	set(&c.LeastTime, DefaultLeastTime)
+	c.Attempts = cmp.Or(c.Attempts, DefaultAttempts)
+	c.BackoffBase = cmp.Or(c.BackoffBase, DefaultBackoffBase)
+	c.BackoffMax = cmp.Or(c.BackoffMax, DefaultBackoffMax)
+	c.LeastTime = cmp.Or(c.LeastTime, DefaultLeastTime)
 	return c
 }
 
--- a/pkg/retry/eject.go
+++ b/pkg/retry/eject.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"cmp"
 	"math"
 	"sync/atomic"
 	"time"
@@ -32,21 +33,14 @@
 )
 
 func (c EjectConfig) withDefaults() EjectConfig {
-	set(&c.Failures, DefaultEjectFailures)
-	set(&c.FailureRate, DefaultEjectRate)
-	set(&c.MaxShare, DefaultEjectMaxShare)
-	set(&c.Base, DefaultEjectBase)
-	set(&c.Max, DefaultEjectMax)
+	c.Failures = cmp.Or(c.Failures, DefaultEjectFailures)
+	c.FailureRate = cmp.Or(c.FailureRate, DefaultEjectRate)
+	c.MaxShare = cmp.Or(c.MaxShare, DefaultEjectMaxShare)
+	c.Base = cmp.Or(c.Base, DefaultEjectBase)
+	c.Max = cmp.Or(c.Max, DefaultEjectMax)
 	return c
 }
 
-func set[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Length is how long the ejection lasts that follows earlier ones in a row.
 func (c EjectConfig) Length(earlier int64) time.Duration {
 	length := c.Base
--- a/pkg/retry/hedge.go
+++ b/pkg/retry/hedge.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"cmp"
 	"math"
 	"sync/atomic"
 	"time"
@@ -20,7 +21,7 @@
 // attempt must not or can't help. The second attempt takes a token of the budget
 // when it starts, not before.
 func (c HedgeConfig) Delay(repeatable, hedge bool, tail, remaining time.Duration) (time.Duration, bool) {
-	set(&c.Least, DefaultHedgeLeast)
+	c.Least = cmp.Or(c.Least, DefaultHedgeLeast)
 	if !repeatable || !hedge || tail <= 0 {
 		return 0, false
 	}
--- a/pkg/routing/bench_test.go
+++ b/pkg/routing/bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/hash64"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/membership"
 )
@@ -28,7 +29,7 @@
 				i := uint64(0)
 				for b.Loop() {
 					i++
-					c, err := r.Pick(now, Query{Model: modelID7, PrefixHash: prefix * mix(i), Seed: i})
+					c, err := r.Pick(now, Query{Model: modelID7, PrefixHash: prefix * hash64.Mix(i), Seed: i})
 					if err != nil {
 						b.Fatal(err)
 					}
@@ -45,7 +46,7 @@
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for i := uint64(1); pb.Next(); i++ {
-			c, err := r.Pick(now, Query{Model: modelID7, PrefixHash: mix(i)})
+			c, err := r.Pick(now, Query{Model: modelID7, PrefixHash: hash64.Mix(i)})
 			if err != nil {
 				b.Error(err)
 				return
--- a/pkg/routing/builder.go
+++ b/pkg/routing/builder.go
@@ -6,8 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/cyclamenhoist/cyclamenhoist/internal/hash64"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/membership"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
@@ -232,7 +231,7 @@
 func (b *Builder) server(v port.Server) *builtServer {
 	s := b.servers[v.ID]
 	if s == nil {
-		key := xxhash.Sum64String(string(v.ID))
+		key := hash64.String(string(v.ID))
 		stats := &ServerStats{
 			id:      v.ID,
 			key:     max(key, 1),
--- a/pkg/routing/pool.go
+++ b/pkg/routing/pool.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/hash64"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -59,7 +60,7 @@
 func (p *Pool) Random() uint64 {
 	// The increment of SplitMix64.
 	p.random += 0x9e3779b97f4a7c15
-	return mix(p.random)
+	return hash64.Mix(p.random)
 }
 
 // Affinity returns the candidate that most likely has the query's prefix cached,
@@ -103,7 +104,7 @@
 // there is none. Keys are hashes already, so that one multiplication mixes enough.
 func (p *Pool) rendezvous(prefix uint64) int {
 	best, top := -1, uint64(0)
-	seed := mix(prefix)
+	seed := hash64.Mix(prefix)
 	for i, key := range p.set.keys[p.from:p.to] {
 		h := (seed ^ key) * rendezvousFactor
 		h ^= h >> 32
--- a/pkg/routing/prefix.go
+++ b/pkg/routing/prefix.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/hash64"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -56,7 +57,7 @@
 }
 
 func (t *prefixTable) bucket(prefix uint64) *prefixBucket {
-	return &t.buckets[mix(prefix)>>t.shift]
+	return &t.buckets[hash64.Mix(prefix)>>t.shift]
 }
 
 // store notes that the server with the key holds the prefix.
@@ -130,13 +131,3 @@
 	c.sequence.Store(0)
 	c.resetAt.Store(int64(now))
 }
-
-// mix spreads the bits of x (the finaliser of MurmurHash3).
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-	return x
-}
--- a/pkg/routing/quality_test.go
+++ b/pkg/routing/quality_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/hash64"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/membership"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
@@ -57,8 +58,8 @@
 		routers[i].SetInstances(herdRouters)
 	}
 	for n := range herdRequests {
-		r := routers[int(mix(uint64(n))%herdRouters)]
-		c, err := r.Pick(at(time.Second), Query{Model: "m", Seed: mix(uint64(n + 1))})
+		r := routers[int(hash64.Mix(uint64(n))%herdRouters)]
+		c, err := r.Pick(at(time.Second), Query{Model: "m", Seed: hash64.Mix(uint64(n + 1))})
 		require.NoError(t, err)
 		truth[c.Server.ID]++
 	}
--- a/pkg/routing/router.go
+++ b/pkg/routing/router.go
@@ -53,21 +53,14 @@
 	if c.Picker == nil {
 		c.Picker = TwoChoices{}
 	}
-	setDefault(&c.PrefixSaves, DefaultPrefixSaves)
-	setDefault(&c.PrefixHalfLife, DefaultPrefixHalfLife)
-	setDefault(&c.GuessTrust, DefaultGuessTrust)
-	setDefault(&c.PrefixTable, DefaultPrefixTable)
-	setDefault(&c.SpillAbove, DefaultSpillAbove)
+	c.PrefixSaves = cmp.Or(c.PrefixSaves, DefaultPrefixSaves)
+	c.PrefixHalfLife = cmp.Or(c.PrefixHalfLife, DefaultPrefixHalfLife)
+	c.GuessTrust = cmp.Or(c.GuessTrust, DefaultGuessTrust)
+	c.PrefixTable = cmp.Or(c.PrefixTable, DefaultPrefixTable)
+	c.SpillAbove = cmp.Or(c.SpillAbove, DefaultSpillAbove)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Router picks servers. It is safe for concurrent use.
 type Router struct {
 	cfg      Config
--- a/pkg/routing/snapshot.go
+++ b/pkg/routing/snapshot.go
@@ -4,8 +4,7 @@
 	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/cyclamenhoist/cyclamenhoist/internal/hash64"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -40,7 +39,7 @@
 	from, to int
 }
 
-func shardOf(id port.ModelID) uint64 { return xxhash.Sum64String(string(id)) % shardCount }
+func shardOf(id port.ModelID) uint64 { return hash64.String(string(id)) % shardCount }
 
 // Model returns the candidates for a model; ok is false for an unknown one.
 func (s *Snapshot) Model(id port.ModelID) (set *Set, ok bool) {
