Tell a peer again what it has forgotten

Cause: after a cut that outlasts the time to forget, one side has dropped the other's instances, while the other still marks them as confirmed, or as learnt from there, and never tells again. A server asked for that nobody knows was asked for in every delta for ever.

Change: the confirmed version follows what the peer says, down too, and a peer that remembers nothing is told even what came from itself. Asking ends after eight deltas.

Seen red with planted faults: the mark only going up, sources kept, asking without end.

Conclusion: found by reading; the convergence test doesn't run for that long.

--- a/pkg/membership/delta.go
+++ b/pkg/membership/delta.go
@@ -13,19 +13,25 @@
 	acked uint64
 	// merged is the version of the peer's table that was merged here.
 	merged uint64
-	// wants are servers whose full state the peer should send.
-	wants map[port.ServerID]struct{}
+	// wants are servers whose full state the peer should send, with the number
+	// of times that it is still asked.
+	wants map[port.ServerID]int
 }
 
-// maxWants bounds the servers asked for in one delta.
-const maxWants = 256
+const (
+	// maxWants bounds the servers asked for in one delta.
+	maxWants = 256
+	// wantTries is how often a server is asked for. A peer that doesn't answer
+	// by then has forgotten it.
+	wantTries = 8
+)
 
 // peer returns the state for a peer. It is kept only for instances that the table
 // knows, which bounds it.
 func (t *Table) peer(id port.InstanceID) *peerState {
 	p := t.peers[id]
 	if p == nil {
-		p = &peerState{wants: make(map[port.ServerID]struct{})}
+		p = &peerState{wants: make(map[port.ServerID]int)}
 		if t.instances[id] != nil {
 			t.peers[id] = p
 		}
@@ -45,12 +51,23 @@
 	}
 	d.Instances = t.instanceDelta(peer, p)
 	d.Servers = t.serverDelta(now, peer, p)
-	for id := range p.wants {
-		d.Want = append(d.Want, id)
-	}
+	d.Want = p.ask()
 	return d
 }
 
+// ask lists the wanted servers, and gives up those that were asked for often.
+func (p *peerState) ask() []port.ServerID {
+	var want []port.ServerID
+	for id, tries := range p.wants {
+		want = append(want, id)
+		p.wants[id] = tries - 1
+		if tries <= 1 {
+			delete(p.wants, id)
+		}
+	}
+	return want
+}
+
 func (t *Table) instanceDelta(peer port.Instance, p *peerState) []InstanceObservation {
 	var out []InstanceObservation
 	near := peer.Zone == t.cfg.Self.Zone
@@ -120,7 +137,12 @@
 	}
 	t.mergeSender(now, d)
 	p := t.peer(d.From.ID)
-	p.acked = max(p.acked, min(d.Seen, t.version))
+	if d.Seen == 0 && p.acked > 0 {
+		t.retell(d.From.ID)
+	}
+	// A lower value comes from a delta that was overtaken, or from a peer that has
+	// forgotten this instance since; telling it again does no harm.
+	p.acked = min(d.Seen, t.version)
 	for _, o := range d.Instances {
 		t.mergeInstance(now, o, d.From.ID)
 	}
@@ -135,6 +157,21 @@
 	p.merged = max(p.merged, d.Version)
 }
 
+// retell has a peer that has forgotten this instance told of what came from itself,
+// since it may have forgotten that too.
+func (t *Table) retell(peer port.InstanceID) {
+	for _, e := range t.servers {
+		if e.source == peer {
+			e.source = ""
+		}
+	}
+	for _, e := range t.instances {
+		if e.source == peer {
+			e.source = ""
+		}
+	}
+}
+
 func (t *Table) mergeSender(now time.Time, d *Delta) {
 	e := t.instances[d.From.ID]
 	if e == nil {
@@ -201,7 +238,7 @@
 	}
 	if e == nil || o.StateHash != e.stateHash || o.Generation != e.generation {
 		if wants := t.peer(source).wants; len(wants) < maxWants {
-			wants[o.Server.ID] = struct{}{}
+			wants[o.Server.ID] = wantTries
 		}
 		return
 	}
--- a/pkg/membership/table_test.go
+++ b/pkg/membership/table_test.go
@@ -185,3 +185,38 @@
 	require.EqualValues(t, 7, v.Report.Sequence)
 	require.Empty(t, v.Report.Replicas, "the replica between was missed by a, and is gone")
 }
+
+// TestForgottenIsToldAgain parts two instances until one has forgotten all that it
+// knew, be it from itself or from the other.
+func TestForgottenIsToldAgain(t *testing.T) {
+	for _, first := range []string{"a", "b"} {
+		t.Run("known to "+first, func(t *testing.T) {
+			a, b := newTable("a", "a"), newTable("b", "a")
+			knows := map[string]*Table{"a": a, "b": b}[first]
+			knows.MergeDelta(at(0), &Delta{From: instance("c", "a"), Heartbeat: 1})
+			knows.MergeReport(at(0), server("s1"), report("i1", 1, 0))
+			for range 2 {
+				exchange(at(0), a, b)
+			}
+			later := at(2 * DefaultForgetAfter)
+			a.MergeLive(later, port.LiveSet{At: later})
+			require.Empty(t, a.Instances(later, ""))
+			require.Empty(t, a.Servers(later, ""))
+			for range 3 {
+				exchange(later, a, b)
+			}
+			require.Len(t, a.Instances(later, ""), 2)
+			require.Len(t, a.Servers(later, ""), 1)
+		})
+	}
+}
+
+// TestWantEnds asks a peer for a server that it has forgotten.
+func TestWantEnds(t *testing.T) {
+	a, b := newTable("a", "a"), instance("b", "a")
+	a.MergeDelta(at(0), &Delta{From: b, Servers: []ServerObservation{{Server: server("s1"), Generation: 1, LoadOnly: true}}})
+	for range wantTries {
+		require.Len(t, a.DeltaFor(at(0), b).Want, 1)
+	}
+	require.Empty(t, a.DeltaFor(at(0), b).Want)
+}
