Don't send new entries back to where they came from

Each was sent back once to the peer that had told of it.

Change: a new entry takes its source, and further changes from the same source keep it.

--- a/pkg/membership/delta.go
+++ b/pkg/membership/delta.go
@@ -175,7 +175,7 @@
 func (t *Table) mergeSender(now time.Time, d *Delta) {
 	e := t.instances[d.From.ID]
 	if e == nil {
-		if e = t.addInstance(now, d.From); e == nil {
+		if e = t.addInstance(now, d.From, d.From.ID); e == nil {
 			return
 		}
 	}
@@ -195,7 +195,7 @@
 		if o.HeartbeatOnly {
 			return
 		}
-		if e = t.addInstance(now, o.Instance); e == nil {
+		if e = t.addInstance(now, o.Instance, source); e == nil {
 			return
 		}
 	}
@@ -212,7 +212,7 @@
 		return
 	}
 	if e == nil {
-		if e = t.addServer(now, o.Server); e == nil {
+		if e = t.addServer(now, o.Server, source); e == nil {
 			return
 		}
 	}
--- a/pkg/membership/instance.go
+++ b/pkg/membership/instance.go
@@ -35,7 +35,7 @@
 		if outdated {
 			return
 		}
-		if e = t.addInstance(now, i); e == nil {
+		if e = t.addInstance(now, i, ""); e == nil {
 			return
 		}
 	}
@@ -48,14 +48,14 @@
 	}
 }
 
-func (t *Table) addInstance(now time.Time, i port.Instance) *instanceEntry {
+func (t *Table) addInstance(now time.Time, i port.Instance, source port.InstanceID) *instanceEntry {
 	if len(t.instances) >= t.cfg.MaxInstances {
 		t.refused++
 		return nil
 	}
 	e := &instanceEntry{instance: i, hash: hash64.String(string(i.ID)), firstSeen: now, kept: now}
 	t.instances[i.ID] = e
-	t.changedInstance(e, true, "")
+	t.changedInstance(e, true, source)
 	return e
 }
 
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -90,7 +90,7 @@
 		if outdated {
 			return
 		}
-		if e = t.addServer(now, s); e == nil {
+		if e = t.addServer(now, s, ""); e == nil {
 			return
 		}
 	}
@@ -109,7 +109,7 @@
 func (t *Table) MergeReport(now time.Time, s port.Server, r port.Report) bool {
 	e := t.servers[s.ID]
 	if e == nil {
-		if e = t.addServer(now, s); e == nil {
+		if e = t.addServer(now, s, ""); e == nil {
 			return false
 		}
 	}
@@ -167,7 +167,7 @@
 	t.changedServer(e, true, source)
 }
 
-func (t *Table) addServer(now time.Time, s port.Server) *serverEntry {
+func (t *Table) addServer(now time.Time, s port.Server, source port.InstanceID) *serverEntry {
 	if len(t.servers) >= t.cfg.MaxServers {
 		t.refused++
 		return nil
@@ -175,7 +175,7 @@
 	e := &serverEntry{server: s, hash: hash64.String(string(s.ID)), lastSign: now}
 	t.servers[s.ID] = e
 	t.changes.touch(e)
-	t.changedServer(e, true, "")
+	t.changedServer(e, true, source)
 	return e
 }
 
@@ -185,12 +185,13 @@
 }
 
 // touch moves an entry to the front of its order. A peer whose delta caused the
-// change needn't be told, provided that it knew all that came before.
+// change needn't be told, provided that it knew all that came before, or was the
+// cause of that too.
 func (t *Table) touch(order *list.List, m *mark, e any, state bool, source port.InstanceID) {
-	m.source = ""
-	if p := t.peers[source]; p != nil && m.any <= p.acked {
-		m.source = source
+	if p := t.peers[source]; p == nil || m.any > p.acked && m.source != source {
+		source = ""
 	}
+	m.source = source
 	t.version++
 	m.any = t.version
 	if state {
