Unload what leaving servers hold, so that it can be loaded elsewhere

Cause: a replica on a server that leaves still counts, so with one replica allowed a model couldn't be woken anywhere else until the server was gone. Also, replicas above the zone's share were proposed for unloading while the ledger was being read, which it forbids.

Change: the review lists surplus replicas first, on leaving servers and above the share, and proposes them afterwards. Strays are shown in the status.

Conclusion: draining a server moves its models.

--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -199,8 +199,8 @@
 	fmt.Fprintf(out, "targets\tversion %d\n", s.TargetsVersion)
 	fmt.Fprintf(out, "deciding\t%s, epoch %d, this instance: %v, ready: %v\n",
 		s.Deciding.Holder, s.Deciding.Epoch, s.Deciding.Holding, s.Deciding.Ready)
-	fmt.Fprintf(out, "decisions\t%d open, %d models waking, weight store %d running, %d waiting\n",
-		s.Deciding.Open, s.Deciding.Waking, s.Deciding.StoreRunning, s.Deciding.StoreWaiting)
+	fmt.Fprintf(out, "decisions\t%d open, %d models waking, weight store %d running, %d waiting, %d strays\n",
+		s.Deciding.Open, s.Deciding.Waking, s.Deciding.StoreRunning, s.Deciding.StoreWaiting, s.Deciding.Strays)
 	fmt.Fprintf(out, "log\t%s, read %s ago, %d records behind\n", s.Log.State, age(s.Log.AgeSeconds), s.LogBehind)
 	fmt.Fprintf(out, "live list\tread %s ago\n", age(s.LiveList.AgeSeconds))
 	fmt.Fprintf(out, "catalogue\t%d models, read %s ago\n", s.Models, age(s.Catalogue.AgeSeconds))
--- a/internal/controller/decider/explain.go
+++ b/internal/controller/decider/explain.go
@@ -99,6 +99,9 @@
 	Waking       int `json:"waking"`
 	StoreRunning int `json:"store_running"`
 	StoreWaiting int `json:"store_waiting"`
+	// Strays counts replicas that engines report and no decision explains. They
+	// count as memory in use.
+	Strays int `json:"strays"`
 	// Shortfalls are the classes that miss their targets here.
 	Shortfalls []placement.Shortfall `json:"shortfalls"`
 }
@@ -115,6 +118,9 @@
 		if state := d.deps.Log.State(); state != nil {
 			s.Members = len(state.Zone(d.cfg.Self.Zone).Members)
 		}
+		for _, id := range d.ledger.Servers() {
+			s.Strays += len(d.ledger.Strays(id))
+		}
 		if d.store != nil {
 			s.StoreRunning, s.StoreWaiting = d.store.Running(), d.store.Waiting()
 		}
--- a/internal/controller/decider/limits.go
+++ b/internal/controller/decider/limits.go
@@ -1,7 +1,6 @@
 package decider
 
 import (
-	"context"
 	"math"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
@@ -138,16 +137,18 @@
 	return count
 }
 
-// giveUpReplicas unloads what the zone holds beyond its share of replicas, as
-// after a change of the limit or of the zones.
-func (d *Decider) giveUpReplicas(ctx context.Context) {
+// aboveShare lists what the zone holds beyond its share of replicas, as after a
+// change of the limit or of the zones.
+func (d *Decider) aboveShare() []surplus {
+	var list []surplus
 	held := map[port.ModelID]int{}
 	for _, v := range d.zoneEngines() {
 		for hold := range d.ledger.Holds(v.Server.ID) {
 			held[hold.Model]++
 			if held[hold.Model] > d.limits.replicas(hold.Model) && !d.hasAdapters(v.Server.ID, hold.Model) {
-				d.unload(ctx, v.Server.ID, hold.Model, "above this zone's share of replicas")
+				list = append(list, surplus{v.Server.ID, hold.Model, "above this zone's share of replicas"})
 			}
 		}
 	}
+	return list
 }
--- a/internal/controller/decider/review.go
+++ b/internal/controller/decider/review.go
@@ -127,7 +127,7 @@
 		d.plan(ctx, model)
 	}
 	d.workDown(ctx, now)
-	d.giveUpReplicas(ctx)
+	d.unloadSurplus(ctx)
 	d.release(ctx, now)
 	if d.ticks%(reviewEvery*aheadEvery) == 0 {
 		d.loadAhead(ctx, now)
@@ -160,6 +160,39 @@
 	}
 }
 
+// surplus is a replica that is to be unloaded whatever its worth.
+type surplus struct {
+	server port.ServerID
+	model  port.ModelID
+	reason string
+}
+
+// unloadSurplus unloads what is to go. The ledger changes with each proposal, so
+// it is read to the end first.
+func (d *Decider) unloadSurplus(ctx context.Context) {
+	for _, s := range append(d.onLeavingServers(), d.aboveShare()...) {
+		d.unload(ctx, s.server, s.model, s.reason)
+	}
+}
+
+// onLeavingServers lists what leaving servers hold, which counts as replicas that
+// could be loaded elsewhere. An engine ends the requests in progress before it
+// unloads. Adapters go before their base.
+func (d *Decider) onLeavingServers() []surplus {
+	var list []surplus
+	for _, v := range d.zoneEngines() {
+		if !v.Server.Leaving {
+			continue
+		}
+		for hold := range d.ledger.Holds(v.Server.ID) {
+			if !d.hasAdapters(v.Server.ID, hold.Model) {
+				list = append(list, surplus{v.Server.ID, hold.Model, "the server is leaving"})
+			}
+		}
+	}
+	return list
+}
+
 // release unloads the idle models that the keep-alive gives up.
 func (d *Decider) release(ctx context.Context, now time.Time) {
 	t := d.deps.Config.Targets()
--- /dev/null
+++ b/internal/demo/demo_test.go
@@ -0,0 +1,67 @@
+package demo_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/demo"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/standin"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+)
+
+const patience = 30 * time.Second
+
+func start(t *testing.T) *demo.Cluster {
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	cluster, err := demo.Start(ctx, context.Background(), standin.Fast(), io.Discard)
+	require.NoError(t, err)
+	t.Cleanup(cluster.Close)
+	return cluster
+}
+
+func TestBurstKeepsEveryPromise(t *testing.T) {
+	result, err := start(t).Burst(t.Context())
+	require.NoError(t, err)
+	require.Empty(t, result.Broken(), "%+v", result)
+	require.NotEmpty(t, (&demo.Result{}).Broken(), "the check can fail")
+}
+
+// TestModelMovesOffALeavingServer: the replica on a server that leaves doesn't
+// stand in the way of another one, although one replica is all that is allowed.
+func TestModelMovesOffALeavingServer(t *testing.T) {
+	const model = "entry-assistant"
+	cluster := start(t)
+	ask := func() int {
+		response, err := http.Post("http://"+cluster.Instances[0].CallersAddress()+"/v1/chat/completions", "application/json",
+			strings.NewReader(`{"model": "`+model+`", "max_tokens": 2, "messages": [{"role": "user", "content": "x"}]}`))
+		if err != nil {
+			return 0
+		}
+		defer response.Body.Close()
+		return response.StatusCode
+	}
+	require.Equal(t, http.StatusOK, ask())
+	require.Equal(t, 1, cluster.Platform.LoadsSeen(model))
+	require.NoError(t, cluster.Platform.Leave(holderOf(cluster, model)))
+	require.Eventually(t, func() bool {
+		return ask() == http.StatusOK && cluster.Platform.LoadsSeen(model) == 2
+	}, patience, 50*time.Millisecond)
+	require.Equal(t, 1, cluster.Platform.MaxReplicasSeen(model))
+}
+
+// holderOf returns the server that has answered.
+func holderOf(cluster *demo.Cluster, model port.ModelID) port.ServerID {
+	for server, answers := range cluster.Platform.Counters().Generations {
+		if answers > 0 {
+			return server
+		}
+	}
+	return port.ServerID("nowhere for " + model)
+}
