Keep less for models that are ready nowhere

Cause: most of 12,000 models are idle, and each held a list of candidates and a copy of its set in the builder.

Change: the builder keeps candidates only for models that have any; the rest of a set comes from the catalogue. A benchmark measures the memory.

--- a/pkg/routing/bench_test.go
+++ b/pkg/routing/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/hash64"
@@ -82,3 +83,33 @@
 		})
 	}
 }
+
+// BenchmarkMemory measures what a router and its builder hold for models that are
+// ready nowhere, and for servers with two replicas each.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range []struct{ models, servers int }{{3000, 0}, {12000, 0}, {12000, 2000}, {12000, 7700}} {
+		b.Run(fmt.Sprintf("models=%d/servers=%d", n.models, n.servers), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				var views []membership.ServerView
+				for i := range n.servers {
+					views = append(views, view(fmt.Sprintf("server-%04d", i), "a", modelID(i), modelID((i+5000)%12000)))
+				}
+				r, builder := newRouter(Config{}, catalogue(n.models), views...)
+				clear(views)
+				after := heap()
+				runtime.KeepAlive(r)
+				runtime.KeepAlive(builder)
+				b.ReportMetric(float64(after-before)/(1<<20), "MB")
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/pkg/routing/builder.go
+++ b/pkg/routing/builder.go
@@ -44,9 +44,10 @@
 	ready    []port.ModelID
 }
 
-// members is the candidates of one set, in no order.
+// members is the candidates of one set, in no order. A model of the catalogue that
+// is ready nowhere has none, to save memory.
 type members struct {
-	like       Set
+	service    string
 	candidates []*Candidate
 }
 
@@ -82,7 +83,6 @@
 			continue
 		}
 		basesChanged = basesChanged || before.Base != m.Base
-		b.model(m.ID, m.Service).like = Set{model: m.ID, base: m.Base, service: m.Service}
 		b.dirtyModels[m.ID] = struct{}{}
 	}
 	for id := range old {
@@ -187,7 +187,7 @@
 		}
 		for name := range b.dirtyServices {
 			m := b.services[name]
-			next.services[name] = newSet(m.like, m.candidates)
+			next.services[name] = newSet(Set{service: name}, m.candidates)
 		}
 		clear(b.dirtyServices)
 	}
@@ -206,26 +206,50 @@
 				next.shards[n] = make(shard)
 			}
 		}
-		m := b.models[id]
-		if _, listed := b.catalogue[id]; !listed && len(m.candidates) == 0 && !b.reportedAnywhere(id) {
+		if set := b.buildModel(id); set != nil {
+			next.shards[n][id] = set
+		} else {
 			delete(next.shards[n], id)
-			delete(b.models, id)
-			continue
 		}
-		next.shards[n][id] = newSet(m.like, m.candidates)
 	}
 	clear(b.dirtyModels)
 }
 
-// reportedAnywhere looks for a model that only servers know. Such models are few,
-// and the search runs only when the last ready replica goes.
-func (b *Builder) reportedAnywhere(id port.ModelID) bool {
+// buildModel makes the set of a model, nil if nobody knows it.
+func (b *Builder) buildModel(id port.ModelID) *Set {
+	like := Set{model: id}
+	info, listed := b.catalogue[id]
+	m := b.models[id]
+	switch {
+	case listed:
+		like.base, like.service = info.Base, info.Service
+	case m != nil:
+		like.service = m.service
+	}
+	if m != nil && len(m.candidates) > 0 {
+		return newSet(like, m.candidates)
+	}
+	delete(b.models, id)
+	if listed {
+		return newSet(like, nil)
+	}
+	service, reported := b.reportedBy(id)
+	if !reported {
+		return nil
+	}
+	like.service = service
+	return newSet(like, nil)
+}
+
+// reportedBy looks for a model that only servers know, and returns their service.
+// Such models are few, and the search runs only where none of them is ready.
+func (b *Builder) reportedBy(id port.ModelID) (service string, reported bool) {
 	for _, s := range b.servers {
 		if slices.ContainsFunc(s.replicas, func(r port.Replica) bool { return r.Model == id }) {
-			return true
+			return s.candidate.Server.Service, true
 		}
 	}
-	return false
+	return "", false
 }
 
 func (b *Builder) server(v port.Server) *builtServer {
@@ -311,17 +335,13 @@
 	}
 	s.sequence = v.Report.Sequence
 	stats.report(v.Report.InFlight+v.Report.Queued, at)
-	for _, r := range v.Report.Replicas {
-		if b.models[r.Model] == nil {
-			b.model(r.Model, s.candidate.Server.Service)
-			b.dirtyModels[r.Model] = struct{}{}
-		}
-	}
 	b.doubt(s.replicas)
 	s.replicas = v.Report.Replicas
+	b.doubt(s.replicas)
 }
 
-// doubt has models looked at again that may be known by no one any more.
+// doubt has models off the catalogue looked at again: whether anyone knows them may
+// have changed.
 func (b *Builder) doubt(replicas []port.Replica) {
 	for _, r := range replicas {
 		if _, listed := b.catalogue[r.Model]; !listed {
@@ -335,7 +355,7 @@
 	name := s.candidate.Server.Service
 	m := b.services[name]
 	if m == nil {
-		m = &members{like: Set{service: name}}
+		m = &members{service: name}
 		b.services[name] = m
 	}
 	if s.routable {
@@ -392,7 +412,7 @@
 func (b *Builder) model(id port.ModelID, service string) *members {
 	m := b.models[id]
 	if m == nil {
-		m = &members{like: Set{model: id, service: service}}
+		m = &members{service: service}
 		b.models[id] = m
 	}
 	return m
--- a/pkg/routing/snapshot.go
+++ b/pkg/routing/snapshot.go
@@ -85,6 +85,9 @@
 
 func newSet(like Set, members []*Candidate) *Set {
 	s := like
+	if len(members) == 0 {
+		return &s
+	}
 	s.candidates = append([]*Candidate(nil), members...)
 	sort.Slice(s.candidates, func(i, j int) bool {
 		a, b := &s.candidates[i].Server, &s.candidates[j].Server
