Hedge slow repeatable work, pass priorities on, bound the reads of servers

Cause: hedging was decided but never done; engines weren't told priorities; a zone that doesn't answer counted like a server that fails; 48 servers read each second take about 24 KB/s on top of the exchanges.

Change: the gateway sends work of classes with hedge to a second server once the first takes longer than its tail, paid for by the retry budget; the first answer to begin counts. Engines get X-Priority. Attempts that nobody answered within 500 ms count against the zone. Regular reads are bounded at 12 a second, so that 48 watched servers are read every 4 s.

Figures: TestHedging: the faster second answer is given and the first cancelled, one retry paid.

Conclusion: routing's decisions are all in use but for cache events and slots, which no port brings.

--- a/internal/app/identities.go
+++ b/internal/app/identities.go
@@ -17,7 +17,10 @@
 )
 
 func newIdentityTimes(s *settings.Settings) identity.Times {
-	return identity.Times{Keep: s.Identity.Keep.D(), MaxRun: gateway.DefaultConfig().MaxCall, Stale: s.Identity.LogOutage.D()}
+	return identity.Times{
+		Keep: s.Identity.Keep.D(), MaxRun: gateway.DefaultConfig().MaxCall, Stale: s.Identity.LogOutage.D(),
+		MinMembers: s.Identity.MinMembers,
+	}
 }
 
 func newIdentityStore(s *settings.Settings, clock port.Clock) *identity.Store {
--- a/internal/app/router.go
+++ b/internal/app/router.go
@@ -47,10 +47,11 @@
 	choice, err := r.routing.Pick(now, routing.Query{
 		Service: q.Service, Model: q.Model, PrefixHash: q.PrefixHash, Exclude: q.Exclude,
 	})
+	var full *routing.CapacityError
 	switch {
 	case err == nil:
-	case errors.Is(err, routing.ErrNoCapacity):
-		return nil, errors.Join(gateway.ErrNoCapacity, err)
+	case errors.As(err, &full):
+		return nil, &gateway.CapacityError{RetryAfter: full.RetryAfter}
 	default:
 		return nil, errors.Join(gateway.ErrNoReplica, err)
 	}
@@ -72,14 +73,28 @@
 // Server implements gateway.Attempt.
 func (a *attempt) Server() port.Server { return a.choice.Server }
 
+// HedgeAfter tells the gateway when a second attempt beside this one helps.
+func (a *attempt) HedgeAfter(remaining time.Duration) (time.Duration, bool) {
+	return retry.HedgeConfig{}.Delay(true, true, a.choice.Stats.Tail(), remaining)
+}
+
 // Done implements gateway.Attempt.
 func (a *attempt) Done(now time.Time, o gateway.Outcome) {
 	a.end(o.Total)
-	a.choice.Done(now, routing.Result{Outcome: outcomeOf(o.Kind), FirstByte: o.FirstByte, Total: o.Total})
+	a.choice.Done(now, routing.Result{Outcome: outcomeOf(o), FirstByte: o.FirstByte, Total: o.Total})
 }
 
-func outcomeOf(k gateway.OutcomeKind) routing.Outcome {
-	switch k {
+// connectTimedOut is how long an attempt that reached nobody must have taken to
+// count as unanswered. A refused connection is answered at once.
+const connectTimedOut = 500 * time.Millisecond
+
+func outcomeOf(o gateway.Outcome) routing.Outcome {
+	switch o.Kind {
+	case gateway.OutcomeNotSent:
+		if o.Total >= connectTimedOut {
+			return routing.OutcomeUnreachable
+		}
+		return routing.OutcomeFailed
 	case gateway.OutcomeAnswered:
 		return routing.OutcomeServed
 	case gateway.OutcomeRefused:
--- a/internal/controller/observer/sources.go
+++ b/internal/controller/observer/sources.go
@@ -16,6 +16,8 @@
 const (
 	liveTimeout   = 2 * time.Second
 	reportTimeout = 2 * time.Second
+	// readsPerSecond bounds the regular reads of backend servers on average.
+	readsPerSecond = 12
 	// readsAtOnce bounds the reads of backend servers that run at once.
 	readsAtOnce = 64
 	// jitter is the part by which intervals are spread, so that instances which
@@ -63,17 +65,24 @@
 // reportLoop reads the watched servers.
 func (o *Observer) reportLoop(ctx context.Context) error {
 	for {
-		o.readWatched(ctx)
-		if !pause(ctx, spread(o.cfg.ReportInterval)) {
+		servers := o.watched()
+		o.readAll(ctx, servers)
+		if !pause(ctx, spread(readInterval(o.cfg.ReportInterval, len(servers)))) {
 			return nil
 		}
 	}
 }
 
-func (o *Observer) readWatched(ctx context.Context) {
+// readInterval keeps the reads of many servers within the instance's part of the
+// control traffic.
+func readInterval(interval time.Duration, servers int) time.Duration {
+	return max(interval, time.Duration(servers)*time.Second/readsPerSecond)
+}
+
+func (o *Observer) readAll(ctx context.Context, servers []port.Server) {
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(readsAtOnce)
-	for _, s := range o.watched() {
+	for _, s := range servers {
 		group.Go(func() error {
 			_, _ = o.Read(ctx, s)
 			return nil
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -101,27 +101,25 @@
 	server := attempt.Server()
 	ctx, span := g.startSpan(ctx, "forward", attribute.String("server", string(server.ID)))
 	defer span.End()
-	place := &place{attempt: attempt, g: g, key: c.key(), started: g.now()}
-	defer place.release(OutcomeCanceled)
-	request, err := g.outbound(ctx, c, server)
-	if err != nil {
-		return place.fail(&failure{kind: OutcomeCanceled, proven: true, final: true,
-			problem: problem.New(problem.BadRequest, "the request can't be passed on")})
-	}
 	ranBefore := c.mayRun
 	c.mayRun = true
 	c.server = server.ID
-	response, err := g.deps.Backend.Do(ctx, server, request)
-	if err != nil {
-		f := g.sendFailure(ctx, err)
+	s := g.sendFrom(ctx, c, &place{attempt: attempt, g: g, key: c.key(), started: g.now()})
+	defer s.cancel()
+	defer s.place.release(OutcomeCanceled)
+	c.server = s.place.attempt.Server().ID
+	if s.err != nil {
+		f := g.sendFailure(ctx, s.err)
 		c.mayRun = ranBefore || !f.proven
-		return place.fail(f)
+		return s.place.fail(f)
 	}
-	defer response.Body.Close()
-	place.firstByte = g.now().Sub(place.started)
-	return g.answer(ctx, c, place, response)
+	defer s.response.Body.Close()
+	return g.answer(ctx, c, s.place, s.response)
 }
 
+// errUnsendable: the request can't be built for the server.
+var errUnsendable = errors.Wrap(port.ErrNotSent, "build request")
+
 // place is the place on a server that an attempt holds. It is given back once.
 type place struct {
 	attempt   Attempt
@@ -150,6 +148,9 @@
 // sendFailure tells apart what is known when no answer began.
 func (g *Gateway) sendFailure(ctx context.Context, err error) *failure {
 	switch {
+	case errors.Is(err, errUnsendable):
+		return &failure{kind: OutcomeCanceled, proven: true, final: true,
+			problem: problem.New(problem.BadRequest, "the request can't be passed on")}
 	case errors.Is(err, port.ErrRefused):
 		return &failure{kind: OutcomeRefused, proven: true,
 			problem: problem.New(problem.NoCapacity, "the backend server refused the request").After(g.pace.retryAfter())}
@@ -195,6 +196,9 @@
 	if c.resumable() {
 		request.Header.Set(headerLastEventID, strconv.FormatInt(c.events.assembler.Next()-1, 10))
 	}
+	if c.engine {
+		request.Header.Set(headerPriority, strconv.Itoa(c.class.Priority))
+	}
 	left := c.deadline.Sub(g.now()).Seconds()
 	request.Header.Set(HeaderTimeout, fmt.Sprintf("%.3f", max(left, 0)))
 	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(request.Header))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,8 @@
 	pace       pace
 	endings    endings
 	inProgress atomic.Int64
+	// hedges counts second attempts beside a slow first one.
+	hedges     atomic.Int64
 	running    context.Context
 	stop       context.CancelFunc
 	background sync.WaitGroup
--- /dev/null
+++ b/internal/gateway/hedge_test.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/jsonc"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/targets"
+)
+
+// hedgedRouter hands out attempts whose servers may be hedged at once.
+type hedgedRouter struct{ *fakeRouter }
+
+type hedgedAttempt struct{ Attempt }
+
+func (hedgedAttempt) HedgeAfter(time.Duration) (time.Duration, bool) { return time.Millisecond, true }
+
+func (r hedgedRouter) Pick(now time.Time, q PickQuery) (Attempt, error) {
+	attempt, err := r.fakeRouter.Pick(now, q)
+	if err != nil {
+		return nil, err
+	}
+	return hedgedAttempt{attempt}, nil
+}
+
+// hedgedView has a class whose work may be hedged.
+type hedgedView struct {
+	fakeView
+	class targets.Class
+}
+
+func (v hedgedView) Classify(ClassQuery) *targets.Class { return &v.class }
+
+// slowFirst is a backend whose first server answers only when its call is
+// cancelled, or once the second has failed.
+type slowFirst struct {
+	secondFails bool
+	failed      chan struct{}
+	cancelled   chan struct{}
+}
+
+func (b *slowFirst) Do(ctx context.Context, s port.Server, _ *http.Request) (*http.Response, error) {
+	switch {
+	case s.ID == "second" && b.secondFails:
+		close(b.failed)
+		return nil, errors.Wrap(port.ErrNotSent, "refused")
+	case s.ID == "first":
+		select {
+		case <-ctx.Done():
+			close(b.cancelled)
+			return nil, errors.Wrap(port.ErrUnknownOutcome, "cancelled")
+		case <-b.failed:
+		}
+	}
+	return &http.Response{
+		StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"application/json"}},
+		ContentLength: int64(len(s.ID) + 2), Body: io.NopCloser(strings.NewReader(`"` + string(s.ID) + `"`)),
+	}, nil
+}
+
+func TestHedging(t *testing.T) {
+	for name, c := range map[string]struct {
+		class       targets.Class
+		secondFails bool
+		answer      string
+		outcomes    []OutcomeKind
+	}{
+		"the second attempt is faster": {
+			class: targets.Class{Repeatable: true, Hedge: true}, answer: `"second"`,
+			outcomes: []OutcomeKind{OutcomeCanceled, OutcomeAnswered},
+		},
+		"the second attempt fails": {
+			class: targets.Class{Repeatable: true, Hedge: true}, secondFails: true, answer: `"first"`,
+			outcomes: []OutcomeKind{OutcomeReset, OutcomeAnswered},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			router := &fakeRouter{servers: []port.Server{{ID: "first"}, {ID: "second"}}, capacity: 2}
+			backend := &slowFirst{secondFails: c.secondFails, failed: make(chan struct{}), cancelled: make(chan struct{})}
+			c.class.MaxWait = jsonc.Duration(time.Minute)
+			g := New(Deps{
+				Snapshot: func() View { return hedgedView{class: c.class} }, Router: hedgedRouter{router},
+				Waker: &fakeWaker{}, Backend: backend, Clock: port.SystemClock{},
+			})
+			status, body := hedgedPost(t, g.Handler(), "/v1/chat/completions",
+				`{"model": "`+testModel+`", "messages": [{"role": "user", "content": "x"}]}`)
+			require.Equal(t, http.StatusOK, status, body)
+			require.Equal(t, c.answer, body)
+			if !c.secondFails {
+				<-backend.cancelled // the slower attempt was given up
+			}
+			require.Eventually(t, func() bool {
+				router.mu.Lock()
+				defer router.mu.Unlock()
+				return len(router.outcomes) == len(c.outcomes)
+			}, 10*time.Second, time.Millisecond)
+			require.ElementsMatch(t, c.outcomes, router.outcomes)
+			require.Equal(t, 1, router.retries, "the second attempt is paid for by the retry budget")
+			require.EqualValues(t, 1, g.hedges.Load())
+		})
+	}
+}
+
+// TestOnlyRepeatableWorkIsHedged: a class that isn't repeatable isn't hedged,
+// whatever it says.
+func TestOnlyRepeatableWorkIsHedged(t *testing.T) {
+	for _, class := range []*targets.Class{{Hedge: true}, {Repeatable: true}} {
+		c := &Call{class: class, repeatable: class.Repeatable}
+		g := New(Deps{Clock: port.SystemClock{}})
+		_, hedged := g.hedgeAfter(c, &place{attempt: hedgedAttempt{}})
+		require.False(t, hedged)
+	}
+}
+
+func hedgedPost(t *testing.T, handler http.Handler, path, body string) (int, string) {
+	request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, path, strings.NewReader(body))
+	request.Header.Set("Content-Type", "application/json")
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, request)
+	return recorder.Code, recorder.Body.String()
+}
--- a/internal/gateway/sse.go
+++ b/internal/gateway/sse.go
@@ -22,6 +22,8 @@
 	stallsPerWrite = 3
 
 	headerLastEventID = "Last-Event-ID"
+	// headerPriority tells an engine the class's priority; higher goes first.
+	headerPriority = "X-Priority"
 )
 
 var errCallerSlow = errors.New("caller doesn't read")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -119,9 +119,12 @@
 	Keep jsonc.Duration `json:"keep" validate:"min=1s,max=24h"`
 	// LogOutage is how long after the log was last read such requests are still
 	// taken.
-	LogOutage  jsonc.Duration `json:"log_outage" validate:"min=1s,max=24h"`
-	MaxEntries int            `json:"max_entries" validate:"min=16,max=10000000"`
-	MaxBytes   int64          `json:"max_bytes" validate:"min=1024,max=17179869184"`
+	LogOutage jsonc.Duration `json:"log_outage" validate:"min=1s,max=24h"`
+	// MinMembers is how many eligible instances there must be. It must be the
+	// same at all of them.
+	MinMembers int   `json:"min_members" validate:"min=1,max=64"`
+	MaxEntries int   `json:"max_entries" validate:"min=16,max=10000000"`
+	MaxBytes   int64 `json:"max_bytes" validate:"min=1024,max=17179869184"`
 }
 
 // Deciding times the choice of a zone's deciding instance.
