--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,7 @@
 			Requests: config.MaxWaiting,
 			Bytes:    config.MaxWaitingBytes,
 			PerKey:   config.MaxWaitingPerModel,
+			Now:      deps.Clock.Now,
 		}),
 	}
 	g.running, g.stop = context.WithCancel(context.Background())
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -86,7 +86,7 @@
 	ticket, first, err := g.queues.Enter(key, queue.Request{
 		Class:    c.class.Name,
 		Caller:   c.caller,
-		Weight:   c.class.Priority + 1,
+		Weight:   1 << c.class.Priority,
 		Deadline: c.startBy,
 		Bytes:    int64(len(c.body)),
 	})
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -120,6 +120,7 @@
 	finish map[flowKey]float64
 	// virtual is the start of the flow that was served last.
 	virtual float64
+	pace    pace
 	seq     uint64
 	len     int
 }
--- a/pkg/queue/queue_test.go
+++ b/pkg/queue/queue_test.go
@@ -182,3 +182,26 @@
 	require.Same(t, hopeless, q.Worst(at(6)), "can't be ready in time")
 	require.Same(t, last, q.Worst(at(5)), "last of the caller with most waiting")
 }
+
+// TestLateShowsAtThePace: of a flow with too many for the pace, the one with the
+// least to spare is named; without a pace, or with time enough, none is.
+func TestLateShowsAtThePace(t *testing.T) {
+	q := New()
+	var tickets []*Ticket
+	for n := range 10 {
+		tickets = append(tickets, q.Push(Request{Class: "a", Caller: "x", Weight: 1, Deadline: at(100 + n)}))
+	}
+	require.Nil(t, q.Late(at(0), tickets[0]), "no turn yet")
+	for n := range 3 {
+		require.True(t, q.Serve(tickets[n]))
+		q.Turn(at(n * 10))
+	}
+	require.Nil(t, q.Late(at(30), tickets[9]), "60 s for seven turns of 10 s")
+	late := q.Push(Request{Class: "a", Caller: "x", Weight: 1, Deadline: at(45)})
+	require.Nil(t, q.Late(at(30), late), "it goes first")
+	other := q.Push(Request{Class: "b", Caller: "y", Weight: 1, Deadline: at(500)})
+	require.Same(t, tickets[7], q.Late(at(30), late), "half of the turns are another flow's now")
+	require.Nil(t, q.Late(at(30), other))
+	require.True(t, q.Remove(tickets[7]))
+	require.Nil(t, q.Late(at(0), tickets[7]), "it has left")
+}
--- a/pkg/queue/set.go
+++ b/pkg/queue/set.go
@@ -15,6 +15,8 @@
 	// ErrFull: the queue is at its bounds and the request is the one least
 	// likely to meet its deadline.
 	ErrFull = errors.New("queue full")
+	// ErrLate: at the present pace the request won't be started in time.
+	ErrLate = errors.New("won't be started in time")
 	// ErrUnattainable: the model won't be ready before the request's deadline.
 	// It comes as an *UnattainableError.
 	ErrUnattainable = errors.New("deadline can't be met")
@@ -45,6 +47,9 @@
 	// PerKey bounds the requests of one queue, so that one model can't take
 	// every place.
 	PerKey int
+	// Now, if set, lets the set shed requests that won't be started in time at
+	// the present pace, as soon as that shows.
+	Now func() time.Time
 }
 
 // Set is the queues of an instance, one per key.
@@ -118,6 +123,10 @@
 	t = l.queue.Push(r)
 	t.signal = make(chan struct{}, 1)
 	s.add(t)
+	if s.shedLate(l, t) {
+		s.retire(key, l)
+		return nil, false, ErrLate
+	}
 	if !s.makeRoom(l, t) {
 		s.retire(key, l)
 		return nil, false, ErrFull
@@ -128,6 +137,27 @@
 	return t, first, nil
 }
 
+// shedLate sheds the request of the newcomer's flow that is least likely to be
+// started in time, if at the present pace it won't be. Its waiter hears at once
+// rather than when its time is over. It returns true if that is the newcomer.
+func (s *Set) shedLate(l *lane, newcomer *Ticket) bool {
+	if s.limits.Now == nil {
+		return false
+	}
+	now := s.limits.Now()
+	late := l.queue.Late(now, newcomer)
+	if late == nil || l.readyAt.After(now) {
+		return false
+	}
+	l.queue.Remove(late)
+	s.subtract(late)
+	if late == newcomer {
+		return true
+	}
+	s.refuse(late, ErrLate)
+	return false
+}
+
 // makeRoom sheds requests of the lane until the bounds hold. It returns false
 // if the newcomer is among them.
 func (s *Set) makeRoom(l *lane, newcomer *Ticket) bool {
@@ -198,7 +228,17 @@
 // Serve takes a request that is being started out of its queue and signals the
 // next. It returns false if the request had been refused already.
 func (s *Set) Serve(key Key, t *Ticket) bool {
-	return s.take(key, t, (*Queue).Serve, &s.served)
+	return s.take(key, t, s.serve, &s.served)
+}
+
+func (s *Set) serve(q *Queue, t *Ticket) bool {
+	if !q.Serve(t) {
+		return false
+	}
+	if s.limits.Now != nil {
+		q.Turn(s.limits.Now())
+	}
+	return true
 }
 
 // Leave takes a request out whose caller has gone or whose time is over. It
