lease: close the gate until every server is expected; adopt late copies

Cause: two faults that let a newcomer decide beside a lone holder that is cut off. A doubt counted as settled before any server was expected, since none was left to read; and a seal that came late ended the doubt while a server that checks was still unread, so that its replica wasn't known yet. The second was found by the exploration from a scripted start, 'lone holder decides, newcomer claims', the first by a test of targets that come late. Change: servers are expected before doubts are looked at; the copies of a late seal are adopted unless their server was fenced and read. FencingKnown keeps a holder from reading a server before it knows whether it checks, and a server that turns out to check is fenced and read again. Conclusion: a user of the package should set FencingKnown where the targets or the server list can lag behind the log.

--- a/pkg/lease/config.go
+++ b/pkg/lease/config.go
@@ -28,6 +28,10 @@
 	// ChecksFencing says whether a server refuses orders with an old fencing
 	// number. It is asked anew for each decision; nil means that none does.
 	ChecksFencing func(port.ServerID) bool
+	// FencingKnown says whether ChecksFencing already knows the server and the
+	// targets. Until then a new holder doesn't count the server as read. Nil
+	// means that it always does.
+	FencingKnown func(port.ServerID) bool
 	// HeartbeatTimeout is how long the holder may be silent before others
 	// claim.
 	HeartbeatTimeout time.Duration
@@ -98,5 +102,8 @@
 	if c.ChecksFencing == nil {
 		c.ChecksFencing = func(port.ServerID) bool { return false }
 	}
+	if c.FencingKnown == nil {
+		c.FencingKnown = func(port.ServerID) bool { return true }
+	}
 	return c
 }
--- a/pkg/lease/doubt.go
+++ b/pkg/lease/doubt.go
@@ -100,13 +100,16 @@
 }
 
 // settleDoubt ends a doubt with the copies of a sealed copy holder, which the
-// instance itself may be. Those of servers that don't check become intents of
-// this term; at servers that check, the fence and the read tell everything.
+// instance itself may be. They become intents of this term, but for those of
+// servers that check and were fenced and read already: what a copy did there was
+// found, and what it didn't do it never will.
 func (m *Machine) settleDoubt(d *doubt, copies []record.Intent) {
 	d.settled = m.step
 	slices.SortFunc(copies, func(a, b record.Intent) int { return cmp.Compare(a.ID, b.ID) })
 	for _, i := range copies {
-		if i.Epoch == d.Epoch && i.Zone == m.cfg.Zone && !m.cfg.ChecksFencing(i.Server) {
+		v := m.term.vets[i.Server]
+		resolved := v != nil && v.done && v.raised
+		if i.Epoch == d.Epoch && i.Zone == m.cfg.Zone && !resolved {
 			m.adopt(i)
 		}
 	}
--- a/pkg/lease/live_test.go
+++ b/pkg/lease/live_test.go
@@ -284,6 +284,32 @@
 	require.True(t, l.loadedOn("s0"), "the copy counts as decided")
 }
 
+// TestFencingLearntLate: a holder that learns only later that a server checks
+// raises the number before it decides there.
+func TestFencingLearntLate(t *testing.T) {
+	l := newLive(t, scenario{nodes: 2, holders: 1, checks: true})
+	known, checks := false, false
+	cfg := &l.nodes[1].m.cfg
+	cfg.FencingKnown = func(port.ServerID) bool { return known }
+	cfg.ChecksFencing = func(port.ServerID) bool { return checks }
+	l.run(time.Second)
+	l.nodes[0].dead = true
+	l.run(10 * time.Second)
+	m := func() *Machine { return l.nodes[1].m }
+	require.True(t, m().IsHolder())
+	require.False(t, m().ReadyOn("s0"))
+	require.NotEmpty(t, m().openDoubts())
+	known = true
+	l.run(time.Second)
+	require.True(t, m().ReadyOn("s0"))
+	require.Less(t, l.engines["s0"].fence, m().term.first)
+	checks = true
+	require.False(t, m().ReadyOn("s0"))
+	l.run(time.Second)
+	require.True(t, m().ReadyOn("s0"))
+	require.Equal(t, m().term.first, l.engines["s0"].fence)
+}
+
 func TestServerGoneOrRestarted(t *testing.T) {
 	l := newLive(t, scenario{nodes: 1, holders: 1})
 	l.propose(0, "l", port.OrderLoad, "s0")
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -163,8 +163,8 @@
 	m.reconcileMember()
 	m.reconcileClaim()
 	if m.term != nil {
-		m.reconcileDoubts()
 		m.reconcileGone()
+		m.reconcileDoubts()
 		m.reconcileVets()
 		m.reconcileEntries()
 		m.reconcileRemovals()
--- a/pkg/lease/query.go
+++ b/pkg/lease/query.go
@@ -48,7 +48,7 @@
 		return false
 	}
 	v, ok := m.term.vets[s]
-	return ok && v.done
+	return ok && v.done && (v.raised || !m.mustRaise(s))
 }
 
 // Open returns every intent that counts at this instance: those of the log that
--- a/pkg/lease/vet.go
+++ b/pkg/lease/vet.go
@@ -35,6 +35,9 @@
 func (m *Machine) reconcileVets() {
 	var due []port.ServerID
 	for id, v := range m.term.vets {
+		if v.done && !v.raised && m.mustRaise(id) {
+			v.done = false // the targets have come to say that it checks
+		}
 		if (!v.done || v.again) && v.raiseToken == 0 && v.readToken == 0 && m.now >= v.retry {
 			due = append(due, id)
 		}
@@ -42,7 +45,10 @@
 	slices.Sort(due)
 	for _, id := range due {
 		v := m.term.vets[id]
-		if m.cfg.ChecksFencing(id) && !v.raised && !m.cfg.faults.skipFence {
+		if !m.cfg.FencingKnown(id) {
+			continue
+		}
+		if !v.raised && m.mustRaise(id) {
 			v.raiseToken = m.nextID()
 			m.emit(RaiseFence{Token: v.raiseToken, Server: id, Fence: m.term.epoch})
 			continue
@@ -107,6 +113,10 @@
 	}
 }
 
+func (m *Machine) mustRaise(id port.ServerID) bool {
+	return m.cfg.ChecksFencing(id) && !m.cfg.faults.skipFence
+}
+
 // doubtsSettled reports whether no older holder can decide on a server that
 // doesn't check. One that was the only copy holder never does.
 func (m *Machine) doubtsSettled() bool {
@@ -135,7 +145,8 @@
 func (m *Machine) checkingVetted() bool {
 	for id, v := range m.term.vets {
 		gone := m.live.known && !m.live.servers[id]
-		if m.cfg.ChecksFencing(id) && !v.done && !gone {
+		mustVet := m.cfg.ChecksFencing(id) || !m.cfg.FencingKnown(id)
+		if mustVet && !v.done && !gone {
 			return false
 		}
 	}
