lease: time each outage by itself; forget instances that are gone

Cause: an intent whose append outlasted one outage was refused at the start of the next; and heartbeats of instances that never come back piled up. Change: the wait for copies starts with the outage; a heartbeat is dropped when its instance is off the live list and no member, and silent for MemberTimeout. Conclusion: memory of the machine follows the zone's size.

--- a/pkg/lease/decide.go
+++ b/pkg/lease/decide.go
@@ -81,6 +81,7 @@
 		m.copy(e)
 		return
 	}
+	e.copySince = m.now // the next outage has its own timeout
 	if m.term.release != "" || !m.appendable(e) {
 		return
 	}
--- a/pkg/lease/live_test.go
+++ b/pkg/lease/live_test.go
@@ -184,6 +184,9 @@
 	l.step(0, l.list(time.Unix(9, 0)))
 	l.run(DefaultMemberTimeout + 2*time.Second)
 	require.Len(t, l.newest().Zone(zoneName()).CopyHolders, 1, "the dead one is taken off")
+	require.Contains(t, l.nodes[0].m.heard, nodeID(1))
+	l.step(0, l.list(time.Unix(99, 0)))
+	require.NotContains(t, l.nodes[0].m.heard, nodeID(1))
 	l.propose(0, "l", port.OrderLoad, "s0")
 	require.True(t, l.loadedOn("s0"), "the term goes on")
 }
@@ -215,6 +218,20 @@
 	require.Empty(t, l.nodes[0].m.term.entries)
 }
 
+func TestEachOutageHasItsTimeout(t *testing.T) {
+	l := newLive(t, scenario{nodes: 2, holders: 2})
+	l.step(0, LogDown{})
+	l.step(0, Propose{Intent: record.Intent{ID: "l", Kind: port.OrderLoad, Model: "m0", Server: "s0", Bytes: 1, Incarnation: "1"}})
+	l.step(0, LogUp{})
+	l.nodes[0].clock += 10 * DefaultCopyTimeout
+	l.step(0, Tick{}) // the append is still under way
+	l.step(0, LogDown{})
+	require.Empty(t, l.refusals())
+	l.nodes[0].clock += DefaultCopyTimeout
+	l.step(0, Tick{})
+	require.Equal(t, []Refusal{RefusedLogAway}, l.refusals())
+}
+
 func TestOutageAlone(t *testing.T) {
 	for _, checks := range []bool{false, true} {
 		l := newLive(t, scenario{nodes: 1, holders: 1, checks: checks})
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -278,9 +278,21 @@
 	for _, s := range e.Servers {
 		m.live.servers[s] = true
 	}
+	m.forget()
 	if m.term != nil {
 		for _, d := range m.term.doubts {
 			d.observeLive(m.live.instances, m.now)
 		}
 	}
 }
+
+// forget drops the heartbeats of instances that are gone. Ids are never used
+// again, so they would pile up.
+func (m *Machine) forget() {
+	for id, at := range m.heard {
+		if !m.live.instances[id] && !m.zone.IsMember(id) && m.now >= at+m.cfg.MemberTimeout {
+			delete(m.heard, id)
+			delete(m.leaving, id)
+		}
+	}
+}
