lease: claim again after a copy holder was found sealed

Cause: a claimant that seals a copy holder and then goes away leaves the epoch without copies until the next takeover; the holder wasn't sealed itself and didn't notice. Change: a refused copy makes the holder renew its claim once the log is back. Conclusion: an abandoned claim costs one outage at most.

--- a/pkg/lease/claim.go
+++ b/pkg/lease/claim.go
@@ -89,8 +89,8 @@
 }
 
 // wantsRenewal reports whether the holder should claim again: to take new
-// members among the copy holders, to leave a sealed epoch, or to record that
-// doubts are settled. It waits until nothing of the epoch is outside the log.
+// members among the copy holders, to leave an epoch that a copy holder is sealed
+// against, or to record that doubts are settled. It waits until nothing of the epoch is outside the log.
 func (m *Machine) wantsRenewal() bool {
 	t := m.term
 	if t.release != "" || m.now < m.lastClaim+m.cfg.ReclaimInterval {
@@ -101,7 +101,7 @@
 			return false
 		}
 	}
-	return m.sealed >= t.epoch || !sameInstances(m.zone.Members, m.zone.CopyHolders) ||
+	return m.sealed >= t.epoch || t.copyRefused || !sameInstances(m.zone.Members, m.zone.CopyHolders) ||
 		len(m.openDoubts()) < len(m.zone.Doubts)
 }
 
--- a/pkg/lease/clone_test.go
+++ b/pkg/lease/clone_test.go
@@ -149,7 +149,7 @@
 func (m *Machine) keyTerm(k *keyer, left, ago func(time.Duration) int64) {
 	t := m.term
 	k.ints(int64(t.epoch), int64(t.first), ago(t.since), int64(len(t.entries)), int64(len(t.vets)), int64(len(t.doubts)))
-	k.bools(t.release != "")
+	k.bools(t.release != "", t.copyRefused)
 	keySet(k, t.gone)
 	for _, e := range t.sorted() {
 		k.text(e.intent.ID)
--- a/pkg/lease/decide.go
+++ b/pkg/lease/decide.go
@@ -157,6 +157,7 @@
 	if m.term == nil || e.Epoch != m.term.epoch {
 		return
 	}
+	m.term.copyRefused = m.term.copyRefused || !e.Acknowledged
 	n := m.term.entries[e.IntentID]
 	if n == nil || n.copied == nil || !e.Acknowledged || n.intent.Epoch != e.Epoch {
 		return
--- a/pkg/lease/live_test.go
+++ b/pkg/lease/live_test.go
@@ -232,6 +232,21 @@
 	require.Equal(t, []Refusal{RefusedLogAway}, l.refusals())
 }
 
+// TestSealOfNoAvail: a claimant that sealed a copy holder and went away stops
+// copies only until the holder's next claim.
+func TestSealOfNoAvail(t *testing.T) {
+	l := newLive(t, scenario{nodes: 2, holders: 2})
+	l.step(1, SealRequested{Epoch: l.newest().Zone(zoneName()).Epoch})
+	l.cutAll(true)
+	l.propose(0, "l", port.OrderLoad, "s0")
+	require.False(t, l.loadedOn("s0"))
+	l.cutAll(false)
+	l.run(DefaultReclaimInterval + time.Second)
+	l.cutAll(true)
+	l.propose(0, "k", port.OrderLoad, "s1")
+	require.True(t, l.loadedOn("s1"))
+}
+
 func TestOutageAlone(t *testing.T) {
 	for _, checks := range []bool{false, true} {
 		l := newLive(t, scenario{nodes: 1, holders: 1, checks: checks})
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -74,6 +74,8 @@
 	doubts map[port.Epoch]*doubt
 	// release is the id of the release record once it was given.
 	release string
+	// copyRefused says that a copy holder is sealed against the epoch.
+	copyRefused bool
 }
 
 // New returns the machine of an instance that knows nothing yet. The log counts
@@ -203,7 +205,7 @@
 		return
 	}
 	if renewed {
-		m.term.epoch = m.zone.Epoch
+		m.term.epoch, m.term.copyRefused = m.zone.Epoch, false
 		m.renewEntries()
 	} else {
 		m.term = m.newTerm()
