--- a/pkg/lease/live_test.go
+++ b/pkg/lease/live_test.go
@@ -184,6 +184,9 @@
 	l.step(0, l.list(time.Unix(9, 0)))
 	l.run(DefaultMemberTimeout + 2*time.Second)
 	require.Len(t, l.newest().Zone(zoneName()).CopyHolders, 1, "the dead one is taken off")
+	require.Contains(t, l.nodes[0].m.heard, nodeID(1))
+	l.step(0, l.list(time.Unix(99, 0)))
+	require.NotContains(t, l.nodes[0].m.heard, nodeID(1))
 	l.propose(0, "l", port.OrderLoad, "s0")
 	require.True(t, l.loadedOn("s0"), "the term goes on")
 }
@@ -215,6 +218,35 @@
 	require.Empty(t, l.nodes[0].m.term.entries)
 }
 
+func TestEachOutageHasItsTimeout(t *testing.T) {
+	l := newLive(t, scenario{nodes: 2, holders: 2})
+	l.step(0, LogDown{})
+	l.step(0, Propose{Intent: record.Intent{ID: "l", Kind: port.OrderLoad, Model: "m0", Server: "s0", Bytes: 1, Incarnation: "1"}})
+	l.step(0, LogUp{})
+	l.nodes[0].clock += 10 * DefaultCopyTimeout
+	l.step(0, Tick{}) // the append is still under way
+	l.step(0, LogDown{})
+	require.Empty(t, l.refusals())
+	l.nodes[0].clock += DefaultCopyTimeout
+	l.step(0, Tick{})
+	require.Equal(t, []Refusal{RefusedLogAway}, l.refusals())
+}
+
+// TestSealOfNoAvail: a claimant that sealed a copy holder and went away stops
+// copies only until the holder's next claim.
+func TestSealOfNoAvail(t *testing.T) {
+	l := newLive(t, scenario{nodes: 2, holders: 2})
+	l.step(1, SealRequested{Epoch: l.newest().Zone(zoneName()).Epoch})
+	l.cutAll(true)
+	l.propose(0, "l", port.OrderLoad, "s0")
+	require.False(t, l.loadedOn("s0"))
+	l.cutAll(false)
+	l.run(DefaultReclaimInterval + time.Second)
+	l.cutAll(true)
+	l.propose(0, "k", port.OrderLoad, "s1")
+	require.True(t, l.loadedOn("s1"))
+}
+
 func TestOutageAlone(t *testing.T) {
 	for _, checks := range []bool{false, true} {
 		l := newLive(t, scenario{nodes: 1, holders: 1, checks: checks})
@@ -284,6 +316,32 @@
 	require.True(t, l.loadedOn("s0"), "the copy counts as decided")
 }
 
+// TestFencingLearntLate: a holder that learns only later that a server checks
+// raises the number before it decides there.
+func TestFencingLearntLate(t *testing.T) {
+	l := newLive(t, scenario{nodes: 2, holders: 1, checks: true})
+	known, checks := false, false
+	cfg := &l.nodes[1].m.cfg
+	cfg.FencingKnown = func(port.ServerID) bool { return known }
+	cfg.ChecksFencing = func(port.ServerID) bool { return checks }
+	l.run(time.Second)
+	l.nodes[0].dead = true
+	l.run(10 * time.Second)
+	m := func() *Machine { return l.nodes[1].m }
+	require.True(t, m().IsHolder())
+	require.False(t, m().ReadyOn("s0"))
+	require.NotEmpty(t, m().openDoubts())
+	known = true
+	l.run(time.Second)
+	require.True(t, m().ReadyOn("s0"))
+	require.Less(t, l.engines["s0"].fence, m().term.first)
+	checks = true
+	require.False(t, m().ReadyOn("s0"))
+	l.run(time.Second)
+	require.True(t, m().ReadyOn("s0"))
+	require.Equal(t, m().term.first, l.engines["s0"].fence)
+}
+
 func TestServerGoneOrRestarted(t *testing.T) {
 	l := newLive(t, scenario{nodes: 1, holders: 1})
 	l.propose(0, "l", port.OrderLoad, "s0")
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -74,6 +74,8 @@
 	doubts map[port.Epoch]*doubt
 	// release is the id of the release record once it was given.
 	release string
+	// copyRefused says that a copy holder is sealed against the epoch.
+	copyRefused bool
 }
 
 // New returns the machine of an instance that knows nothing yet. The log counts
@@ -163,8 +165,8 @@
 	m.reconcileMember()
 	m.reconcileClaim()
 	if m.term != nil {
-		m.reconcileDoubts()
 		m.reconcileGone()
+		m.reconcileDoubts()
 		m.reconcileVets()
 		m.reconcileEntries()
 		m.reconcileRemovals()
@@ -203,7 +205,7 @@
 		return
 	}
 	if renewed {
-		m.term.epoch = m.zone.Epoch
+		m.term.epoch, m.term.copyRefused = m.zone.Epoch, false
 		m.renewEntries()
 	} else {
 		m.term = m.newTerm()
@@ -278,9 +280,21 @@
 	for _, s := range e.Servers {
 		m.live.servers[s] = true
 	}
+	m.forget()
 	if m.term != nil {
 		for _, d := range m.term.doubts {
 			d.observeLive(m.live.instances, m.now)
 		}
 	}
 }
+
+// forget drops the heartbeats of instances that are gone. Ids are never used
+// again, so they would pile up.
+func (m *Machine) forget() {
+	for id, at := range m.heard {
+		if !m.live.instances[id] && !m.zone.IsMember(id) && m.now >= at+m.cfg.MemberTimeout {
+			delete(m.heard, id)
+			delete(m.leaving, id)
+		}
+	}
+}
