--- a/internal/controller/decider/decider.go
+++ b/internal/controller/decider/decider.go
@@ -72,6 +72,9 @@
 	// reviewEvery is how many ticks lie between reviews of what to release.
 	reviewEvery = 20
 	inboxSize   = 4096
+	// renewEvery is how many times the holder's timeout lie at the least between
+	// two claims by which a holder takes newcomers among the copy holders.
+	renewEvery = 5
 	// explainedModels bounds the models whose decisions are remembered.
 	explainedModels = 4096
 )
@@ -134,6 +137,7 @@
 		Self: cfg.Self.ID, PeerAddress: cfg.Self.PeerAddress, Zone: cfg.Self.Zone,
 		ChecksFencing:    d.checksFencing,
 		HeartbeatTimeout: cfg.HolderTimeout,
+		ReclaimInterval:  renewEvery * cfg.HolderTimeout,
 		LiveLag:          cfg.LiveListLag,
 		OrderLife:        cfg.OrderLifetime,
 	})
--- a/internal/controller/decider/explain.go
+++ b/internal/controller/decider/explain.go
@@ -90,8 +90,10 @@
 	Holding bool            `json:"holding"`
 	Ready   bool            `json:"ready"`
 	// Members counts the instances of the zone that are eligible as far as the
-	// log was read.
-	Members int `json:"members"`
+	// log was read, and CopyHolders those of them that store the copies of
+	// decisions while the log is away.
+	Members     int `json:"members"`
+	CopyHolders int `json:"copy_holders"`
 	// Open counts the intents that hold memory, Waking the models that callers
 	// wait for, and StoreRunning and StoreWaiting the loads at the weight store.
 	Open         int `json:"open"`
@@ -110,7 +112,8 @@
 			Open: len(d.machine.Open()), Waking: len(d.wakes),
 		}
 		if state := d.deps.Log.State(); state != nil {
-			s.Members = len(state.Zone(d.cfg.Self.Zone).Members)
+			zone := state.Zone(d.cfg.Self.Zone)
+			s.Members, s.CopyHolders = len(zone.Members), len(zone.CopyHolders)
 		}
 		if d.store != nil {
 			s.StoreRunning, s.StoreWaiting = d.store.Running(), d.store.Waiting()
--- a/internal/failuretest/link_test.go
+++ b/internal/failuretest/link_test.go
@@ -72,8 +72,10 @@
 	trap func(*http.Request)
 	// late is told of each request that the gate held up and that has been
 	// answered since.
-	late  func(*http.Request)
-	conns map[net.Conn]string
+	late func(*http.Request)
+	// onAnswer is told of each answer of a backend server to a caller's request.
+	onAnswer func(*http.Request)
+	conns    map[net.Conn]string
 }
 
 func newLinks() *links {
@@ -114,6 +116,22 @@
 	}
 }
 
+// watch sets who is told of late requests and of answers to callers' requests.
+func (l *links) watch(late, onAnswer func(*http.Request)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.late, l.onAnswer = late, onAnswer
+}
+
+func (l *links) answered(r *http.Request) {
+	l.mu.Lock()
+	onAnswer := l.onAnswer
+	l.mu.Unlock()
+	if onAnswer != nil {
+		onAnswer(r)
+	}
+}
+
 func (l *links) arrived(r *http.Request) {
 	l.mu.Lock()
 	late := l.late
@@ -221,6 +239,9 @@
 	if held && err == nil {
 		t.links.arrived(r)
 	}
+	if !t.platform {
+		t.links.answered(r)
+	}
 	t.links.gate.pass()
 	if err == nil && t.links.isCut(r.URL.Host) {
 		_ = response.Body.Close()
--- a/internal/problem/kinds.go
+++ b/internal/problem/kinds.go
@@ -27,7 +27,7 @@
 	NoCapacity           = Kind{"no-capacity", "No backend server has room for the request", http.StatusServiceUnavailable, NotRun}
 	Overloaded           = Kind{"overloaded", "Too many requests are waiting", http.StatusTooManyRequests, NotRun}
 	ServersUnreachable   = Kind{"servers-unreachable", "No backend server took the request", http.StatusServiceUnavailable, NotRun}
-	IdentityUnavailable  = Kind{"identity-unavailable", "The idempotency key can't be checked now", http.StatusServiceUnavailable, NotRun}
+	IdentityUnavailable  = Kind{"identity-unavailable", "The idempotency key can't be checked now", http.StatusServiceUnavailable, Unknown}
 	Stopping             = Kind{"stopping", "The instance is stopping", http.StatusServiceUnavailable, NotRun}
 	Canceled             = Kind{"canceled", "The caller went away before the request was started", StatusClientClosed, NotRun}
 )
