Raise the fencing number again at an engine that has restarted

Cause: after a restart an engine that checks fencing numbers reports number 0. The holder took the number as raised, so no read of the server counted any more: a model that was loaded there was neither served nor loaded again, for ever.

Change: a read that lacks the term's number has the number raised again.

Figures: TestEngineRestartsWhileLoaded in internal/failuretest failed after 30 s before (56 requests, none answered after the restart), passes in 6.6 s now; go test ./pkg/lease passes (11.6 s).

--- a/pkg/lease/vet.go
+++ b/pkg/lease/vet.go
@@ -171,6 +171,8 @@
 	checks := m.cfg.ChecksFencing(e.Report.Server)
 	fenced := v.raised && e.Report.Fence >= m.term.first || m.cfg.faults.skipFence
 	if e.Err != nil || checks && !fenced {
+		// An engine that has restarted has forgotten the number.
+		v.raised = v.raised && e.Err != nil
 		v.retry = m.now + m.cfg.Retry
 		return
 	}
