Treat an engine's 404 as a refusal, not as the answer

Change: a 404 of an engine is a refusal by the server that proves that nothing ran. It is tried again as others are, and ends as not run with Retry-After.

--- a/internal/failuretest/calls_test.go
+++ b/internal/failuretest/calls_test.go
@@ -19,12 +19,13 @@
 const answerTokens = 12
 
 // How a request can end for its caller. A lost one is a connection that broke
-// before any ending came.
+// before any ending came, a failed one got an error of the backend server's.
 const (
 	answered = "answered"
 	notRun   = "not_run"
 	unknown  = "unknown"
 	lost     = "lost"
+	failed   = "failed"
 )
 
 // ending is what one caller got.
@@ -79,6 +80,10 @@
 	}
 	_ = json.Unmarshal(body, &p)
 	e.how, e.detail = p.Ran, p.Detail
+	if e.how == "" {
+		// The backend server's own answer, which isn't one of success.
+		e.how, e.detail = failed, string(body)
+	}
 }
 
 func chatBody(model, prompt string, tokens int, stream bool) string {
@@ -115,16 +120,16 @@
 	if e.status != http.StatusOK {
 		return e
 	}
-	text, done, failed := readEvents(e.body)
+	text, done, fault := readEvents(e.body)
 	right := rightText(model, prompt, tokens)
 	switch {
 	case done:
 		assert.Equal(c, right, text, "stream is whole and its own")
-		assert.Nil(c, failed, "stream has one ending")
+		assert.Nil(c, fault, "stream has one ending")
 	default:
 		assert.True(c, strings.HasPrefix(right, text), "what came of a stream is right")
-		if failed != nil {
-			e.problem(failed)
+		if fault != nil {
+			e.problem(fault)
 		} else {
 			e.how = lost
 		}
@@ -134,7 +139,7 @@
 
 // readEvents returns the text of a stream, whether its end marker came, and the
 // problem in it.
-func readEvents(body []byte) (text string, done bool, failed []byte) {
+func readEvents(body []byte) (text string, done bool, fault []byte) {
 	var all strings.Builder
 	lines := bufio.NewScanner(bytes.NewReader(body))
 	for lines.Scan() {
@@ -153,13 +158,13 @@
 		}
 		_ = json.Unmarshal(data, &chunk)
 		if chunk.Ran != "" {
-			failed = bytes.Clone(data)
+			fault = bytes.Clone(data)
 		}
 		for _, choice := range chunk.Choices {
 			all.WriteString(choice.Delta.Content)
 		}
 	}
-	return all.String(), done, failed
+	return all.String(), done, fault
 }
 
 // enter sends a call that mustn't be repeated.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -19,6 +19,12 @@
 
 // answer passes a backend server's answer on.
 func (g *Gateway) answer(ctx context.Context, c *Call, place *place, response *http.Response) *failure {
+	if c.engine && response.StatusCode == http.StatusNotFound {
+		// The model was there when the snapshot was made. An engine without it
+		// runs nothing, so the request waits until the model is loaded again.
+		return place.fail(&failure{kind: OutcomeRefused, proven: true,
+			problem: problem.New(problem.NoCapacity, "the model is no longer loaded").After(g.pace.retryAfter())})
+	}
 	if isRetriedStatus(response.StatusCode) && c.repeatable && c.attempts+1 < g.config.MaxAttempts {
 		return place.fail(&failure{kind: OutcomeServerError,
 			problem: problem.New(problem.ServerFailed, "the backend server answered "+response.Status)})
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -122,7 +122,11 @@
 	}
 	defer response.Body.Close()
 	place.firstByte = g.now().Sub(place.started)
-	return g.answer(ctx, c, place, response)
+	f := g.answer(ctx, c, place, response)
+	if f != nil && f.proven {
+		c.mayRun = ranBefore
+	}
+	return f
 }
 
 // place is the place on a server that an attempt holds. It is given back once.
