Ask a new holder at once for what callers wait for

Cause: a wake-up that was accepted is asked about again after its estimated time, up to 5 s; a new holder knows of no waiting callers until then, or until the question to the paused one has timed out. Seen: 4 s between the new term's begin and the load in TestBurstWhileHolderIsPausedMidDecision.

Change: the waker keeps accepted questions until the model is ready and puts them to each new holder of the zone.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -170,7 +170,7 @@
 
 func (i *Instance) startControllers(ctx context.Context, group *errgroup.Group) {
 	for _, run := range []func(context.Context) error{
-		ignoreEnd(i.log.Run), i.observer.Run, i.config.Run, i.decider.Run, i.waker.run, i.members.run,
+		ignoreEnd(i.log.Run), i.observer.Run, i.config.Run, i.decider.Run, i.waker.run, i.waker.followHolders, i.members.run,
 	} {
 		group.Go(func() error { return run(ctx) })
 	}
--- a/internal/app/provide.go
+++ b/internal/app/provide.go
@@ -239,7 +239,7 @@
 ) *waker {
 	return &waker{
 		self: self, decider: d, log: c, config: config, observer: o, peers: p, routing: r,
-		ready: map[port.ModelID]chan struct{}{},
+		ready: map[port.ModelID]chan struct{}{}, accepted: map[port.ModelID]acceptedWake{},
 	}
 }
 
--- a/internal/app/waker.go
+++ b/internal/app/waker.go
@@ -35,6 +35,9 @@
 
 	mu    sync.Mutex // guards ready, off the path of warm requests
 	ready map[port.ModelID]chan struct{}
+	// accepted holds the questions that a deciding instance has accepted and
+	// whose model isn't ready yet.
+	accepted map[port.ModelID]acceptedWake
 }
 
 // elsewhere lists the refusals after which another zone may do better.
@@ -54,6 +57,7 @@
 		case err != nil:
 			continue
 		case reply.Accepted || !elsewhere[reply.Refusal]:
+			w.remember(zone, q, reply.Accepted)
 			return reply, nil
 		case first == nil:
 			first = &reply
@@ -189,6 +193,7 @@
 		if w.routable(model) {
 			close(c)
 			delete(w.ready, model)
+			delete(w.accepted, model)
 		}
 	}
 }
