--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -19,6 +19,12 @@
 
 // answer passes a backend server's answer on.
 func (g *Gateway) answer(ctx context.Context, c *Call, place *place, response *http.Response) *failure {
+	if c.engine && response.StatusCode == http.StatusNotFound {
+		// The model was there when the snapshot was made. An engine without it
+		// runs nothing, so the request waits until the model is loaded again.
+		return place.fail(&failure{kind: OutcomeRefused, proven: true,
+			problem: problem.New(problem.NoCapacity, "the model is no longer loaded").After(g.pace.retryAfter())})
+	}
 	// An engine's failure isn't its answer. That of a plain service may be, and
 	// the caller gets it unless another server can be tried.
 	last := !c.repeatable || c.attempts+1 >= g.config.MaxAttempts
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -114,7 +114,11 @@
 		return s.place.fail(f)
 	}
 	defer s.response.Body.Close()
-	return g.answer(ctx, c, s.place, s.response)
+	f := g.answer(ctx, c, s.place, s.response)
+	if f != nil && f.proven {
+		c.mayRun = ranBefore
+	}
+	return f
 }
 
 // errUnsendable: the request can't be built for the server.
