Keep what reports said when the ledger is restored

Cause: Restore, which runs after every record, proposal and end of an order, put each hold back to its decided size and forgot how often reads had lacked it. Until the next report, a replica larger than it was decided counted too small, so that a load could be admitted above the share; a missing replica was never found.

Change: holds whose intents stay open keep their reported size and count.

Conclusion: memory above the share by a restore between two reports is gone.

--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -117,12 +117,17 @@
 	s.holds = slices.Delete(s.holds, at, at+1)
 }
 
-// Restore replaces all holds by those of a fold of the log. Reports are kept.
+// Restore replaces all holds by those of a fold of the log. Reports are kept,
+// and what they said of the intents that stay open.
 func (l *Ledger) Restore(states []*recordpb.IntentState) {
-	clear(l.intents)
+	reported := make(map[string]Hold, len(l.intents))
 	for _, s := range l.servers {
+		for _, hold := range s.holds {
+			reported[hold.Intent] = hold
+		}
 		s.holds = nil
 	}
+	clear(l.intents)
 	for _, kind := range []recordpb.Intent_Kind{recordpb.Intent_KIND_LOAD, recordpb.Intent_KIND_UNLOAD} {
 		for _, state := range states {
 			if state.GetIntent().GetKind() != kind {
@@ -134,6 +139,13 @@
 			}
 		}
 	}
+	for _, s := range l.servers {
+		for i := range s.holds {
+			if before, known := reported[s.holds[i].Intent]; known {
+				s.holds[i].Bytes, s.holds[i].absent = before.Bytes, before.absent
+			}
+		}
+	}
 }
 
 // Forget drops a server that is gone. It is kept while intents on it are open.
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -182,6 +182,25 @@
 	require.Empty(t, l.Servers())
 }
 
+// TestRestoreKeepsWhatReportsSaid: a replica that is larger than it was decided
+// counts with its reported size, and one that direct reads lack stays missing.
+func TestRestoreKeepsWhatReportsSaid(t *testing.T) {
+	open := []*recordpb.IntentState{
+		{Intent: &recordpb.Intent{Id: "l1", Kind: recordpb.Intent_KIND_LOAD, Model: "a", Server: "s", Bytes: 20}, Loaded: true},
+	}
+	l := ready()
+	l.Observe(report("i1", 2, 0, replica("a", "l1", 45)), true)
+	l.Restore(open)
+	require.EqualValues(t, 45, l.Usage("s").Used)
+	require.ErrorIs(t, l.CanLoad("s", "b", 10), ledger.ErrNoRoom)
+
+	for sequence := range uint64(3) {
+		l.Observe(report("i1", 3+sequence, 0), true)
+		l.Restore(open)
+	}
+	require.Len(t, l.Missing("s"), 1)
+}
+
 // engine is the oracle: what truly takes memory on one server, under orders that
 // arrive late, restarts, and reports that are overtaken.
 type engine struct {
