Tell cold waits from queueing for requests that join a queue

Cause: in a run of the README's commands the load report counted requests that waited for their model to be loaded as warm, with a p99 of 1.08 s: only the first one in the queue knew that the model was absent. Also, explain showed servers as of up to a second ago and said that no server reports a model that had just answered.

Change: a request that joins others takes the watcher's last finding; operators' answers read the table afresh.

Conclusion: warm and cold are told apart by what was found, not by who was first.

--- a/internal/app/operators.go
+++ b/internal/app/operators.go
@@ -96,7 +96,7 @@
 			Targets: o.observer.InForce(i.Instance.ID), SilentSeconds: operator.Since(now, i.LastSign),
 		})
 	}
-	for _, v := range view.Servers {
+	for _, v := range o.observer.Servers() {
 		s.Servers = append(s.Servers, operator.Server{
 			ID: v.Server.ID, Zone: v.Server.Zone, Service: v.Server.Service, Routable: v.Routable,
 			Leaving: v.Server.Leaving, Replicas: len(v.Report.Replicas), ReportSeconds: operator.Since(now, v.ReportAt),
@@ -119,7 +119,7 @@
 		return
 	}
 	out := operator.Explanation{Model: info, Zone: o.self.Zone, Decisions: o.fromHolder(r.Context(), model, explained)}
-	for _, v := range o.observer.View().Servers {
+	for _, v := range o.observer.Servers() {
 		for _, replica := range v.Report.Replicas {
 			if replica.Model == model {
 				out.Replicas = append(out.Replicas, operator.Replica{Server: v.Server.ID, Zone: v.Server.Zone, State: replica.State})
--- a/internal/controller/observer/sources.go
+++ b/internal/controller/observer/sources.go
@@ -116,6 +116,13 @@
 	return report, nil
 }
 
+// Servers returns what is known of all backend servers now.
+func (o *Observer) Servers() []membership.ServerView {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Servers(o.now(), "")
+}
+
 // ZoneServers returns what is known of the zone's backend servers now.
 func (o *Observer) ZoneServers() []membership.ServerView {
 	o.mu.Lock()
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -43,7 +43,7 @@
 // model to become ready, or for room, until the time to start is over. It
 // doesn't overtake those that wait already.
 func (g *Gateway) acquire(ctx context.Context, c *Call, exclude []port.ServerID) (Attempt, error) {
-	reason := ErrNoCapacity
+	reason := g.reason(c.key())
 	waiting, _ := g.queues.Waiting(c.key())
 	if waiting == 0 || len(exclude) > 0 {
 		attempt, err := g.deps.Router.Pick(g.now(), c.query(exclude))
--- a/internal/gateway/wake.go
+++ b/internal/gateway/wake.go
@@ -66,6 +66,15 @@
 	}
 }
 
+// reason is what the last look for a server found, for a request that joins those
+// who wait.
+func (g *Gateway) reason(key queue.Key) error {
+	if value, ok := g.watchers.Load(key); ok && value.(*watcher).absent.Load() {
+		return ErrNoReplica
+	}
+	return ErrNoCapacity
+}
+
 func (w *watcher) run() {
 	defer w.g.watchers.CompareAndDelete(w.key, w)
 	ctx, cancel := context.WithCancel(w.g.running)
