Read no server as a new holder before its fencing is known

Cause: while the targets lagged, a new holder took every server for one that doesn't check fencing numbers, and could read one without raising its number.

Change: the decider tells the machine when targets and server are known.

Conclusion: a start beside slow targets delays decisions, not safety.

--- a/internal/controller/decider/decider.go
+++ b/internal/controller/decider/decider.go
@@ -139,6 +139,7 @@
 	d.machine = lease.New(lease.Config{
 		Self: cfg.Self.ID, PeerAddress: cfg.Self.PeerAddress, Zone: cfg.Self.Zone,
 		ChecksFencing:    d.checksFencing,
+		FencingKnown:     d.fencingKnown,
 		HeartbeatTimeout: cfg.HolderTimeout,
 		ReclaimInterval:  renewEvery * cfg.HolderTimeout,
 		LiveLag:          cfg.LiveListLag,
@@ -147,6 +148,12 @@
 	return d
 }
 
+// fencingKnown reports whether checksFencing can be relied on.
+func (d *Decider) fencingKnown(id port.ServerID) bool {
+	_, known := d.deps.Observer.Server(id)
+	return known && d.deps.Config.Targets() != nil
+}
+
 // checksFencing says what the targets say of a server's service.
 func (d *Decider) checksFencing(id port.ServerID) bool {
 	t := d.deps.Config.Targets()
