Feed the routers with the engines' cache events

Cause: affinity to cached prefixes was decided by events that no port brought.

Change: a report carries the newest events of the prefix cache; the gateway names the prompt's beginning by a hash in X-Prefix-Hash, which the engine's events repeat. The instance that reads a report takes its events; they aren't passed on, since at 2,500 requests a second in a zone they alone would exceed the control traffic. The stand-in engine keeps a bounded cache and can charge for a prompt that isn't in it.

--- a/internal/adapter/httpengine/httpengine.go
+++ b/internal/adapter/httpengine/httpengine.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -131,6 +132,13 @@
 	if r.InFlight < 0 || r.Queued < 0 {
 		return bad("a negative count")
 	}
+	last := uint64(0)
+	for _, e := range r.CacheEvents {
+		if e.Sequence <= last || e.AgeMS < 0 {
+			return bad("cache event " + strconv.FormatUint(e.Sequence, 10))
+		}
+		last = e.Sequence
+	}
 	left := maxServerBytes
 	seen := make(map[port.ModelID]bool, len(r.Replicas))
 	for _, replica := range r.Replicas {
--- a/internal/controller/observer/sources.go
+++ b/internal/controller/observer/sources.go
@@ -11,6 +11,7 @@
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/membership"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/routing"
 )
 
 const (
@@ -105,8 +106,16 @@
 		return port.Report{}, err
 	}
 	now := o.now()
+	events := report.CacheEvents
+	// Events are too many to be passed on; each instance goes by what it reads.
+	report.CacheEvents = nil
 	o.mu.Lock()
 	fresh := o.table.MergeReport(now, s, report)
+	for _, e := range events {
+		o.builder.CacheEvent(now, routing.CacheEvent{
+			Server: s.ID, Sequence: e.Sequence, Prefix: e.Prefix, Stored: e.Stored, Age: time.Duration(e.AgeMS) * time.Millisecond,
+		})
+	}
 	o.mu.Unlock()
 	if fresh {
 		signal(o.dirty)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -202,6 +202,7 @@
 	}
 	if c.engine {
 		request.Header.Set(headerPriority, strconv.Itoa(c.class.Priority))
+		request.Header.Set(port.HeaderPrefixHash, strconv.FormatUint(prefixHash(c.body), 16))
 	}
 	left := c.deadline.Sub(g.now()).Seconds()
 	request.Header.Set(HeaderTimeout, fmt.Sprintf("%.3f", max(left, 0)))
--- a/internal/standin/counters.go
+++ b/internal/standin/counters.go
@@ -29,6 +29,10 @@
 	// those whose caller went away before the end.
 	Generations map[port.ServerID]int `json:"generations"`
 	Cancelled   int                   `json:"cancelled"`
+	// PrefixHits and PrefixMisses count requests whose prefix was cached, and
+	// those whose prefix wasn't.
+	PrefixHits   int `json:"prefix_hits"`
+	PrefixMisses int `json:"prefix_misses"`
 	// StoreStarts counts transfers from the weight store, and StoreMaxAtOnce
 	// the most at one time.
 	StoreStarts    int `json:"store_starts"`
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -35,6 +35,7 @@
 	orders   map[string]*orderRun
 	onDisk   map[port.ModelID]bool
 	slots    *slots
+	prefixes *prefixCache
 	leaving  bool
 	history  []pastReport
 }
@@ -82,6 +83,7 @@
 	e.replicas = make(map[port.ModelID]*replica)
 	e.orders = make(map[string]*orderRun)
 	e.slots = newSlots(e.settings.Slots, e.settings.QueueLimit)
+	e.prefixes = newPrefixCache(e.settings.PrefixCache)
 	e.record()
 }
 
@@ -267,6 +269,7 @@
 		Server: e.server.ID, Incarnation: e.incarnation(), Sequence: e.sequence,
 		MemoryBytes: e.settings.MemoryBytes, OlderBytes: e.olderBytes(),
 		Replicas: []port.Replica{}, InFlight: running, Queued: waiting, Leaving: e.leaving,
+		CacheEvents: e.prefixes.report(),
 	}
 	if e.checksFencing() {
 		r.Fence = e.fence
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -74,6 +74,10 @@
 	defer slots.release()
 	e.tally.update(func(c *Counters) { c.Generations[e.server.ID]++ })
 	e.sampleLoad()
+	if !e.usePrefix(r.Header) && !sleep(ctx, e.settings.PrefillTime.D()) {
+		reset(w)
+		return
+	}
 	if !e.answer(ctx, w, g) {
 		e.tally.update(func(c *Counters) { c.Cancelled++ })
 		reset(w)
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -60,6 +60,10 @@
 	// Slots bounds the answers in progress, QueueLimit those waiting.
 	Slots      int `json:"slots" validate:"min=1,max=10000"`
 	QueueLimit int `json:"queue_limit" validate:"min=0,max=100000"`
+	// PrefixCache is how many prompt prefixes a server keeps, and PrefillTime
+	// what a prompt takes before its first token if its prefix isn't among them.
+	PrefixCache int            `json:"prefix_cache" validate:"min=1,max=100000"`
+	PrefillTime jsonc.Duration `json:"prefill_time" validate:"min=0,max=1m"`
 	// LoadOverhead is the time that a load takes beside reading the weights.
 	LoadOverhead jsonc.Duration `json:"load_overhead" validate:"min=0,max=10m"`
 	// ChecksFencing says that engines refuse an order with an old number.
@@ -119,6 +123,7 @@
 		},
 		Engine: EngineSettings{
 			MemoryBytes: 40 * gib, OlderBytes: 8 * gib, TokensPerSecond: 200, Slots: 64, QueueLimit: 1024,
+			PrefixCache:  64,
 			LoadOverhead: jsonc.Duration(200 * time.Millisecond), ChecksFencing: true,
 			CacheCheckpoints: true, DiskBytesPerSecond: 32 * gib,
 		},
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -163,3 +163,35 @@
 	_, err := standin.Start(s)
 	require.ErrorIs(t, err, standin.ErrListen)
 }
+
+// TestPrefixCacheTellsItsEvents: stored and evicted prefixes show in the report,
+// and a second request with the same prefix hits.
+func TestPrefixCacheTellsItsEvents(t *testing.T) {
+	s := standin.Fast()
+	s.Engine.PrefixCache = 1
+	p := start(t, s)
+	ctx, engine, server := context.Background(), httpengine.New(nil), p.Servers[0]
+	require.NoError(t, engine.Apply(ctx, server, load(server, "o1")))
+	for _, prefix := range []string{"a", "a", "b", "no hash"} {
+		request := streamRequest(t, "hello", 1)
+		request.Header.Set(port.HeaderPrefixHash, prefix)
+		resp, err := httpbackend.New(nil).Do(ctx, server, request)
+		require.NoError(t, err)
+		_, _, done := readStream(t, resp.Body)
+		require.True(t, done)
+		resp.Body.Close()
+	}
+	report, err := engine.Report(ctx, server)
+	require.NoError(t, err)
+	var events []port.CacheEvent
+	for _, e := range report.CacheEvents {
+		e.AgeMS = 0
+		events = append(events, e)
+	}
+	require.Equal(t, []port.CacheEvent{
+		{Sequence: 1, Prefix: 0xa, Stored: true}, {Sequence: 2, Prefix: 0xa}, {Sequence: 3, Prefix: 0xb, Stored: true},
+	}, events)
+	counters := p.Counters()
+	require.Equal(t, 1, counters.PrefixHits)
+	require.Equal(t, 2, counters.PrefixMisses)
+}
--- a/pkg/port/types.go
+++ b/pkg/port/types.go
@@ -98,8 +98,28 @@
 	InFlight int  `json:"in_flight"`
 	Queued   int  `json:"queued"`
 	Leaving  bool `json:"leaving"`
+	// CacheEvents are the newest events of the engine's prefix cache, oldest
+	// first. They come late, and older ones are missing.
+	CacheEvents []CacheEvent `json:"cache_events,omitempty"`
 }
 
+// CacheEvent is one change of an engine's prefix cache.
+type CacheEvent struct {
+	// Sequence grows by one from event to event of an incarnation.
+	Sequence uint64 `json:"sequence"`
+	// Prefix is the hash that came with the request, see HeaderPrefixHash.
+	Prefix uint64 `json:"prefix"`
+	// Stored is false if the prefix was evicted.
+	Stored bool `json:"stored"`
+	// AgeMS is how long ago it happened when the report was made, in
+	// milliseconds.
+	AgeMS int64 `json:"age_ms"`
+}
+
+// HeaderPrefixHash names the hash of the prompt's beginning towards an engine,
+// in hexadecimal.
+const HeaderPrefixHash = "X-Prefix-Hash"
+
 // ModelInfo describes one entry of the weight store.
 type ModelInfo struct {
 	ID ModelID `json:"id"`
