--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -44,6 +44,15 @@
 	// instances and to the platform.
 	WrapDialer    func(peer.Dialer) peer.Dialer
 	WrapTransport func(http.RoundTripper) http.RoundTripper
+	// WrapBackend, if set, does the same for callers' requests to backend
+	// servers.
+	WrapBackend func(http.RoundTripper) http.RoundTripper
+	// WrapListener, if set, lets tests hold up what callers, operators and other
+	// instances send.
+	WrapListener func(net.Listener) net.Listener
+	// Gate, if set, is called before each step of the decider. Tests block in it
+	// to pause an instance, which then goes on with what it believed.
+	Gate func()
 }
 
 // Instance is one entry instance.
@@ -125,7 +134,7 @@
 const (
 	// handOverTimeout bounds giving up the zone's decisions.
 	handOverTimeout = 5 * time.Second
-	// closeTimeout bounds sending the last spans.
+	// closeTimeout bounds sending the last answers, and the last spans.
 	closeTimeout = 2 * time.Second
 	// operatorTimeout bounds reading an operator's header.
 	operatorTimeout = 10 * time.Second
@@ -161,7 +170,7 @@
 
 func (i *Instance) startControllers(ctx context.Context, group *errgroup.Group) {
 	for _, run := range []func(context.Context) error{
-		ignoreEnd(i.log.Run), i.observer.Run, i.config.Run, i.decider.Run, i.waker.run, i.members.run,
+		ignoreEnd(i.log.Run), i.observer.Run, i.config.Run, i.decider.Run, i.waker.run, i.waker.followHolders, i.members.run,
 	} {
 		group.Go(func() error { return run(ctx) })
 	}
@@ -200,6 +209,12 @@
 	})
 	group.Go(func() error {
 		<-ctx.Done()
+		// The last answers may still be on their way from the server's buffers.
+		last, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+		defer cancel()
+		if server.Shutdown(last) == nil {
+			return nil
+		}
 		return server.Close()
 	})
 }
--- a/internal/app/identities.go
+++ b/internal/app/identities.go
@@ -17,7 +17,10 @@
 )
 
 func newIdentityTimes(s *settings.Settings) identity.Times {
-	return identity.Times{Keep: s.Identity.Keep.D(), MaxRun: gateway.DefaultConfig().MaxCall, Stale: s.Identity.LogOutage.D()}
+	return identity.Times{
+		Keep: s.Identity.Keep.D(), MaxRun: gateway.DefaultConfig().MaxCall, Stale: s.Identity.LogOutage.D(),
+		MinMembers: s.Identity.MinMembers,
+	}
 }
 
 func newIdentityStore(s *settings.Settings, clock port.Clock) *identity.Store {
@@ -64,7 +67,7 @@
 // no lists before it.
 func (m *members) joined(state *fold.State) {
 	if state.Through() == 0 {
-		m.tracker.Import(nil, nil)
+		m.tracker.Import(identity.Past{})
 		return
 	}
 	m.tracker.Observe(state.Through(), membersOf(state))
--- a/internal/app/operators.go
+++ b/internal/app/operators.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -17,6 +18,7 @@
 	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/observer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/gateway"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/operator"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/telemetry"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fold"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/jsonc"
@@ -35,6 +37,7 @@
 	observer *observer.Observer
 	decider  *decider.Decider
 	gateway  *gateway.Gateway
+	waker    *waker
 	clock    port.Clock
 	registry metrics.Registry
 }
@@ -93,7 +96,7 @@
 			Targets: o.observer.InForce(i.Instance.ID), SilentSeconds: operator.Since(now, i.LastSign),
 		})
 	}
-	for _, v := range view.Servers {
+	for _, v := range o.observer.Servers() {
 		s.Servers = append(s.Servers, operator.Server{
 			ID: v.Server.ID, Zone: v.Server.Zone, Service: v.Server.Service, Routable: v.Routable,
 			Leaving: v.Server.Leaving, Replicas: len(v.Report.Replicas), ReportSeconds: operator.Since(now, v.ReportAt),
@@ -115,8 +118,8 @@
 		writeJSON(w, http.StatusServiceUnavailable, operator.Failure{Detail: "the instance is stopping"})
 		return
 	}
-	out := operator.Explanation{Model: info, Zone: o.self.Zone, Decisions: explained}
-	for _, v := range o.observer.View().Servers {
+	out := operator.Explanation{Model: info, Zone: o.self.Zone, Decisions: o.fromHolder(r.Context(), model, explained)}
+	for _, v := range o.observer.Servers() {
 		for _, replica := range v.Report.Replicas {
 			if replica.Model == model {
 				out.Replicas = append(out.Replicas, operator.Replica{Server: v.Server.ID, Zone: v.Server.Zone, State: replica.State})
@@ -126,6 +129,20 @@
 	writeJSON(w, http.StatusOK, out)
 }
 
+// fromHolder asks the holder of the zone, which knows the reasons, if it can be
+// reached.
+func (o *operators) fromHolder(ctx context.Context, model port.ModelID, own decider.Explanation) decider.Explanation {
+	holder, address, known := o.waker.holder(o.self.Zone)
+	if own.Holding || !known || holder == o.self.ID {
+		return own
+	}
+	reply, err := o.waker.peers.To(address).Explain(ctx, &peerpb.ExplainRequest{Model: string(model)})
+	if err != nil {
+		return own
+	}
+	return decodeExplanation(reply)
+}
+
 func (o *operators) serveTargets(w http.ResponseWriter, _ *http.Request) {
 	state := o.log.State()
 	if state == nil {
--- a/internal/app/provide.go
+++ b/internal/app/provide.go
@@ -25,7 +25,6 @@
 	"github.com/cyclamenhoist/cyclamenhoist/internal/gateway"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/identitypeer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
-	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/settings"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/telemetry"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/tlsconf"
@@ -42,8 +41,6 @@
 	// records that the log is sure to keep.
 	snapshotsPerRetention = 4
 	liveInterval          = time.Second
-	// fetchTimeout bounds one question to another instance for its fold.
-	fetchTimeout = time.Second
 )
 
 // constructors lists what dig builds an instance from.
@@ -85,7 +82,7 @@
 	}
 }
 
-func newListeners(s *settings.Settings) (*listeners, error) {
+func newListeners(s *settings.Settings, o Options) (*listeners, error) {
 	l := &listeners{}
 	for _, one := range []struct {
 		address string
@@ -98,6 +95,9 @@
 			l.close()
 			return nil, errors.Join(ErrListen, err)
 		}
+		if o.WrapListener != nil {
+			listener = o.WrapListener(listener)
+		}
 		*one.into = listener
 	}
 	return l, nil
@@ -123,11 +123,14 @@
 }
 
 // newPlatformHTTP serves calls of the platform and of engines' control.
-func newPlatformHTTP(o Options) *http.Client {
-	if o.WrapTransport == nil {
-		return httpcall.NewClient()
+func newPlatformHTTP(o Options) *http.Client { return newHTTP(o.WrapTransport) }
+
+func newHTTP(wrap func(http.RoundTripper) http.RoundTripper) *http.Client {
+	client := httpcall.NewClient()
+	if wrap != nil {
+		client.Transport = wrap(httpcall.NewTransport())
 	}
-	return &http.Client{Transport: o.WrapTransport(httpcall.NewTransport())}
+	return client
 }
 
 func newLogPort(s *settings.Settings, c *http.Client) port.Log {
@@ -158,24 +161,13 @@
 	})
 }
 
-func newFetcher(self port.Instance, o *observer.Observer, c *peer.Client) *stateFetcher {
-	return &stateFetcher{
-		self: self, observer: o, own: func() port.Offset { return 0 },
-		call: func(ctx context.Context, address string, through port.Offset) ([]byte, error) {
-			ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-			defer cancel()
-			reply, err := c.To(address).FetchState(ctx, &peerpb.FetchStateRequest{Through: int64(through)})
-			return reply.GetState(), err
-		},
-	}
-}
-
 func newLogClient(
-	s *settings.Settings, l port.Log, self port.Instance, f *stateFetcher, m *members, registry metrics.Registry,
+	s *settings.Settings, l port.Log, self port.Instance, f *fetcher, m *members, registry metrics.Registry,
 ) *logclient.Client {
 	client := logclient.New(l, logclient.Config{
 		Validate:         targets.Validate,
-		FetchState:       f.fetch,
+		FetchState:       f.state,
+		FetchRecords:     f.records,
 		AppendsPerSecond: s.Platform.AppendsPerSecond,
 		Metrics:          registry,
 		Hooks:            logclient.Hooks{Joined: m.joined, Folded: m.folded, CaughtUp: m.tracker.Confirm},
@@ -192,7 +184,7 @@
 			},
 		},
 	})
-	f.own = func() port.Offset {
+	f.through = func() port.Offset {
 		if state := client.State(); state != nil {
 			return state.Through()
 		}
@@ -211,11 +203,11 @@
 
 func newDecider(
 	s *settings.Settings, self port.Instance, c *logclient.Client, engine port.Engine, o *observer.Observer,
-	peers *peer.Client, config *configuration.Controller, clock port.Clock, logger *log.Logger, registry metrics.Registry,
+	peers *peer.Client, config *configuration.Controller, clock port.Clock, logger *log.Logger, registry metrics.Registry, opts Options,
 ) *decider.Decider {
 	d := decider.New(decider.Config{
 		Self: self, HolderTimeout: s.Deciding.HolderTimeout.D(), OrderLifetime: s.Deciding.OrderLifetime.D(),
-		LiveListLag: s.Deciding.LiveListLag.D(),
+		LiveListLag: s.Deciding.LiveListLag.D(), Gate: opts.Gate,
 	}, decider.Deps{
 		Log: c, Engine: engine, Observer: o, Peers: peers, Config: config, Clock: clock, Logger: logger, Metrics: registry,
 	})
@@ -233,13 +225,13 @@
 ) *waker {
 	return &waker{
 		self: self, decider: d, log: c, config: config, observer: o, peers: p, routing: r,
-		ready: map[port.ModelID]chan struct{}{},
+		ready: map[port.ModelID]chan struct{}{}, accepted: map[port.ModelID]acceptedWake{},
 	}
 }
 
 func newGateway(
 	s *settings.Settings, r *router, w *waker, config *configuration.Controller, t *telemetry.Tracing, c *identity.Claimer,
-	clock port.Clock, logger *log.Logger,
+	clock port.Clock, logger *log.Logger, o Options,
 ) (*gateway.Gateway, error) {
 	callers, err := callersOf(s.Keys)
 	if err != nil {
@@ -255,7 +247,7 @@
 		},
 		Snapshot: func() gateway.View { return view{config.View()} },
 		Router:   r, Waker: w, Identity: gateway.Deduplicate(c), Clock: clock, Tracer: t.Tracer, Logger: logger,
-		Backend: httpbackend.New(httpcall.NewClient()),
+		Backend: httpbackend.New(newHTTP(o.WrapBackend)),
 	}), nil
 }
 
@@ -289,9 +281,23 @@
 
 func newOperators(
 	self port.Instance, c *logclient.Client, config *configuration.Controller, o *observer.Observer,
-	d *decider.Decider, g *gateway.Gateway, clock port.Clock, registry metrics.Registry,
+	d *decider.Decider, g *gateway.Gateway, w *waker, clock port.Clock, registry metrics.Registry,
 ) *operators {
+	registerEndings(registry, g)
 	return &operators{
-		self: self, log: c, config: config, observer: o, decider: d, gateway: g, clock: clock, registry: registry,
+		self: self, log: c, config: config, observer: o, decider: d, gateway: g, waker: w, clock: clock, registry: registry,
+	}
+}
+
+// registerEndings makes the counters of requests metrics.
+func registerEndings(registry metrics.Registry, g *gateway.Gateway) {
+	for name, value := range map[string]func(gateway.Endings) int64{
+		"requests.accepted_total": func(e gateway.Endings) int64 { return e.Accepted },
+		"requests.answered_total": func(e gateway.Endings) int64 { return e.Answered },
+		"requests.refused_total":  func(e gateway.Endings) int64 { return e.Refused },
+		"requests.unknown_total":  func(e gateway.Endings) int64 { return e.Unknown },
+		"requests.in_progress":    func(e gateway.Endings) int64 { return e.InProgress },
+	} {
+		metrics.NewRegisteredFunctionalGauge(name, registry, func() int64 { return value(g.Endings()) })
 	}
 }
--- a/internal/controller/decider/decider.go
+++ b/internal/controller/decider/decider.go
@@ -34,6 +34,8 @@
 	OrderLifetime time.Duration
 	// LiveListLag is the longest time by which the live list lags.
 	LiveListLag time.Duration
+	// Gate, if set, is called before each step. It may block.
+	Gate func()
 }
 
 // Observer is what the decider needs of the controller of membership.
@@ -42,6 +44,8 @@
 	Read(ctx context.Context, s port.Server) (port.Report, error)
 	Server(id port.ServerID) (membership.ServerView, bool)
 	ZoneServers() []membership.ServerView
+	Slots(id port.ServerID) int
+	InForce(id port.InstanceID) port.Offset
 	SetHolder(id port.InstanceID)
 }
 
@@ -70,6 +74,9 @@
 	// reviewEvery is how many ticks lie between reviews of what to release.
 	reviewEvery = 20
 	inboxSize   = 4096
+	// renewEvery is how many times the holder's timeout lie at the least between
+	// two claims by which a holder takes newcomers among the copy holders.
+	renewEvery = 5
 	// explainedModels bounds the models whose decisions are remembered.
 	explainedModels = 4096
 )
@@ -94,7 +101,8 @@
 	store   *placement.StoreQueue
 	speeds  placement.Speeds
 	tracker *keepalive.Tracker
-	version port.Offset
+	limits  limits
+	missed  placement.Accounts
 	wakes   map[port.ModelID]*wake
 	orders  map[string]*order
 	uses    map[port.ModelID]use
@@ -131,13 +139,21 @@
 	d.machine = lease.New(lease.Config{
 		Self: cfg.Self.ID, PeerAddress: cfg.Self.PeerAddress, Zone: cfg.Self.Zone,
 		ChecksFencing:    d.checksFencing,
+		FencingKnown:     d.fencingKnown,
 		HeartbeatTimeout: cfg.HolderTimeout,
+		ReclaimInterval:  renewEvery * cfg.HolderTimeout,
 		LiveLag:          cfg.LiveListLag,
 		OrderLife:        cfg.OrderLifetime,
 	})
 	return d
 }
 
+// fencingKnown reports whether checksFencing can be relied on.
+func (d *Decider) fencingKnown(id port.ServerID) bool {
+	_, known := d.deps.Observer.Server(id)
+	return known && d.deps.Config.Targets() != nil
+}
+
 // checksFencing says what the targets say of a server's service.
 func (d *Decider) checksFencing(id port.ServerID) bool {
 	t := d.deps.Config.Targets()
@@ -165,18 +181,27 @@
 		case <-ctx.Done():
 			return nil
 		case do := <-d.inbox:
+			d.gate()
 			do(ctx)
 		case <-changed:
+			d.gate()
 			state, changed = d.deps.Log.Watch()
 			if state != nil {
 				d.step(ctx, lease.Folded{State: state})
 			}
 		case <-ticker.C:
+			d.gate()
 			d.tick(ctx)
 		}
 	}
 }
 
+func (d *Decider) gate() {
+	if d.cfg.Gate != nil {
+		d.cfg.Gate()
+	}
+}
+
 func (d *Decider) tick(ctx context.Context) {
 	if up := d.deps.Log.Up(); up != d.logUp {
 		d.logUp = up
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -19,7 +19,16 @@
 
 // answer passes a backend server's answer on.
 func (g *Gateway) answer(ctx context.Context, c *Call, place *place, response *http.Response) *failure {
-	if isRetriedStatus(response.StatusCode) && c.repeatable && c.attempts+1 < g.config.MaxAttempts {
+	if c.engine && response.StatusCode == http.StatusNotFound {
+		// The model was there when the snapshot was made. An engine without it
+		// runs nothing, so the request waits until the model is loaded again.
+		return place.fail(&failure{kind: OutcomeRefused, proven: true,
+			problem: problem.New(problem.NoCapacity, "the model is no longer loaded").After(g.pace.retryAfter())})
+	}
+	// An engine's failure isn't its answer. That of a plain service may be, and
+	// the caller gets it unless another server can be tried.
+	last := !c.repeatable || c.attempts+1 >= g.config.MaxAttempts
+	if isRetriedStatus(response.StatusCode) && (c.engine || !last) {
 		return place.fail(&failure{kind: OutcomeServerError,
 			problem: problem.New(problem.ServerFailed, "the backend server answered "+response.Status)})
 	}
@@ -108,6 +117,10 @@
 	if _, err := c.w.Write(body); err != nil {
 		return errors.Wrap(err, "send answer")
 	}
+	// The caller needn't wait until the end of the run is noted.
+	if err := c.w.control.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return errors.Wrap(err, "flush answer")
+	}
 	return nil
 }
 
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -75,6 +75,7 @@
 	absent   map[port.ModelID]bool
 	busy     int
 	outcomes []OutcomeKind
+	retries  int
 }
 
 type fakeAttempt struct {
@@ -94,6 +95,9 @@
 func (r *fakeRouter) Pick(_ time.Time, q PickQuery) (Attempt, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if q.Retry {
+		r.retries++
+	}
 	if r.absent[q.Model] {
 		return nil, ErrNoReplica
 	}
@@ -173,6 +177,7 @@
 	gateway *Gateway
 	router  *fakeRouter
 	waker   *fakeWaker
+	server  *httptest.Server
 	url     string
 }
 
@@ -205,7 +210,7 @@
 		require.Zero(t, g.Endings().InProgress)
 		require.Zero(t, router.busy, "places not given back")
 	})
-	return &bench{t: t, gateway: g, router: router, waker: waker, url: server.URL}
+	return &bench{t: t, gateway: g, router: router, waker: waker, server: server, url: server.URL}
 }
 
 type reply struct {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -17,6 +17,7 @@
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/problem"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/queue"
 )
 
 const (
@@ -42,6 +43,14 @@
 func (g *Gateway) forward(c *Call) error {
 	ctx, cancel := context.WithDeadline(c.ctx, c.deadline)
 	defer cancel()
+	run := ctx
+	if c.record != nil {
+		// Work with an identity goes on when its caller goes: whoever sends it
+		// again gets the answer.
+		var cancelRun context.CancelFunc
+		run, cancelRun = context.WithDeadline(context.WithoutCancel(c.ctx), c.deadline)
+		defer cancelRun()
+	}
 	var excluded []port.ServerID
 	var last *failure
 	delays := backoff.NewExponentialBackOff()
@@ -52,13 +61,12 @@
 		if err != nil {
 			return g.acquireProblem(c, last, err)
 		}
-		last = g.try(ctx, c, attempt)
+		last = g.try(run, c, attempt)
 		c.attempts++
-		g.queues.Kick(c.key())
 		if last == nil {
 			return nil
 		}
-		if !g.mayRetry(c, last) || !pause(ctx, delays.NextBackOff()) {
+		if !g.mayRetry(c, last) || !sleep(ctx, delays.NextBackOff()) {
 			return last.problem
 		}
 		excluded = append(excluded, attempt.Server().ID)
@@ -88,47 +96,39 @@
 	return f.proven || c.repeatable
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // try sends the request to one backend server and its answer to the caller.
 func (g *Gateway) try(ctx context.Context, c *Call, attempt Attempt) *failure {
 	server := attempt.Server()
 	ctx, span := g.startSpan(ctx, "forward", attribute.String("server", string(server.ID)))
 	defer span.End()
-	place := &place{attempt: attempt, g: g, started: g.now()}
-	defer place.release(OutcomeCanceled)
-	request, err := g.outbound(ctx, c, server)
-	if err != nil {
-		return place.fail(&failure{kind: OutcomeCanceled, proven: true, final: true,
-			problem: problem.New(problem.BadRequest, "the request can't be passed on")})
-	}
 	ranBefore := c.mayRun
 	c.mayRun = true
 	c.server = server.ID
-	response, err := g.deps.Backend.Do(ctx, server, request)
-	if err != nil {
-		f := g.sendFailure(ctx, err)
+	s := g.sendFrom(ctx, c, &place{attempt: attempt, g: g, key: c.key(), started: g.now()})
+	defer s.cancel()
+	defer s.place.release(OutcomeCanceled)
+	c.server = s.place.attempt.Server().ID
+	if s.err != nil {
+		f := g.sendFailure(ctx, s.err)
 		c.mayRun = ranBefore || !f.proven
-		return place.fail(f)
+		return s.place.fail(f)
+	}
+	defer s.response.Body.Close()
+	f := g.answer(ctx, c, s.place, s.response)
+	if f != nil && f.proven {
+		c.mayRun = ranBefore
 	}
-	defer response.Body.Close()
-	place.firstByte = g.now().Sub(place.started)
-	return g.answer(ctx, c, place, response)
+	return f
 }
 
+// errUnsendable: the request can't be built for the server.
+var errUnsendable = errors.Wrap(port.ErrNotSent, "build request")
+
 // place is the place on a server that an attempt holds. It is given back once.
 type place struct {
 	attempt   Attempt
 	g         *Gateway
+	key       queue.Key
 	started   time.Time
 	firstByte time.Duration
 	released  bool
@@ -141,6 +141,7 @@
 	p.released = true
 	now := p.g.now()
 	p.attempt.Done(now, Outcome{Kind: kind, FirstByte: p.firstByte, Total: now.Sub(p.started)})
+	p.g.queues.Kick(p.key)
 }
 
 func (p *place) fail(f *failure) *failure {
@@ -151,6 +152,9 @@
 // sendFailure tells apart what is known when no answer began.
 func (g *Gateway) sendFailure(ctx context.Context, err error) *failure {
 	switch {
+	case errors.Is(err, errUnsendable):
+		return &failure{kind: OutcomeCanceled, proven: true, final: true,
+			problem: problem.New(problem.BadRequest, "the request can't be passed on")}
 	case errors.Is(err, port.ErrRefused):
 		return &failure{kind: OutcomeRefused, proven: true,
 			problem: problem.New(problem.NoCapacity, "the backend server refused the request").After(g.pace.retryAfter())}
@@ -196,6 +200,9 @@
 	if c.resumable() {
 		request.Header.Set(headerLastEventID, strconv.FormatInt(c.events.assembler.Next()-1, 10))
 	}
+	if c.engine {
+		request.Header.Set(headerPriority, strconv.Itoa(c.class.Priority))
+	}
 	left := c.deadline.Sub(g.now()).Seconds()
 	request.Header.Set(HeaderTimeout, fmt.Sprintf("%.3f", max(left, 0)))
 	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(request.Header))
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -43,7 +43,7 @@
 // model to become ready, or for room, until the time to start is over. It
 // doesn't overtake those that wait already.
 func (g *Gateway) acquire(ctx context.Context, c *Call, exclude []port.ServerID) (Attempt, error) {
-	reason := ErrNoCapacity
+	reason := g.reason(c.key())
 	waiting, _ := g.queues.Waiting(c.key())
 	if waiting == 0 || len(exclude) > 0 {
 		attempt, err := g.deps.Router.Pick(g.now(), c.query(exclude))
@@ -86,7 +86,7 @@
 	ticket, first, err := g.queues.Enter(key, queue.Request{
 		Class:    c.class.Name,
 		Caller:   c.caller,
-		Weight:   c.class.Priority + 1,
+		Weight:   1 << c.class.Priority,
 		Deadline: c.startBy,
 		Bytes:    int64(len(c.body)),
 	})
@@ -98,6 +98,10 @@
 	}
 	// The place in the queue may have come free between the pick and Enter.
 	g.queues.Kick(key)
+	query := c.query(nil)
+	// A retry was held to its budget when it was first looked for; looking again
+	// is not another.
+	query.Retry = false
 	timer := time.NewTimer(c.startBy.Sub(g.now()))
 	defer timer.Stop()
 	for {
@@ -113,7 +117,7 @@
 			return nil, g.refusal(key, err)
 		}
 		var attempt Attempt
-		attempt, reason = g.deps.Router.Pick(g.now(), c.query(nil))
+		attempt, reason = g.deps.Router.Pick(g.now(), query)
 		if reason == nil {
 			return g.start(key, ticket, attempt)
 		}
--- a/pkg/identity/table_test.go
+++ b/pkg/identity/table_test.go
@@ -1,12 +1,17 @@
 package identity
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
 // TestTableBounds: a full table refuses and evicts nothing that is alive, and
@@ -62,8 +67,10 @@
 				case k.result != nil && k.result.Known:
 				case r.NotRun:
 					delete(live, key)
-				default:
+				case r.Known:
 					k.result, k.ends = &r, now.Add(limits.Keep)
+				default:
+					k.result = &r
 				}
 			},
 			"time": func(t *rapid.T) {
@@ -88,6 +95,18 @@
 	})
 }
 
+// TestUnknownRunIsKept: a run of unknown end may go on until it lapses, and its
+// identity is kept from then.
+func TestUnknownRunIsKept(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(Limits{Entries: 1, Keep: time.Minute})
+	ask := Ask{Key: Key{1}, Attempt: "a", RunFor: 10 * time.Minute}
+	require.Equal(t, Run, table.Claim(now, ask).Verdict)
+	table.Finish(now, ask.Key, "a", Result{})
+	require.Equal(t, Unknown, table.Claim(now.Add(11*time.Minute-1), ask).Verdict)
+	require.Equal(t, Run, table.Claim(now.Add(11*time.Minute), ask).Verdict)
+}
+
 func TestClaimAgain(t *testing.T) {
 	now := time.Unix(1000, 0)
 	table := NewTable(Limits{Entries: 1, BodyBytes: 100, Keep: time.Minute})
@@ -105,6 +124,37 @@
 	require.Equal(t, Answer{Finished, Result{Known: true, Status: 201, Body: []byte("x")}}, table.Claim(now, other))
 }
 
+// TestOwnersAgainstOracle compares with the members sorted from the highest on,
+// of which the first of each zone is taken, and then the rest.
+func TestOwnersAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var members []Member
+		zones := rapid.IntRange(1, 5).Draw(t, "zones")
+		for i := range rapid.IntRange(0, 12).Draw(t, "members") {
+			members = append(members, Member{ID: instanceID(i), Zone: zoneName(i % zones)})
+		}
+		key := Key{byte(rapid.IntRange(0, 255).Draw(t, "key"))}
+		score := func(m Member) uint64 { return xxhash.Sum64String(string(key[:]) + string(m.ID)) }
+		sorted := slices.Clone(members)
+		slices.SortFunc(sorted, func(a, b Member) int { return cmp.Compare(score(b), score(a)) })
+		var first, rest []Member
+		seen := map[port.Zone]bool{}
+		for _, m := range sorted {
+			if seen[m.Zone] {
+				rest = append(rest, m)
+			} else {
+				first = append(first, m)
+			}
+			seen[m.Zone] = true
+		}
+		if len(first) < ownersPerKey {
+			first = append(first, rest...)
+		}
+		want := append([]Member{}, first[:min(len(first), ownersPerKey)]...)
+		require.Equal(t, want, Owners(key, members))
+	})
+}
+
 func TestOwnersSpreadOverZones(t *testing.T) {
 	var members []Member
 	for i := range 12 {
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -42,7 +42,7 @@
 	memberOut   string // id of the record that was last given
 	memberRetry time.Duration
 	memberAt    port.Offset // of the last such record known to be in the log
-	removals    map[port.InstanceID]string
+	removals    map[port.InstanceID]pending
 	stopping    bool
 	// identitiesBase is that of the HandOver.
 	identitiesBase port.Offset
@@ -74,6 +74,8 @@
 	doubts map[port.Epoch]*doubt
 	// release is the id of the release record once it was given.
 	release string
+	// copyRefused says that a copy holder is sealed against the epoch.
+	copyRefused bool
 }
 
 // New returns the machine of an instance that knows nothing yet. The log counts
@@ -82,7 +84,7 @@
 	return &Machine{
 		cfg: cfg.withDefaults(), heard: map[port.InstanceID]time.Duration{},
 		leaving: map[port.InstanceID]bool{}, copies: map[string]record.Intent{},
-		removals: map[port.InstanceID]string{},
+		removals: map[port.InstanceID]pending{},
 	}
 }
 
@@ -93,12 +95,24 @@
 	m.step++
 	m.out = nil
 	m.take(ev)
-	if m.state != nil && !m.stopped {
+	if m.state != nil && !m.stopped && !isFrequent(ev) {
 		m.reconcile()
 	}
 	return m.out
 }
 
+// isFrequent reports whether the event comes many times a second. What follows
+// from such an event waits for the next Tick.
+func isFrequent(ev Event) bool {
+	switch e := ev.(type) {
+	case PeerAlive:
+		return true
+	case ServerRead:
+		return e.Token == 0
+	}
+	return false
+}
+
 func (m *Machine) take(ev Event) {
 	switch e := ev.(type) {
 	case Folded:
@@ -151,8 +165,8 @@
 	m.reconcileMember()
 	m.reconcileClaim()
 	if m.term != nil {
-		m.reconcileDoubts()
 		m.reconcileGone()
+		m.reconcileDoubts()
 		m.reconcileVets()
 		m.reconcileEntries()
 		m.reconcileRemovals()
@@ -191,7 +205,7 @@
 		return
 	}
 	if renewed {
-		m.term.epoch = m.zone.Epoch
+		m.term.epoch, m.term.copyRefused = m.zone.Epoch, false
 		m.renewEntries()
 	} else {
 		m.term = m.newTerm()
@@ -266,9 +280,21 @@
 	for _, s := range e.Servers {
 		m.live.servers[s] = true
 	}
+	m.forget()
 	if m.term != nil {
 		for _, d := range m.term.doubts {
 			d.observeLive(m.live.instances, m.now)
 		}
 	}
 }
+
+// forget drops the heartbeats of instances that are gone. Ids are never used
+// again, so they would pile up.
+func (m *Machine) forget() {
+	for id, at := range m.heard {
+		if !m.live.instances[id] && !m.zone.IsMember(id) && m.now >= at+m.cfg.MemberTimeout {
+			delete(m.heard, id)
+			delete(m.leaving, id)
+		}
+	}
+}
--- a/pkg/lease/vet.go
+++ b/pkg/lease/vet.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -34,12 +33,22 @@
 
 // reconcileVets raises the fencing number and reads wherever that is due.
 func (m *Machine) reconcileVets() {
-	for _, id := range slices.Sorted(maps.Keys(m.term.vets)) {
+	var due []port.ServerID
+	for id, v := range m.term.vets {
+		if v.done && !v.raised && m.mustRaise(id) {
+			v.done = false // the targets have come to say that it checks
+		}
+		if (!v.done || v.again) && v.raiseToken == 0 && v.readToken == 0 && m.now >= v.retry {
+			due = append(due, id)
+		}
+	}
+	slices.Sort(due)
+	for _, id := range due {
 		v := m.term.vets[id]
-		if v.done && !v.again || v.raiseToken != 0 || v.readToken != 0 || m.now < v.retry {
+		if !m.cfg.FencingKnown(id) {
 			continue
 		}
-		if m.cfg.ChecksFencing(id) && !v.raised && !m.cfg.faults.skipFence {
+		if !v.raised && m.mustRaise(id) {
 			v.raiseToken = m.nextID()
 			m.emit(RaiseFence{Token: v.raiseToken, Server: id, Fence: m.term.epoch})
 			continue
@@ -57,18 +66,22 @@
 // comes back is read again before anything is decided on it.
 func (m *Machine) reconcileGone() {
 	m.expectServers()
-	for _, id := range slices.Sorted(maps.Keys(m.term.vets)) {
-		v := m.term.vets[id]
+	var gone []port.ServerID
+	for id, v := range m.term.vets {
 		switch {
 		case m.live.servers[id]:
 			v.missing = false
 		case !v.missing:
 			v.missing, v.missingAt = true, m.now
 		case m.now >= v.missingAt+m.cfg.LiveLag+m.cfg.OrderLife:
-			m.closeAllOn(id)
-			delete(m.term.vets, id)
+			gone = append(gone, id)
 		}
 	}
+	slices.Sort(gone)
+	for _, id := range gone {
+		m.closeAllOn(id)
+		delete(m.term.vets, id)
+	}
 }
 
 // expectServers takes in the servers that the live list or an open intent
@@ -100,6 +113,10 @@
 	}
 }
 
+func (m *Machine) mustRaise(id port.ServerID) bool {
+	return m.cfg.ChecksFencing(id) && !m.cfg.faults.skipFence
+}
+
 // doubtsSettled reports whether no older holder can decide on a server that
 // doesn't check. One that was the only copy holder never does.
 func (m *Machine) doubtsSettled() bool {
@@ -128,7 +145,8 @@
 func (m *Machine) checkingVetted() bool {
 	for id, v := range m.term.vets {
 		gone := m.live.known && !m.live.servers[id]
-		if m.cfg.ChecksFencing(id) && !v.done && !gone {
+		mustVet := m.cfg.ChecksFencing(id) || !m.cfg.FencingKnown(id)
+		if mustVet && !v.done && !gone {
 			return false
 		}
 	}
@@ -171,6 +189,8 @@
 	checks := m.cfg.ChecksFencing(e.Report.Server)
 	fenced := v.raised && e.Report.Fence >= m.term.first || m.cfg.faults.skipFence
 	if e.Err != nil || checks && !fenced {
+		// An engine that has restarted has forgotten the number.
+		v.raised = v.raised && e.Err != nil
 		v.retry = m.now + m.cfg.Retry
 		return
 	}
--- a/pkg/lease/world_test.go
+++ b/pkg/lease/world_test.go
@@ -13,7 +13,7 @@
 
 // budget bounds what may go wrong in one exploration.
 type budget struct {
-	loads, unloads, cuts, jumps, lostAnswers, lateOrders, refusals, restarts, deaths int
+	loads, unloads, cuts, jumps, lostAnswers, lateOrders, refusals, restarts, deaths, handOvers int
 }
 
 // node is one instance and its appends under way.
@@ -54,6 +54,7 @@
 	logHash  uint64
 	effects  map[string]int // effects of each order
 	broken   string
+	note     func(i int, e Effect) // of other effects; may be nil
 }
 
 // scenario is what an exploration starts from.
@@ -95,7 +96,7 @@
 func (w *world) key() uint64 {
 	k := &keyer{b: make([]byte, 0, 512)}
 	l := w.left
-	for _, v := range []int{l.loads, l.unloads, l.cuts, l.jumps, l.lostAnswers, l.lateOrders, l.refusals, l.restarts, l.deaths} {
+	for _, v := range []int{l.loads, l.unloads, l.cuts, l.jumps, l.lostAnswers, l.lateOrders, l.refusals, l.restarts, l.deaths, l.handOvers} {
 		k.ints(int64(v))
 	}
 	k.ints(int64(w.logHash), int64(len(w.prefixes)))
@@ -154,6 +155,10 @@
 		w.send(message{key: fmt.Sprint("read", i, e.Server), from: i, to: -1, server: e.Server, effect: e})
 	case Order:
 		w.send(message{key: fmt.Sprint("order", i, e.Intent.ID, e.Fence), from: i, to: -1, server: e.Intent.Server, effect: e})
+	default:
+		if w.note != nil {
+			w.note(i, e)
+		}
 	}
 }
 
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/hash64"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -22,6 +23,7 @@
 	peers     map[port.InstanceID]*peerState
 	// serverOrder and instanceOrder hold the entries, latest change first.
 	serverOrder, instanceOrder *list.List
+	changes                    changeLog
 
 	listAt, listCompiled time.Time
 	refused              uint64
@@ -31,13 +33,14 @@
 func NewTable(cfg Config) *Table {
 	return &Table{
 		cfg:           cfg.withDefaults(),
-		hash:          hashID(string(cfg.Self.ID)),
+		hash:          hash64.String(string(cfg.Self.ID)),
 		leaving:       cfg.Self.Leaving,
 		servers:       make(map[port.ServerID]*serverEntry),
 		instances:     make(map[port.InstanceID]*instanceEntry),
 		peers:         make(map[port.InstanceID]*peerState),
 		serverOrder:   list.New(),
 		instanceOrder: list.New(),
+		changes:       changeLog{order: list.New()},
 	}
 }
 
@@ -78,6 +81,7 @@
 		t.mergeListedInstance(now, i, outdated)
 	}
 	t.forget(now)
+	t.checkAllRoutable(now)
 }
 
 func (t *Table) mergeListedServer(now time.Time, s port.Server, outdated bool) {
@@ -86,7 +90,7 @@
 		if outdated {
 			return
 		}
-		if e = t.addServer(now, s); e == nil {
+		if e = t.addServer(now, s, ""); e == nil {
 			return
 		}
 	}
@@ -105,7 +109,7 @@
 func (t *Table) MergeReport(now time.Time, s port.Server, r port.Report) bool {
 	e := t.servers[s.ID]
 	if e == nil {
-		if e = t.addServer(now, s); e == nil {
+		if e = t.addServer(now, s, ""); e == nil {
 			return false
 		}
 	}
@@ -124,6 +128,7 @@
 
 // take adopts a report and marks what others must be told.
 func (t *Table) take(now time.Time, e *serverEntry, generation uint64, r port.Report, at time.Time, source port.InstanceID) {
+	t.changes.touch(e)
 	before, known := e.stateHash, e.reported() && e.generation == generation
 	e.adopt(generation, r, at)
 	switch {
@@ -158,17 +163,19 @@
 		return
 	}
 	e.server.Leaving = true
+	t.changes.touch(e)
 	t.changedServer(e, true, source)
 }
 
-func (t *Table) addServer(now time.Time, s port.Server) *serverEntry {
+func (t *Table) addServer(now time.Time, s port.Server, source port.InstanceID) *serverEntry {
 	if len(t.servers) >= t.cfg.MaxServers {
 		t.refused++
 		return nil
 	}
-	e := &serverEntry{server: s, hash: hashID(string(s.ID)), lastSign: now}
+	e := &serverEntry{server: s, hash: hash64.String(string(s.ID)), lastSign: now}
 	t.servers[s.ID] = e
-	t.changedServer(e, true, "")
+	t.changes.touch(e)
+	t.changedServer(e, true, source)
 	return e
 }
 
@@ -178,12 +185,13 @@
 }
 
 // touch moves an entry to the front of its order. A peer whose delta caused the
-// change needn't be told, provided that it knew all that came before.
+// change needn't be told, provided that it knew all that came before, or was the
+// cause of that too.
 func (t *Table) touch(order *list.List, m *mark, e any, state bool, source port.InstanceID) {
-	m.source = ""
-	if p := t.peers[source]; p != nil && m.any <= p.acked {
-		m.source = source
+	if p := t.peers[source]; p == nil || m.any > p.acked && m.source != source {
+		source = ""
 	}
+	m.source = source
 	t.version++
 	m.any = t.version
 	if state {
@@ -201,6 +209,7 @@
 	for id, e := range t.servers {
 		if !e.listed && now.Sub(e.lastSign) > t.cfg.ForgetAfter {
 			t.serverOrder.Remove(e.element)
+			t.changes.remove(e)
 			delete(t.servers, id)
 		}
 	}
@@ -226,21 +235,6 @@
 	return views
 }
 
-// ServersSince returns the servers that have changed since the table had the
-// given version, latest first. What changes by the mere passing of time, as
-// Routable may, isn't among them.
-func (t *Table) ServersSince(now time.Time, version uint64) []ServerView {
-	var views []ServerView
-	for el := t.serverOrder.Front(); el != nil; el = el.Next() {
-		e := el.Value.(*serverEntry)
-		if e.any <= version {
-			break
-		}
-		views = append(views, t.serverView(now, e))
-	}
-	return views
-}
-
 // Server returns what is known of one server.
 func (t *Table) Server(now time.Time, id port.ServerID) (ServerView, bool) {
 	e := t.servers[id]
@@ -251,20 +245,27 @@
 }
 
 func (t *Table) serverView(now time.Time, e *serverEntry) ServerView {
-	fresh := e.reported() && now.Sub(e.reportAt) < t.cfg.ReportFresh
-	listed := e.listed || !e.listedAt.IsZero() && now.Sub(e.listedAt) < t.cfg.UnlistedGrace
 	return ServerView{
 		Server:   e.server,
 		Reported: e.reported(),
 		Report:   e.report,
 		ReportAt: e.reportAt,
 		Listed:   e.listed,
-		// With no list at all, as after a start during an outage, whatever
-		// peers tell of is taken.
-		Routable: !e.server.Leaving && (listed || fresh || t.listAt.IsZero()),
+		Routable: t.routable(now, e),
 	}
 }
 
+func (t *Table) routable(now time.Time, e *serverEntry) bool {
+	if e.server.Leaving {
+		return false
+	}
+	fresh := e.reported() && now.Sub(e.reportAt) < t.cfg.ReportFresh
+	listed := e.listed || !e.listedAt.IsZero() && now.Sub(e.listedAt) < t.cfg.UnlistedGrace
+	// With no list at all, as after a start during an outage, whatever peers
+	// tell of is taken.
+	return listed || fresh || t.listAt.IsZero()
+}
+
 // View copies the whole table.
 func (t *Table) View(now time.Time) View {
 	return View{At: now, Instances: t.Instances(now, ""), Servers: t.Servers(now, ""), ListAt: t.listAt}
--- a/pkg/routing/builder.go
+++ b/pkg/routing/builder.go
@@ -6,8 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/cyclamenhoist/cyclamenhoist/internal/hash64"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/membership"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
@@ -38,16 +37,17 @@
 	candidate   *Candidate
 	routable    bool
 	incarnation string
-	reportAt    time.Time
+	sequence    uint64
 	// reported lists all models of the last report, and ready those that the
 	// server is a candidate for.
 	replicas []port.Replica
 	ready    []port.ModelID
 }
 
-// members is the candidates of one set, in no order.
+// members is the candidates of one set, in no order. A model of the catalogue that
+// is ready nowhere has none, to save memory.
 type members struct {
-	like       Set
+	service    string
 	candidates []*Candidate
 }
 
@@ -83,7 +83,6 @@
 			continue
 		}
 		basesChanged = basesChanged || before.Base != m.Base
-		b.model(m.ID, m.Service).like = Set{model: m.ID, base: m.Base, service: m.Service}
 		b.dirtyModels[m.ID] = struct{}{}
 	}
 	for id := range old {
@@ -128,6 +127,20 @@
 	}
 }
 
+// Apply takes in what has changed in a table of membership.
+func (b *Builder) Apply(c membership.Changes) {
+	if c.All {
+		b.Sync(c.Servers)
+		return
+	}
+	for _, v := range c.Servers {
+		b.Update(v)
+	}
+	for _, id := range c.Gone {
+		b.Remove(id)
+	}
+}
+
 // Remove drops a server that membership no longer knows.
 func (b *Builder) Remove(id port.ServerID) {
 	s := b.servers[id]
@@ -137,6 +150,7 @@
 	s.routable = false
 	b.enrol(s)
 	b.place(s, nil)
+	b.doubt(s.replicas)
 	delete(b.servers, id)
 	service := s.candidate.Server.Service
 	b.resize(service, -1)
@@ -173,7 +187,7 @@
 		}
 		for name := range b.dirtyServices {
 			m := b.services[name]
-			next.services[name] = newSet(m.like, m.candidates)
+			next.services[name] = newSet(Set{service: name}, m.candidates)
 		}
 		clear(b.dirtyServices)
 	}
@@ -192,32 +206,56 @@
 				next.shards[n] = make(shard)
 			}
 		}
-		m := b.models[id]
-		if _, listed := b.catalogue[id]; !listed && len(m.candidates) == 0 && !b.reportedAnywhere(id) {
+		if set := b.buildModel(id); set != nil {
+			next.shards[n][id] = set
+		} else {
 			delete(next.shards[n], id)
-			delete(b.models, id)
-			continue
 		}
-		next.shards[n][id] = newSet(m.like, m.candidates)
 	}
 	clear(b.dirtyModels)
 }
 
-// reportedAnywhere looks for a model that only servers know. Such models are few,
-// and the search runs only when the last ready replica goes.
-func (b *Builder) reportedAnywhere(id port.ModelID) bool {
+// buildModel makes the set of a model, nil if nobody knows it.
+func (b *Builder) buildModel(id port.ModelID) *Set {
+	like := Set{model: id}
+	info, listed := b.catalogue[id]
+	m := b.models[id]
+	switch {
+	case listed:
+		like.base, like.service = info.Base, info.Service
+	case m != nil:
+		like.service = m.service
+	}
+	if m != nil && len(m.candidates) > 0 {
+		return newSet(like, m.candidates)
+	}
+	delete(b.models, id)
+	if listed {
+		return newSet(like, nil)
+	}
+	service, reported := b.reportedBy(id)
+	if !reported {
+		return nil
+	}
+	like.service = service
+	return newSet(like, nil)
+}
+
+// reportedBy looks for a model that only servers know, and returns their service.
+// Such models are few, and the search runs only where none of them is ready.
+func (b *Builder) reportedBy(id port.ModelID) (service string, reported bool) {
 	for _, s := range b.servers {
 		if slices.ContainsFunc(s.replicas, func(r port.Replica) bool { return r.Model == id }) {
-			return true
+			return s.candidate.Server.Service, true
 		}
 	}
-	return false
+	return "", false
 }
 
 func (b *Builder) server(v port.Server) *builtServer {
 	s := b.servers[v.ID]
 	if s == nil {
-		key := xxhash.Sum64String(string(v.ID))
+		key := hash64.String(string(v.ID))
 		stats := &ServerStats{
 			id:      v.ID,
 			key:     max(key, 1),
@@ -282,6 +320,8 @@
 	b.groups[service].ejection.Resize(b.sizes[service])
 }
 
+// report takes in a report unless it is the one that was taken in last. Which of
+// two is the newer one is for membership to say.
 func (b *Builder) report(s *builtServer, v *membership.ServerView) {
 	stats := s.candidate.Stats
 	at := b.router.since(v.ReportAt)
@@ -290,18 +330,24 @@
 			stats.cache.restart(at)
 		}
 		s.incarnation = v.Report.Incarnation
-	} else if !v.ReportAt.After(s.reportAt) {
+	} else if v.Report.Sequence == s.sequence {
 		return
 	}
-	s.reportAt = v.ReportAt
+	s.sequence = v.Report.Sequence
 	stats.report(v.Report.InFlight+v.Report.Queued, at)
-	for _, r := range v.Report.Replicas {
-		if b.models[r.Model] == nil {
-			b.model(r.Model, s.candidate.Server.Service)
+	b.doubt(s.replicas)
+	s.replicas = v.Report.Replicas
+	b.doubt(s.replicas)
+}
+
+// doubt has models off the catalogue looked at again: whether anyone knows them may
+// have changed.
+func (b *Builder) doubt(replicas []port.Replica) {
+	for _, r := range replicas {
+		if _, listed := b.catalogue[r.Model]; !listed {
 			b.dirtyModels[r.Model] = struct{}{}
 		}
 	}
-	s.replicas = v.Report.Replicas
 }
 
 // enrol puts the server into its service's set, or takes it out.
@@ -309,7 +355,7 @@
 	name := s.candidate.Server.Service
 	m := b.services[name]
 	if m == nil {
-		m = &members{like: Set{service: name}}
+		m = &members{service: name}
 		b.services[name] = m
 	}
 	if s.routable {
@@ -366,7 +412,7 @@
 func (b *Builder) model(id port.ModelID, service string) *members {
 	m := b.models[id]
 	if m == nil {
-		m = &members{like: Set{model: id, service: service}}
+		m = &members{service: service}
 		b.models[id] = m
 	}
 	return m
--- a/pkg/routing/quality_test.go
+++ b/pkg/routing/quality_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/hash64"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/membership"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
@@ -57,8 +58,8 @@
 		routers[i].SetInstances(herdRouters)
 	}
 	for n := range herdRequests {
-		r := routers[int(mix(uint64(n))%herdRouters)]
-		c, err := r.Pick(at(time.Second), Query{Model: "m", Seed: mix(uint64(n + 1))})
+		r := routers[int(hash64.Mix(uint64(n))%herdRouters)]
+		c, err := r.Pick(at(time.Second), Query{Model: "m", Seed: hash64.Mix(uint64(n + 1))})
 		require.NoError(t, err)
 		truth[c.Server.ID]++
 	}
@@ -160,6 +161,37 @@
 	}
 }
 
+// TestRendezvousSpreads sends many prefixes and checks that the servers get about
+// equal parts of them, and that one server less moves its own prefixes only.
+func TestRendezvousSpreads(t *testing.T) {
+	const servers, prefixes = 10, 10_000
+	r, b := affinityRouter(servers)
+	place := func() map[uint64]port.ServerID {
+		at0 := make(map[uint64]port.ServerID)
+		for i := range uint64(prefixes) {
+			c := pickAt(t, r, 0, Query{Model: "m", PrefixHash: i + 1, PrefixSaves: time.Hour})
+			c.Done(at(0), Result{Outcome: OutcomeCanceled})
+			at0[i] = c.Server.ID
+		}
+		return at0
+	}
+	before := place()
+	count := make(map[port.ServerID]int)
+	for _, id := range before {
+		count[id]++
+	}
+	for id, n := range count {
+		require.InDelta(t, prefixes/servers, n, 150, id)
+	}
+	b.Remove("s04")
+	r.Publish(b.Snapshot(at(0)))
+	for prefix, id := range place() {
+		if before[prefix] != "s04" {
+			require.Equal(t, before[prefix], id)
+		}
+	}
+}
+
 func TestAffinityEndsWithAnEngineRestart(t *testing.T) {
 	r, b := affinityRouter(10)
 	q := Query{Model: "m", PrefixHash: 42}
@@ -248,7 +280,26 @@
 	s := b.Stats("busy")
 	mean := math.Float64frombits(s.group.meanOthers.Load())
 	since := b.router.since(at(0))
-	require.InDelta(t, 100, s.load(since, time.Second), 0.1)
-	require.InDelta(t, (100+mean)/2, s.load(since+time.Second, time.Second), 0.1)
-	require.InDelta(t, mean, s.load(since+time.Hour, time.Second), 0.1)
+	ages := LoadScorer{ReportFresh: time.Second, NewsDelay: time.Second}
+	require.InDelta(t, 100, s.load(since+time.Second, ages), 0.1)
+	require.InDelta(t, (100+mean)/2, s.load(since+2*time.Second, ages), 0.1)
+	require.InDelta(t, mean, s.load(since+time.Hour, ages), 0.1)
+}
+
+// TestSentByOthersUntilNewsArrives looks at one server after this instance has
+// sent it ten requests, as seven others will have done.
+func TestSentByOthersUntilNewsArrives(t *testing.T) {
+	r, b := newRouter(Config{Limit: limit.AdaptiveConfig{Initial: 64}}, nil, view("s1", "a", "m"))
+	r.SetInstances(8)
+	for range 10 {
+		pickAt(t, r, 0, Query{Model: "m"})
+	}
+	s, since := b.Stats("s1"), r.since(at(0))
+	ages := LoadScorer{ReportFresh: time.Hour, NewsDelay: 2 * time.Second}
+	require.InDelta(t, 80, s.load(since+2*time.Second, ages), 0.1)
+	require.InDelta(t, 45, s.load(since+4*time.Second, ages), 0.1)
+	v := view("s1", "a", "m")
+	v.Report.Sequence, v.Report.InFlight, v.ReportAt = 2, 83, at(4*time.Second)
+	b.Update(v)
+	require.InDelta(t, 83, s.load(since+4*time.Second, ages), 0.1, "a new report counts all of them")
 }
