Pass a server's report on to the decider though a peer brought it first

Cause: the observer told the decider of a report it had read itself only if the report was new to it.

Change: a report that was read here and is the newest known is always told.

--- a/internal/controller/observer/sources.go
+++ b/internal/controller/observer/sources.go
@@ -98,10 +98,15 @@
 	now := o.now()
 	o.mu.Lock()
 	fresh := o.table.MergeReport(now, s, report)
+	known, _ := o.table.Server(now, s.ID)
 	o.mu.Unlock()
 	if fresh {
 		signal(o.dirty)
 		signal(o.push)
+	}
+	// Another instance may have passed the same report on before. Only what was
+	// read here proves anything to the listener.
+	if fresh || known.Report.Incarnation == report.Incarnation && known.Report.Sequence == report.Sequence {
 		o.listener.ReportRead(report)
 	}
 	return report, nil
