--- a/internal/controller/observer/sources.go
+++ b/internal/controller/observer/sources.go
@@ -116,10 +116,15 @@
 			Server: s.ID, Sequence: e.Sequence, Prefix: e.Prefix, Stored: e.Stored, Age: time.Duration(e.AgeMS) * time.Millisecond,
 		})
 	}
+	known, _ := o.table.Server(now, s.ID)
 	o.mu.Unlock()
 	if fresh {
 		signal(o.dirty)
 		signal(o.push)
+	}
+	// Another instance may have passed the same report on before. Only what was
+	// read here proves anything to the listener.
+	if fresh || known.Report.Incarnation == report.Incarnation && known.Report.Sequence == report.Sequence {
 		o.listener.ReportRead(report)
 	}
 	return report, nil
