Place adapters where their base may be, estimate by tier and progress

Cause: with one replica allowed, an adapter whose zone differed from its base's could never be loaded: TestAdapterIsLoadedWithItsBase got 503 for the third of six adapters. Cold starts were estimated as if every checkpoint came from the weight store, and callers who came during a load got no true estimate.

Change: shares of replicas go by the base's name; the estimate uses the fastest tier that holds the checkpoint in the zone, noted once a second; loads under way are followed; a load that nobody waits for carries what it is worth.

--- a/internal/app/waker.go
+++ b/internal/app/waker.go
@@ -75,6 +75,10 @@
 	if t == nil {
 		return nil
 	}
+	// An adapter is loaded where its base model may be.
+	if info, known := w.config.Model(model); known && info.Base != "" {
+		model = info.Base
+	}
 	zones := share.ReplicaZones(model, t.Document.Limits.ReplicasPerModel, t.Document.ZoneWeights())
 	if at := slices.Index(zones, w.self.Zone); at > 0 {
 		zones = slices.Concat(zones[at:at+1], zones[:at], zones[at+1:])
--- a/internal/controller/decider/decider.go
+++ b/internal/controller/decider/decider.go
@@ -98,15 +98,19 @@
 
 	ledger *ledger.Ledger
 	// store is nil until this term has targets.
-	store   *placement.StoreQueue
-	speeds  placement.Speeds
-	tracker *keepalive.Tracker
-	limits  limits
-	missed  placement.Accounts
-	wakes   map[port.ModelID]*wake
-	orders  map[string]*order
-	uses    map[port.ModelID]use
-	reasons *lru.Cache[port.ModelID, []Reason]
+	store  *placement.StoreQueue
+	speeds placement.Speeds
+	// tiers holds the fastest tier of the checkpoints that are cached in the zone.
+	tiers map[port.ModelID]placement.Tier
+	// progress knows the loads under way.
+	progress placement.Progress
+	tracker  *keepalive.Tracker
+	limits   limits
+	missed   placement.Accounts
+	wakes    map[port.ModelID]*wake
+	orders   map[string]*order
+	uses     map[port.ModelID]use
+	reasons  *lru.Cache[port.ModelID, []Reason]
 	// loadedAt holds when loads were first known to be ready, by intent.
 	loadedAt map[string]time.Time
 	ticks    int
@@ -132,6 +136,7 @@
 		tracker:  keepalive.New(now, 0),
 		wakes:    map[port.ModelID]*wake{},
 		orders:   map[string]*order{},
+		tiers:    map[port.ModelID]placement.Tier{},
 		uses:     map[port.ModelID]use{},
 		reasons:  reasons,
 		loadedAt: map[string]time.Time{},
--- a/internal/controller/decider/effects.go
+++ b/internal/controller/decider/effects.go
@@ -11,6 +11,7 @@
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fold"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/lease"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/logclient"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/placement"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/record"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/record/recordpb"
@@ -183,6 +184,7 @@
 
 func (d *Decider) held(e lease.Held) {
 	d.store = nil
+	d.progress = placement.Progress{}
 	d.adoptTargets()
 	metrics.GetOrRegisterCounter("decider.terms", d.deps.Metrics).Inc(1)
 	metrics.GetOrRegisterGauge("decider.holder", d.deps.Metrics).Update(1)
--- a/internal/controller/decider/limits.go
+++ b/internal/controller/decider/limits.go
@@ -120,10 +120,19 @@
 		if elsewhere == nil {
 			elsewhere = d.replicasElsewhere()
 		}
-		return max(0, min(d.limits.replicas(model), limit-elsewhere[model]))
+		return max(0, min(d.limits.replicas(d.shareOf(model)), limit-elsewhere[model]))
 	}
 }
 
+// shareOf names the model by which the share of replicas goes: an adapter is
+// loaded where its base model may be.
+func (d *Decider) shareOf(model port.ModelID) port.ModelID {
+	if info, _ := d.deps.Config.Model(model); info.Base != "" {
+		return info.Base
+	}
+	return model
+}
+
 func (d *Decider) replicasElsewhere() map[port.ModelID]int {
 	count := map[port.ModelID]int{}
 	for _, v := range d.deps.Observer.View().Servers {
@@ -145,7 +154,7 @@
 	for _, v := range d.zoneEngines() {
 		for hold := range d.ledger.Holds(v.Server.ID) {
 			held[hold.Model]++
-			if held[hold.Model] > d.limits.replicas(hold.Model) && !d.hasAdapters(v.Server.ID, hold.Model) {
+			if held[hold.Model] > d.limits.replicas(d.shareOf(hold.Model)) && !d.hasAdapters(v.Server.ID, hold.Model) {
 				list = append(list, surplus{v.Server.ID, hold.Model, "above this zone's share of replicas"})
 			}
 		}
--- a/internal/controller/decider/orders.go
+++ b/internal/controller/decider/orders.go
@@ -32,6 +32,9 @@
 func (d *Decider) send(ctx context.Context, e lease.Order) {
 	if o, ok := d.orders[e.Intent.ID]; ok {
 		o.sentAt = d.now()
+		if e.Intent.Kind == port.OrderLoad {
+			d.progress.Start(o.sentAt, e.Intent.Server, e.Intent.Model, d.speeds.LoadTime(e.Intent.Server, o.tier, e.Intent.Bytes))
+		}
 	}
 	d.deps.Logger.Info().Str("order", e.Intent.ID).Str("kind", string(e.Intent.Kind)).
 		Str("model", string(e.Intent.Model)).Str("server", string(e.Intent.Server)).
@@ -72,6 +75,7 @@
 	}
 	delete(d.orders, e.IntentID)
 	d.endLoad(e.IntentID)
+	d.progress.End(o.intent.Server, o.intent.Model)
 	d.note(o.intent.Model, "not decided: "+string(e.Reason))
 	metrics.GetOrRegisterCounter("decider.refused", d.deps.Metrics).Inc(1)
 	d.deps.Logger.Info().Str("order", e.IntentID).Str("model", string(o.intent.Model)).
@@ -87,6 +91,7 @@
 	d.endLoad(e.IntentID)
 	if o, ok := d.orders[e.IntentID]; ok {
 		delete(d.orders, e.IntentID)
+		d.progress.End(o.intent.Server, o.intent.Model)
 		d.measure(now, o, e.Result)
 		d.note(o.intent.Model, string(o.intent.Kind)+" on "+string(o.intent.Server)+" ended: "+resultText(e.Result))
 	}
--- a/internal/controller/decider/review.go
+++ b/internal/controller/decider/review.go
@@ -41,7 +41,7 @@
 
 func (d *Decider) placementView(now time.Time) *placement.View {
 	view := &placement.View{
-		Ledger: d.ledger, Store: d.store, Speeds: &d.speeds, ReplicaShare: d.replicaShare(),
+		Ledger: d.ledger, Store: d.store, Speeds: &d.speeds, Progress: &d.progress, ReplicaShare: d.replicaShare(),
 		Worth: func(model port.ModelID) float64 { return d.tracker.Worth(now, model, d.coldStart(model)) },
 		Busy:  func(_ port.ServerID, model port.ModelID) bool { return d.busy(now, model) },
 		BaseOf: func(model port.ModelID) port.ModelID {
@@ -87,9 +87,38 @@
 	}
 }
 
+// coldStart estimates the load of a model from the fastest tier that holds its
+// checkpoint in the zone, as of the last review.
 func (d *Decider) coldStart(model port.ModelID) time.Duration {
 	info, _ := d.deps.Config.Model(model)
-	return d.speeds.LoadTime("", placement.TierRemote, info.Bytes)
+	tier, cached := d.tiers[model]
+	if !cached {
+		tier = placement.TierRemote
+	}
+	return d.speeds.LoadTime("", tier, info.Bytes)
+}
+
+// noteTiers finds the fastest tier of each checkpoint that is cached in the zone.
+func (d *Decider) noteTiers() {
+	clear(d.tiers)
+	for _, v := range d.zoneEngines() {
+		if !v.Routable {
+			continue
+		}
+		for _, model := range v.Report.CachedOnDisk {
+			if _, better := d.tiers[model]; !better {
+				d.tiers[model] = placement.TierDisk
+			}
+		}
+		for _, model := range v.Report.CachedInMemory {
+			d.tiers[model] = placement.TierMemory
+		}
+	}
+}
+
+// coldStartOn estimates the load of a model on one server.
+func (d *Decider) coldStartOn(v *serverView, info port.ModelInfo) time.Duration {
+	return d.speeds.LoadTime(v.Server.ID, placement.TierOf(&v.Report, info.ID), info.Bytes)
 }
 
 func (d *Decider) busy(now time.Time, model port.ModelID) bool {
@@ -122,6 +151,7 @@
 		return
 	}
 	now := d.now()
+	d.noteTiers()
 	d.forgetWakes(now)
 	for model := range d.wakes {
 		d.plan(ctx, model)
@@ -224,8 +254,9 @@
 }
 
 func (d *Decider) facts(v *serverView, hold ledger.Hold) keepalive.Facts {
+	info, _ := d.deps.Config.Model(hold.Model)
 	f := keepalive.Facts{
-		Model: hold.Model, ColdStart: d.coldStart(hold.Model), Class: d.classOf(hold.Model).Name,
+		Model: hold.Model, ColdStart: d.coldStartOn(v, info), Class: d.classOf(hold.Model).Name,
 		ReadySince: d.readySince(hold.Intent),
 	}
 	if limit := d.ledger.Usage(v.Server.ID).Limit; limit > 0 {
--- a/internal/controller/decider/wake.go
+++ b/internal/controller/decider/wake.go
@@ -188,6 +188,9 @@
 			return placement.Request{}, false
 		}
 	}
+	if r.Waiting == 0 {
+		r.Worth = d.tracker.Worth(d.now(), model, d.coldStart(model))
+	}
 	r.Class, _ = t.Class(w.class)
 	r.ServiceTime = d.uses[model].service
 	for _, id := range d.ledger.Servers() {
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -65,3 +65,25 @@
 	}
 	return port.ServerID("nowhere for " + model)
 }
+
+// TestAdapterIsLoadedWithItsBase: with one replica allowed, an adapter and its
+// base model belong to the same availability zone.
+func TestAdapterIsLoadedWithItsBase(t *testing.T) {
+	settings := standin.Fast()
+	for _, adapter := range []port.ModelID{"a1", "a2", "a3", "a4", "a5", "a6"} {
+		settings.Models = append(settings.Models, standin.ModelSettings{ID: adapter, Base: "entry-assistant", Bytes: 1 << 20})
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	cluster, err := demo.Start(ctx, context.Background(), settings, io.Discard)
+	require.NoError(t, err)
+	defer cluster.Close()
+	for _, adapter := range []string{"a1", "a2", "a3", "a4", "a5", "a6"} {
+		response, err := http.Post("http://"+cluster.Instances[0].CallersAddress()+"/v1/chat/completions", "application/json",
+			strings.NewReader(`{"model": "`+adapter+`", "max_tokens": 2, "messages": [{"role": "user", "content": "x"}]}`))
+		require.NoError(t, err)
+		response.Body.Close()
+		require.Equal(t, http.StatusOK, response.StatusCode, adapter)
+	}
+	require.Equal(t, 1, cluster.Platform.MaxReplicasSeen("entry-assistant"))
+}
