--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -132,7 +132,8 @@
 		s.err = errUnsendable
 		return s
 	}
-	if s.response, s.err = g.deps.Backend.Do(ctx, server, request); s.err == nil {
+	s.response, s.err = g.deps.Backend.Do(ctx, server, request) //nolint:bodyclose // by drop, or by try
+	if s.err == nil {
 		p.firstByte = g.now().Sub(p.started)
 	}
 	return s
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -10,8 +10,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
-
 func TestAdaptiveNext(t *testing.T) {
 	c := AdaptiveConfig{}.withDefaults()
 	level := Level{Limit: 32, Baseline: 0.1}
