--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 )
