Take over a peer's state as soon as it has answered

Cause: an instance that can't read the log asked its peers once in a failed read and took the answer after the next one, up to 3 s later: a publish took longer than 6 s to reach a zone that reaches only its peers (10 rounds of BenchmarkPublishInForce/peers didn't end in 60 s).

Change: answers are taken during the pause between reads, and peers are asked anew in it each PeerRefresh.

--- a/pkg/logclient/join.go
+++ b/pkg/logclient/join.go
@@ -103,10 +103,7 @@
 	q := t.peers
 	select {
 	case peer := <-q.answer:
-		if t.adopt(peer) {
-			t.metrics.peerStates.Inc(1)
-			t.publishWork()
-		}
+		t.take(peer)
 	default:
 	}
 	now := time.Now()
@@ -130,6 +127,14 @@
 	})
 }
 
+// take goes on from a peer's state if it is ahead.
+func (t *tail) take(peer *fold.State) {
+	if t.adopt(peer) {
+		t.metrics.peerStates.Inc(1)
+		t.publishWork()
+	}
+}
+
 // fetchPeer returns a peer's state, or nil if no peer has one.
 func (t *tail) fetchPeer(ctx context.Context) *fold.State {
 	if t.config.FetchState == nil {
--- a/pkg/logclient/tail.go
+++ b/pkg/logclient/tail.go
@@ -36,12 +36,32 @@
 		}
 		t.metrics.readFailures.Inc(1)
 		t.health.readFailed(time.Now(), conditionOf(err), err)
-		t.askPeers(ctx)
-		pause(ctx, t.retry.NextBackOff())
+		t.rest(ctx, t.retry.NextBackOff())
 	}
 	return ctx.Err()
 }
 
+// rest waits before the next read. Peers are asked meanwhile, and what they
+// answer is taken over at once.
+func (t *tail) rest(ctx context.Context, d time.Duration) {
+	over := time.NewTimer(d)
+	defer over.Stop()
+	again := time.NewTicker(t.config.PeerRefresh)
+	defer again.Stop()
+	for {
+		t.askPeers(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-over.C:
+			return
+		case peer := <-t.peers.answer:
+			t.take(peer)
+		case <-again.C:
+		}
+	}
+}
+
 // conditionOf tells what a failed read says about the log.
 func conditionOf(err error) Condition {
 	switch {
