--- a/internal/failuretest/calls_test.go
+++ b/internal/failuretest/calls_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/stretchr/testify/assert"
 
@@ -223,6 +222,3 @@
 		assert.Equal(c, e.Accepted, e.Answered+e.Refused+e.Unknown+e.InProgress, "sum of endings")
 	}
 }
-
-// soon is a short while within which nothing has to happen.
-const soon = 50 * time.Millisecond
