Don't announce leaving when an instance is killed

Cause: where stop is made from kill, as in the demonstration, ending kill could start a graceful shutdown first: others heard that the instance is leaving, which no killed process says.

Change: Run looks at kill before it shuts down.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -158,6 +158,9 @@
 			return nil
 		case <-stop.Done():
 		}
+		if kill.Err() != nil {
+			return nil // stop may have been made from kill
+		}
 		i.shutDown(ctx)
 		cancel()
 		return nil
