--- a/pkg/logclient/join.go
+++ b/pkg/logclient/join.go
@@ -103,9 +103,7 @@
 	q := t.peers
 	select {
 	case told := <-q.answer:
-		if t.takeAnswer(told) {
-			t.metrics.peerStates.Inc(1)
-		}
+		t.take(told)
 	default:
 	}
 	now := time.Now()
--- a/pkg/logclient/relay.go
+++ b/pkg/logclient/relay.go
@@ -71,19 +71,23 @@
 
 func (a *answerOfPeers) empty() bool { return len(a.records) == 0 && a.state == nil }
 
-// takeAnswer goes on from what peers have told, and reports whether that was
-// news.
-func (t *tail) takeAnswer(a answerOfPeers) bool {
-	if len(a.records) > 0 && t.work != nil {
-		before := t.work.Through()
-		page := port.Page{Oldest: a.records[0].Offset, End: a.records[len(a.records)-1].Offset + 1, Records: a.records}
-		// A gap is filled by the next question.
-		_ = t.foldPage(page)
-		return t.work.Through() > before
+// take goes on from what peers have told, if that is news.
+func (t *tail) take(told answerOfPeers) {
+	if t.takeRecords(told.records) || told.state != nil && t.adopt(told.state) {
+		t.metrics.peerStates.Inc(1)
+		t.publishWork()
 	}
-	if a.state == nil || !t.adopt(a.state) {
+}
+
+// takeRecords folds records that a peer has read, and reports whether the state
+// went on.
+func (t *tail) takeRecords(records []port.Record) bool {
+	if len(records) == 0 || t.work == nil {
 		return false
 	}
-	t.publishWork()
-	return true
+	before := t.work.Through()
+	page := port.Page{Oldest: records[0].Offset, End: records[len(records)-1].Offset + 1, Records: records}
+	// A gap is filled by the next question.
+	_ = t.foldPage(page)
+	return t.work.Through() > before
 }
