Mend what a reading of the decider found

Cause, each found by reading: a replica that an engine dropped without a restart was counted for ever; a report without a memory size made the zone unload all of that server; identities and decisions shared one bound at a planned stop, so a slow first could let the lease lapse; after a return to holding, old times of readiness and orders were kept, and evictions ran before any use was told; reads of a server in doubt piled up; counts of callers whose instance had gone, and accounts of servers that had gone, stayed; status and explain hung when the decider had ended.

None of these has a test of its own yet.

Conclusion: the mends are small; a fake zone around the decider is still to be built to show each fault.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -132,7 +132,8 @@
 func (i *Instance) OperatorsAddress() string { return i.listeners.operators.Addr().String() }
 
 const (
-	// handOverTimeout bounds giving up the zone's decisions.
+	// handOverTimeout bounds giving up the request identities, and then the
+	// zone's decisions.
 	handOverTimeout = 5 * time.Second
 	// closeTimeout bounds sending the last answers, and the last spans.
 	closeTimeout = 2 * time.Second
@@ -237,7 +238,9 @@
 		base = 0
 		i.logger.Warn().Msg("identities_not_handed_over")
 	}
-	if err := i.decider.HandOver(handOver, base); err != nil {
+	decisions, cancelDecisions := context.WithTimeout(ctx, handOverTimeout)
+	defer cancelDecisions()
+	if err := i.decider.HandOver(decisions, base); err != nil {
 		i.logger.Warn().Err(err).Msg("hand_over_failed")
 	}
 }
--- a/internal/controller/decider/decider.go
+++ b/internal/controller/decider/decider.go
@@ -102,6 +102,10 @@
 	speeds placement.Speeds
 	// tiers holds the fastest tier of the checkpoints that are cached in the zone.
 	tiers map[port.ModelID]placement.Tier
+	// reading holds the servers that are being read because of a report in doubt.
+	reading map[port.ServerID]bool
+	// heldAt is when this term began.
+	heldAt time.Time
 	// progress knows the loads under way.
 	progress placement.Progress
 	tracker  *keepalive.Tracker
@@ -137,6 +141,7 @@
 		wakes:    map[port.ModelID]*wake{},
 		orders:   map[string]*order{},
 		tiers:    map[port.ModelID]placement.Tier{},
+		reading:  map[port.ServerID]bool{},
 		uses:     map[port.ModelID]use{},
 		reasons:  reasons,
 		loadedAt: map[string]time.Time{},
--- a/internal/controller/decider/effects.go
+++ b/internal/controller/decider/effects.go
@@ -184,6 +184,7 @@
 
 func (d *Decider) held(e lease.Held) {
 	d.store = nil
+	d.heldAt = d.now()
 	d.progress = placement.Progress{}
 	d.adoptTargets()
 	metrics.GetOrRegisterCounter("decider.terms", d.deps.Metrics).Inc(1)
@@ -193,6 +194,8 @@
 
 func (d *Decider) lost(e lease.Lost) {
 	clear(d.wakes)
+	clear(d.orders)
+	clear(d.loadedAt)
 	metrics.GetOrRegisterGauge("decider.holder", d.deps.Metrics).Update(0)
 	d.deps.Logger.Info().Str("zone", string(d.cfg.Self.Zone)).Int64("epoch", int64(e.Epoch)).Msg("holder_ended")
 }
--- a/internal/controller/decider/explain.go
+++ b/internal/controller/decider/explain.go
@@ -45,16 +45,7 @@
 
 // Explain returns what this instance knows of its zone's decisions on a model.
 func (d *Decider) Explain(ctx context.Context, model port.ModelID) (Explanation, error) {
-	out := make(chan Explanation, 1)
-	if !d.post(ctx, func(context.Context) { out <- d.explain(model) }) {
-		return Explanation{}, context.Canceled
-	}
-	select {
-	case e := <-out:
-		return e, nil
-	case <-ctx.Done():
-		return Explanation{}, context.Cause(ctx)
-	}
+	return read(ctx, d, func() Explanation { return d.explain(model) })
 }
 
 func (d *Decider) explain(model port.ModelID) Explanation {
@@ -109,33 +100,46 @@
 }
 
 // Status returns the present status.
-func (d *Decider) Status(ctx context.Context) (Status, error) {
-	out := make(chan Status, 1)
-	do := func(context.Context) {
-		holder, epoch := d.machine.Holder()
-		s := Status{
-			Holder: holder, Epoch: epoch, Holding: d.machine.IsHolder(), Ready: d.deciding(),
-			Open: len(d.machine.Open()), Waking: len(d.wakes), Shortfalls: d.missed.Shortfalls(d.now()),
-		}
-		if state := d.deps.Log.State(); state != nil {
-			zone := state.Zone(d.cfg.Self.Zone)
-			s.Members, s.CopyHolders = len(zone.Members), len(zone.CopyHolders)
-		}
-		for _, id := range d.ledger.Servers() {
-			s.Strays += len(d.ledger.Strays(id))
-		}
-		if d.store != nil {
-			s.StoreRunning, s.StoreWaiting = d.store.Running(), d.store.Waiting()
-		}
-		out <- s
+func (d *Decider) Status(ctx context.Context) (Status, error) { return read(ctx, d, d.status) }
+
+func (d *Decider) status() Status {
+	holder, epoch := d.machine.Holder()
+	s := Status{
+		Holder: holder, Epoch: epoch, Holding: d.machine.IsHolder(), Ready: d.deciding(),
+		Open: len(d.machine.Open()), Waking: len(d.wakes), Shortfalls: d.missed.Shortfalls(d.now()),
+	}
+	if state := d.deps.Log.State(); state != nil {
+		zone := state.Zone(d.cfg.Self.Zone)
+		s.Members, s.CopyHolders = len(zone.Members), len(zone.CopyHolders)
 	}
-	if !d.post(ctx, do) {
-		return Status{}, context.Canceled
+	for _, id := range d.ledger.Servers() {
+		s.Strays += len(d.ledger.Strays(id))
 	}
+	if d.store != nil {
+		s.StoreRunning, s.StoreWaiting = d.store.Running(), d.store.Waiting()
+	}
+	return s
+}
+
+// read runs a look at the decider's state on its goroutine.
+func read[T any](ctx context.Context, d *Decider, look func() T) (T, error) {
+	out := make(chan T, 1)
+	var none T
+	if !d.post(ctx, func(context.Context) { out <- look() }) {
+		return none, context.Canceled
+	}
+	return await(ctx, d, out)
+}
+
+// await waits for a reply of the decider's goroutine.
+func await[T any](ctx context.Context, d *Decider, reply <-chan T) (T, error) {
+	var none T
 	select {
-	case s := <-out:
-		return s, nil
+	case value := <-reply:
+		return value, nil
+	case <-d.done:
+		return none, context.Canceled
 	case <-ctx.Done():
-		return Status{}, context.Cause(ctx)
+		return none, context.Cause(ctx)
 	}
 }
--- a/internal/controller/decider/protocol.go
+++ b/internal/controller/decider/protocol.go
@@ -90,14 +90,7 @@
 	}) {
 		return none, context.Canceled
 	}
-	select {
-	case reply := <-out:
-		return reply, nil
-	case <-d.done:
-		return none, context.Canceled
-	case <-ctx.Done():
-		return none, context.Cause(ctx)
-	}
+	return await(ctx, d, out)
 }
 
 // HandOver gives the zone's decisions up for good and returns once that is
--- a/internal/controller/decider/review.go
+++ b/internal/controller/decider/review.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
@@ -77,13 +78,25 @@
 	if !v.Reported {
 		return
 	}
-	if d.ledger.Observe(&v.Report, false) == ledger.NeedsRead {
-		server := v.Server
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), fenceTimeout)
-			defer cancel()
-			_, _ = d.deps.Observer.Read(ctx, server)
-		}()
+	if d.ledger.Observe(&v.Report, false) != ledger.NeedsRead || d.reading[v.Server.ID] {
+		return
+	}
+	server := v.Server
+	d.reading[server.ID] = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), fenceTimeout)
+		defer cancel()
+		_, _ = d.deps.Observer.Read(ctx, server)
+		d.post(context.Background(), func(context.Context) { delete(d.reading, server.ID) })
+	}()
+}
+
+// forgetServers drops what is known of servers that are gone.
+func (d *Decider) forgetServers() {
+	for _, id := range d.ledger.Servers() {
+		if _, known := d.deps.Observer.Server(id); !known && d.ledger.Forget(id) {
+			d.speeds.Forget(id)
+		}
 	}
 }
 
@@ -121,7 +134,12 @@
 	return d.speeds.LoadTime(v.Server.ID, placement.TierOf(&v.Report, info.ID), info.Bytes)
 }
 
+// busy reports whether a model must not be unloaded now. A new holder hasn't
+// heard yet what is in use.
 func (d *Decider) busy(now time.Time, model port.ModelID) bool {
+	if now.Sub(d.heldAt) < busyFor {
+		return true
+	}
 	if _, waiting := d.wakes[model]; waiting {
 		return true
 	}
@@ -152,6 +170,7 @@
 	}
 	now := d.now()
 	d.noteTiers()
+	d.forgetServers()
 	d.forgetWakes(now)
 	for model := range d.wakes {
 		d.plan(ctx, model)
@@ -184,6 +203,9 @@
 func (d *Decider) workDown(ctx context.Context, now time.Time) {
 	worth := func(model port.ModelID) float64 { return d.tracker.Worth(now, model, d.coldStart(model)) }
 	for _, v := range d.zoneEngines() {
+		if d.ledger.Usage(v.Server.ID).Memory <= 0 {
+			continue // a report without a size says nothing of our share
+		}
 		for _, hold := range d.ledger.WorkDown(v.Server.ID, worth) {
 			d.unload(ctx, v.Server.ID, hold.Model, "our share of the accelerator is exceeded")
 		}
@@ -200,11 +222,23 @@
 // unloadSurplus unloads what is to go. The ledger changes with each proposal, so
 // it is read to the end first.
 func (d *Decider) unloadSurplus(ctx context.Context) {
-	for _, s := range append(d.onLeavingServers(), d.aboveShare()...) {
+	for _, s := range slices.Concat(d.onLeavingServers(), d.aboveShare(), d.notReported()) {
 		d.unload(ctx, s.server, s.model, s.reason)
 	}
 }
 
+// notReported lists replicas that engines have dropped without a restart. The
+// unload closes what the log still counts.
+func (d *Decider) notReported() []surplus {
+	var list []surplus
+	for _, id := range d.ledger.Servers() {
+		for _, hold := range d.ledger.Missing(id) {
+			list = append(list, surplus{id, hold.Model, "the engine no longer reports it"})
+		}
+	}
+	return list
+}
+
 // onLeavingServers lists what leaving servers hold, which counts as replicas that
 // could be loaded elsewhere. An engine ends the requests in progress before it
 // unloads. Adapters go before their base.
@@ -296,7 +330,7 @@
 		}
 		if verdict := d.tracker.Ahead(now, facts); verdict.Keep {
 			d.note(info.ID, "loaded ahead: "+verdict.Reason)
-			d.wakes[info.ID] = &wake{class: facts.Class, asked: now, patience: now.Add(wakeForget), waiting: map[port.InstanceID]int{}}
+			d.wakes[info.ID] = &wake{class: facts.Class, asked: now, patience: now.Add(wakeForget), waiting: map[port.InstanceID]waiters{}}
 			d.plan(ctx, info.ID)
 		}
 	}
--- a/internal/controller/decider/wake.go
+++ b/internal/controller/decider/wake.go
@@ -45,16 +45,25 @@
 	notHolderRetry = 500 * time.Millisecond
 	// wakeForget is how long after its last question a wake is kept.
 	wakeForget = 30 * time.Second
+	// stopsAsking is after how long without a question an instance has none
+	// waiting any more. It is longer than the pause between two questions.
+	stopsAsking = 12 * time.Second
 	// refusalHolds is how long a refused proposal isn't made again.
 	refusalHolds = 500 * time.Millisecond
 )
 
+// waiters is how many requests wait at one instance, and when it last said so.
+type waiters struct {
+	count int
+	asked time.Time
+}
+
 // wake is one model that callers wait for.
 type wake struct {
 	class        string
 	patience     time.Time
 	asked        time.Time
-	waiting      map[port.InstanceID]int
+	waiting      map[port.InstanceID]waiters
 	refusedWhy   string
 	refusedUntil time.Time
 	retryAfter   time.Duration
@@ -70,10 +79,13 @@
 	w.refusedUntil = now.Add(refusalHolds)
 }
 
+// total is how many requests wait, at the instances that still ask.
 func (w *wake) total() int {
 	sum := 0
-	for _, n := range w.waiting {
-		sum += n
+	for _, at := range w.waiting {
+		if w.asked.Sub(at.asked) < stopsAsking {
+			sum += at.count
+		}
 	}
 	return sum
 }
@@ -109,12 +121,12 @@
 	now := d.now()
 	w, ok := d.wakes[r.Model]
 	if !ok {
-		w = &wake{class: r.Class, waiting: map[port.InstanceID]int{}}
+		w = &wake{class: r.Class, waiting: map[port.InstanceID]waiters{}}
 		d.wakes[r.Model] = w
 	}
 	d.tracker.Arrived(now, r.Model)
 	w.asked = now
-	w.waiting[r.From] = r.Waiting
+	w.waiting[r.From] = waiters{count: r.Waiting, asked: now}
 	if until := now.Add(r.Patience); until.After(w.patience) {
 		w.patience = until
 	}
--- a/internal/controller/observer/observer.go
+++ b/internal/controller/observer/observer.go
@@ -27,7 +27,8 @@
 	Heartbeat, ReportInterval, LiveInterval time.Duration
 }
 
-// Listener is told what the observer learns. Its methods don't block.
+// Listener is told what the observer learns. Its methods may wait for a listener
+// that is behind.
 type Listener interface {
 	// PeerSeen says that an instance of the zone has given a sign.
 	PeerSeen(id port.InstanceID, leaving bool)
