Say what is missing before readiness, and no 'not run' for keys unasked

Cause: readiness looked at draining only, so before the first targets or catalogue callers got 404 for models that exist; a stopping or full instance said not_run of a keyed request although an earlier attempt under the key may have run; an operator's id with another document got the first one's version; a retry during an outage was told that nothing was published.

Change: the gateway is ready once targets are accepted and the catalogue was read, and refuses with not-ready until then. A transient refusal of a keyed request that isn't repeatable and has no claim is identity-unavailable, whose ending is unknown: the promise is about the entry, not the attempt. The record of a publish is named by id, base and document.

Conclusion: not_run is now said only where no attempt of the same entry ran.

--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -97,3 +97,56 @@
 	require.ErrorIs(t, err, app.ErrListen)
 	require.ErrorContains(t, err, taken.Addr().String())
 }
+
+// TestReadyOnceTargetsAreAccepted: before that, callers hear what is missing, not
+// that a model is unknown.
+func TestReadyOnceTargetsAreAccepted(t *testing.T) {
+	platform, err := standin.Start(standin.Fast())
+	require.NoError(t, err)
+	t.Cleanup(platform.Close)
+	files := testnet.NewAuthority(t).Issue(t, t.TempDir(), "one")
+	instance := startSecured(t, platform, files)
+	get := func(path string) (int, string) {
+		response, err := http.Get("http://" + instance.CallersAddress() + path)
+		if err != nil {
+			return 0, err.Error()
+		}
+		defer response.Body.Close()
+		body, _ := io.ReadAll(response.Body)
+		return response.StatusCode, string(body)
+	}
+	status, body := get("/readyz")
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Contains(t, body, app.ErrNoTargets.Error())
+	status, body = get("/entries/crew")
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Contains(t, body, "not_run")
+
+	client := securedClient(t, files, instance)
+	require.Eventually(t, func() bool {
+		_, err := client.Publish(t.Context(), uuid.New(), 0, "tester", []byte(standin.Targets))
+		return err == nil
+	}, patience, 20*time.Millisecond)
+	require.Eventually(t, func() bool {
+		status, _ := get("/readyz")
+		return status == http.StatusOK
+	}, patience, 20*time.Millisecond)
+}
+
+// TestOneIDForOnePublish: the same id with another document is another publish.
+func TestOneIDForOnePublish(t *testing.T) {
+	platform, err := standin.Start(standin.Fast())
+	require.NoError(t, err)
+	t.Cleanup(platform.Close)
+	files := testnet.NewAuthority(t).Issue(t, t.TempDir(), "one")
+	client := securedClient(t, files, startSecured(t, platform, files))
+	id := uuid.New()
+	require.Eventually(t, func() bool {
+		_, err := client.Publish(t.Context(), id, 0, "tester", []byte(standin.Targets))
+		return err == nil
+	}, patience, 20*time.Millisecond)
+	_, err = client.Publish(t.Context(), id, 0, "tester", []byte(standin.Targets+"\n// changed\n"))
+	var failed *operator.FailedError
+	require.ErrorAs(t, err, &failed)
+	require.Positive(t, failed.Failure.Winner)
+}
--- a/internal/app/operators.go
+++ b/internal/app/operators.go
@@ -170,8 +170,8 @@
 		writeJSON(w, http.StatusBadRequest, operator.Failure{Detail: "base must be the version that the document is based on"})
 		return
 	}
-	id := r.URL.Query().Get("id")
-	if _, err := uuid.Parse(id); err != nil {
+	id, err := uuid.Parse(r.URL.Query().Get("id"))
+	if err != nil {
 		writeJSON(w, http.StatusBadRequest, operator.Failure{Detail: "id must be a UUID"})
 		return
 	}
@@ -189,17 +189,26 @@
 		writeJSON(w, http.StatusUnprocessableEntity, failure)
 		return
 	}
-	o.publish(w, r, id, port.Offset(base), document)
+	o.publish(w, r, publishID(id, base, document), port.Offset(base), document)
+}
+
+// publishID names one publish on the log. Another document or base under the same
+// id of the operator's is another publish.
+func publishID(id uuid.UUID, base int64, document []byte) string {
+	return uuid.NewSHA1(id, append(strconv.AppendInt(nil, base, 10), document...)).String()
 }
 
 func (o *operators) publish(w http.ResponseWriter, r *http.Request, id string, base port.Offset, document []byte) {
 	state := o.log.State()
-	if state == nil || !o.log.Up() {
-		writeJSON(w, http.StatusServiceUnavailable, operator.Failure{Detail: "the log is away; nothing was published"})
-		return
+	if state != nil {
+		if version, accepted := state.AcceptedVersion(id); accepted {
+			writeJSON(w, http.StatusOK, operator.Published{Version: version})
+			return
+		}
 	}
-	if version, accepted := state.AcceptedVersion(id); accepted {
-		writeJSON(w, http.StatusOK, operator.Published{Version: version})
+	if state == nil || !o.log.Up() {
+		writeJSON(w, http.StatusServiceUnavailable, operator.Failure{
+			Detail: "the log is away; this call published nothing, an earlier one with the same id may have", Unknown: true})
 		return
 	}
 	ctx, cancel := contextWithTimeout(r, publishTimeout)
--- a/internal/app/provide.go
+++ b/internal/app/provide.go
@@ -246,6 +246,7 @@
 			LateArrivals: max(s.Shutdown.Delay.D(), 1), Callers: callers,
 		},
 		Snapshot: func() gateway.View { return view{config.View()} },
+		Ready:    func() error { return lacking(config.View()) },
 		Router:   r, Waker: w, Identity: gateway.Deduplicate(c), Clock: clock, Tracer: t.Tracer, Logger: logger,
 		Backend: httpbackend.New(newHTTP(o.WrapBackend)),
 	}), nil
--- a/internal/app/view.go
+++ b/internal/app/view.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/configuration"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/gateway"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/jsonc"
@@ -16,6 +18,25 @@
 	Name: "unconfigured", StartWithin: jsonc.Duration(time.Second), MaxWait: jsonc.Duration(time.Second),
 }
 
+var (
+	// ErrNoTargets means that no configuration has been accepted yet.
+	ErrNoTargets = errors.New("no configuration has been accepted yet")
+	// ErrNoCatalogue means that the weight store hasn't been read yet.
+	ErrNoCatalogue = errors.New("the weight store's catalogue hasn't been read yet")
+)
+
+// lacking returns what the instance still lacks before it can take requests.
+func lacking(v *configuration.View) error {
+	switch {
+	case v.Targets == nil:
+		return ErrNoTargets
+	case v.CatalogueAt.IsZero():
+		return ErrNoCatalogue
+	default:
+		return nil
+	}
+}
+
 // view is one immutable state as one request sees it.
 type view struct{ *configuration.View }
 
--- a/internal/gateway/dedupe_test.go
+++ b/internal/gateway/dedupe_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -264,3 +265,31 @@
 	require.Greater(t, len(runs), identities/3)
 	require.Greater(t, len(answers), identities/4)
 }
+
+// TestRefusedBeforeTheClaim: a refusal of a keyed request that never asked for its
+// identity doesn't say that nothing ran, since an earlier attempt may have.
+func TestRefusedBeforeTheClaim(t *testing.T) {
+	for name, c := range map[string]struct {
+		path, key string
+		ran       problem.Ran
+	}{
+		"keyed, not repeatable": {testPrefix + "crew", "k", problem.Unknown},
+		"without a key":         {testPrefix + "crew", "", problem.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := New(Deps{
+				Snapshot: func() View { return fakeView{} }, Clock: port.SystemClock{},
+				Ready: func() error { return errors.New("not yet") },
+			})
+			request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, c.path, strings.NewReader("{}"))
+			if c.key != "" {
+				request.Header.Set(HeaderIdempotencyKey, c.key)
+			}
+			recorder := httptest.NewRecorder()
+			g.Handler().ServeHTTP(recorder, request)
+			require.Equal(t, http.StatusServiceUnavailable, recorder.Code)
+			require.Contains(t, recorder.Body.String(), `"ran":"`+string(c.ran)+`"`)
+			require.NotEmpty(t, recorder.Header().Get("Retry-After"))
+		})
+	}
+}
--- a/internal/gateway/deps.go
+++ b/internal/gateway/deps.go
@@ -141,6 +141,9 @@
 type Deps struct {
 	Config   Config
 	Snapshot func() View
+	// Ready returns what the instance still lacks before it can take requests;
+	// nil once it lacks nothing. Nil stands for an instance that is ready.
+	Ready    func() error
 	Router   Router
 	Waker    Waker
 	Backend  port.Backend
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -23,13 +23,25 @@
 func (g *Gateway) stopped() bool { return g.state.Load() == stateStopped }
 
 // Ready reports whether the gateway wants new requests.
-func (g *Gateway) Ready() bool { return g.state.Load() == stateServing }
+func (g *Gateway) Ready() bool { return g.state.Load() == stateServing && g.lacks() == nil }
+
+// lacks is what the instance still lacks before it can take requests.
+func (g *Gateway) lacks() error {
+	if g.deps.Ready == nil {
+		return nil
+	}
+	return g.deps.Ready()
+}
 
 func (g *Gateway) serveLive(w http.ResponseWriter, _ *http.Request) {
 	w.WriteHeader(http.StatusOK)
 }
 
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if err := g.lacks(); err != nil {
+		_ = problem.New(problem.NotReady, err.Error()).Write(w)
+		return
+	}
 	if !g.Ready() {
 		// A probe isn't a request of a caller and has no ending.
 		_ = problem.New(problem.Stopping, "the instance is stopping").Write(w)
--- a/internal/gateway/endings.go
+++ b/internal/gateway/endings.go
@@ -85,9 +85,26 @@
 	if c.mayRun && p.Kind.Ran() == problem.NotRun {
 		p = problem.New(problem.ServerFailed, p.Detail)
 	}
+	if c.unclaimed() && isTransient(p) {
+		// An earlier request with the key may have run, whatever became of this
+		// one.
+		p = problem.New(problem.IdentityUnavailable, p.Detail).After(p.RetryAfter)
+	}
 	return p
 }
 
+// unclaimed reports whether the call has an identity that it hasn't got the right
+// to run.
+func (c *Call) unclaimed() bool {
+	return c.r.Header.Get(HeaderIdempotencyKey) != "" && !c.repeatable && c.record == nil
+}
+
+// isTransient reports whether the same request may be taken later.
+func isTransient(p *problem.Problem) bool {
+	status := p.Kind.Status()
+	return p.Kind.Ran() == problem.NotRun && (status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable)
+}
+
 func (g *Gateway) count(c *Call, p *problem.Problem) {
 	switch {
 	case p == nil:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,6 +120,10 @@
 		g.end(c, problem.New(problem.Stopping, "another instance takes the request").After(minRetryAfter))
 		return
 	}
+	if err := g.lacks(); err != nil {
+		g.end(c, problem.New(problem.NotReady, err.Error()).After(minRetryAfter))
+		return
+	}
 	g.end(c, c.Next())
 }
 
--- a/internal/problem/kinds.go
+++ b/internal/problem/kinds.go
@@ -29,6 +29,7 @@
 	ServersUnreachable   = Kind{"servers-unreachable", "No backend server took the request", http.StatusServiceUnavailable, NotRun}
 	IdentityUnavailable  = Kind{"identity-unavailable", "The idempotency key can't be checked now", http.StatusServiceUnavailable, Unknown}
 	Stopping             = Kind{"stopping", "The instance is stopping", http.StatusServiceUnavailable, NotRun}
+	NotReady             = Kind{"not-ready", "The instance isn't ready yet", http.StatusServiceUnavailable, NotRun}
 	Canceled             = Kind{"canceled", "The caller went away before the request was started", StatusClientClosed, NotRun}
 )
 
