Make the order of two waiting requests show in the test

Cause: TestPriorities failed once in a full run. Both requests were started one right after the other, and the test's own goroutines then raced to note them. Ruled out: the stand-in, whose queue had them in the right order.

Change: the one that gets the free slot stalls, so that the other can't start before it has been noted; that it still waits is checked too.

Conclusion: the verdict follows the server's order.

--- a/internal/adapter/httpbackend/contract_test.go
+++ b/internal/adapter/httpbackend/contract_test.go
@@ -299,8 +299,11 @@
 	require.NoError(t, err)
 	full.Body.Close()
 	require.Equal(t, http.StatusTooManyRequests, full.StatusCode)
-	b.SetServerFaults(b.engine.ID, func(f *standin.ServerFaults) { f.StallAt = 0 })
+	// The stream that gets the free slot stalls, so that the other has to wait.
+	first.Body.Close()
 	require.Equal(t, "9", <-order)
+	require.Equal(t, 1, queued())
+	b.SetServerFaults(b.engine.ID, func(f *standin.ServerFaults) { f.StallAt = 0 })
 	require.Equal(t, "1", <-order)
 }
 
