Wait for a model that an engine has lost, and don't refuse for a server unread

TestRecordsByPeers had a race between its own counters.

Change: unloads are proposed on servers that may be decided on only; a refusal of an unload, or one that passes by itself, refuses no caller. An engine's 404 for a model costs no attempt: the server is read at once, and the request goes on waiting until its time to start is over. The test counts with atomics.

--- a/internal/app/provide.go
+++ b/internal/app/provide.go
@@ -215,8 +215,10 @@
 	return d
 }
 
-func newRouter(r *routing.Router, c *configuration.Controller, uses *observer.Uses, clock port.Clock) *router {
-	return &router{routing: r, config: c, uses: uses, start: clock.Now()}
+func newRouter(
+	r *routing.Router, c *configuration.Controller, uses *observer.Uses, o *observer.Observer, clock port.Clock,
+) *router {
+	return &router{routing: r, config: c, uses: uses, absent: o.ReadSoon, start: clock.Now()}
 }
 
 func newWaker(
--- a/internal/app/router.go
+++ b/internal/app/router.go
@@ -19,6 +19,7 @@
 	routing *routing.Router
 	config  *configuration.Controller
 	uses    *observer.Uses
+	absent  func(port.Server)
 	start   time.Time
 	// budgets holds a *retry.Budget for each service.
 	budgets sync.Map
@@ -55,7 +56,7 @@
 	default:
 		return nil, errors.Join(gateway.ErrNoReplica, err)
 	}
-	a := &attempt{choice: choice, end: func(time.Duration) {}}
+	a := &attempt{choice: choice, absent: r.absent, end: func(time.Duration) {}}
 	if !q.Retry {
 		budget.First(now.Sub(r.start))
 	}
@@ -67,6 +68,8 @@
 
 type attempt struct {
 	choice routing.Choice
+	// absent is told of a server that had lost its model.
+	absent func(port.Server)
 	end    func(took time.Duration)
 }
 
@@ -81,6 +84,9 @@
 // Done implements gateway.Attempt.
 func (a *attempt) Done(now time.Time, o gateway.Outcome) {
 	a.end(o.Total)
+	if o.Kind == gateway.OutcomeAbsent {
+		a.absent(a.choice.Server)
+	}
 	a.choice.Done(now, routing.Result{Outcome: outcomeOf(o), FirstByte: o.FirstByte, Total: o.Total})
 }
 
@@ -99,7 +105,7 @@
 		return routing.OutcomeServed
 	case gateway.OutcomeRefused:
 		return routing.OutcomeOverloaded
-	case gateway.OutcomeCanceled:
+	case gateway.OutcomeCanceled, gateway.OutcomeAbsent:
 		return routing.OutcomeCanceled
 	default:
 		return routing.OutcomeFailed
--- a/internal/controller/decider/orders.go
+++ b/internal/controller/decider/orders.go
@@ -80,7 +80,13 @@
 	metrics.GetOrRegisterCounter("decider.refused", d.deps.Metrics).Inc(1)
 	d.deps.Logger.Info().Str("order", e.IntentID).Str("model", string(o.intent.Model)).
 		Str("reason", string(e.Reason)).Msg("proposal_refused")
-	if w, waiting := d.wakes[o.intent.Model]; waiting {
+	w, waiting := d.wakes[o.intent.Model]
+	switch {
+	case !waiting || o.intent.Kind != port.OrderLoad:
+		// Callers don't wait for an unload by itself.
+	case e.Reason == lease.RefusedNotReady || e.Reason == lease.RefusedOccupied:
+		// It passes by itself; the next review plans anew.
+	default:
 		w.refuse(string(e.Reason), d.now(), e.RetryAfter)
 	}
 }
--- a/internal/controller/decider/wake.go
+++ b/internal/controller/decider/wake.go
@@ -279,7 +279,7 @@
 // unload proposes to unload a replica, unless that is decided already.
 func (d *Decider) unload(ctx context.Context, server port.ServerID, model port.ModelID, reason string) {
 	hold, found := d.ledger.Hold(server, model)
-	if !found || hold.Unload != "" || !hold.Loaded {
+	if !found || hold.Unload != "" || !hold.Loaded || !d.machine.ReadyOn(server) {
 		return
 	}
 	d.propose(ctx, record.Intent{
--- a/internal/controller/observer/observer.go
+++ b/internal/controller/observer/observer.go
@@ -78,6 +78,8 @@
 	dirty   chan struct{}
 	push    chan struct{}
 	reads   sync.Map // port.ServerID to *sync.Mutex
+	// soon holds the servers that ReadSoon is reading.
+	soon sync.Map
 }
 
 // New returns an observer that knows only its own instance.
--- a/internal/controller/observer/sources.go
+++ b/internal/controller/observer/sources.go
@@ -130,6 +130,18 @@
 	return report, nil
 }
 
+// ReadSoon reads a server beside the regular reads, such as when it has shown to
+// be other than known. One such read of a server runs at a time.
+func (o *Observer) ReadSoon(s port.Server) {
+	if _, running := o.soon.LoadOrStore(s.ID, true); running {
+		return
+	}
+	go func() {
+		defer o.soon.Delete(s.ID)
+		_, _ = o.Read(context.Background(), s)
+	}()
+}
+
 // Servers returns what is known of all backend servers now.
 func (o *Observer) Servers() []membership.ServerView {
 	o.mu.Lock()
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -22,7 +22,7 @@
 	if c.engine && response.StatusCode == http.StatusNotFound {
 		// The model was there when the snapshot was made. An engine without it
 		// runs nothing, so the request waits until the model is loaded again.
-		return place.fail(&failure{kind: OutcomeRefused, proven: true,
+		return place.fail(&failure{kind: OutcomeAbsent, proven: true,
 			problem: problem.New(problem.NoCapacity, "the model is no longer loaded").After(g.pace.retryAfter())})
 	}
 	// An engine's failure isn't its answer. That of a plain service may be, and
--- a/internal/gateway/deps.go
+++ b/internal/gateway/deps.go
@@ -84,6 +84,8 @@
 	OutcomeTimeout
 	// OutcomeCanceled: the caller went away; it says nothing of the server.
 	OutcomeCanceled
+	// OutcomeAbsent: the engine no longer has the model, and did nothing.
+	OutcomeAbsent
 )
 
 // Outcome is what a Router learns from an attempt.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -62,6 +62,9 @@
 			return g.acquireProblem(c, last, err)
 		}
 		last = g.try(run, c, attempt)
+		if g.awaitsModel(c, last) && sleep(ctx, delays.NextBackOff()) {
+			continue
+		}
 		c.attempts++
 		if last == nil {
 			return nil
@@ -73,6 +76,12 @@
 	}
 }
 
+// awaitsModel reports whether the request goes on waiting for its model: the
+// server had lost it since the snapshot was made. That is no attempt.
+func (g *Gateway) awaitsModel(c *Call, f *failure) bool {
+	return f != nil && f.kind == OutcomeAbsent && g.now().Before(c.startBy)
+}
+
 // acquireProblem is the ending when there is no server for another attempt.
 func (g *Gateway) acquireProblem(c *Call, last *failure, err error) error {
 	if last != nil {
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -128,3 +128,34 @@
 	handler.ServeHTTP(recorder, request)
 	return recorder.Code, recorder.Body.String()
 }
+
+// losesModel is a backend that has lost the model for its first calls.
+type losesModel struct{ lost int }
+
+func (b *losesModel) Do(context.Context, port.Server, *http.Request) (*http.Response, error) {
+	status, body := http.StatusOK, `"answer"`
+	if b.lost > 0 {
+		b.lost--
+		status, body = http.StatusNotFound, `{"error":"model not loaded"}`
+	}
+	return &http.Response{
+		StatusCode: status, Header: http.Header{"Content-Type": {"application/json"}},
+		ContentLength: int64(len(body)), Body: io.NopCloser(strings.NewReader(body)),
+	}, nil
+}
+
+// TestLostModelIsWaitedFor: an engine that has lost the model since the snapshot
+// costs a request no attempt.
+func TestLostModelIsWaitedFor(t *testing.T) {
+	router := &fakeRouter{servers: []port.Server{{ID: "first"}}, capacity: 1}
+	g := New(Deps{
+		Config: Config{MaxAttempts: 1}, Snapshot: func() View { return fakeView{} }, Router: router,
+		Waker: &fakeWaker{}, Backend: &losesModel{lost: 4}, Clock: port.SystemClock{},
+	})
+	status, body := hedgedPost(t, g.Handler(), "/v1/chat/completions",
+		`{"model": "`+testModel+`", "messages": [{"role": "user", "content": "x"}]}`)
+	require.Equal(t, http.StatusOK, status, body)
+	require.Equal(t, `"answer"`, body)
+	require.Equal(t, []OutcomeKind{OutcomeAbsent, OutcomeAbsent, OutcomeAbsent, OutcomeAbsent, OutcomeAnswered}, router.outcomes)
+	require.Zero(t, router.retries)
+}
--- a/pkg/logclient/relay_test.go
+++ b/pkg/logclient/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,7 +29,7 @@
 				log := newFakeLog()
 				ahead := run(t, log, logclient.Config{})
 				cut := &cutLog{fakeLog: log}
-				states, folded := 0, 0
+				var states, folded atomic.Int64
 				behind := run(t, cut, logclient.Config{
 					FetchRecords: func(_ context.Context, from port.Offset) ([]port.Record, error) {
 						if !c.records {
@@ -37,10 +38,10 @@
 						return ahead.Recent(from, 1<<20), nil
 					},
 					FetchState: func(context.Context) ([]byte, error) {
-						states++
+						states.Add(1)
 						return ahead.State().Encode(), nil
 					},
-					Hooks: logclient.Hooks{Folded: func(port.Record, fold.Verdict, *fold.State) { folded++ }},
+					Hooks: logclient.Hooks{Folded: func(port.Record, fold.Verdict, *fold.State) { folded.Add(1) }},
 				})
 				time.Sleep(time.Second)
 				cut.cut.Store(true)
@@ -50,8 +51,8 @@
 				time.Sleep(20 * time.Second)
 				require.Equal(t, logclient.ConditionDown, behind.Staleness().Condition)
 				require.Equal(t, ahead.State().Encode(), behind.State().Encode())
-				require.Equal(t, c.folded, folded, "hooks see relayed records")
-				require.Equal(t, c.states > 0, states > 0)
+				require.EqualValues(t, c.folded, folded.Load(), "hooks see relayed records")
+				require.Equal(t, c.states > 0, states.Load() > 0)
 				cut.cut.Store(false)
 				appendOne(t, ahead, member(9))
 				time.Sleep(10 * time.Second)
