--- a/internal/app/identities.go
+++ b/internal/app/identities.go
@@ -7,6 +7,7 @@
 	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/observer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/gateway"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/identitypeer"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/settings"
@@ -110,12 +111,8 @@
 				return nil
 			}
 		}
-		timer := time.NewTimer(historyRetry)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !pause.For(ctx, historyRetry) {
 			return nil
-		case <-timer.C:
 		}
 	}
 	return nil
--- a/internal/controller/configuration/configuration.go
+++ b/internal/controller/configuration/configuration.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fold"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/logclient"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
@@ -147,12 +148,8 @@
 			c.deps.Logger.Debug().Err(err).Msg("catalogue_failed")
 			wait = catalogueRetry
 		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !pause.For(ctx, wait) {
 			return nil
-		case <-timer.C:
 		}
 	}
 }
--- a/internal/controller/decider/effects.go
+++ b/internal/controller/decider/effects.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fold"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/lease"
@@ -82,23 +83,12 @@
 			d.event(ctx, lease.AppendSettled{RecordID: r.Id})
 			return
 		}
-		if !pause(ctx, appendRetry) {
+		if !pause.For(ctx, appendRetry) {
 			return
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // addressOf returns where a member is reached now.
 func (d *Decider) addressOf(m fold.Member) string {
 	for _, i := range d.deps.Observer.View().Instances {
--- a/internal/controller/observer/exchange.go
+++ b/internal/controller/observer/exchange.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
@@ -34,7 +35,7 @@
 			o.tellSigns()
 		case <-o.push:
 			o.exchangeWith(ctx, busy, o.lacking())
-			if !pause(ctx, pushInterval) {
+			if !pause.For(ctx, pushInterval) {
 				return nil
 			}
 		}
@@ -59,7 +60,7 @@
 
 // useLoop tells the holder once a second which models were used here.
 func (o *Observer) useLoop(ctx context.Context) error {
-	for pause(ctx, spread(useInterval)) {
+	for pause.For(ctx, spread(useInterval)) {
 		holder := o.holder.Load()
 		if holder == nil || *holder == "" {
 			continue
--- a/internal/controller/observer/observer.go
+++ b/internal/controller/observer/observer.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/membership"
@@ -180,7 +181,7 @@
 		case <-refresh.C:
 			o.publish(true)
 		}
-		if !pause(ctx, publishInterval) {
+		if !pause.For(ctx, publishInterval) {
 			return nil
 		}
 	}
@@ -236,15 +237,3 @@
 	}
 	return count
 }
-
-// pause waits and reports whether the whole time passed.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/controller/observer/sources.go
+++ b/internal/controller/observer/sources.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/membership"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/routing"
@@ -34,7 +35,7 @@
 func (o *Observer) liveLoop(ctx context.Context) error {
 	for {
 		o.readLive(ctx)
-		if !pause(ctx, spread(o.cfg.LiveInterval)) {
+		if !pause.For(ctx, spread(o.cfg.LiveInterval)) {
 			return nil
 		}
 	}
@@ -68,7 +69,7 @@
 	for {
 		servers := o.watched()
 		o.readAll(ctx, servers)
-		if !pause(ctx, spread(readInterval(o.cfg.ReportInterval, len(servers)))) {
+		if !pause.For(ctx, spread(readInterval(o.cfg.ReportInterval, len(servers)))) {
 			return nil
 		}
 	}
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/problem"
 )
 
@@ -65,9 +66,9 @@
 func (g *Gateway) Drain(ctx context.Context) DrainReport {
 	start := g.now()
 	g.state.CompareAndSwap(stateServing, stateLeaving)
-	sleep(ctx, g.config.LateArrivals)
+	pause.For(ctx, g.config.LateArrivals)
 	g.state.Store(stateStopped)
-	for g.inProgress.Load() > 0 && sleep(ctx, drainPoll) {
+	for g.inProgress.Load() > 0 && pause.For(ctx, drainPoll) {
 	}
 	report := DrainReport{Cut: g.inProgress.Load(), Took: g.now().Sub(start)}
 	g.stop()
@@ -76,15 +77,3 @@
 	}
 	return report
 }
-
-// sleep returns false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/problem"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/queue"
@@ -62,14 +63,14 @@
 			return g.acquireProblem(c, last, err)
 		}
 		last = g.try(run, c, attempt)
-		if g.awaitsModel(c, last) && sleep(ctx, delays.NextBackOff()) {
+		if g.awaitsModel(c, last) && pause.For(ctx, delays.NextBackOff()) {
 			continue
 		}
 		c.attempts++
 		if last == nil {
 			return nil
 		}
-		if !g.mayRetry(c, last) || !sleep(ctx, delays.NextBackOff()) {
+		if !g.mayRetry(c, last) || !pause.For(ctx, delays.NextBackOff()) {
 			return last.problem
 		}
 		excluded = append(excluded, attempt.Server().ID)
--- a/internal/loadgen/loadgen.go
+++ b/internal/loadgen/loadgen.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 )
 
 // Options says what to send.
@@ -128,16 +130,7 @@
 	return r.finish(time.Since(began))
 }
 
-func waitUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
+func waitUntil(ctx context.Context, at time.Time) bool { return pause.For(ctx, time.Until(at)) }
 
 // request is one drawn request.
 type request struct {
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/tmaxmax/go-sse"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -74,7 +75,7 @@
 	defer slots.release()
 	e.tally.update(func(c *Counters) { c.Generations[e.server.ID]++ })
 	e.sampleLoad()
-	if !e.usePrefix(r.Header) && !sleep(ctx, e.settings.PrefillTime.D()) {
+	if !e.usePrefix(r.Header) && !pause.For(ctx, e.settings.PrefillTime.D()) {
 		reset(w)
 		return
 	}
@@ -134,7 +135,7 @@
 	}
 	faults := e.faults.server(e.server.ID)
 	each := e.tokenInterval() + faults.TokenDelay.D()
-	if !sleep(ctx, time.Duration(len(g.tokens))*each) {
+	if !pause.For(ctx, time.Duration(len(g.tokens))*each) {
 		return false
 	}
 	writeJSON(w, http.StatusOK, g.whole())
@@ -179,7 +180,7 @@
 	start := time.Now()
 	for at := g.from; at <= len(g.tokens); at++ {
 		due := start.Add(time.Duration(at-g.from+1) * e.tokenInterval())
-		if at < len(g.tokens) && !sleep(ctx, time.Until(due)) {
+		if at < len(g.tokens) && !pause.For(ctx, time.Until(due)) {
 			return false
 		}
 		ended, ok := e.sendChunk(ctx, out, g, at)
@@ -194,7 +195,7 @@
 // means that the stream is to be closed there.
 func (e *engine) sendChunk(ctx context.Context, out streamWriter, g *generation, at int) (ended, ok bool) {
 	f := e.faults.server(e.server.ID)
-	if !sleep(ctx, f.TokenDelay.D()) {
+	if !pause.For(ctx, f.TokenDelay.D()) {
 		return false, false
 	}
 	stalled := func() bool { return at > 0 && e.faults.server(e.server.ID).StallAt == at }
--- a/internal/standin/middleware.go
+++ b/internal/standin/middleware.go
@@ -6,7 +6,8 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"time"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 )
 
 // faultsOf tells a middleware where the faults of its service are.
@@ -53,7 +54,7 @@
 		_, _ = w.Write([]byte(`{"first": not json`))
 	case f.take(func(c *CallFaults) *int { return &c.Huge }):
 		writeHuge(w, r)
-	case faults.Delay > 0 && !sleep(r.Context(), faults.Delay.D()):
+	case faults.Delay > 0 && !pause.For(r.Context(), faults.Delay.D()):
 		reset(w)
 	default:
 		return false
@@ -102,21 +103,6 @@
 func (d *discard) WriteHeader(int)             {}
 func (d *discard) Flush()                      {}
 
-// sleep waits and reports whether the whole time passed.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	encoded, err := json.Marshal(body)
 	if err != nil {
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -8,6 +8,7 @@
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httpcall"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httpengine"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -85,13 +86,13 @@
 	}
 	if cached {
 		seconds := float64(r.Bytes) / float64(e.settings.DiskBytesPerSecond)
-		if !sleep(ctx, time.Duration(seconds*float64(time.Second))) {
+		if !pause.For(ctx, time.Duration(seconds*float64(time.Second))) {
 			return cancelled
 		}
 	} else if outcome := e.fetch(ctx, r.Model); outcome != resultOK {
 		return outcome
 	}
-	if !sleep(ctx, e.settings.LoadOverhead.D()+e.faults.server(e.server.ID).LoadDelay.D()) {
+	if !pause.For(ctx, e.settings.LoadOverhead.D()+e.faults.server(e.server.ID).LoadDelay.D()) {
 		return cancelled
 	}
 	if !e.faults.waitWhile(ctx, func() bool { return e.faults.server(e.server.ID).HangLoads }) {
@@ -111,7 +112,7 @@
 		if err == nil {
 			return resultOK
 		}
-		if !sleep(ctx, storeRetryInterval) {
+		if !pause.For(ctx, storeRetryInterval) {
 			return result{http.StatusBadGateway, "weights not read"}
 		}
 	}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -9,6 +9,7 @@
 	"github.com/go-chi/chi/v5"
 	"golang.org/x/time/rate"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -85,7 +86,7 @@
 	last := time.Now()
 	for left := float64(size); left > 0; {
 		wait := time.Duration(left / s.speed() * float64(time.Second))
-		if !sleep(ctx, min(max(wait, time.Microsecond), pollInterval)) {
+		if !pause.For(ctx, min(max(wait, time.Microsecond), pollInterval)) {
 			return false
 		}
 		now := time.Now()
--- a/pkg/identity/claimer.go
+++ b/pkg/identity/claimer.go
@@ -8,6 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -70,27 +71,13 @@
 	delays.MaxInterval = maxPoll
 	for {
 		claim := c.round(ctx, r)
-		if claim.Verdict() != Running || !pause(ctx, min(delays.NextBackOff(), giveUp.Sub(c.Clock.Now()))) {
+		wait := min(delays.NextBackOff(), giveUp.Sub(c.Clock.Now()))
+		if claim.Verdict() != Running || wait <= 0 || !pause.For(ctx, wait) {
 			return claim
 		}
 	}
 }
 
-// pause returns false if there is no time to wait.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return false
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (c *Claimer) round(ctx context.Context, r Request) *Claim {
 	lists := c.Lists(c.Clock.Now())
 	claim := &Claim{claimer: c, key: r.Key, attempt: uuid.NewString()}
--- a/pkg/logclient/client.go
+++ b/pkg/logclient/client.go
@@ -120,15 +120,3 @@
 	b.Reset()
 	return b
 }
-
-// pause waits and reports whether the whole time passed.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/pkg/logclient/snapshot.go
+++ b/pkg/logclient/snapshot.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fold"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
@@ -34,7 +35,7 @@
 		return nil
 	}
 	interval := min(c.config.Snapshot.Every/snapshotChecks, maxSnapshotInterval)
-	for pause(ctx, max(interval, time.Millisecond)) {
+	for pause.For(ctx, max(interval, time.Millisecond)) {
 		if _, err := c.MaybeSnapshot(ctx); err != nil {
 			c.metrics.snapshotFailures.Inc(1)
 		}
--- a/pkg/logclient/writer.go
+++ b/pkg/logclient/writer.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -36,7 +37,7 @@
 	for c.book.hasQueued() {
 		if !c.health.joined() {
 			// What is sent now could not be read back.
-			if !pause(ctx, c.config.FirstRetry) {
+			if !pause.For(ctx, c.config.FirstRetry) {
 				return ctx.Err()
 			}
 			continue
@@ -53,7 +54,7 @@
 			retry.Reset()
 			continue
 		}
-		if !pause(ctx, retry.NextBackOff()) {
+		if !pause.For(ctx, retry.NextBackOff()) {
 			return ctx.Err()
 		}
 	}
