Poll with a context in the publish test

Cause: its watchers slept for the rest of an interval after the test had ended.

Change: they wait with the test's context.

Conclusion: none.

--- a/internal/failuretest/publish_test.go
+++ b/internal/failuretest/publish_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/operator"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/standin"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/jsonc"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
@@ -55,7 +56,7 @@
 					assert.GreaterOrEqual(c, now, last, "version in force")
 					last = now
 				}
-				time.Sleep(pollEach)
+				pause.For(ctx, pollEach)
 			}
 		})
 	}
