Count every split of replicas that a zone may still follow

Cause: only the targets before the present ones were remembered, so after two quick publishes a zone could take a replica that a third, still on the first version, held.

Change: all differing splits since the lowest version in force elsewhere are kept, and the least share of them counts.

Conclusion: replica shares are as safe over versions as the other shares.

--- a/internal/controller/decider/limits.go
+++ b/internal/controller/decider/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/share"
@@ -13,19 +14,34 @@
 // it has had since the oldest of them.
 type limits struct {
 	targets *targets.Compiled
-	// former is the targets before, until every other zone follows the present
-	// ones.
-	former    *targets.Compiled
+	// splits are the splits of replicas that another zone may still follow, oldest
+	// first; the last one is the present.
+	splits    []split
 	weights   []share.Weight
 	zone      port.Zone
 	perSecond share.Window
 	atOnce    share.Window
 }
 
+// split is how replicas are split since a version.
+type split struct {
+	since   port.Offset
+	limit   int
+	weights []share.Weight
+}
+
+func (s *split) same(other *split) bool {
+	return s.limit == other.limit && slices.Equal(s.weights, other.weights)
+}
+
 // adopt takes in newer targets.
 func (l *limits) adopt(t *targets.Compiled, zone port.Zone) {
-	l.former, l.targets, l.zone = l.targets, t, zone
+	l.targets, l.zone = t, zone
 	l.weights = t.Document.ZoneWeights()
+	next := split{since: t.Version, limit: t.Document.Limits.ReplicasPerModel, weights: l.weights}
+	if n := len(l.splits); n == 0 || !l.splits[n-1].same(&next) {
+		l.splits = append(l.splits, next)
+	}
 	l.perSecond.Push(t.Version, l.part(t.Document.Limits.StoreLoadsPerSecond))
 	atOnce := 0
 	if at := l.index(); at >= 0 {
@@ -38,8 +54,8 @@
 func (l *limits) confirm(lowest port.Offset) {
 	l.perSecond.Confirm(lowest)
 	l.atOnce.Confirm(lowest)
-	if l.targets != nil && lowest >= l.targets.Version {
-		l.former = nil
+	for len(l.splits) > 1 && l.splits[1].since <= lowest {
+		l.splits = l.splits[1:]
 	}
 }
 
@@ -63,17 +79,13 @@
 
 // replicas is how many replicas of a model the zone may hold.
 func (l *limits) replicas(model port.ModelID) int {
-	allowed := replicaShare(l.targets, model, l.zone)
-	if l.former != nil {
-		allowed = min(allowed, replicaShare(l.former, model, l.zone))
+	allowed := math.MaxInt
+	for i := range l.splits {
+		allowed = min(allowed, share.ReplicaShare(model, l.splits[i].limit, l.splits[i].weights, l.zone))
 	}
 	return allowed
 }
 
-func replicaShare(t *targets.Compiled, model port.ModelID, zone port.Zone) int {
-	return share.ReplicaShare(model, t.Document.Limits.ReplicasPerModel, t.Document.ZoneWeights(), zone)
-}
-
 // adoptTargets puts the newest limits in force in this zone. Until there are
 // any, there is no account of the weight store and nothing is decided.
 func (d *Decider) adoptTargets() {
--- a/internal/controller/decider/limits_test.go
+++ b/internal/controller/decider/limits_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/share"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/targets"
 )
 
@@ -61,7 +62,7 @@
 			require.LessOrEqual(t, l.replicas(model), settled)
 			sum += l.replicas(model)
 			l.confirm(9)
-			require.Equal(t, replicaShare(after, model, zone), l.replicas(model))
+			require.Equal(t, share.ReplicaShare(model, 1, after.Document.ZoneWeights(), zone), l.replicas(model))
 		}
 		require.LessOrEqual(t, sum, 1)
 		if sum == 0 {
@@ -70,3 +71,23 @@
 	}
 	require.Positive(t, moved, "the change moves some models")
 }
+
+// TestTwoQuickChanges: a zone that still follows the oldest of three versions
+// counts.
+func TestTwoQuickChanges(t *testing.T) {
+	versions := []*targets.Compiled{
+		compiled(t, 5, `"replicas_per_model": 2`, `"replicas_per_model": 1`),
+		compiled(t, 6, `"replicas_per_model": 2`, `"replicas_per_model": 1`, `"zone-b"`, `"zone-d"`),
+		compiled(t, 7, `"replicas_per_model": 2`, `"replicas_per_model": 1`, `"zone-b"`, `"zone-d"`, `"zone-a"`, `"zone-c"`),
+	}
+	for n := range 100 {
+		model := port.ModelID("m" + strings.Repeat("x", n))
+		var old, newest limits
+		old.adopt(versions[0], "zone-b")
+		for _, v := range versions {
+			newest.adopt(v, "zone-d")
+		}
+		newest.confirm(5)
+		require.LessOrEqual(t, old.replicas(model)+newest.replicas(model), 1, "zone-b may still follow the first")
+	}
+}
