--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -51,6 +51,7 @@
 func entries(env *environment) []entry {
 	return []entry{
 		{"serve", "run one entry instance", serveHelp, &serveCommand{environment: env}},
+		{"edge", "run one entry instance on the platform", edgeHelp, &edgeCommand{environment: env}},
 		{"check", "validate a settings or targets file", checkHelp, &checkCommand{environment: env}},
 		{"demo", "run everything in one process on loopback", demoHelp, &demoCommand{environment: env}},
 		{"standin", "run stand-ins of the platform and its servers", standinHelp, &standinCommand{environment: env}},
--- /dev/null
+++ b/internal/cli/edge.go
@@ -0,0 +1,51 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/go-faster/errors"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/fleetapp"
+	"github.com/cyclamenhoist/cyclamenhoist/platform"
+)
+
+const edgeHelp = `Runs one entry instance on the platform, which gives it routes, services and
+backend servers through its metadata store. The settings are read from FILE, or
+from the file that the environment variable ` + platform.SettingsVariable + ` names. The
+first SIGTERM or SIGINT stops the instance gracefully, the second ends it at once.
+
+Example:
+  cyclamenhoist edge --print-defaults > edge.jsonc
+  cyclamenhoist edge --settings edge.jsonc`
+
+type edgeCommand struct {
+	*environment
+
+	Settings      string `long:"settings" value-name:"FILE" description:"settings in JSON with comments"`
+	PrintDefaults bool   `long:"print-defaults" description:"print a commented settings file with the defaults"`
+}
+
+// Execute runs the command.
+func (c *edgeCommand) Execute([]string) error {
+	if c.PrintDefaults {
+		fmt.Fprint(c.stdout, fleetapp.Example())
+		return nil
+	}
+	path := c.Settings
+	if path == "" {
+		path = os.Getenv(platform.SettingsVariable)
+	}
+	if path == "" {
+		return badInput(errors.New("give --settings FILE or --print-defaults"))
+	}
+	settings, err := fleetapp.Load(path)
+	if err != nil {
+		return badInput(err)
+	}
+	instance, err := fleetapp.New(settings, c.stdout)
+	if err != nil {
+		return err
+	}
+	return instance.Run(c.kill, c.stop)
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,98 @@
+package edge
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/retry"
+	"github.com/cyclamenhoist/cyclamenhoist/platform"
+)
+
+// Demand is told which models requests ask for.
+type Demand interface {
+	// Arrived notes a request for a model.
+	Arrived(want Want)
+	// Wait notes that a request waits for a model; the function ends that.
+	Wait(want Want) (done func())
+}
+
+// Want is what a request asks to be loaded.
+type Want struct {
+	Service, Model, Adapter string
+	// Target is the time within which the request is worth most, and Left how
+	// long it can wait.
+	Target, Left time.Duration
+	// Lasting requests can't be repeated or resumed.
+	Lasting bool
+}
+
+// Config sets up an Edge.
+type Config struct {
+	Zone string
+	// RetryRatio and RetryExtra bound the repeats of one service in RetryWindow:
+	// RetryRatio for each request, and RetryExtra besides.
+	RetryRatio  float64
+	RetryExtra  float64
+	RetryWindow time.Duration
+}
+
+// Edge serves client requests. It is an http.Handler.
+type Edge struct {
+	cfg     Config
+	views   *Views
+	servers *platform.Servers
+	demand  Demand
+	log     *log.Logger
+	started time.Time
+
+	draining atomic.Bool
+	inFlight atomic.Int64
+
+	budgetsMu sync.Mutex
+	budgets   map[string]*retry.Budget
+
+	served, refusals, failures, repeats metrics.Counter
+	latency                             metrics.Timer
+}
+
+// New returns an Edge over the given views.
+func New(cfg Config, views *Views, servers *platform.Servers, demand Demand, logger *log.Logger, registry metrics.Registry) *Edge {
+	return &Edge{
+		cfg: cfg, views: views, servers: servers, demand: demand, log: logger, started: time.Now(),
+		budgets:  map[string]*retry.Budget{},
+		served:   metrics.NewRegisteredCounter("edge_served", registry),
+		refusals: metrics.NewRegisteredCounter("edge_refused", registry),
+		failures: metrics.NewRegisteredCounter("edge_failed", registry),
+		repeats:  metrics.NewRegisteredCounter("edge_repeats", registry),
+		latency:  metrics.NewRegisteredTimer("edge_latency_ns", registry),
+	}
+}
+
+// Drain makes every further answer close its connection.
+func (e *Edge) Drain() { e.draining.Store(true) }
+
+// InFlight returns the number of requests in progress.
+func (e *Edge) InFlight() int64 { return e.inFlight.Load() }
+
+// since is the time base of the retry package.
+func (e *Edge) since() time.Duration { return time.Since(e.started) }
+
+func (e *Edge) budget(service string) *retry.Budget {
+	e.budgetsMu.Lock()
+	defer e.budgetsMu.Unlock()
+	b := e.budgets[service]
+	if b == nil {
+		// Half may be saved up and half flows in over the window, so that no
+		// window sees more than the whole.
+		b = retry.NewBudget(retry.BudgetConfig{
+			Ratio: e.cfg.RetryRatio, Burst: e.cfg.RetryExtra / 2,
+			PerSecond: e.cfg.RetryExtra / 2 / e.cfg.RetryWindow.Seconds(),
+		})
+		e.budgets[service] = b
+	}
+	return b
+}
--- /dev/null
+++ b/internal/edge/wait.go
@@ -0,0 +1,149 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/serverpick"
+)
+
+const (
+	// leastServiceTime is the time left below which a request isn't sent any
+	// more: a first event takes about that on an idle server.
+	leastServiceTime = 60 * time.Millisecond
+	// fullRecheck is how often a request that waits for a slot looks again.
+	fullRecheck = 20 * time.Millisecond
+	// patienceShare is the part of its time that a request waits for a model that
+	// isn't being loaded; the rest leaves its client time to come back.
+	patienceShare = 0.6
+)
+
+// findServer waits until a server can take the request. It reports false with
+// the refusal if none will in time.
+func (q *request) findServer(ctx context.Context) (*backend, outcome, bool) {
+	var done func()
+	defer func() {
+		if done != nil {
+			done()
+		}
+	}()
+	for {
+		view := q.edge.views.Load()
+		b, state := q.choose(view)
+		if b != nil {
+			return b, outcome{}, true
+		}
+		if out, refuse := q.refuse(state, view); refuse {
+			return nil, out, false
+		}
+		if state == waitModel && done == nil {
+			done = q.edge.demand.Wait(q.want())
+		}
+		if !q.waitForChange(ctx, view, state) {
+			return nil, refused(reasonTooLate, 0), false
+		}
+	}
+}
+
+// waitState is why no server takes the request at this moment.
+type waitState uint8
+
+const (
+	waitNone   waitState = iota
+	waitServer           // the service has no server left
+	waitModel            // none holds the model
+	waitSlot             // those that hold it are full, or were tried
+)
+
+func (q *request) choose(view *View) (*backend, waitState) {
+	all := view.services[q.service]
+	if len(all) == 0 {
+		return nil, waitServer
+	}
+	now, since := time.Now(), q.edge.since()
+	holders := make([]*backend, 0, len(all))
+	candidates := make([]serverpick.Candidate, 0, len(all))
+	for _, b := range all {
+		if !b.holds(q.model) {
+			continue
+		}
+		holders = append(holders, b)
+		candidates = append(candidates, serverpick.Candidate{
+			ID: string(b.server.ID), SameZone: b.server.Zone == q.edge.cfg.Zone, Slots: b.server.Slots,
+			Load: b.stats.loadAt(now), Usable: b.stats.health.Usable(since), Tried: q.tried[b.server.ID],
+		})
+	}
+	if len(holders) == 0 {
+		return nil, waitModel
+	}
+	i := serverpick.Pick(serverpick.Request{Affinity: q.affinity, Patient: q.model != ""}, candidates)
+	if i < 0 {
+		return nil, waitSlot
+	}
+	return holders[i], waitNone
+}
+
+func (q *request) want() Want {
+	return Want{
+		Service: q.service, Model: q.head.Model, Adapter: q.head.Adapter,
+		Target: q.route.TargetLatency, Left: time.Until(q.deadline), Lasting: !q.route.Idempotent(),
+	}
+}
+
+// refuse decides whether a request that no server can take is turned away now.
+func (q *request) refuse(state waitState, view *View) (outcome, bool) {
+	now := time.Now()
+	if q.deadline.Sub(now) < leastServiceTime {
+		return refused(reasonTooLate, 0), true
+	}
+	switch state {
+	case waitServer:
+		return refused(reasonNoServer, spread(time.Second)), true
+	case waitSlot:
+		return outcome{}, false
+	}
+	engine := view.Manifest.Services[q.service].Engine
+	if engine == nil {
+		return refused(reasonNoServer, spread(time.Second)), true
+	}
+	if _, known := engine.Models[q.head.Model]; !known {
+		return refused(reasonNoModel, spread(time.Second)), true
+	}
+	limit := q.deadline.Sub(q.arrived)
+	if now.Sub(q.arrived) > time.Duration(patienceShare*float64(limit)) && !q.loadsInTime(view) {
+		return refused(reasonNoModel, spread(time.Second)), true
+	}
+	return outcome{}, false
+}
+
+// loadsInTime reports whether a server is loading the model and ends in time.
+func (q *request) loadsInTime(view *View) bool {
+	for _, b := range view.services[q.service] {
+		if at, loading := b.loading[q.head.Model]; loading && at.Before(q.deadline.Add(-leastServiceTime)) {
+			return true
+		}
+	}
+	return false
+}
+
+// waitForChange waits until something may have changed; it reports false if the
+// request is over.
+func (q *request) waitForChange(ctx context.Context, view *View, state waitState) bool {
+	limit := time.Until(q.deadline) - leastServiceTime
+	patience := time.Until(q.arrived.Add(time.Duration(patienceShare * float64(q.deadline.Sub(q.arrived)))))
+	if patience > 0 {
+		limit = min(limit, patience)
+	}
+	if state == waitSlot {
+		limit = min(limit, fullRecheck)
+	}
+	timer := time.NewTimer(max(limit, time.Millisecond))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-view.superseded:
+	case <-timer.C:
+	}
+	return true
+}
--- /dev/null
+++ b/internal/fleetapp/app.go
@@ -0,0 +1,206 @@
+// Package fleetapp puts an entry instance on the platform together: it reads the
+// settings, follows the platform's store, and runs the listeners until it is
+// asked to stop.
+package fleetapp
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/go-faster/errors"
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/dig"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/telemetry"
+	"github.com/cyclamenhoist/cyclamenhoist/platform"
+)
+
+// ErrListen means that an address couldn't be listened on.
+var ErrListen = errors.New("listen")
+
+const (
+	// heapShare is the part of the machine's memory that the heap's soft limit
+	// takes; the rest is for stacks, sockets and a burst's overshoot.
+	heapShare = 0.6
+	// readHeaderTimeout and idleTimeout are a little over what manifests allow
+	// clients, which are 3 s and 15 s.
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 60 * time.Second
+	// clientProbe is the interval of keep-alive probes that find a client that
+	// has gone without a word.
+	clientProbe = 2 * time.Second
+	// idleSweep is how often unused connections to servers are closed.
+	idleSweep = 5 * time.Second
+)
+
+// Instance is one entry instance on the platform.
+type Instance struct {
+	settings *Settings
+	log      *log.Logger
+	registry metrics.Registry
+	views    *edge.Views
+	edge     *edge.Edge
+	store    *platform.Store
+	servers  *platform.Servers
+}
+
+// New puts an instance together without starting anything.
+func New(settings *Settings, out io.Writer) (*Instance, error) {
+	c := dig.New()
+	providers := []any{
+		func() *Settings { return settings },
+		func() *log.Logger {
+			return telemetry.NewBoundedLogger(out, settings.Log.Level, settings.Log.LinesPerSecond)
+		},
+		metrics.NewRegistry,
+		edge.NewViews,
+		platform.NewServers,
+		func(s *Settings) *platform.Store { return platform.NewStore(s.Store.Address) },
+		func() edge.Demand { return noDemand{} },
+		newEdge,
+		newInstance,
+	}
+	for _, provider := range providers {
+		if err := c.Provide(provider); err != nil {
+			return nil, errors.Wrap(err, "provide")
+		}
+	}
+	var instance *Instance
+	if err := c.Invoke(func(i *Instance) { instance = i }); err != nil {
+		return nil, errors.Wrap(err, "put together")
+	}
+	return instance, nil
+}
+
+func newEdge(s *Settings, views *edge.Views, servers *platform.Servers, demand edge.Demand, logger *log.Logger, registry metrics.Registry) *edge.Edge {
+	return edge.New(edge.Config{
+		Zone: s.Instance.Zone, RetryRatio: s.Retries.Ratio, RetryWindow: s.Retries.Window.D(),
+		RetryExtra: s.Retries.Extra / float64(s.Retries.Instances),
+	}, views, servers, demand, logger, registry)
+}
+
+type parts struct {
+	dig.In
+
+	Settings *Settings
+	Log      *log.Logger
+	Registry metrics.Registry
+	Views    *edge.Views
+	Edge     *edge.Edge
+	Store    *platform.Store
+	Servers  *platform.Servers
+}
+
+func newInstance(p parts) *Instance {
+	return &Instance{
+		settings: p.Settings, log: p.Log, registry: p.Registry, views: p.Views, edge: p.Edge,
+		store: p.Store, servers: p.Servers,
+	}
+}
+
+// Run serves until stop ends, then gracefully stops; kill ends it at once.
+func (i *Instance) Run(kill, stop context.Context) error {
+	s := i.settings
+	debug.SetMemoryLimit(int64(heapShare * s.Machine.MemoryMB * (1 << 20)))
+	runtime.GOMAXPROCS(max(int(s.Machine.Cores), 1))
+	i.log.Info().Str("instance", s.Instance.Name).Str("zone", s.Instance.Zone).Msg("started")
+
+	running, end := context.WithCancel(kill)
+	defer end()
+	group, ctx := errgroup.WithContext(running)
+	front := &http.Server{
+		Handler: i.edge, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: telemetry.StandardLogger(i.log),
+	}
+	i.serve(ctx, group, s.Clients.Address, front)
+	i.serve(ctx, group, s.Readiness.Address, i.smallServer(i.readiness(stop)))
+	i.serve(ctx, group, s.Metrics.Address, i.smallServer(telemetry.Handler(i.registry)))
+	i.startControllers(ctx, group)
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-stop.Done():
+			i.drain(ctx, front)
+		}
+		end()
+		return nil
+	})
+	err := group.Wait()
+	i.log.Info().Err(err).Msg("stopped")
+	return err
+}
+
+func (i *Instance) smallServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: telemetry.StandardLogger(i.log),
+	}
+}
+
+// serve runs one listener until ctx ends.
+func (i *Instance) serve(ctx context.Context, group *errgroup.Group, address string, server *http.Server) {
+	group.Go(func() error {
+		listen := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: clientProbe, Interval: clientProbe, Count: 2,
+		}}
+		listener, err := listen.Listen(ctx, "tcp", address)
+		if err != nil {
+			return errors.Join(ErrListen, err)
+		}
+		stop := context.AfterFunc(ctx, func() { server.Close() })
+		defer stop()
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Join(ErrListen, err)
+		}
+		return nil
+	})
+}
+
+func (i *Instance) readiness(stop context.Context) http.Handler {
+	router := chi.NewRouter()
+	router.Get(platform.PathReadiness, func(w http.ResponseWriter, _ *http.Request) {
+		if stop.Err() != nil || !i.views.Known() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return router
+}
+
+const (
+	// drainNotice is how long the balancer takes to notice: two questions, one a
+	// second, and the channels that it opened just before.
+	drainNotice = 3500 * time.Millisecond
+	// drainReserve is kept of the grace period for ending the process.
+	drainReserve = 500 * time.Millisecond
+)
+
+// drain serves on until the balancer has noticed, then until the requests in
+// progress have ended or the grace period has.
+func (i *Instance) drain(ctx context.Context, front *http.Server) {
+	i.log.Info().Int64("requests", i.edge.InFlight()).Msg("draining")
+	grace, cancel := context.WithTimeout(ctx, i.settings.Shutdown.Grace.D()-drainReserve)
+	defer cancel()
+	i.edge.Drain()
+	wait(grace, drainNotice)
+	if err := front.Shutdown(grace); err != nil {
+		i.log.Warn().Err(err).Int64("requests", i.edge.InFlight()).Msg("drain_cut_short")
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/fleetapp/controllers.go
@@ -0,0 +1,97 @@
+package fleetapp
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/platform"
+)
+
+type noDemand struct{}
+
+func (noDemand) Arrived(edge.Want)     {}
+func (noDemand) Wait(edge.Want) func() { return func() {} }
+
+// startControllers starts what keeps the instance's state up to date.
+func (i *Instance) startControllers(ctx context.Context, group *errgroup.Group) {
+	group.Go(func() error { i.followManifest(ctx); return nil })
+	group.Go(func() error { i.followServers(ctx); return nil })
+	group.Go(func() error {
+		for ctx.Err() == nil {
+			wait(ctx, idleSweep)
+			i.servers.CloseIdle()
+		}
+		return nil
+	})
+}
+
+// dependency logs when something outside is lost and when it is back.
+type dependency struct {
+	instance *Instance
+	name     string
+
+	mu   sync.Mutex
+	lost time.Time
+}
+
+func (d *dependency) failed(err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.lost.IsZero() {
+		d.lost = time.Now()
+		d.instance.log.Warn().Str("dependency", d.name).Err(err).Msg("dependency_lost")
+	}
+}
+
+func (d *dependency) works() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.lost.IsZero() {
+		d.instance.log.Info().Str("dependency", d.name).Dur("for", time.Since(d.lost)).Msg("dependency_regained")
+		d.lost = time.Time{}
+	}
+}
+
+func (i *Instance) followManifest(ctx context.Context) {
+	store := &dependency{instance: i, name: "published manifests"}
+	i.store.WatchManifest(ctx, platform.ManifestWatch{
+		Published: func(m *fleet.Manifest) {
+			if i.views.SetManifest(m) {
+				i.log.Info().Int64("version", m.Version).Int("routes", m.Routes()).Msg("manifest_in_force")
+			} else {
+				i.log.Warn().Int64("version", m.Version).Msg("older_manifest_ignored")
+			}
+		},
+		Unreadable: func(err error) { i.log.Error().Err(err).Msg("manifest_unreadable") },
+		Failed:     store.failed,
+		Read:       store.works,
+	})
+}
+
+func (i *Instance) followServers(ctx context.Context) {
+	directory := fleet.NewDirectory()
+	store := &dependency{instance: i, name: "server list"}
+	i.store.WatchServers(ctx, func(b platform.ServerListBatch) {
+		store.works()
+		now := time.Now()
+		if b.Regained {
+			directory.Regained(now)
+		}
+		var changed bool
+		if b.Whole {
+			changed = directory.Replace(now, b.Entries)
+		} else {
+			for _, entry := range b.Entries {
+				changed = directory.Apply(now, entry) || changed
+			}
+		}
+		if directory.Expire(now) || changed || b.Whole {
+			i.views.SetServers(directory.Servers())
+		}
+	}, store.failed)
+}
--- /dev/null
+++ b/pkg/serverpick/pick.go
@@ -0,0 +1,137 @@
+// Package serverpick chooses the backend server for one request: filter, score,
+// pick over an immutable list of candidates. It answers the load of many entry
+// instances that choose at the same moment from lagging reports: each counts its
+// own requests exactly and everybody else's as last reported, and requests that
+// share a prompt go to the same server unless that is clearly busier.
+package serverpick
+
+import (
+	"hash/fnv"
+	"time"
+)
+
+const (
+	// loadFresh is how long what a server said of its load is believed. Requests
+	// last some hundred milliseconds.
+	loadFresh = 2 * time.Second
+	// affinitySlack is the part of its slots by which the server that keeps a
+	// prompt may be busier than the least loaded one: reading a short prompt anew
+	// costs less than queueing.
+	affinitySlack = 0.15
+)
+
+// Load is what is known of a server's load.
+type Load struct {
+	// Own is how many requests of this instance are under way there.
+	Own int64
+	// Reported is the number of requests running and waiting there, as last
+	// said, OwnThen how many of these were this instance's.
+	Reported, OwnThen int64
+	// Age is the age of the report; negative if there is none.
+	Age time.Duration
+}
+
+// Estimate returns the number of requests that the server has, all instances'
+// together.
+func (l Load) Estimate() int64 {
+	if l.Age < 0 || l.Age > loadFresh {
+		return l.Own
+	}
+	return l.Own + max(l.Reported-l.OwnThen, 0)
+}
+
+// Candidate is a server that may take the request.
+type Candidate struct {
+	ID       string
+	SameZone bool
+	Slots    int
+	Load     Load
+	// Usable is false for a server that was ejected for its failures.
+	Usable bool
+	// Tried is true for a server that the request was sent to before.
+	Tried bool
+}
+
+// Request is what of a request matters to the choice.
+type Request struct {
+	// Affinity names what requests share that should meet at one server; empty
+	// if nothing.
+	Affinity string
+	// Patient requests wait for a free slot rather than join a server's queue.
+	Patient bool
+}
+
+// Pick returns the index of the chosen candidate, or -1 if the request should
+// wait: every usable server is full.
+func Pick(req Request, candidates []Candidate) int {
+	usable := filter(candidates)
+	if len(usable) == 0 {
+		return -1
+	}
+	least := usable[0]
+	for _, i := range usable[1:] {
+		if better(candidates[i], candidates[least]) {
+			least = i
+		}
+	}
+	if req.Patient && fill(candidates[least]) >= 1 {
+		return -1
+	}
+	if req.Affinity == "" {
+		return least
+	}
+	bound := fill(candidates[least]) + affinitySlack
+	best, bestWeight := least, uint64(0)
+	for _, i := range usable {
+		if fill(candidates[i]) > bound {
+			continue
+		}
+		if weight := rendezvous(req.Affinity, candidates[i].ID); weight >= bestWeight {
+			best, bestWeight = i, weight
+		}
+	}
+	return best
+}
+
+// filter keeps servers that weren't tried and aren't ejected. Servers that fail
+// are still better than none.
+func filter(candidates []Candidate) []int {
+	var fresh, untried []int
+	for i, c := range candidates {
+		switch {
+		case c.Tried:
+		case c.Usable:
+			fresh = append(fresh, i)
+		default:
+			untried = append(untried, i)
+		}
+	}
+	if len(fresh) > 0 {
+		return fresh
+	}
+	return untried
+}
+
+func fill(c Candidate) float64 {
+	return float64(c.Load.Estimate()) / float64(max(c.Slots, 1))
+}
+
+func better(a, b Candidate) bool {
+	fa, fb := fill(a), fill(b)
+	if fa != fb {
+		return fa < fb
+	}
+	return a.SameZone && !b.SameZone
+}
+
+func rendezvous(key, server string) uint64 {
+	h := fnv.New64a()
+	// Writing to a hash doesn't fail.
+	_, _ = h.Write([]byte(key))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(server))
+	sum := h.Sum64()
+	// FNV's high bits mix late; a multiplication spreads them.
+	sum ^= sum >> 32
+	return sum * 0x9e3779b97f4a7c15
+}
