--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -24,6 +24,7 @@
 type View struct {
 	Manifest *fleet.Manifest
 	services map[string][]*backend
+	engines  map[fleet.ServerID]*fleet.Server
 	// superseded is closed when a newer view is in force.
 	superseded chan struct{}
 }
@@ -156,7 +157,7 @@
 // publish builds the next view. A request that still reads the last one at most
 // goes to a server that has just left, which refuses it.
 func (v *Views) publish() {
-	view := &View{Manifest: v.manifest, services: map[string][]*backend{}, superseded: make(chan struct{})}
+	view := &View{Manifest: v.manifest, services: map[string][]*backend{}, engines: map[fleet.ServerID]*fleet.Server{}, superseded: make(chan struct{})}
 	kept := make(map[statsKey]*stats, len(v.servers))
 	counts := map[string]int{}
 	for id, server := range v.servers {
@@ -167,6 +168,9 @@
 			st = &stats{group: v.group(server.Service)}
 		}
 		kept[key] = st
+		if v.manifest != nil && v.manifest.Services[server.Service].Engine != nil {
+			view.engines[id] = server
+		}
 		if !server.Draining {
 			view.services[server.Service] = append(view.services[server.Service], v.backendOf(server, st))
 		}
@@ -251,3 +255,5 @@
 	b.stats.missing.Store(key, missingAt{sequence: sequence, when: time.Now()})
 }
 
+// Engines returns the listed servers that run models, draining ones included.
+func (v *View) Engines() map[fleet.ServerID]*fleet.Server { return v.engines }
--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -16,10 +16,13 @@
 	"github.com/go-faster/errors"
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 	"go.uber.org/dig"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/placer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/telemetry"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
@@ -51,6 +54,8 @@
 	edge     *edge.Edge
 	store    *platform.Store
 	servers  *platform.Servers
+	placer   *placer.Placer
+	tracer   trace.Tracer
 }
 
 // New puts an instance together without starting anything.
@@ -65,7 +70,10 @@
 		edge.NewViews,
 		platform.NewServers,
 		func(s *Settings) *platform.Store { return platform.NewStore(s.Store.Address) },
-		func() edge.Demand { return noDemand{} },
+		placer.NewCollector,
+		func(c *placer.Collector) edge.Demand { return c },
+		func() trace.Tracer { return noop.NewTracerProvider().Tracer("") },
+		newPlacer,
 		newEdge,
 		newInstance,
 	}
@@ -88,6 +96,13 @@
 	}, views, servers, demand, logger, registry)
 }
 
+func newPlacer(s *Settings, store *platform.Store, views *edge.Views, c *placer.Collector, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *placer.Placer {
+	return placer.New(placer.Config{
+		Name: s.Instance.Name, Address: s.Peers.Address,
+		Lease: s.Placing.Lease.D(), Fenced: s.Placing.ServersCheckEpochs,
+	}, store, views, c, logger, registry, tracer)
+}
+
 type parts struct {
 	dig.In
 
@@ -98,12 +113,14 @@
 	Edge     *edge.Edge
 	Store    *platform.Store
 	Servers  *platform.Servers
+	Placer   *placer.Placer
+	Tracer   trace.Tracer
 }
 
 func newInstance(p parts) *Instance {
 	return &Instance{
 		settings: p.Settings, log: p.Log, registry: p.Registry, views: p.Views, edge: p.Edge,
-		store: p.Store, servers: p.Servers,
+		store: p.Store, servers: p.Servers, placer: p.Placer, tracer: p.Tracer,
 	}
 }
 
@@ -124,7 +141,10 @@
 	i.serve(ctx, group, s.Clients.Address, front)
 	i.serve(ctx, group, s.Readiness.Address, i.smallServer(i.readiness(stop)))
 	i.serve(ctx, group, s.Metrics.Address, i.smallServer(telemetry.Handler(i.registry)))
-	i.startControllers(ctx, group)
+	placing, stopPlacing := context.WithCancel(ctx)
+	defer stopPlacing()
+	context.AfterFunc(stop, stopPlacing)
+	i.startControllers(ctx, placing, group)
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -2,25 +2,26 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
 
-type noDemand struct{}
-
-func (noDemand) Arrived(edge.Want)     {}
-func (noDemand) Wait(edge.Want) func() { return func() {} }
-
-// startControllers starts what keeps the instance's state up to date.
-func (i *Instance) startControllers(ctx context.Context, group *errgroup.Group) {
+// startControllers starts what keeps the instance's state up to date. Placing
+// ends before the rest does, so that another instance can take over.
+func (i *Instance) startControllers(ctx, placing context.Context, group *errgroup.Group) {
 	group.Go(func() error { i.followManifest(ctx); return nil })
 	group.Go(func() error { i.followServers(ctx); return nil })
+	group.Go(func() error { return i.servePeers(ctx) })
+	group.Go(func() error { i.placer.Run(placing); return nil })
 	group.Go(func() error {
 		for ctx.Err() == nil {
 			wait(ctx, idleSweep)
@@ -30,6 +31,18 @@
 	})
 }
 
+func (i *Instance) servePeers(ctx context.Context) error {
+	mux := drpcmux.New()
+	if err := i.placer.Register(mux); err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", i.settings.Peers.Address)
+	if err != nil {
+		return errors.Join(ErrListen, err)
+	}
+	return peer.ServeMux(ctx, listener, mux, i.tracer, i.log)
+}
+
 // dependency logs when something outside is lost and when it is back.
 type dependency struct {
 	instance *Instance
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -61,7 +61,13 @@
 // To returns the calls that the instance at the address answers. Their errors
 // are ErrUnreachable or ErrLost.
 func (c *Client) To(address string) peerpb.DRPCPeerClient {
-	return peerpb.NewDRPCPeerClient(&conn{client: c, address: address})
+	return peerpb.NewDRPCPeerClient(c.Conn(address))
+}
+
+// Conn returns a connection to the instance at the address for any service. Each
+// call takes a pooled connection of its own; its errors are as those of To.
+func (c *Client) Conn(address string) drpc.Conn {
+	return &conn{client: c, address: address}
 }
 
 // conn is a drpc.Conn that takes a pooled connection for each call.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -27,6 +27,11 @@
 	if err := peerpb.DRPCRegisterPeer(mux, handler); err != nil {
 		return errors.Join(ErrServe, err)
 	}
+	return ServeMux(ctx, l, mux, tracer, logger)
+}
+
+// ServeMux answers calls of any services on the listener until ctx ends.
+func ServeMux(ctx context.Context, l net.Listener, mux *drpcmux.Mux, tracer trace.Tracer, logger *log.Logger) error {
 	server := drpcserver.NewWithOptions(&tracedHandler{next: mux, tracer: tracer}, drpcserver.Options{
 		Log: func(err error) { logger.Debug().Err(err).Msg("peer_connection_failed") },
 	})
--- /dev/null
+++ b/internal/placer/holder.go
@@ -0,0 +1,299 @@
+package placer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/modelplan"
+	"github.com/cyclamenhoist/cyclamenhoist/platform"
+)
+
+const (
+	// adapterTime is about how long an adapter takes to arrive at a server.
+	adapterTime = 15 * time.Millisecond
+	// unloadPoll is the pause before a load is tried that waits for an unload.
+	unloadPoll = 25 * time.Millisecond
+	// unloadTries bounds these; after them the server is read.
+	unloadTries = 40
+	// planPause is the least time between two plans.
+	planPause = 5 * time.Millisecond
+	// idlePlan is how often a plan is made without a cause, for demand that decays.
+	idlePlan = 250 * time.Millisecond
+	// doubtAfter is how long requests wait for a model that a server is thought to
+	// hold until that server is read.
+	doubtAfter = 150 * time.Millisecond
+)
+
+// holder plans and orders while this instance holds the tenure.
+type holder struct {
+	control *platform.Control
+	keeper  *keeper
+	views   *edge.Views
+	log     *log.Logger
+	name    string
+	orders  metrics.Counter
+
+	mu      sync.Mutex
+	book    *book
+	servers map[fleet.ServerID]*tracked
+	epoch   int64
+	version int64
+	// doubted is when requests were first seen to wait for what is held.
+	doubted map[wanted]time.Time
+	wake    chan struct{}
+	// published is closed when the placement changes.
+	published chan struct{}
+}
+
+// run plans until ctx ends, whenever this instance may order.
+func (h *holder) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, h.wake, idlePlan)
+		if epoch, may := h.keeper.mayOrder(); may {
+			h.step(ctx, epoch)
+			wait(ctx, planPause)
+		}
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) { pause(ctx, nil, d) }
+
+// step brings the servers up to date, plans, and starts what is due.
+func (h *holder) step(ctx context.Context, epoch int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	if epoch != h.epoch {
+		// What an earlier tenure knew may have changed since.
+		h.epoch, h.servers = epoch, map[fleet.ServerID]*tracked{}
+	}
+	view := h.views.Load()
+	if view.Manifest == nil {
+		return
+	}
+	h.syncServers(view, now)
+	for name, service := range view.Manifest.Services {
+		if service.Engine != nil {
+			h.doubt(name, now)
+			for _, action := range modelplan.Plan(now, h.planState(name, service.Engine, now)) {
+				h.start(ctx, action)
+			}
+		}
+	}
+	for _, t := range h.servers {
+		if !t.calling && !now.Before(t.readAt) {
+			h.startRead(ctx, t)
+		}
+	}
+}
+
+func (h *holder) syncServers(view *edge.View, now time.Time) {
+	listed := view.Engines()
+	for id, server := range listed {
+		t := h.servers[id]
+		if t == nil || t.server.Born != server.Born {
+			h.servers[id] = newTracked(server, now)
+			continue
+		}
+		t.server = server
+	}
+	for id := range h.servers {
+		if listed[id] == nil {
+			delete(h.servers, id)
+		}
+	}
+}
+
+func (h *holder) planState(service string, engine *fleet.Engine, now time.Time) modelplan.State {
+	state := modelplan.State{
+		Models: make(map[string]modelplan.Model, len(engine.Models)), Demand: h.book.demand(service, now),
+		AdapterSlots: engine.AdapterSlots, Slots: engine.Slots,
+	}
+	for name, m := range engine.Models {
+		state.Models[name] = modelplan.Model{
+			Name: name, WeightsMB: m.WeightsMB, AdapterMB: m.AdapterMB,
+			StoreLoad: m.StoreLoad, DiskLoad: m.DiskLoad, HostLoad: m.HostLoad,
+		}
+	}
+	for _, t := range h.servers {
+		if t.server.Service == service {
+			state.Servers = append(state.Servers, t.plannable(engine, h.book))
+		}
+	}
+	sortServers(state.Servers)
+	return state
+}
+
+// doubt reads servers anew that requests wait for though they should hold what is
+// wanted: a report may have been wrong, or the server may have started anew.
+func (h *holder) doubt(service string, now time.Time) {
+	waiting := h.book.waiting(now)
+	for key := range h.doubted {
+		if _, waits := waiting[key]; !waits {
+			delete(h.doubted, key)
+		}
+	}
+	for key := range waiting {
+		if key.service != service {
+			continue
+		}
+		since, doubted := h.doubted[key]
+		if !doubted {
+			h.doubted[key] = now
+			continue
+		}
+		if now.Sub(since) < doubtAfter {
+			continue
+		}
+		h.doubted[key] = now
+		for _, t := range h.servers {
+			state := t.models[key.model]
+			if t.known && !t.busy && state != nil && (key.adapter == "" || state.adapters[key.adapter]) {
+				t.readAt = now
+			}
+		}
+	}
+}
+
+func (h *holder) startRead(ctx context.Context, t *tracked) {
+	t.calling = true
+	server := t.server
+	go func() {
+		report, err := h.control.Report(ctx, server)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		t.calling = false
+		now := time.Now()
+		if err != nil {
+			h.log.Info().Str("server", string(server.ID)).Err(err).Msg("report_unread")
+			t.readAt = now.Add(rereadUnreachable)
+			return
+		}
+		if t.take(report, now) {
+			h.changed(t)
+		}
+	}()
+}
+
+func (h *holder) start(ctx context.Context, a modelplan.Action) {
+	t := h.servers[fleet.ServerID(a.Server)]
+	t.calling = true
+	if a.Kind == modelplan.UnloadModel {
+		// Requests stop going to the model before it is unloaded.
+		delete(t.models, a.Model)
+		h.changed(t)
+	}
+	order := platform.Order{
+		Server: t.server, Model: a.Model, Adapter: a.Adapter, Expect: t.sequence, Holder: h.name, Epoch: h.epoch,
+		Unload: a.Kind == modelplan.UnloadModel || a.Kind == modelplan.UnloadAdapter,
+	}
+	go func() {
+		err := h.give(ctx, t, a, order)
+		if err == nil && a.Kind == modelplan.UnloadModel {
+			err = h.loadAfter(ctx, t, a.For)
+		}
+		if err == nil && a.Kind == modelplan.LoadAdapter {
+			wait(ctx, adapterTime)
+		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		t.calling = false
+		if err != nil {
+			t.readAt = time.Now()
+		}
+		h.changed(t)
+	}()
+}
+
+// give sends an order and takes its result in.
+func (h *holder) give(ctx context.Context, t *tracked, a modelplan.Action, order platform.Order) error {
+	if epoch, may := h.keeper.mayOrder(); !may || epoch != order.Epoch {
+		return platform.ErrOrderFenced
+	}
+	h.orders.Inc(1)
+	_, err := h.control.Give(ctx, order)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err == nil {
+		t.accepted(a, time.Now())
+	}
+	if !errors.Is(err, platform.ErrOrderBusy) {
+		h.log.Info().Str("server", string(order.Server.ID)).Str("order", a.Kind.String()).Str("model", a.Model).
+			Str("adapter", a.Adapter).Str("for", a.For).Bool("from_store", a.FromStore).Dur("takes", a.Takes).
+			Int64("expect", order.Expect).Int64("epoch", order.Epoch).Err(err).Msg("order_given")
+	}
+	return err
+}
+
+// loadAfter loads a model as soon as the unload before it has ended, which waits
+// for its runs.
+func (h *holder) loadAfter(ctx context.Context, t *tracked, model string) error {
+	for range unloadTries {
+		h.mu.Lock()
+		action, order, ok := h.loadOrder(t, model)
+		h.mu.Unlock()
+		if !ok {
+			return nil
+		}
+		err := h.give(ctx, t, action, order)
+		if !errors.Is(err, platform.ErrOrderBusy) {
+			return err
+		}
+		wait(ctx, unloadPoll)
+	}
+	return platform.ErrOrderBusy
+}
+
+func (h *holder) loadOrder(t *tracked, model string) (modelplan.Action, platform.Order, bool) {
+	service := h.views.Load().Manifest.Services[t.server.Service]
+	if service.Engine == nil {
+		return modelplan.Action{}, platform.Order{}, false
+	}
+	m, known := service.Engine.Models[model]
+	if !known {
+		return modelplan.Action{}, platform.Order{}, false
+	}
+	action := modelplan.Action{Server: string(t.server.ID), Kind: modelplan.LoadModel, Model: model}
+	switch {
+	case t.inMemory[model]:
+		action.Takes = m.HostLoad
+	case t.onDisk[model]:
+		action.Takes = m.DiskLoad
+	default:
+		action.Takes, action.FromStore = m.StoreLoad, true
+	}
+	order := platform.Order{Server: t.server, Model: model, Expect: t.sequence, Holder: h.name, Epoch: h.epoch}
+	return action, order, true
+}
+
+// changed publishes a new state of a server.
+func (h *holder) changed(t *tracked) {
+	h.version++
+	t.version = h.version
+	if t.known {
+		h.views.SetResidency(map[fleet.ServerID]edge.Residency{t.server.ID: t.residency(h.sequence())})
+	}
+	close(h.published)
+	h.published = make(chan struct{})
+	signal(h.wake)
+}
+
+// versionsPerEpoch keeps placements of a later epoch above those of an earlier.
+const versionsPerEpoch = 1 << 24
+
+func (h *holder) sequence() int64 { return h.epoch*versionsPerEpoch + h.version }
+
+// report takes in what an instance's requests want.
+func (h *holder) report(instance string, tallies map[wanted]tally) {
+	h.mu.Lock()
+	h.book.report(instance, tallies, time.Now())
+	h.mu.Unlock()
+	signal(h.wake)
+}
--- /dev/null
+++ b/internal/placer/placer.go
@@ -0,0 +1,171 @@
+package placer
+
+import (
+	"context"
+	"net"
+	"sort"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel/trace"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/modelplan"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/tenure"
+	"github.com/cyclamenhoist/cyclamenhoist/platform"
+)
+
+const (
+	// reportInterval is how often demand is reported that isn't urgent.
+	reportInterval = 500 * time.Millisecond
+	// reportCoalesce gathers requests that begin to wait at the same moment.
+	reportCoalesce = 2 * time.Millisecond
+	// callTimeout bounds a call to the holder.
+	callTimeout = 500 * time.Millisecond
+	// watchWait is how long the holder keeps a watch waiting.
+	watchWait = 2 * time.Second
+	// watchSpacing is the least time between two watches; changes come in series.
+	watchSpacing = 10 * time.Millisecond
+	// holderRetry is the pause after a call to the holder that failed.
+	holderRetry = 200 * time.Millisecond
+)
+
+// Config sets up a Placer.
+type Config struct {
+	// Name is the instance's, Address where its peers reach it.
+	Name, Address string
+	Lease         time.Duration
+	// Fenced means that servers refuse orders of an older epoch.
+	Fenced bool
+}
+
+// Placer takes part in placing models.
+type Placer struct {
+	name      string
+	keeper    *keeper
+	holder    *holder
+	collector *Collector
+	views     *edge.Views
+	peers     *peer.Client
+	log       *log.Logger
+}
+
+// New returns a Placer over the given parts.
+func New(cfg Config, store *platform.Store, views *edge.Views, collector *Collector, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *Placer {
+	k := newKeeper(store, logger, tenure.Config{
+		Self:  tenure.Record{Holder: cfg.Name, Life: uuid.NewString(), Address: cfg.Address},
+		Lease: cfg.Lease, Fenced: cfg.Fenced,
+	}, views.Known)
+	dialer := &net.Dialer{Timeout: callTimeout}
+	return &Placer{
+		name: cfg.Name, keeper: k, collector: collector, views: views, log: logger,
+		peers: peer.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}, tracer),
+		holder: &holder{
+			control: platform.NewControl(), keeper: k, views: views, log: logger, name: cfg.Name,
+			orders: metrics.NewRegisteredCounter("placer_orders", registry),
+			book:   newBook(), servers: map[fleet.ServerID]*tracked{}, doubted: map[wanted]time.Time{},
+			wake: make(chan struct{}, 1), published: make(chan struct{}),
+		},
+	}
+}
+
+// Run takes part until ctx ends, and gives up the tenure then.
+func (p *Placer) Run(ctx context.Context) {
+	go p.holder.run(ctx)
+	go p.reportDemand(ctx)
+	go p.watch(ctx)
+	p.keeper.run(ctx)
+}
+
+// Register adds the calls that other instances make.
+func (p *Placer) Register(mux *drpcmux.Mux) error {
+	if err := placerpb.DRPCRegisterPlacer(mux, &service{placer: p}); err != nil {
+		return errors.Wrap(err, "register placer")
+	}
+	return nil
+}
+
+// reportDemand tells the holder what requests want, at once if a model is waited
+// for that wasn't before.
+func (p *Placer) reportDemand(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, p.collector.changed, reportInterval)
+		wait(ctx, reportCoalesce)
+		tallies := p.collector.take()
+		if err := p.report(ctx, tallies); err != nil {
+			p.collector.putBack(tallies)
+			p.log.Debug().Err(err).Msg("demand_unreported")
+			wait(ctx, holderRetry)
+		}
+	}
+}
+
+var errNoHolder = errors.New("no instance places models")
+
+func (p *Placer) report(ctx context.Context, tallies map[wanted]tally) error {
+	if p.keeper.mine() {
+		p.holder.report(p.name, tallies)
+		return nil
+	}
+	if len(tallies) == 0 {
+		return nil
+	}
+	r, _, held := p.keeper.holder()
+	if !held {
+		return errNoHolder
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := placerpb.NewDRPCPlacerClient(p.peers.Conn(r.Address)).Report(ctx, encodeDemand(p.name, tallies))
+	if err != nil {
+		return err
+	}
+	if !reply.Placing {
+		return errNoHolder
+	}
+	return nil
+}
+
+// watch follows what the holder says that servers hold.
+func (p *Placer) watch(ctx context.Context) {
+	var epoch, version int64
+	for ctx.Err() == nil {
+		r, _, held := p.keeper.holder()
+		if !held || p.keeper.mine() {
+			wait(ctx, holderRetry)
+			continue
+		}
+		placement, err := p.watchOnce(ctx, r.Address, epoch, version)
+		if err != nil || !placement.Placing {
+			p.log.Debug().Err(err).Str("holder", r.Holder).Msg("placement_unread")
+			wait(ctx, holderRetry)
+			continue
+		}
+		epoch, version = placement.Epoch, placement.Version
+		if len(placement.Servers) > 0 {
+			p.views.SetResidency(decodePlacement(placement, time.Now()))
+		}
+		wait(ctx, watchSpacing)
+	}
+}
+
+func (p *Placer) watchOnce(ctx context.Context, address string, epoch, version int64) (*placerpb.Placement, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	defer cancel()
+	return placerpb.NewDRPCPlacerClient(p.peers.Conn(address)).Watch(ctx, &placerpb.WatchRequest{
+		Epoch: epoch, Version: version, WaitMs: uint32(watchWait.Milliseconds()),
+	})
+}
+
+func sortServers(servers []modelplan.Server) {
+	sort.Slice(servers, func(i, j int) bool { return servers[i].ID < servers[j].ID })
+}
--- /dev/null
+++ b/internal/placer/service.go
@@ -0,0 +1,110 @@
+package placer
+
+import (
+	"context"
+	"time"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+)
+
+// service answers other instances.
+type service struct {
+	placerpb.DRPCPlacerUnimplementedServer
+
+	placer *Placer
+}
+
+// Report takes in what another instance's requests want.
+func (s *service) Report(_ context.Context, r *placerpb.DemandReport) (*placerpb.DemandReply, error) {
+	if !s.placer.keeper.mine() {
+		return &placerpb.DemandReply{}, nil
+	}
+	s.placer.holder.report(r.Instance, decodeDemand(r))
+	return &placerpb.DemandReply{Placing: true}, nil
+}
+
+// Watch returns the servers that changed after the version that the caller has.
+func (s *service) Watch(ctx context.Context, r *placerpb.WatchRequest) (*placerpb.Placement, error) {
+	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(r.WaitMs)*time.Millisecond, watchWait))
+	defer cancel()
+	for {
+		if !s.placer.keeper.mine() {
+			return &placerpb.Placement{}, nil
+		}
+		placement, published := s.placer.holder.placement(r.Epoch, r.Version)
+		if len(placement.Servers) > 0 || ctx.Err() != nil {
+			return placement, nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-published:
+		}
+	}
+}
+
+// placement returns the servers that changed after a version, and a channel that
+// closes at the next change.
+func (h *holder) placement(epoch, version int64) (*placerpb.Placement, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := &placerpb.Placement{Placing: true, Epoch: h.epoch, Version: h.version}
+	now := time.Now()
+	for id, t := range h.servers {
+		if !t.known || epoch == h.epoch && t.version <= version {
+			continue
+		}
+		out.Servers = append(out.Servers, t.encode(id, h.sequence(), now))
+	}
+	return out, h.published
+}
+
+func (t *tracked) encode(id fleet.ServerID, sequence int64, now time.Time) *placerpb.ServerPlacement {
+	r := t.residency(sequence)
+	out := &placerpb.ServerPlacement{Id: string(id), Born: r.Born, Sequence: sequence}
+	for _, resident := range r.Models {
+		out.Residents = append(out.Residents, &placerpb.Resident{Model: resident.Model, Adapters: resident.Adapters})
+	}
+	for model, at := range r.Loading {
+		out.Loading = append(out.Loading, &placerpb.Loading{Model: model, RemainingMs: uint32(max(at.Sub(now).Milliseconds(), 0))})
+	}
+	return out
+}
+
+func decodePlacement(p *placerpb.Placement, now time.Time) map[fleet.ServerID]edge.Residency {
+	out := make(map[fleet.ServerID]edge.Residency, len(p.Servers))
+	for _, s := range p.Servers {
+		r := edge.Residency{Born: s.Born, Sequence: s.Sequence, Loading: map[string]time.Time{}}
+		for _, resident := range s.Residents {
+			r.Models = append(r.Models, fleet.Resident{Model: resident.Model, Adapters: resident.Adapters})
+		}
+		for _, loading := range s.Loading {
+			r.Loading[loading.Model] = now.Add(time.Duration(loading.RemainingMs) * time.Millisecond)
+		}
+		out[fleet.ServerID(s.Id)] = r
+	}
+	return out
+}
+
+func encodeDemand(instance string, tallies map[wanted]tally) *placerpb.DemandReport {
+	out := &placerpb.DemandReport{Instance: instance}
+	for key, t := range tallies {
+		out.Demands = append(out.Demands, &placerpb.ModelDemand{
+			Service: key.service, Model: key.model, Adapter: key.adapter,
+			Arrived: t.arrived, ArrivedLasting: t.arrivedLasting, Waiting: t.waiting, WaitingLasting: t.waitingLasting,
+		})
+	}
+	return out
+}
+
+func decodeDemand(r *placerpb.DemandReport) map[wanted]tally {
+	out := make(map[wanted]tally, len(r.Demands))
+	for _, d := range r.Demands {
+		out[wanted{d.Service, d.Model, d.Adapter}] = tally{
+			arrived: d.Arrived, arrivedLasting: min(d.ArrivedLasting, d.Arrived),
+			waiting: d.Waiting, waitingLasting: min(d.WaitingLasting, d.Waiting),
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/placer/tenure.go
@@ -0,0 +1,191 @@
+package placer
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/phuslu/log"
+	"golang.org/x/sys/unix"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/tenure"
+	"github.com/cyclamenhoist/cyclamenhoist/platform"
+)
+
+const (
+	// tenureKey is the key of the tenure's records in its topic.
+	tenureKey = "holder"
+	// tenureSpacing is the least time between two reads of the tenure.
+	tenureSpacing = 1500 * time.Millisecond
+	// appendRetry is the pause after an append that failed.
+	appendRetry = 300 * time.Millisecond
+	releaseTime = time.Second
+)
+
+// sinceBoot is the time since the machine started, its suspensions included.
+func sinceBoot() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// Linux has had this clock since 2.6.39.
+		panic("no boot-time clock: " + err.Error())
+	}
+	return time.Duration(ts.Nano())
+}
+
+// keeper claims, renews and releases the tenure.
+type keeper struct {
+	store *platform.Store
+	log   *log.Logger
+	self  tenure.Record
+	// eligible reports whether this instance should claim.
+	eligible func() bool
+
+	mu      sync.Mutex
+	state   *tenure.State
+	known   bool
+	changed chan struct{}
+}
+
+func newKeeper(store *platform.Store, logger *log.Logger, cfg tenure.Config, eligible func() bool) *keeper {
+	return &keeper{
+		store: store, log: logger, self: cfg.Self, eligible: eligible,
+		state: tenure.New(cfg), changed: make(chan struct{}, 1),
+	}
+}
+
+// run follows and keeps the tenure until ctx ends, then releases it.
+func (k *keeper) run(ctx context.Context) {
+	following := make(chan struct{})
+	go func() {
+		defer close(following)
+		k.store.Follow(ctx, platform.TopicTenure, platform.Follower{
+			Spacing: tenureSpacing, Deliver: k.observe,
+			Failed: func(err error) { k.log.Debug().Err(err).Msg("tenure_unread") },
+		})
+	}()
+	rank := rand.Float64()
+	for ctx.Err() == nil {
+		k.mu.Lock()
+		wait := time.Second
+		if k.known {
+			wait = k.state.NextAppend(rank) - sinceBoot()
+		}
+		due := k.known && wait <= 0 && (k.state.Mine() || k.eligible())
+		k.mu.Unlock()
+		if due {
+			if err := k.append(ctx, false); err != nil {
+				pause(ctx, k.changed, appendRetry)
+			}
+			continue
+		}
+		pause(ctx, k.changed, max(wait, appendRetry/3))
+	}
+	<-following
+	k.release()
+}
+
+func (k *keeper) release() {
+	if !k.mine() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
+	defer cancel()
+	if err := k.append(ctx, true); err != nil {
+		k.log.Warn().Err(err).Msg("tenure_not_released")
+	}
+}
+
+func (k *keeper) observe(b platform.Batch) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := sinceBoot()
+	before := k.state.Epoch()
+	for _, record := range b.Records {
+		var r tenure.Record
+		if record.Key != tenureKey || record.Value == nil {
+			continue
+		}
+		if err := json.Unmarshal(record.Value, &r); err != nil {
+			k.log.Error().Err(err).Int64("offset", record.Offset).Msg("tenure_unreadable")
+			continue
+		}
+		k.state.Observe(record.Offset, r, now)
+	}
+	k.state.Empty(b.Next, now)
+	k.known = true
+	k.logChange(before)
+	signal(k.changed)
+}
+
+func (k *keeper) logChange(before int64) {
+	if r, epoch, held := k.state.Holder(); epoch != before && held {
+		k.log.Info().Str("holder", r.Holder).Int64("epoch", epoch).Bool("self", k.state.Mine()).Msg("tenure_changed")
+	}
+}
+
+// append claims, renews or releases. An append whose result is lost is settled by
+// reading: the next one is conditional on the same end.
+func (k *keeper) append(ctx context.Context, release bool) error {
+	k.mu.Lock()
+	at := k.state.End()
+	k.mu.Unlock()
+	r := k.self
+	r.Released = release
+	value, err := json.Marshal(r)
+	if err != nil {
+		return errors.Wrap(err, "encode tenure")
+	}
+	asked := sinceBoot()
+	offset, err := k.store.AppendAt(ctx, platform.TopicTenure, tenureKey, at, value)
+	if err != nil {
+		k.log.Info().Err(err).Int64("at", at).Msg("tenure_append_failed")
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	before := k.state.Epoch()
+	k.state.Appended(offset, release, asked)
+	k.logChange(before)
+	return nil
+}
+
+func (k *keeper) mine() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.state.Mine()
+}
+
+// holder returns who holds the tenure.
+func (k *keeper) holder() (tenure.Record, int64, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.state.Holder()
+}
+
+// mayOrder returns the own epoch, and false if no order may be sent.
+func (k *keeper) mayOrder() (int64, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.state.Epoch(), k.state.MayOrder(sinceBoot())
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// pause waits for a signal, at most for d.
+func pause(ctx context.Context, c <-chan struct{}, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-c:
+	case <-timer.C:
+	}
+}
