--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return badInput(err)
 	}
-	instance, err := fleetapp.New(settings, c.stdout)
+	instance, err := fleetapp.New(settings, path, c.stdout)
 	if err != nil {
 		return err
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -72,6 +72,17 @@
 	}
 }
 
+// SetRetries puts other bounds on repeats in force. Budgets start anew.
+func (e *Edge) SetRetries(ratio, extra float64, window time.Duration) {
+	e.budgetsMu.Lock()
+	defer e.budgetsMu.Unlock()
+	if e.cfg.RetryRatio == ratio && e.cfg.RetryExtra == extra && e.cfg.RetryWindow == window {
+		return
+	}
+	e.cfg.RetryRatio, e.cfg.RetryExtra, e.cfg.RetryWindow = ratio, extra, window
+	e.budgets = map[string]*retry.Budget{}
+}
+
 // Drain makes every further answer close its connection.
 func (e *Edge) Drain() { e.draining.Store(true) }
 
--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -48,6 +48,7 @@
 // Instance is one entry instance on the platform.
 type Instance struct {
 	settings *Settings
+	path     string
 	log      *log.Logger
 	registry metrics.Registry
 	views    *edge.Views
@@ -59,7 +60,8 @@
 }
 
 // New puts an instance together without starting anything.
-func New(settings *Settings, out io.Writer) (*Instance, error) {
+// The settings are read again from path when they change.
+func New(settings *Settings, path string, out io.Writer) (*Instance, error) {
 	c := dig.New()
 	providers := []any{
 		func() *Settings { return settings },
@@ -83,7 +85,7 @@
 		}
 	}
 	var instance *Instance
-	if err := c.Invoke(func(i *Instance) { instance = i }); err != nil {
+	if err := c.Invoke(func(i *Instance) { instance, i.path = i, path }); err != nil {
 		return nil, errors.Wrap(err, "put together")
 	}
 	return instance, nil
--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -20,6 +20,7 @@
 func (i *Instance) startControllers(ctx, placing context.Context, group *errgroup.Group) {
 	group.Go(func() error { i.followManifest(ctx); return nil })
 	group.Go(func() error { i.followServers(ctx); return nil })
+	group.Go(func() error { i.followSettings(ctx); return nil })
 	group.Go(func() error { return i.servePeers(ctx) })
 	group.Go(func() error { i.placer.Run(placing); return nil })
 	group.Go(func() error {
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -186,8 +186,9 @@
 	t := h.servers[fleet.ServerID(a.Server)]
 	t.calling = true
 	if a.Kind == modelplan.UnloadModel {
-		// Requests stop going to the model before it is unloaded.
-		delete(t.models, a.Model)
+		// Requests stop going to the model before it is unloaded; its memory counts
+		// until the server has accepted the order.
+		t.withdrawn, t.awaited = a.Model, a.For
 		h.changed(t)
 	}
 	order := platform.Order{
@@ -204,9 +205,9 @@
 		}
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		t.calling = false
+		t.calling, t.awaited, t.withdrawn = false, "", ""
 		if err != nil {
-			t.readAt = time.Now()
+			t.unsure, t.readAt = true, time.Now().Add(reportLag)
 		}
 		h.changed(t)
 	}()
@@ -224,6 +225,9 @@
 	if err == nil {
 		t.accepted(a, time.Now())
 	}
+	if errors.Is(err, platform.ErrOrderFenced) {
+		h.keeper.superseded(order.Epoch)
+	}
 	if !errors.Is(err, platform.ErrOrderBusy) {
 		h.log.Info().Str("server", string(order.Server.ID)).Str("order", a.Kind.String()).Str("model", a.Model).
 			Str("adapter", a.Adapter).Str("for", a.For).Bool("from_store", a.FromStore).Dur("takes", a.Takes).
--- a/internal/placer/tenure.go
+++ b/internal/placer/tenure.go
@@ -158,6 +158,16 @@
 	return k.state.Mine()
 }
 
+// superseded notes that a server refused an epoch: another instance holds the
+// tenure, though its record wasn't read yet.
+func (k *keeper) superseded(epoch int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.state.Epoch() == epoch && k.state.Supersede() {
+		k.log.Warn().Int64("epoch", epoch).Msg("tenure_superseded")
+	}
+}
+
 // holder returns who holds the tenure.
 func (k *keeper) holder() (tenure.Record, int64, bool) {
 	k.mu.Lock()
--- a/internal/placer/tracked.go
+++ b/internal/placer/tracked.go
@@ -33,9 +33,16 @@
 	// calling means that a call to the server is under way, busy that an order is
 	// in progress there.
 	calling, busy bool
-	loading       string
-	fromStore     bool
-	loadEnds      time.Time
+	// unsure means that the result of an order isn't known until a report that was
+	// made after it.
+	unsure bool
+	// withdrawn is a model that requests are kept from, as it is to be unloaded.
+	withdrawn string
+	loading   string
+	// awaited is the model that an unload under way makes room for.
+	awaited   string
+	fromStore bool
+	loadEnds  time.Time
 	// readAt is when to read the next report.
 	readAt time.Time
 	stale  int
@@ -73,7 +80,7 @@
 		models[resident.Model] = state
 	}
 	t.models, t.inMemory, t.onDisk = models, setOf(r.InMemory), setOf(r.OnDisk)
-	t.known, t.stale, t.sequence, t.busy = true, 0, r.Sequence, r.Busy
+	t.known, t.unsure, t.stale, t.sequence, t.busy = true, false, 0, r.Sequence, r.Busy
 	if r.Busy {
 		t.readAt = now.Add(reportLag)
 		return true
@@ -115,9 +122,12 @@
 func (t *tracked) plannable(engine *fleet.Engine, b *book) modelplan.Server {
 	s := modelplan.Server{
 		ID: string(t.server.ID), MemoryMB: engine.WeightsMB,
-		Busy:    !t.known || t.calling || t.busy || t.server.Draining,
+		Busy:    !t.known || t.unsure || t.calling || t.busy || t.server.Draining,
 		Loading: t.loading, FromStore: t.fromStore, InMemory: t.inMemory, OnDisk: t.onDisk,
 	}
+	if t.awaited != "" {
+		s.Loading = t.awaited
+	}
 	for name, state := range t.models {
 		held := modelplan.Held{Model: name, Since: state.since}
 		h := b.histories[serviceModel{t.server.Service, name}]
@@ -140,7 +150,7 @@
 func (t *tracked) residency(sequence int64) edge.Residency {
 	r := edge.Residency{Born: t.server.Born, Sequence: sequence, Loading: map[string]time.Time{}}
 	for name, state := range t.models {
-		if name == t.loading {
+		if name == t.loading || name == t.withdrawn {
 			continue
 		}
 		resident := fleet.Resident{Model: name}
--- a/pkg/tenure/tenure.go
+++ b/pkg/tenure/tenure.go
@@ -58,6 +58,9 @@
 	epoch   int64
 	seen    time.Duration
 	renewed time.Duration
+	// superseded means that the own epoch was refused; a renewal may still be
+	// accepted by a log whose later records weren't read.
+	superseded bool
 }
 
 // New returns a state that has read nothing yet.
@@ -79,6 +82,7 @@
 	}
 	if !s.known || r.Life != s.last.Life || s.last.Released {
 		s.epoch = offset + 1
+		s.superseded = false
 	}
 	s.known, s.end, s.last, s.seen = true, offset+1, r, now
 }
@@ -111,7 +115,7 @@
 
 // MayOrder reports whether this instance may send orders now.
 func (s *State) MayOrder(now time.Duration) bool {
-	if !s.Mine() {
+	if !s.Mine() || s.superseded {
 		return false
 	}
 	limit := s.cfg.Lease
@@ -121,6 +125,14 @@
 	return now-s.renewed < limit
 }
 
+// Supersede notes that a server refused the own epoch, and reports whether that
+// is news.
+func (s *State) Supersede() bool {
+	news := s.Mine() && !s.superseded
+	s.superseded = news || s.superseded
+	return news
+}
+
 // NextAppend returns when to append next, to renew the own tenure or to claim a
 // lapsed one; rank spreads the claims of several instances and is 0 to 1.
 func (s *State) NextAppend(rank float64) time.Duration {
