--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -50,6 +50,9 @@
 	started time.Time
 
 	draining atomic.Bool
+	// drainBy is when requests that still wait are refused, in nanoseconds since
+	// started; 0 while the instance isn't draining.
+	drainBy  atomic.Int64
 	inFlight atomic.Int64
 
 	budgetsMu sync.Mutex
@@ -83,8 +86,23 @@
 	e.budgets = map[string]*retry.Budget{}
 }
 
-// Drain makes every further answer close its connection.
-func (e *Edge) Drain() { e.draining.Store(true) }
+// Drain makes every further answer close its connection, and refuses requests
+// that still wait at the given time.
+func (e *Edge) Drain(refuseAt time.Time) {
+	e.drainBy.Store(int64(refuseAt.Sub(e.started)))
+	e.draining.Store(true)
+}
+
+// waitLimit returns when a request with the given deadline must have a server.
+func (e *Edge) waitLimit(deadline time.Time) time.Time {
+	limit := deadline.Add(-leastServiceTime)
+	if by := e.drainBy.Load(); by != 0 {
+		if end := e.started.Add(time.Duration(by)); end.Before(limit) {
+			return end
+		}
+	}
+	return limit
+}
 
 // InFlight returns the number of requests in progress.
 func (e *Edge) InFlight() int64 { return e.inFlight.Load() }
--- a/internal/edge/ending.go
+++ b/internal/edge/ending.go
@@ -26,6 +26,7 @@
 	reasonRefused      reason = "servers refused"
 	reasonBudget       reason = "retry budget spent"
 	reasonCanceled     reason = "client gone"
+	reasonStopping     reason = "instance stopping"
 	reasonBrokenStream reason = "stream broken"
 )
 
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -13,6 +13,9 @@
 	leastServiceTime = 60 * time.Millisecond
 	// fullRecheck is how often a request that waits for a slot looks again.
 	fullRecheck = 20 * time.Millisecond
+	// drainRecheck is how often a request that waits looks whether the instance is
+	// stopping.
+	drainRecheck = 500 * time.Millisecond
 	// patienceShare is the part of its time that a request waits for a model that
 	// isn't being loaded; the rest leaves its client time to come back.
 	patienceShare = 0.6
@@ -93,7 +96,10 @@
 // refuse decides whether a request that no server can take is turned away now.
 func (q *request) refuse(state waitState, view *View) (outcome, bool) {
 	now := time.Now()
-	if q.deadline.Sub(now) < leastServiceTime {
+	if !now.Before(q.edge.waitLimit(q.deadline)) {
+		if q.deadline.Sub(now) > leastServiceTime {
+			return refused(reasonStopping, spread(retryAfterLeast)), true
+		}
 		return refused(reasonTooLate, 0), true
 	}
 	switch state {
@@ -129,7 +135,7 @@
 // waitForChange waits until something may have changed; it reports false if the
 // request is over.
 func (q *request) waitForChange(ctx context.Context, view *View, state waitState) bool {
-	limit := time.Until(q.deadline) - leastServiceTime
+	limit := time.Until(q.edge.waitLimit(q.deadline))
 	patience := time.Until(q.arrived.Add(time.Duration(patienceShare * float64(q.deadline.Sub(q.arrived)))))
 	if patience > 0 {
 		limit = min(limit, patience)
@@ -137,6 +143,8 @@
 	if state == waitSlot {
 		limit = min(limit, fullRecheck)
 	}
+	// The instance may start draining meanwhile.
+	limit = min(limit, drainRecheck)
 	timer := time.NewTimer(max(limit, time.Millisecond))
 	defer timer.Stop()
 	select {
--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -201,6 +201,9 @@
 	// drainNotice is how long the balancer takes to notice: two questions, one a
 	// second, and the channels that it opened just before.
 	drainNotice = 3500 * time.Millisecond
+	// drainServing is the end of the grace period that is kept for requests that
+	// a server works on: a summary takes a second or two.
+	drainServing = 2500 * time.Millisecond
 	// drainReserve is kept of the grace period for ending the process.
 	drainReserve = 500 * time.Millisecond
 )
@@ -211,7 +214,7 @@
 	i.log.Info().Int64("requests", i.edge.InFlight()).Msg("draining")
 	grace, cancel := context.WithTimeout(ctx, i.settings.Shutdown.Grace.D()-drainReserve)
 	defer cancel()
-	i.edge.Drain()
+	i.edge.Drain(time.Now().Add(i.settings.Shutdown.Grace.D() - drainServing))
 	wait(grace, drainNotice)
 	if err := front.Shutdown(grace); err != nil {
 		i.log.Warn().Err(err).Int64("requests", i.edge.InFlight()).Msg("drain_cut_short")
