--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -38,16 +38,13 @@
 		if !ok {
 			return q.truthful(out), false
 		}
-		budget := q.edge.budget(q.service)
-		if q.sends == 0 {
-			budget.First(q.edge.since())
-		} else if !budget.Take(q.edge.since()) {
+		if !q.pay() {
 			return q.truthful(refused(reasonBudget, spread(time.Second))), false
-		} else {
-			q.edge.repeats.Inc(1)
 		}
-		q.sends++
 		fault := q.attempt(ctx, b)
+		if fault != retry.FaultNotSent {
+			q.sends++
+		}
 		if fault == retry.FaultNone {
 			return outcome{}, true
 		}
@@ -58,6 +55,24 @@
 	}
 }
 
+// pay takes the attempt from the service's budget of repeats. Attempts that reached
+// no server are free.
+func (q *request) pay() bool {
+	budget := q.edge.budget(q.service)
+	if q.sends == 0 {
+		if !q.counted {
+			q.counted = true
+			budget.First(q.edge.since())
+		}
+		return true
+	}
+	if !budget.Take(q.edge.since()) {
+		return false
+	}
+	q.edge.repeats.Inc(1)
+	return true
+}
+
 func (q *request) logFault(b *backend, fault retry.Fault) {
 	q.edge.log.Info().Str("request", q.head.ID).Str("server", string(b.server.ID)).Str("fault", fault.String()).
 		Int("sends", q.sends).Int("runs", q.runs).Dur("left", time.Until(q.deadline)).Msg("attempt_failed")
--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,380 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/platform"
+	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
+)
+
+type noDemand struct{}
+
+func (noDemand) Arrived(edge.Want)     {}
+func (noDemand) Wait(edge.Want) func() { return func() {} }
+
+// world is an edge before stand-ins of backend servers.
+type world struct {
+	*testing.T
+
+	views   *edge.Views
+	edge    *edge.Edge
+	front   *httptest.Server
+	servers map[fleet.ServerID]*fleet.Server
+}
+
+const (
+	plain  = "records"
+	engine = "summaries"
+	host   = "shop.example"
+)
+
+var routes = []fleet.Route{
+	{Name: "read", PathPrefix: "/read/", Kind: fleet.KindSafe, Shares: []fleet.Share{{Service: plain, Weight: 1}}, MaxAttempts: 2},
+	{Name: "write", PathPrefix: "/write/", Kind: fleet.KindUnsafe, Shares: []fleet.Share{{Service: plain, Weight: 1}}, MaxAttempts: 1},
+	{Name: "stream", PathPrefix: "/stream/", Kind: fleet.KindStream, CanResume: true, Shares: []fleet.Share{{Service: engine, Weight: 1}}, MaxAttempts: 2},
+	{Name: "once", PathPrefix: "/once/", Kind: fleet.KindStream, Shares: []fleet.Share{{Service: engine, Weight: 1}}, MaxAttempts: 1},
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{T: t, views: edge.NewViews(), servers: map[fleet.ServerID]*fleet.Server{}}
+	w.edge = edge.New(edge.Config{Zone: "zone-a", RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second},
+		w.views, platform.NewServers(), noDemand{}, &log.Logger{Level: log.PanicLevel}, metrics.NewRegistry())
+	w.front = httptest.NewServer(w.edge)
+	t.Cleanup(w.front.Close)
+	return w
+}
+
+func (w *world) publish() {
+	list := make([]fleet.Route, len(routes))
+	copy(list, routes)
+	for i := range list {
+		list[i].Host, list[i].Timeout, list[i].TargetLatency = host, 20*time.Second, 10*time.Second
+		list[i].GapTarget = 10 * time.Second
+	}
+	services := []fleet.Service{{Name: plain}, {Name: engine, Engine: &fleet.Engine{
+		Slots: 8, WeightsMB: 100, Models: map[string]fleet.Model{"m": {Name: "m", WeightsMB: 10}},
+	}}}
+	require.True(w, w.views.SetManifest(fleet.NewManifest(7, list, services, fleet.CallerLimits{MaxBodyBytes: 1000})))
+	w.views.SetServers(w.servers)
+}
+
+// add starts a server and lists it.
+func (w *world) add(cfg standin.ServerConfig) *standin.Server {
+	if cfg.Service == engine {
+		cfg.Models, cfg.PlacesForModels, cfg.Events = []string{"m"}, 3, 6
+	}
+	s := standin.NewServer(cfg)
+	w.Cleanup(s.Close)
+	w.list(cfg, s.Address())
+	return s
+}
+
+func (w *world) list(cfg standin.ServerConfig, address string) {
+	w.servers[fleet.ServerID(cfg.ID)] = &fleet.Server{
+		ID: fleet.ServerID(cfg.ID), Service: cfg.Service, Address: address, Zone: "zone-a", Slots: 8,
+		Models: []fleet.Resident{{Model: "m"}},
+	}
+}
+
+func (w *world) request(ctx context.Context, method, target string, header map[string]string) *http.Request {
+	req, err := http.NewRequestWithContext(ctx, method, w.front.URL+target, strings.NewReader("a body"))
+	require.NoError(w, err)
+	req.Host = host
+	req.Header.Set("Cyclamenhoist-Attempt-Id", "id-1")
+	req.Header.Set("Cyclamenhoist-Deadline-Ms", "15000")
+	req.Header.Set("Cyclamenhoist-Model", "m")
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	return req
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// broken means that the connection ended before the body was whole.
+	broken bool
+}
+
+func (w *world) do(method, target string, header map[string]string) reply {
+	resp, err := http.DefaultTransport.RoundTrip(w.request(w.Context(), method, target, header))
+	if err != nil {
+		return reply{broken: true}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), broken: err != nil}
+}
+
+func events(from, to int) string {
+	var out strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&out, "id: %d\ndata: event %d\n\n", i, i)
+	}
+	return out.String()
+}
+
+func TestPassesRequestsUnchanged(t *testing.T) {
+	w := newWorld(t)
+	s := w.add(standin.ServerConfig{ID: "s1", Service: plain})
+	w.publish()
+	got := w.do(http.MethodPost, "/read/a%2Fb//c?q=1&q=2", map[string]string{
+		"X-Own": "kept", "Connection": "X-Hop", "X-Hop": "dropped",
+		"Cyclamenhoist-Hold": "h", "Cyclamenhoist-Pin-Ms": "9", "Kv-From": "k", "Cyclamenhoist-Kv-Backup": "b",
+		"Cyclamenhoist-Expect-Instance": "forged",
+	})
+	assert.Equal(t, http.StatusOK, got.status)
+	assert.Equal(t, "s1 POST a body", got.body)
+	assert.Equal(t, "signed-by-s1", got.header.Get("Cyclamenhoist-Response-Signature"))
+	require.Len(t, s.Runs(), 1)
+	run := s.Runs()[0]
+	assert.Equal(t, "/read/a%2Fb//c?q=1&q=2", run.Path)
+	assert.Equal(t, "kept", run.Header.Get("X-Own"))
+	assert.Equal(t, "s1", run.Header.Get("Cyclamenhoist-Expect-Instance"))
+	for _, name := range []string{"X-Hop", "Cyclamenhoist-Hold", "Cyclamenhoist-Pin-Ms", "Kv-From", "Cyclamenhoist-Kv-Backup"} {
+		assert.Empty(t, run.Header.Get(name), name)
+	}
+	left, err := strconv.Atoi(run.Header.Get("Cyclamenhoist-Deadline-Ms"))
+	require.NoError(t, err)
+	assert.LessOrEqual(t, left, 15000)
+}
+
+func TestEndings(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		path   string
+		faults standin.ServerFaults
+		// status is the client's, runs how often the first server may have run it;
+		// elsewhere means that the second server answers.
+		status    int
+		runs      int
+		elsewhere bool
+	}{
+		{"unsafe, answer lost: unknown, and not repeated", "/write/", standin.ServerFaults{LoseAnswers: true}, 502, 1, false},
+		{"unsafe, refused: runs elsewhere", "/write/", standin.ServerFaults{RefuseRequests: true}, 200, 0, true},
+		{"unsafe, server's error: passed on", "/write/", standin.ServerFaults{Fail: true}, 500, 1, false},
+		{"unsafe, unsigned success: not passed on", "/write/", standin.ServerFaults{Unsigned: true}, 502, 1, false},
+		{"unsafe, another request's answer: not passed on", "/write/", standin.ServerFaults{OtherID: true}, 502, 1, false},
+		{"unsafe, body cut: not passed as whole", "/write/", standin.ServerFaults{CutBody: true}, 502, 1, false},
+		{"safe, answer lost: repeated", "/read/", standin.ServerFaults{LoseAnswers: true}, 200, 1, true},
+		{"safe, server's error: repeated", "/read/", standin.ServerFaults{Fail: true}, 200, 1, true},
+		{"safe, unsigned success: repeated", "/read/", standin.ServerFaults{Unsigned: true}, 200, 1, true},
+		{"safe, another request's answer: repeated", "/read/", standin.ServerFaults{OtherID: true}, 200, 1, true},
+		{"safe, body cut: repeated", "/read/", standin.ServerFaults{CutBody: true}, 200, 1, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t)
+			faulty := w.add(standin.ServerConfig{ID: "faulty", Service: plain})
+			faulty.SetFaults(c.faults)
+			w.publish()
+			// The second server joins once the first has had the request, so that
+			// the first is always asked first.
+			second := standin.NewServer(standin.ServerConfig{ID: "second", Service: plain, Zone: "zone-b"})
+			defer second.Close()
+			w.list(standin.ServerConfig{ID: "second", Service: plain}, second.Address())
+			w.servers["second"].Zone = "zone-b"
+			w.views.SetServers(w.servers)
+			got := w.do(http.MethodPost, c.path, nil)
+			assert.Equal(t, c.status, got.status)
+			assert.Len(t, faulty.Runs(), c.runs)
+			want := 0
+			if c.elsewhere {
+				want = 1
+			}
+			assert.Len(t, second.Runs(), want)
+			if c.status == http.StatusBadGateway {
+				assert.Empty(t, got.header.Get("Cyclamenhoist-Response-Signature"))
+			}
+		})
+	}
+}
+
+func TestUnreachableServerLosesNothing(t *testing.T) {
+	w := newWorld(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	gone := l.Addr().String()
+	require.NoError(t, l.Close())
+	w.list(standin.ServerConfig{ID: "gone", Service: plain}, gone)
+	s := w.add(standin.ServerConfig{ID: "s1", Service: plain})
+	w.publish()
+	for i := range 4 {
+		assert.Equal(t, http.StatusOK, w.do(http.MethodPost, "/write/", nil).status, "request %d", i)
+	}
+	assert.Len(t, s.Runs(), 4)
+}
+
+func TestRefusalsSayNotRun(t *testing.T) {
+	t.Run("no manifest", func(t *testing.T) {
+		assert.Equal(t, http.StatusServiceUnavailable, newWorld(t).do(http.MethodGet, "/read/", nil).status)
+	})
+	t.Run("no route", func(t *testing.T) {
+		w := newWorld(t)
+		w.publish()
+		assert.Equal(t, http.StatusNotFound, w.do(http.MethodGet, "/nowhere/", nil).status)
+	})
+	t.Run("no server", func(t *testing.T) {
+		w := newWorld(t)
+		w.publish()
+		got := w.do(http.MethodPost, "/write/", nil)
+		assert.Equal(t, http.StatusServiceUnavailable, got.status)
+		after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		assert.Positive(t, after)
+	})
+	t.Run("unknown model", func(t *testing.T) {
+		w := newWorld(t)
+		w.add(standin.ServerConfig{ID: "s1", Service: engine})
+		w.publish()
+		assert.Equal(t, http.StatusServiceUnavailable, w.do(http.MethodPost, "/once/", map[string]string{"Cyclamenhoist-Model": "no"}).status)
+	})
+	t.Run("body too large", func(t *testing.T) {
+		w := newWorld(t)
+		w.publish()
+		req := w.request(t.Context(), http.MethodPost, "/write/", nil)
+		req.Body, req.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 2000))), 2000
+		resp, err := http.DefaultTransport.RoundTrip(req)
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		assert.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
+	})
+	t.Run("stopping", func(t *testing.T) {
+		w := newWorld(t)
+		s := w.add(standin.ServerConfig{ID: "s1", Service: engine})
+		w.servers["s1"].Models = nil
+		w.publish()
+		w.edge.Drain(time.Now())
+		got := w.do(http.MethodPost, "/once/", nil)
+		assert.Equal(t, http.StatusServiceUnavailable, got.status)
+		assert.Empty(t, s.Runs())
+	})
+}
+
+func TestStreams(t *testing.T) {
+	t.Run("whole", func(t *testing.T) {
+		w := newWorld(t)
+		w.add(standin.ServerConfig{ID: "s1", Service: engine})
+		w.publish()
+		assert.Equal(t, events(1, 6), w.do(http.MethodPost, "/once/", nil).body)
+	})
+	t.Run("goes on elsewhere, without the half event", func(t *testing.T) {
+		w := newWorld(t)
+		servers := []*standin.Server{
+			w.add(standin.ServerConfig{ID: "s1", Service: engine}), w.add(standin.ServerConfig{ID: "s2", Service: engine}),
+		}
+		w.publish()
+		for _, s := range servers {
+			s.SetFaults(standin.ServerFaults{CutAfter: 3})
+		}
+		got := w.do(http.MethodPost, "/stream/", nil)
+		// Each server gives up to event 3 and breaks off: the second has nothing new.
+		assert.True(t, got.broken)
+		assert.Equal(t, events(1, 3), got.body)
+		assert.Len(t, append(servers[0].Runs(), servers[1].Runs()...), 2)
+	})
+	t.Run("one server breaks off", func(t *testing.T) {
+		w := newWorld(t)
+		first := w.add(standin.ServerConfig{ID: "s1", Service: engine})
+		first.SetFaults(standin.ServerFaults{CutAfter: 2})
+		w.add(standin.ServerConfig{ID: "s2", Service: engine})
+		w.publish()
+		for range 6 {
+			got := w.do(http.MethodPost, "/stream/", nil)
+			assert.False(t, got.broken)
+			assert.Equal(t, events(1, 6), got.body)
+		}
+	})
+	t.Run("that can't be resumed never looks whole", func(t *testing.T) {
+		w := newWorld(t)
+		s := w.add(standin.ServerConfig{ID: "s1", Service: engine})
+		s.SetFaults(standin.ServerFaults{CutAfter: 2})
+		w.publish()
+		got := w.do(http.MethodPost, "/once/", nil)
+		assert.True(t, got.broken)
+		assert.Equal(t, events(1, 2), got.body)
+		assert.Len(t, s.Runs(), 1)
+	})
+	t.Run("resumed by the client", func(t *testing.T) {
+		w := newWorld(t)
+		s := w.add(standin.ServerConfig{ID: "s1", Service: engine})
+		w.publish()
+		assert.Equal(t, events(5, 6), w.do(http.MethodPost, "/stream/", map[string]string{"Last-Event-Id": "4"}).body)
+		assert.Equal(t, "4", s.Runs()[0].After)
+	})
+}
+
+func TestModelNotThere(t *testing.T) {
+	w := newWorld(t)
+	stale := w.add(standin.ServerConfig{ID: "stale", Service: engine})
+	holds := w.add(standin.ServerConfig{ID: "holds", Service: engine})
+	w.publish()
+	_ = stale
+	for id := range w.servers {
+		// Both are listed with a model that only one holds any longer.
+		w.servers[id].Models = []fleet.Resident{{Model: "other"}, {Model: "m"}}
+	}
+	w.views.SetServers(w.servers)
+	got := w.do(http.MethodPost, "/once/", nil)
+	assert.Equal(t, http.StatusOK, got.status)
+	assert.Len(t, append(holds.Runs(), stale.Runs()...), 1)
+}
+
+func TestWithdrawsWhatNobodyWaitsFor(t *testing.T) {
+	w := newWorld(t)
+	s := w.add(standin.ServerConfig{ID: "s1", Service: plain})
+	s.SetFaults(standin.ServerFaults{Mute: true})
+	w.publish()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		resp, err := http.DefaultTransport.RoundTrip(w.request(ctx, http.MethodPost, "/write/", nil))
+		if err == nil {
+			resp.Body.Close()
+		}
+		ended <- err
+	}()
+	require.Eventually(t, func() bool { return len(s.Runs()) == 1 }, time.Minute, time.Millisecond)
+	cancel()
+	require.Error(t, <-ended)
+	require.Eventually(t, func() bool { return s.Canceled() == 1 }, time.Minute, time.Millisecond)
+}
+
+func TestTimeLimitEndsTruthfully(t *testing.T) {
+	w := newWorld(t)
+	s := w.add(standin.ServerConfig{ID: "s1", Service: plain})
+	s.SetFaults(standin.ServerFaults{Mute: true})
+	w.publish()
+	got := w.do(http.MethodPost, "/write/", map[string]string{"Cyclamenhoist-Deadline-Ms": "200"})
+	assert.Equal(t, http.StatusGatewayTimeout, got.status)
+	assert.Len(t, s.Runs(), 1)
+}
+
+func TestResidencyOfAnEarlierLifeIsIgnored(t *testing.T) {
+	w := newWorld(t)
+	s := w.add(standin.ServerConfig{ID: "s1", Service: engine})
+	w.servers["s1"].Born, w.servers["s1"].Models = 2, nil
+	w.publish()
+	w.views.SetResidency(map[fleet.ServerID]edge.Residency{"s1": {Born: 1, Sequence: 9, Models: []fleet.Resident{{Model: "m"}}}})
+	got := w.do(http.MethodPost, "/once/", map[string]string{"Cyclamenhoist-Deadline-Ms": "150"})
+	assert.Equal(t, http.StatusServiceUnavailable, got.status)
+	assert.Empty(t, s.Runs())
+	w.views.SetResidency(map[fleet.ServerID]edge.Residency{"s1": {Born: 2, Sequence: 1, Models: []fleet.Resident{{Model: "m"}}}})
+	assert.Equal(t, http.StatusOK, w.do(http.MethodPost, "/once/", nil).status)
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -34,11 +34,13 @@
 	// deadline is when the client must have its answer.
 	deadline time.Time
 
-	// tried are the servers that failed the request, sends the exchanges begun,
-	// and runs those of them that may have run it.
+	// tried are the servers that failed the request, sends the attempts that
+	// reached one, and runs those of them that may have run it.
 	tried map[fleet.ServerID]bool
 	sends int
 	runs  int
+	// counted means that the request was counted towards the budget of repeats.
+	counted bool
 	// lastEvent is the last stream event that the client has; negative if none.
 	lastEvent int64
 	// begun means that the head of an answer has gone to the client.
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -13,6 +13,9 @@
 	leastServiceTime = 60 * time.Millisecond
 	// fullRecheck is how often a request that waits for a slot looks again.
 	fullRecheck = 20 * time.Millisecond
+	// triedPause is the pause before servers are tried again that have all failed
+	// the request; one that refused it may be through with an order by then.
+	triedPause = 50 * time.Millisecond
 	// drainRecheck is how often a request that waits looks whether the instance is
 	// stopping.
 	drainRecheck = 500 * time.Millisecond
@@ -55,7 +58,8 @@
 	waitNone   waitState = iota
 	waitServer           // the service has no server left
 	waitModel            // none holds the model
-	waitSlot             // those that hold it are full, or were tried
+	waitSlot             // those that hold it are full
+	waitTried            // those that hold it have all been tried
 )
 
 func (q *request) choose(view *View) (*backend, waitState) {
@@ -79,6 +83,9 @@
 	if len(holders) == 0 {
 		return nil, waitModel
 	}
+	if allTried(candidates) {
+		return nil, waitTried
+	}
 	i := serverpick.Pick(serverpick.Request{Affinity: q.affinity, Patient: q.model != ""}, candidates)
 	if i < 0 {
 		return nil, waitSlot
@@ -86,6 +93,15 @@
 	return holders[i], waitNone
 }
 
+func allTried(candidates []serverpick.Candidate) bool {
+	for _, c := range candidates {
+		if !c.Tried {
+			return false
+		}
+	}
+	return true
+}
+
 func (q *request) want() Want {
 	return Want{
 		Service: q.service, Model: q.head.Model, Adapter: q.head.Adapter,
@@ -105,7 +121,7 @@
 	switch state {
 	case waitServer:
 		return refused(reasonNoServer, spread(time.Second)), true
-	case waitSlot:
+	case waitSlot, waitTried:
 		return outcome{}, false
 	}
 	engine := view.Manifest.Services[q.service].Engine
@@ -140,8 +156,11 @@
 	if patience > 0 {
 		limit = min(limit, patience)
 	}
-	if state == waitSlot {
+	switch state {
+	case waitSlot:
 		limit = min(limit, fullRecheck)
+	case waitTried:
+		limit = min(limit, triedPause)
 	}
 	// The instance may start draining meanwhile.
 	limit = min(limit, drainRecheck)
@@ -152,6 +171,9 @@
 		return false
 	case <-view.superseded:
 	case <-timer.C:
+		if state == waitTried {
+			clear(q.tried)
+		}
 	}
 	return true
 }
--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/telemetry"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
@@ -215,17 +216,8 @@
 	grace, cancel := context.WithTimeout(ctx, i.settings.Shutdown.Grace.D()-drainReserve)
 	defer cancel()
 	i.edge.Drain(time.Now().Add(i.settings.Shutdown.Grace.D() - drainServing))
-	wait(grace, drainNotice)
+	pause.For(grace, drainNotice)
 	if err := front.Shutdown(grace); err != nil {
 		i.log.Warn().Err(err).Int64("requests", i.edge.InFlight()).Msg("drain_cut_short")
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmux"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
@@ -25,7 +26,7 @@
 	group.Go(func() error { i.placer.Run(placing); return nil })
 	group.Go(func() error {
 		for ctx.Err() == nil {
-			wait(ctx, idleSweep)
+			pause.For(ctx, idleSweep)
 			i.servers.CloseIdle()
 		}
 		return nil
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -20,3 +20,14 @@
 		return true
 	}
 }
+
+// Until waits for a signal, for d at most, or for the end of ctx.
+func Until(ctx context.Context, c <-chan struct{}, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-c:
+	case <-timer.C:
+	}
+}
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/modelplan"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
@@ -55,16 +56,14 @@
 // run plans until ctx ends, whenever this instance may order.
 func (h *holder) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, h.wake, idlePlan)
+		pause.Until(ctx, h.wake, idlePlan)
 		if epoch, may := h.keeper.mayOrder(); may {
 			h.step(ctx, epoch)
-			wait(ctx, planPause)
+			pause.For(ctx, planPause)
 		}
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) { pause(ctx, nil, d) }
-
 // step brings the servers up to date, plans, and starts what is due.
 func (h *holder) step(ctx context.Context, epoch int64) {
 	h.mu.Lock()
@@ -201,7 +200,7 @@
 			err = h.loadAfter(ctx, t, a.For)
 		}
 		if err == nil && a.Kind == modelplan.LoadAdapter {
-			wait(ctx, adapterTime)
+			pause.For(ctx, adapterTime)
 		}
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -250,7 +249,7 @@
 		if !errors.Is(err, platform.ErrOrderBusy) {
 			return err
 		}
-		wait(ctx, unloadPoll)
+		pause.For(ctx, unloadPoll)
 	}
 	return platform.ErrOrderBusy
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
@@ -98,13 +99,13 @@
 // for that wasn't before.
 func (p *Placer) reportDemand(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, p.collector.changed, reportInterval)
-		wait(ctx, reportCoalesce)
+		pause.Until(ctx, p.collector.changed, reportInterval)
+		pause.For(ctx, reportCoalesce)
 		tallies := p.collector.take()
 		if err := p.report(ctx, tallies); err != nil {
 			p.collector.putBack(tallies)
 			p.log.Debug().Err(err).Msg("demand_unreported")
-			wait(ctx, holderRetry)
+			pause.For(ctx, holderRetry)
 		}
 	}
 }
@@ -141,20 +142,20 @@
 	for ctx.Err() == nil {
 		r, _, held := p.keeper.holder()
 		if !held || p.keeper.mine() {
-			wait(ctx, holderRetry)
+			pause.For(ctx, holderRetry)
 			continue
 		}
 		placement, err := p.watchOnce(ctx, r.Address, epoch, version)
 		if err != nil || !placement.Placing {
 			p.log.Debug().Err(err).Str("holder", r.Holder).Msg("placement_unread")
-			wait(ctx, holderRetry)
+			pause.For(ctx, holderRetry)
 			continue
 		}
 		epoch, version = placement.Epoch, placement.Version
 		if len(placement.Servers) > 0 {
 			p.views.SetResidency(decodePlacement(placement, time.Now()))
 		}
-		wait(ctx, watchSpacing)
+		pause.For(ctx, watchSpacing)
 	}
 }
 
--- a/internal/placer/tenure.go
+++ b/internal/placer/tenure.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 	"golang.org/x/sys/unix"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/tenure"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
@@ -77,11 +78,11 @@
 		k.mu.Unlock()
 		if due {
 			if err := k.append(ctx, false); err != nil {
-				pause(ctx, k.changed, appendRetry)
+				pause.Until(ctx, k.changed, appendRetry)
 			}
 			continue
 		}
-		pause(ctx, k.changed, max(wait, appendRetry/3))
+		pause.Until(ctx, k.changed, max(wait, appendRetry/3))
 	}
 	<-following
 	k.release()
@@ -188,14 +189,3 @@
 	default:
 	}
 }
-
-// pause waits for a signal, at most for d.
-func pause(ctx context.Context, c <-chan struct{}, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-c:
-	case <-timer.C:
-	}
-}
--- /dev/null
+++ b/pkg/modelplan/plan_test.go
@@ -0,0 +1,296 @@
+package modelplan_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/modelplan"
+)
+
+var now = time.Unix(1_800_000_000, 0)
+
+const (
+	places    = 3
+	modelMB   = 70.0
+	adapterMB = 0.1
+	memoryMB  = places*modelMB + 5
+)
+
+func models(n int) map[string]modelplan.Model {
+	out := map[string]modelplan.Model{}
+	for i := range n {
+		name := fmt.Sprint("m", i)
+		out[name] = modelplan.Model{
+			Name: name, WeightsMB: modelMB, AdapterMB: adapterMB,
+			StoreLoad: 6 * time.Second, DiskLoad: 1200 * time.Millisecond, HostLoad: 400 * time.Millisecond,
+		}
+	}
+	return out
+}
+
+// newServer holds the given models, which lie on its disk beside those of onDisk.
+func newServer(id string, held []string, onDisk ...string) modelplan.Server {
+	s := modelplan.Server{ID: id, MemoryMB: memoryMB, InMemory: map[string]bool{}, OnDisk: map[string]bool{}}
+	for _, m := range held {
+		s.Models = append(s.Models, modelplan.Held{Model: m})
+		s.OnDisk[m] = true
+	}
+	for _, m := range onDisk {
+		s.OnDisk[m] = true
+	}
+	return s
+}
+
+func state(servers []modelplan.Server, demand map[string]modelplan.Demand) modelplan.State {
+	return modelplan.State{Servers: servers, Models: models(12), Demand: demand, AdapterSlots: 2, Slots: 64}
+}
+
+// A burst on a model that is loaded nowhere is one load, where a copy lies and
+// where the least is lost.
+func TestBurstOnAColdModelIsOneLoad(t *testing.T) {
+	servers := []modelplan.Server{
+		newServer("a", []string{"m0", "m1", "m2"}, "m9"),
+		newServer("b", []string{"m3", "m4", "m5"}, "m9"),
+		newServer("c", []string{"m6", "m7", "m8"}),
+	}
+	demand := map[string]modelplan.Demand{"m9": {Waiting: 500}, "m0": {Value: 9}, "m1": {Value: 9}, "m2": {Value: 9}}
+	plan := modelplan.Plan(now, state(servers, demand))
+	require.Len(t, plan, 1)
+	assert.Equal(t, modelplan.UnloadModel, plan[0].Kind)
+	assert.Equal(t, "b", plan[0].Server, "what a holds is asked for")
+	assert.Equal(t, "m9", plan[0].For)
+
+	servers[1].Loading, servers[1].Busy = "m9", true
+	assert.Empty(t, modelplan.Plan(now, state(servers, demand)), "it is under way")
+}
+
+// A model isn't fetched from the weight store while a server with a copy is only
+// busy for the moment.
+func TestWaitsForAServerWithACopy(t *testing.T) {
+	servers := []modelplan.Server{newServer("a", []string{"m0"}, "m9"), newServer("b", nil)}
+	servers[0].Busy = true
+	for _, a := range modelplan.Plan(now, state(servers, map[string]modelplan.Demand{"m9": {Waiting: 5}})) {
+		assert.NotEqual(t, "m9", a.Model)
+	}
+}
+
+// A model without any copy comes from the weight store, so many at once.
+func TestStoreLoadsAreBounded(t *testing.T) {
+	var servers []modelplan.Server
+	demand := map[string]modelplan.Demand{}
+	for i := range 10 {
+		servers = append(servers, newServer(fmt.Sprint("s", i), nil))
+		demand[fmt.Sprint("m", i)] = modelplan.Demand{Waiting: 1}
+	}
+	plan := modelplan.Plan(now, state(servers, demand))
+	assert.Len(t, plan, 4)
+	for _, a := range plan {
+		assert.True(t, a.FromStore)
+	}
+}
+
+// Demand that moves to another model within seconds gets that a second replica.
+func TestHotModelGetsASecondReplica(t *testing.T) {
+	servers := []modelplan.Server{
+		newServer("a", []string{"m0", "m1", "m2"}), newServer("b", []string{"m3", "m4", "m5"}, "m0"),
+	}
+	demand := map[string]modelplan.Demand{
+		"m0": {Rate: 30, Value: 30, LastUsed: now}, "m3": {Value: 1}, "m4": {}, "m5": {Value: 1},
+	}
+	plan := modelplan.Plan(now, state(servers, demand))
+	require.Len(t, plan, 1)
+	assert.Equal(t, modelplan.Action{Server: "b", Kind: modelplan.UnloadModel, Model: "m4", For: "m0"}, plan[0])
+}
+
+// Surplus replicas make way for models that no server holds, before anybody asks.
+func TestSpreadBeforeTraffic(t *testing.T) {
+	servers := []modelplan.Server{
+		newServer("a", []string{"m0", "m1", "m2"}), newServer("b", []string{"m0", "m3", "m4"}),
+		newServer("c", []string{"m0", "m5", "m6"}, "m7"),
+	}
+	plan := modelplan.Plan(now, state(servers, nil))
+	require.Len(t, plan, 1)
+	assert.Equal(t, modelplan.Action{Server: "c", Kind: modelplan.UnloadModel, Model: "m0", For: "m7"}, plan[0])
+}
+
+func TestAModelThatHasJustArrivedIsntDropped(t *testing.T) {
+	servers := []modelplan.Server{newServer("a", []string{"m0", "m1", "m2"}, "m9")}
+	for i := range servers[0].Models {
+		servers[0].Models[i].Since = now.Add(-100 * time.Millisecond)
+	}
+	demand := map[string]modelplan.Demand{"m9": {Waiting: 50}}
+	assert.Empty(t, modelplan.Plan(now, state(servers, demand)))
+	assert.NotEmpty(t, modelplan.Plan(now.Add(5*time.Second), state(servers, demand)))
+}
+
+func TestAdapters(t *testing.T) {
+	wants := map[string]modelplan.Demand{"m0": {Waiting: 1, Adapters: map[string]float64{"a9": 1}}}
+	t.Run("loaded where the model is", func(t *testing.T) {
+		plan := modelplan.Plan(now, state([]modelplan.Server{newServer("a", []string{"m0"}), newServer("b", nil)}, wants))
+		require.NotEmpty(t, plan)
+		assert.Equal(t, modelplan.Action{Server: "a", Kind: modelplan.LoadAdapter, Model: "m0", Adapter: "a9"}, plan[0])
+	})
+	t.Run("in place of the one used longest ago", func(t *testing.T) {
+		s := newServer("a", []string{"m0"})
+		s.Models[0].Adapters = []modelplan.Adapter{{Name: "a1", LastUsed: now}, {Name: "a2", LastUsed: now.Add(-time.Second)}}
+		plan := modelplan.Plan(now, state([]modelplan.Server{s}, wants))
+		require.NotEmpty(t, plan)
+		assert.Equal(t, modelplan.UnloadAdapter, plan[0].Kind)
+		assert.Equal(t, "a2", plan[0].Adapter)
+	})
+	t.Run("nothing if it is there", func(t *testing.T) {
+		s := newServer("a", []string{"m0"})
+		s.Models[0].Adapters = []modelplan.Adapter{{Name: "a9"}}
+		for _, a := range modelplan.Plan(now, state([]modelplan.Server{s}, wants)) {
+			assert.Empty(t, a.Adapter)
+		}
+	})
+}
+
+func drawState(t *rapid.T) modelplan.State {
+	all := models(12)
+	names := make([]string, 0, len(all))
+	for i := range 12 {
+		names = append(names, fmt.Sprint("m", i))
+	}
+	var servers []modelplan.Server
+	for i := range rapid.IntRange(1, 5).Draw(t, "servers") {
+		held := rapid.SliceOfNDistinct(rapid.SampledFrom(names), 0, places, rapid.ID[string]).Draw(t, "held")
+		s := newServer(fmt.Sprint("s", i), held, rapid.SliceOfN(rapid.SampledFrom(names), 0, 8).Draw(t, "disk")...)
+		for j := range s.Models {
+			for a := range rapid.IntRange(0, 1).Draw(t, "adapters") {
+				s.Models[j].Adapters = append(s.Models[j].Adapters, modelplan.Adapter{Name: fmt.Sprint("a", a)})
+			}
+			s.Models[j].Since = now.Add(-time.Duration(rapid.IntRange(0, 5000).Draw(t, "since")) * time.Millisecond)
+		}
+		s.Busy = rapid.Bool().Draw(t, "busy")
+		if s.Busy && len(held) < places && rapid.Bool().Draw(t, "loads") {
+			s.Loading, s.FromStore = rapid.SampledFrom(names).Draw(t, "loading"), rapid.Bool().Draw(t, "store")
+		}
+		servers = append(servers, s)
+	}
+	demand := map[string]modelplan.Demand{}
+	for _, name := range rapid.SliceOfNDistinct(rapid.SampledFrom(names), 0, 8, rapid.ID[string]).Draw(t, "wanted") {
+		d := modelplan.Demand{
+			Rate: rapid.Float64Range(0, 60).Draw(t, "rate"), Value: rapid.Float64Range(0, 60).Draw(t, "value"),
+			Waiting: rapid.Float64Range(0, 60).Draw(t, "waiting"), LastUsed: now,
+		}
+		if rapid.Bool().Draw(t, "adapter") {
+			d.Adapters = map[string]float64{"a7": 1}
+		}
+		demand[name] = d
+	}
+	return state(servers, demand)
+}
+
+// No plan overcommits a server, orders a busy one, gives one two orders, or
+// drops what isn't there.
+func TestPlanKeepsItsInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		st := drawState(t)
+		ordered := map[string]bool{}
+		for _, a := range modelplan.Plan(now, st) {
+			if ordered[a.Server] {
+				t.Fatalf("two orders to %s", a.Server)
+			}
+			ordered[a.Server] = true
+			for _, s := range st.Servers {
+				if s.ID == a.Server {
+					checkAction(t, s, a)
+				}
+			}
+		}
+	})
+}
+
+func checkAction(t *rapid.T, s modelplan.Server, a modelplan.Action) {
+	if s.Busy {
+		t.Fatalf("order %+v to a busy server", a)
+	}
+	used, adapters, holds := 0.0, 0, false
+	for _, held := range s.Models {
+		used += modelMB + adapterMB*float64(len(held.Adapters))
+		adapters += len(held.Adapters)
+		holds = holds || held.Model == a.Model
+	}
+	switch a.Kind {
+	case modelplan.LoadModel:
+		if used+modelMB > s.MemoryMB || holds {
+			t.Fatalf("load %+v on %+v", a, s)
+		}
+	case modelplan.LoadAdapter:
+		if adapters >= 2 || used+adapterMB > s.MemoryMB || !holds {
+			t.Fatalf("adapter %+v on %+v", a, s)
+		}
+	case modelplan.UnloadModel:
+		for _, held := range s.Models {
+			if held.Model == a.Model {
+				used -= modelMB + adapterMB*float64(len(held.Adapters))
+			}
+		}
+		if !holds || a.For != "" && used+modelMB > s.MemoryMB {
+			t.Fatalf("swap %+v on %+v", a, s)
+		}
+	case modelplan.UnloadAdapter:
+		if !holds {
+			t.Fatalf("unload %+v of %+v", a, s)
+		}
+	}
+}
+
+// Applied again and again, plans bring every model that is waited for to a
+// server, whatever was there before, if any has a copy.
+func TestEveryModelIsServedInTurn(t *testing.T) {
+	var onDisk []string
+	for i := range 12 {
+		onDisk = append(onDisk, fmt.Sprint("m", i))
+	}
+	servers := []modelplan.Server{newServer("a", []string{"m0", "m1", "m2"}, onDisk...), newServer("b", []string{"m3", "m4", "m5"}, onDisk...)}
+	demand := map[string]modelplan.Demand{}
+	for i := range 12 {
+		demand[fmt.Sprint("m", i)] = modelplan.Demand{Value: 1, Waiting: 1}
+	}
+	served := map[string]bool{}
+	at := now
+	for range 100 {
+		for i := range servers {
+			for _, held := range servers[i].Models {
+				served[held.Model] = true
+				d := demand[held.Model]
+				d.Waiting = 0
+				demand[held.Model] = d
+			}
+		}
+		for _, a := range modelplan.Plan(at, state(servers, demand)) {
+			apply(servers, a, at)
+		}
+		at = at.Add(2 * time.Second)
+	}
+	assert.Len(t, served, 12)
+}
+
+func apply(servers []modelplan.Server, a modelplan.Action, at time.Time) {
+	for i := range servers {
+		s := &servers[i]
+		if s.ID != a.Server {
+			continue
+		}
+		switch a.Kind {
+		case modelplan.LoadModel:
+			s.Models = append(s.Models, modelplan.Held{Model: a.Model, Since: at})
+		case modelplan.UnloadModel:
+			kept := s.Models[:0]
+			for _, held := range s.Models {
+				if held.Model != a.Model {
+					kept = append(kept, held)
+				}
+			}
+			s.Models = append(kept, modelplan.Held{Model: a.For, Since: at})
+		}
+	}
+}
--- /dev/null
+++ b/pkg/serverpick/pick_test.go
@@ -0,0 +1,104 @@
+package serverpick_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/serverpick"
+)
+
+func candidate(id string, own int64) serverpick.Candidate {
+	return serverpick.Candidate{ID: id, Slots: 10, Usable: true, Load: serverpick.Load{Own: own, Age: -1}}
+}
+
+func TestEstimateCountsOthersAsReported(t *testing.T) {
+	for _, c := range []struct {
+		load serverpick.Load
+		want int64
+	}{
+		{serverpick.Load{Own: 3, Age: -1}, 3},
+		{serverpick.Load{Own: 3, Reported: 9, OwnThen: 2, Age: 0}, 10},
+		{serverpick.Load{Own: 3, Reported: 1, OwnThen: 2, Age: 0}, 3},
+		{serverpick.Load{Own: 3, Reported: 9, OwnThen: 2, Age: time.Minute}, 3},
+	} {
+		assert.Equal(t, c.want, c.load.Estimate(), "%+v", c.load)
+	}
+}
+
+func TestPick(t *testing.T) {
+	ejected := candidate("ejected", 0)
+	ejected.Usable = false
+	tried := candidate("tried", 0)
+	tried.Tried = true
+	near := candidate("near", 2)
+	near.SameZone = true
+	for _, c := range []struct {
+		name       string
+		req        serverpick.Request
+		candidates []serverpick.Candidate
+		want       int
+	}{
+		{"nobody", serverpick.Request{}, nil, -1},
+		{"least loaded", serverpick.Request{}, []serverpick.Candidate{candidate("a", 2), candidate("b", 1)}, 1},
+		{"same zone where as good", serverpick.Request{}, []serverpick.Candidate{candidate("far", 2), near}, 1},
+		{"not an ejected one", serverpick.Request{}, []serverpick.Candidate{ejected, candidate("b", 5)}, 1},
+		{"an ejected one rather than none", serverpick.Request{}, []serverpick.Candidate{ejected}, 0},
+		{"not one that was tried", serverpick.Request{}, []serverpick.Candidate{tried}, -1},
+		{"patient waits while all are full", serverpick.Request{Patient: true}, []serverpick.Candidate{candidate("a", 10)}, -1},
+		{"impatient joins the queue", serverpick.Request{}, []serverpick.Candidate{candidate("a", 10)}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			assert.Equal(t, c.want, serverpick.Pick(c.req, c.candidates))
+		})
+	}
+}
+
+// Requests that share a prompt meet at one server, until it is clearly busier.
+func TestAffinityYieldsToLoad(t *testing.T) {
+	req := serverpick.Request{Affinity: "m|1|2"}
+	idle := []serverpick.Candidate{candidate("a", 0), candidate("b", 0), candidate("c", 0)}
+	home := serverpick.Pick(req, idle)
+	for range 20 {
+		assert.Equal(t, home, serverpick.Pick(req, idle))
+	}
+	idle[home].Load.Own = 1
+	assert.Equal(t, home, serverpick.Pick(req, idle), "slightly busier")
+	idle[home].Load.Own = 5
+	assert.NotEqual(t, home, serverpick.Pick(req, idle), "clearly busier")
+}
+
+// Prompts spread over the servers.
+func TestAffinitySpreads(t *testing.T) {
+	servers := []serverpick.Candidate{candidate("i-1", 0), candidate("i-2", 0), candidate("i-3", 0)}
+	counts := make([]int, len(servers))
+	for i := range 3000 {
+		counts[serverpick.Pick(serverpick.Request{Affinity: fmt.Sprint("m|", i)}, servers)]++
+	}
+	for i, n := range counts {
+		assert.InDelta(t, 1000, n, 200, "server %d", i)
+	}
+}
+
+// The choice is never a server that was tried, and never an ejected one while
+// another is usable.
+func TestPickKeepsToTheFilter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		candidates := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) serverpick.Candidate {
+			c := candidate(rapid.StringN(1, 4, 4).Draw(t, "id"), rapid.Int64Range(0, 20).Draw(t, "own"))
+			c.Usable, c.Tried = rapid.Bool().Draw(t, "usable"), rapid.Bool().Draw(t, "tried")
+			return c
+		}), 0, 6).Draw(t, "candidates")
+		usable := false
+		for _, c := range candidates {
+			usable = usable || c.Usable && !c.Tried
+		}
+		i := serverpick.Pick(serverpick.Request{Affinity: "x"}, candidates)
+		if i >= 0 && (candidates[i].Tried || usable && !candidates[i].Usable) {
+			t.Fatalf("picked %+v of %+v", candidates[i], candidates)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/tenure/tenure_test.go
@@ -0,0 +1,87 @@
+package tenure_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/tenure"
+)
+
+const lease = 3 * time.Second
+
+func record(life string) tenure.Record {
+	return tenure.Record{Holder: life, Life: life, Address: life + ":1"}
+}
+
+func newState(life string, fenced bool) *tenure.State {
+	return tenure.New(tenure.Config{Self: record(life), Lease: lease, Fenced: fenced})
+}
+
+func TestEmptyLogIsClaimedAtOnce(t *testing.T) {
+	s := newState("a", true)
+	s.Empty(0, time.Second)
+	assert.Equal(t, time.Second, s.NextAppend(0))
+	s.Appended(0, false, time.Second)
+	assert.True(t, s.Mine())
+	assert.Equal(t, int64(1), s.Epoch())
+	assert.True(t, s.MayOrder(time.Second))
+}
+
+func TestRenewalKeepsTheEpoch(t *testing.T) {
+	s := newState("a", true)
+	s.Appended(0, false, 0)
+	s.Appended(1, false, time.Second)
+	assert.Equal(t, int64(1), s.Epoch())
+	assert.Equal(t, int64(2), s.End())
+}
+
+func TestSilentHolderIsWaitedForALease(t *testing.T) {
+	s := newState("b", true)
+	s.Observe(4, record("a"), time.Second)
+	assert.Equal(t, time.Second+lease, s.NextAppend(0))
+	assert.False(t, s.MayOrder(time.Second))
+}
+
+func TestReleasedTenureIsClaimedAtOnce(t *testing.T) {
+	s := newState("b", true)
+	released := record("a")
+	released.Released = true
+	s.Observe(4, record("a"), 0)
+	s.Observe(5, released, time.Second)
+	assert.Equal(t, time.Second, s.NextAppend(0))
+	s.Appended(6, false, time.Second)
+	assert.Equal(t, int64(7), s.Epoch(), "an epoch of its own")
+}
+
+func TestHolderThatCantRenew(t *testing.T) {
+	strict, fenced := newState("a", false), newState("a", true)
+	strict.Appended(0, false, 0)
+	fenced.Appended(0, false, 0)
+	assert.False(t, strict.MayOrder(lease), "where servers don't check epochs")
+	assert.True(t, fenced.MayOrder(lease))
+	assert.False(t, fenced.MayOrder(time.Minute))
+}
+
+func TestSupersededHolderOrdersNothing(t *testing.T) {
+	s := newState("a", true)
+	s.Appended(0, false, 0)
+	assert.True(t, s.Supersede())
+	assert.False(t, s.Supersede(), "said once")
+	assert.False(t, s.MayOrder(0))
+	s.Appended(1, false, 0)
+	assert.False(t, s.MayOrder(0), "a renewal doesn't lift it")
+	s.Observe(2, record("b"), 0)
+	s.Appended(3, false, 0)
+	assert.True(t, s.MayOrder(0), "a tenure of its own does")
+}
+
+func TestRecordsReadAgainChangeNothing(t *testing.T) {
+	s := newState("a", true)
+	s.Observe(0, record("b"), 0)
+	s.Observe(1, record("a"), 0)
+	s.Observe(0, record("b"), time.Hour)
+	assert.True(t, s.Mine())
+	assert.Equal(t, int64(2), s.Epoch())
+}
