--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -21,6 +21,9 @@
 	firstByteLeast = 400 * time.Millisecond
 	// firstByteTargets is that wait in target latencies of the route.
 	firstByteTargets = 2
+	// firstBytePerRequest is what each request ahead adds to that wait: about the
+	// time to read its prompt.
+	firstBytePerRequest = 30 * time.Millisecond
 	// stallGaps is how many of the route's longest pauses a stream may stand
 	// still before it goes on elsewhere.
 	stallGaps = 2
@@ -75,7 +78,8 @@
 
 func (q *request) logFault(b *backend, fault retry.Fault) {
 	q.edge.log.Info().Str("request", q.head.ID).Str("server", string(b.server.ID)).Str("fault", fault.String()).
-		Int("sends", q.sends).Int("runs", q.runs).Dur("left", time.Until(q.deadline)).Msg("attempt_failed")
+		Int("status", q.status).Str("model", q.model).Int("sends", q.sends).Int("runs", q.runs).
+		Dur("left", time.Until(q.deadline)).Msg("attempt_failed")
 }
 
 // after decides what follows a failed attempt.
@@ -117,10 +121,11 @@
 	b.stats.own.Add(1)
 	defer b.stats.own.Add(-1)
 
+	q.status = 0
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var stalled atomic.Bool
-	watchdog := time.AfterFunc(q.firstByteLimit(), func() { stalled.Store(true); cancel() })
+	watchdog := time.AfterFunc(q.firstByteLimit(b), func() { stalled.Store(true); cancel() })
 	defer watchdog.Stop()
 
 	answer, err := q.edge.servers.Send(attemptCtx, q.call(b.server))
@@ -173,18 +178,21 @@
 	}
 }
 
-// firstByteLimit is how long to wait for the start of an answer. A request that
+// firstByteLimit is how long to wait for the start of an answer: longer at a server
+// that has much to do, where another attempt would only add to it. A request that
 // can't be repeated waits as long as its client does.
-func (q *request) firstByteLimit() time.Duration {
+func (q *request) firstByteLimit(b *backend) time.Duration {
 	left := time.Until(q.deadline)
 	if !q.route.Idempotent() || q.runs+1 >= q.route.MaxAttempts {
 		return left
 	}
-	return min(max(firstByteTargets*q.route.TargetLatency, firstByteLeast), max(left/2, firstByteLeast))
+	ahead := time.Duration(b.stats.loadAt(time.Now()).Estimate()) * firstBytePerRequest
+	return min(max(firstByteTargets*q.route.TargetLatency, firstByteLeast)+ahead, max(left/2, firstByteLeast))
 }
 
 // take judges an answer and passes it on to the client.
 func (q *request) take(b *backend, answer *platform.Answer, watchdog *time.Timer) retry.Fault {
+	q.status = answer.Status
 	if answer.HasLoad {
 		b.stats.noteLoad(answer.Load, time.Now())
 	}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -39,6 +39,10 @@
 	tried map[fleet.ServerID]bool
 	sends int
 	runs  int
+	// triedPause is the next pause before they are tried again.
+	triedPause time.Duration
+	// status is that of the last answer, 0 if there was none.
+	status int
 	// counted means that the request was counted towards the budget of repeats.
 	counted bool
 	// lastEvent is the last stream event that the client has; negative if none.
@@ -51,7 +55,7 @@
 func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
-	q := &request{edge: e, w: w, arrived: time.Now(), lastEvent: -1, tried: map[fleet.ServerID]bool{}}
+	q := &request{edge: e, w: w, arrived: time.Now(), lastEvent: -1, triedPause: triedPause, tried: map[fleet.ServerID]bool{}}
 	out, ok := q.accept(r)
 	if ok {
 		ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -15,7 +15,9 @@
 	fullRecheck = 20 * time.Millisecond
 	// triedPause is the pause before servers are tried again that have all failed
 	// the request; one that refused it may be through with an order by then.
-	triedPause = 50 * time.Millisecond
+	// Each further pause is twice as long, up to triedPauseMax.
+	triedPause    = 50 * time.Millisecond
+	triedPauseMax = 800 * time.Millisecond
 	// drainRecheck is how often a request that waits looks whether the instance is
 	// stopping.
 	drainRecheck = 500 * time.Millisecond
@@ -160,7 +162,7 @@
 	case waitSlot:
 		limit = min(limit, fullRecheck)
 	case waitTried:
-		limit = min(limit, triedPause)
+		limit = min(limit, q.triedPause)
 	}
 	// The instance may start draining meanwhile.
 	limit = min(limit, drainRecheck)
@@ -173,6 +175,7 @@
 	case <-timer.C:
 		if state == waitTried {
 			clear(q.tried)
+			q.triedPause = min(2*q.triedPause, triedPauseMax)
 		}
 	}
 	return true
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -19,10 +19,16 @@
 const (
 	// adapterTime is about how long an adapter takes to arrive at a server.
 	adapterTime = 15 * time.Millisecond
-	// unloadPoll is the pause before a load is tried that waits for an unload.
-	unloadPoll = 25 * time.Millisecond
-	// unloadTries bounds these; after them the server is read.
-	unloadTries = 40
+	// unloadPoll is the first pause before a load is tried that waits for an unload,
+	// unloadPollMax the longest: an idle model is unloaded within 60 ms, one that
+	// runs requests when these have ended.
+	unloadPoll    = 25 * time.Millisecond
+	unloadPollMax = 200 * time.Millisecond
+	// unloadLimit bounds that wait; after it the server is read.
+	unloadLimit = 5 * time.Second
+	// withdrawTime is what instances take to hear that a model is withdrawn from a
+	// server, so that few requests meet its unload.
+	withdrawTime = 20 * time.Millisecond
 	// planPause is the least time between two plans.
 	planPause = 5 * time.Millisecond
 	// idlePlan is how often a plan is made without a cause, for demand that decays.
@@ -113,7 +119,7 @@
 func (h *holder) planState(service string, engine *fleet.Engine, now time.Time) modelplan.State {
 	state := modelplan.State{
 		Models: make(map[string]modelplan.Model, len(engine.Models)), Demand: h.book.demand(service, now),
-		AdapterSlots: engine.AdapterSlots, Slots: engine.Slots,
+		AdapterSlots: engine.AdapterSlots,
 	}
 	for name, m := range engine.Models {
 		state.Models[name] = modelplan.Model{
@@ -122,7 +128,8 @@
 		}
 	}
 	for _, t := range h.servers {
-		if t.server.Service == service {
+		// What a leaving server holds is as good as gone: no request goes there.
+		if t.server.Service == service && !t.server.Draining {
 			state.Servers = append(state.Servers, t.plannable(engine, h.book))
 		}
 	}
@@ -195,6 +202,9 @@
 		Unload: a.Kind == modelplan.UnloadModel || a.Kind == modelplan.UnloadAdapter,
 	}
 	go func() {
+		if a.Kind == modelplan.UnloadModel {
+			pause.For(ctx, withdrawTime)
+		}
 		err := h.give(ctx, t, a, order)
 		if err == nil && a.Kind == modelplan.UnloadModel {
 			err = h.loadAfter(ctx, t, a.For)
@@ -204,9 +214,12 @@
 		}
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		t.calling, t.awaited, t.withdrawn = false, "", ""
+		t.calling, t.awaited = false, ""
 		if err != nil {
+			// What was withdrawn stays so until a report tells what became of it.
 			t.unsure, t.readAt = true, time.Now().Add(reportLag)
+		} else {
+			t.withdrawn = ""
 		}
 		h.changed(t)
 	}()
@@ -218,11 +231,11 @@
 		return platform.ErrOrderFenced
 	}
 	h.orders.Inc(1)
-	_, err := h.control.Give(ctx, order)
+	done, err := h.control.Give(ctx, order)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err == nil {
-		t.accepted(a, time.Now())
+		t.accepted(a, done, time.Now())
 	}
 	if errors.Is(err, platform.ErrOrderFenced) {
 		h.keeper.superseded(order.Epoch)
@@ -238,7 +251,8 @@
 // loadAfter loads a model as soon as the unload before it has ended, which waits
 // for its runs.
 func (h *holder) loadAfter(ctx context.Context, t *tracked, model string) error {
-	for range unloadTries {
+	poll := unloadPoll
+	for deadline := time.Now().Add(unloadLimit); time.Now().Before(deadline); {
 		h.mu.Lock()
 		action, order, ok := h.loadOrder(t, model)
 		h.mu.Unlock()
@@ -249,7 +263,8 @@
 		if !errors.Is(err, platform.ErrOrderBusy) {
 			return err
 		}
-		pause.For(ctx, unloadPoll)
+		pause.For(ctx, poll)
+		poll = min(poll*3/2, unloadPollMax)
 	}
 	return platform.ErrOrderBusy
 }
--- a/internal/placer/tracked.go
+++ b/internal/placer/tracked.go
@@ -79,13 +79,18 @@
 		}
 		models[resident.Model] = state
 	}
+	for _, pending := range r.Pending {
+		if held := models[pending.Model]; held != nil {
+			held.adapters[pending.Adapter] = true
+		}
+	}
 	t.models, t.inMemory, t.onDisk = models, setOf(r.InMemory), setOf(r.OnDisk)
 	t.known, t.unsure, t.stale, t.sequence, t.busy = true, false, 0, r.Sequence, r.Busy
 	if r.Busy {
 		t.readAt = now.Add(reportLag)
 		return true
 	}
-	t.loading = ""
+	t.loading, t.withdrawn = "", ""
 	t.readAt = now.Add(refreshInterval)
 	return true
 }
@@ -98,8 +103,9 @@
 	return set
 }
 
-// accepted notes an order that the server took.
-func (t *tracked) accepted(a modelplan.Action, now time.Time) {
+// accepted notes an order that the server took; done means that its effect is
+// there already.
+func (t *tracked) accepted(a modelplan.Action, done bool, now time.Time) {
 	t.sequence++
 	switch a.Kind {
 	case modelplan.LoadModel:
@@ -112,7 +118,10 @@
 			held.adapters[a.Adapter] = true
 		}
 	case modelplan.UnloadAdapter:
-		if held := t.models[a.Model]; held != nil {
+		if !done {
+			// Requests use it still: its place is free when a report says so.
+			t.unsure, t.readAt = true, now.Add(reportLag)
+		} else if held := t.models[a.Model]; held != nil {
 			delete(held.adapters, a.Adapter)
 		}
 	}
@@ -122,7 +131,7 @@
 func (t *tracked) plannable(engine *fleet.Engine, b *book) modelplan.Server {
 	s := modelplan.Server{
 		ID: string(t.server.ID), MemoryMB: engine.WeightsMB,
-		Busy:    !t.known || t.unsure || t.calling || t.busy || t.server.Draining,
+		Busy:    !t.known || t.unsure || t.calling || t.busy,
 		Loading: t.loading, FromStore: t.fromStore, InMemory: t.inMemory, OnDisk: t.onDisk,
 	}
 	if t.awaited != "" {
--- a/pkg/modelplan/plan.go
+++ b/pkg/modelplan/plan.go
@@ -12,6 +12,7 @@
 package modelplan
 
 import (
+	"math"
 	"sort"
 	"time"
 )
@@ -73,8 +74,6 @@
 	Models       map[string]Model
 	Demand       map[string]Demand
 	AdapterSlots int
-	// Slots is how many requests a server runs at once.
-	Slots int
 }
 
 // ActionKind is what an order does.
@@ -115,20 +114,36 @@
 	// hotRate is the arrivals a second from which a model gets a second replica:
 	// losing its only one would hit that many callers a second.
 	hotRate = 4.0
-	// requestSeconds is how long a request occupies a slot, about.
-	requestSeconds = 0.6
-	// targetFill is the part of its slots that a hot model's replicas may use.
-	targetFill = 0.35
+	// ratePerReplica is the arrivals a second that one replica is meant for. An
+	// engine reads some 38 prompt tokens a ms, a prompt has some 650, and half of
+	// the time is left for generating.
+	ratePerReplica = 25.0
+	// keepMargin is how much higher than it is a rate counts for what is kept.
+	keepMargin = 1.7
+	// overloadSeconds is the work, in seconds of its arrivals, that a replica of a
+	// hot model spares the others, on which they would queue.
+	overloadSeconds = 2.0
+	// expectSeconds is how far ahead arrivals count towards a load: about a load
+	// from a server's disk.
+	expectSeconds = 1.5
+	// idleStoreLoads is how many loads from the weight store run ahead of demand;
+	// the others are kept for models that are waited for.
+	idleStoreLoads = 2
 	// settle is how long after its load a model isn't dropped again, so that what
 	// waited for it gets through.
 	settle = 1200 * time.Millisecond
 	// inUse is how long after its last request a model counts as running one.
 	inUse = 900 * time.Millisecond
-	// inUsePenalty is the cost, in worth, of dropping a model that likely runs
-	// requests: the unload waits for them.
+	// idleUnloadTime is what an unload of an idle model adds to a load, and
+	// busyUnloadTime that of one that runs requests, for which it waits.
+	idleUnloadTime = 80 * time.Millisecond
+	busyUnloadTime = 700 * time.Millisecond
+	// inUsePenalty is the loss, in worth, of a server that can take no other order
+	// while an unload waits for requests.
 	inUsePenalty = 1.0
-	// unloadTime is what an unload of an idle model adds to a load.
-	unloadTime = 50 * time.Millisecond
+	// surplusLoss is the part of a model's worth that goes with a replica more than
+	// it needs.
+	surplusLoss = 0.05
 	// restoreWorth is the worth lost for each second that a request waits for its
 	// model to come back.
 	restoreWorth = 0.5
@@ -231,13 +246,22 @@
 
 // missing loads models that requests wait for and no server holds or loads.
 func (p *planner) missing() {
-	for _, model := range p.sorted(func(_ string, d Demand) float64 { return d.Waiting }) {
+	for _, model := range p.sorted(urgency) {
 		if len(p.byModel[model]) == 0 {
-			p.place(model, p.state.Demand[model].Waiting, true)
+			p.place(model, urgency(model, p.state.Demand[model]), true)
 		}
 	}
 }
 
+// urgency is the worth of loading a model that no server holds: of those that wait
+// and of those that will ask meanwhile.
+func urgency(_ string, d Demand) float64 {
+	if d.Waiting == 0 && d.Rate < hotRate {
+		return 0
+	}
+	return d.Waiting + d.Value*expectSeconds
+}
+
 // replicas adds replicas of hot models, and of those whose servers are full.
 func (p *planner) replicas() {
 	for _, model := range p.sorted(func(_ string, d Demand) float64 { return d.Rate }) {
@@ -257,8 +281,13 @@
 	if d.Rate < hotRate {
 		return 1
 	}
-	perReplica := float64(max(p.state.Slots, 1)) * targetFill / requestSeconds
-	return max(2, int(d.Rate/perReplica)+1)
+	return max(2, int(math.Ceil(d.Rate/ratePerReplica)))
+}
+
+// kept is how many replicas a model may keep that has them already. It is more
+// than wanted, so that a rate that varies doesn't move replicas about.
+func (p *planner) kept(d Demand) int {
+	return p.wanted(Demand{Rate: keepMargin * d.Rate})
 }
 
 // spread fills free memory with models that no server holds, and swaps surplus
@@ -282,14 +311,18 @@
 	}
 }
 
-// placeIdle places a model ahead of demand: from a copy only, and in the place of
-// a surplus replica at the most.
+// placeIdle places a model ahead of demand: in the place of a surplus replica at
+// the most, and from the weight store only if no server has a copy.
 func (p *planner) placeIdle(model string) {
 	var best *Server
 	var bestVictim *Held
+	fromStore := !p.copyExists(model)
+	if fromStore && (p.store >= idleStoreLoads || p.state.Demand[model].Value == 0) {
+		return
+	}
 	for i := range p.state.Servers {
 		s := &p.state.Servers[i]
-		if p.used[s.ID] || !s.InMemory[model] && !s.OnDisk[model] {
+		if p.used[s.ID] || !fromStore && !s.InMemory[model] && !s.OnDisk[model] {
 			continue
 		}
 		if p.free(s) >= p.state.Models[model].WeightsMB {
@@ -316,7 +349,7 @@
 	for i := range s.Models {
 		held := &s.Models[i]
 		d := p.state.Demand[held.Model]
-		spare := len(p.byModel[held.Model]) - p.wanted(d)
+		spare := len(p.byModel[held.Model]) - p.kept(d)
 		if d.Rate == 0 {
 			// Without arrivals yet, what several servers hold is likely wanted.
 			spare = len(p.byModel[held.Model]) - 2
@@ -349,11 +382,11 @@
 		if !fits {
 			continue
 		}
-		if !urgent && loss >= worth {
+		if loss >= worth && (!urgent || victim != nil && p.kept(p.state.Demand[victim.Model]) > 1) {
 			continue
 		}
 		if victim != nil {
-			takes += unloadTime
+			takes += p.unloadTime(victim)
 		}
 		cost := takes.Seconds()*(1+worth*restoreWorth) + loss
 		if best == nil || cost < bestCost {
@@ -371,6 +404,14 @@
 	}
 }
 
+// unloadTime is what dropping a model adds to a load.
+func (p *planner) unloadTime(victim *Held) time.Duration {
+	if p.now.Sub(victim.LastUsed) < inUse {
+		return busyUnloadTime
+	}
+	return idleUnloadTime
+}
+
 func (p *planner) load(s *Server, model string) {
 	takes, fromStore := p.loadTime(s, model)
 	if fromStore {
@@ -407,11 +448,13 @@
 	d := p.state.Demand[held.Model]
 	back, _ := p.loadTime(s, held.Model)
 	loss := d.Value * restoreWorth * back.Seconds() * (1 + back.Seconds())
-	replicas, wanted := len(p.byModel[held.Model]), p.wanted(d)
-	if replicas > wanted {
-		loss *= 0.05
-	} else if replicas > 1 {
-		loss *= 0.5
+	switch replicas, kept := len(p.byModel[held.Model]), p.kept(d); {
+	case replicas > kept:
+		loss *= surplusLoss
+	case kept > 1:
+		loss += d.Value * overloadSeconds
+	case replicas > 1:
+		loss *= surplusLoss
 	}
 	if p.now.Sub(held.LastUsed) < inUse {
 		loss += inUsePenalty
--- a/pkg/modelplan/plan_test.go
+++ b/pkg/modelplan/plan_test.go
@@ -47,7 +47,7 @@
 }
 
 func state(servers []modelplan.Server, demand map[string]modelplan.Demand) modelplan.State {
-	return modelplan.State{Servers: servers, Models: models(12), Demand: demand, AdapterSlots: 2, Slots: 64}
+	return modelplan.State{Servers: servers, Models: models(12), Demand: demand, AdapterSlots: 2}
 }
 
 // A burst on a model that is loaded nowhere is one load, where a copy lies and
@@ -107,6 +107,35 @@
 	assert.Equal(t, modelplan.Action{Server: "b", Kind: modelplan.UnloadModel, Model: "m4", For: "m0"}, plan[0])
 }
 
+// One request for a rare model doesn't drop a replica of a model that many ask for,
+// though that is the only one whose unload would make room.
+func TestHotReplicasAreKept(t *testing.T) {
+	servers := []modelplan.Server{
+		newServer("a", []string{"m0"}, "m9"), newServer("b", []string{"m0"}, "m9"),
+	}
+	for i := range servers {
+		servers[i].MemoryMB = modelMB + 1
+	}
+	demand := map[string]modelplan.Demand{"m0": {Rate: 40, Value: 40, LastUsed: now}, "m9": {Waiting: 10}}
+	assert.Empty(t, modelplan.Plan(now, state(servers, demand)))
+	demand["m0"] = modelplan.Demand{LastUsed: now.Add(-time.Minute)}
+	assert.Len(t, modelplan.Plan(now, state(servers, demand)), 1, "once demand has moved on")
+}
+
+// A rate that varies around the bound between two and three replicas moves none.
+func TestReplicasDontFollowEachChangeOfRate(t *testing.T) {
+	servers := []modelplan.Server{
+		newServer("a", []string{"m0", "m1", "m2"}, "m9"), newServer("b", []string{"m0", "m3", "m4"}, "m9"),
+		newServer("c", []string{"m0", "m5", "m6"}, "m9"),
+	}
+	for _, rate := range []float64{45, 52, 47, 55} {
+		demand := map[string]modelplan.Demand{"m0": {Rate: rate, Value: rate, LastUsed: now}}
+		for _, a := range modelplan.Plan(now, state(servers, demand)) {
+			assert.NotEqual(t, "m0", a.Model, "%+v at %v", a, rate)
+		}
+	}
+}
+
 // Surplus replicas make way for models that no server holds, before anybody asks.
 func TestSpreadBeforeTraffic(t *testing.T) {
 	servers := []modelplan.Server{
@@ -118,6 +147,27 @@
 	assert.Equal(t, modelplan.Action{Server: "c", Kind: modelplan.UnloadModel, Model: "m0", For: "m7"}, plan[0])
 }
 
+// When all servers were replaced by empty ones, what is asked for most comes from
+// the weight store first, also while nobody waits at this moment.
+func TestReplacedServersGetWhatIsAskedForMost(t *testing.T) {
+	servers := []modelplan.Server{newServer("a", nil), newServer("b", nil)}
+	plan := modelplan.Plan(now, state(servers, map[string]modelplan.Demand{
+		"m0": {Value: 3, Waiting: 10}, "m1": {Rate: 30, Value: 30}, "m2": {Value: 1, Waiting: 1},
+	}))
+	require.Len(t, plan, 2)
+	assert.Equal(t, "m1", plan[0].Model)
+	assert.Equal(t, "m0", plan[1].Model)
+}
+
+// Free memory is filled from the weight store with what was asked for and has no
+// copy left, some loads being kept for models that are waited for.
+func TestFreeMemoryIsFilledFromTheStore(t *testing.T) {
+	servers := []modelplan.Server{newServer("a", nil), newServer("b", nil), newServer("c", nil), newServer("d", nil)}
+	demand := map[string]modelplan.Demand{"m0": {Value: 3}, "m1": {Value: 2}, "m2": {Value: 1}}
+	assert.Len(t, modelplan.Plan(now, state(servers, demand)), 2)
+	assert.Empty(t, modelplan.Plan(now, state(servers, nil)), "nothing that nobody asked for")
+}
+
 func TestAModelThatHasJustArrivedIsntDropped(t *testing.T) {
 	servers := []modelplan.Server{newServer("a", []string{"m0", "m1", "m2"}, "m9")}
 	for i := range servers[0].Models {
