--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -211,7 +211,7 @@
 	case success && answer.Stream:
 		return q.stream(answer, watchdog)
 	}
-	return q.buffered(b, answer)
+	return q.buffered(answer)
 }
 
 // noteRefusal learns from a server that says it hasn't run the request.
@@ -228,7 +228,7 @@
 
 // buffered reads a whole answer before the client sees any of it, so that one
 // that breaks off can still be had from another server.
-func (q *request) buffered(b *backend, answer *platform.Answer) retry.Fault {
+func (q *request) buffered(answer *platform.Answer) retry.Fault {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
 	answer.Close(err == nil)
 	if err != nil {
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -257,3 +257,14 @@
 
 // Engines returns the listed servers that run models, draining ones included.
 func (v *View) Engines() map[fleet.ServerID]*fleet.Server { return v.engines }
+
+// Holders returns how many servers of a service a request for a model may go to.
+func (v *View) Holders(service, model string) int {
+	n := 0
+	for _, b := range v.services[service] {
+		if b.holds(model) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -179,7 +179,7 @@
 		if err != nil {
 			return errors.Join(ErrListen, err)
 		}
-		stop := context.AfterFunc(ctx, func() { server.Close() })
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Join(ErrListen, err)
--- /dev/null
+++ b/internal/placer/placer_test.go
@@ -0,0 +1,254 @@
+package placer
+
+import (
+	"context"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/trace/noop"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/modelplan"
+	"github.com/cyclamenhoist/cyclamenhoist/platform"
+	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
+)
+
+const (
+	summaries = "summaries"
+	patience  = time.Minute
+	pollEach  = 2 * time.Millisecond
+)
+
+// cluster is a store and servers, and the instances that place models on them.
+type cluster struct {
+	*testing.T
+
+	store   *standin.Store
+	servers []*standin.Server
+	models  []string
+}
+
+func newCluster(t *testing.T, models []string, servers ...standin.ServerConfig) *cluster {
+	c := &cluster{T: t, store: standin.NewStore(), models: models}
+	t.Cleanup(c.store.Close)
+	for _, cfg := range servers {
+		cfg.Service, cfg.Zone, cfg.Slots, cfg.PlacesForModels = summaries, "zone-a", 8, 2
+		s := standin.NewServer(cfg)
+		t.Cleanup(s.Close)
+		c.servers = append(c.servers, s)
+	}
+	return c
+}
+
+type instance struct {
+	*Placer
+
+	views     *edge.Views
+	collector *Collector
+	// stop ends the instance gracefully.
+	stop func()
+}
+
+func (c *cluster) start(name string) *instance {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(c, err)
+	i := &instance{views: edge.NewViews(), collector: NewCollector()}
+	logger := &log.Logger{Level: log.PanicLevel}
+	tracer := noop.NewTracerProvider().Tracer("")
+	i.Placer = New(Config{Name: name, Address: listener.Addr().String(), Lease: 400 * time.Millisecond, Fenced: true},
+		platform.NewStore(c.store.Address()), i.views, i.collector, logger, metrics.NewRegistry(), tracer)
+	servers := map[fleet.ServerID]*fleet.Server{}
+	for n, s := range c.servers {
+		id := fleet.ServerID(s.ID())
+		servers[id] = &fleet.Server{ID: id, Service: summaries, Address: s.Address(), Slots: 8, Sequence: int64(n)}
+	}
+	engine := &fleet.Engine{Slots: 8, WeightsMB: 201, AdapterSlots: 2, Models: map[string]fleet.Model{}}
+	for _, m := range c.models {
+		engine.Models[m] = fleet.Model{Name: m, WeightsMB: 100, StoreLoad: 60 * time.Millisecond, DiskLoad: 30 * time.Millisecond, HostLoad: 10 * time.Millisecond}
+	}
+	i.views.SetManifest(fleet.NewManifest(1, nil, []fleet.Service{{Name: summaries, Engine: engine}}, fleet.CallerLimits{}))
+	i.views.SetServers(servers)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	serving, endServing := context.WithCancel(context.Background())
+	mux := drpcmux.New()
+	require.NoError(c, i.Register(mux))
+	go func() { _ = peer.ServeMux(serving, listener, mux, tracer, logger) }()
+	ended := make(chan struct{})
+	go func() { defer close(ended); i.Run(ctx) }()
+	i.stop = func() { cancel(); <-ended; endServing() }
+	c.Cleanup(i.stop)
+	return i
+}
+
+func (c *cluster) eventually(what string, condition func() bool) {
+	c.Helper()
+	require.Eventually(c, condition, patience, pollEach, what)
+}
+
+func (c *cluster) holds(server int, model string) bool {
+	return slices.Contains(c.servers[server].Models(), model)
+}
+
+func wantModel(model string) edge.Want {
+	return edge.Want{Service: summaries, Model: model, Lasting: true, Left: time.Minute}
+}
+
+func TestLoadsWhatRequestsWaitFor(t *testing.T) {
+	c := newCluster(t, []string{"a", "b", "c"}, standin.ServerConfig{ID: "s0", Models: []string{"a", "b"}, OnDisk: []string{"a", "b", "c"}})
+	i := c.start("i0")
+	done := i.collector.Wait(wantModel("c"))
+	defer done()
+	c.eventually("c is loaded", func() bool { return c.holds(0, "c") })
+	assert.Zero(t, c.servers[0].Overloaded())
+}
+
+// Two instances wait for one model: one load, ordered by the holder of the tenure,
+// and both learn where the model is.
+func TestOneLoadForAllInstances(t *testing.T) {
+	c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0", OnDisk: []string{"a"}}, standin.ServerConfig{ID: "s1", OnDisk: []string{"a"}})
+	first, second := c.start("i0"), c.start("i1")
+	defer first.collector.Wait(wantModel("a"))()
+	defer second.collector.Wait(wantModel("a"))()
+	for _, i := range []*instance{first, second} {
+		c.eventually("the instance knows", func() bool { return i.views.Load().Holders(summaries, "a") == 1 })
+	}
+	assert.Len(t, append(c.servers[0].Orders(), c.servers[1].Orders()...), 1)
+}
+
+// An unload whose answer is lost frees no memory until a report says so, and one
+// that is carried out late, after other orders, does nothing.
+func TestLostAndLateOrders(t *testing.T) {
+	for name, faults := range map[string]standin.ServerFaults{
+		"lost": {LoseOrders: true}, "late": {LateOrders: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, []string{"a", "b", "c", "d"}, standin.ServerConfig{
+				ID: "s0", Models: []string{"a", "b"}, OnDisk: []string{"a", "b", "c", "d"},
+			})
+			c.servers[0].SetFaults(faults)
+			i := c.start("i0")
+			defer i.collector.Wait(wantModel("c"))()
+			c.eventually("orders are tried", func() bool { return i.holder.orders.Count() >= 3 })
+			c.servers[0].SetFaults(standin.ServerFaults{})
+			c.eventually("c is loaded in the end", func() bool { return c.holds(0, "c") })
+			before := c.servers[0].Orders()
+			c.servers[0].Late()
+			assert.Equal(t, before, c.servers[0].Orders(), "late orders find another sequence")
+			assert.Zero(t, c.servers[0].Overloaded())
+		})
+	}
+}
+
+func TestTakeover(t *testing.T) {
+	c := newCluster(t, []string{"a", "b"}, standin.ServerConfig{ID: "s0", OnDisk: []string{"a", "b"}})
+	first := c.start("i0")
+	c.eventually("the first holds the tenure", first.keeper.mine)
+	second := c.start("i1")
+	defer second.collector.Wait(wantModel("a"))()
+	c.eventually("the first loads for the second", func() bool { return c.holds(0, "a") })
+	first.stop()
+	c.eventually("the second takes over", second.keeper.mine)
+	defer second.collector.Wait(wantModel("b"))()
+	c.eventually("and loads", func() bool { return c.holds(0, "b") })
+	assert.Zero(t, c.servers[0].Overloaded())
+}
+
+// A holder that the store turns away goes on, as nobody else can take over; one
+// whose epoch a server refuses stops at once.
+func TestHolderWithoutTheStore(t *testing.T) {
+	c := newCluster(t, []string{"a", "b"}, standin.ServerConfig{ID: "s0", OnDisk: []string{"a", "b"}})
+	i := c.start("i0")
+	c.eventually("it holds the tenure", i.keeper.mine)
+	c.store.SetFaults(standin.StoreFaults{Refuse: 503})
+	defer i.collector.Wait(wantModel("a"))()
+	c.eventually("it loads without the store", func() bool { return c.holds(0, "a") })
+
+	_, err := platform.NewControl().Give(t.Context(), platform.Order{
+		Server: i.views.Load().Engines()["s0"], Model: "a", Expect: 77, Holder: "another", Epoch: 1 << 40,
+	})
+	require.ErrorIs(t, err, platform.ErrOrderBusy)
+	defer i.collector.Wait(wantModel("b"))()
+	c.eventually("its epoch is refused", func() bool { _, may := i.keeper.mayOrder(); return !may })
+	assert.False(t, c.holds(0, "b"))
+}
+
+func TestReportsOlderThanOrdersAreIgnored(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	tr := newTracked(&fleet.Server{ID: "s"}, start)
+	require.True(t, tr.take(platform.Report{Sequence: 5, Models: []fleet.Resident{{Model: "a"}}}, start))
+	tr.accepted(modelplan.Action{Kind: modelplan.UnloadModel, Model: "a"}, true, start)
+	assert.False(t, tr.take(platform.Report{Sequence: 5, Models: []fleet.Resident{{Model: "a"}}}, start))
+	assert.Empty(t, tr.models)
+	for range staleReports {
+		tr.take(platform.Report{Sequence: 0}, start)
+	}
+	assert.Equal(t, int64(0), tr.sequence, "a server that started anew is believed in the end")
+}
+
+func TestAdaptersOnTheirWayTakePlaces(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	tr := newTracked(&fleet.Server{ID: "s"}, start)
+	tr.take(platform.Report{
+		Sequence: 1, Models: []fleet.Resident{{Model: "a", Adapters: []string{"x"}}},
+		Pending: []platform.PendingAdapter{{Model: "a", Adapter: "y"}},
+	}, start)
+	assert.Len(t, tr.models["a"].adapters, 2)
+
+	tr.accepted(modelplan.Action{Kind: modelplan.UnloadAdapter, Model: "a", Adapter: "x"}, false, start)
+	assert.True(t, tr.unsure, "an adapter in use keeps its place until a report")
+	assert.Len(t, tr.models["a"].adapters, 2)
+}
+
+// A model under unload isn't offered to requests, also when a report that was
+// made meanwhile lists it.
+func TestModelUnderUnloadStaysWithdrawn(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	tr := newTracked(&fleet.Server{ID: "s"}, start)
+	tr.take(platform.Report{Sequence: 1, Models: []fleet.Resident{{Model: "a"}}}, start)
+	tr.withdrawn = "a"
+	tr.take(platform.Report{Sequence: 2, Busy: true, Models: []fleet.Resident{{Model: "a"}}}, start)
+	assert.Empty(t, tr.residency(1).Models)
+	tr.take(platform.Report{Sequence: 2, Models: []fleet.Resident{{Model: "a"}}}, start)
+	assert.Len(t, tr.residency(1).Models, 1, "it is still there")
+}
+
+func TestBook(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	b := newBook()
+	key := wanted{summaries, "a", "x"}
+	b.report("i0", map[wanted]tally{key: {arrived: 6, arrivedLasting: 2, waiting: 2, waitingLasting: 1}}, start)
+	d := b.demand(summaries, start)["a"]
+	assert.InDelta(t, 6/rateDecay.Seconds(), d.Rate, 1e-9)
+	assert.InDelta(t, (4+2*lastingWorth)/valueDecay.Seconds(), d.Value, 1e-9)
+	assert.InDelta(t, 1+lastingWorth, d.Waiting, 1e-9)
+	assert.InDelta(t, 1+lastingWorth, d.Adapters["x"], 1e-9)
+
+	later := b.demand(summaries, start.Add(rateDecay))["a"]
+	assert.Less(t, later.Rate, d.Rate)
+	b.report("i0", map[wanted]tally{}, start.Add(time.Second))
+	assert.Zero(t, b.demand(summaries, start.Add(time.Second))["a"].Waiting, "a report replaces the one before")
+	b.report("i1", map[wanted]tally{key: {waiting: 1}}, start)
+	assert.Zero(t, b.demand(summaries, start.Add(time.Minute))["a"].Waiting, "a silent instance counts no longer")
+}
+
+func TestCollectorKeepsWhatCouldntBeReported(t *testing.T) {
+	c := NewCollector()
+	c.Arrived(wantModel("a"))
+	done := c.Wait(wantModel("a"))
+	taken := c.take()
+	assert.Equal(t, tally{arrived: 1, arrivedLasting: 1, waiting: 1, waitingLasting: 1}, taken[wanted{summaries, "a", ""}])
+	c.putBack(taken)
+	done()
+	assert.Equal(t, tally{arrived: 1, arrivedLasting: 1}, c.take()[wanted{summaries, "a", ""}])
+	assert.Empty(t, c.take())
+}
--- /dev/null
+++ b/pkg/modelplan/server.go
@@ -0,0 +1,53 @@
+package modelplan
+
+import "time"
+
+func (s *Server) held(model string) *Held {
+	for i := range s.Models {
+		if s.Models[i].Model == model {
+			return &s.Models[i]
+		}
+	}
+	return nil
+}
+
+func (s *Server) adapterCount() int {
+	n := 0
+	for i := range s.Models {
+		n += len(s.Models[i].Adapters)
+	}
+	return n
+}
+
+func (s *Server) oldestAdapter() (model, adapter string) {
+	var oldest time.Time
+	for i := range s.Models {
+		for _, a := range s.Models[i].Adapters {
+			if adapter == "" || a.LastUsed.Before(oldest) {
+				model, adapter, oldest = s.Models[i].Model, a.Name, a.LastUsed
+			}
+		}
+	}
+	return model, adapter
+}
+
+func (h *Held) hasAdapter(name string) bool {
+	for _, a := range h.Adapters {
+		if a.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func modelAdapter(model, adapter string) string { return model + "/" + adapter }
+
+func without(servers []*Server, s *Server) []*Server {
+	out := make([]*Server, 0, len(servers))
+	for _, other := range servers {
+		if other != s {
+			out = append(out, other)
+		}
+	}
+	return out
+}
