--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -144,10 +144,7 @@
 	i.serve(ctx, group, s.Clients.Address, front)
 	i.serve(ctx, group, s.Readiness.Address, i.smallServer(i.readiness(stop)))
 	i.serve(ctx, group, s.Metrics.Address, i.smallServer(telemetry.Handler(i.registry)))
-	placing, stopPlacing := context.WithCancel(ctx)
-	defer stopPlacing()
-	context.AfterFunc(stop, stopPlacing)
-	i.startControllers(ctx, placing, group)
+	i.startControllers(ctx, stop, group)
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -16,14 +16,14 @@
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
 
-// startControllers starts what keeps the instance's state up to date. Placing
-// ends before the rest does, so that another instance can take over.
-func (i *Instance) startControllers(ctx, placing context.Context, group *errgroup.Group) {
+// startControllers starts what keeps the instance's state up to date. Placing is
+// handed over when stop ends, before the rest does.
+func (i *Instance) startControllers(ctx, stop context.Context, group *errgroup.Group) {
 	group.Go(func() error { i.followManifest(ctx); return nil })
 	group.Go(func() error { i.followServers(ctx); return nil })
 	group.Go(func() error { i.followSettings(ctx); return nil })
 	group.Go(func() error { return i.servePeers(ctx) })
-	group.Go(func() error { i.placer.Run(placing); return nil })
+	group.Go(func() error { i.placer.Run(ctx, stop); return nil })
 	group.Go(func() error {
 		for ctx.Err() == nil {
 			pause.For(ctx, idleSweep)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sort"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -79,12 +80,15 @@
 	}
 }
 
-// Run takes part until ctx ends, and gives up the tenure then.
-func (p *Placer) Run(ctx context.Context) {
-	go p.holder.run(ctx)
-	go p.reportDemand(ctx)
-	go p.watch(ctx)
-	p.keeper.run(ctx)
+// Run takes part until ctx ends. Once stop has ended it gives up the tenure, and
+// only reports and follows from there on.
+func (p *Placer) Run(ctx, stop context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { p.holder.run(ctx) })
+	group.Go(func() { p.reportDemand(ctx) })
+	group.Go(func() { p.watch(ctx) })
+	group.Go(func() { p.keeper.run(ctx, stop) })
+	group.Wait()
 }
 
 // Register adds the calls that other instances make.
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -78,15 +78,16 @@
 	i.views.SetManifest(fleet.NewManifest(1, nil, []fleet.Service{{Name: summaries, Engine: engine}}, fleet.CallerLimits{}))
 	i.views.SetServers(servers)
 
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, end := context.WithCancel(context.Background())
+	stop, cancel := context.WithCancel(ctx)
 	serving, endServing := context.WithCancel(context.Background())
 	mux := drpcmux.New()
 	require.NoError(c, i.Register(mux))
 	go func() { _ = peer.ServeMux(serving, listener, mux, tracer, logger) }()
 	ended := make(chan struct{})
-	go func() { defer close(ended); i.Run(ctx) }()
-	i.stop = func() { cancel(); <-ended; endServing() }
-	c.Cleanup(i.stop)
+	go func() { defer close(ended); i.Run(ctx, stop) }()
+	i.stop = cancel
+	c.Cleanup(func() { end(); <-ended; endServing() })
 	return i
 }
 
@@ -163,6 +164,25 @@
 	assert.Zero(t, c.servers[0].Overloaded())
 }
 
+// A holder that is stopped while the store is away goes on placing until it can
+// hand over.
+func TestHolderStoppedWithoutTheStore(t *testing.T) {
+	c := newCluster(t, []string{"a", "b"}, standin.ServerConfig{ID: "s0", OnDisk: []string{"a", "b"}})
+	first, second := c.start("i0"), c.start("i1")
+	c.eventually("one holds the tenure", func() bool { return first.keeper.mine() || second.keeper.mine() })
+	if second.keeper.mine() {
+		first, second = second, first
+	}
+	c.store.SetFaults(standin.StoreFaults{Refuse: 503})
+	first.stop()
+	defer second.collector.Wait(wantModel("a"))()
+	c.eventually("it loads still", func() bool { return c.holds(0, "a") })
+	c.store.SetFaults(standin.StoreFaults{})
+	c.eventually("the other takes over", second.keeper.mine)
+	defer second.collector.Wait(wantModel("b"))()
+	c.eventually("and loads", func() bool { return c.holds(0, "b") })
+}
+
 // A holder that the store turns away goes on, as nobody else can take over; one
 // whose epoch a server refuses stops at once.
 func TestHolderWithoutTheStore(t *testing.T) {
--- a/internal/placer/tenure.go
+++ b/internal/placer/tenure.go
@@ -23,7 +23,6 @@
 	tenureSpacing = 1500 * time.Millisecond
 	// appendRetry is the pause after an append that failed.
 	appendRetry = 300 * time.Millisecond
-	releaseTime = time.Second
 )
 
 // sinceBoot is the time since the machine started, its suspensions included.
@@ -57,18 +56,17 @@
 	}
 }
 
-// run follows and keeps the tenure until ctx ends, then releases it.
-func (k *keeper) run(ctx context.Context) {
-	following := make(chan struct{})
-	go func() {
-		defer close(following)
-		k.store.Follow(ctx, platform.TopicTenure, platform.Follower{
-			Spacing: tenureSpacing, Deliver: k.observe,
-			Failed: func(err error) { k.log.Debug().Err(err).Msg("tenure_unread") },
-		})
-	}()
+// run follows and keeps the tenure until stop ends, then releases it; it returns
+// once that is done or ctx ends.
+func (k *keeper) run(ctx, stop context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go k.store.Follow(ctx, platform.TopicTenure, platform.Follower{
+		Spacing: tenureSpacing, Deliver: k.observe,
+		Failed: func(err error) { k.log.Debug().Err(err).Msg("tenure_unread") },
+	})
 	rank := rand.Float64()
-	for ctx.Err() == nil {
+	for stop.Err() == nil && ctx.Err() == nil {
 		k.mu.Lock()
 		wait := time.Second
 		if k.known {
@@ -78,24 +76,22 @@
 		k.mu.Unlock()
 		if due {
 			if err := k.append(ctx, false); err != nil {
-				pause.Until(ctx, k.changed, appendRetry)
+				pause.Until(stop, k.changed, appendRetry)
 			}
 			continue
 		}
-		pause.Until(ctx, k.changed, max(wait, appendRetry/3))
+		pause.Until(stop, k.changed, max(wait, appendRetry/3))
 	}
-	<-following
-	k.release()
+	k.release(ctx)
 }
 
-func (k *keeper) release() {
-	if !k.mine() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
-	defer cancel()
-	if err := k.append(ctx, true); err != nil {
-		k.log.Warn().Err(err).Msg("tenure_not_released")
+// release hands the tenure over. While the store is away nobody could take it, so
+// this instance goes on placing meanwhile.
+func (k *keeper) release(ctx context.Context) {
+	for k.mine() && ctx.Err() == nil {
+		if err := k.append(ctx, true); err != nil {
+			pause.For(ctx, appendRetry)
+		}
 	}
 }
 
@@ -116,6 +112,9 @@
 		k.state.Observe(record.Offset, r, now)
 	}
 	k.state.Empty(b.Next, now)
+	if b.Regained {
+		k.state.Regained(now)
+	}
 	k.known = true
 	k.logChange(before)
 	signal(k.changed)
--- a/pkg/tenure/tenure.go
+++ b/pkg/tenure/tenure.go
@@ -74,6 +74,14 @@
 	s.end = max(s.end, end)
 }
 
+// Regained notes that the log can be read again after an outage, in which no
+// holder could renew: a silent one is waited for anew.
+func (s *State) Regained(now time.Duration) {
+	if s.known {
+		s.seen = now
+	}
+}
+
 // Observe takes in a record of the log. Records come in order; a repeated one is
 // ignored.
 func (s *State) Observe(offset int64, r Record, now time.Duration) {
@@ -140,7 +148,8 @@
 		return s.renewed + s.cfg.Lease/renewalsPerLease
 	}
 	stagger := time.Duration(rank * float64(claimStagger))
-	if _, _, held := s.Holder(); !held {
+	if r, _, held := s.Holder(); !held || r.Holder == s.cfg.Self.Holder {
+		// An earlier process of this instance has ended.
 		return s.seen + stagger
 	}
 	return s.seen + s.cfg.Lease + stagger
--- a/pkg/tenure/tenure_test.go
+++ b/pkg/tenure/tenure_test.go
@@ -44,6 +44,27 @@
 	assert.False(t, s.MayOrder(time.Second))
 }
 
+// While the log is away nobody can renew: its return isn't the moment to claim.
+func TestHolderIsWaitedForAnewAfterAnOutage(t *testing.T) {
+	s := newState("b", true)
+	s.Observe(4, record("a"), time.Second)
+	s.Regained(9 * time.Second)
+	assert.Equal(t, 9*time.Second+lease, s.NextAppend(0))
+}
+
+// A process that finds the tenure of the one before it on the same instance needn't
+// wait: that has ended.
+func TestRestartedHolderClaimsAtOnce(t *testing.T) {
+	s := newState("a", true)
+	earlier := record("a")
+	earlier.Life = "a, before"
+	s.Observe(4, earlier, time.Second)
+	assert.False(t, s.Mine())
+	assert.Equal(t, time.Second, s.NextAppend(0))
+	s.Appended(5, false, time.Second)
+	assert.Equal(t, int64(6), s.Epoch(), "with an epoch of its own")
+}
+
 func TestReleasedTenureIsClaimedAtOnce(t *testing.T) {
 	s := newState("b", true)
 	released := record("a")
