--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -69,13 +69,34 @@
 		}
 		return true
 	}
-	if !budget.Take(q.edge.since()) {
+	if !q.prepaid.Swap(false) && !budget.Take(q.edge.since()) {
 		return false
 	}
 	q.edge.repeats.Inc(1)
 	return true
 }
 
+// prepay takes a repeat from the budget before the attempt under way is given up
+// for it.
+func (q *request) prepay() bool {
+	if q.edge.budget(q.service).Take(q.edge.since()) {
+		q.prepaid.Store(true)
+		return true
+	}
+	return false
+}
+
+// hasAlternative reports whether another server could take the request.
+func (q *request) hasAlternative(b *backend) bool {
+	since := q.edge.since()
+	for _, other := range q.edge.views.Load().services[q.service] {
+		if other.server.ID != b.server.ID && other.holds(q.model) && other.stats.health.Usable(since) {
+			return true
+		}
+	}
+	return false
+}
+
 func (q *request) logFault(b *backend, fault retry.Fault) {
 	q.edge.log.Info().Str("request", q.head.ID).Str("server", string(b.server.ID)).Str("fault", fault.String()).
 		Int("status", q.status).Str("model", q.model).Int("sends", q.sends).Int("runs", q.runs).
@@ -125,7 +146,13 @@
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var stalled atomic.Bool
-	watchdog := time.AfterFunc(q.firstByteLimit(b), func() { stalled.Store(true); cancel() })
+	watchdog := time.AfterFunc(q.firstByteLimit(b), func() {
+		// Without another server, or a repeat left in the budget, waiting on is best.
+		if q.hasAlternative(b) && q.prepay() {
+			stalled.Store(true)
+			cancel()
+		}
+	})
 	defer watchdog.Stop()
 
 	answer, err := q.edge.servers.Send(attemptCtx, q.call(b.server))
@@ -178,14 +205,22 @@
 	}
 }
 
+// neverGivenUp outlasts every request: its own time limit ends it.
+const neverGivenUp = 24 * time.Hour
+
+// lastAttempt reports whether no other attempt may follow the one under way.
+func (q *request) lastAttempt() bool {
+	return !q.route.Idempotent() || q.runs+1 >= q.route.MaxAttempts
+}
+
 // firstByteLimit is how long to wait for the start of an answer: longer at a server
 // that has much to do, where another attempt would only add to it. A request that
 // can't be repeated waits as long as its client does.
 func (q *request) firstByteLimit(b *backend) time.Duration {
-	left := time.Until(q.deadline)
-	if !q.route.Idempotent() || q.runs+1 >= q.route.MaxAttempts {
-		return left
+	if q.lastAttempt() {
+		return neverGivenUp
 	}
+	left := time.Until(q.deadline)
 	ahead := time.Duration(b.stats.loadAt(time.Now()).Estimate()) * firstBytePerRequest
 	return min(max(firstByteTargets*q.route.TargetLatency, firstByteLeast)+ahead, max(left/2, firstByteLeast))
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -34,10 +34,13 @@
 type Config struct {
 	Zone string
 	// RetryRatio and RetryExtra bound the repeats of one service in RetryWindow:
-	// RetryRatio for each request, and RetryExtra besides.
+	// RetryRatio for each request, and RetryExtra besides over all instances.
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
+	// Instances is how many instances are taken to share RetryExtra until their
+	// number is known.
+	Instances int
 }
 
 // Edge serves client requests. It is an http.Handler.
@@ -57,6 +60,8 @@
 
 	budgetsMu sync.Mutex
 	budgets   map[string]*retry.Budget
+	// sharedBy is the number of instances that budgets were made for.
+	sharedBy int
 
 	served, refusals, failures, repeats metrics.Counter
 	latency                             metrics.Timer
@@ -79,6 +84,7 @@
 func (e *Edge) SetRetries(ratio, extra float64, window time.Duration) {
 	e.budgetsMu.Lock()
 	defer e.budgetsMu.Unlock()
+	// The number of instances until it is known stays as it was at the start.
 	if e.cfg.RetryRatio == ratio && e.cfg.RetryExtra == extra && e.cfg.RetryWindow == window {
 		return
 	}
@@ -113,15 +119,31 @@
 func (e *Edge) budget(service string) *retry.Budget {
 	e.budgetsMu.Lock()
 	defer e.budgetsMu.Unlock()
+	if n := e.instances(); n != e.sharedBy {
+		e.sharedBy, e.budgets = n, map[string]*retry.Budget{}
+	}
 	b := e.budgets[service]
 	if b == nil {
 		// Half may be saved up and half flows in over the window, so that no
 		// window sees more than the whole.
+		half := e.cfg.RetryExtra / float64(e.sharedBy) / 2
 		b = retry.NewBudget(retry.BudgetConfig{
-			Ratio: e.cfg.RetryRatio, Burst: e.cfg.RetryExtra / 2,
-			PerSecond: e.cfg.RetryExtra / 2 / e.cfg.RetryWindow.Seconds(),
+			Ratio: e.cfg.RetryRatio, Burst: half, PerSecond: half / e.cfg.RetryWindow.Seconds(),
 		})
 		e.budgets[service] = b
 	}
 	return b
 }
+
+// instances is the number of instances that share a budget, with room for some
+// that come. It changes in steps, as each change makes the budgets anew.
+func (e *Edge) instances() int {
+	known := e.views.Instances()
+	if known == 0 {
+		return e.cfg.Instances
+	}
+	return (known*5/4/instanceStep + 1) * instanceStep
+}
+
+// instanceStep is the step in which the number of instances counts.
+const instanceStep = 4
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -53,7 +53,7 @@
 
 func newWorld(t *testing.T) *world {
 	w := &world{T: t, views: edge.NewViews(), servers: map[fleet.ServerID]*fleet.Server{}}
-	w.edge = edge.New(edge.Config{Zone: "zone-a", RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second},
+	w.edge = edge.New(edge.Config{Zone: "zone-a", RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second, Instances: 1},
 		w.views, platform.NewServers(), noDemand{}, &log.Logger{Level: log.PanicLevel}, metrics.NewRegistry())
 	w.front = httptest.NewServer(w.edge)
 	t.Cleanup(w.front.Close)
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -41,6 +42,8 @@
 	runs  int
 	// triedPause is the next pause before they are tried again.
 	triedPause time.Duration
+	// prepaid means that the next attempt has been taken from that budget.
+	prepaid atomic.Bool
 	// status is that of the last answer, 0 if there was none.
 	status int
 	// counted means that the request was counted towards the budget of repeats.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -37,7 +37,7 @@
 		n, err := answer.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		if n > 0 {
-			watchdog.Reset(min(stall, max(time.Until(q.deadline), 0)+time.Second))
+			watchdog.Reset(stall)
 			rest, writeErr := q.passEvents(answer, flusher, buffer)
 			if writeErr != nil {
 				answer.Close(false)
@@ -58,8 +58,8 @@
 
 // stallLimit is how long a stream may stand still before it goes on elsewhere.
 func (q *request) stallLimit() time.Duration {
-	if !q.route.Idempotent() || q.runs+1 >= q.route.MaxAttempts {
-		return time.Until(q.deadline)
+	if q.lastAttempt() {
+		return neverGivenUp
 	}
 	return max(stallGaps*q.route.GapTarget, firstByteLeast)
 }
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -86,7 +86,8 @@
 // Views builds views from what controllers bring, and publishes them. Its
 // methods are safe for concurrent use.
 type Views struct {
-	current atomic.Pointer[View]
+	current   atomic.Pointer[View]
+	instances atomic.Int64
 
 	mu        sync.Mutex
 	manifest  *fleet.Manifest
@@ -111,6 +112,12 @@
 	return v
 }
 
+// SetInstances takes in how many instances serve the deployment.
+func (v *Views) SetInstances(n int) { v.instances.Store(int64(n)) }
+
+// Instances returns how many instances serve the deployment, 0 if not known.
+func (v *Views) Instances() int { return int(v.instances.Load()) }
+
 // Load returns the view in force.
 func (v *Views) Load() *View { return v.current.Load() }
 
--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -95,7 +95,7 @@
 func newEdge(s *Settings, views *edge.Views, servers *platform.Servers, demand edge.Demand, logger *log.Logger, registry metrics.Registry) *edge.Edge {
 	return edge.New(edge.Config{
 		Zone: s.Instance.Zone, RetryRatio: s.Retries.Ratio, RetryWindow: s.Retries.Window.D(),
-		RetryExtra: s.Retries.Extra / float64(s.Retries.Instances),
+		RetryExtra: s.Retries.Extra, Instances: s.Retries.Instances,
 	}, views, servers, demand, logger, registry)
 }
 
--- a/internal/fleetapp/reload.go
+++ b/internal/fleetapp/reload.go
@@ -61,7 +61,7 @@
 		i.log.Error().Err(err).Msg("settings_rejected")
 		return
 	}
-	i.edge.SetRetries(next.Retries.Ratio, next.Retries.Extra/float64(next.Retries.Instances), next.Retries.Window.D())
+	i.edge.SetRetries(next.Retries.Ratio, next.Retries.Extra, next.Retries.Window.D())
 	i.log.SetLevel(log.ParseLevel(next.Log.Level))
 	fixed := *next
 	fixed.Retries, fixed.Log = i.settings.Retries, i.settings.Log
--- a/internal/placer/book.go
+++ b/internal/placer/book.go
@@ -20,6 +20,9 @@
 	// waitingFresh is how long what an instance said of its waiting requests
 	// holds; it says so anew every reportInterval.
 	waitingFresh = 3 * reportInterval
+	// instanceFresh is how long an instance counts after its last report. One that
+	// is cut off for a while still draws on the budgets that all share.
+	instanceFresh = 20 * time.Second
 )
 
 // mean is an exponentially decaying mean of arrivals a second.
@@ -58,10 +61,21 @@
 type book struct {
 	histories map[serviceModel]*history
 	waits     map[string]instanceWaits
+	seen      map[string]time.Time
 }
 
 func newBook() *book {
-	return &book{histories: map[serviceModel]*history{}, waits: map[string]instanceWaits{}}
+	return &book{histories: map[serviceModel]*history{}, waits: map[string]instanceWaits{}, seen: map[string]time.Time{}}
+}
+
+// instances returns how many instances have reported lately.
+func (b *book) instances(now time.Time) int {
+	for instance, at := range b.seen {
+		if now.Sub(at) > instanceFresh {
+			delete(b.seen, instance)
+		}
+	}
+	return len(b.seen)
 }
 
 // report takes in what one instance's requests want.
@@ -82,6 +96,7 @@
 			h.adapters[key.adapter] = now
 		}
 	}
+	b.seen[instance] = now
 	b.waits[instance] = instanceWaits{at: now, waits: waits}
 }
 
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -308,10 +308,14 @@
 
 func (h *holder) sequence() int64 { return h.epoch*versionsPerEpoch + h.version }
 
-// report takes in what an instance's requests want.
-func (h *holder) report(instance string, tallies map[wanted]tally) {
+// report takes in what an instance's requests want and returns how many instances
+// have reported lately.
+func (h *holder) report(instance string, tallies map[wanted]tally) int {
 	h.mu.Lock()
-	h.book.report(instance, tallies, time.Now())
+	now := time.Now()
+	h.book.report(instance, tallies, now)
+	n := h.book.instances(now)
 	h.mu.Unlock()
 	signal(h.wake)
+	return n
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -27,6 +27,9 @@
 const (
 	// reportInterval is how often demand is reported that isn't urgent.
 	reportInterval = 500 * time.Millisecond
+	// idleReports is how many reports without content are left out before one is
+	// sent, so that the holder knows that the instance is there.
+	idleReports = 5
 	// reportCoalesce gathers requests that begin to wait at the same moment.
 	reportCoalesce = 2 * time.Millisecond
 	// callTimeout bounds a call to the holder.
@@ -57,6 +60,9 @@
 	views     *edge.Views
 	peers     *peer.Client
 	log       *log.Logger
+
+	// idleReports counts the reports left out in a row; reportDemand owns it.
+	idleReports int
 }
 
 // New returns a Placer over the given parts.
@@ -118,12 +124,14 @@
 
 func (p *Placer) report(ctx context.Context, tallies map[wanted]tally) error {
 	if p.keeper.mine() {
-		p.holder.report(p.name, tallies)
+		p.views.SetInstances(p.holder.report(p.name, tallies))
 		return nil
 	}
-	if len(tallies) == 0 {
+	if len(tallies) == 0 && p.idleReports < idleReports {
+		p.idleReports++
 		return nil
 	}
+	p.idleReports = 0
 	r, _, held := p.keeper.holder()
 	if !held {
 		return errNoHolder
@@ -137,6 +145,7 @@
 	if !reply.Placing {
 		return errNoHolder
 	}
+	p.views.SetInstances(int(reply.Instances))
 	return nil
 }
 
--- a/internal/placer/service.go
+++ b/internal/placer/service.go
@@ -21,8 +21,8 @@
 	if !s.placer.keeper.mine() {
 		return &placerpb.DemandReply{}, nil
 	}
-	s.placer.holder.report(r.Instance, decodeDemand(r))
-	return &placerpb.DemandReply{Placing: true}, nil
+	n := s.placer.holder.report(r.Instance, decodeDemand(r))
+	return &placerpb.DemandReply{Placing: true, Instances: uint32(n)}, nil
 }
 
 // Watch returns the servers that changed after the version that the caller has.
