--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -27,7 +27,7 @@
 func TestEveryCommandHasHelpWithAnExample(t *testing.T) {
 	_, usage, _ := run("--help")
 	for _, name := range []string{
-		"serve", "check", "demo", "standin", "publish", "status", "explain", "load", "experiment", "completion",
+		"serve", "edge", "check", "demo", "standin", "publish", "status", "explain", "load", "experiment", "completion",
 	} {
 		require.Contains(t, usage, name)
 		code, help, _ := run(name, "--help")
@@ -44,17 +44,22 @@
 		code   int
 		stderr []string
 	}{
-		"no command":       {code: cli.ExitBadInput, stderr: []string{"Available commands"}},
-		"unknown command":  {args: []string{"frobnicate"}, code: cli.ExitBadInput, stderr: []string{"frobnicate"}},
-		"leftover":         {args: []string{"standin", "now"}, code: cli.ExitBadInput, stderr: []string{"now"}},
-		"unknown flag":     {args: []string{"serve", "--colour"}, code: cli.ExitBadInput, stderr: []string{"colour"}},
-		"no settings":      {args: []string{"serve"}, code: cli.ExitBadInput, stderr: []string{"--settings"}},
-		"missing file":     {args: []string{"check", "/nonexistent"}, code: cli.ExitBadInput, stderr: []string{"nonexistent"}},
-		"unreachable":      {args: []string{"status", "--operators", "http://127.0.0.1:1"}, code: cli.ExitFailed, stderr: []string{"unreachable"}},
-		"bad publish id":   {args: []string{"publish", "--id", "x", write(t, exampleTargets(t))}, code: cli.ExitBadInput, stderr: []string{"--id"}},
-		"faulty publish":   {args: []string{"publish", write(t, `{}`)}, code: cli.ExitBadInput, stderr: []string{"classes"}},
-		"faulty settings":  {args: []string{"serve", "--settings", faulty}, code: cli.ExitBadInput, stderr: fiveFaults},
-		"checked settings": {args: []string{"check", faulty}, code: cli.ExitBadInput, stderr: fiveFaults},
+		"no command":        {code: cli.ExitBadInput, stderr: []string{"Available commands"}},
+		"unknown command":   {args: []string{"frobnicate"}, code: cli.ExitBadInput, stderr: []string{"frobnicate"}},
+		"leftover":          {args: []string{"standin", "now"}, code: cli.ExitBadInput, stderr: []string{"now"}},
+		"unknown flag":      {args: []string{"serve", "--colour"}, code: cli.ExitBadInput, stderr: []string{"colour"}},
+		"no settings":       {args: []string{"serve"}, code: cli.ExitBadInput, stderr: []string{"--settings"}},
+		"missing file":      {args: []string{"check", "/nonexistent"}, code: cli.ExitBadInput, stderr: []string{"nonexistent"}},
+		"unreachable":       {args: []string{"status", "--operators", "http://127.0.0.1:1"}, code: cli.ExitFailed, stderr: []string{"unreachable"}},
+		"bad publish id":    {args: []string{"publish", "--id", "x", write(t, exampleTargets(t))}, code: cli.ExitBadInput, stderr: []string{"--id"}},
+		"faulty publish":    {args: []string{"publish", write(t, `{}`)}, code: cli.ExitBadInput, stderr: []string{"classes"}},
+		"faulty settings":   {args: []string{"serve", "--settings", faulty}, code: cli.ExitBadInput, stderr: fiveFaults},
+		"edge, no settings": {args: []string{"edge"}, code: cli.ExitBadInput, stderr: []string{"--settings"}},
+		"edge settings":     {args: []string{"check", write(t, `{"instance": {"name": ""}, "readiness": {"address": "x"}}`)}, code: cli.ExitBadInput, stderr: []string{"instance.name", "instance.zone", "readiness.address", "clients.address"}},
+		"no such log":       {args: []string{"explain", "--request", "r", "/nonexistent"}, code: cli.ExitBadInput, stderr: []string{"nonexistent"}},
+		"not in the log":    {args: []string{"explain", "--request", "r", write(t, "")}, code: cli.ExitFailed, stderr: []string{"nothing about"}},
+		"two questions":     {args: []string{"explain", "--request", "r", "--model", "m", "x"}, code: cli.ExitBadInput, stderr: []string{"not both"}},
+		"checked settings":  {args: []string{"check", faulty}, code: cli.ExitBadInput, stderr: fiveFaults},
 	} {
 		t.Run(name, func(t *testing.T) {
 			code, _, stderr := run(tc.args...)
--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -19,6 +19,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/logquery"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/operator"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/telemetry"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/tlsconf"
@@ -223,29 +224,69 @@
 }
 
 const explainHelp = `Says why a model is, or isn't, loaded, and where, as the instance's zone has
-decided it.
+decided it. With --request or --model, reads the logs of instances instead, and
+prints a request's way with the orders around it, or the orders for a model.
 
-Example:
-  cyclamenhoist explain --operators http://127.0.0.1:8081 shoreline-summary`
+Examples:
+  cyclamenhoist explain --operators http://127.0.0.1:8081 shoreline-summary
+  cyclamenhoist explain --request 9c41d07be2a35f68 entry-1.log entry-2.log`
 
 type explainCommand struct {
 	*environment
 	target
 
-	Args struct {
-		Model string `positional-arg-name:"MODEL" required:"yes"`
+	Request string `long:"request" value-name:"ID" description:"the request to look for in the logs given"`
+	Model   string `long:"model" value-name:"MODEL" description:"the model to look for in the logs given"`
+	Args    struct {
+		Names []string `positional-arg-name:"MODEL or FILE" required:"1"`
 	} `positional-args:"yes"`
 }
 
+// explainLogs prints what the logs say of a request or a model.
+func (c *explainCommand) explainLogs() error {
+	var events []logquery.Event
+	for _, name := range c.Args.Names {
+		file, err := os.Open(name)
+		if err != nil {
+			return badInput(err)
+		}
+		read, err := logquery.Read(name, file)
+		file.Close()
+		if err != nil {
+			return err
+		}
+		events = append(events, read...)
+	}
+	found := logquery.Model(events, c.Model)
+	if c.Request != "" {
+		found = logquery.Request(events, c.Request)
+	}
+	if len(found) == 0 {
+		return errors.Errorf("nothing about %q in %d events", c.Request+c.Model, len(events))
+	}
+	for _, event := range found {
+		fmt.Fprintf(c.stdout, "%s  %s\n", event.Source, event.Line)
+	}
+	return nil
+}
+
 // Execute runs the command.
 func (c *explainCommand) Execute([]string) error {
+	switch {
+	case c.Request != "" && c.Model != "":
+		return badInput(errors.New("give --request or --model, not both"))
+	case c.Request != "" || c.Model != "":
+		return c.explainLogs()
+	case len(c.Args.Names) > 1:
+		return badInput(errors.Errorf("unexpected argument %q", c.Args.Names[1]))
+	}
 	client, err := c.client(c.stderr)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(c.stop, c.Timeout)
 	defer cancel()
-	e, err := client.Explain(ctx, port.ModelID(c.Args.Model))
+	e, err := client.Explain(ctx, port.ModelID(c.Args.Names[0]))
 	if err != nil {
 		return err
 	}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/app"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/fleetapp"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/settings"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/jsonc"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/targets"
@@ -48,7 +49,8 @@
 }
 
 const checkHelp = `Validates a settings or a targets file and lists every fault with its path and
-what is allowed there.
+what is allowed there. Settings of an instance on the platform are told by their
+"readiness".
 
 Examples:
   cyclamenhoist check settings.jsonc
@@ -79,6 +81,9 @@
 	if c.Targets || holdsTargets(data) {
 		kind = "targets"
 		err = targets.Validate(data)
+	} else if holdsEdgeSettings(data) {
+		kind = "settings of an instance on the platform"
+		_, err = fleetapp.Parse(data)
 	} else {
 		_, err = settings.Parse(data)
 	}
@@ -89,6 +94,16 @@
 	return nil
 }
 
+// holdsEdgeSettings guesses from the top-level keys what a file holds.
+func holdsEdgeSettings(data []byte) bool {
+	var keys struct {
+		Readiness map[string]any `json:"readiness"`
+	}
+	// Other keys are faults here and don't matter.
+	_ = jsonc.Decode(data, &keys)
+	return keys.Readiness != nil
+}
+
 // holdsTargets guesses from the top-level keys what a file holds.
 func holdsTargets(data []byte) bool {
 	var keys struct {
