--- a/pkg/modelplan/cost.go
+++ b/pkg/modelplan/cost.go
@@ -43,9 +43,10 @@
 	return loss + d.Waiting
 }
 
+// copyExists reports whether a server that doesn't hold the model has a copy.
 func (p *planner) copyExists(model string) bool {
 	for i := range p.state.Servers {
-		if s := &p.state.Servers[i]; s.InMemory[model] || s.OnDisk[model] {
+		if s := &p.state.Servers[i]; s.held(model) == nil && (s.InMemory[model] || s.OnDisk[model]) {
 			return true
 		}
 	}
--- a/pkg/modelplan/plan.go
+++ b/pkg/modelplan/plan.go
@@ -367,14 +367,17 @@
 	var best *Server
 	var bestVictim *Held
 	bestCost := 0.0
-	copyExists := p.copyExists(model)
+	copyExists, storeLoads := p.copyExists(model), maxStoreLoads
+	if !urgent {
+		storeLoads = idleStoreLoads
+	}
 	for i := range p.state.Servers {
 		s := &p.state.Servers[i]
 		if p.used[s.ID] || s.held(model) != nil {
 			continue
 		}
 		takes, fromStore := p.loadTime(s, model)
-		if fromStore && (copyExists && urgent || p.store >= maxStoreLoads || !urgent) {
+		if fromStore && (copyExists || p.store >= storeLoads) {
 			// A server with a copy is free again sooner than the store delivers.
 			continue
 		}
--- a/pkg/modelplan/plan_test.go
+++ b/pkg/modelplan/plan_test.go
@@ -107,6 +107,17 @@
 	assert.Equal(t, modelplan.Action{Server: "b", Kind: modelplan.UnloadModel, Model: "m4", For: "m0"}, plan[0])
 }
 
+// The second replica of a hot model comes from the weight store if no other server
+// has a copy: a crash would else stop all its requests for that long.
+func TestHotModelWithoutAnotherCopy(t *testing.T) {
+	servers := []modelplan.Server{newServer("a", []string{"m0"}), newServer("b", []string{"m1"})}
+	plan := modelplan.Plan(now, state(servers, map[string]modelplan.Demand{"m0": {Rate: 30, Value: 30}}))
+	require.Len(t, plan, 1)
+	assert.Equal(t, "b", plan[0].Server)
+	assert.Equal(t, "m0", plan[0].Model)
+	assert.True(t, plan[0].FromStore)
+}
+
 // One request for a rare model doesn't drop a replica of a model that many ask for,
 // though that is the only one whose unload would make room.
 func TestHotReplicasAreKept(t *testing.T) {
