--- a/internal/placer/book.go
+++ b/internal/placer/book.go
@@ -61,21 +61,34 @@
 type book struct {
 	histories map[serviceModel]*history
 	waits     map[string]instanceWaits
-	seen      map[string]time.Time
+	seen      map[string]seenInstance
+}
+
+type seenInstance struct {
+	at      time.Time
+	address string
 }
 
 func newBook() *book {
-	return &book{histories: map[serviceModel]*history{}, waits: map[string]instanceWaits{}, seen: map[string]time.Time{}}
+	return &book{histories: map[serviceModel]*history{}, waits: map[string]instanceWaits{}, seen: map[string]seenInstance{}}
 }
 
-// instances returns how many instances have reported lately.
-func (b *book) instances(now time.Time) int {
-	for instance, at := range b.seen {
-		if now.Sub(at) > instanceFresh {
+// instances returns the addresses of the instances that have reported lately.
+func (b *book) instances(now time.Time) []string {
+	addresses := make([]string, 0, len(b.seen))
+	for instance, seen := range b.seen {
+		if now.Sub(seen.at) > instanceFresh {
 			delete(b.seen, instance)
+			continue
 		}
+		addresses = append(addresses, seen.address)
 	}
-	return len(b.seen)
+	return addresses
+}
+
+// meet notes that an instance is there.
+func (b *book) meet(instance, address string, now time.Time) {
+	b.seen[instance] = seenInstance{at: now, address: address}
 }
 
 // report takes in what one instance's requests want.
@@ -96,7 +109,6 @@
 			h.adapters[key.adapter] = now
 		}
 	}
-	b.seen[instance] = now
 	b.waits[instance] = instanceWaits{at: now, waits: waits}
 }
 
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -308,14 +308,15 @@
 
 func (h *holder) sequence() int64 { return h.epoch*versionsPerEpoch + h.version }
 
-// report takes in what an instance's requests want and returns how many instances
-// have reported lately.
-func (h *holder) report(instance string, tallies map[wanted]tally) int {
+// report takes in what an instance's requests want and returns the addresses of
+// the instances that have reported lately.
+func (h *holder) report(instance, address string, tallies map[wanted]tally) []string {
 	h.mu.Lock()
 	now := time.Now()
+	h.book.meet(instance, address, now)
 	h.book.report(instance, tallies, now)
-	n := h.book.instances(now)
+	peers := h.book.instances(now)
 	h.mu.Unlock()
 	signal(h.wake)
-	return n
+	return peers
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -54,6 +56,7 @@
 // Placer takes part in placing models.
 type Placer struct {
 	name      string
+	address   string
 	keeper    *keeper
 	holder    *holder
 	collector *Collector
@@ -63,6 +66,8 @@
 
 	// idleReports counts the reports left out in a row; reportDemand owns it.
 	idleReports int
+	// known are the addresses of peers that could tell who places models.
+	known atomic.Pointer[[]string]
 }
 
 // New returns a Placer over the given parts.
@@ -73,7 +78,7 @@
 	}, views.Known)
 	dialer := &net.Dialer{Timeout: callTimeout}
 	return &Placer{
-		name: cfg.Name, keeper: k, collector: collector, views: views, log: logger,
+		name: cfg.Name, address: cfg.Address, keeper: k, collector: collector, views: views, log: logger,
 		peers: peer.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}, tracer),
@@ -123,8 +128,8 @@
 var errNoHolder = errors.New("no instance places models")
 
 func (p *Placer) report(ctx context.Context, tallies map[wanted]tally) error {
-	if p.keeper.mine() {
-		p.views.SetInstances(p.holder.report(p.name, tallies))
+	if p.keeper.placing() {
+		p.meet(p.holder.report(p.name, p.address, tallies))
 		return nil
 	}
 	if len(tallies) == 0 && p.idleReports < idleReports {
@@ -133,34 +138,68 @@
 	}
 	p.idleReports = 0
 	r, _, held := p.keeper.holder()
-	if !held {
+	if !held || r.Address == p.address {
 		return errNoHolder
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply, err := placerpb.NewDRPCPlacerClient(p.peers.Conn(r.Address)).Report(ctx, encodeDemand(p.name, tallies))
+	reply, err := placerpb.NewDRPCPlacerClient(p.peers.Conn(r.Address)).Report(ctx, encodeDemand(p.name, p.address, tallies))
 	if err != nil {
 		return err
 	}
+	p.keeper.hear(reply.Tenure)
 	if !reply.Placing {
 		return errNoHolder
 	}
-	p.views.SetInstances(int(reply.Instances))
+	p.meet(reply.Peers)
 	return nil
 }
 
+// meet takes in which instances serve the deployment.
+func (p *Placer) meet(peers []string) {
+	p.views.SetInstances(len(peers))
+	p.known.Store(&peers)
+}
+
+// askAround asks one of the other instances who places models. An instance that
+// the store turns away learns it so.
+func (p *Placer) askAround(ctx context.Context) {
+	peers := p.known.Load()
+	if peers == nil || len(*peers) == 0 {
+		return
+	}
+	address := (*peers)[rand.IntN(len(*peers))]
+	if address == p.address {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := placerpb.NewDRPCPlacerClient(p.peers.Conn(address)).Watch(ctx, &placerpb.WatchRequest{})
+	if err != nil {
+		p.log.Debug().Err(err).Str("peer", address).Msg("tenure_unheard")
+		return
+	}
+	p.keeper.hear(reply.Tenure)
+}
+
 // watch follows what the holder says that servers hold.
 func (p *Placer) watch(ctx context.Context) {
 	var epoch, version int64
 	for ctx.Err() == nil {
 		r, _, held := p.keeper.holder()
-		if !held || p.keeper.mine() {
+		if p.keeper.placing() {
 			pause.For(ctx, holderRetry)
 			continue
 		}
-		placement, err := p.watchOnce(ctx, r.Address, epoch, version)
+		var placement *placerpb.Placement
+		err := errNoHolder
+		if held && r.Address != p.address {
+			placement, err = p.watchOnce(ctx, r.Address, epoch, version)
+		}
 		if err != nil || !placement.Placing {
 			p.log.Debug().Err(err).Str("holder", r.Holder).Msg("placement_unread")
+			p.keeper.hear(placement.GetTenure())
+			p.askAround(ctx)
 			pause.For(ctx, holderRetry)
 			continue
 		}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -58,14 +58,17 @@
 	stop func()
 }
 
-func (c *cluster) start(name string) *instance {
+func (c *cluster) start(name string) *instance { return c.startAt(name, c.store) }
+
+// startAt starts an instance that uses another store than the others.
+func (c *cluster) startAt(name string, store *standin.Store) *instance {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(c, err)
 	i := &instance{views: edge.NewViews(), collector: NewCollector()}
 	logger := &log.Logger{Level: log.PanicLevel}
 	tracer := noop.NewTracerProvider().Tracer("")
 	i.Placer = New(Config{Name: name, Address: listener.Addr().String(), Lease: 400 * time.Millisecond, Fenced: true},
-		platform.NewStore(c.store.Address()), i.views, i.collector, logger, metrics.NewRegistry(), tracer)
+		platform.NewStore(store.Address()), i.views, i.collector, logger, metrics.NewRegistry(), tracer)
 	servers := map[fleet.ServerID]*fleet.Server{}
 	for n, s := range c.servers {
 		id := fleet.ServerID(s.ID())
@@ -164,6 +167,28 @@
 	assert.Zero(t, c.servers[0].Overloaded())
 }
 
+// An instance that the store turns away learns from a peer who places models, and
+// has its models loaded there.
+func TestTenureIsHeardFromPeers(t *testing.T) {
+	c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0", OnDisk: []string{"a"}})
+	holder, other := c.start("i0"), c.start("i1")
+	c.eventually("one holds the tenure", func() bool { return holder.keeper.placing() || other.keeper.placing() })
+	if other.keeper.placing() {
+		holder, other = other, holder
+	}
+	turnedAway := standin.NewStore()
+	defer turnedAway.Close()
+	turnedAway.SetFaults(standin.StoreFaults{Refuse: 503})
+	cut := c.startAt("i2", turnedAway)
+	cut.known.Store(&[]string{other.address})
+	defer cut.collector.Wait(wantModel("a"))()
+	c.eventually("its model is loaded", func() bool { return c.holds(0, "a") })
+	r, _, _ := cut.keeper.holder()
+	assert.Equal(t, holder.name, r.Holder)
+	assert.False(t, cut.keeper.placing())
+	c.eventually("and it knows where", func() bool { return cut.views.Load().Holders(summaries, "a") == 1 })
+}
+
 // A holder that is stopped while the store is away goes on placing until it can
 // hand over.
 func TestHolderStoppedWithoutTheStore(t *testing.T) {
--- a/internal/placer/service.go
+++ b/internal/placer/service.go
@@ -18,11 +18,12 @@
 
 // Report takes in what another instance's requests want.
 func (s *service) Report(_ context.Context, r *placerpb.DemandReport) (*placerpb.DemandReply, error) {
-	if !s.placer.keeper.mine() {
-		return &placerpb.DemandReply{}, nil
+	tenure := s.placer.keeper.known()
+	if !s.placer.keeper.placing() {
+		return &placerpb.DemandReply{Tenure: tenure}, nil
 	}
-	n := s.placer.holder.report(r.Instance, decodeDemand(r))
-	return &placerpb.DemandReply{Placing: true, Instances: uint32(n)}, nil
+	peers := s.placer.holder.report(r.Instance, r.Address, decodeDemand(r))
+	return &placerpb.DemandReply{Placing: true, Instances: uint32(len(peers)), Peers: peers, Tenure: tenure}, nil
 }
 
 // Watch returns the servers that changed after the version that the caller has.
@@ -30,8 +31,8 @@
 	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(r.WaitMs)*time.Millisecond, watchWait))
 	defer cancel()
 	for {
-		if !s.placer.keeper.mine() {
-			return &placerpb.Placement{}, nil
+		if !s.placer.keeper.placing() {
+			return &placerpb.Placement{Tenure: s.placer.keeper.known()}, nil
 		}
 		placement, published := s.placer.holder.placement(r.Epoch, r.Version)
 		if len(placement.Servers) > 0 || ctx.Err() != nil {
@@ -87,8 +88,8 @@
 	return out
 }
 
-func encodeDemand(instance string, tallies map[wanted]tally) *placerpb.DemandReport {
-	out := &placerpb.DemandReport{Instance: instance}
+func encodeDemand(instance, address string, tallies map[wanted]tally) *placerpb.DemandReport {
+	out := &placerpb.DemandReport{Instance: instance, Address: address}
 	for key, t := range tallies {
 		out.Demands = append(out.Demands, &placerpb.ModelDemand{
 			Service: key.service, Model: key.model, Adapter: key.adapter,
--- a/internal/placer/tenure.go
+++ b/internal/placer/tenure.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/tenure"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
@@ -45,7 +46,7 @@
 
 	mu      sync.Mutex
 	state   *tenure.State
-	known   bool
+	read    bool
 	changed chan struct{}
 }
 
@@ -69,10 +70,10 @@
 	for stop.Err() == nil && ctx.Err() == nil {
 		k.mu.Lock()
 		wait := time.Second
-		if k.known {
+		if k.read {
 			wait = k.state.NextAppend(rank) - sinceBoot()
 		}
-		due := k.known && wait <= 0 && (k.state.Mine() || k.eligible())
+		due := k.read && wait <= 0 && (k.state.Mine() || k.eligible())
 		k.mu.Unlock()
 		if due {
 			if err := k.append(ctx, false); err != nil {
@@ -115,13 +116,13 @@
 	if b.Regained {
 		k.state.Regained(now)
 	}
-	k.known = true
+	k.read = true
 	k.logChange(before)
 	signal(k.changed)
 }
 
 func (k *keeper) logChange(before int64) {
-	if r, epoch, held := k.state.Holder(); epoch != before && held {
+	if r, epoch, held := k.state.Holder(); k.state.Epoch() != before && held {
 		k.log.Info().Str("holder", r.Holder).Int64("epoch", epoch).Bool("self", k.state.Mine()).Msg("tenure_changed")
 	}
 }
@@ -168,6 +169,35 @@
 	}
 }
 
+// hear takes in what a peer knows of the tenure.
+func (k *keeper) hear(t *placerpb.Tenure) {
+	if t == nil || t.Epoch == 0 {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_, before, _ := k.state.Holder()
+	k.state.Hear(tenure.Record{Holder: t.Holder, Life: t.Life, Address: t.Address}, t.Epoch)
+	if r, epoch, _ := k.state.Holder(); epoch != before {
+		k.log.Info().Str("holder", r.Holder).Int64("epoch", epoch).Msg("tenure_heard")
+	}
+}
+
+// known returns the tenure for peers that can't read it.
+func (k *keeper) known() *placerpb.Tenure {
+	r, epoch, held := k.holder()
+	if !held {
+		return nil
+	}
+	return &placerpb.Tenure{Holder: r.Holder, Life: r.Life, Address: r.Address, Epoch: epoch}
+}
+
+// placing reports whether this instance may place models now.
+func (k *keeper) placing() bool {
+	_, may := k.mayOrder()
+	return may
+}
+
 // holder returns who holds the tenure.
 func (k *keeper) holder() (tenure.Record, int64, bool) {
 	k.mu.Lock()
--- a/pkg/tenure/tenure.go
+++ b/pkg/tenure/tenure.go
@@ -61,6 +61,10 @@
 	// superseded means that the own epoch was refused; a renewal may still be
 	// accepted by a log whose later records weren't read.
 	superseded bool
+	// heard is what a peer said of a later tenure, which the log would show if it
+	// could be read.
+	heard      Record
+	heardEpoch int64
 }
 
 // New returns a state that has read nothing yet.
@@ -104,15 +108,27 @@
 	s.renewed = asked
 }
 
+// Hear takes in what a peer has read of the log. It tells where to report and
+// whether to stop ordering; only records that were read here let this instance
+// claim or order.
+func (s *State) Hear(r Record, epoch int64) {
+	if epoch > s.epoch && epoch > s.heardEpoch {
+		s.heard, s.heardEpoch = r, epoch
+	}
+}
+
 // Holder returns the holder's record and epoch; false if there is none.
 func (s *State) Holder() (Record, int64, bool) {
+	if s.heardEpoch > s.epoch {
+		return s.heard, s.heardEpoch, s.heard.Life != s.cfg.Self.Life
+	}
 	return s.last, s.epoch, s.known && s.last.Life != "" && !s.last.Released
 }
 
 // Mine reports whether this instance holds the tenure as far as it knows.
 func (s *State) Mine() bool {
-	_, _, held := s.Holder()
-	return held && s.last.Life == s.cfg.Self.Life
+	r, _, held := s.Holder()
+	return held && r.Life == s.cfg.Self.Life
 }
 
 // Epoch returns the epoch of the last record's holder.
@@ -148,7 +164,7 @@
 		return s.renewed + s.cfg.Lease/renewalsPerLease
 	}
 	stagger := time.Duration(rank * float64(claimStagger))
-	if r, _, held := s.Holder(); !held || r.Holder == s.cfg.Self.Holder {
+	if s.last.Life == "" || s.last.Released || s.last.Holder == s.cfg.Self.Holder {
 		// An earlier process of this instance has ended.
 		return s.seen + stagger
 	}
--- a/pkg/tenure/tenure_test.go
+++ b/pkg/tenure/tenure_test.go
@@ -106,3 +106,29 @@
 	assert.True(t, s.Mine())
 	assert.Equal(t, int64(2), s.Epoch())
 }
+
+// What a peer has read stops a holder that the store turns away, and tells it where
+// to report. It gives no right to claim or to order.
+func TestHearsay(t *testing.T) {
+	s := newState("a", true)
+	s.Appended(0, false, 0)
+	s.Hear(record("b"), 1)
+	assert.True(t, s.Mine(), "not of a later epoch")
+	s.Hear(record("b"), 7)
+	r, epoch, held := s.Holder()
+	assert.Equal(t, "b", r.Life)
+	assert.Equal(t, int64(7), epoch)
+	assert.True(t, held)
+	assert.False(t, s.MayOrder(0))
+	assert.Equal(t, int64(1), s.End(), "appends still go by what was read")
+
+	other := newState("c", true)
+	other.Hear(record("c"), 7)
+	assert.False(t, other.Mine())
+	assert.False(t, other.MayOrder(0))
+	s.Observe(6, record("b"), 0)
+	s.Observe(9, record("c"), 0)
+	r, epoch, _ = s.Holder()
+	assert.Equal(t, "c", r.Life, "the log goes before hearsay")
+	assert.Equal(t, int64(10), epoch)
+}
