--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -88,10 +88,15 @@
 	})
 }
 
+// listReadsPerLeave is how often the server list is read within the time in which a
+// leaving server has to be left; the other half is for slow reads.
+const listReadsPerLeave = 2
+
 func (i *Instance) followServers(ctx context.Context) {
 	directory := fleet.NewDirectory()
 	store := &dependency{instance: i, name: "server list"}
-	i.store.WatchServers(ctx, func(b platform.ServerListBatch) {
+	spacing := i.settings.Servers.LeaveWithin.D() / listReadsPerLeave
+	i.store.WatchServers(ctx, spacing, func(b platform.ServerListBatch) {
 		store.works()
 		now := time.Now()
 		if b.Regained {
--- a/internal/fleetapp/settings.go
+++ b/internal/fleetapp/settings.go
@@ -21,6 +21,7 @@
 	Metrics   Listener  `json:"metrics"`
 	Store     Listener  `json:"store"`
 	Machine   Machine   `json:"machine"`
+	Servers   Servers   `json:"servers"`
 	Retries   Retries   `json:"retries"`
 	Placing   Placing   `json:"placing"`
 	Shutdown  Shutdown  `json:"shutdown"`
@@ -44,6 +45,13 @@
 	Cores    float64 `json:"cores" validate:"gt=0,max=1024"`
 }
 
+// Servers says what holds for backend servers.
+type Servers struct {
+	// LeaveWithin is the time within which a server that is listed as leaving gets
+	// no new request any more.
+	LeaveWithin jsonc.Duration `json:"leave_within" validate:"min=100ms,max=1m"`
+}
+
 // Retries bounds the repeats of one service's requests in any window, over all
 // instances.
 type Retries struct {
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -23,6 +23,9 @@
 
 // Until waits for a signal, for d at most, or for the end of ctx.
 func Until(ctx context.Context, c <-chan struct{}, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -37,7 +37,7 @@
 	// callTimeout bounds a call to the holder.
 	callTimeout = 500 * time.Millisecond
 	// watchWait is how long the holder keeps a watch waiting.
-	watchWait = 2 * time.Second
+	watchWait = time.Second
 	// watchSpacing is the least time between two watches; changes come in series.
 	watchSpacing = 10 * time.Millisecond
 	// holderRetry is the pause after a call to the holder that failed.
@@ -119,6 +119,7 @@
 		tallies := p.collector.take()
 		if err := p.report(ctx, tallies); err != nil {
 			p.collector.putBack(tallies)
+			p.keeper.doubt()
 			p.log.Debug().Err(err).Msg("demand_unreported")
 			pause.For(ctx, holderRetry)
 		}
@@ -151,6 +152,7 @@
 	if !reply.Placing {
 		return errNoHolder
 	}
+	p.keeper.alive(reply.Tenure.GetEpoch())
 	p.meet(reply.Peers)
 	return nil
 }
@@ -199,11 +201,13 @@
 		if err != nil || !placement.Placing {
 			p.log.Debug().Err(err).Str("holder", r.Holder).Msg("placement_unread")
 			p.keeper.hear(placement.GetTenure())
+			p.keeper.doubt()
 			p.askAround(ctx)
 			pause.For(ctx, holderRetry)
 			continue
 		}
 		epoch, version = placement.Epoch, placement.Version
+		p.keeper.alive(epoch)
 		if len(placement.Servers) > 0 {
 			p.views.SetResidency(decodePlacement(placement, time.Now()))
 		}
--- a/internal/placer/tenure.go
+++ b/internal/placer/tenure.go
@@ -20,8 +20,12 @@
 const (
 	// tenureKey is the key of the tenure's records in its topic.
 	tenureKey = "holder"
-	// tenureSpacing is the least time between two reads of the tenure.
-	tenureSpacing = 1500 * time.Millisecond
+	// tenureSpacing is the least time between two reads of the tenure, each of
+	// which is priced. While the holder answers there is no need to look.
+	tenureSpacing      = 1500 * time.Millisecond
+	tenureSpacingAlive = 5 * time.Second
+	// aliveFor is how long an answer of the holder's counts for that.
+	aliveFor = 3 * time.Second
 	// appendRetry is the pause after an append that failed.
 	appendRetry = 300 * time.Millisecond
 )
@@ -44,16 +48,20 @@
 	// eligible reports whether this instance should claim.
 	eligible func() bool
 
-	mu      sync.Mutex
-	state   *tenure.State
-	read    bool
+	mu    sync.Mutex
+	state *tenure.State
+	read  bool
+	// answered is when the holder answered last, in time since boot.
+	answered time.Duration
+	// lookUp asks for a read of the tenure at once.
+	lookUp  chan struct{}
 	changed chan struct{}
 }
 
 func newKeeper(store *platform.Store, logger *log.Logger, cfg tenure.Config, eligible func() bool) *keeper {
 	return &keeper{
 		store: store, log: logger, self: cfg.Self, eligible: eligible,
-		state: tenure.New(cfg), changed: make(chan struct{}, 1),
+		state: tenure.New(cfg), changed: make(chan struct{}, 1), lookUp: make(chan struct{}, 1),
 	}
 }
 
@@ -63,7 +71,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go k.store.Follow(ctx, platform.TopicTenure, platform.Follower{
-		Spacing: tenureSpacing, Deliver: k.observe,
+		Spacing: k.spacing, Wake: k.lookUp, Deliver: k.observe,
 		Failed: func(err error) { k.log.Debug().Err(err).Msg("tenure_unread") },
 	})
 	rank := rand.Float64()
@@ -169,6 +177,31 @@
 	}
 }
 
+// alive notes that the holder of an epoch has answered.
+func (k *keeper) alive(epoch int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.answered = sinceBoot()
+	k.state.Alive(epoch, k.answered)
+}
+
+// doubt asks for a read of the tenure, as the holder doesn't answer as such.
+func (k *keeper) doubt() {
+	k.mu.Lock()
+	k.answered = 0
+	k.mu.Unlock()
+	signal(k.lookUp)
+}
+
+func (k *keeper) spacing() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if sinceBoot()-k.answered < aliveFor {
+		return tenureSpacingAlive
+	}
+	return tenureSpacing
+}
+
 // hear takes in what a peer knows of the tenure.
 func (k *keeper) hear(t *placerpb.Tenure) {
 	if t == nil || t.Epoch == 0 {
--- a/pkg/tenure/tenure.go
+++ b/pkg/tenure/tenure.go
@@ -86,6 +86,14 @@
 	}
 }
 
+// Alive notes that the holder has answered as such, which shows as much as a
+// renewal on the log.
+func (s *State) Alive(epoch int64, now time.Duration) {
+	if _, held, _ := s.Holder(); held == epoch {
+		s.seen = now
+	}
+}
+
 // Observe takes in a record of the log. Records come in order; a repeated one is
 // ignored.
 func (s *State) Observe(offset int64, r Record, now time.Duration) {
@@ -157,6 +165,15 @@
 	return news
 }
 
+// silence is how long a holder may be silent before another claims. Where servers
+// refuse superseded epochs, two missed renewals are enough.
+func (s *State) silence() time.Duration {
+	if s.cfg.Fenced {
+		return s.cfg.Lease * (renewalsPerLease - 1) / renewalsPerLease
+	}
+	return s.cfg.Lease
+}
+
 // NextAppend returns when to append next, to renew the own tenure or to claim a
 // lapsed one; rank spreads the claims of several instances and is 0 to 1.
 func (s *State) NextAppend(rank float64) time.Duration {
@@ -168,5 +185,5 @@
 		// An earlier process of this instance has ended.
 		return s.seen + stagger
 	}
-	return s.seen + s.cfg.Lease + stagger
+	return s.seen + s.silence() + stagger
 }
