--- a/internal/placer/book.go
+++ b/internal/placer/book.go
@@ -62,8 +62,6 @@
 	histories map[serviceModel]*history
 	waits     map[string]instanceWaits
 	seen      map[string]seenInstance
-	// since is when requests for a model began to wait, without a break.
-	since map[serviceModel]time.Time
 }
 
 type seenInstance struct {
@@ -72,7 +70,7 @@
 }
 
 func newBook() *book {
-	return &book{histories: map[serviceModel]*history{}, waits: map[string]instanceWaits{}, seen: map[string]seenInstance{}, since: map[serviceModel]time.Time{}}
+	return &book{histories: map[serviceModel]*history{}, waits: map[string]instanceWaits{}, seen: map[string]seenInstance{}}
 }
 
 // instances returns the addresses of the instances that have reported lately.
@@ -152,15 +150,12 @@
 			}
 		}
 	}
-	waiting := b.waiting(now)
-	b.forgetServed(waiting)
-	for key, weight := range waiting {
+	for key, weight := range b.waiting(now) {
 		if key.service != service {
 			continue
 		}
 		d := out[key.model]
 		d.Waiting += weight
-		d.WaitingFor = b.waitingFor(serviceModel{service, key.model}, now)
 		if key.adapter != "" {
 			if d.Adapters == nil {
 				d.Adapters = map[string]float64{}
@@ -171,24 +166,3 @@
 	}
 	return out
 }
-
-// waitingFor returns how long requests for a model have been waiting.
-func (b *book) waitingFor(key serviceModel, now time.Time) time.Duration {
-	if b.since[key].IsZero() {
-		b.since[key] = now
-	}
-	return now.Sub(b.since[key])
-}
-
-// forgetServed drops the start of waits that have ended.
-func (b *book) forgetServed(waiting map[wanted]float64) {
-	models := make(map[serviceModel]bool, len(waiting))
-	for key := range waiting {
-		models[serviceModel{key.service, key.model}] = true
-	}
-	for key := range b.since {
-		if !models[key] {
-			delete(b.since, key)
-		}
-	}
-}
