--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -251,7 +251,7 @@
 			return badInput(err)
 		}
 		read, err := logquery.Read(name, file)
-		file.Close()
+		_ = file.Close()
 		if err != nil {
 			return err
 		}
--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -95,13 +95,16 @@
 func (i *Instance) followServers(ctx context.Context) {
 	directory := fleet.NewDirectory()
 	store := &dependency{instance: i, name: "server list"}
+	lastRead := time.Now()
 	spacing := i.settings.Servers.LeaveWithin.D() / listReadsPerLeave
 	i.store.WatchServers(ctx, spacing, func(b platform.ServerListBatch) {
-		store.works()
 		now := time.Now()
+		store.works()
 		if b.Regained {
-			directory.Regained(now)
+			// The call that failed may have hung for a while before it did.
+			directory.Regained(now, now.Sub(lastRead)-spacing)
 		}
+		lastRead = now
 		var changed bool
 		if b.Whole {
 			changed = directory.Replace(now, b.Entries)
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -66,6 +66,10 @@
 // meanwhile may take to register again. The platform states it.
 const MissingGrace = 2 * time.Second
 
+// lapseOutage is the shortest outage in which entries may lapse: a server's
+// heartbeat of about a second is missed then.
+const lapseOutage = 1500 * time.Millisecond
+
 type listed struct {
 	offset int64
 	server *Server // nil: names no server to use
@@ -87,8 +91,13 @@
 }
 
 // Regained notes that the list can be read again after an outage: entries that
-// lapsed meanwhile may still come back.
-func (d *Directory) Regained(now time.Time) { d.trustedFrom = now.Add(MissingGrace) }
+// lapsed meanwhile may still come back. In a short outage none has lapsed, and
+// removals hold.
+func (d *Directory) Regained(now time.Time, outage time.Duration) {
+	if outage >= lapseOutage {
+		d.trustedFrom = now.Add(MissingGrace)
+	}
+}
 
 // Apply takes one record in and reports whether the usable servers changed.
 func (d *Directory) Apply(now time.Time, e Entry) bool {
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -92,26 +92,36 @@
 func TestEntriesThatLapsedWhileTheListWasAway(t *testing.T) {
 	d := fleet.NewDirectory()
 	d.Apply(start, fleet.Entry{ID: "s", Offset: 1, Server: server(1, 1)})
-	d.Regained(start)
+	d.Regained(start, time.Minute)
 	assert.False(t, d.Apply(start, fleet.Entry{ID: "s", Offset: 2, Removed: true}))
 	assert.Len(t, d.Servers(), 1, "it may still come back")
 	assert.False(t, d.Expire(start.Add(fleet.MissingGrace-1)))
 	assert.True(t, d.Expire(start.Add(fleet.MissingGrace)))
 	assert.Empty(t, d.Servers(), "what is missing after that is gone")
 
-	d.Regained(start)
+	d.Regained(start, time.Minute)
 	d.Apply(start, fleet.Entry{ID: "s", Offset: 3, Server: server(1, 2)})
 	d.Apply(start, fleet.Entry{ID: "s", Offset: 4, Removed: true})
 	d.Apply(start, fleet.Entry{ID: "s", Offset: 5, Server: server(1, 3)})
 	assert.False(t, d.Expire(start.Add(time.Hour)), "it came back")
 }
 
+// One lost read is no outage: a server that was removed gets no request for two
+// seconds more.
+func TestRemovalHoldsAfterALostRead(t *testing.T) {
+	d := fleet.NewDirectory()
+	d.Apply(start, fleet.Entry{ID: "s", Offset: 1, Server: server(1, 1)})
+	d.Regained(start, 600*time.Millisecond)
+	assert.True(t, d.Apply(start, fleet.Entry{ID: "s", Offset: 2, Removed: true}))
+	assert.Empty(t, d.Servers())
+}
+
 func TestLeavingServerIsGoneAtOnceThoughTheListWasAway(t *testing.T) {
 	d := fleet.NewDirectory()
 	leaving := server(1, 1)
 	leaving.Draining = true
 	d.Apply(start, fleet.Entry{ID: "s", Offset: 1, Server: leaving})
-	d.Regained(start)
+	d.Regained(start, time.Minute)
 	assert.True(t, d.Apply(start, fleet.Entry{ID: "s", Offset: 2, Removed: true}))
 }
 
