--- a/internal/edge/ending.go
+++ b/internal/edge/ending.go
@@ -19,15 +19,12 @@
 	reasonBodyTooLarge reason = "body too large"
 	reasonNoServer     reason = "no server"
 	reasonNoModel      reason = "model not loaded in time"
-	reasonFull         reason = "servers full"
 	reasonTooLate      reason = "too little time left"
 	reasonLost         reason = "answer lost"
 	reasonTimeout      reason = "time limit"
-	reasonRefused      reason = "servers refused"
 	reasonBudget       reason = "retry budget spent"
 	reasonCanceled     reason = "client gone"
 	reasonStopping     reason = "instance stopping"
-	reasonBrokenStream reason = "stream broken"
 )
 
 // outcome is how a request ends. A status of 0 closes the connection.
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -50,6 +50,7 @@
 	mu      sync.Mutex
 	book    *book
 	servers map[fleet.ServerID]*tracked
+	ceiling *ceiling
 	epoch   int64
 	version int64
 	// doubted is when requests were first seen to wait for what is held.
@@ -77,7 +78,7 @@
 	now := time.Now()
 	if epoch != h.epoch {
 		// What an earlier tenure knew may have changed since.
-		h.epoch, h.servers = epoch, map[fleet.ServerID]*tracked{}
+		h.epoch, h.servers, h.ceiling = epoch, map[fleet.ServerID]*tracked{}, takenOver(now)
 	}
 	view := h.views.Load()
 	if view.Manifest == nil {
@@ -119,7 +120,7 @@
 func (h *holder) planState(service string, engine *fleet.Engine, now time.Time) modelplan.State {
 	state := modelplan.State{
 		Models: make(map[string]modelplan.Model, len(engine.Models)), Demand: h.book.demand(service, now),
-		AdapterSlots: engine.AdapterSlots,
+		AdapterSlots: engine.AdapterSlots, StoreLoads: h.ceiling.left(engine.LoadsPerSecond, now),
 	}
 	for name, m := range engine.Models {
 		state.Models[name] = modelplan.Model{
@@ -231,6 +232,12 @@
 		return platform.ErrOrderFenced
 	}
 	h.orders.Inc(1)
+	if a.FromStore {
+		// Counted when it is sent: a load whose answer is lost may have begun.
+		h.mu.Lock()
+		h.ceiling.note(time.Now())
+		h.mu.Unlock()
+	}
 	done, err := h.control.Give(ctx, order)
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -74,7 +74,7 @@
 		id := fleet.ServerID(s.ID())
 		servers[id] = &fleet.Server{ID: id, Service: summaries, Address: s.Address(), Slots: 8, Sequence: int64(n)}
 	}
-	engine := &fleet.Engine{Slots: 8, WeightsMB: 201, AdapterSlots: 2, Models: map[string]fleet.Model{}}
+	engine := &fleet.Engine{Slots: 8, WeightsMB: 201, AdapterSlots: 2, LoadsPerSecond: 10, Models: map[string]fleet.Model{}}
 	for _, m := range c.models {
 		engine.Models[m] = fleet.Model{Name: m, WeightsMB: 100, StoreLoad: 60 * time.Millisecond, DiskLoad: 30 * time.Millisecond, HostLoad: 10 * time.Millisecond}
 	}
@@ -267,6 +267,20 @@
 	assert.Len(t, tr.residency(1).Models, 1, "it is still there")
 }
 
+// No window of five seconds sees more loads from the weight store than its rate
+// allows, also across a takeover.
+func TestCeiling(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	c := takenOver(start)
+	assert.Equal(t, 13-ceilingAfterTakeover, c.left(2.6, start))
+	for c.left(2.6, start) > 0 {
+		c.note(start)
+	}
+	assert.Zero(t, c.left(2.6, start.Add(ceilingWindow-1)))
+	assert.Equal(t, 13, c.left(2.6, start.Add(ceilingWindow)))
+	assert.Equal(t, 1, c.left(0.01, start.Add(ceilingWindow)), "a slow store isn't never")
+}
+
 func TestBook(t *testing.T) {
 	start := time.Unix(1_800_000_000, 0)
 	b := newBook()
--- a/pkg/fleet/manifest.go
+++ b/pkg/fleet/manifest.go
@@ -99,18 +99,14 @@
 
 // Service is a set of backend servers with one purpose.
 type Service struct {
-	Name           string
-	MaxConnections int
+	Name string
 	// Engine is nil for a service that runs no models.
 	Engine *Engine
 }
 
 // CallerLimits bound what a client may send.
 type CallerLimits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
+	MaxBodyBytes int64
 }
 
 // Manifest is one version of the published routes and services.
--- a/pkg/modelplan/plan.go
+++ b/pkg/modelplan/plan.go
@@ -74,6 +74,8 @@
 	Models       map[string]Model
 	Demand       map[string]Demand
 	AdapterSlots int
+	// StoreLoads is how many loads from the weight store may begin now.
+	StoreLoads int
 }
 
 // ActionKind is what an order does.
@@ -158,6 +160,7 @@
 	byModel map[string][]*Server // holders and loaders
 	used    map[string]bool      // servers with an action in this plan
 	store   int                  // loads from the weight store under way
+	begun   int                  // loads from the weight store begun by this plan
 	actions []Action
 }
 
@@ -320,7 +323,7 @@
 	var best *Server
 	var bestVictim *Held
 	fromStore := !p.copyExists(model)
-	if fromStore && (p.store >= idleStoreLoads || p.state.Demand[model].Value == 0) {
+	if fromStore && (!p.mayFetch(idleStoreLoads) || p.state.Demand[model].Value == 0) {
 		return
 	}
 	for i := range p.state.Servers {
@@ -380,7 +383,7 @@
 			continue
 		}
 		takes, fromStore := p.loadTime(s, model)
-		if fromStore && (copyExists || p.store >= storeLoads) {
+		if fromStore && (copyExists || !p.mayFetch(storeLoads)) {
 			// A server with a copy is free again sooner than the store delivers.
 			continue
 		}
@@ -402,6 +405,10 @@
 	switch {
 	case best == nil:
 	case bestVictim != nil:
+		if _, fromStore := p.loadTime(best, model); fromStore {
+			p.store++
+			p.begun++
+		}
 		p.act(Action{Server: best.ID, Kind: UnloadModel, Model: bestVictim.Model, For: model})
 		p.byModel[bestVictim.Model] = without(p.byModel[bestVictim.Model], best)
 		p.byModel[model] = append(p.byModel[model], best)
@@ -410,6 +417,12 @@
 	}
 }
 
+// mayFetch reports whether another load from the weight store may begin, of so many
+// at once.
+func (p *planner) mayFetch(atOnce int) bool {
+	return p.store < atOnce && p.begun < p.state.StoreLoads
+}
+
 // unloadTime is what dropping a model adds to a load.
 func (p *planner) unloadTime(victim *Held) time.Duration {
 	if p.now.Sub(victim.LastUsed) < inUse {
@@ -422,6 +435,7 @@
 	takes, fromStore := p.loadTime(s, model)
 	if fromStore {
 		p.store++
+		p.begun++
 	}
 	p.act(Action{Server: s.ID, Kind: LoadModel, Model: model, FromStore: fromStore, Takes: takes})
 	p.byModel[model] = append(p.byModel[model], s)
--- a/pkg/modelplan/plan_test.go
+++ b/pkg/modelplan/plan_test.go
@@ -47,7 +47,7 @@
 }
 
 func state(servers []modelplan.Server, demand map[string]modelplan.Demand) modelplan.State {
-	return modelplan.State{Servers: servers, Models: models(12), Demand: demand, AdapterSlots: 2}
+	return modelplan.State{Servers: servers, Models: models(12), Demand: demand, AdapterSlots: 2, StoreLoads: 100}
 }
 
 // A burst on a model that is loaded nowhere is one load, where a copy lies and
@@ -94,6 +94,15 @@
 	}
 }
 
+// And no more than the store's rate allows.
+func TestStoreLoadsKeepToTheRate(t *testing.T) {
+	st := state([]modelplan.Server{newServer("a", nil), newServer("b", nil)}, map[string]modelplan.Demand{"m0": {Waiting: 1}, "m1": {Waiting: 1}})
+	st.StoreLoads = 1
+	assert.Len(t, modelplan.Plan(now, st), 1)
+	st.StoreLoads = 0
+	assert.Empty(t, modelplan.Plan(now, st))
+}
+
 // Demand that moves to another model within seconds gets that a second replica.
 func TestHotModelGetsASecondReplica(t *testing.T) {
 	servers := []modelplan.Server{
