--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -96,9 +96,9 @@
 	req, err := http.NewRequestWithContext(ctx, method, w.front.URL+target, strings.NewReader("a body"))
 	require.NoError(w, err)
 	req.Host = host
-	req.Header.Set("Cyclamenhoist-Attempt-Id", "id-1")
-	req.Header.Set("Cyclamenhoist-Deadline-Ms", "15000")
-	req.Header.Set("Cyclamenhoist-Model", "m")
+	req.Header.Set(standin.HeaderID, "id-1")
+	req.Header.Set(standin.HeaderDeadline, "15000")
+	req.Header.Set(standin.HeaderModel, "m")
 	for name, value := range header {
 		req.Header.Set(name, value)
 	}
@@ -137,21 +137,21 @@
 	w.publish()
 	got := w.do(http.MethodPost, "/read/a%2Fb//c?q=1&q=2", map[string]string{
 		"X-Own": "kept", "Connection": "X-Hop", "X-Hop": "dropped",
-		"Cyclamenhoist-Hold": "h", "Cyclamenhoist-Pin-Ms": "9", "Kv-From": "k", "Cyclamenhoist-Kv-Backup": "b",
-		"Cyclamenhoist-Expect-Instance": "forged",
+		standin.HeaderHold: "h", standin.HeaderPin: "9", standin.HeaderFrom: "k", standin.HeaderBackup: "b",
+		standin.HeaderExpect: "forged",
 	})
 	assert.Equal(t, http.StatusOK, got.status)
 	assert.Equal(t, "s1 POST a body", got.body)
-	assert.Equal(t, "signed-by-s1", got.header.Get("Cyclamenhoist-Response-Signature"))
+	assert.Equal(t, "signed-by-s1", got.header.Get(standin.HeaderSignature))
 	require.Len(t, s.Runs(), 1)
 	run := s.Runs()[0]
 	assert.Equal(t, "/read/a%2Fb//c?q=1&q=2", run.Path)
 	assert.Equal(t, "kept", run.Header.Get("X-Own"))
-	assert.Equal(t, "s1", run.Header.Get("Cyclamenhoist-Expect-Instance"))
-	for _, name := range []string{"X-Hop", "Cyclamenhoist-Hold", "Cyclamenhoist-Pin-Ms", "Kv-From", "Cyclamenhoist-Kv-Backup"} {
+	assert.Equal(t, "s1", run.Header.Get(standin.HeaderExpect))
+	for _, name := range []string{"X-Hop", standin.HeaderHold, standin.HeaderPin, standin.HeaderFrom, standin.HeaderBackup} {
 		assert.Empty(t, run.Header.Get(name), name)
 	}
-	left, err := strconv.Atoi(run.Header.Get("Cyclamenhoist-Deadline-Ms"))
+	left, err := strconv.Atoi(run.Header.Get(standin.HeaderDeadline))
 	require.NoError(t, err)
 	assert.LessOrEqual(t, left, 15000)
 }
@@ -200,7 +200,7 @@
 			}
 			assert.Len(t, second.Runs(), want)
 			if c.status == http.StatusBadGateway {
-				assert.Empty(t, got.header.Get("Cyclamenhoist-Response-Signature"))
+				assert.Empty(t, got.header.Get(standin.HeaderSignature))
 			}
 		})
 	}
@@ -243,7 +243,7 @@
 		w := newWorld(t)
 		w.add(standin.ServerConfig{ID: "s1", Service: engine})
 		w.publish()
-		assert.Equal(t, http.StatusServiceUnavailable, w.do(http.MethodPost, "/once/", map[string]string{"Cyclamenhoist-Model": "no"}).status)
+		assert.Equal(t, http.StatusServiceUnavailable, w.do(http.MethodPost, "/once/", map[string]string{standin.HeaderModel: "no"}).status)
 	})
 	t.Run("body too large", func(t *testing.T) {
 		w := newWorld(t)
@@ -361,7 +361,7 @@
 	s := w.add(standin.ServerConfig{ID: "s1", Service: plain})
 	s.SetFaults(standin.ServerFaults{Mute: true})
 	w.publish()
-	got := w.do(http.MethodPost, "/write/", map[string]string{"Cyclamenhoist-Deadline-Ms": "200"})
+	got := w.do(http.MethodPost, "/write/", map[string]string{standin.HeaderDeadline: "200"})
 	assert.Equal(t, http.StatusGatewayTimeout, got.status)
 	assert.Len(t, s.Runs(), 1)
 }
@@ -372,7 +372,7 @@
 	w.servers["s1"].Born, w.servers["s1"].Models = 2, nil
 	w.publish()
 	w.views.SetResidency(map[fleet.ServerID]edge.Residency{"s1": {Born: 1, Sequence: 9, Models: []fleet.Resident{{Model: "m"}}}})
-	got := w.do(http.MethodPost, "/once/", map[string]string{"Cyclamenhoist-Deadline-Ms": "150"})
+	got := w.do(http.MethodPost, "/once/", map[string]string{standin.HeaderDeadline: "150"})
 	assert.Equal(t, http.StatusServiceUnavailable, got.status)
 	assert.Empty(t, s.Runs())
 	w.views.SetResidency(map[fleet.ServerID]edge.Residency{"s1": {Born: 2, Sequence: 1, Models: []fleet.Resident{{Model: "m"}}}})
--- a/internal/fleetapp/fleetapp_test.go
+++ b/internal/fleetapp/fleetapp_test.go
@@ -120,9 +120,9 @@
 	req, err := http.NewRequest(http.MethodPost, "http://"+p.front+path, strings.NewReader("x"))
 	require.NoError(p, err)
 	req.Host = "shop.example"
-	req.Header.Set("Cyclamenhoist-Attempt-Id", "id")
-	req.Header.Set("Cyclamenhoist-Model", "m")
-	req.Header.Set("Cyclamenhoist-Deadline-Ms", "20000")
+	req.Header.Set(standin.HeaderID, "id")
+	req.Header.Set(standin.HeaderModel, "m")
+	req.Header.Set(standin.HeaderDeadline, "20000")
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		return 0, ""
