--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/retry"
@@ -143,6 +145,9 @@
 	defer b.stats.own.Add(-1)
 
 	q.status = 0
+	ctx, span := q.edge.tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("server", string(b.server.ID))))
+	defer span.End()
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var stalled atomic.Bool
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -7,6 +7,7 @@
 
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/retry"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
@@ -50,6 +51,7 @@
 	servers *platform.Servers
 	demand  Demand
 	log     *log.Logger
+	tracer  trace.Tracer
 	started time.Time
 
 	draining atomic.Bool
@@ -68,9 +70,9 @@
 }
 
 // New returns an Edge over the given views.
-func New(cfg Config, views *Views, servers *platform.Servers, demand Demand, logger *log.Logger, registry metrics.Registry) *Edge {
+func New(cfg Config, views *Views, servers *platform.Servers, demand Demand, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *Edge {
 	return &Edge{
-		cfg: cfg, views: views, servers: servers, demand: demand, log: logger, started: time.Now(),
+		cfg: cfg, views: views, servers: servers, demand: demand, log: logger, tracer: tracer, started: time.Now(),
 		budgets:  map[string]*retry.Budget{},
 		served:   metrics.NewRegisteredCounter("edge_served", registry),
 		refusals: metrics.NewRegisteredCounter("edge_refused", registry),
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -16,6 +16,9 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
@@ -36,6 +39,8 @@
 	edge    *edge.Edge
 	front   *httptest.Server
 	servers map[fleet.ServerID]*fleet.Server
+	spans   *tracetest.SpanRecorder
+	tracer  trace.Tracer
 }
 
 const (
@@ -52,9 +57,10 @@
 }
 
 func newWorld(t *testing.T) *world {
-	w := &world{T: t, views: edge.NewViews(), servers: map[fleet.ServerID]*fleet.Server{}}
+	w := &world{T: t, views: edge.NewViews(), servers: map[fleet.ServerID]*fleet.Server{}, spans: tracetest.NewSpanRecorder()}
+	w.tracer = sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(w.spans)).Tracer("")
 	w.edge = edge.New(edge.Config{Zone: "zone-a", RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second, Instances: 1},
-		w.views, platform.NewServers(), noDemand{}, &log.Logger{Level: log.PanicLevel}, metrics.NewRegistry())
+		w.views, platform.NewServers(), noDemand{}, &log.Logger{Level: log.PanicLevel}, metrics.NewRegistry(), w.tracer)
 	w.front = httptest.NewServer(w.edge)
 	t.Cleanup(w.front.Close)
 	return w
@@ -206,6 +212,22 @@
 	}
 }
 
+// A request has a span, and each of its attempts one under it.
+func TestSpans(t *testing.T) {
+	w := newWorld(t)
+	for _, id := range []string{"s1", "s2"} {
+		w.add(standin.ServerConfig{ID: id, Service: plain}).SetFaults(standin.ServerFaults{Fail: true})
+	}
+	w.publish()
+	assert.Equal(t, http.StatusInternalServerError, w.do(http.MethodPost, "/read/", nil).status)
+	require.Eventually(t, func() bool { return len(w.spans.Ended()) == 3 }, time.Minute, time.Millisecond)
+	spans := w.spans.Ended()
+	assert.Equal(t, []string{"attempt", "attempt", "request"}, []string{spans[0].Name(), spans[1].Name(), spans[2].Name()})
+	for _, attempt := range spans[:2] {
+		assert.Equal(t, spans[2].SpanContext().SpanID(), attempt.Parent().SpanID())
+	}
+}
+
 func TestUnreachableServerLosesNothing(t *testing.T) {
 	w := newWorld(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
@@ -63,6 +65,9 @@
 	if ok {
 		ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 		defer cancel()
+		ctx, span := e.tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer),
+			trace.WithAttributes(attribute.String("request", q.head.ID), attribute.String("route", q.route.Name)))
+		defer span.End()
 		out, ok = q.run(ctx)
 		if !ok && r.Context().Err() != nil {
 			out = outcome{reason: reasonCanceled}
--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -17,7 +17,6 @@
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 	"go.opentelemetry.io/otel/trace"
-	"go.opentelemetry.io/otel/trace/noop"
 	"go.uber.org/dig"
 	"golang.org/x/sync/errgroup"
 
@@ -57,7 +56,7 @@
 	store    *platform.Store
 	servers  *platform.Servers
 	placer   *placer.Placer
-	tracer   trace.Tracer
+	tracing  *telemetry.Tracing
 }
 
 // New puts an instance together without starting anything.
@@ -75,7 +74,10 @@
 		func(s *Settings) *platform.Store { return platform.NewStore(s.Store.Address) },
 		placer.NewCollector,
 		func(c *placer.Collector) edge.Demand { return c },
-		func() trace.Tracer { return noop.NewTracerProvider().Tracer("") },
+		func(s *Settings) (*telemetry.Tracing, error) {
+			return telemetry.NewTracing(context.Background(), s.Tracing.OTLPURL, s.Tracing.SampleRatio, s.Instance.Name, s.Instance.Zone)
+		},
+		func(t *telemetry.Tracing) trace.Tracer { return t.Tracer },
 		newPlacer,
 		newEdge,
 		newInstance,
@@ -92,11 +94,11 @@
 	return instance, nil
 }
 
-func newEdge(s *Settings, views *edge.Views, servers *platform.Servers, demand edge.Demand, logger *log.Logger, registry metrics.Registry) *edge.Edge {
+func newEdge(s *Settings, views *edge.Views, servers *platform.Servers, demand edge.Demand, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *edge.Edge {
 	return edge.New(edge.Config{
 		Zone: s.Instance.Zone, RetryRatio: s.Retries.Ratio, RetryWindow: s.Retries.Window.D(),
 		RetryExtra: s.Retries.Extra, Instances: s.Retries.Instances,
-	}, views, servers, demand, logger, registry)
+	}, views, servers, demand, logger, registry, tracer)
 }
 
 func newPlacer(s *Settings, store *platform.Store, views *edge.Views, c *placer.Collector, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *placer.Placer {
@@ -117,13 +119,13 @@
 	Store    *platform.Store
 	Servers  *platform.Servers
 	Placer   *placer.Placer
-	Tracer   trace.Tracer
+	Tracing  *telemetry.Tracing
 }
 
 func newInstance(p parts) *Instance {
 	return &Instance{
 		settings: p.Settings, log: p.Log, registry: p.Registry, views: p.Views, edge: p.Edge,
-		store: p.Store, servers: p.Servers, placer: p.Placer, tracer: p.Tracer,
+		store: p.Store, servers: p.Servers, placer: p.Placer, tracing: p.Tracing,
 	}
 }
 
@@ -155,10 +157,22 @@
 		return nil
 	})
 	err := group.Wait()
+	if lost := i.endTracing(); lost != nil {
+		i.log.Warn().Err(lost).Msg("spans_lost")
+	}
 	i.log.Info().Err(err).Msg("stopped")
 	return err
 }
 
+// spanFlush bounds the export of the last spans.
+const spanFlush = 300 * time.Millisecond
+
+func (i *Instance) endTracing() error {
+	ctx, cancel := context.WithTimeout(context.Background(), spanFlush)
+	defer cancel()
+	return i.tracing.Shutdown(ctx)
+}
+
 func (i *Instance) smallServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return errors.Join(ErrListen, err)
 	}
-	return peer.ServeMux(ctx, listener, mux, i.tracer, i.log)
+	return peer.ServeMux(ctx, listener, mux, i.tracing.Tracer, i.log)
 }
 
 // dependency logs when something outside is lost and when it is back.
--- a/internal/fleetapp/settings.go
+++ b/internal/fleetapp/settings.go
@@ -25,6 +25,7 @@
 	Retries   Retries   `json:"retries"`
 	Placing   Placing   `json:"placing"`
 	Shutdown  Shutdown  `json:"shutdown"`
+	Tracing   Tracing   `json:"tracing"`
 	Log       LogOutput `json:"log"`
 }
 
@@ -72,6 +73,13 @@
 	Grace jsonc.Duration `json:"grace" validate:"min=1s,max=24h"`
 }
 
+// Tracing exports spans.
+type Tracing struct {
+	// OTLPURL is the OTLP endpoint over HTTP; nothing is exported if empty.
+	OTLPURL     string  `json:"otlp_url" validate:"omitempty,http_url"`
+	SampleRatio float64 `json:"sample_ratio" validate:"min=0,max=1"`
+}
+
 // LogOutput bounds the log.
 type LogOutput struct {
 	Level          string  `json:"level" validate:"oneof=debug info warn error"`
