--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -93,28 +93,11 @@
 const listReadsPerLeave = 2
 
 func (i *Instance) followServers(ctx context.Context) {
-	directory := fleet.NewDirectory()
 	store := &dependency{instance: i, name: "server list"}
-	lastRead := time.Now()
 	spacing := i.settings.Servers.LeaveWithin.D() / listReadsPerLeave
+	list := newServerList(i.views.SetServers, spacing)
 	i.store.WatchServers(ctx, spacing, func(b platform.ServerListBatch) {
-		now := time.Now()
 		store.works()
-		if b.Regained {
-			// The call that failed may have hung for a while before it did.
-			directory.Regained(now, now.Sub(lastRead)-spacing)
-		}
-		lastRead = now
-		var changed bool
-		if b.Whole {
-			changed = directory.Replace(now, b.Entries)
-		} else {
-			for _, entry := range b.Entries {
-				changed = directory.Apply(now, entry) || changed
-			}
-		}
-		if directory.Expire(now) || changed || b.Whole {
-			i.views.SetServers(directory.Servers())
-		}
+		list.apply(b)
 	}, store.failed)
 }
--- /dev/null
+++ b/internal/fleetapp/serverlist_test.go
@@ -0,0 +1,30 @@
+package fleetapp
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/platform"
+)
+
+// A server that was removed as the list came back is left once its time to come back
+// has passed, though nothing is read at that moment.
+func TestPendingRemovalTakesEffectWithoutARead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var servers atomic.Int64
+		list := newServerList(func(s map[fleet.ServerID]*fleet.Server) { servers.Store(int64(len(s))) }, time.Second)
+		entry := fleet.Entry{ID: "s", Offset: 1, Server: &fleet.Server{ID: "s", Sequence: 1}}
+		list.apply(platform.ServerListBatch{Entries: []fleet.Entry{entry}, Whole: true})
+		time.Sleep(9 * time.Second)
+		list.apply(platform.ServerListBatch{Entries: []fleet.Entry{{ID: "s", Offset: 2, Removed: true}}, Regained: true})
+		assert.Equal(t, int64(1), servers.Load(), "it may come back")
+		time.Sleep(fleet.MissingGrace)
+		synctest.Wait()
+		assert.Zero(t, servers.Load())
+	})
+}
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -181,6 +181,17 @@
 	return changed
 }
 
+// NextExpiry returns when the next removal is due, the zero time if none is pending.
+func (d *Directory) NextExpiry() time.Time {
+	var next time.Time
+	for _, held := range d.entries {
+		if !held.goneAt.IsZero() && (next.IsZero() || held.goneAt.Before(next)) {
+			next = held.goneAt
+		}
+	}
+	return next
+}
+
 // Servers returns the usable servers by ID, draining ones included.
 func (d *Directory) Servers() map[ServerID]*Server {
 	out := make(map[ServerID]*Server, len(d.entries))
