--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -55,10 +55,10 @@
 	started time.Time
 
 	draining atomic.Bool
-	// drainBy is when requests that still wait are refused, in nanoseconds since
-	// started; 0 while the instance isn't draining.
-	drainBy  atomic.Int64
-	inFlight atomic.Int64
+	// drainBy is when requests that still wait are refused, and takeUntil when new
+	// ones are, in nanoseconds since started; 0 while the instance isn't draining.
+	drainBy, takeUntil atomic.Int64
+	inFlight           atomic.Int64
 
 	budgetsMu sync.Mutex
 	budgets   map[string]*retry.Budget
@@ -94,13 +94,21 @@
 	e.budgets = map[string]*retry.Budget{}
 }
 
-// Drain makes every further answer close its connection, and refuses requests
-// that still wait at the given time.
-func (e *Edge) Drain(refuseAt time.Time) {
-	e.drainBy.Store(int64(refuseAt.Sub(e.started)))
+// Drain makes every further answer close its connection. New requests are refused
+// from takeUntil on, as they might not end before the instance does, and those that
+// still wait from waitUntil on.
+func (e *Edge) Drain(takeUntil, waitUntil time.Time) {
+	e.takeUntil.Store(int64(takeUntil.Sub(e.started)))
+	e.drainBy.Store(int64(waitUntil.Sub(e.started)))
 	e.draining.Store(true)
 }
 
+// takesRequests reports whether new requests are taken.
+func (e *Edge) takesRequests() bool {
+	until := e.takeUntil.Load()
+	return until == 0 || int64(e.since()) < until
+}
+
 // waitLimit returns when a request with the given deadline must have a server.
 func (e *Edge) waitLimit(deadline time.Time) time.Time {
 	limit := deadline.Add(-leastServiceTime)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -282,11 +282,23 @@
 		s := w.add(standin.ServerConfig{ID: "s1", Service: engine})
 		w.servers["s1"].Models = nil
 		w.publish()
-		w.edge.Drain(time.Now())
+		w.edge.Drain(time.Now().Add(time.Hour), time.Now())
 		got := w.do(http.MethodPost, "/once/", nil)
 		assert.Equal(t, http.StatusServiceUnavailable, got.status)
 		assert.Empty(t, s.Runs())
 	})
+	t.Run("about to stop", func(t *testing.T) {
+		w := newWorld(t)
+		s := w.add(standin.ServerConfig{ID: "s1", Service: plain})
+		w.publish()
+		w.edge.Drain(time.Now().Add(time.Hour), time.Now().Add(time.Hour))
+		assert.Equal(t, http.StatusOK, w.do(http.MethodPost, "/write/", nil).status, "still taken at first")
+		w.edge.Drain(time.Now(), time.Now().Add(time.Hour))
+		got := w.do(http.MethodPost, "/write/", nil)
+		assert.Equal(t, http.StatusServiceUnavailable, got.status)
+		assert.NotEmpty(t, got.header.Get("Retry-After"))
+		assert.Len(t, s.Runs(), 1)
+	})
 }
 
 func TestStreams(t *testing.T) {
--- a/internal/edge/ending.go
+++ b/internal/edge/ending.go
@@ -43,6 +43,9 @@
 	// retryAfterLeast is the least time a refused client is asked to wait: about
 	// a load from a server's disk.
 	retryAfterLeast = 400 * time.Millisecond
+	// stoppingRetryAfter is for clients of an instance that is about to stop: the
+	// others take them at once.
+	stoppingRetryAfter = 20 * time.Millisecond
 	// retryAfterSpread spreads clients that were refused at the same moment.
 	retryAfterSpread = 0.25
 )
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -111,6 +111,9 @@
 	if view.Manifest == nil {
 		return refused(reasonNoManifest, spread(time.Second)), false
 	}
+	if !q.edge.takesRequests() {
+		return refused(reasonStopping, stoppingRetryAfter), false
+	}
 	q.method, q.target, q.host = r.Method, r.RequestURI, r.Host
 	q.route = view.Manifest.Route(hostName(r.Host), pathOf(r))
 	if q.route == nil {
--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -213,6 +213,10 @@
 	// drainNotice is how long the balancer takes to notice: two questions, one a
 	// second, and the channels that it opened just before.
 	drainNotice = 3500 * time.Millisecond
+	// drainTake is how long new requests are taken: until the balancer has noticed.
+	// What comes later on a kept connection is served at once elsewhere, while a
+	// stream begun here could outlast the grace period.
+	drainTake = 2800 * time.Millisecond
 	// drainServing is the end of the grace period that is kept for requests that
 	// a server works on: a summary takes a second or two.
 	drainServing = 2500 * time.Millisecond
@@ -226,7 +230,8 @@
 	i.log.Info().Int64("requests", i.edge.InFlight()).Msg("draining")
 	grace, cancel := context.WithTimeout(ctx, i.settings.Shutdown.Grace.D()-drainReserve)
 	defer cancel()
-	i.edge.Drain(time.Now().Add(i.settings.Shutdown.Grace.D() - drainServing))
+	now := time.Now()
+	i.edge.Drain(now.Add(drainTake), now.Add(i.settings.Shutdown.Grace.D()-drainServing))
 	pause.For(grace, drainNotice)
 	if err := front.Shutdown(grace); err != nil {
 		i.log.Warn().Err(err).Int64("requests", i.edge.InFlight()).Msg("drain_cut_short")
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -73,6 +73,9 @@
 type listed struct {
 	offset int64
 	server *Server // nil: names no server to use
+	// last is what the server said last, also after its entry was removed: an
+	// older report that is written once more doesn't bring it back.
+	last *Server
 	// goneAt is when a removal takes effect; zero if none is pending.
 	goneAt time.Time
 }
@@ -121,14 +124,14 @@
 		held.server = nil
 		return changed
 	case !known:
-		d.entries[e.ID] = &listed{offset: e.Offset, server: e.Server}
+		d.entries[e.ID] = &listed{offset: e.Offset, server: e.Server, last: e.Server}
 		return true
 	}
 	held.offset = e.Offset
-	if held.server != nil && olderThan(e.Server, held.server) {
+	if olderThan(e.Server, held.last) || held.server == nil && !olderThan(held.last, e.Server) {
 		return false
 	}
-	held.server, held.goneAt = e.Server, time.Time{}
+	held.server, held.last, held.goneAt = e.Server, e.Server, time.Time{}
 	return true
 }
 
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -72,6 +72,9 @@
 		{"an earlier life doesn't", []fleet.Entry{put(1, 2, 1), put(2, 1, 9)}, 1},
 		{"a removed server is gone", []fleet.Entry{put(1, 1, 1), removed(2)}, -1},
 		{"and may come back", []fleet.Entry{put(1, 1, 1), removed(2), put(3, 1, 2)}, 2},
+		{"but not by an older report", []fleet.Entry{put(1, 1, 4), removed(2), put(3, 1, 3)}, -1},
+		{"nor by the last one once more", []fleet.Entry{put(1, 1, 4), removed(2), put(3, 1, 4)}, -1},
+		{"though by a new life", []fleet.Entry{put(1, 1, 4), removed(2), put(3, 2, 1)}, 1},
 		{"an unreadable entry names no server", []fleet.Entry{put(1, 1, 1), unreadable(2)}, -1},
 		{"until it is readable again", []fleet.Entry{put(1, 1, 1), unreadable(2), put(3, 1, 2)}, 2},
 	} {
