Show the platform's edge in demo, and probe connections between instances

Cause: demo could show only the edge that speaks the project's own interface, and connections between instances on the platform had no probes of their own: a peer that went without a word was noticed by the next call alone.

--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -13,6 +13,7 @@
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/demo"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/standin"
+	edgestandin "github.com/cyclamenhoist/cyclamenhoist/platform/standin"
 )
 
 const demoHelp = `Runs stand-ins for the platform, model engines and a plain service, and two
@@ -24,9 +25,14 @@
 and one entry that mustn't run twice to two of them, and exits 0 only if every
 promise held.
 
+With --platform it runs the platform's edge instead: stand-ins for the platform's
+store, model servers and a plain server, and two entry instances as "cyclamenhoist
+edge" runs them.
+
 Examples:
   cyclamenhoist demo
-  cyclamenhoist demo --once`
+  cyclamenhoist demo --once
+  cyclamenhoist demo --platform --once`
 
 const (
 	demoStartTimeout = 10 * time.Second
@@ -36,9 +42,10 @@
 type demoCommand struct {
 	*environment
 
-	Once    bool `long:"once" description:"send one burst, report, and exit"`
-	JSON    bool `long:"json" description:"with --once: report as JSON"`
-	Verbose bool `long:"verbose" description:"show the instances' logs"`
+	Once     bool `long:"once" description:"send one burst, report, and exit"`
+	JSON     bool `long:"json" description:"with --once: report as JSON"`
+	Platform bool `long:"platform" description:"run the platform's edge"`
+	Verbose  bool `long:"verbose" description:"show the instances' logs"`
 }
 
 // Execute runs the command.
@@ -47,6 +54,9 @@
 	if c.Verbose {
 		logs = c.stderr
 	}
+	if c.Platform {
+		return c.edge(logs)
+	}
 	if c.Once {
 		return c.once(logs)
 	}
@@ -98,12 +108,67 @@
 	if err := c.report(result); err != nil {
 		return err
 	}
-	if broken := result.Broken(); len(broken) > 0 {
+	return brokenError(result.Broken())
+}
+
+func brokenError(broken []string) error {
+	if len(broken) > 0 {
 		return errors.New("broken: " + strings.Join(broken, "; "))
 	}
 	return nil
 }
 
+// edge runs the platform's edge.
+func (c *demoCommand) edge(logs io.Writer) error {
+	start, cancel := context.WithTimeoutCause(c.stop, demoOnceTimeout, errors.New("not done within 20 s"))
+	defer cancel()
+	edge, err := demo.StartEdge(start, c.kill, logs)
+	if err != nil {
+		return err
+	}
+	if !c.Once {
+		c.greetEdge(edge)
+		<-c.stop.Done()
+		return edge.Stop()
+	}
+	result := edge.Burst(start)
+	if err := edge.Stop(); err != nil {
+		return err
+	}
+	if err := c.reportEdge(result); err != nil {
+		return err
+	}
+	return brokenError(result.Broken())
+}
+
+func (c *demoCommand) greetEdge(e *demo.Edge) {
+	out := tabwriter.NewWriter(c.stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "clients\tmetrics")
+	for n := range e.Clients {
+		fmt.Fprintf(out, "http://%s\thttp://%s/\n", e.Clients[n], e.Metrics[n])
+	}
+	_ = out.Flush()
+	fmt.Fprintf(c.stdout, `
+Platform stand-in: store %s
+
+Ask for a model that is loaded nowhere:
+  curl -N http://%s%s1 -H 'Host: %s' -H '%s: one' -H '%s: %s' -d 'What has changed on transect 4?'
+Write an entry, which runs at most once:
+  curl http://%s%s1 -H 'Host: %s' -H '%s: two' -d 'crew of four'
+Press Ctrl-C to stop.
+`, e.Store.URL, e.Clients[0], demo.EdgeModelPath, demo.EdgeHost, edgestandin.HeaderID, edgestandin.HeaderModel, demo.EdgeModel,
+		e.Clients[1], demo.EdgeWebPath, demo.EdgeHost, edgestandin.HeaderID)
+}
+
+func (c *demoCommand) reportEdge(r *demo.EdgeResult) error {
+	if c.JSON {
+		return json.NewEncoder(c.stdout).Encode(r)
+	}
+	_, err := fmt.Fprintf(c.stdout, "answered %d, failed %d, runs at the servers %d, loads %d, loads beyond memory %d\n",
+		r.Answered, r.Failed, r.Runs, r.Loads, r.Overloads)
+	return err
+}
+
 func (c *demoCommand) report(r *demo.Result) error {
 	if c.JSON {
 		return json.NewEncoder(c.stdout).Encode(r)
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -87,3 +87,15 @@
 	}
 	require.Equal(t, 1, cluster.Platform.MaxReplicasSeen("entry-assistant"))
 }
+
+func TestEdgeBurstKeepsEveryPromise(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	edge, err := demo.StartEdge(ctx, context.Background(), io.Discard)
+	require.NoError(t, err)
+	t.Cleanup(edge.Close)
+	result := edge.Burst(ctx)
+	require.Empty(t, result.Broken(), "%+v", result)
+	require.NotEmpty(t, (&demo.EdgeResult{}).Broken(), "the check can fail")
+	require.NoError(t, edge.Stop())
+}
--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -38,7 +38,8 @@
 	if err := i.placer.Register(mux); err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", i.settings.Peers.Address)
+	listen := net.ListenConfig{KeepAliveConfig: peer.KeepAlive()}
+	listener, err := listen.Listen(ctx, "tcp", i.settings.Peers.Address)
 	if err != nil {
 		return errors.Join(ErrListen, err)
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/phuslu/log"
@@ -21,6 +22,15 @@
 // ErrServe means that the listener for other instances failed.
 var ErrServe = errors.New("serve peers")
 
+// peerProbe is the interval of the probes on idle connections: one end may be gone
+// without a word, and calls are bounded only while they run.
+const peerProbe = 5 * time.Second
+
+// KeepAlive is the probing of connections between instances, for both ends.
+func KeepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: peerProbe, Interval: peerProbe, Count: 3}
+}
+
 // Serve answers other instances on the listener until ctx ends.
 func Serve(ctx context.Context, l net.Listener, handler peerpb.DRPCPeerServer, tracer trace.Tracer, logger *log.Logger) error {
 	mux := drpcmux.New()
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -76,7 +76,7 @@
 		Self:  tenure.Record{Holder: cfg.Name, Life: uuid.NewString(), Address: cfg.Address},
 		Lease: cfg.Lease, Fenced: cfg.Fenced,
 	}, views.Known)
-	dialer := &net.Dialer{Timeout: callTimeout}
+	dialer := &net.Dialer{Timeout: callTimeout, KeepAliveConfig: peer.KeepAlive()}
 	return &Placer{
 		name: cfg.Name, address: cfg.Address, keeper: k, collector: collector, views: views, log: logger,
 		peers: peer.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
