Move the counting of demand into a package of its own

Cause: the model of a deployment has to drive the code that counts demand, which was inside internal/placer beside calls and clocks. Change: pkg/demand holds the pure book of arrivals and waits; internal/placer keeps the list of instances that report.

--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -4,38 +4,28 @@
 	"sync"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/demand"
 )
 
-// wanted names a model, or an adapter of it, of a service.
-type wanted struct {
-	service, model, adapter string
-}
-
-// tally counts the requests for one model.
-type tally struct {
-	arrived, arrivedLasting uint32
-	waiting, waitingLasting uint32
-}
-
 // Collector counts what this instance's requests want. It implements
 // edge.Demand.
 type Collector struct {
 	mu      sync.Mutex
-	tallies map[wanted]*tally
+	tallies map[demand.Key]*demand.Tally
 	// changed holds a token while a model waits that wasn't reported yet.
 	changed chan struct{}
 }
 
 // NewCollector returns an empty collector.
 func NewCollector() *Collector {
-	return &Collector{tallies: map[wanted]*tally{}, changed: make(chan struct{}, 1)}
+	return &Collector{tallies: map[demand.Key]*demand.Tally{}, changed: make(chan struct{}, 1)}
 }
 
-func (c *Collector) tally(w edge.Want) *tally {
-	key := wanted{w.Service, w.Model, w.Adapter}
+func (c *Collector) tally(w edge.Want) *demand.Tally {
+	key := demand.Key{Service: w.Service, Model: w.Model, Adapter: w.Adapter}
 	t := c.tallies[key]
 	if t == nil {
-		t = &tally{}
+		t = &demand.Tally{}
 		c.tallies[key] = t
 	}
 	return t
@@ -46,9 +36,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.tally(w)
-	t.arrived++
+	t.Arrived++
 	if w.Lasting {
-		t.arrivedLasting++
+		t.ArrivedLasting++
 	}
 }
 
@@ -57,9 +47,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.tally(w)
-	t.waiting++
+	t.Waiting++
 	if w.Lasting {
-		t.waitingLasting++
+		t.WaitingLasting++
 	}
 	select {
 	case c.changed <- struct{}{}:
@@ -70,22 +60,22 @@
 		defer c.mu.Unlock()
 		// The tally may have been replaced by a newer one meanwhile.
 		t := c.tally(w)
-		t.waiting--
+		t.Waiting--
 		if w.Lasting {
-			t.waitingLasting--
+			t.WaitingLasting--
 		}
 	}
 }
 
 // take returns what arrived since the last call and what waits now.
-func (c *Collector) take() map[wanted]tally {
+func (c *Collector) take() map[demand.Key]demand.Tally {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := make(map[wanted]tally, len(c.tallies))
+	out := make(map[demand.Key]demand.Tally, len(c.tallies))
 	for key, t := range c.tallies {
 		out[key] = *t
-		t.arrived, t.arrivedLasting = 0, 0
-		if t.waiting == 0 {
+		t.Arrived, t.ArrivedLasting = 0, 0
+		if t.Waiting == 0 {
 			delete(c.tallies, key)
 		}
 	}
@@ -93,16 +83,16 @@
 }
 
 // putBack returns arrivals that couldn't be reported.
-func (c *Collector) putBack(tallies map[wanted]tally) {
+func (c *Collector) putBack(tallies map[demand.Key]demand.Tally) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for key, t := range tallies {
 		held := c.tallies[key]
 		if held == nil {
-			held = &tally{}
+			held = &demand.Tally{}
 			c.tallies[key] = held
 		}
-		held.arrived += t.arrived
-		held.arrivedLasting += t.arrivedLasting
+		held.Arrived += t.Arrived
+		held.ArrivedLasting += t.ArrivedLasting
 	}
 }
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -11,6 +11,7 @@
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/demand"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/modelplan"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
@@ -48,13 +49,14 @@
 	orders  metrics.Counter
 
 	mu      sync.Mutex
-	book    *book
+	book    *demand.Book
+	roll    roll
 	servers map[fleet.ServerID]*tracked
 	ceiling *ceiling
 	epoch   int64
 	version int64
 	// doubted is when requests were first seen to wait for what is held.
-	doubted map[wanted]time.Time
+	doubted map[demand.Key]time.Time
 	wake    chan struct{}
 	// published is closed when the placement changes.
 	published chan struct{}
@@ -119,7 +121,7 @@
 
 func (h *holder) planState(service string, engine *fleet.Engine, now time.Time) modelplan.State {
 	state := modelplan.State{
-		Models: make(map[string]modelplan.Model, len(engine.Models)), Demand: h.book.demand(service, now),
+		Models: make(map[string]modelplan.Model, len(engine.Models)), Demand: h.book.Of(service, now),
 		AdapterSlots: engine.AdapterSlots, StoreLoads: h.ceiling.left(engine.LoadsPerSecond, now),
 	}
 	for name, m := range engine.Models {
@@ -141,14 +143,14 @@
 // doubt reads servers anew that requests wait for though they should hold what is
 // wanted: a report may have been wrong, or the server may have started anew.
 func (h *holder) doubt(service string, now time.Time) {
-	waiting := h.book.waiting(now)
+	waiting := h.book.Waiting(now)
 	for key := range h.doubted {
 		if _, waits := waiting[key]; !waits {
 			delete(h.doubted, key)
 		}
 	}
 	for key := range waiting {
-		if key.service != service {
+		if key.Service != service {
 			continue
 		}
 		since, doubted := h.doubted[key]
@@ -161,8 +163,8 @@
 		}
 		h.doubted[key] = now
 		for _, t := range h.servers {
-			state := t.models[key.model]
-			if t.known && !t.busy && state != nil && (key.adapter == "" || state.adapters[key.adapter]) {
+			state := t.models[key.Model]
+			if t.known && !t.busy && state != nil && (key.Adapter == "" || state.adapters[key.Adapter]) {
 				t.readAt = now
 			}
 		}
@@ -317,12 +319,12 @@
 
 // report takes in what an instance's requests want and returns the addresses of
 // the instances that have reported lately.
-func (h *holder) report(instance, address string, tallies map[wanted]tally) []string {
+func (h *holder) report(instance, address string, tallies map[demand.Key]demand.Tally) []string {
 	h.mu.Lock()
 	now := time.Now()
-	h.book.meet(instance, address, now)
-	h.book.report(instance, tallies, now)
-	peers := h.book.instances(now)
+	h.roll.meet(instance, address, now)
+	h.book.Report(instance, tallies, now)
+	peers := h.roll.addresses(now)
 	h.mu.Unlock()
 	signal(h.wake)
 	return peers
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -20,6 +20,7 @@
 	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/demand"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/modelplan"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/tenure"
@@ -27,6 +28,8 @@
 )
 
 const (
+	// waitingFresh is how long what an instance said of its waiting requests holds.
+	waitingFresh = 3 * reportInterval
 	// reportInterval is how often demand is reported that isn't urgent.
 	reportInterval = 500 * time.Millisecond
 	// idleReports is how many reports without content are left out before one is
@@ -85,7 +88,7 @@
 		holder: &holder{
 			control: platform.NewControl(), keeper: k, views: views, log: logger, name: cfg.Name,
 			orders: metrics.NewRegisteredCounter("placer_orders", registry),
-			book:   newBook(), servers: map[fleet.ServerID]*tracked{}, doubted: map[wanted]time.Time{},
+			book:   demand.NewBook(waitingFresh), roll: roll{}, servers: map[fleet.ServerID]*tracked{}, doubted: map[demand.Key]time.Time{},
 			wake: make(chan struct{}, 1), published: make(chan struct{}),
 		},
 	}
@@ -128,7 +131,7 @@
 
 var errNoHolder = errors.New("no instance places models")
 
-func (p *Placer) report(ctx context.Context, tallies map[wanted]tally) error {
+func (p *Placer) report(ctx context.Context, tallies map[demand.Key]demand.Tally) error {
 	if p.keeper.placing() {
 		p.meet(p.holder.report(p.name, p.address, tallies))
 		return nil
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/demand"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/modelplan"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
@@ -281,33 +282,14 @@
 	assert.Equal(t, 1, c.left(0.01, start.Add(ceilingWindow)), "a slow store isn't never")
 }
 
-func TestBook(t *testing.T) {
-	start := time.Unix(1_800_000_000, 0)
-	b := newBook()
-	key := wanted{summaries, "a", "x"}
-	b.report("i0", map[wanted]tally{key: {arrived: 6, arrivedLasting: 2, waiting: 2, waitingLasting: 1}}, start)
-	d := b.demand(summaries, start)["a"]
-	assert.InDelta(t, 6/rateDecay.Seconds(), d.Rate, 1e-9)
-	assert.InDelta(t, (4+2*lastingWorth)/valueDecay.Seconds(), d.Value, 1e-9)
-	assert.InDelta(t, 1+lastingWorth, d.Waiting, 1e-9)
-	assert.InDelta(t, 1+lastingWorth, d.Adapters["x"], 1e-9)
-
-	later := b.demand(summaries, start.Add(rateDecay))["a"]
-	assert.Less(t, later.Rate, d.Rate)
-	b.report("i0", map[wanted]tally{}, start.Add(time.Second))
-	assert.Zero(t, b.demand(summaries, start.Add(time.Second))["a"].Waiting, "a report replaces the one before")
-	b.report("i1", map[wanted]tally{key: {waiting: 1}}, start)
-	assert.Zero(t, b.demand(summaries, start.Add(time.Minute))["a"].Waiting, "a silent instance counts no longer")
-}
-
 func TestCollectorKeepsWhatCouldntBeReported(t *testing.T) {
 	c := NewCollector()
 	c.Arrived(wantModel("a"))
 	done := c.Wait(wantModel("a"))
 	taken := c.take()
-	assert.Equal(t, tally{arrived: 1, arrivedLasting: 1, waiting: 1, waitingLasting: 1}, taken[wanted{summaries, "a", ""}])
+	assert.Equal(t, demand.Tally{Arrived: 1, ArrivedLasting: 1, Waiting: 1, WaitingLasting: 1}, taken[demand.Key{Service: summaries, Model: "a", Adapter: ""}])
 	c.putBack(taken)
 	done()
-	assert.Equal(t, tally{arrived: 1, arrivedLasting: 1}, c.take()[wanted{summaries, "a", ""}])
+	assert.Equal(t, demand.Tally{Arrived: 1, ArrivedLasting: 1}, c.take()[demand.Key{Service: summaries, Model: "a", Adapter: ""}])
 	assert.Empty(t, c.take())
 }
--- a/internal/placer/service.go
+++ b/internal/placer/service.go
@@ -6,6 +6,7 @@
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/demand"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 )
 
@@ -88,23 +89,23 @@
 	return out
 }
 
-func encodeDemand(instance, address string, tallies map[wanted]tally) *placerpb.DemandReport {
+func encodeDemand(instance, address string, tallies map[demand.Key]demand.Tally) *placerpb.DemandReport {
 	out := &placerpb.DemandReport{Instance: instance, Address: address}
 	for key, t := range tallies {
 		out.Demands = append(out.Demands, &placerpb.ModelDemand{
-			Service: key.service, Model: key.model, Adapter: key.adapter,
-			Arrived: t.arrived, ArrivedLasting: t.arrivedLasting, Waiting: t.waiting, WaitingLasting: t.waitingLasting,
+			Service: key.Service, Model: key.Model, Adapter: key.Adapter,
+			Arrived: t.Arrived, ArrivedLasting: t.ArrivedLasting, Waiting: t.Waiting, WaitingLasting: t.WaitingLasting,
 		})
 	}
 	return out
 }
 
-func decodeDemand(r *placerpb.DemandReport) map[wanted]tally {
-	out := make(map[wanted]tally, len(r.Demands))
+func decodeDemand(r *placerpb.DemandReport) map[demand.Key]demand.Tally {
+	out := make(map[demand.Key]demand.Tally, len(r.Demands))
 	for _, d := range r.Demands {
-		out[wanted{d.Service, d.Model, d.Adapter}] = tally{
-			arrived: d.Arrived, arrivedLasting: min(d.ArrivedLasting, d.Arrived),
-			waiting: d.Waiting, waitingLasting: min(d.WaitingLasting, d.Waiting),
+		out[demand.Key{Service: d.Service, Model: d.Model, Adapter: d.Adapter}] = demand.Tally{
+			Arrived: d.Arrived, ArrivedLasting: min(d.ArrivedLasting, d.Arrived),
+			Waiting: d.Waiting, WaitingLasting: min(d.WaitingLasting, d.Waiting),
 		}
 	}
 	return out
--- a/internal/placer/tracked.go
+++ b/internal/placer/tracked.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/demand"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/modelplan"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
@@ -128,7 +129,7 @@
 }
 
 // plannable returns the server as a plan sees it.
-func (t *tracked) plannable(engine *fleet.Engine, b *book) modelplan.Server {
+func (t *tracked) plannable(engine *fleet.Engine, b *demand.Book) modelplan.Server {
 	s := modelplan.Server{
 		ID: string(t.server.ID), MemoryMB: engine.WeightsMB,
 		Busy:    !t.known || t.unsure || t.calling || t.busy,
@@ -138,17 +139,11 @@
 		s.Loading = t.awaited
 	}
 	for name, state := range t.models {
-		held := modelplan.Held{Model: name, Since: state.since}
-		h := b.histories[serviceModel{t.server.Service, name}]
-		if h != nil {
-			held.LastUsed = h.lastUsed
-		}
+		key := demand.Key{Service: t.server.Service, Model: name}
+		held := modelplan.Held{Model: name, Since: state.since, LastUsed: b.LastUsed(key)}
 		for adapter := range state.adapters {
-			a := modelplan.Adapter{Name: adapter}
-			if h != nil {
-				a.LastUsed = h.adapters[adapter]
-			}
-			held.Adapters = append(held.Adapters, a)
+			key.Adapter = adapter
+			held.Adapters = append(held.Adapters, modelplan.Adapter{Name: adapter, LastUsed: b.LastUsed(key)})
 		}
 		s.Models = append(s.Models, held)
 	}
