Take a load from a server's own copy to have ended when its time is over

Cause: a report is some hundred milliseconds old, and the holder took a load to have ended only when one said so. Ruled out: the unload before a load (70 ms at the median), the weight store (15 loads). Change: 30 ms after its expected end such a load counts as done; a report 250 ms later confirms it, and one that says busy takes it back. Loads from the weight store, which slow each other down, are still waited for. TestLoadEndsWithoutAReport shows it without the bench.

--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -87,6 +87,11 @@
 		return
 	}
 	h.syncServers(view, now)
+	for _, t := range h.servers {
+		if t.endLoad(now) {
+			h.changed(t)
+		}
+	}
 	for name, service := range view.Manifest.Services {
 		if service.Engine != nil {
 			h.doubt(name, now)
@@ -245,6 +250,9 @@
 	defer h.mu.Unlock()
 	if err == nil {
 		t.accepted(a, done, time.Now())
+		if a.Kind == modelplan.LoadModel {
+			time.AfterFunc(a.Takes+loadMargin, func() { signal(h.wake) })
+		}
 	}
 	if errors.Is(err, platform.ErrOrderFenced) {
 		h.keeper.superseded(order.Epoch)
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -293,3 +293,35 @@
 	assert.Equal(t, demand.Tally{Arrived: 1, ArrivedLasting: 1}, c.take()[demand.Key{Service: summaries, Model: "a", Adapter: ""}])
 	assert.Empty(t, c.take())
 }
+
+// A load from a server's own copy counts as ended when its time is over, though no
+// report tells so yet.
+func TestLoadEndsWithoutAReport(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	const takes = 500 * time.Millisecond
+	load := modelplan.Action{Kind: modelplan.LoadModel, Model: "a", Takes: takes}
+	loading := func(a modelplan.Action) *tracked {
+		tr := newTracked(&fleet.Server{ID: "s"}, start)
+		require.True(t, tr.take(platform.Report{Sequence: 7}, start))
+		tr.accepted(a, false, start)
+		require.False(t, tr.endLoad(start.Add(takes)), "not before its time")
+		require.Empty(t, tr.residency(1).Models)
+		return tr
+	}
+	ended := start.Add(takes + loadMargin)
+
+	tr := loading(load)
+	require.True(t, tr.endLoad(ended))
+	assert.Equal(t, []fleet.Resident{{Model: "a"}}, tr.residency(2).Models)
+	assert.False(t, tr.plannable(&fleet.Engine{}, demand.NewBook(waitingFresh)).Busy)
+	assert.False(t, tr.endLoad(ended), "once")
+
+	require.True(t, tr.take(platform.Report{Sequence: 8, Busy: true}, ended), "it takes longer")
+	assert.Empty(t, tr.residency(3).Models)
+	assert.Equal(t, "a", tr.plannable(&fleet.Engine{}, demand.NewBook(waitingFresh)).Loading, "its memory still counts")
+	require.True(t, tr.take(platform.Report{Sequence: 8, Models: []fleet.Resident{{Model: "a"}}}, ended))
+	assert.Len(t, tr.residency(4).Models, 1)
+
+	load.FromStore = true
+	require.False(t, loading(load).endLoad(ended.Add(time.Minute)), "loads from the weight store slow each other down")
+}
