Give slots to waiting requests in turn

Cause: requests that found all slots of their model taken looked again every 20 ms, each for itself; who got a slot that freed was chance, new requests overtook waiting ones, and nothing kept a kind or a model from starving.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -44,6 +44,7 @@
 			return q.truthful(out), false
 		}
 		if !q.pay() {
+			q.edge.release(q.service, b)
 			return q.truthful(refused(reasonBudget, spread(time.Second))), false
 		}
 		fault := q.attempt(ctx, b)
@@ -137,12 +138,11 @@
 	return out
 }
 
-// attempt sends the request to one server and, if it is answered, answers the
-// client.
+// attempt sends the request to the server where it has a place and, if it is answered,
+// answers the client.
 func (q *request) attempt(ctx context.Context, b *backend) retry.Fault {
 	probe, _ := b.stats.health.Admit(q.edge.since())
-	b.stats.own.Add(1)
-	defer b.stats.own.Add(-1)
+	defer q.edge.release(q.service, b)
 
 	q.status = 0
 	ctx, span := q.edge.tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient),
@@ -235,6 +235,8 @@
 	q.status = answer.Status
 	if answer.HasLoad {
 		b.stats.noteLoad(answer.Load, time.Now())
+		// Others may have freed slots there.
+		q.edge.giveOutSlots(q.service)
 	}
 	success := answer.Status < http.StatusMultipleChoices
 	switch {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -60,6 +60,9 @@
 	drainBy, takeUntil atomic.Int64
 	inFlight           atomic.Int64
 
+	// slotQueues holds the *slotQueue of each service whose slots were all taken.
+	slotQueues sync.Map
+
 	budgetsMu sync.Mutex
 	budgets   map[string]*retry.Budget
 	// sharedBy is the number of instances that budgets were made for.
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -26,8 +26,8 @@
 	patienceShare = 0.6
 )
 
-// findServer waits until a server can take the request. It reports false with
-// the refusal if none will in time.
+// findServer waits until a server can take the request, and reserves a place there.
+// It reports false with the refusal if none will in time.
 func (q *request) findServer(ctx context.Context) (*backend, outcome, bool) {
 	var done func()
 	defer func() {
@@ -36,9 +36,12 @@
 		}
 	}()
 	for {
+		// Those that wait already come first.
+		q.edge.giveOutSlots(q.service)
 		view := q.edge.views.Load()
 		b, state := q.choose(view)
 		if b != nil {
+			b.stats.own.Add(1)
 			return b, outcome{}, true
 		}
 		if out, refuse := q.refuse(state, view); refuse {
@@ -47,7 +50,11 @@
 		if state == waitModel && done == nil {
 			done = q.edge.demand.Wait(q.want())
 		}
-		if !q.waitForChange(ctx, view, state) {
+		b, more := q.waitForChange(ctx, view, state)
+		if b != nil {
+			return b, outcome{}, true
+		}
+		if !more {
 			return nil, refused(reasonTooLate, 0), false
 		}
 	}
@@ -150,9 +157,9 @@
 	return false
 }
 
-// waitForChange waits until something may have changed; it reports false if the
-// request is over.
-func (q *request) waitForChange(ctx context.Context, view *View, state waitState) bool {
+// waitForChange waits until something may have changed, or until a slot is free for
+// the request at the server that it returns. It reports false if the request is over.
+func (q *request) waitForChange(ctx context.Context, view *View, state waitState) (*backend, bool) {
 	limit := time.Until(q.edge.waitLimit(q.deadline))
 	patience := time.Until(q.arrived.Add(time.Duration(patienceShare * float64(q.deadline.Sub(q.arrived)))))
 	if patience > 0 {
@@ -160,7 +167,7 @@
 	}
 	switch state {
 	case waitSlot:
-		limit = min(limit, fullRecheck)
+		return q.waitForSlot(ctx, view, min(limit, fullRecheck))
 	case waitTried:
 		limit = min(limit, q.triedPause)
 	}
@@ -170,7 +177,7 @@
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		return false
+		return nil, false
 	case <-view.superseded:
 	case <-timer.C:
 		if state == waitTried {
@@ -178,5 +185,27 @@
 			q.triedPause = min(2*q.triedPause, triedPauseMax)
 		}
 	}
-	return true
+	return nil, true
+}
+
+// waitForSlot waits in the queue of the service for at most limit.
+func (q *request) waitForSlot(ctx context.Context, view *View, limit time.Duration) (*backend, bool) {
+	slots := q.edge.slots(q.service)
+	w := slots.join(q)
+	timer := time.NewTimer(max(limit, time.Millisecond))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		if b := slots.leave(w); b != nil {
+			q.edge.release(q.service, b)
+		}
+		return nil, false
+	case b := <-w.given:
+		return b, true
+	case <-view.superseded:
+	case <-timer.C:
+	}
+	// In turn, before this request looks by itself.
+	slots.giveOut(q.edge.views.Load(), false)
+	return slots.leave(w), true
 }
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"sort"
 	"time"
 )
@@ -107,6 +108,13 @@
 	return last
 }
 
+// byTurn sorts flows like their heap, without touching their places in it.
+type byTurn []*flow
+
+func (b byTurn) Len() int           { return len(b) }
+func (b byTurn) Less(i, j int) bool { return flowHeap(b).Less(i, j) }
+func (b byTurn) Swap(i, j int)      { b[i], b[j] = b[j], b[i] }
+
 // finishSlack is how many emptied flows are remembered without a look at
 // whether they are due.
 const finishSlack = 64
@@ -161,6 +169,18 @@
 	return q.order[0].head()
 }
 
+// Heads returns the most urgent request of each flow, in the order of their turns,
+// for a caller that can't start each of them.
+func (q *Queue) Heads() []*Ticket {
+	flows := slices.Clone(q.order)
+	sort.Sort(byTurn(flows))
+	heads := make([]*Ticket, len(flows))
+	for i, f := range flows {
+		heads[i] = f.head()
+	}
+	return heads
+}
+
 // Serve removes a request that is being started, at the cost of its flow's next
 // turn. It reports whether the request was in the queue.
 func (q *Queue) Serve(t *Ticket) bool {
--- a/pkg/queue/queue_test.go
+++ b/pkg/queue/queue_test.go
@@ -205,3 +205,16 @@
 	require.True(t, q.Remove(tickets[7]))
 	require.Nil(t, q.Late(at(0), tickets[7]), "it has left")
 }
+
+func TestHeadsAreTheFlowsInTurn(t *testing.T) {
+	q := New()
+	later := q.Push(Request{Class: "a", Weight: 1, Deadline: time.Unix(20, 0)})
+	first := q.Push(Request{Class: "a", Weight: 1, Deadline: time.Unix(10, 0)})
+	other := q.Push(Request{Class: "b", Weight: 4, Deadline: time.Unix(15, 0)})
+	require.Equal(t, []*Ticket{first, other}, q.Heads())
+	require.True(t, q.Serve(other), "one that isn't first can be served")
+	require.True(t, q.Serve(first))
+	require.Equal(t, []*Ticket{later}, q.Heads())
+	require.True(t, q.Remove(later))
+	require.Empty(t, q.Heads())
+}
