--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -2,16 +2,22 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"runtime"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/experiment"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/fleetsim"
 )
 
 const experimentHelp = `Compares placement and keep-alive with baselines on arrival traces of one
 deployment, in virtual time. The same seed gives the same bytes.
 
+With --platform it models the deployment on the platform instead, for 40 s of calm
+and of overload: swaps of models, batches, waiting and clients that come back.
+
 Examples:
+  cyclamenhoist experiment --platform --deployment oarworks --seed 1
   cyclamenhoist experiment --deployment shoalmark --seed 1
   cyclamenhoist experiment --deployment oarworks --seed 1 --png curve.png`
 
@@ -23,21 +29,23 @@
 	JSON       bool   `long:"json" description:"print JSON"`
 	Days       int    `long:"days" default:"14" description:"length of a trace"`
 	NoCurves   bool   `long:"no-curves" description:"leave the trade-off curves out, which take most of the time"`
+	Platform   bool   `long:"platform" description:"model the deployment on the platform"`
 	PNG        string `long:"png" value-name:"FILE" description:"write the trade-off curve"`
 }
 
 // Execute runs the command.
 func (c *experimentCommand) Execute([]string) error {
+	if c.Platform {
+		return c.platform()
+	}
 	result, err := experiment.Run(experiment.Options{
 		Deployment: c.Deployment, Seed: c.Seed, Days: c.Days, NoCurves: c.NoCurves, Parallel: runtime.NumCPU(),
 	})
 	if err != nil {
 		return err
 	}
-	if c.PNG != "" {
-		if err := c.writePNG(result); err != nil {
-			return err
-		}
+	if err := c.writePNG(result); err != nil {
+		return err
 	}
 	if c.JSON {
 		return result.WriteJSON(c.stdout)
@@ -45,7 +53,30 @@
 	return result.WriteTable(c.stdout)
 }
 
-func (c *experimentCommand) writePNG(result *experiment.Result) error {
+// platform runs the model of the deployment on the platform.
+func (c *experimentCommand) platform() error {
+	result, err := fleetsim.Run(fleetsim.Options{Deployment: c.Deployment, Seed: c.Seed})
+	if err != nil {
+		return err
+	}
+	if err := c.writePNG(result); err != nil {
+		return err
+	}
+	if c.JSON {
+		return result.WriteJSON(c.stdout)
+	}
+	return result.WriteTable(c.stdout)
+}
+
+// plotted is a result that can be drawn.
+type plotted interface {
+	WritePNG(io.Writer) error
+}
+
+func (c *experimentCommand) writePNG(result plotted) error {
+	if c.PNG == "" {
+		return nil
+	}
 	file, err := os.Create(c.PNG)
 	if err != nil {
 		return badInput(err)
