--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -19,6 +19,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/fleetapp"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/logquery"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/operator"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/telemetry"
@@ -161,16 +162,25 @@
 const statusHelp = `Shows what an instance sees of the others, of the backend servers and of the
 platform, and how stale each source is.
 
-Example:
-  cyclamenhoist status --operators http://127.0.0.1:8081`
+With --platform it asks an instance of the platform's edge, at the address of its
+metrics.
+
+Examples:
+  cyclamenhoist status --operators http://127.0.0.1:8081
+  cyclamenhoist status --platform http://10.0.0.7:9101`
 
 type statusCommand struct {
 	*environment
 	target
+
+	Platform string `long:"platform" value-name:"URL" description:"metrics listener of an instance on the platform"`
 }
 
 // Execute runs the command.
 func (c *statusCommand) Execute([]string) error {
+	if c.Platform != "" {
+		return c.platform()
+	}
 	client, err := c.client(c.stderr)
 	if err != nil {
 		return err
@@ -187,6 +197,37 @@
 	return writeStatus(c.stdout, s)
 }
 
+// platform asks an instance on the platform.
+func (c *statusCommand) platform() error {
+	ctx, cancel := context.WithTimeout(c.stop, c.Timeout)
+	defer cancel()
+	s, err := fleetapp.AskStatus(ctx, http.DefaultClient, c.Platform)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(c.stdout, s)
+	}
+	out := tabwriter.NewWriter(c.stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(out, "instance\t%s in %s, ready: %v, draining: %v\n", s.Instance, s.Zone, s.Ready, s.Draining)
+	fmt.Fprintf(out, "manifest\tversion %d, %d routes\n", s.ManifestVersion, s.Routes)
+	fmt.Fprintf(out, "placing\t%s, epoch %d, this instance: %v\n", s.Holder, s.Epoch, s.Placing)
+	fmt.Fprintf(out, "instances\t%d\n", s.Instances)
+	fmt.Fprintf(out, "requests\t%d in progress\n", s.InFlight)
+	for _, source := range s.Store {
+		state := "read"
+		if source.LostSeconds > 0 {
+			state = "lost for " + age(source.LostSeconds)
+		}
+		fmt.Fprintf(out, "%s\t%s\n", source.Source, state)
+	}
+	fmt.Fprintln(out, "\nservice\tservers\tmodels\twait for a slot")
+	for _, service := range s.Services {
+		fmt.Fprintf(out, "%s\t%d\t%d\t%d\n", service.Service, service.Servers, service.Models, service.WaitForSlot)
+	}
+	return out.Flush()
+}
+
 func age(seconds float64) string {
 	if seconds < 0 {
 		return "never"
--- a/internal/edge/slots.go
+++ b/internal/edge/slots.go
@@ -42,6 +42,9 @@
 	return s.(*slotQueue)
 }
 
+// WaitingForSlot returns how many requests wait for a slot of the service.
+func (e *Edge) WaitingForSlot(service string) int64 { return e.slots(service).waiting.Load() }
+
 // release ends a request's place at a server.
 func (e *Edge) release(service string, b *backend) {
 	b.stats.own.Add(-1)
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -275,3 +276,23 @@
 	}
 	return n
 }
+
+// ServiceCounts counts the servers of a service that take requests, and the different
+// models that they hold.
+type ServiceCounts struct{ Servers, Models int }
+
+// Services returns the counts of each service.
+func (v *View) Services() map[string]ServiceCounts {
+	out := make(map[string]ServiceCounts, len(v.services))
+	for name, backends := range v.services {
+		models := map[string]bool{}
+		for _, b := range backends {
+			for key := range b.models {
+				model, _, _ := strings.Cut(key, "/")
+				models[model] = true
+			}
+		}
+		out[name] = ServiceCounts{Servers: len(backends), Models: len(models)}
+	}
+	return out
+}
--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -57,6 +57,9 @@
 	servers  *platform.Servers
 	placer   *placer.Placer
 	tracing  *telemetry.Tracing
+
+	// manifests and serverList tell whether the store is read.
+	manifests, serverList *dependency
 }
 
 // New puts an instance together without starting anything.
@@ -126,6 +129,8 @@
 	return &Instance{
 		settings: p.Settings, log: p.Log, registry: p.Registry, views: p.Views, edge: p.Edge,
 		store: p.Store, servers: p.Servers, placer: p.Placer, tracing: p.Tracing,
+		manifests:  &dependency{log: p.Log, name: "published manifests"},
+		serverList: &dependency{log: p.Log, name: "server list"},
 	}
 }
 
@@ -145,7 +150,7 @@
 	}
 	i.serve(ctx, group, s.Clients.Address, front)
 	i.serve(ctx, group, s.Readiness.Address, i.smallServer(i.readiness(stop)))
-	i.serve(ctx, group, s.Metrics.Address, i.smallServer(telemetry.Handler(i.registry)))
+	i.serve(ctx, group, s.Metrics.Address, i.smallServer(i.diagnostics(func() bool { return stop.Err() != nil })))
 	i.startControllers(ctx, stop, group)
 	group.Go(func() error {
 		select {
--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/phuslu/log"
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmux"
 
@@ -48,8 +49,8 @@
 
 // dependency logs when something outside is lost and when it is back.
 type dependency struct {
-	instance *Instance
-	name     string
+	log  *log.Logger
+	name string
 
 	mu   sync.Mutex
 	lost time.Time
@@ -60,7 +61,7 @@
 	defer d.mu.Unlock()
 	if d.lost.IsZero() {
 		d.lost = time.Now()
-		d.instance.log.Warn().Str("dependency", d.name).Err(err).Msg("dependency_lost")
+		d.log.Warn().Str("dependency", d.name).Err(err).Msg("dependency_lost")
 	}
 }
 
@@ -68,13 +69,22 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.lost.IsZero() {
-		d.instance.log.Info().Str("dependency", d.name).Dur("for", time.Since(d.lost)).Msg("dependency_regained")
+		d.log.Info().Str("dependency", d.name).Dur("for", time.Since(d.lost)).Msg("dependency_regained")
 		d.lost = time.Time{}
 	}
 }
 
+// lostFor returns for how long the dependency has been lost, 0 if it isn't.
+func (d *dependency) lostFor(now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.lost.IsZero() {
+		return 0
+	}
+	return now.Sub(d.lost)
+}
+
 func (i *Instance) followManifest(ctx context.Context) {
-	store := &dependency{instance: i, name: "published manifests"}
 	i.store.WatchManifest(ctx, platform.ManifestWatch{
 		Published: func(m *fleet.Manifest) {
 			if i.views.SetManifest(m) {
@@ -84,8 +94,8 @@
 			}
 		},
 		Unreadable: func(err error) { i.log.Error().Err(err).Msg("manifest_unreadable") },
-		Failed:     store.failed,
-		Read:       store.works,
+		Failed:     i.manifests.failed,
+		Read:       i.manifests.works,
 	})
 }
 
@@ -94,11 +104,10 @@
 const listReadsPerLeave = 2
 
 func (i *Instance) followServers(ctx context.Context) {
-	store := &dependency{instance: i, name: "server list"}
 	spacing := i.settings.Servers.LeaveWithin.D() / listReadsPerLeave
 	list := newServerList(i.views.SetServers, spacing)
 	i.store.WatchServers(ctx, spacing, func(b platform.ServerListBatch) {
-		store.works()
+		i.serverList.works()
 		list.apply(b)
-	}, store.failed)
+	}, i.serverList.failed)
 }
--- a/internal/fleetapp/fleetapp_test.go
+++ b/internal/fleetapp/fleetapp_test.go
@@ -164,6 +164,14 @@
 	store.Publish(1, routes("engine"), "engine", []string{"m"}, 2, "plain")
 	p.eventually("ready", p.ready)
 
+	told, err := fleetapp.AskStatus(t.Context(), http.DefaultClient, "http://"+p.metrics)
+	require.NoError(t, err)
+	assert.True(t, told.Ready)
+	assert.Equal(t, int64(1), told.ManifestVersion)
+	assert.Equal(t, []fleetapp.ServiceStatus{{Service: "engine", Servers: 1}}, told.Services)
+	_, err = fleetapp.AskStatus(t.Context(), http.DefaultClient, "http://"+p.readiness)
+	require.ErrorIs(t, err, fleetapp.ErrStatus)
+
 	status, body := p.post("/s/1")
 	assert.Equal(t, http.StatusOK, status)
 	assert.Equal(t, 20, strings.Count(body, "data:"))
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -105,6 +105,16 @@
 	group.Wait()
 }
 
+// Holder returns which instance places models, as far as is known, under which epoch,
+// and whether it is this one.
+func (p *Placer) Holder() (name string, epoch int64, placing bool) {
+	record, epoch, held := p.keeper.holder()
+	if !held {
+		return "", epoch, false
+	}
+	return record.Holder, epoch, p.keeper.placing()
+}
+
 // Register adds the calls that other instances make.
 func (p *Placer) Register(mux *drpcmux.Mux) error {
 	if err := placerpb.DRPCRegisterPlacer(mux, &service{placer: p}); err != nil {
