--- a/internal/demo/platform.go
+++ b/internal/demo/platform.go
@@ -23,14 +23,17 @@
 	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
 )
 
+// What the routes of the demonstration match.
 const (
-	// EdgeHost, EdgeModelPath and EdgeWebPath are what the demonstration's routes
-	// match; EdgeModel is a model that no server holds at first.
 	EdgeHost      = "shop.example"
 	EdgeModelPath = "/summaries/"
 	EdgeWebPath   = "/entries/"
-	EdgeModel     = "shoreline-summary"
+)
+
+// EdgeModel is a model that no server holds at first.
+const EdgeModel = "shoreline-summary"
 
+const (
 	edgeInstances   = 2
 	engineServers   = 2
 	engineSlots     = 8
@@ -159,7 +162,7 @@
 		if err != nil {
 			return nil, err
 		}
-		defer listener.Close()
+		defer func() { _ = listener.Close() }()
 		addresses = append(addresses, listener.Addr().String())
 	}
 	return addresses, nil
