Let the libraries stand without internal packages

Change: both are under pkg/, and serverpick uses hash64. Which server a prompt prefers changes; no other decision does.

--- a/internal/app/identities.go
+++ b/internal/app/identities.go
@@ -7,12 +7,12 @@
 	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/observer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/gateway"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/identitypeer"
-	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/settings"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fold"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/identity"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/record"
 )
--- a/internal/controller/configuration/configuration.go
+++ b/internal/controller/configuration/configuration.go
@@ -14,9 +14,9 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fold"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/logclient"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/targets"
 )
--- a/internal/controller/decider/effects.go
+++ b/internal/controller/decider/effects.go
@@ -7,11 +7,11 @@
 	"github.com/go-faster/errors"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fold"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/lease"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/logclient"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/placement"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/record"
--- a/internal/controller/observer/exchange.go
+++ b/internal/controller/observer/exchange.go
@@ -6,9 +6,9 @@
 	"sync"
 	"time"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer/peerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
--- a/internal/controller/observer/sources.go
+++ b/internal/controller/observer/sources.go
@@ -9,8 +9,8 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/membership"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/routing"
 )
--- a/internal/failuretest/publish_test.go
+++ b/internal/failuretest/publish_test.go
@@ -13,9 +13,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/operator"
-	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/standin"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/jsonc"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -21,9 +21,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
-	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/telemetry"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
 
--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -11,9 +11,9 @@
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmux"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
 
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"time"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/problem"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 )
 
 // The states of a gateway, in their order.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -15,8 +15,8 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/problem"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/queue"
 )
--- a/internal/loadgen/loadgen.go
+++ b/internal/loadgen/loadgen.go
@@ -12,7 +12,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 )
 
 // Options says what to send.
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -10,10 +10,10 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
-	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/demand"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/modelplan"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -17,12 +17,12 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
-	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/demand"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/modelplan"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/tenure"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
--- a/internal/placer/tenure.go
+++ b/internal/placer/tenure.go
@@ -11,8 +11,8 @@
 	"github.com/phuslu/log"
 	"golang.org/x/sys/unix"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/tenure"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -12,7 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/tmaxmax/go-sse"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
--- a/internal/standin/middleware.go
+++ b/internal/standin/middleware.go
@@ -7,7 +7,7 @@
 	"net"
 	"net/http"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 )
 
 // faultsOf tells a middleware where the faults of its service are.
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -8,7 +8,7 @@
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httpcall"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/adapter/httpengine"
-	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -9,7 +9,7 @@
 	"github.com/go-chi/chi/v5"
 	"golang.org/x/time/rate"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
--- a/pkg/identity/claimer.go
+++ b/pkg/identity/claimer.go
@@ -8,7 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
--- a/pkg/logclient/snapshot.go
+++ b/pkg/logclient/snapshot.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fold"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
--- a/pkg/logclient/writer.go
+++ b/pkg/logclient/writer.go
@@ -6,7 +6,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/pause"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
--- a/pkg/membership/instance.go
+++ b/pkg/membership/instance.go
@@ -4,7 +4,7 @@
 	"sort"
 	"time"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/hash64"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/hash64"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/hash64"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/hash64"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
--- a/pkg/routing/bench_test.go
+++ b/pkg/routing/bench_test.go
@@ -5,7 +5,7 @@
 	"runtime"
 	"testing"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/hash64"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/hash64"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/membership"
 )
--- a/pkg/routing/builder.go
+++ b/pkg/routing/builder.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/hash64"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/hash64"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/membership"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
--- a/pkg/routing/quality_test.go
+++ b/pkg/routing/quality_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/hash64"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/hash64"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/membership"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
--- a/pkg/serverpick/pick.go
+++ b/pkg/serverpick/pick.go
@@ -6,8 +6,9 @@
 package serverpick
 
 import (
-	"hash/fnv"
 	"time"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/hash64"
 )
 
 const (
@@ -124,14 +125,7 @@
 	return a.SameZone && !b.SameZone
 }
 
+// rendezvous weighs a server for a key, so that each key prefers its own servers.
 func rendezvous(key, server string) uint64 {
-	h := fnv.New64a()
-	// Writing to a hash doesn't fail.
-	_, _ = h.Write([]byte(key))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(server))
-	sum := h.Sum64()
-	// FNV's high bits mix late; a multiplication spreads them.
-	sum ^= sum >> 32
-	return sum * 0x9e3779b97f4a7c15
+	return hash64.Mix(hash64.String(key) ^ hash64.Mix(hash64.String(server)))
 }
