--- a/internal/app/router.go
+++ b/internal/app/router.go
@@ -25,18 +25,24 @@
 	budgets sync.Map
 }
 
+// budget returns the budget of a service, with the ratio of the targets in force.
 func (r *router) budget(service string) *retry.Budget {
-	if b, ok := r.budgets.Load(service); ok {
-		return b.(*retry.Budget)
-	}
 	ratio := retry.DefaultRatio
 	if t := r.config.Targets(); t != nil {
 		if s, known := t.Service(service); known {
 			ratio = s.RetryRatio
 		}
 	}
-	b, _ := r.budgets.LoadOrStore(service, retry.NewBudget(retry.BudgetConfig{Ratio: ratio}))
-	return b.(*retry.Budget)
+	held, known := r.budgets.Load(service)
+	if !known {
+		held, _ = r.budgets.LoadOrStore(service, retry.NewBudget(retry.BudgetConfig{Ratio: ratio}))
+	}
+	b := held.(*retry.Budget)
+	if b.Config().Ratio != ratio {
+		// Two that see the change at once set the same.
+		b.Configure(retry.BudgetConfig{Ratio: ratio})
+	}
+	return b
 }
 
 // Pick implements gateway.Router.
--- /dev/null
+++ b/internal/edge/budget_test.go
@@ -0,0 +1,61 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/retry"
+)
+
+// TestBudgetsOfAllInstances: whatever fails when, all instances together repeat no more
+// in any window than the extra repeats and the ratio of its requests, and each of them
+// can repeat.
+func TestBudgetsOfAllInstances(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const (
+			window = 10 * time.Second
+			ratio  = 0.2
+		)
+		instances := rapid.IntRange(1, 90).Draw(t, "instances")
+		extra := float64(rapid.IntRange(0, 300).Draw(t, "extra"))
+		requests := rapid.IntRange(50, 400).Draw(t, "requests of each")
+		e := &Edge{cfg: Config{RetryRatio: ratio, RetryExtra: extra, RetryWindow: window}, sharedBy: instances}
+		repeats := 0
+		for range instances {
+			b := retry.NewBudget(e.budgetConfig())
+			first := 0
+			for n := range requests {
+				now := window * time.Duration(n) / time.Duration(requests)
+				b.First(now)
+				for b.Take(now) {
+					first++
+				}
+			}
+			assert.Positive(t, first)
+			repeats += first
+		}
+		allowed := extra + ratio*float64(requests*instances)
+		assert.LessOrEqual(t, float64(repeats), allowed+1, "instances %d", instances)
+	})
+}
+
+// A change of the number of instances gives no budget anew.
+func TestBudgetsStayWhenInstancesChange(t *testing.T) {
+	views := NewViews()
+	e := &Edge{
+		cfg: Config{RetryRatio: 0.2, RetryExtra: 40, RetryWindow: 10 * time.Second, Instances: 4}, views: views,
+		started: time.Now(), budgets: map[string]*retry.Budget{},
+	}
+	take := func() (n int) {
+		for e.budget("s").Take(0) {
+			n++
+		}
+		return n
+	}
+	assert.Equal(t, 8, take())
+	views.SetInstances(1)
+	assert.Zero(t, take())
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -85,7 +85,7 @@
 	}
 }
 
-// SetRetries puts other bounds on repeats in force. Budgets start anew.
+// SetRetries puts other bounds on repeats in force.
 func (e *Edge) SetRetries(ratio, extra float64, window time.Duration) {
 	e.budgetsMu.Lock()
 	defer e.budgetsMu.Unlock()
@@ -94,7 +94,7 @@
 		return
 	}
 	e.cfg.RetryRatio, e.cfg.RetryExtra, e.cfg.RetryWindow = ratio, extra, window
-	e.budgets = map[string]*retry.Budget{}
+	e.configureBudgets()
 }
 
 // Drain makes every further answer close its connection. New requests are refused
@@ -133,23 +133,50 @@
 	e.budgetsMu.Lock()
 	defer e.budgetsMu.Unlock()
 	if n := e.instances(); n != e.sharedBy {
-		e.sharedBy, e.budgets = n, map[string]*retry.Budget{}
+		e.sharedBy = n
+		e.configureBudgets()
 	}
 	b := e.budgets[service]
 	if b == nil {
-		// Half may be saved up and half flows in over the window, so that no
-		// window sees more than the whole.
-		half := e.cfg.RetryExtra / float64(e.sharedBy) / 2
-		b = retry.NewBudget(retry.BudgetConfig{
-			Ratio: e.cfg.RetryRatio, Burst: half, PerSecond: half / e.cfg.RetryWindow.Seconds(),
-		})
+		b = retry.NewBudget(e.budgetConfig())
 		e.budgets[service] = b
 	}
 	return b
 }
 
+const (
+	// burstShare is the part of the extra repeats that may be saved up; the rest flows
+	// in over the window, so that no window sees more than the whole. Repeats are
+	// wanted together, when a server fails, and the ratio pays in as well.
+	burstShare = 0.8
+	// ratioWithoutExtra is the part of the ratio that is used where an instance's part
+	// of the extra repeats is less than one: the rest makes up for the one that it
+	// saves up nevertheless.
+	ratioWithoutExtra = 0.75
+	// noRefill pays nothing in with time; a zero would mean the default.
+	noRefill = 1e-9
+)
+
+// budgetConfig is this instance's part of what all may use.
+func (e *Edge) budgetConfig() retry.BudgetConfig {
+	extra := e.cfg.RetryExtra / float64(e.sharedBy)
+	if extra < 1 {
+		return retry.BudgetConfig{Ratio: ratioWithoutExtra * e.cfg.RetryRatio, Burst: 1, PerSecond: noRefill}
+	}
+	burst := max(burstShare*extra, 1)
+	return retry.BudgetConfig{
+		Ratio: e.cfg.RetryRatio, Burst: burst, PerSecond: max((extra-burst)/e.cfg.RetryWindow.Seconds(), noRefill),
+	}
+}
+
+func (e *Edge) configureBudgets() {
+	for _, b := range e.budgets {
+		b.Configure(e.budgetConfig())
+	}
+}
+
 // instances is the number of instances that share a budget, with room for some
-// that come. It changes in steps, as each change makes the budgets anew.
+// that come. It changes in steps, so that budgets rarely change.
 func (e *Edge) instances() int {
 	known := e.views.Instances()
 	if known == 0 {
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -32,31 +32,60 @@
 // atomics, safe for concurrent use: a refill that races with a withdrawal is
 // applied before or after it.
 type Budget struct {
-	perFirst, perSecond, burst int64
-	tokens                     atomic.Int64
+	rates  atomic.Pointer[rates]
+	tokens atomic.Int64
 	// refilled is when PerSecond was last paid in, in nanoseconds since the
 	// owner's start.
 	refilled atomic.Int64
 	denied   atomic.Uint64
 }
 
-// NewBudget returns a full budget.
-func NewBudget(cfg BudgetConfig) *Budget {
+// rates is a BudgetConfig in the budget's units.
+type rates struct {
+	config                     BudgetConfig
+	perFirst, perSecond, burst int64
+}
+
+func ratesOf(cfg BudgetConfig) *rates {
 	cfg.PerSecond = cmp.Or(cfg.PerSecond, DefaultPerSecond)
 	cfg.Burst = cmp.Or(cfg.Burst, DefaultBurst)
-	b := &Budget{
+	return &rates{
+		config:    cfg,
 		perFirst:  int64(cfg.Ratio * tokenUnit),
 		perSecond: int64(cfg.PerSecond * tokenUnit),
 		burst:     int64(cfg.Burst * tokenUnit),
 	}
-	b.tokens.Store(b.burst)
+}
+
+// NewBudget returns a full budget.
+func NewBudget(cfg BudgetConfig) *Budget {
+	b := &Budget{}
+	r := ratesOf(cfg)
+	b.rates.Store(r)
+	b.tokens.Store(r.burst)
 	return b
 }
 
+// Config returns what is in force, defaults filled in.
+func (b *Budget) Config() BudgetConfig { return b.rates.Load().config }
+
+// Configure puts other bounds in force. What is saved up stays, up to the new burst;
+// a budget made anew would allow a whole burst once more.
+func (b *Budget) Configure(cfg BudgetConfig) {
+	r := ratesOf(cfg)
+	b.rates.Store(r)
+	for {
+		old := b.tokens.Load()
+		if old <= r.burst || b.tokens.CompareAndSwap(old, r.burst) {
+			return
+		}
+	}
+}
+
 // First notes a first attempt. Every now is the time since a fixed moment.
 func (b *Budget) First(now time.Duration) {
 	b.refill(now)
-	b.deposit(b.perFirst)
+	b.deposit(b.rates.Load().perFirst)
 }
 
 // Take withdraws one further attempt, and reports false if the budget is spent.
@@ -87,14 +116,15 @@
 	if elapsed < refillStep || !b.refilled.CompareAndSwap(last, int64(now)) {
 		return
 	}
+	r := b.rates.Load()
 	seconds := time.Duration(elapsed).Seconds()
-	b.deposit(int64(min(seconds*float64(b.perSecond), float64(b.burst))))
+	b.deposit(int64(min(seconds*float64(r.perSecond), float64(r.burst))))
 }
 
 func (b *Budget) deposit(tokens int64) {
 	for {
 		old := b.tokens.Load()
-		next := min(old+tokens, b.burst)
+		next := min(old+tokens, max(old, b.rates.Load().burst))
 		if next == old || b.tokens.CompareAndSwap(old, next) {
 			return
 		}
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -176,6 +176,25 @@
 	require.EqualValues(t, 5, b.Denied())
 }
 
+func TestBudgetTakesInOtherBounds(t *testing.T) {
+	b := NewBudget(BudgetConfig{Ratio: 0.1, PerSecond: 1e-9, Burst: 10})
+	take := func() (n int) {
+		for b.Take(0) {
+			n++
+		}
+		return n
+	}
+	b.Configure(BudgetConfig{Ratio: 0.1, PerSecond: 1e-9, Burst: 4})
+	require.Equal(t, 4, take(), "no more is saved up than the new burst")
+	b.Configure(BudgetConfig{Ratio: 0.5, PerSecond: 1e-9, Burst: 20})
+	require.Zero(t, take(), "a change gives nothing")
+	for range 10 {
+		b.First(0)
+	}
+	require.Equal(t, 5, take(), "the new ratio counts")
+	require.Equal(t, BudgetConfig{Ratio: 0.5, PerSecond: 1e-9, Burst: 20}, b.Config())
+}
+
 // TestBudgetUnderRace checks that withdrawals never exceed what was paid in.
 func TestBudgetUnderRace(t *testing.T) {
 	b := NewBudget(BudgetConfig{Ratio: 0.25, PerSecond: 1e-9, Burst: 1000})
