Count every line of the log that is left out

Cause: a line that found the queue full after it had taken the count of those dropped before lost that count, so dropped_lines said too little while a reader stood still. Found by a test of the promise that a reader that stops reading blocks nothing. Change: the count goes back with the line. TestReaderThatStopsBlocksNothing failed before (lines missing of 5,001) and passes 20 times with -race.

--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -44,13 +44,14 @@
 		return len(line), nil
 	}
 	kept := append([]byte(nil), line...)
-	if n := w.dropped.Swap(0); n > 0 {
+	n := w.dropped.Swap(0)
+	if n > 0 {
 		kept = append(kept[:len(kept)-1], []byte(" dropped_lines="+strconv.FormatInt(n, 10)+"\n")...)
 	}
 	select {
 	case w.lines <- kept:
 	default:
-		w.dropped.Add(1)
+		w.dropped.Add(n + 1)
 	}
 	return len(line), nil
 }
