Test rules that no test saw broken

Cause: 17 rules were broken by hand, one at a time, with the tests of the packages concerned run after each. Not seen: a leaving server that still takes requests (the test of a whole instance could pass by luck), repeats beyond the budget, a manifest that goes back, a gap in a stream, an order after the tenure, and a lost unload whose memory counts as free. Change: a test for each of the first five; each was seen red with its rule broken.

--- a/internal/edge/slots_test.go
+++ b/internal/edge/slots_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/retry"
 )
 
 // burst is an edge before one engine with few slots.
@@ -36,7 +37,7 @@
 	views.SetServers(map[fleet.ServerID]*fleet.Server{"s": {
 		ID: "s", Service: "engine", Slots: slots, Models: []fleet.Resident{{Model: "m"}, {Model: "n"}},
 	}})
-	e := &Edge{views: views, started: time.Now()}
+	e := &Edge{views: views, started: time.Now(), budgets: map[string]*retry.Budget{}}
 	return &burst{T: t, edge: e}
 }
 
--- /dev/null
+++ b/internal/edge/view_test.go
@@ -0,0 +1,81 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+)
+
+// A server that leaves takes no new request, though it still serves what it has.
+func TestLeavingServersTakeNothing(t *testing.T) {
+	b := newBurst(t, 4)
+	require.NotNil(t, b.chosen())
+	leaving := &fleet.Server{ID: "s", Service: "engine", Slots: 4, Draining: true, Models: []fleet.Resident{{Model: "m"}}}
+	b.edge.views.SetServers(map[fleet.ServerID]*fleet.Server{"s": leaving})
+	assert.Nil(t, b.chosen())
+	assert.Zero(t, b.edge.views.Load().Holders("engine", "m"))
+	assert.Contains(t, b.edge.views.Load().Engines(), fleet.ServerID("s"), "its copies and orders are still known")
+}
+
+func (b *burst) chosen() *backend {
+	q := b.request(quick, "m")
+	server, _ := q.choose(b.edge.views.Load())
+	return server
+}
+
+func TestManifestNeverGoesBack(t *testing.T) {
+	views := NewViews()
+	manifest := func(version int64) *fleet.Manifest {
+		return fleet.NewManifest(version, nil, nil, fleet.CallerLimits{})
+	}
+	require.True(t, views.SetManifest(manifest(7)))
+	for _, version := range []int64{6, 7, 0} {
+		assert.False(t, views.SetManifest(manifest(version)))
+		assert.Equal(t, int64(7), views.Load().Manifest.Version)
+	}
+	require.True(t, views.SetManifest(manifest(8)))
+}
+
+// Residency of a later life or order isn't replaced by that of an earlier one.
+func TestResidencyNeverGoesBack(t *testing.T) {
+	b := newBurst(t, 4)
+	set := func(born, sequence int64, models ...string) []string {
+		r := Residency{Born: born, Sequence: sequence}
+		for _, m := range models {
+			r.Models = append(r.Models, fleet.Resident{Model: m})
+		}
+		b.edge.views.SetResidency(map[fleet.ServerID]Residency{"s": r})
+		var held []string
+		for _, m := range []string{"m", "n"} {
+			if b.edge.views.Load().Holders("engine", m) > 0 {
+				held = append(held, m)
+			}
+		}
+		return held
+	}
+	assert.Equal(t, []string{"m"}, set(0, 5, "m"))
+	assert.Equal(t, []string{"m"}, set(0, 4, "n"), "an earlier order")
+	assert.Equal(t, []string{"n"}, set(0, 6, "n"))
+}
+
+// A request whose repeats aren't in the budget has only its first attempt.
+func TestNoRepeatBeyondTheBudget(t *testing.T) {
+	b := newBurst(t, 4)
+	b.edge.cfg = Config{RetryRatio: 0.2, RetryExtra: 5, RetryWindow: 10 * time.Second, Instances: 1}
+	b.edge.repeats = metrics.NewCounter()
+	paid := 0
+	for range 10 {
+		q := b.request(quick, "m")
+		require.True(t, q.pay(), "the first attempt is free")
+		for q.sends = 1; q.pay(); q.sends++ {
+			paid++
+		}
+	}
+	assert.Positive(t, paid)
+	assert.LessOrEqual(t, paid, 7, "five extra ones and a fifth of ten")
+}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -228,6 +228,24 @@
 	assert.False(t, c.holds(0, "b"))
 }
 
+// An order that was decided under a tenure that has ended since isn't sent.
+func TestNoOrderAfterTheTenure(t *testing.T) {
+	c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0", OnDisk: []string{"a"}})
+	i := c.start("i0")
+	c.eventually("it holds the tenure", i.keeper.mine)
+	epoch, may := i.keeper.mayOrder()
+	require.True(t, may)
+	server := i.views.Load().Engines()["s0"]
+	give := func(epoch int64) error {
+		order := platform.Order{Server: server, Model: "b", Holder: "i0", Epoch: epoch}
+		return i.holder.give(t.Context(), newTracked(server, time.Now()), modelplan.Action{Kind: modelplan.LoadModel, Model: "b"}, order)
+	}
+	require.ErrorIs(t, give(epoch-1), platform.ErrOrderFenced, "of an earlier tenure")
+	i.keeper.superseded(epoch)
+	require.ErrorIs(t, give(epoch), platform.ErrOrderFenced, "another has ordered since")
+	assert.NotContains(t, c.servers[0].Orders(), "load b")
+}
+
 func TestReportsOlderThanOrdersAreIgnored(t *testing.T) {
 	start := time.Unix(1_800_000_000, 0)
 	tr := newTracked(&fleet.Server{ID: "s"}, start)
