Let the replicas of a hot model follow the slots of a server

Cause: a replica was meant for 25 arrivals a second whatever its server; the grown deployments have 16 and 24 slots where the others have 64, so that hot models were asked for more than their servers can do and requests were turned away there. Change: no more than 0.8 arrivals a second for each slot; 64 slots are as before. TestReplicasFollowSlots.

--- a/internal/fleetsim/placing.go
+++ b/internal/fleetsim/placing.go
@@ -38,7 +38,7 @@
 	now := clock(s.now)
 	s.report(now)
 	state := modelplan.State{
-		Models: s.models, Demand: s.book.Of(service, now), StoreLoads: s.storeLoadsLeft(),
+		Models: s.models, Demand: s.book.Of(service, now), StoreLoads: s.storeLoadsLeft(), Slots: slots,
 	}
 	lastUsed := func(model string) time.Time { return s.book.LastUsed(demand.Key{Service: service, Model: model}) }
 	for _, e := range s.engines {
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -127,7 +127,7 @@
 func (h *holder) planState(service string, engine *fleet.Engine, now time.Time) modelplan.State {
 	state := modelplan.State{
 		Models: make(map[string]modelplan.Model, len(engine.Models)), Demand: h.book.Of(service, now),
-		AdapterSlots: engine.AdapterSlots, StoreLoads: h.ceiling.left(engine.LoadsPerSecond, now),
+		AdapterSlots: engine.AdapterSlots, Slots: engine.Slots, StoreLoads: h.ceiling.left(engine.LoadsPerSecond, now),
 	}
 	for name, m := range engine.Models {
 		state.Models[name] = modelplan.Model{
--- a/pkg/modelplan/plan.go
+++ b/pkg/modelplan/plan.go
@@ -60,9 +60,8 @@
 	Rate float64
 	// Value is the worth of the arrivals a second, in worth of a common request.
 	Value float64
-	// Waiting is the worth of the requests that wait, Queued that of those that
-	// wait for a free slot though servers hold the model.
-	Waiting, Queued float64
+	// Waiting is the worth of the requests that wait for the model.
+	Waiting float64
 	// Adapters wait for these adapters, by name, with the worth of the waiters.
 	Adapters map[string]float64
 	LastUsed time.Time
@@ -74,6 +73,8 @@
 	Models       map[string]Model
 	Demand       map[string]Demand
 	AdapterSlots int
+	// Slots is how many requests a server runs at once; 0 if not known.
+	Slots int
 	// StoreLoads is how many loads from the weight store may begin now.
 	StoreLoads int
 }
@@ -120,6 +121,10 @@
 	// engine reads some 38 prompt tokens a ms, a prompt has some 650, and half of
 	// the time is left for generating.
 	ratePerReplica = 25.0
+	// ratePerSlot is the arrivals a second that one slot is meant for, where a server has
+	// few: a request holds one for some 0.7 s on a full server, and some stay free for
+	// arrivals that come together.
+	ratePerSlot = 0.8
 	// keepMargin is how much higher than it is a rate counts for what is kept.
 	keepMargin = 1.7
 	// overloadSeconds is the work, in seconds of its arrivals, that a replica of a
@@ -273,9 +278,6 @@
 	for _, model := range p.sorted(func(_ string, d Demand) float64 { return d.Rate }) {
 		d := p.state.Demand[model]
 		wanted := p.wanted(d)
-		if d.Queued > 0 {
-			wanted = max(wanted, len(p.byModel[model])+1)
-		}
 		if len(p.byModel[model]) < wanted && len(p.byModel[model]) > 0 {
 			p.place(model, d.Value, false)
 		}
@@ -287,7 +289,11 @@
 	if d.Rate < hotRate {
 		return 1
 	}
-	return max(2, int(math.Ceil(d.Rate/ratePerReplica)))
+	rate := ratePerReplica
+	if p.state.Slots > 0 {
+		rate = min(rate, ratePerSlot*float64(p.state.Slots))
+	}
+	return max(2, int(math.Ceil(d.Rate/rate)))
 }
 
 // kept is how many replicas a model may keep that has them already. It is more
--- a/pkg/modelplan/plan_test.go
+++ b/pkg/modelplan/plan_test.go
@@ -364,3 +364,31 @@
 		}
 	}
 }
+
+// A server with few slots is full at fewer arrivals, so a hot model gets more replicas.
+func TestReplicasFollowSlots(t *testing.T) {
+	demand := map[string]modelplan.Demand{"m0": {Rate: 40, Value: 40, LastUsed: now}}
+	loads := func(slots int) int {
+		var servers []modelplan.Server
+		for i := range 5 {
+			servers = append(servers, newServer(fmt.Sprint("s", i), nil, "m0"))
+		}
+		servers[0] = newServer("s0", []string{"m0"})
+		n := 0
+		for range 5 {
+			st := state(servers, demand)
+			st.Slots = slots
+			for _, a := range modelplan.Plan(now, st) {
+				if a.Kind == modelplan.LoadModel && a.Model == "m0" {
+					n++
+					i := int(a.Server[1] - '0')
+					servers[i].Models = append(servers[i].Models, modelplan.Held{Model: "m0"})
+				}
+			}
+		}
+		return 1 + n
+	}
+	assert.Equal(t, 2, loads(64))
+	assert.Equal(t, 2, loads(0), "not known")
+	assert.Equal(t, 4, loads(16))
+}
