Draw the panels of experiments in one place

Cause: the plot of the model and that of the experiment set up the same canvas, and the command wrote both results in the same way twice (duplicates). Change: internal/panels, and one interface for what an experiment gives.

--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -35,12 +35,7 @@
 
 // Execute runs the command.
 func (c *experimentCommand) Execute([]string) error {
-	if c.Platform {
-		return c.platform()
-	}
-	result, err := experiment.Run(experiment.Options{
-		Deployment: c.Deployment, Seed: c.Seed, Days: c.Days, NoCurves: c.NoCurves, Parallel: runtime.NumCPU(),
-	})
+	result, err := c.run()
 	if err != nil {
 		return err
 	}
@@ -53,27 +48,23 @@
 	return result.WriteTable(c.stdout)
 }
 
-// platform runs the model of the deployment on the platform.
-func (c *experimentCommand) platform() error {
-	result, err := fleetsim.Run(fleetsim.Options{Deployment: c.Deployment, Seed: c.Seed})
-	if err != nil {
-		return err
-	}
-	if err := c.writePNG(result); err != nil {
-		return err
-	}
-	if c.JSON {
-		return result.WriteJSON(c.stdout)
-	}
-	return result.WriteTable(c.stdout)
+// comparison is what an experiment gives.
+type comparison interface {
+	WriteTable(io.Writer) error
+	WriteJSON(io.Writer) error
+	WritePNG(io.Writer) error
 }
 
-// plotted is a result that can be drawn.
-type plotted interface {
-	WritePNG(io.Writer) error
+func (c *experimentCommand) run() (comparison, error) {
+	if c.Platform {
+		return fleetsim.Run(fleetsim.Options{Deployment: c.Deployment, Seed: c.Seed})
+	}
+	return experiment.Run(experiment.Options{
+		Deployment: c.Deployment, Seed: c.Seed, Days: c.Days, NoCurves: c.NoCurves, Parallel: runtime.NumCPU(),
+	})
 }
 
-func (c *experimentCommand) writePNG(result plotted) error {
+func (c *experimentCommand) writePNG(result comparison) error {
 	if c.PNG == "" {
 		return nil
 	}
--- a/internal/experiment/plot.go
+++ b/internal/experiment/plot.go
@@ -10,7 +10,8 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgimg"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/panels"
 )
 
 const (
@@ -27,17 +28,15 @@
 // WritePNG draws the trade-off between idle accelerator hours and the mean wait
 // of a request, one panel for each scenario.
 func (r *Result) WritePNG(w io.Writer) error {
-	canvas := vgimg.New(panelWidth, panelHeight*vg.Length(len(r.Scenarios)))
-	tiles := draw.Tiles{Rows: len(r.Scenarios), Cols: 1, PadTop: vg.Millimeter, PadBottom: vg.Millimeter}
-	whole := draw.New(canvas)
+	var plots []*plot.Plot
 	for i := range r.Scenarios {
 		p, err := r.panel(&r.Scenarios[i])
 		if err != nil {
 			return errors.Wrap(ErrWrite, err.Error())
 		}
-		p.Draw(tiles.At(whole, 0, i))
+		plots = append(plots, p)
 	}
-	if _, err := (vgimg.PngCanvas{Canvas: canvas}).WriteTo(w); err != nil {
+	if err := panels.WritePNG(w, panelWidth, panelHeight, plots); err != nil {
 		return errors.Wrap(ErrWrite, err.Error())
 	}
 	return nil
--- a/internal/fleetsim/plot.go
+++ b/internal/fleetsim/plot.go
@@ -9,8 +9,8 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
-	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgimg"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/panels"
 )
 
 const (
@@ -20,17 +20,15 @@
 
 // WritePNG draws the worth of each policy over time, one panel for each scenario.
 func (r *Result) WritePNG(w io.Writer) error {
-	canvas := vgimg.New(panelWidth, panelHeight*vg.Length(len(r.Scenarios)))
-	tiles := draw.Tiles{Rows: len(r.Scenarios), Cols: 1, PadTop: vg.Millimeter, PadBottom: vg.Millimeter}
-	whole := draw.New(canvas)
+	var plots []*plot.Plot
 	for i := range r.Scenarios {
-		panel, err := r.panel(&r.Scenarios[i])
+		p, err := r.panel(&r.Scenarios[i])
 		if err != nil {
 			return errors.Join(ErrWrite, err)
 		}
-		panel.Draw(tiles.At(whole, 0, i))
+		plots = append(plots, p)
 	}
-	if _, err := (vgimg.PngCanvas{Canvas: canvas}).WriteTo(w); err != nil {
+	if err := panels.WritePNG(w, panelWidth, panelHeight, plots); err != nil {
 		return errors.Join(ErrWrite, err)
 	}
 	return nil
