Prefer servers of the own zone, and none that is full

A request that shares a prompt with others could be sent to a full server while another had room. Change: a server of another zone counts as a fifth of its slots busier; full servers are left out before anything else. TestOwnZoneIsPreferred.

--- a/pkg/serverpick/pick.go
+++ b/pkg/serverpick/pick.go
@@ -6,6 +6,7 @@
 package serverpick
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/hash64"
@@ -19,6 +20,9 @@
 	// prompt may be busier than the least loaded one: reading a short prompt anew
 	// costs less than queueing.
 	affinitySlack = 0.15
+	// zoneCost is the part of its slots by which a server of the own zone may be busier
+	// than another: what goes between zones is paid for and takes longer.
+	zoneCost = 0.2
 )
 
 // Load is what is known of a server's load.
@@ -66,6 +70,9 @@
 // wait: every usable server is full.
 func Pick(req Request, candidates []Candidate) int {
 	usable := filter(candidates)
+	if req.Patient {
+		usable = withRoom(candidates, usable)
+	}
 	if len(usable) == 0 {
 		return -1
 	}
@@ -75,16 +82,13 @@
 			least = i
 		}
 	}
-	if req.Patient && fill(candidates[least]) >= 1 {
-		return -1
-	}
 	if req.Affinity == "" {
 		return least
 	}
-	bound := fill(candidates[least]) + affinitySlack
+	bound := cost(candidates[least]) + affinitySlack
 	best, bestWeight := least, uint64(0)
 	for _, i := range usable {
-		if fill(candidates[i]) > bound {
+		if cost(candidates[i]) > bound {
 			continue
 		}
 		if weight := rendezvous(req.Affinity, candidates[i].ID); weight >= bestWeight {
@@ -94,6 +98,11 @@
 	return best
 }
 
+// withRoom keeps servers with a free slot.
+func withRoom(candidates []Candidate, usable []int) []int {
+	return slices.DeleteFunc(usable, func(i int) bool { return fill(candidates[i]) >= 1 })
+}
+
 // filter keeps servers that weren't tried and aren't ejected. Servers that fail
 // are still better than none.
 func filter(candidates []Candidate) []int {
@@ -117,14 +126,16 @@
 	return float64(c.Load.Estimate()) / float64(max(c.Slots, 1))
 }
 
-func better(a, b Candidate) bool {
-	fa, fb := fill(a), fill(b)
-	if fa != fb {
-		return fa < fb
+// cost is how full a server is, and more in another zone.
+func cost(c Candidate) float64 {
+	if c.SameZone {
+		return fill(c)
 	}
-	return a.SameZone && !b.SameZone
+	return fill(c) + zoneCost
 }
 
+func better(a, b Candidate) bool { return cost(a) < cost(b) }
+
 // rendezvous weighs a server for a key, so that each key prefers its own servers.
 func rendezvous(key, server string) uint64 {
 	return hash64.Mix(hash64.String(key) ^ hash64.Mix(hash64.String(server)))
--- a/pkg/serverpick/pick_test.go
+++ b/pkg/serverpick/pick_test.go
@@ -71,6 +71,30 @@
 	assert.NotEqual(t, home, serverpick.Pick(req, idle), "clearly busier")
 }
 
+// A server of the own zone is taken unless it is clearly busier, or full.
+func TestOwnZoneIsPreferred(t *testing.T) {
+	other, own := candidate("i-other", 0), candidate("i-own", 1)
+	own.SameZone = true
+	other.Slots, own.Slots = 10, 10
+	pick := func(affinity string) string {
+		servers := []serverpick.Candidate{other, own}
+		i := serverpick.Pick(serverpick.Request{Affinity: affinity, Patient: true}, servers)
+		if i < 0 {
+			return ""
+		}
+		return servers[i].ID
+	}
+	assert.Equal(t, "i-own", pick(""))
+	own.Load.Own = 4
+	assert.Equal(t, "i-other", pick(""))
+	own.Load.Own, other.Load.Own = 10, 9
+	for n := range 20 {
+		assert.Equal(t, "i-other", pick(fmt.Sprint(n)), "a full server takes nothing, whatever it keeps")
+	}
+	other.Load.Own = 10
+	assert.Empty(t, pick(""))
+}
+
 // Prompts spread over the servers.
 func TestAffinitySpreads(t *testing.T) {
 	servers := []serverpick.Candidate{candidate("i-1", 0), candidate("i-2", 0), candidate("i-3", 0)}
