Keep the store's topics inside platform/

Cause: a test of the whole instance named two topics of the platform. Change: the stand-in has calls for a manifest and a server's entry.

--- a/internal/fleetapp/fleetapp_test.go
+++ b/internal/fleetapp/fleetapp_test.go
@@ -177,7 +177,7 @@
 	assert.Equal(t, 20, strings.Count(body, "data:"))
 	assert.Equal(t, []string{"load m"}, server.Orders())
 
-	store.Put("keyed.op", "config", []byte("{"))
+	store.PutManifest([]byte("{"))
 	p.eventually("said so", func() bool { return p.log.has("event=manifest_unreadable") })
 	status, _ = p.post("/s/2")
 	assert.Equal(t, http.StatusOK, status, "the last manifest stays in force")
@@ -216,7 +216,7 @@
 	store.Publish(1, routes("engine"), "engine", []string{"m"}, 2, "plain")
 	p.eventually("ready", p.ready)
 	servers[0].Register(store, "draining")
-	store.Put("keyed.servers", "s1", []byte(`{"service":7}`))
+	store.PutServer("s1", []byte(`{"service":7}`))
 	p.eventually("only the third is used", func() bool {
 		before := [2]int{len(servers[0].Runs()), len(servers[1].Runs())}
 		for range 10 {
