--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -283,14 +283,19 @@
 		now := time.Now()
 		switch {
 		case err == nil && done:
+			h.log.Info().Str("server", string(order.Server.ID)).Str("model", order.Model).
+				Int64("sequence", order.Expect).Int64("epoch", order.Epoch).Msg("load_ended")
 			t.loaded(now)
 			h.changed(t)
 		case errors.Is(err, platform.ErrOrderBusy):
 			t.loadEnds = now.Add(confirmAgain)
 			time.AfterFunc(confirmAgain, func() { signal(h.wake) })
 		default:
-			// Not held, or not known: the report that is due soon tells.
+			// Not held, or not known: the report that is due soon tells. A load that has
+			// begun anew may come from the weight store.
 			t.unsure = true
+			h.ceiling.note(now)
+			h.log.Info().Str("server", string(order.Server.ID)).Str("model", order.Model).Err(err).Msg("load_unconfirmed")
 			if errors.Is(err, platform.ErrOrderFenced) {
 				h.keeper.superseded(order.Epoch)
 			}
