--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -85,10 +85,9 @@
 		go func() { (<-answers).discard() }()
 		return s
 	}
-	other := <-answers
 	s.cancel()
 	s.reservation.release(OutcomeReset)
-	return other
+	return <-answers
 }
 
 func (g *Gateway) hedgeDelay(c *Call, first *reservation) (time.Duration, bool) {
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -18,18 +18,32 @@
 )
 
 // hedgedRouter returns attempts that can be hedged after a millisecond.
-type hedgedRouter struct{ *fakeRouter }
+type hedgedRouter struct {
+	*fakeRouter
+	ended func(port.ServerID)
+}
 
-type hedgedAttempt struct{ Attempt }
+type hedgedAttempt struct {
+	Attempt
+	// ended is called after the outcome of the attempt has been recorded; it may be nil.
+	ended func(port.ServerID)
+}
 
 func (hedgedAttempt) HedgeAfter(time.Duration) (time.Duration, bool) { return time.Millisecond, true }
 
+func (a hedgedAttempt) Done(now time.Time, o Outcome) {
+	a.Attempt.Done(now, o)
+	if a.ended != nil {
+		a.ended(a.Server().ID)
+	}
+}
+
 func (r hedgedRouter) Pick(now time.Time, q PickQuery) (Attempt, error) {
 	attempt, err := r.fakeRouter.Pick(now, q)
 	if err != nil {
 		return nil, err
 	}
-	return hedgedAttempt{attempt}, nil
+	return hedgedAttempt{attempt, r.ended}, nil
 }
 
 // hedgedView has one class, given by the test.
@@ -41,7 +55,7 @@
 func (v hedgedView) Classify(ClassQuery) *targets.Class { return &v.class }
 
 // slowFirstBackend is a backend whose first server answers only when its call
-// is cancelled or once the second server has failed.
+// is cancelled or once the gateway has recorded the second server's failure.
 type slowFirstBackend struct {
 	secondFails bool
 	failed      chan struct{}
@@ -51,7 +65,6 @@
 func (b *slowFirstBackend) Do(ctx context.Context, s port.Server, _ *http.Request) (*http.Response, error) {
 	switch {
 	case s.ID == "second" && b.secondFails:
-		close(b.failed)
 		return nil, errors.Wrap(port.ErrNotSent, "refused")
 	case s.ID == "first":
 		select {
@@ -87,8 +100,13 @@
 			router := &fakeRouter{servers: []port.Server{{ID: "first"}, {ID: "second"}}, capacity: 2}
 			backend := &slowFirstBackend{secondFails: c.secondFails, failed: make(chan struct{}), cancelled: make(chan struct{})}
 			c.class.MaxWait = jsonc.Duration(time.Minute)
+			ended := func(server port.ServerID) {
+				if server == "second" && c.secondFails {
+					close(backend.failed)
+				}
+			}
 			g := New(Deps{
-				Snapshot: func() View { return hedgedView{class: c.class} }, Router: hedgedRouter{router},
+				Snapshot: func() View { return hedgedView{class: c.class} }, Router: hedgedRouter{router, ended},
 				Waker: &fakeWaker{}, Backend: backend, Clock: port.SystemClock{},
 			})
 			status, body := postJSON(t, g.Handler(), "/v1/chat/completions",
--- a/pkg/identity/claimer.go
+++ b/pkg/identity/claimer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -20,6 +21,9 @@
 	// while another attempt runs.
 	minPollInterval = 10 * time.Millisecond
 	maxPollInterval = 500 * time.Millisecond
+	// maxPendingReports bounds the results that are repeated at the same time
+	// to owners that haven't received them, and with it the memory of their bodies.
+	maxPendingReports = 256
 )
 
 // Peers calls the stores of other instances. An error means that it isn't known
@@ -42,6 +46,8 @@
 	Lists func(now time.Time) Lists
 	// MaxRun bounds ClaimRequest.RunFor. It equals Times.MaxRun.
 	MaxRun time.Duration
+
+	pendingReports atomic.Int64
 }
 
 // Claim is the outcome of a Request.
@@ -51,6 +57,8 @@
 	attempt string
 	answer  Answer
 	holders []Member
+	// runUntil is the deadline of the run at its owners.
+	runUntil time.Time
 }
 
 // Verdict reports whether the request is allowed to run.
@@ -63,8 +71,20 @@
 // Finish reports the result of the run to the owners. An owner that has granted
 // the identity but doesn't receive the report answers Running to other attempts
 // until the run's deadline, and Unknown from then until the identity expires.
+// The report is therefore repeated in the background until that deadline.
 func (c *Claim) Finish(ctx context.Context, r Result) {
-	c.claimer.reportResult(ctx, c.holders, c.key, c.attempt, r)
+	missed := c.report(ctx, c.holders, r)
+	if len(missed) == 0 {
+		return
+	}
+	if c.claimer.pendingReports.Add(1) > maxPendingReports {
+		c.claimer.pendingReports.Add(-1)
+		return
+	}
+	go func() {
+		defer c.claimer.pendingReports.Add(-1)
+		c.repeatReport(context.WithoutCancel(ctx), missed, r)
+	}()
 }
 
 // Claim requests the identity of the request from its owners. While another
@@ -92,6 +112,7 @@
 		Attempt:     claim.attempt,
 		RunFor:      min(r.RunFor, c.MaxRun),
 	}
+	claim.runUntil = c.Clock.Now().Add(request.RunFor)
 	round := NewRound(r.Key, lists)
 	for owner, ok := round.Next(); ok; owner, ok = round.Next() {
 		round.Answer(owner, c.requestClaim(ctx, owner, request))
@@ -120,22 +141,40 @@
 	return answer
 }
 
-// reportResult sends the result of a run to all holders in parallel.
-func (c *Claimer) reportResult(ctx context.Context, holders []Member, key Key, attempt string, r Result) {
+// report sends the result of the run to the owners in parallel, and returns
+// those that may not have received it.
+func (c *Claim) report(ctx context.Context, owners []Member, r Result) []Member {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
+	var mu sync.Mutex
+	var missed []Member
 	var wg sync.WaitGroup
-	for _, holder := range holders {
-		if holder.ID == c.Self {
-			c.Store.Finish(key, attempt, r)
+	for _, owner := range owners {
+		if owner.ID == c.claimer.Self {
+			c.claimer.Store.Finish(c.key, c.attempt, r)
 			continue
 		}
 		wg.Go(func() {
-			// Losing the report is safe: an owner that has granted the identity
-			// grants it to no other attempt until it expires. It answers Running
-			// until the run's deadline, and Unknown after that.
-			_ = c.Peers.Finish(ctx, holder, key, attempt, r)
+			if c.claimer.Peers.Finish(ctx, owner, c.key, c.attempt, r) != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				missed = append(missed, owner)
+			}
 		})
 	}
 	wg.Wait()
+	return missed
+}
+
+// repeatReport sends the result to the owners that haven't received it, until
+// all have or the run's deadline has passed. An owner ignores a report that it
+// has received before.
+func (c *Claim) repeatReport(ctx context.Context, missed []Member, r Result) {
+	intervals := backoff.NewExponentialBackOff()
+	intervals.InitialInterval = minPollInterval
+	intervals.MaxInterval = maxPollInterval
+	for len(missed) > 0 && c.claimer.Clock.Now().Before(c.runUntil) {
+		pause.For(ctx, intervals.NextBackOff())
+		missed = c.report(ctx, missed, r)
+	}
 }
--- a/pkg/identity/claimer_test.go
+++ b/pkg/identity/claimer_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -132,6 +133,43 @@
 		Claim(context.Background(), Request{Key: Key{10}, RunFor: time.Minute}).Verdict(), "no majority")
 }
 
+// unreachableOnce loses the first report of a result to each owner.
+type unreachableOnce struct {
+	*network
+	lost sync.Map
+}
+
+func (u *unreachableOnce) Finish(ctx context.Context, m Member, key Key, attempt string, r Result) error {
+	if _, lost := u.lost.LoadOrStore(m.ID, true); !lost {
+		return errDown
+	}
+	return u.network.Finish(ctx, m, key, attempt, r)
+}
+
+// TestLostReportIsRepeated checks that a repeated request receives the answer although the
+// first report of the result reached no owner. Without the repetition, the owners answer
+// Running until the run's deadline.
+func TestLostReportIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, members := newNetwork(4)
+		// An instance that owns the identity itself knows its result at once.
+		key, owner := Key{11}, map[port.InstanceID]bool{}
+		for _, holder := range n.claimers[members[0].ID].Claim(t.Context(), Request{Key: key, RunFor: time.Minute}).holders {
+			owner[holder.ID] = true
+		}
+		n, members = newNetwork(4)
+		claimer := n.claimers[members[slices.IndexFunc(members, func(m Member) bool { return !owner[m.ID] })].ID]
+		claimer.Peers = &unreachableOnce{network: n}
+		claim := claimer.Claim(t.Context(), Request{Key: key, RunFor: time.Minute})
+		require.Equal(t, Run, claim.Verdict())
+		claim.Finish(t.Context(), Result{Known: true, Status: 200})
+		again := n.claimers[members[1].ID].Claim(t.Context(), Request{Key: key, Wait: 10 * time.Second, RunFor: time.Minute})
+		require.Equal(t, Finished, again.Verdict())
+		synctest.Wait()
+		require.Zero(t, claimer.pendingReports.Load())
+	})
+}
+
 // TestHandOver checks that identities are still known after the instance that
 // owned them has shut down in an orderly way.
 func TestHandOver(t *testing.T) {
