--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -148,6 +148,7 @@
 	defer q.edge.release(q.service, b)
 
 	q.status = 0
+	q.progress.server, q.progress.ahead, q.progress.hasLoad = b.server.ID, b.stats.inFlight.Load()-1, false
 	ctx, span := q.edge.tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("server", string(b.server.ID))))
 	defer span.End()
@@ -241,6 +242,7 @@
 func (q *request) handleAnswer(b *backend, answer *platform.Answer, watchdog *time.Timer) retry.Fault {
 	q.status = answer.Status
 	if answer.HasLoad {
+		q.progress.load, q.progress.hasLoad = answer.Load, true
 		b.stats.recordLoad(answer.Load, time.Now())
 		// Other instances may have released slots on this server.
 		q.edge.dispatchSlots(q.service)
--- /dev/null
+++ b/internal/edge/progress.go
@@ -0,0 +1,62 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/platform"
+)
+
+// progress records how far a request got, for the log line about its end.
+type progress struct {
+	// queued is the time spent waiting for a server, over all attempts.
+	queued time.Duration
+	// server is the server of the last attempt. ahead is how many other requests of this
+	// instance were in flight there when the attempt began, and load is what the server's
+	// last answer reported.
+	server  fleet.ServerID
+	ahead   int64
+	load    platform.ServerLoad
+	hasLoad bool
+	// firstEvent is the time from the arrival of the request to its first event, events is
+	// the number of writes with events, and longestPause the longest time between two of
+	// these.
+	firstEvent, longestPause time.Duration
+	events                   int
+	lastEventAt              time.Time
+}
+
+// eventsForwarded records that events were written to the client.
+func (p *progress) eventsForwarded(arrived, now time.Time) {
+	if p.events == 0 {
+		p.firstEvent = now.Sub(arrived)
+	} else {
+		p.longestPause = max(p.longestPause, now.Sub(p.lastEventAt))
+	}
+	p.events++
+	p.lastEventAt = now
+}
+
+// missedObjective reports whether an answered request was late for its route: its answer, or
+// the first event of its stream, came after the latency objective, or events paused too long.
+func (p *progress) missedObjective(route *fleet.Route, took time.Duration) bool {
+	if route == nil || route.TargetLatency <= 0 {
+		return false
+	}
+	if p.events == 0 {
+		return took > route.TargetLatency
+	}
+	return p.firstEvent > route.TargetLatency || route.GapTarget > 0 && p.longestPause > route.GapTarget
+}
+
+// log adds the fields of the progress to a log entry.
+func (p *progress) log(entry *log.Entry) *log.Entry {
+	entry = entry.Dur("queued", p.queued).Str("server", string(p.server)).Int64("ahead", p.ahead).
+		Dur("first_event", p.firstEvent).Dur("longest_pause", p.longestPause).Int("events", p.events)
+	if p.hasLoad {
+		entry = entry.Int("server_running", p.load.Running).Int("server_waiting", p.load.Waiting)
+	}
+	return entry
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -58,6 +58,7 @@
 	// headWritten means that status and headers of an answer have been sent to the
 	// client.
 	headWritten bool
+	progress    progress
 }
 
 // ServeHTTP serves one client request.
@@ -91,6 +92,10 @@
 	if ok {
 		e.served.Inc(1)
 		e.latency.Update(duration)
+		if q.progress.missedObjective(q.route, duration) {
+			q.progress.log(e.log.Info().Str("request", q.head.ID).Str("route", q.route.Name).Str("model", q.model).
+				Dur("took", duration).Int("sends", q.sends)).Msg("request_late")
+		}
 		return
 	}
 	entry := e.log.Info()
@@ -102,6 +107,9 @@
 	entry = entry.Str("request", q.head.ID).Str("reason", string(out.reason)).Int("status", out.status).
 		Dur("took", duration).Int("sends", q.sends).Int("runs", q.runs).
 		Str("model", q.model).Dur("retry_after", out.retryAfter)
+	if q.sends > 0 || q.progress.queued > 0 {
+		entry = q.progress.log(entry)
+	}
 	if q.route != nil && !q.deadline.IsZero() {
 		entry = entry.Str("route", q.route.Name).Dur("limit", q.deadline.Sub(q.arrived))
 	}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -86,6 +86,7 @@
 		return nil, errors.Wrap(err, "write events")
 	}
 	q.lastEvent = last
+	q.progress.eventsForwarded(q.arrived, time.Now())
 	if err := flusher.Flush(); err != nil {
 		return nil, errors.Wrap(err, "flush events")
 	}
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -31,7 +31,9 @@
 // reports false and the refusal if no server is available in time.
 func (q *request) findServer(ctx context.Context) (*backend, outcome, bool) {
 	var done func()
+	waitedFrom := time.Now()
 	defer func() {
+		q.progress.queued += time.Since(waitedFrom)
 		if done != nil {
 			done()
 		}
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/demand"
@@ -11,6 +12,8 @@
 type Collector struct {
 	mu      sync.Mutex
 	tallies map[demand.Key]*demand.Tally
+	// past tracks the same arrivals for holders that begin later.
+	past *demand.Tracker
 	// changed has a buffered signal while a request waits whose demand hasn't been reported
 	// yet.
 	changed chan struct{}
@@ -18,7 +21,7 @@
 
 // NewCollector returns an empty collector.
 func NewCollector() *Collector {
-	return &Collector{tallies: map[demand.Key]*demand.Tally{}, changed: make(chan struct{}, 1)}
+	return &Collector{tallies: map[demand.Key]*demand.Tally{}, past: demand.NewTracker(waitingTTL), changed: make(chan struct{}, 1)}
 }
 
 func (c *Collector) tallyFor(w edge.Want) *demand.Tally {
@@ -37,9 +40,19 @@
 	defer c.mu.Unlock()
 	t := c.tallyFor(w)
 	t.Arrived++
+	arrival := demand.Tally{Arrived: 1}
 	if w.NonRepeatable {
 		t.ArrivedNonRepeatable++
+		arrival.ArrivedNonRepeatable = 1
 	}
+	c.past.Record(demand.Key{Service: w.Service, Model: w.Model, Adapter: w.Adapter}, arrival, time.Now())
+}
+
+// history returns the recent demand, including the arrivals not collected yet.
+func (c *Collector) history() map[demand.Key]demand.Past {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.past.History(time.Now())
 }
 
 // Wait counts a request that waits for a model, until the returned function is called.
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -38,6 +38,9 @@
 	// suspectAfter is how long requests can wait for a model that a server should hold before
 	// the report of that server is fetched again.
 	suspectAfter = 150 * time.Millisecond
+	// demandTimeout is how long a new holder waits for the demand of instances that may be
+	// gone before it makes its first plan.
+	demandTimeout = 1500 * time.Millisecond
 )
 
 // holder plans and sends orders while this instance holds the lease.
@@ -49,12 +52,17 @@
 	name    string
 	orders  metrics.Counter
 
-	mu               sync.Mutex
-	tracker          *demand.Tracker
-	instances        instanceRegistry
-	servers          map[fleet.ServerID]*trackedServer
-	storeLimiter     *storeLimiter
-	epoch            int64
+	mu           sync.Mutex
+	tracker      *demand.Tracker
+	instances    instanceRegistry
+	servers      map[fleet.ServerID]*trackedServer
+	storeLimiter *storeLimiter
+	epoch        int64
+	epochBegan   time.Time
+	// reported lists the instances that have reported in this epoch, and expected is how many
+	// there were when it began, or 0 if unknown.
+	reported         map[string]bool
+	expected         int
 	placementVersion int64
 	// suspectedSince is when requests were first observed to wait for a model.
 	suspectedSince map[demand.Key]time.Time
@@ -80,10 +88,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
-	if epoch != h.epoch {
-		// The state from an earlier lease may be out of date.
-		h.epoch, h.servers, h.storeLimiter = epoch, map[fleet.ServerID]*trackedServer{}, newStoreLimiter(now)
-	}
+	h.beginEpoch(epoch, now)
 	view := h.views.Load()
 	if view.Manifest == nil {
 		return
@@ -95,7 +100,7 @@
 		}
 	}
 	for name, service := range view.Manifest.Services {
-		if service.Engine != nil {
+		if service.Engine != nil && h.knowsDemand(now) {
 			h.refreshSuspects(name, now)
 			for _, action := range modelplan.Plan(now, h.planState(name, service.Engine, now)) {
 				h.execute(ctx, action)
@@ -109,6 +114,22 @@
 	}
 }
 
+// beginEpoch discards the state from an earlier lease, which may be out of date.
+func (h *holder) beginEpoch(epoch int64, now time.Time) {
+	if epoch == h.epoch {
+		return
+	}
+	h.epoch, h.epochBegan = epoch, now
+	h.servers, h.storeLimiter = map[fleet.ServerID]*trackedServer{}, newStoreLimiter(now)
+	h.tracker, h.reported, h.expected = demand.NewTracker(waitingTTL), map[string]bool{}, h.views.Instances()
+}
+
+// knowsDemand reports whether all instances have reported their demand to this holder. It
+// doesn't wait long for instances that may be gone.
+func (h *holder) knowsDemand(now time.Time) bool {
+	return h.expected > 0 && len(h.reported) >= h.expected || now.Sub(h.epochBegan) > demandTimeout
+}
+
 func (h *holder) syncServers(view *edge.View, now time.Time) {
 	listed := view.Engines()
 	for id, server := range listed {
@@ -128,15 +149,9 @@
 
 func (h *holder) planState(service string, engine *fleet.Engine, now time.Time) modelplan.State {
 	state := modelplan.State{
-		Models: make(map[string]modelplan.Model, len(engine.Models)), Demand: h.tracker.Of(service, now),
+		Models: planModels(engine), Demand: h.tracker.Of(service, now),
 		AdapterSlots: engine.AdapterSlots, Slots: engine.Slots, StoreLoads: h.storeLimiter.available(engine.LoadsPerSecond, now),
 	}
-	for name, m := range engine.Models {
-		state.Models[name] = modelplan.Model{
-			Name: name, WeightsMB: m.WeightsMB, AdapterMB: m.AdapterMB,
-			StoreLoad: m.StoreLoad, DiskLoad: m.DiskLoad, HostLoad: m.HostLoad,
-		}
-	}
 	for _, t := range h.servers {
 		// Models on draining servers don't count, as no requests are routed there.
 		if t.server.Service == service && !t.server.Draining {
@@ -147,6 +162,17 @@
 	return state
 }
 
+func planModels(engine *fleet.Engine) map[string]modelplan.Model {
+	out := make(map[string]modelplan.Model, len(engine.Models))
+	for name, m := range engine.Models {
+		out[name] = modelplan.Model{
+			Name: name, WeightsMB: m.WeightsMB, AdapterMB: m.AdapterMB,
+			StoreLoad: m.StoreLoad, DiskLoad: m.DiskLoad, HostLoad: m.HostLoad,
+		}
+	}
+	return out
+}
+
 // refreshSuspects fetches the reports of servers again that should hold a model for which
 // requests keep waiting: an earlier report may have been wrong, or the server may have
 // restarted.
@@ -346,6 +372,9 @@
 	default:
 		action.Duration, action.FromStore = m.StoreLoad, true
 	}
+	if state := t.planServer(service.Engine, h.tracker); state.FreeMB(planModels(service.Engine)) < 0 {
+		return modelplan.Action{}, platform.Order{}, false // another model has to be unloaded first
+	}
 	order := platform.Order{Server: t.server, Model: model, Expect: t.sequence, Holder: h.name, Epoch: h.epoch}
 	return action, order, true
 }
@@ -370,10 +399,16 @@
 
 // receiveReport records the demand of an instance and returns the addresses of the instances
 // that have reported recently.
-func (h *holder) receiveReport(instance, address string, tallies map[demand.Key]demand.Tally) []string {
+func (h *holder) receiveReport(instance, address string, tallies map[demand.Key]demand.Tally, history map[demand.Key]demand.Past) []string {
+	epoch, placing := h.elector.canOrder()
 	h.mu.Lock()
 	now := time.Now()
+	if placing {
+		h.beginEpoch(epoch, now)
+	}
 	h.instances.add(instance, address, now)
+	h.reported[instance] = true
+	h.tracker.Merge(history, now)
 	h.tracker.Report(instance, tallies, now)
 	peers := h.instances.addresses(now)
 	h.mu.Unlock()
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -71,6 +71,7 @@
 
 	// skippedReports counts consecutive skipped reports. Only reportDemand accesses it.
 	skippedReports int
+	historySent    historyReceiver
 	// peerAddresses are the addresses of peers that can be queried for the holder.
 	peerAddresses atomic.Pointer[[]string]
 }
@@ -90,7 +91,7 @@
 		holder: &holder{
 			control: platform.NewControl(), elector: e, views: views, log: logger, name: cfg.Name,
 			orders:  metrics.NewRegisteredCounter("placer_orders", registry),
-			tracker: demand.NewTracker(waitingTTL), instances: instanceRegistry{}, servers: map[fleet.ServerID]*trackedServer{}, suspectedSince: map[demand.Key]time.Time{},
+			tracker: demand.NewTracker(waitingTTL), instances: instanceRegistry{}, reported: map[string]bool{}, servers: map[fleet.ServerID]*trackedServer{}, suspectedSince: map[demand.Key]time.Time{},
 			wake: make(chan struct{}, 1), published: make(chan struct{}),
 		},
 	}
@@ -142,23 +143,34 @@
 
 var errNoHolder = errors.New("the holder of the lease is unknown")
 
+// report sends the demand to the holder. The first report to a holder contains the history of
+// demand as well, so that a new holder doesn't take the models in use for idle ones.
 func (p *Placer) report(ctx context.Context, tallies map[demand.Key]demand.Tally) error {
+	r, _, held := p.elector.holder()
+	var history map[demand.Key]demand.Past
+	if p.historySent.lacksHistory(r.Incarnation) {
+		history = p.collector.history()
+		tallies = onlyWaiting(tallies)
+	}
 	if p.elector.placing() {
-		p.setPeers(p.holder.receiveReport(p.name, p.address, tallies))
+		epoch, _ := p.elector.canOrder()
+		p.setPeers(p.holder.receiveReport(p.name, p.address, tallies, history))
+		p.historySent.reported(r.Incarnation, epoch, history != nil)
 		return nil
 	}
-	if len(tallies) == 0 && p.skippedReports < maxSkippedReports {
+	if len(tallies) == 0 && history == nil && p.skippedReports < maxSkippedReports {
 		p.skippedReports++
 		return nil
 	}
 	p.skippedReports = 0
-	r, _, held := p.elector.holder()
 	if !held || r.Address == p.address {
 		return errNoHolder
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply, err := placerpb.NewDRPCPlacerClient(p.peers.Conn(r.Address)).Report(ctx, encodeDemand(p.name, p.address, tallies))
+	report := encodeDemand(p.name, p.address, tallies)
+	report.History = encodeHistory(history)
+	reply, err := placerpb.NewDRPCPlacerClient(p.peers.Conn(r.Address)).Report(ctx, report)
 	if err != nil {
 		return err
 	}
@@ -168,9 +180,39 @@
 	}
 	p.elector.holderResponded(reply.Tenure.GetEpoch())
 	p.setPeers(reply.Peers)
+	p.historySent.reported(r.Incarnation, reply.Tenure.GetEpoch(), history != nil)
 	return nil
 }
 
+// historyReceiver is the holder that has received this instance's demand history.
+type historyReceiver struct {
+	incarnation string
+	// epoch is the holder's epoch as it states it itself. A holder that begins another one
+	// forgets the demand.
+	epoch   int64
+	missing bool
+}
+
+func (h *historyReceiver) lacksHistory(incarnation string) bool {
+	return h.incarnation != incarnation || h.missing
+}
+
+func (h *historyReceiver) reported(incarnation string, epoch int64, withHistory bool) {
+	h.missing = !withHistory && epoch != h.epoch
+	h.incarnation, h.epoch = incarnation, epoch
+}
+
+// onlyWaiting returns the tallies without arrivals, which a history includes.
+func onlyWaiting(tallies map[demand.Key]demand.Tally) map[demand.Key]demand.Tally {
+	out := make(map[demand.Key]demand.Tally, len(tallies))
+	for key, t := range tallies {
+		if t.Waiting > 0 {
+			out[key] = demand.Tally{Waiting: t.Waiting, WaitingNonRepeatable: t.WaitingNonRepeatable}
+		}
+	}
+	return out
+}
+
 // setPeers sets the addresses of the instances of the deployment.
 func (p *Placer) setPeers(peers []string) {
 	p.views.SetInstances(len(peers))
--- a/internal/placer/service.go
+++ b/internal/placer/service.go
@@ -23,7 +23,7 @@
 	if !s.placer.elector.placing() {
 		return &placerpb.DemandReply{Tenure: lease}, nil
 	}
-	peers := s.placer.holder.receiveReport(r.Instance, r.Address, decodeDemand(r))
+	peers := s.placer.holder.receiveReport(r.Instance, r.Address, decodeDemand(r), decodeHistory(r))
 	return &placerpb.DemandReply{Placing: true, Instances: uint32(len(peers)), Peers: peers, Tenure: lease}, nil
 }
 
@@ -100,6 +100,27 @@
 	return out
 }
 
+func encodeHistory(history map[demand.Key]demand.Past) []*placerpb.PastDemand {
+	out := make([]*placerpb.PastDemand, 0, len(history))
+	for key, past := range history {
+		out = append(out, &placerpb.PastDemand{
+			Service: key.Service, Model: key.Model, Adapter: key.Adapter,
+			Rate: float32(past.Rate), WorthRate: float32(past.WorthRate), IdleMs: uint32(max(past.Idle.Milliseconds(), 0)),
+		})
+	}
+	return out
+}
+
+func decodeHistory(r *placerpb.DemandReport) map[demand.Key]demand.Past {
+	out := make(map[demand.Key]demand.Past, len(r.History))
+	for _, past := range r.History {
+		out[demand.Key{Service: past.Service, Model: past.Model, Adapter: past.Adapter}] = demand.Past{
+			Rate: float64(past.Rate), WorthRate: float64(past.WorthRate), Idle: time.Duration(past.IdleMs) * time.Millisecond,
+		}
+	}
+	return out
+}
+
 func decodeDemand(r *placerpb.DemandReport) map[demand.Key]demand.Tally {
 	out := make(map[demand.Key]demand.Tally, len(r.Demands))
 	for _, d := range r.Demands {
--- a/pkg/demand/tracker.go
+++ b/pkg/demand/tracker.go
@@ -23,6 +23,9 @@
 	// nonRepeatableWorth is the worth of a request that can't be repeated, relative to one
 	// that can: it is lost if it isn't served.
 	nonRepeatableWorth = 10.0
+	// historyDecays is the age, in time constants, from which the demand for a model is
+	// negligible.
+	historyDecays = 4
 )
 
 // Key identifies a model of a service, or an adapter of that model.
@@ -91,18 +94,67 @@
 		if tally.Waiting > 0 {
 			waits[key] = tally
 		}
-		if tally.Arrived == 0 && tally.Waiting == 0 {
+		t.Record(key, tally, now)
+	}
+	t.waiting[instance] = waitingReport{at: now, tallies: waits}
+}
+
+// Record adds the arrivals of a tally to the history of its model.
+func (t *Tracker) Record(key Key, tally Tally, now time.Time) {
+	if tally.Arrived == 0 && tally.Waiting == 0 {
+		return
+	}
+	h := t.history(modelKey{key.Service, key.Model})
+	h.rate.add(float64(tally.Arrived), rateDecay, now)
+	h.worthRate.add(worth(tally.Arrived, tally.ArrivedNonRepeatable), worthDecay, now)
+	h.lastUsed = now
+	if key.Adapter != "" {
+		h.adapters[key.Adapter] = now
+	}
+}
+
+// Past is the recent demand for one model, or for one adapter of it, as one instance has seen
+// it.
+type Past struct {
+	// Rate and WorthRate are as in modelplan.Demand. They are zero for an adapter.
+	Rate, WorthRate float64
+	// Idle is the time since the last request.
+	Idle time.Duration
+}
+
+// History returns the demand that hasn't decayed yet, for another Tracker's Merge.
+func (t *Tracker) History(now time.Time) map[Key]Past {
+	out := map[Key]Past{}
+	for key, h := range t.histories {
+		past := Past{
+			Rate: h.rate.get(rateDecay, now), WorthRate: h.worthRate.get(worthDecay, now), Idle: now.Sub(h.lastUsed),
+		}
+		if past.Idle > historyDecays*worthDecay {
+			delete(t.histories, key)
 			continue
 		}
-		h := t.history(modelKey{key.Service, key.Model})
-		h.rate.add(float64(tally.Arrived), rateDecay, now)
-		h.worthRate.add(worth(tally.Arrived, tally.ArrivedNonRepeatable), worthDecay, now)
-		h.lastUsed = now
-		if key.Adapter != "" {
-			h.adapters[key.Adapter] = now
+		out[Key{Service: key.service, Model: key.model}] = past
+		for adapter, at := range h.adapters {
+			out[Key{Service: key.service, Model: key.model, Adapter: adapter}] = Past{Idle: now.Sub(at)}
+		}
+	}
+	return out
+}
+
+// Merge adds the demand that another instance has seen. Rates of instances add up, because
+// each counts its own requests.
+func (t *Tracker) Merge(history map[Key]Past, now time.Time) {
+	for key, past := range history {
+		h, used := t.history(modelKey{key.Service, key.Model}), now.Add(-past.Idle)
+		h.rate.add(past.Rate*rateDecay.Seconds(), rateDecay, now)
+		h.worthRate.add(past.WorthRate*worthDecay.Seconds(), worthDecay, now)
+		if used.After(h.lastUsed) {
+			h.lastUsed = used
+		}
+		if key.Adapter != "" && used.After(h.adapters[key.Adapter]) {
+			h.adapters[key.Adapter] = used
 		}
 	}
-	t.waiting[instance] = waitingReport{at: now, tallies: waits}
 }
 
 // worth returns the total worth of requests, of which nonRepeatable can't be repeated.
--- a/pkg/modelplan/cost.go
+++ b/pkg/modelplan/cost.go
@@ -1,27 +1,43 @@
 package modelplan
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
-// selectVictim returns the model whose eviction costs least and frees enough memory, with its
-// eviction loss. The model is nil if the server already has enough free memory; false means
-// that no single eviction is enough.
-func (p *planner) selectVictim(s *Server, model string) (*Resident, float64, bool) {
+// selectVictims returns the models whose eviction costs least and frees enough memory, with
+// the sum of their eviction losses. There are none if the server has enough free memory; false
+// means that it can't have enough. A model can need more memory than any other model of the
+// server occupies, so that one eviction isn't always enough.
+func (p *planner) selectVictims(s *Server, model string) ([]*Resident, float64, bool) {
 	needs := p.state.Models[model].WeightsMB - p.freeMemory(s)
 	if needs <= 0 {
 		return nil, 0, true
 	}
-	var best *Resident
-	bestLoss := 0.0
+	type candidate struct {
+		resident *Resident
+		loss     float64
+	}
+	var candidates []candidate
 	for i := range s.Models {
-		resident := &s.Models[i]
-		if p.footprint(resident) < needs || p.now.Sub(resident.Since) < minResidency {
-			continue
+		if resident := &s.Models[i]; p.now.Sub(resident.Since) >= minResidency {
+			candidates = append(candidates, candidate{resident, p.evictionLoss(s, resident)})
 		}
-		if loss := p.evictionLoss(s, resident); best == nil || loss < bestLoss {
-			best, bestLoss = resident, loss
+	}
+	sort.Slice(candidates, func(i, j int) bool { return candidates[i].loss < candidates[j].loss })
+	var several []*Resident
+	freed, lossOfSeveral := 0.0, 0.0
+	for _, c := range candidates {
+		if freed < needs {
+			several, freed, lossOfSeveral = append(several, c.resident), freed+p.footprint(c.resident), lossOfSeveral+c.loss
 		}
 	}
-	return best, bestLoss, best != nil
+	for _, c := range candidates {
+		if p.footprint(c.resident) >= needs && (c.loss <= lossOfSeveral || freed < needs) {
+			return []*Resident{c.resident}, c.loss, true
+		}
+	}
+	return several, lossOfSeveral, freed >= needs
 }
 
 // evictionLoss returns the cost, in worth, of evicting a model from a server: its next
@@ -69,23 +85,6 @@
 	}
 }
 
-// freeMemory returns the memory, in MB, that is left on a server after the models that it
-// holds or is loading.
-func (p *planner) freeMemory(s *Server) float64 {
-	free := s.MemoryMB
-	for i := range s.Models {
-		if s.Models[i].Model != s.Loading {
-			free -= p.footprint(&s.Models[i])
-		}
-	}
-	if s.Loading != "" {
-		free -= p.state.Models[s.Loading].WeightsMB
-	}
-	return free
-}
+func (p *planner) freeMemory(s *Server) float64 { return s.FreeMB(p.state.Models) }
 
-// footprint returns the memory, in MB, of a loaded model and its adapters.
-func (p *planner) footprint(resident *Resident) float64 {
-	m := p.state.Models[resident.Model]
-	return m.WeightsMB + float64(len(resident.Adapters))*m.AdapterMB
-}
+func (p *planner) footprint(resident *Resident) float64 { return resident.footprintMB(p.state.Models) }
--- a/pkg/modelplan/plan.go
+++ b/pkg/modelplan/plan.go
@@ -197,6 +197,7 @@
 	p.placeMissing()
 	p.addReplicas()
 	p.prefetchModels()
+	p.fillFreeMemory()
 	return p.actions
 }
 
@@ -386,7 +387,7 @@
 // server holds, may evict a model that is worth more, unless that model is hot.
 func (p *planner) place(model string, worth float64, urgent bool) {
 	var best *Server
-	var bestVictim *Resident
+	var bestVictims []*Resident
 	bestCost := 0.0
 	copyExists, storeLoads := p.copyExists(model), maxStoreLoads
 	if !urgent {
@@ -402,36 +403,73 @@
 			// Waiting for a busy server with a copy is faster than a load from the store.
 			continue
 		}
-		victim, loss, fits := p.selectVictim(s, model)
-		if !fits {
-			continue
-		}
-		if loss >= worth && (!urgent || victim != nil && p.retainedReplicas(p.state.Demand[victim.Model]) > 1) {
+		victims, loss, fits := p.selectVictims(s, model)
+		if !fits || loss >= worth && (!urgent || p.anyHot(victims)) {
 			continue
 		}
-		if victim != nil {
+		for _, victim := range victims {
 			duration += p.unloadDuration(victim)
 		}
 		cost := duration.Seconds()*(1+worth*restoreLossPerSecond) + loss
 		if best == nil || cost < bestCost {
-			best, bestVictim, bestCost = s, victim, cost
+			best, bestVictims, bestCost = s, victims, cost
 		}
 	}
 	switch {
 	case best == nil:
-	case bestVictim != nil:
+	case len(bestVictims) > 0:
+		// Further victims follow in the next plan, when the first one is gone.
+		victim := bestVictims[0]
 		if _, fromStore := p.loadDuration(best, model); fromStore {
 			p.storeLoads++
 			p.storeLoadsStarted++
 		}
-		p.addAction(Action{Server: best.ID, Kind: UnloadModel, Model: bestVictim.Model, EvictedFor: model})
-		p.byModel[bestVictim.Model] = removeServer(p.byModel[bestVictim.Model], best)
+		p.addAction(Action{Server: best.ID, Kind: UnloadModel, Model: victim.Model, EvictedFor: model})
+		p.byModel[victim.Model] = removeServer(p.byModel[victim.Model], best)
 		p.byModel[model] = append(p.byModel[model], best)
 	default:
 		p.load(best, model)
 	}
 }
 
+// anyHot reports whether one of the models has replicas to retain for its arrival rate.
+func (p *planner) anyHot(residents []*Resident) bool {
+	for _, r := range residents {
+		if p.retainedReplicas(p.state.Demand[r.Model]) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// fillFreeMemory loads models into memory that is free although every model that requests
+// wait for has been placed. A server that was added or replaced has no copies of weights, so
+// that nothing else would ever be loaded there.
+func (p *planner) fillFreeMemory() {
+	for i := range p.state.Servers {
+		s := &p.state.Servers[i]
+		if p.ordered[s.ID] {
+			continue
+		}
+		best, bestValue := "", 0.0
+		for _, model := range p.modelsByWeight(func(_ string, d Demand) float64 { return d.WorthRate }) {
+			if s.resident(model) != nil || p.freeMemory(s) < p.state.Models[model].WeightsMB {
+				continue
+			}
+			if _, fromStore := p.loadDuration(s, model); fromStore && !p.canLoadFromStore(prefetchStoreLoads) {
+				continue
+			}
+			value := p.state.Demand[model].WorthRate / float64(1+len(p.byModel[model]))
+			if value > bestValue {
+				best, bestValue = model, value
+			}
+		}
+		if best != "" {
+			p.load(s, best)
+		}
+	}
+}
+
 // canLoadFromStore reports whether another load from the weight store may start, given the
 // limit on concurrent loads.
 func (p *planner) canLoadFromStore(limit int) bool {
--- a/pkg/modelplan/server.go
+++ b/pkg/modelplan/server.go
@@ -12,6 +12,27 @@
 	return nil
 }
 
+// FreeMB returns the memory, in MB, that is left after the models that the server holds or is
+// loading. It is negative if a load would exceed the memory.
+func (s *Server) FreeMB(models map[string]Model) float64 {
+	free := s.MemoryMB
+	for i := range s.Models {
+		if s.Models[i].Model != s.Loading {
+			free -= s.Models[i].footprintMB(models)
+		}
+	}
+	if s.Loading != "" {
+		free -= models[s.Loading].WeightsMB
+	}
+	return free
+}
+
+// footprintMB returns the memory, in MB, of a loaded model and its adapters.
+func (r *Resident) footprintMB(models map[string]Model) float64 {
+	m := models[r.Model]
+	return m.WeightsMB + float64(len(r.Adapters))*m.AdapterMB
+}
+
 func (s *Server) adapterCount() int {
 	n := 0
 	for i := range s.Models {
