--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -148,7 +148,7 @@
 	defer q.edge.release(q.service, b)
 
 	q.status = 0
-	q.progress.server, q.progress.ahead, q.progress.hasLoad = b.server.ID, b.stats.inFlight.Load()-1, false
+	q.progress.attemptBegins(b.server.ID, b.stats.inFlight.Load()-1, time.Now())
 	ctx, span := q.edge.tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("server", string(b.server.ID))))
 	defer span.End()
@@ -260,7 +260,11 @@
 		answer.Close(false)
 		return retry.FaultBeforeFirstByte
 	case success && answer.Stream:
-		return q.stream(answer, watchdog)
+		fault := q.stream(answer, watchdog)
+		if fault == retry.FaultNone && q.model != "" {
+			q.edge.workload(q.service).Observe(q.workloadKind(), q.progress.observation())
+		}
+		return fault
 	}
 	return q.forwardBuffered(answer)
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -30,6 +30,8 @@
 	Objective, Remaining time.Duration
 	// NonRepeatable is true for a request that can neither be repeated nor resumed.
 	NonRepeatable bool
+	// Work is the time that the request is expected to take of a server.
+	Work time.Duration
 }
 
 // Config configures an Edge.
@@ -61,6 +63,9 @@
 	waitUntil, acceptUntil atomic.Int64
 	inFlight               atomic.Int64
 
+	// workloads maps a service to the *workload.Estimator of its requests.
+	workloads sync.Map
+
 	// slotQueues maps a service to the *slotQueue of requests that wait for a free slot.
 	slotQueues sync.Map
 
--- a/internal/edge/progress.go
+++ b/internal/edge/progress.go
@@ -6,6 +6,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/workload"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
 
@@ -17,15 +18,29 @@
 	// instance were in flight there when the attempt began, and load is what the server's
 	// last answer reported.
 	server  fleet.ServerID
+	sentAt  time.Time
 	ahead   int64
 	load    platform.ServerLoad
 	hasLoad bool
 	// firstEvent is the time from the arrival of the request to its first event, events is
 	// the number of writes with events, and longestPause the longest time between two of
 	// these.
-	firstEvent, longestPause time.Duration
-	events                   int
-	lastEventAt              time.Time
+	firstEvent, longestPause  time.Duration
+	events                    int
+	firstEventAt, lastEventAt time.Time
+}
+
+// attemptBegins records the start of an attempt.
+func (p *progress) attemptBegins(server fleet.ServerID, ahead int64, now time.Time) {
+	p.server, p.ahead, p.hasLoad, p.sentAt, p.firstEventAt = server, ahead, false, now, time.Time{}
+}
+
+// observation returns what a completed attempt shows about its server.
+func (p *progress) observation() workload.Observation {
+	return workload.Observation{
+		FirstEvent: p.firstEventAt.Sub(p.sentAt), Generation: p.lastEventAt.Sub(p.firstEventAt),
+		Alone: p.ahead == 0 && p.hasLoad && p.load.Waiting == 0,
+	}
 }
 
 // eventsForwarded records that events were written to the client.
@@ -35,6 +50,9 @@
 	} else {
 		p.longestPause = max(p.longestPause, now.Sub(p.lastEventAt))
 	}
+	if p.firstEventAt.IsZero() {
+		p.firstEventAt = now
+	}
 	p.events++
 	p.lastEventAt = now
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -33,6 +33,8 @@
 	// services.
 	model    string
 	affinity string
+	// slots is how many requests a server of the service runs concurrently; 0 if unknown.
+	slots int
 
 	arrived time.Time
 	// deadline is when an answer becomes useless to the client.
@@ -145,7 +147,8 @@
 	if q.head.LastEventID >= 0 {
 		q.lastEvent = q.head.LastEventID
 	}
-	if view.Manifest.Services[q.service].Engine != nil {
+	if engine := view.Manifest.Services[q.service].Engine; engine != nil {
+		q.slots = engine.Slots
 		q.model = modelKey(q.head.Model, q.head.Adapter)
 		q.affinity = affinityKey(q.head)
 	}
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/serverpick"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/workload"
 )
 
 const (
@@ -118,9 +119,23 @@
 	return Want{
 		Service: q.service, Model: q.head.Model, Adapter: q.head.Adapter,
 		Objective: q.route.TargetLatency, Remaining: time.Until(q.deadline), NonRepeatable: !q.route.Idempotent(),
+		Work: q.edge.workload(q.service).Work(q.workloadKind(), q.route.TargetLatency, q.slots),
 	}
 }
 
+func (q *request) workloadKind() workload.Kind {
+	return workload.Kind{Route: q.route.Name, Model: q.head.Model}
+}
+
+// workload returns the estimator of a service's requests.
+func (e *Edge) workload(service string) *workload.Estimator {
+	if w, known := e.workloads.Load(service); known {
+		return w.(*workload.Estimator)
+	}
+	w, _ := e.workloads.LoadOrStore(service, workload.NewEstimator())
+	return w.(*workload.Estimator)
+}
+
 // checkRefusal decides whether a request that no server can serve is refused now or
 // continues to wait.
 func (q *request) checkRefusal(state waitState, view *View) (outcome, bool) {
--- a/internal/fleetsim/deployment.go
+++ b/internal/fleetsim/deployment.go
@@ -29,6 +29,13 @@
 	hot bool
 }
 
+// work returns the time that a request takes of a server whose slots are full.
+func (c *requestClass) work() time.Duration {
+	reading := time.Duration(float64(c.promptTokens) / promptTokensPerMs * float64(time.Millisecond))
+	fullStep := baseStepTime + (slotsPerServer-1)*stepTimePerRequest
+	return reading + time.Duration(c.events*tokensPerEvent)*fullStep/slotsPerServer
+}
+
 // deployment holds the sizes of a deployment, as its specification gives them unless
 // a comment says otherwise.
 type deployment struct {
--- a/internal/fleetsim/planning.go
+++ b/internal/fleetsim/planning.go
@@ -39,7 +39,7 @@
 	now := wallClock(s.now)
 	s.reportDemand(now)
 	state := modelplan.State{
-		Models: s.models, Demand: s.demand.Of(service, now), StoreLoads: s.remainingStoreLoads(), Slots: slotsPerServer,
+		Models: s.models, Demand: s.demand.Of(service, now), StoreLoads: s.remainingStoreLoads(),
 	}
 	lastUsed := func(model string) time.Time { return s.demand.LastUsed(demand.Key{Service: service, Model: model}) }
 	for _, e := range s.engines {
--- a/internal/fleetsim/simulation.go
+++ b/internal/fleetsim/simulation.go
@@ -172,6 +172,7 @@
 	key := demand.Key{Service: service, Model: r.model}
 	t := s.tallies[key]
 	t.Arrived++
+	t.Work += r.class.work()
 	if r.class.nonRepeatable {
 		t.ArrivedNonRepeatable++
 	}
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -40,7 +40,8 @@
 	defer c.mu.Unlock()
 	t := c.tallyFor(w)
 	t.Arrived++
-	arrival := demand.Tally{Arrived: 1}
+	t.Work += w.Work
+	arrival := demand.Tally{Arrived: 1, Work: w.Work}
 	if w.NonRepeatable {
 		t.ArrivedNonRepeatable++
 		arrival.ArrivedNonRepeatable = 1
@@ -87,7 +88,7 @@
 	out := make(map[demand.Key]demand.Tally, len(c.tallies))
 	for key, t := range c.tallies {
 		out[key] = *t
-		t.Arrived, t.ArrivedNonRepeatable = 0, 0
+		t.Arrived, t.ArrivedNonRepeatable, t.Work = 0, 0, 0
 		if t.Waiting == 0 {
 			delete(c.tallies, key)
 		}
@@ -106,6 +107,7 @@
 			c.tallies[key] = held
 		}
 		held.Arrived += t.Arrived
+		held.Work += t.Work
 		held.ArrivedNonRepeatable += t.ArrivedNonRepeatable
 	}
 }
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -150,7 +150,7 @@
 func (h *holder) planState(service string, engine *fleet.Engine, now time.Time) modelplan.State {
 	state := modelplan.State{
 		Models: planModels(engine), Demand: h.tracker.Of(service, now),
-		AdapterSlots: engine.AdapterSlots, Slots: engine.Slots, StoreLoads: h.storeLimiter.available(engine.LoadsPerSecond, now),
+		AdapterSlots: engine.AdapterSlots, StoreLoads: h.storeLimiter.available(engine.LoadsPerSecond, now),
 	}
 	for _, t := range h.servers {
 		// Models on draining servers don't count, as no requests are routed there.
--- a/internal/placer/service.go
+++ b/internal/placer/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
@@ -95,6 +96,7 @@
 		out.Demands = append(out.Demands, &placerpb.ModelDemand{
 			Service: key.Service, Model: key.Model, Adapter: key.Adapter,
 			Arrived: t.Arrived, ArrivedLasting: t.ArrivedNonRepeatable, Waiting: t.Waiting, WaitingLasting: t.WaitingNonRepeatable,
+			WorkUs: uint32(min(t.Work.Microseconds(), math.MaxUint32)),
 		})
 	}
 	return out
@@ -105,7 +107,7 @@
 	for key, past := range history {
 		out = append(out, &placerpb.PastDemand{
 			Service: key.Service, Model: key.Model, Adapter: key.Adapter,
-			Rate: float32(past.Rate), WorthRate: float32(past.WorthRate), IdleMs: uint32(max(past.Idle.Milliseconds(), 0)),
+			Rate: float32(past.Rate), WorthRate: float32(past.WorthRate), WorkRate: float32(past.WorkRate), IdleMs: uint32(max(past.Idle.Milliseconds(), 0)),
 		})
 	}
 	return out
@@ -115,7 +117,7 @@
 	out := make(map[demand.Key]demand.Past, len(r.History))
 	for _, past := range r.History {
 		out[demand.Key{Service: past.Service, Model: past.Model, Adapter: past.Adapter}] = demand.Past{
-			Rate: float64(past.Rate), WorthRate: float64(past.WorthRate), Idle: time.Duration(past.IdleMs) * time.Millisecond,
+			Rate: float64(past.Rate), WorthRate: float64(past.WorthRate), WorkRate: float64(past.WorkRate), Idle: time.Duration(past.IdleMs) * time.Millisecond,
 		}
 	}
 	return out
@@ -127,6 +129,7 @@
 		out[demand.Key{Service: d.Service, Model: d.Model, Adapter: d.Adapter}] = demand.Tally{
 			Arrived: d.Arrived, ArrivedNonRepeatable: min(d.ArrivedLasting, d.Arrived),
 			Waiting: d.Waiting, WaitingNonRepeatable: min(d.WaitingLasting, d.Waiting),
+			Work: time.Duration(d.WorkUs) * time.Microsecond,
 		}
 	}
 	return out
--- a/pkg/demand/tracker.go
+++ b/pkg/demand/tracker.go
@@ -40,6 +40,8 @@
 	// can't be repeated.
 	Arrived, ArrivedNonRepeatable uint32
 	Waiting, WaitingNonRepeatable uint32
+	// Work is the server time that the arrived requests are expected to take.
+	Work time.Duration
 }
 
 // decayingRate is an exponentially decayed rate per second.
@@ -64,9 +66,9 @@
 type modelKey struct{ service, model string }
 
 type history struct {
-	rate, worthRate decayingRate
-	lastUsed        time.Time
-	adapters        map[string]time.Time
+	rate, worthRate, workRate decayingRate
+	lastUsed                  time.Time
+	adapters                  map[string]time.Time
 }
 
 type waitingReport struct {
@@ -107,6 +109,7 @@
 	h := t.history(modelKey{key.Service, key.Model})
 	h.rate.add(float64(tally.Arrived), rateDecay, now)
 	h.worthRate.add(worth(tally.Arrived, tally.ArrivedNonRepeatable), worthDecay, now)
+	h.workRate.add(tally.Work.Seconds(), rateDecay, now)
 	h.lastUsed = now
 	if key.Adapter != "" {
 		h.adapters[key.Adapter] = now
@@ -116,8 +119,8 @@
 // Past is the recent demand for one model, or for one adapter of it, as one instance has seen
 // it.
 type Past struct {
-	// Rate and WorthRate are as in modelplan.Demand. They are zero for an adapter.
-	Rate, WorthRate float64
+	// Rate, WorthRate and WorkRate are as in modelplan.Demand. They are zero for an adapter.
+	Rate, WorthRate, WorkRate float64
 	// Idle is the time since the last request.
 	Idle time.Duration
 }
@@ -127,7 +130,8 @@
 	out := map[Key]Past{}
 	for key, h := range t.histories {
 		past := Past{
-			Rate: h.rate.get(rateDecay, now), WorthRate: h.worthRate.get(worthDecay, now), Idle: now.Sub(h.lastUsed),
+			Rate: h.rate.get(rateDecay, now), WorthRate: h.worthRate.get(worthDecay, now),
+			WorkRate: h.workRate.get(rateDecay, now), Idle: now.Sub(h.lastUsed),
 		}
 		if past.Idle > historyDecays*worthDecay {
 			delete(t.histories, key)
@@ -148,6 +152,7 @@
 		h, used := t.history(modelKey{key.Service, key.Model}), now.Add(-past.Idle)
 		h.rate.add(past.Rate*rateDecay.Seconds(), rateDecay, now)
 		h.worthRate.add(past.WorthRate*worthDecay.Seconds(), worthDecay, now)
+		h.workRate.add(past.WorkRate*rateDecay.Seconds(), rateDecay, now)
 		if used.After(h.lastUsed) {
 			h.lastUsed = used
 		}
@@ -205,7 +210,8 @@
 	for key, h := range t.histories {
 		if key.service == service {
 			out[key.model] = modelplan.Demand{
-				Rate: h.rate.get(rateDecay, now), WorthRate: h.worthRate.get(worthDecay, now), LastUsed: h.lastUsed,
+				Rate: h.rate.get(rateDecay, now), WorthRate: h.worthRate.get(worthDecay, now),
+				WorkRate: h.workRate.get(rateDecay, now), LastUsed: h.lastUsed,
 			}
 		}
 	}
--- a/pkg/modelplan/cost.go
+++ b/pkg/modelplan/cost.go
@@ -46,7 +46,7 @@
 	d := p.state.Demand[resident.Model]
 	reload, _ := p.loadDuration(s, resident.Model)
 	loss := d.WorthRate * restoreLossPerSecond * reload.Seconds() * (1 + reload.Seconds())
-	switch replicas, retained := len(p.byModel[resident.Model]), p.retainedReplicas(d); {
+	switch replicas, retained := len(p.byModel[resident.Model]), p.retainedReplicas(resident.Model, d); {
 	case replicas > retained:
 		loss *= surplusLossFactor
 	case retained > 1:
