--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -146,6 +146,9 @@
 func (q *request) attempt(ctx context.Context, b *backend) retry.Fault {
 	probe, _ := b.stats.health.Admit(q.edge.elapsed())
 	defer q.edge.release(q.service, b)
+	if q.model != "" {
+		defer q.edge.demand.Run(q.head.Model, b.server.ID)()
+	}
 
 	q.status = 0
 	q.progress.attemptBegins(b.server.ID, b.stats.inFlight.Load()-1, time.Now())
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/retry"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
@@ -20,6 +21,8 @@
 	// Wait records that a request waits for a model. The caller calls done when the wait
 	// ends.
 	Wait(want Want) (done func())
+	// Run records that a server runs a request. The caller calls done when the run ends.
+	Run(model string, server fleet.ServerID) (done func())
 }
 
 // Want describes the model that a request needs and the time that the request has.
@@ -30,8 +33,9 @@
 	Objective, Remaining time.Duration
 	// NonRepeatable is true for a request that can neither be repeated nor resumed.
 	NonRepeatable bool
-	// Work is the time that the request is expected to take of a server.
-	Work time.Duration
+	// Work is the time that the request is expected to take of a server, and RunTime the time
+	// until it ends there.
+	Work, RunTime time.Duration
 }
 
 // Config configures an Edge.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -31,6 +31,8 @@
 func (noDemand) Arrived(edge.Want)     {}
 func (noDemand) Wait(edge.Want) func() { return func() {} }
 
+func (noDemand) Run(string, fleet.ServerID) func() { return func() {} }
+
 // harness is an Edge with simulated backend servers.
 type harness struct {
 	*testing.T
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -116,10 +116,11 @@
 }
 
 func (q *request) want() Want {
+	estimate := q.edge.workload(q.service).Estimate(q.workloadKind(), q.route.TargetLatency)
 	return Want{
 		Service: q.service, Model: q.head.Model, Adapter: q.head.Adapter,
 		Objective: q.route.TargetLatency, Remaining: time.Until(q.deadline), NonRepeatable: !q.route.Idempotent(),
-		Work: q.edge.workload(q.service).Work(q.workloadKind(), q.route.TargetLatency, q.slots),
+		Work: estimate.Work(q.slots), RunTime: estimate.Reading + estimate.Generation,
 	}
 }
 
--- a/internal/fleetsim/planning.go
+++ b/internal/fleetsim/planning.go
@@ -62,7 +62,7 @@
 		}
 		s.tallies[key] = t
 	}
-	s.demand.Report("edge", s.tallies, now)
+	s.demand.Report("edge", demand.Report{Tallies: s.tallies}, now)
 	s.tallies = map[demand.Key]demand.Tally{}
 }
 
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -152,10 +152,11 @@
 		Models: planModels(engine), Demand: h.tracker.Of(service, now),
 		AdapterSlots: engine.AdapterSlots, StoreLoads: h.storeLimiter.available(engine.LoadsPerSecond, now),
 	}
+	running := h.tracker.Running(now)
 	for _, t := range h.servers {
 		// Models on draining servers don't count, as no requests are routed there.
 		if t.server.Service == service && !t.server.Draining {
-			state.Servers = append(state.Servers, t.planServer(engine, h.tracker))
+			state.Servers = append(state.Servers, t.planServer(engine, h.tracker, running))
 		}
 	}
 	sortServers(state.Servers)
@@ -372,7 +373,7 @@
 	default:
 		action.Duration, action.FromStore = m.StoreLoad, true
 	}
-	if state := t.planServer(service.Engine, h.tracker); state.FreeMB(planModels(service.Engine)) < 0 {
+	if state := t.planServer(service.Engine, h.tracker, nil); state.FreeMB(planModels(service.Engine)) < 0 {
 		return modelplan.Action{}, platform.Order{}, false // another model has to be unloaded first
 	}
 	order := platform.Order{Server: t.server, Model: model, Expect: t.sequence, Holder: h.name, Epoch: h.epoch}
@@ -399,7 +400,7 @@
 
 // receiveReport records the demand of an instance and returns the addresses of the instances
 // that have reported recently.
-func (h *holder) receiveReport(instance, address string, tallies map[demand.Key]demand.Tally, history map[demand.Key]demand.Past) []string {
+func (h *holder) receiveReport(instance, address string, report demand.Report) []string {
 	epoch, placing := h.elector.canOrder()
 	h.mu.Lock()
 	now := time.Now()
@@ -408,8 +409,7 @@
 	}
 	h.instances.add(instance, address, now)
 	h.reported[instance] = true
-	h.tracker.Merge(history, now)
-	h.tracker.Report(instance, tallies, now)
+	h.tracker.Report(instance, report, now)
 	peers := h.instances.addresses(now)
 	h.mu.Unlock()
 	signal(h.wake)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -131,9 +131,9 @@
 	for ctx.Err() == nil {
 		pause.Until(ctx, p.collector.changed, reportInterval)
 		pause.For(ctx, reportBatchDelay)
-		tallies := p.collector.collect()
-		if err := p.report(ctx, tallies); err != nil {
-			p.collector.restore(tallies)
+		r := p.collector.collect()
+		if err := p.report(ctx, r); err != nil {
+			p.collector.restore(r)
 			p.elector.suspectHolder()
 			p.log.Debug().Err(err).Msg("demand_unreported")
 			pause.For(ctx, holderRetryInterval)
@@ -145,20 +145,19 @@
 
 // report sends the demand to the holder. The first report to a holder contains the history of
 // demand as well, so that a new holder doesn't take the models in use for idle ones.
-func (p *Placer) report(ctx context.Context, tallies map[demand.Key]demand.Tally) error {
+func (p *Placer) report(ctx context.Context, report demand.Report) error {
 	r, _, held := p.elector.holder()
-	var history map[demand.Key]demand.Past
-	if p.historySent.lacksHistory(r.Incarnation) {
-		history = p.collector.history()
-		tallies = onlyWaiting(tallies)
+	withHistory := p.historySent.lacksHistory(r.Incarnation)
+	if withHistory {
+		report = report.WithHistory(p.collector.history())
 	}
 	if p.elector.placing() {
 		epoch, _ := p.elector.canOrder()
-		p.setPeers(p.holder.receiveReport(p.name, p.address, tallies, history))
-		p.historySent.reported(r.Incarnation, epoch, history != nil)
+		p.setPeers(p.holder.receiveReport(p.name, p.address, report))
+		p.historySent.reported(r.Incarnation, epoch, withHistory)
 		return nil
 	}
-	if len(tallies) == 0 && history == nil && p.skippedReports < maxSkippedReports {
+	if report.Empty() && !withHistory && p.skippedReports < maxSkippedReports {
 		p.skippedReports++
 		return nil
 	}
@@ -168,9 +167,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	report := encodeDemand(p.name, p.address, tallies)
-	report.History = encodeHistory(history)
-	reply, err := placerpb.NewDRPCPlacerClient(p.peers.Conn(r.Address)).Report(ctx, report)
+	reply, err := placerpb.NewDRPCPlacerClient(p.peers.Conn(r.Address)).Report(ctx, encodeDemand(p.name, p.address, report))
 	if err != nil {
 		return err
 	}
@@ -180,7 +177,7 @@
 	}
 	p.elector.holderResponded(reply.Tenure.GetEpoch())
 	p.setPeers(reply.Peers)
-	p.historySent.reported(r.Incarnation, reply.Tenure.GetEpoch(), history != nil)
+	p.historySent.reported(r.Incarnation, reply.Tenure.GetEpoch(), withHistory)
 	return nil
 }
 
@@ -202,17 +199,6 @@
 	h.incarnation, h.epoch = incarnation, epoch
 }
 
-// onlyWaiting returns the tallies without arrivals, which a history includes.
-func onlyWaiting(tallies map[demand.Key]demand.Tally) map[demand.Key]demand.Tally {
-	out := make(map[demand.Key]demand.Tally, len(tallies))
-	for key, t := range tallies {
-		if t.Waiting > 0 {
-			out[key] = demand.Tally{Waiting: t.Waiting, WaitingNonRepeatable: t.WaitingNonRepeatable}
-		}
-	}
-	return out
-}
-
 // setPeers sets the addresses of the instances of the deployment.
 func (p *Placer) setPeers(peers []string) {
 	p.views.SetInstances(len(peers))
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -305,11 +305,11 @@
 	c.Arrived(wantModel("a"))
 	done := c.Wait(wantModel("a"))
 	collected := c.collect()
-	assert.Equal(t, demand.Tally{Arrived: 1, ArrivedNonRepeatable: 1, Waiting: 1, WaitingNonRepeatable: 1}, collected[demand.Key{Service: summaries, Model: "a", Adapter: ""}])
+	assert.Equal(t, demand.Tally{Arrived: 1, ArrivedNonRepeatable: 1, Waiting: 1, WaitingNonRepeatable: 1}, collected.Tallies[demand.Key{Service: summaries, Model: "a", Adapter: ""}])
 	c.restore(collected)
 	done()
-	assert.Equal(t, demand.Tally{Arrived: 1, ArrivedNonRepeatable: 1}, c.collect()[demand.Key{Service: summaries, Model: "a", Adapter: ""}])
-	assert.Empty(t, c.collect())
+	assert.Equal(t, demand.Tally{Arrived: 1, ArrivedNonRepeatable: 1}, c.collect().Tallies[demand.Key{Service: summaries, Model: "a", Adapter: ""}])
+	assert.True(t, c.collect().Empty())
 }
 
 // A load from a server's own copy is confirmed with the server when its expected duration has
--- a/internal/placer/service.go
+++ b/internal/placer/service.go
@@ -24,7 +24,7 @@
 	if !s.placer.elector.placing() {
 		return &placerpb.DemandReply{Tenure: lease}, nil
 	}
-	peers := s.placer.holder.receiveReport(r.Instance, r.Address, decodeDemand(r), decodeHistory(r))
+	peers := s.placer.holder.receiveReport(r.Instance, r.Address, decodeDemand(r))
 	return &placerpb.DemandReply{Placing: true, Instances: uint32(len(peers)), Peers: peers, Tenure: lease}, nil
 }
 
@@ -90,46 +90,47 @@
 	return out
 }
 
-func encodeDemand(instance, address string, tallies map[demand.Key]demand.Tally) *placerpb.DemandReport {
+func encodeDemand(instance, address string, r demand.Report) *placerpb.DemandReport {
 	out := &placerpb.DemandReport{Instance: instance, Address: address}
-	for key, t := range tallies {
+	for key, t := range r.Tallies {
 		out.Demands = append(out.Demands, &placerpb.ModelDemand{
 			Service: key.Service, Model: key.Model, Adapter: key.Adapter,
 			Arrived: t.Arrived, ArrivedLasting: t.ArrivedNonRepeatable, Waiting: t.Waiting, WaitingLasting: t.WaitingNonRepeatable,
-			WorkUs: uint32(min(t.Work.Microseconds(), math.MaxUint32)),
+			WorkUs: uint32(min(t.Work.Microseconds(), math.MaxUint32)), RunMs: uint32(min(t.RunTime.Milliseconds(), math.MaxUint32)),
 		})
 	}
-	return out
-}
-
-func encodeHistory(history map[demand.Key]demand.Past) []*placerpb.PastDemand {
-	out := make([]*placerpb.PastDemand, 0, len(history))
-	for key, past := range history {
-		out = append(out, &placerpb.PastDemand{
+	for at, n := range r.Running {
+		out.Running = append(out.Running, &placerpb.Running{Server: at.Server, Model: at.Model, Requests: n})
+	}
+	for key, past := range r.History {
+		out.History = append(out.History, &placerpb.PastDemand{
 			Service: key.Service, Model: key.Model, Adapter: key.Adapter,
-			Rate: float32(past.Rate), WorthRate: float32(past.WorthRate), WorkRate: float32(past.WorkRate), IdleMs: uint32(max(past.Idle.Milliseconds(), 0)),
+			Rate: float32(past.Rate), WorthRate: float32(past.WorthRate), WorkRate: float32(past.WorkRate), RunRate: float32(past.RunRate),
+			IdleMs: uint32(max(past.Idle.Milliseconds(), 0)),
 		})
 	}
 	return out
 }
 
-func decodeHistory(r *placerpb.DemandReport) map[demand.Key]demand.Past {
-	out := make(map[demand.Key]demand.Past, len(r.History))
-	for _, past := range r.History {
-		out[demand.Key{Service: past.Service, Model: past.Model, Adapter: past.Adapter}] = demand.Past{
-			Rate: float64(past.Rate), WorthRate: float64(past.WorthRate), WorkRate: float64(past.WorkRate), Idle: time.Duration(past.IdleMs) * time.Millisecond,
-		}
+func decodeDemand(r *placerpb.DemandReport) demand.Report {
+	out := demand.Report{
+		Tallies: make(map[demand.Key]demand.Tally, len(r.Demands)), Running: make(map[demand.Placement]uint32, len(r.Running)),
+		History: make(map[demand.Key]demand.Past, len(r.History)),
 	}
-	return out
-}
-
-func decodeDemand(r *placerpb.DemandReport) map[demand.Key]demand.Tally {
-	out := make(map[demand.Key]demand.Tally, len(r.Demands))
 	for _, d := range r.Demands {
-		out[demand.Key{Service: d.Service, Model: d.Model, Adapter: d.Adapter}] = demand.Tally{
+		out.Tallies[demand.Key{Service: d.Service, Model: d.Model, Adapter: d.Adapter}] = demand.Tally{
 			Arrived: d.Arrived, ArrivedNonRepeatable: min(d.ArrivedLasting, d.Arrived),
 			Waiting: d.Waiting, WaitingNonRepeatable: min(d.WaitingLasting, d.Waiting),
-			Work: time.Duration(d.WorkUs) * time.Microsecond,
+			Work: time.Duration(d.WorkUs) * time.Microsecond, RunTime: time.Duration(d.RunMs) * time.Millisecond,
+		}
+	}
+	for _, run := range r.Running {
+		out.Running[demand.Placement{Server: run.Server, Model: run.Model}] = run.Requests
+	}
+	for _, past := range r.History {
+		out.History[demand.Key{Service: past.Service, Model: past.Model, Adapter: past.Adapter}] = demand.Past{
+			Rate: float64(past.Rate), WorthRate: float64(past.WorthRate), WorkRate: float64(past.WorkRate), RunRate: float64(past.RunRate),
+			Idle: time.Duration(past.IdleMs) * time.Millisecond,
 		}
 	}
 	return out
--- a/internal/placer/tracked.go
+++ b/internal/placer/tracked.go
@@ -148,7 +148,7 @@
 }
 
 // planServer returns the server as input for a plan.
-func (t *trackedServer) planServer(engine *fleet.Engine, tracker *demand.Tracker) modelplan.Server {
+func (t *trackedServer) planServer(engine *fleet.Engine, tracker *demand.Tracker, running map[demand.Placement]int) modelplan.Server {
 	s := modelplan.Server{
 		ID: string(t.server.ID), MemoryMB: engine.WeightsMB,
 		Busy:    !t.known || t.uncertain || t.callInFlight || t.busy,
@@ -159,7 +159,7 @@
 	}
 	for name, state := range t.models {
 		key := demand.Key{Service: t.server.Service, Model: name}
-		resident := modelplan.Resident{Model: name, Since: state.since, LastUsed: tracker.LastUsed(key)}
+		resident := modelplan.Resident{Model: name, Since: state.since, LastUsed: tracker.LastUsed(key), Running: running[demand.Placement{Server: s.ID, Model: name}]}
 		for adapter := range state.adapters {
 			key.Adapter = adapter
 			resident.Adapters = append(resident.Adapters, modelplan.Adapter{Name: adapter, LastUsed: tracker.LastUsed(key)})
--- a/pkg/demand/tracker_test.go
+++ b/pkg/demand/tracker_test.go
@@ -16,7 +16,7 @@
 	start := time.Unix(1_800_000_000, 0)
 	tracker := NewTracker(ttl)
 	key := Key{Service: service, Model: "a", Adapter: "x"}
-	tracker.Report("i0", map[Key]Tally{key: {Arrived: 6, ArrivedNonRepeatable: 2, Waiting: 2, WaitingNonRepeatable: 1}}, start)
+	tracker.Report("i0", Report{Tallies: map[Key]Tally{key: {Arrived: 6, ArrivedNonRepeatable: 2, Waiting: 2, WaitingNonRepeatable: 1}}}, start)
 	d := tracker.Of(service, start)["a"]
 	assert.InDelta(t, 6/rateDecay.Seconds(), d.Rate, 1e-9)
 	assert.InDelta(t, (4+2*nonRepeatableWorth)/worthDecay.Seconds(), d.WorthRate, 1e-9)
@@ -25,8 +25,8 @@
 
 	later := tracker.Of(service, start.Add(rateDecay))["a"]
 	assert.Less(t, later.Rate, d.Rate)
-	tracker.Report("i0", map[Key]Tally{}, start.Add(time.Second))
+	tracker.Report("i0", Report{}, start.Add(time.Second))
 	assert.Zero(t, tracker.Of(service, start.Add(time.Second))["a"].Waiting, "a report replaces the previous one")
-	tracker.Report("i1", map[Key]Tally{key: {Waiting: 1}}, start)
+	tracker.Report("i1", Report{Tallies: map[Key]Tally{key: {Waiting: 1}}}, start)
 	assert.Zero(t, tracker.Of(service, start.Add(time.Minute))["a"].Waiting, "the report of an idle instance expires")
 }
--- a/pkg/modelplan/cost.go
+++ b/pkg/modelplan/cost.go
@@ -45,7 +45,9 @@
 func (p *planner) evictionLoss(s *Server, resident *Resident) float64 {
 	d := p.state.Demand[resident.Model]
 	reload, _ := p.loadDuration(s, resident.Model)
-	loss := d.WorthRate * restoreLossPerSecond * reload.Seconds() * (1 + reload.Seconds())
+	unload := p.unloadDuration(resident).Seconds()
+	away := unload + reload.Seconds()
+	loss := d.WorthRate * restoreLossPerSecond * away * (1 + away)
 	switch replicas, retained := len(p.byModel[resident.Model]), p.retainedReplicas(resident.Model, d); {
 	case replicas > retained:
 		loss *= surplusLossFactor
@@ -54,10 +56,7 @@
 	case replicas > 1:
 		loss *= surplusLossFactor
 	}
-	if p.now.Sub(resident.LastUsed) < recentUseWindow {
-		loss += busyUnloadPenalty
-	}
-	return loss + d.Waiting
+	return loss + unload*blockedLossPerSecond + d.Waiting
 }
 
 // copyExists reports whether a server that doesn't hold the model has a copy of its weights in
--- a/pkg/modelplan/plan.go
+++ b/pkg/modelplan/plan.go
@@ -30,6 +30,9 @@
 	// LastUsed is the time of the last request for the model on any server. Since is when this
 	// server began to hold the model.
 	LastUsed, Since time.Time
+	// Running is the number of requests for the model that the server runs. An unload waits for
+	// them.
+	Running int
 }
 
 // Server is the state of one server that a plan starts from.
@@ -64,6 +67,8 @@
 	// WorkRate is the exponentially decayed server time, in seconds, that the arrivals of one
 	// second take: the number of servers that the model keeps busy.
 	WorkRate float64
+	// RunTime is the mean time from sending a request to its end.
+	RunTime time.Duration
 	// Waiting is the total worth of the requests that wait for the model.
 	Waiting float64
 	// Adapters maps the adapters that requests wait for to the total worth of these requests.
@@ -141,16 +146,11 @@
 	// minResidency is how long a model stays on a server after its load, so that the requests
 	// that waited for it are served.
 	minResidency = 400 * time.Millisecond
-	// recentUseWindow is how long after its last request a model is assumed to be running
-	// requests.
-	recentUseWindow = 900 * time.Millisecond
-	// idleUnloadTime is the time that unloading an idle model adds to a load. busyUnloadTime
-	// is that of a model that runs requests, which the unload waits for.
+	// idleUnloadTime is the time that unloading an idle model adds to a load.
 	idleUnloadTime = 80 * time.Millisecond
-	busyUnloadTime = 700 * time.Millisecond
-	// busyUnloadPenalty is the cost, in worth, of a server that can't execute other orders
+	// blockedLossPerSecond is the cost, in worth, of a server that can't execute other orders
 	// while an unload waits for requests.
-	busyUnloadPenalty = 1.0
+	blockedLossPerSecond = 1.0
 	// surplusLossFactor is the fraction of the eviction loss that applies to a replica beyond
 	// those the model needs.
 	surplusLossFactor = 0.05
@@ -474,12 +474,15 @@
 	return p.storeLoads < limit && p.storeLoadsStarted < p.state.StoreLoads
 }
 
-// unloadDuration returns the time that unloading the model adds to a load.
+// unloadDuration returns the time that unloading the model adds to a load. It is the expected
+// time until the last of the running requests ends, if their remaining times are distributed
+// exponentially: the mean times the harmonic number of the requests.
 func (p *planner) unloadDuration(victim *Resident) time.Duration {
-	if p.now.Sub(victim.LastUsed) < recentUseWindow {
-		return busyUnloadTime
+	means := 0.0
+	for n := 1; n <= victim.Running; n++ {
+		means += 1 / float64(n)
 	}
-	return idleUnloadTime
+	return idleUnloadTime + time.Duration(means*float64(p.state.Demand[victim.Model].RunTime))
 }
 
 func (p *planner) load(s *Server, model string) {
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -85,9 +85,18 @@
 	return mean + gain*(min(observed, maxRatio*mean)-mean)
 }
 
-// Work returns the estimated time that a request takes of a server with the given number of
-// slots. The latency objective of its route stands in for observations until there are some.
-func (e *Estimator) Work(k Kind, objective time.Duration, slots int) time.Duration {
+// Estimate is the expected time to read the prompt of a request on an idle server, and to
+// generate its answer.
+type Estimate struct{ Reading, Generation time.Duration }
+
+// Work returns the time that the request takes of a server with the given number of slots.
+func (e Estimate) Work(slots int) time.Duration {
+	return e.Reading + e.Generation/time.Duration(max(slots, 1))
+}
+
+// Estimate returns the estimate for a request. The latency objective of its route stands in
+// for observations until there are some.
+func (e *Estimator) Estimate(k Kind, objective time.Duration) Estimate {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	estimate := mean{reading: idleShareOfObjective * objective.Seconds()}
@@ -100,6 +109,7 @@
 		}
 		estimate.generation = m.generation
 	}
-	seconds := estimate.reading + estimate.generation/float64(max(slots, 1))
-	return time.Duration(seconds * float64(time.Second))
+	return Estimate{Reading: seconds(estimate.reading), Generation: seconds(estimate.generation)}
 }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
