--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -332,7 +332,7 @@
 	require.Empty(t, tr.residency(1).Models, "not before the server confirms the load")
 	tr.markLoaded(ended)
 	assert.Equal(t, []fleet.Resident{{Model: "a"}}, tr.residency(2).Models)
-	assert.False(t, tr.planServer(&fleet.Engine{}, demand.NewTracker(waitingTTL)).Busy)
+	assert.False(t, tr.planServer(&fleet.Engine{}, demand.NewTracker(waitingTTL), nil).Busy)
 	assert.False(t, tr.isLoadDue(ended), "already confirmed")
 
 	load.FromStore = true
