--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -23,9 +23,6 @@
 	minFirstByteTimeout = 400 * time.Millisecond
 	// firstByteTimeoutTargets is that time in multiples of the route's latency objective.
 	firstByteTimeoutTargets = 2
-	// firstBytePerRequest is added to that time for each request on the server: about the
-	// time to process its prompt.
-	firstBytePerRequest = 30 * time.Millisecond
 	// stallTimeoutGaps is how long a stream can stall before it is resumed at another
 	// server, in multiples of the route's objective for the gap between events.
 	stallTimeoutGaps = 2
@@ -148,6 +145,8 @@
 	defer q.edge.release(q.service, b)
 	if q.model != "" {
 		defer q.edge.demand.Run(q.head.Model, b.server.ID)()
+		q.promptRead = b.stats.beginReading(q.estimate().Reading)
+		defer q.promptRead()
 	}
 
 	q.status = 0
@@ -230,14 +229,15 @@
 }
 
 // firstByteTimeout returns how long to wait for the first byte of an answer. The time
-// grows with the load of the server, because another attempt would only add to an
+// grows with what the server has to do before, because another attempt would only add to an
 // overload. The last allowed attempt waits until the request's deadline.
 func (q *request) firstByteTimeout(b *backend) time.Duration {
 	if q.lastAttempt() {
 		return noTimeout
 	}
 	remaining := time.Until(q.deadline)
-	queueDelay := time.Duration(b.stats.loadAt(time.Now()).Estimate()) * firstBytePerRequest
+	load := b.stats.loadAt(time.Now())
+	queueDelay := load.Backlog() + q.estimate().Reading*time.Duration(load.Estimate())/time.Duration(max(b.server.Slots, 1))
 	return min(max(firstByteTimeoutTargets*q.route.TargetLatency, minFirstByteTimeout)+queueDelay, max(remaining/2, minFirstByteTimeout))
 }
 
@@ -246,7 +246,7 @@
 	q.status = answer.Status
 	if answer.HasLoad {
 		q.progress.load, q.progress.hasLoad = answer.Load, true
-		b.stats.recordLoad(answer.Load, time.Now())
+		b.stats.recordLoad(answer.Load, q.edge.workload(q.service).MeanReading(), time.Now())
 		// Other instances may have released slots on this server.
 		q.edge.dispatchSlots(q.service)
 	}
@@ -264,12 +264,17 @@
 		return retry.FaultBeforeFirstByte
 	case success && answer.Stream:
 		fault := q.stream(answer, watchdog)
-		if fault == retry.FaultNone && q.model != "" {
+		if fault == retry.FaultNone {
 			q.edge.workload(q.service).Observe(q.workloadKind(), q.progress.observation())
 		}
 		return fault
 	}
-	return q.forwardBuffered(answer)
+	fault := q.forwardBuffered(answer)
+	if fault == retry.FaultNone {
+		q.progress.firstEventAt, q.progress.lastEventAt = time.Now(), time.Now()
+		q.edge.workload(q.service).Observe(q.workloadKind(), q.progress.observation())
+	}
+	return fault
 }
 
 // handleRefusal records that a server refused to execute the request: the server lacks
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -33,6 +33,10 @@
 	// services.
 	model    string
 	affinity string
+	// sharedPart is the part of the prompt that affinity stands for.
+	sharedPart float64
+	// promptRead records that the server of the current attempt has read the prompt.
+	promptRead func()
 	// slots is how many requests a server of the service runs concurrently; 0 if unknown.
 	slots int
 
@@ -150,7 +154,7 @@
 	if engine := view.Manifest.Services[q.service].Engine; engine != nil {
 		q.slots = engine.Slots
 		q.model = modelKey(q.head.Model, q.head.Adapter)
-		q.affinity = affinityKey(q.head)
+		q.affinity, q.sharedPart = affinityKey(q.head), sharedPart(q.head)
 	}
 	return q.readBody(r, view.Manifest.Limits.MaxBodyBytes)
 }
@@ -191,6 +195,21 @@
 	return strings.Join(ids, "|")
 }
 
+// sharedPart returns the part of a prompt, from 0 to 1, that is shared with other requests.
+func sharedPart(head platform.RequestHead) float64 {
+	shared, all := 0.0, 0.0
+	for i, part := range head.Prefix {
+		all += float64(max(part.Tokens, 0))
+		if i < len(head.Prefix)-1 {
+			shared = all
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return shared / all
+}
+
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		return name
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -87,6 +87,9 @@
 	}
 	q.lastEvent = last
 	q.progress.eventsForwarded(q.arrived, time.Now())
+	if q.promptRead != nil {
+		q.promptRead()
+	}
 	if err := flusher.Flush(); err != nil {
 		return nil, errors.Wrap(err, "flush events")
 	}
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -43,8 +43,11 @@
 type stats struct {
 	group    *retry.Group
 	inFlight atomic.Int64
-	health   retry.Health
-	load     atomic.Pointer[loadSample]
+	// unread is the expected time to read the prompts of the instance's requests that haven't
+	// had an event, in nanoseconds, and unreadRequests their number.
+	unread, unreadRequests atomic.Int64
+	health                 retry.Health
+	load                   atomic.Pointer[loadSample]
 	// missing maps models that the server reported as absent to a missingRecord; a later
 	// residency or missingTTL clears the entry.
 	missing sync.Map
@@ -52,17 +55,35 @@
 
 type loadSample struct {
 	reported, ownAtReport int64
+	othersUnread          time.Duration
 	at                    time.Time
 }
 
-func (s *stats) recordLoad(load platform.ServerLoad, now time.Time) {
-	s.load.Store(&loadSample{reported: int64(load.Running + load.Waiting), ownAtReport: s.inFlight.Load(), at: now})
+// recordLoad records the load that a server reported. reading is the mean time to read a prompt.
+func (s *stats) recordLoad(load platform.ServerLoad, reading time.Duration, now time.Time) {
+	othersWaiting := max(int64(load.Waiting)-s.unreadRequests.Load(), 0)
+	s.load.Store(&loadSample{
+		reported: int64(load.Running + load.Waiting), ownAtReport: s.inFlight.Load(),
+		othersUnread: time.Duration(othersWaiting) * reading, at: now,
+	})
+}
+
+// beginReading records that a server has to read the prompt of a request, until the returned
+// function is called.
+func (s *stats) beginReading(takes time.Duration) (done func()) {
+	s.unread.Add(int64(takes))
+	s.unreadRequests.Add(1)
+	return sync.OnceFunc(func() {
+		s.unread.Add(-int64(takes))
+		s.unreadRequests.Add(-1)
+	})
 }
 
 func (s *stats) loadAt(now time.Time) serverpick.Load {
-	load := serverpick.Load{InFlight: s.inFlight.Load(), Age: -1}
+	load := serverpick.Load{InFlight: s.inFlight.Load(), Age: -1, Unread: time.Duration(s.unread.Load())}
 	if sample := s.load.Load(); sample != nil {
 		load.Reported, load.InFlightAtReport, load.Age = sample.reported, sample.ownAtReport, now.Sub(sample.at)
+		load.OthersUnread = sample.othersUnread
 	}
 	return load
 }
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -99,7 +99,11 @@
 	if allTried(candidates) {
 		return nil, waitTried
 	}
-	i := serverpick.Pick(serverpick.Request{Affinity: q.affinity, WaitForSlot: q.model != ""}, candidates)
+	pick := serverpick.Request{Affinity: q.affinity, WaitForSlot: q.model != ""}
+	if q.model != "" {
+		pick.Objective, pick.SharedReading = q.route.TargetLatency, time.Duration(q.sharedPart*float64(q.estimate().Reading))
+	}
+	i := serverpick.Pick(pick, candidates)
 	if i < 0 {
 		return nil, waitSlot
 	}
@@ -116,7 +120,7 @@
 }
 
 func (q *request) want() Want {
-	estimate := q.edge.workload(q.service).Estimate(q.workloadKind(), q.route.TargetLatency)
+	estimate := q.estimate()
 	return Want{
 		Service: q.service, Model: q.head.Model, Adapter: q.head.Adapter,
 		Objective: q.route.TargetLatency, Remaining: time.Until(q.deadline), NonRepeatable: !q.route.Idempotent(),
@@ -124,6 +128,10 @@
 	}
 }
 
+func (q *request) estimate() workload.Estimate {
+	return q.edge.workload(q.service).Estimate(q.workloadKind(), q.route.TargetLatency)
+}
+
 func (q *request) workloadKind() workload.Kind {
 	return workload.Kind{Route: q.route.Name, Model: q.head.Model}
 }
@@ -160,13 +168,17 @@
 	if _, known := engine.Models[q.head.Model]; !known {
 		return refused(reasonNoModel, jitter(time.Second)), true
 	}
-	limit := q.deadline.Sub(q.arrived)
-	if now.Sub(q.arrived) > time.Duration(modelWaitShare*float64(limit)) && !q.loadsInTime(view) {
+	if now.Sub(q.arrived) > q.modelWait() && !q.loadsInTime(view) {
 		return refused(reasonNoModel, jitter(time.Second)), true
 	}
 	return outcome{}, false
 }
 
+// modelWait is how long the request waits for a model that no server is loading.
+func (q *request) modelWait() time.Duration {
+	return time.Duration(modelWaitShare * float64(q.deadline.Sub(q.arrived)))
+}
+
 // loadsInTime reports whether a server is loading the model and is expected to finish in
 // time.
 func (q *request) loadsInTime(view *View) bool {
@@ -183,7 +195,7 @@
 // was canceled or its deadline has passed.
 func (q *request) waitForChange(ctx context.Context, view *View, state waitState) (*backend, bool) {
 	limit := time.Until(q.edge.waitLimit(q.deadline))
-	modelWait := time.Until(q.arrived.Add(time.Duration(modelWaitShare * float64(q.deadline.Sub(q.arrived)))))
+	modelWait := time.Until(q.arrived.Add(q.modelWait()))
 	if modelWait > 0 {
 		limit = min(limit, modelWait)
 	}
--- a/pkg/serverpick/pick.go
+++ b/pkg/serverpick/pick.go
@@ -1,8 +1,8 @@
 // Package serverpick chooses the backend server for one request by filtering and scoring a
 // list of candidates. Many entry instances choose at the same time from delayed load reports,
 // so each instance counts its own requests exactly and those of all others as last reported.
-// Requests with the same affinity key go to the same server unless it is clearly busier than
-// the others.
+// Requests with the same affinity key go to the same server unless waiting there takes longer
+// than reading the shared parts of the prompt again.
 package serverpick
 
 import (
@@ -16,13 +16,9 @@
 	// loadMaxAge is the age up to which a load report is used. Requests take a few hundred
 	// milliseconds.
 	loadMaxAge = 2 * time.Second
-	// affinitySlack is how much higher, as a fraction of its slots, the utilization of the
-	// preferred server may be than that of the least loaded one: recomputing a short prompt
-	// costs less than queueing.
-	affinitySlack = 0.15
-	// crossZonePenalty is added to the utilization of servers in other zones, because traffic
-	// between zones is billed and takes longer.
-	crossZonePenalty = 0.2
+	// crossZoneRequests is how many requests more a server of the own zone may have, because
+	// traffic between zones is billed and takes longer.
+	crossZoneRequests = 1.2
 )
 
 // Load is the known load of a server.
@@ -34,6 +30,18 @@
 	Reported, InFlightAtReport int64
 	// Age is the age of the report; negative if there is none.
 	Age time.Duration
+	// Unread is the expected time until the server has read the prompts of this instance's
+	// requests. OthersUnread is that of the other requests that waited in the last report.
+	Unread, OthersUnread time.Duration
+}
+
+// Backlog returns the expected time until the server begins to read another prompt. What others
+// had waiting is taken to have been read since.
+func (l Load) Backlog() time.Duration {
+	if l.Age < 0 || l.Age > loadMaxAge {
+		return l.Unread
+	}
+	return l.Unread + max(l.OthersUnread-l.Age, 0)
 }
 
 // Estimate returns the estimated number of requests on the server from all instances.
@@ -61,6 +69,11 @@
 	// Affinity is a key for requests that should go to the same server; empty if there is no
 	// preference.
 	Affinity string
+	// SharedReading is the time to read the parts of the prompt that Affinity stands for.
+	SharedReading time.Duration
+	// Objective is the latency objective, which the time to read the backlog of a server is
+	// compared with; 0 if the backlog doesn't matter.
+	Objective time.Duration
 	// WaitForSlot requests wait for a free slot rather than join a server's queue.
 	WaitForSlot bool
 }
@@ -77,17 +90,17 @@
 	}
 	least := usable[0]
 	for _, i := range usable[1:] {
-		if lessLoaded(candidates[i], candidates[least]) {
+		if req.cost(candidates[i]) < req.cost(candidates[least]) {
 			least = i
 		}
 	}
 	if req.Affinity == "" {
 		return least
 	}
-	bound := cost(candidates[least]) + affinitySlack
+	bound := req.cost(candidates[least]) + req.share(req.SharedReading)
 	best, bestWeight := least, uint64(0)
 	for _, i := range usable {
-		if cost(candidates[i]) > bound {
+		if req.cost(candidates[i]) > bound {
 			continue
 		}
 		if weight := rendezvousHash(req.Affinity, candidates[i].ID); weight >= bestWeight {
@@ -126,15 +139,23 @@
 	return float64(c.Load.Estimate()) / float64(max(c.Slots, 1))
 }
 
-// cost is the utilization of a server, plus a penalty if it is in another zone.
-func cost(c Candidate) float64 {
-	if c.SameZone {
-		return utilization(c)
+// cost is the utilization of a server, plus the share of the latency objective that its backlog
+// takes, plus a penalty if it is in another zone.
+func (r *Request) cost(c Candidate) float64 {
+	cost := utilization(c) + r.share(c.Load.Backlog())
+	if !c.SameZone {
+		cost += crossZoneRequests / float64(max(c.Slots, 1))
 	}
-	return utilization(c) + crossZonePenalty
+	return cost
 }
 
-func lessLoaded(a, b Candidate) bool { return cost(a) < cost(b) }
+// share returns a time as a share of the latency objective.
+func (r *Request) share(t time.Duration) float64 {
+	if r.Objective <= 0 {
+		return 0
+	}
+	return t.Seconds() / r.Objective.Seconds()
+}
 
 // rendezvousHash returns the weight of a server for a key, for rendezvous hashing.
 func rendezvousHash(key, server string) uint64 {
--- a/pkg/serverpick/pick_test.go
+++ b/pkg/serverpick/pick_test.go
@@ -57,9 +57,10 @@
 	}
 }
 
-// Requests with the same affinity go to one server until it is clearly busier than the others.
+// Requests with the same affinity go to one server until waiting there takes longer than reading
+// the shared parts of the prompt at another one.
 func TestAffinityYieldsToLoad(t *testing.T) {
-	req := serverpick.Request{Affinity: "m|1|2"}
+	req := serverpick.Request{Affinity: "m|1|2", Objective: time.Second, SharedReading: 150 * time.Millisecond}
 	idle := []serverpick.Candidate{candidate("a", 0), candidate("b", 0), candidate("c", 0)}
 	preferred := serverpick.Pick(req, idle)
 	for range 20 {
@@ -69,6 +70,31 @@
 	assert.Equal(t, preferred, serverpick.Pick(req, idle), "slightly busier")
 	idle[preferred].Load.InFlight = 5
 	assert.NotEqual(t, preferred, serverpick.Pick(req, idle), "clearly busier")
+
+	idle[preferred].Load = serverpick.Load{Age: -1, Unread: 140 * time.Millisecond}
+	assert.Equal(t, preferred, serverpick.Pick(req, idle), "reads another prompt for less time than is saved")
+	idle[preferred].Load.Unread = 160 * time.Millisecond
+	assert.NotEqual(t, preferred, serverpick.Pick(req, idle), "reads other prompts for longer")
+}
+
+// A long prompt that a server has yet to read counts for more than several short requests.
+func TestBacklogCountsAsTime(t *testing.T) {
+	reads, runs := candidate("reads", 1), candidate("runs", 3)
+	reads.Load.Unread = 400 * time.Millisecond
+	req := serverpick.Request{Objective: 800 * time.Millisecond}
+	assert.Equal(t, 1, serverpick.Pick(req, []serverpick.Candidate{reads, runs}))
+	req.Objective = 0
+	assert.Equal(t, 0, serverpick.Pick(req, []serverpick.Candidate{reads, runs}), "without an objective only requests count")
+}
+
+// What others had waiting in a report is read as time passes.
+func TestBacklogOfOthersIsReadMeanwhile(t *testing.T) {
+	load := serverpick.Load{Unread: 100 * time.Millisecond, OthersUnread: 500 * time.Millisecond, Age: 200 * time.Millisecond}
+	assert.Equal(t, 400*time.Millisecond, load.Backlog())
+	load.Age = time.Second
+	assert.Equal(t, 100*time.Millisecond, load.Backlog())
+	load.Age = -1
+	assert.Equal(t, 100*time.Millisecond, load.Backlog())
 }
 
 // A server of the own zone is preferred unless it is clearly busier, or full.
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -40,6 +40,7 @@
 	kinds map[Kind]*mean
 	// routes has the means over the models of each route, for models without observations.
 	routes map[string]*mean
+	all    mean
 }
 
 type mean struct {
@@ -67,6 +68,15 @@
 	}
 	kind.observe(o)
 	route.observe(o)
+	e.all.observe(o)
+}
+
+// MeanReading returns the mean time to read the prompt of a request of the service; 0 if
+// unknown.
+func (e *Estimator) MeanReading() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return seconds(e.all.reading)
 }
 
 // observe updates the means. A request that waited for others shows at most that reading takes
