--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -25,6 +25,7 @@
 
 const (
 	summaries    = "summaries"
+	largeModel   = "large"
 	testTimeout  = time.Minute
 	pollInterval = 2 * time.Millisecond
 )
@@ -77,7 +78,11 @@
 	}
 	engine := &fleet.Engine{Slots: 8, WeightsMB: 201, AdapterSlots: 2, LoadsPerSecond: 10, Models: map[string]fleet.Model{}}
 	for _, m := range c.models {
-		engine.Models[m] = fleet.Model{Name: m, WeightsMB: 100, StoreLoad: 60 * time.Millisecond, DiskLoad: 30 * time.Millisecond, HostLoad: 10 * time.Millisecond}
+		weights := 100.0
+		if m == largeModel {
+			weights = 200
+		}
+		engine.Models[m] = fleet.Model{Name: m, WeightsMB: weights, StoreLoad: 60 * time.Millisecond, DiskLoad: 30 * time.Millisecond, HostLoad: 10 * time.Millisecond}
 	}
 	i.views.SetManifest(fleet.NewManifest(1, nil, []fleet.Service{{Name: summaries, Engine: engine}}, fleet.CallerLimits{}))
 	i.views.SetServers(servers)
@@ -338,3 +343,49 @@
 	load.FromStore = true
 	require.False(t, loading(load).isLoadDue(ended.Add(time.Minute)), "loads from the weight store slow each other down")
 }
+
+// A new holder makes no plan before the instances have reported: until then every model seems
+// idle, and the replicas of hot ones would be unloaded. It doesn't wait for instances that are
+// gone.
+func TestNewHolderWaitsForDemand(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	views := edge.NewViews()
+	views.SetInstances(2)
+	h := &holder{views: views, instances: instanceRegistry{}}
+	h.beginEpoch(1, start)
+	assert.False(t, h.knowsDemand(start))
+	h.reported["i0"] = true
+	assert.False(t, h.knowsDemand(start))
+	h.reported["i1"] = true
+	assert.True(t, h.knowsDemand(start), "all have reported")
+
+	h.beginEpoch(2, start)
+	assert.False(t, h.knowsDemand(start.Add(demandTimeout)), "a new epoch begins without demand")
+	assert.True(t, h.knowsDemand(start.Add(demandTimeout+1)))
+
+	views.SetInstances(0)
+	h.beginEpoch(3, start)
+	h.reported["i0"] = true
+	assert.False(t, h.knowsDemand(start), "how many instances there are is unknown")
+}
+
+func TestHistoryIsSentOncePerEpoch(t *testing.T) {
+	var r historyReceiver
+	require.True(t, r.lacksHistory("p1"))
+	r.reported("p1", 7, true)
+	assert.False(t, r.lacksHistory("p1"))
+	assert.True(t, r.lacksHistory("p2"), "another process holds the lease")
+	r.reported("p1", 9, false)
+	assert.True(t, r.lacksHistory("p1"), "the holder has begun another epoch and forgotten the demand")
+	r.reported("p1", 9, true)
+	assert.False(t, r.lacksHistory("p1"))
+}
+
+// A model as large as two others is loaded when both have been unloaded, not before.
+func TestLargeModelIsLoadedAfterSeveralUnloads(t *testing.T) {
+	c := newCluster(t, []string{"a", "b", largeModel}, standin.ServerConfig{ID: "s0", Models: []string{"a", "b"}, OnDisk: []string{"a", "b", largeModel}})
+	i := c.start("i0")
+	defer i.collector.Wait(wantModel(largeModel))()
+	c.eventually("the large model is loaded", func() bool { return c.holds(0, largeModel) })
+	assert.Equal(t, []string{largeModel}, c.servers[0].Models())
+}
--- a/pkg/demand/tracker_test.go
+++ b/pkg/demand/tracker_test.go
@@ -30,3 +30,31 @@
 	tracker.Report("i1", Report{Tallies: map[Key]Tally{key: {Waiting: 1}}}, start)
 	assert.Zero(t, tracker.Of(service, start.Add(time.Minute))["a"].Waiting, "the report of an idle instance expires")
 }
+
+// A new holder of the lease knows the demand of the past seconds from the histories of the
+// instances, each of which counted its own requests.
+func TestHistoryTellsAnotherTracker(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	key := Key{Service: service, Model: "a", Adapter: "x"}
+	tally := Tally{Arrived: 6, ArrivedNonRepeatable: 2, Work: 3 * time.Second, RunTime: 12 * time.Second}
+	before, instances := NewTracker(ttl), []*Tracker{NewTracker(ttl), NewTracker(ttl)}
+	for _, own := range instances {
+		own.Record(key, tally, start)
+		before.Report("i", Report{Tallies: map[Key]Tally{key: tally}}, start)
+	}
+	now := start.Add(2 * time.Second)
+	after := NewTracker(ttl)
+	for i, own := range instances {
+		report := Report{Tallies: map[Key]Tally{key: tally}, Running: map[Placement]uint32{{Server: "s", Model: "a"}: 2}}
+		after.Report([]string{"i0", "i1"}[i], report.WithHistory(own.History(now)), now)
+	}
+	want, got := before.Of(service, now)["a"], after.Of(service, now)["a"]
+	assert.InDelta(t, want.Rate, got.Rate, 1e-6)
+	assert.InDelta(t, want.WorthRate, got.WorthRate, 1e-6)
+	assert.InDelta(t, want.WorkRate, got.WorkRate, 1e-6)
+	assert.InDelta(t, 2, got.RunTime.Seconds(), 1e-6)
+	assert.Equal(t, start, after.LastUsed(key))
+	assert.Equal(t, map[Placement]int{{Server: "s", Model: "a"}: 4}, after.Running(now))
+	assert.Empty(t, after.Running(now.Add(ttl+1)), "reports expire")
+	assert.Empty(t, instances[0].History(start.Add(time.Hour)), "old demand is forgotten")
+}
--- a/pkg/modelplan/plan_test.go
+++ b/pkg/modelplan/plan_test.go
@@ -426,3 +426,17 @@
 	require.Len(t, plan, 1)
 	assert.Equal(t, modelplan.Action{Server: "new", Kind: modelplan.LoadModel, Model: "m0", FromStore: true, Duration: 6 * time.Second}, plan[0])
 }
+
+// The unload of a model waits for the requests that the server runs for it, which takes seconds
+// for long streams. A model that isn't in use makes room at once.
+func TestModelThatRunsRequestsIsntEvicted(t *testing.T) {
+	servers := []modelplan.Server{newServer("a", []string{"m0", "m1", "m2"}, "m9")}
+	demand := map[string]modelplan.Demand{
+		"m0": {WorthRate: 0.1, RunTime: 3 * time.Second}, "m1": {WorthRate: 0.3, RunTime: 3 * time.Second},
+		"m2": {WorthRate: 0.1, RunTime: 3 * time.Second}, "m9": {Waiting: 5},
+	}
+	servers[0].Models[0].Running, servers[0].Models[2].Running = 1, 4
+	plan := modelplan.Plan(now, state(servers, demand))
+	require.Len(t, plan, 1)
+	assert.Equal(t, modelplan.Action{Server: "a", Kind: modelplan.UnloadModel, Model: "m1", EvictedFor: "m9"}, plan[0])
+}
