--- a/internal/edge/progress_test.go
+++ b/internal/edge/progress_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -66,6 +67,8 @@
 	assert.Equal(t, 100*time.Millisecond, s.loadAt(now).Unread)
 	s.recordLoad(platform.ServerLoad{Waiting: 1}, 50*time.Millisecond, now)
 	assert.Equal(t, 100*time.Millisecond, s.loadAt(now).Backlog())
+	s.recordLoad(platform.ServerLoad{Waiting: math.MaxInt}, 24*time.Hour, now)
+	assert.Positive(t, s.loadAt(now).Backlog(), "a server that lies")
 }
 
 func TestSharedPart(t *testing.T) {
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -61,13 +61,16 @@
 
 // recordLoad records the load that a server reported. reading is the mean time to read a prompt.
 func (s *stats) recordLoad(load platform.ServerLoad, reading time.Duration, now time.Time) {
-	othersWaiting := max(int64(load.Waiting)-s.unreadRequests.Load(), 0)
+	othersWaiting := min(max(int64(load.Waiting)-s.unreadRequests.Load(), 0), maxBelievedWaiting)
 	s.load.Store(&loadSample{
 		reported: int64(load.Running + load.Waiting), ownAtReport: s.inFlight.Load(),
 		othersUnread: time.Duration(othersWaiting) * reading, at: now,
 	})
 }
 
+// maxBelievedWaiting bounds the waiting requests that a server's report is believed to have.
+const maxBelievedWaiting = 1 << 12
+
 // beginReading records that a server has to read the prompt of a request, until the returned
 // function is called.
 func (s *stats) beginReading(takes time.Duration) (done func()) {
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"slices"
 	"testing"
@@ -16,6 +17,7 @@
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/demand"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/modelplan"
@@ -389,3 +391,19 @@
 	c.eventually("the large model is loaded", func() bool { return c.holds(0, largeModel) })
 	assert.Equal(t, []string{largeModel}, c.servers[0].Models())
 }
+
+// A peer that reports no numbers, or absurd ones, doesn't spoil the demand that others report.
+func TestReportOfAFaultyPeer(t *testing.T) {
+	for _, rate := range []float32{float32(math.NaN()), float32(math.Inf(1)), -5, math.MaxFloat32} {
+		r := decodeDemand(&placerpb.DemandReport{
+			History: []*placerpb.PastDemand{{Service: summaries, Model: "a", Rate: rate, WorthRate: rate, WorkRate: rate, RunRate: rate}},
+		})
+		tracker := demand.NewTracker(waitingTTL)
+		now := time.Unix(1_800_000_000, 0)
+		tracker.Report("faulty", r, now)
+		d := tracker.Of(summaries, now)["a"]
+		for _, v := range []float64{d.Rate, d.WorthRate, d.WorkRate, d.RunTime.Seconds()} {
+			assert.True(t, v >= 0 && v <= 2*maxRate, "%v gives %v", rate, v)
+		}
+	}
+}
--- a/internal/placer/service.go
+++ b/internal/placer/service.go
@@ -129,9 +129,21 @@
 	}
 	for _, past := range r.History {
 		out.History[demand.Key{Service: past.Service, Model: past.Model, Adapter: past.Adapter}] = demand.Past{
-			Rate: float64(past.Rate), WorthRate: float64(past.WorthRate), WorkRate: float64(past.WorkRate), RunRate: float64(past.RunRate),
+			Rate: finiteRate(past.Rate), WorthRate: finiteRate(past.WorthRate), WorkRate: finiteRate(past.WorkRate), RunRate: finiteRate(past.RunRate),
 			Idle: time.Duration(past.IdleMs) * time.Millisecond,
 		}
 	}
 	return out
 }
+
+// maxRate is the highest rate that is believed of an instance.
+const maxRate = 1e6
+
+// finiteRate returns a rate within its range; 0 if it isn't a number. One report of a faulty
+// peer must not spoil the sums over all instances.
+func finiteRate(rate float32) float64 {
+	if !(rate > 0) {
+		return 0
+	}
+	return min(float64(rate), maxRate)
+}
--- a/pkg/modelplan/plan.go
+++ b/pkg/modelplan/plan.go
@@ -12,7 +12,6 @@
 package modelplan
 
 import (
-	"math"
 	"sort"
 	"time"
 )
@@ -268,118 +267,6 @@
 	}
 }
 
-// urgency returns the worth of loading a model that no server holds: that of the waiting
-// requests and of those expected during the load.
-func (p *planner) urgency(model string, d Demand) float64 {
-	if d.Waiting == 0 && !p.hot(model, d) {
-		return 0
-	}
-	return d.Waiting + d.WorthRate*lookaheadSeconds
-}
-
-// hot reports whether many callers would wait if a model had no replica for the time of a load.
-func (p *planner) hot(model string, d Demand) bool {
-	return d.Rate*p.state.Models[model].DiskLoad.Seconds() >= hotArrivals
-}
-
-// addReplicas adds replicas of hot models that have fewer than their arrival rate needs.
-func (p *planner) addReplicas() {
-	for _, model := range p.modelsByWeight(func(_ string, d Demand) float64 { return d.Rate }) {
-		d := p.state.Demand[model]
-		wanted := p.wantedReplicas(model, d)
-		if len(p.byModel[model]) < wanted && len(p.byModel[model]) > 0 {
-			p.place(model, d.WorthRate, false)
-		}
-	}
-}
-
-// wantedReplicas returns how many replicas a model needs for its work, and for the loss of one.
-func (p *planner) wantedReplicas(model string, d Demand) int {
-	least := 1
-	if p.hot(model, d) {
-		least = 2
-	}
-	return max(least, int(math.Ceil(d.WorkRate/maxUtilization)))
-}
-
-// retainedReplicas returns how many existing replicas a model retains. It is higher than
-// wantedReplicas, so that a fluctuating rate doesn't move replicas back and forth.
-func (p *planner) retainedReplicas(model string, d Demand) int {
-	return p.wantedReplicas(model, Demand{Rate: retentionMargin * d.Rate, WorkRate: retentionMargin * d.WorkRate})
-}
-
-// prefetchModels loads models that no server holds into free memory, or in place of surplus
-// replicas on servers that have a copy of the weights.
-func (p *planner) prefetchModels() {
-	absent := make([]string, 0, len(p.state.Models))
-	for name := range p.state.Models {
-		if len(p.byModel[name]) == 0 {
-			absent = append(absent, name)
-		}
-	}
-	sort.Slice(absent, func(i, j int) bool {
-		vi, vj := p.state.Demand[absent[i]].WorthRate, p.state.Demand[absent[j]].WorthRate
-		if vi != vj {
-			return vi > vj
-		}
-		return absent[i] < absent[j]
-	})
-	for _, model := range absent {
-		p.prefetch(model)
-	}
-}
-
-// prefetch places a model ahead of demand. It evicts at most a surplus replica, and reads from
-// the weight store only if no server has a copy.
-func (p *planner) prefetch(model string) {
-	var best *Server
-	var bestVictim *Resident
-	fromStore := !p.copyExists(model)
-	if fromStore && (!p.canLoadFromStore(prefetchStoreLoads) || p.state.Demand[model].WorthRate == 0) {
-		return
-	}
-	for i := range p.state.Servers {
-		s := &p.state.Servers[i]
-		if p.ordered[s.ID] || !fromStore && !s.InMemory[model] && !s.OnDisk[model] {
-			continue
-		}
-		if p.freeMemory(s) >= p.state.Models[model].WeightsMB {
-			best, bestVictim = s, nil
-			break
-		}
-		if victim := p.surplusReplica(s, model); victim != nil && best == nil {
-			best, bestVictim = s, victim
-		}
-	}
-	switch {
-	case best == nil:
-	case bestVictim != nil:
-		p.addAction(Action{Server: best.ID, Kind: UnloadModel, Model: bestVictim.Model, EvictedFor: model})
-		p.byModel[bestVictim.Model] = removeServer(p.byModel[bestVictim.Model], best)
-	default:
-		p.load(best, model)
-	}
-}
-
-// surplusReplica returns a model on the server that has more replicas than its arrival rate
-// needs and whose eviction frees enough memory for the given model; nil if there is none.
-func (p *planner) surplusReplica(s *Server, model string) *Resident {
-	for i := range s.Models {
-		resident := &s.Models[i]
-		d := p.state.Demand[resident.Model]
-		spare := len(p.byModel[resident.Model]) - p.retainedReplicas(resident.Model, d)
-		if d.Rate == 0 {
-			// A model without arrivals so far that several servers hold is likely to be
-			// requested.
-			spare = len(p.byModel[resident.Model]) - max(2, len(p.state.Servers)/unrequestedServerDivisor)
-		}
-		if spare > 0 && p.now.Sub(resident.Since) > minResidency && p.freeMemory(s)+p.footprint(resident) >= p.state.Models[model].WeightsMB {
-			return resident
-		}
-	}
-	return nil
-}
-
 // place loads a model on the server with the lowest cost, which combines the time until the
 // model is ready with the loss of the model that it evicts. An urgent load, of a model that no
 // server holds, may evict a model that is worth more, unless that model is hot.
@@ -430,44 +317,6 @@
 	}
 }
 
-// anyHot reports whether one of the models has replicas to retain for its arrival rate.
-func (p *planner) anyHot(residents []*Resident) bool {
-	for _, r := range residents {
-		if p.retainedReplicas(r.Model, p.state.Demand[r.Model]) > 1 {
-			return true
-		}
-	}
-	return false
-}
-
-// fillFreeMemory loads models into memory that is free although every model that requests
-// wait for has been placed. A server that was added or replaced has no copies of weights, so
-// that nothing else would ever be loaded there.
-func (p *planner) fillFreeMemory() {
-	for i := range p.state.Servers {
-		s := &p.state.Servers[i]
-		if p.ordered[s.ID] {
-			continue
-		}
-		best, bestValue := "", 0.0
-		for _, model := range p.modelsByWeight(func(_ string, d Demand) float64 { return d.WorthRate }) {
-			if s.resident(model) != nil || p.freeMemory(s) < p.state.Models[model].WeightsMB {
-				continue
-			}
-			if _, fromStore := p.loadDuration(s, model); fromStore && !p.canLoadFromStore(prefetchStoreLoads) {
-				continue
-			}
-			value := p.state.Demand[model].WorthRate / float64(1+len(p.byModel[model]))
-			if value > bestValue {
-				best, bestValue = model, value
-			}
-		}
-		if best != "" {
-			p.load(s, best)
-		}
-	}
-}
-
 // canLoadFromStore reports whether another load from the weight store may start, given the
 // limit on concurrent loads.
 func (p *planner) canLoadFromStore(limit int) bool {
