--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -33,6 +33,7 @@
 // run sends the request to servers until it is answered or no further attempt is allowed.
 // It reports true if the client has received a server's answer.
 func (q *request) run(ctx context.Context) (outcome, bool) {
+	q.expected = q.edge.workload(q.service).Estimate(q.workloadKind(), q.route.TargetLatency)
 	if q.model != "" {
 		q.edge.demand.Arrived(q.want())
 	}
@@ -145,7 +146,7 @@
 	defer q.edge.release(q.service, b)
 	if q.model != "" {
 		defer q.edge.demand.Run(q.head.Model, b.server.ID)()
-		q.promptRead = b.stats.beginReading(q.estimate().Reading)
+		q.promptRead = b.stats.beginReading(q.expected.Reading)
 		defer q.promptRead()
 	}
 
@@ -237,7 +238,7 @@
 	}
 	remaining := time.Until(q.deadline)
 	load := b.stats.loadAt(time.Now())
-	queueDelay := load.Backlog() + q.estimate().Reading*time.Duration(load.Estimate())/time.Duration(max(b.server.Slots, 1))
+	queueDelay := load.Backlog() + q.expected.Reading*time.Duration(load.Estimate())/time.Duration(max(b.server.Slots, 1))
 	return min(max(firstByteTimeoutTargets*q.route.TargetLatency, minFirstByteTimeout)+queueDelay, max(remaining/2, minFirstByteTimeout))
 }
 
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/workload"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
 
@@ -35,6 +36,8 @@
 	affinity string
 	// sharedPart is the part of the prompt that affinity stands for.
 	sharedPart float64
+	// expected is the time that the request is expected to take of a server.
+	expected workload.Estimate
 	// promptRead records that the server of the current attempt has read the prompt.
 	promptRead func()
 	// slots is how many requests a server of the service runs concurrently; 0 if unknown.
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -101,7 +101,7 @@
 	}
 	pick := serverpick.Request{Affinity: q.affinity, WaitForSlot: q.model != ""}
 	if q.model != "" {
-		pick.Objective, pick.SharedReading = q.route.TargetLatency, time.Duration(q.sharedPart*float64(q.estimate().Reading))
+		pick.Objective, pick.SharedReading = q.route.TargetLatency, time.Duration(q.sharedPart*float64(q.expected.Reading))
 	}
 	i := serverpick.Pick(pick, candidates)
 	if i < 0 {
@@ -120,18 +120,13 @@
 }
 
 func (q *request) want() Want {
-	estimate := q.estimate()
 	return Want{
 		Service: q.service, Model: q.head.Model, Adapter: q.head.Adapter,
 		Objective: q.route.TargetLatency, Remaining: time.Until(q.deadline), NonRepeatable: !q.route.Idempotent(),
-		Work: estimate.Work(q.slots), RunTime: estimate.Reading + estimate.Generation,
+		Work: q.expected.Work(q.slots), RunTime: q.expected.Reading + q.expected.Generation,
 	}
 }
 
-func (q *request) estimate() workload.Estimate {
-	return q.edge.workload(q.service).Estimate(q.workloadKind(), q.route.TargetLatency)
-}
-
 func (q *request) workloadKind() workload.Kind {
 	return workload.Kind{Route: q.route.Name, Model: q.head.Model}
 }
