--- a/pkg/workload/workload_test.go
+++ b/pkg/workload/workload_test.go
@@ -31,6 +31,7 @@
 	estimate := e.Estimate(kind, objective)
 	assert.Equal(t, 240*time.Millisecond, estimate.Reading)
 	assert.Equal(t, 250*time.Millisecond, estimate.Work(slots))
+	assert.Equal(t, 280*time.Millisecond, estimate.Work(slots/4), "a server with few slots is full sooner")
 	assert.Equal(t, 240*time.Millisecond, e.Estimate(workload.Kind{Route: "reviews", Model: "other"}, objective).Reading,
 		"a model without observations is taken for one like the others")
 
