Log the rate limits that servers state

Cause: a server in need names in Server-Limit how many requests a second it accepts from all instances together. The header wasn't decoded, so the logs couldn't tell whether instances ignore a limit, apply it each for itself, or exceed it by retries.

Change: platform decodes the limit, and an instance logs when a server begins and ceases to state one, with the requests and retries that it sent there since. No request is routed otherwise. An answer without the header ends a limit only if its request was sent after the limit was last stated, because answers overtake each other (limit.TestStatedRate).

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -152,6 +152,7 @@
 
 	q.status = 0
 	q.progress.attemptBegins(b.server.ID, b.stats.inFlight.Load()-1, time.Now())
+	b.stats.rateLimit.recordSent(q.sends > 0)
 	ctx, span := q.edge.tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("server", string(b.server.ID))))
 	defer span.End()
@@ -245,6 +246,7 @@
 // handleAnswer validates an answer and forwards it to the client.
 func (q *request) handleAnswer(b *backend, answer *platform.Answer, watchdog *time.Timer) retry.Fault {
 	q.status = answer.Status
+	q.recordRateLimit(b, answer)
 	if answer.HasLoad {
 		q.progress.load, q.progress.hasLoad = answer.Load, true
 		b.stats.recordLoad(answer.Load, q.edge.workload(q.service).MeanReading(), time.Now())
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -48,6 +48,7 @@
 	unread, unreadRequests atomic.Int64
 	health                 retry.Health
 	load                   atomic.Pointer[loadSample]
+	rateLimit              rateLimit
 	// missing maps models that the server reported as absent to a missingRecord; a later
 	// residency or missingTTL clears the entry.
 	missing sync.Map
