--- /dev/null
+++ b/internal/edge/virtual_test.go
@@ -0,0 +1,164 @@
+package edge_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/platform"
+	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
+)
+
+// virtualFleet runs instances and servers in one process, connected in memory, so that a
+// test in a synctest bubble plays seconds of load in virtual time.
+type virtualFleet struct {
+	*testing.T
+
+	servers   map[fleet.ServerID]*fleet.Server
+	listeners *memoryListeners
+}
+
+// inVirtualTime runs a test in a synctest bubble.
+func inVirtualTime(t *testing.T, test func(*testing.T)) {
+	// The first meter starts a goroutine with a ticker, which must not be part of the bubble.
+	metrics.NewMeter().Stop()
+	synctest.Test(t, test)
+}
+
+func newVirtualFleet(t *testing.T) *virtualFleet {
+	return &virtualFleet{T: t, servers: map[fleet.ServerID]*fleet.Server{}, listeners: &memoryListeners{byAddress: map[string]*memoryListener{}}}
+}
+
+// addServer starts a server and lists it.
+func (f *virtualFleet) addServer(server *fleet.Server, handler http.Handler) {
+	server.Address = fmt.Sprintf("10.0.0.%d:80", len(f.servers)+1)
+	f.servers[server.ID] = server
+	listener := f.listeners.listen(server.Address)
+	httpServer := &http.Server{Handler: handler}
+	go func() { _ = httpServer.Serve(listener) }()
+	f.Cleanup(func() { _ = httpServer.Close() })
+}
+
+// dial connects to a server of the fleet.
+func (f *virtualFleet) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	return f.listeners.dial(ctx, address)
+}
+
+// newViews returns the views of an instance that knows the manifest and the servers.
+func (f *virtualFleet) newViews(manifest *fleet.Manifest) *edge.Views {
+	views := edge.NewViews()
+	require.True(f, views.SetManifest(manifest))
+	views.SetServers(f.servers)
+	return views
+}
+
+// newInstance starts an instance.
+func (f *virtualFleet) newInstance(views *edge.Views, instances int) *edge.Edge {
+	views.SetInstances(instances)
+	return edge.New(edge.Config{Zone: "zone-a", RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second, Instances: instances},
+		views, platform.NewServersWithDial(f.dial), noDemand{}, &log.Logger{Level: log.PanicLevel}, metrics.NewRegistry(),
+		noop.NewTracerProvider().Tracer(""))
+}
+
+// send sends a request to an instance and returns the answer when it is complete.
+func (f *virtualFleet) send(ctx context.Context, e *edge.Edge, id, path string, header map[string]string) *httptest.ResponseRecorder {
+	req := httptest.NewRequestWithContext(ctx, http.MethodPost, path, strings.NewReader("a body"))
+	req.Host = host
+	req.Header.Set(standin.HeaderID, id)
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	w := httptest.NewRecorder()
+	defer func() {
+		if broken := recover(); broken != nil && broken != http.ErrAbortHandler {
+			panic(broken)
+		}
+	}()
+	e.ServeHTTP(w, req)
+	return w
+}
+
+// memoryListeners connects clients to listeners in memory.
+type memoryListeners struct {
+	mu        sync.Mutex
+	byAddress map[string]*memoryListener
+}
+
+type memoryListener struct {
+	address string
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (m *memoryListeners) listen(address string) *memoryListener {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := &memoryListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
+	m.byAddress[address] = l
+	return l
+}
+
+func (m *memoryListeners) dial(ctx context.Context, address string) (net.Conn, error) {
+	m.mu.Lock()
+	l := m.byAddress[address]
+	m.mu.Unlock()
+	if l == nil {
+		return nil, errors.New("connection refused")
+	}
+	client, server := net.Pipe()
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-l.closed:
+		return nil, errors.New("connection refused")
+	case l.conns <- server:
+		return addressedConn{client, l}, nil
+	}
+}
+
+// addressedConn is a connection with the address of the listener, by which connections are
+// pooled.
+type addressedConn struct {
+	net.Conn
+
+	listener *memoryListener
+}
+
+func (c addressedConn) RemoteAddr() net.Addr { return c.listener.Addr() }
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memoryListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *memoryListener) Addr() net.Addr { return memoryAddress(l.address) }
+
+type memoryAddress string
+
+func (memoryAddress) Network() string  { return "memory" }
+func (a memoryAddress) String() string { return string(a) }
