Load models elsewhere whose servers state rate limits

Cause: a model is loaded when no server holds it. Most models have one replica, so that requests beyond the limit of its server had no other to go to, and the planner knew neither of the limit nor of the requests that waited for permits.

Change: requests that wait for a permit count as waiting for their model. The holder knows the limits from the reservations: a server that states one isn't counted as a replica, gets only models whose requests fit its rate, and doesn't make the replica on another server a surplus.

Tests: modelplan.TestModelOfLimitedServerIsLoadedElsewhere, TestLimitedServerGetsOnlyModelsThatFitItsRate, TestReplicaBesideALimitedServerIsKept and TestAdapterOfLimitedServerIsLoadedElsewhere. Counting limited servers as replicas makes the first two fail; giving them any model makes the second fail.

--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -54,7 +54,7 @@
 		if out, refuse := q.checkRefusal(state, view); refuse {
 			return nil, out, false
 		}
-		if state == waitModel && done == nil {
+		if (state == waitModel || state == waitPermit && q.model != "") && done == nil {
 			done = q.edge.demand.Wait(q.want())
 		}
 		b, more := q.waitForChange(ctx, view, state)
@@ -75,6 +75,7 @@
 	waitServer           // the service has no server
 	waitModel            // no server holds the model
 	waitSlot             // all servers that hold the model are full
+	waitPermit           // a server that holds the model has room, but no permit for its rate limit
 	waitTried            // all servers that hold the model have been tried
 )
 
@@ -132,12 +133,14 @@
 		// Another request has taken the permit.
 		candidates[i].NeedsPermit = true
 	}
+	state := waitSlot
 	for i, c := range candidates {
 		if c.NeedsPermit && !c.Tried {
 			q.edge.askForPermits(holders[i], now)
+			state = waitPermit
 		}
 	}
-	return nil, waitSlot
+	return nil, state
 }
 
 func allTried(candidates []serverpick.Candidate) bool {
@@ -183,9 +186,9 @@
 	switch state {
 	case waitServer:
 		return refused(reasonNoServer, jitter(time.Second)), true
-	case waitSlot:
+	case waitPermit:
 		return q.checkRateLimits(view, now)
-	case waitTried:
+	case waitSlot, waitTried:
 		return outcome{}, false
 	}
 	engine := view.Manifest.Services[q.service].Engine
@@ -252,7 +255,7 @@
 		limit = min(limit, modelWait)
 	}
 	switch state {
-	case waitSlot:
+	case waitSlot, waitPermit:
 		return q.waitForSlot(ctx, view, min(limit, slotRecheckInterval))
 	case waitTried:
 		limit = min(limit, q.triedBackoff)
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -47,6 +47,7 @@
 type holder struct {
 	control *platform.Control
 	elector *elector
+	permits *permitDesk
 	views   *edge.Views
 	log     *log.Logger
 	name    string
@@ -156,7 +157,9 @@
 	for _, t := range h.servers {
 		// Models on draining servers don't count, as no requests are routed there.
 		if t.server.Service == service && !t.server.Draining {
-			state.Servers = append(state.Servers, t.planServer(engine, h.tracker, running))
+			server := t.planServer(engine, h.tracker, running)
+			server.RateLimit, server.Limited = h.permits.rateLimit(t.server, now)
+			state.Servers = append(state.Servers, server)
 		}
 	}
 	sortServers(state.Servers)
@@ -199,6 +202,9 @@
 		h.suspectedSince[key] = now
 		for _, t := range h.servers {
 			state := t.models[key.Model]
+			if _, limited := h.permits.rateLimit(t.server, now); limited {
+				continue // requests wait for permits
+			}
 			if t.known && !t.busy && state != nil && (key.Adapter == "" || state.adapters[key.Adapter]) {
 				t.nextReportAt = now
 			}
--- a/internal/placer/permits.go
+++ b/internal/placer/permits.go
@@ -55,6 +55,18 @@
 	return shared.Reserve(instance, r.Limit, r.Count, now)
 }
 
+// rateLimit returns the limit that a server states, as far as instances have told it.
+func (d *permitDesk) rateLimit(server *fleet.Server, now time.Time) (perSecond float64, limited bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known := d.limits[incarnation{server.ID, server.StartedAt}]
+	if known == nil || now.Sub(known.usedAt) > limitTTL {
+		return limit.Unlimited, false
+	}
+	perSecond = known.PerSecond()
+	return perSecond, perSecond != limit.Unlimited
+}
+
 // Reserve reserves permits at the holder. It fails if the holder is unknown or doesn't respond.
 func (p *Placer) Reserve(ctx context.Context, r edge.PermitRequest) (limit.Grant, error) {
 	if p.elector.placing() {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -83,14 +83,15 @@
 		Self:          leaderlease.Record{Holder: cfg.Name, Incarnation: uuid.NewString(), Address: cfg.Address},
 		LeaseDuration: cfg.Lease, Fenced: cfg.Fenced,
 	}, views.Known)
+	permits := newPermitDesk()
 	dialer := &net.Dialer{Timeout: callTimeout, KeepAliveConfig: peer.KeepAlive()}
 	return &Placer{
-		name: cfg.Name, address: cfg.Address, elector: e, collector: collector, views: views, log: logger, permits: newPermitDesk(),
+		name: cfg.Name, address: cfg.Address, elector: e, collector: collector, views: views, log: logger, permits: permits,
 		peers: peer.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}, tracer),
 		holder: &holder{
-			control: platform.NewControl(), elector: e, views: views, log: logger, name: cfg.Name,
+			control: platform.NewControl(), elector: e, permits: permits, views: views, log: logger, name: cfg.Name,
 			orders:  metrics.NewRegisteredCounter("placer_orders", registry),
 			tracker: demand.NewTracker(waitingTTL), instances: instanceRegistry{}, reported: map[string]bool{}, servers: map[fleet.ServerID]*trackedServer{}, suspectedSince: map[demand.Key]time.Time{},
 			wake: make(chan struct{}, 1), published: make(chan struct{}),
--- a/pkg/limit/shared.go
+++ b/pkg/limit/shared.go
@@ -66,6 +66,9 @@
 	return grant
 }
 
+// PerSecond returns the limit; Unlimited if there is none.
+func (s *Shared) PerSecond() float64 { return s.stated.PerSecond() }
+
 // QueueDelay returns the time until ahead requests have been sent under a limit.
 func QueueDelay(ahead int, perSecond float64) time.Duration {
 	return time.Duration(float64(ahead) / max(perSecond, minPermitRate) * float64(time.Second))
--- a/pkg/modelplan/ahead.go
+++ b/pkg/modelplan/ahead.go
@@ -34,7 +34,7 @@
 	}
 	for i := range p.state.Servers {
 		s := &p.state.Servers[i]
-		if p.ordered[s.ID] || !fromStore && !s.InMemory[model] && !s.OnDisk[model] {
+		if p.ordered[s.ID] || !fromStore && !s.InMemory[model] && !s.OnDisk[model] || !p.hasRateFor(s, model) {
 			continue
 		}
 		if p.freeMemory(s) >= p.state.Models[model].WeightsMB {
@@ -61,11 +61,11 @@
 	for i := range s.Models {
 		resident := &s.Models[i]
 		d := p.state.Demand[resident.Model]
-		spare := len(p.byModel[resident.Model]) - p.retainedReplicas(resident.Model, d)
+		spare := p.replicas(resident.Model) - p.retainedReplicas(resident.Model, d)
 		if d.Rate == 0 {
 			// A model without arrivals so far that several servers hold is likely to be
 			// requested.
-			spare = len(p.byModel[resident.Model]) - max(2, len(p.state.Servers)/unrequestedServerDivisor)
+			spare = p.replicas(resident.Model) - max(2, len(p.state.Servers)/unrequestedServerDivisor)
 		}
 		if spare > 0 && p.now.Sub(resident.Since) > minResidency && p.freeMemory(s)+p.footprint(resident) >= p.state.Models[model].WeightsMB {
 			return resident
--- a/pkg/modelplan/cost.go
+++ b/pkg/modelplan/cost.go
@@ -48,7 +48,11 @@
 	unload := p.unloadDuration(resident).Seconds()
 	away := unload + reload.Seconds()
 	loss := d.WorthRate * restoreLossPerSecond * away * (1 + away)
-	switch replicas, retained := len(p.byModel[resident.Model]), p.retainedReplicas(resident.Model, d); {
+	replicas := p.replicas(resident.Model)
+	if s.Limited {
+		replicas++
+	}
+	switch retained := p.retainedReplicas(resident.Model, d); {
 	case replicas > retained:
 		loss *= surplusLossFactor
 	case retained > 1:
--- a/pkg/modelplan/plan.go
+++ b/pkg/modelplan/plan.go
@@ -47,6 +47,10 @@
 	Models    []Resident
 	InMemory  map[string]bool
 	OnDisk    map[string]bool
+	// Limited means that the server states a limit on its rate of requests. RateLimit is that
+	// limit per second.
+	Limited   bool
+	RateLimit float64
 }
 
 // Model describes a model to the planner. Sizes are in MB.
@@ -228,13 +232,13 @@
 }
 
 // placeAdapter loads an adapter on the server that holds its model and has the fewest
-// adapters. If that server lacks a free slot or memory, the least recently used adapter is
+// adapters. Servers that state a rate limit count only if all that hold the model do. If that server lacks a free slot or memory, the least recently used adapter is
 // unloaded first.
 func (p *planner) placeAdapter(model, name string) {
 	var best *Server
 	for _, s := range p.byModel[model] {
 		resident := s.resident(model)
-		if resident == nil {
+		if resident == nil || s.Limited && p.replicas(model) > 0 {
 			continue
 		}
 		if resident.hasAdapter(name) {
@@ -257,10 +261,11 @@
 	}
 }
 
-// placeMissing places models that requests wait for and that no server holds or loads.
+// placeMissing places models that requests wait for and that no server holds or loads, or only
+// servers whose rate limits make these requests wait.
 func (p *planner) placeMissing() {
 	for _, model := range p.modelsByWeight(p.urgency) {
-		if len(p.byModel[model]) == 0 {
+		if len(p.byModel[model]) == 0 || p.replicas(model) == 0 && p.state.Demand[model].Waiting > 0 {
 			p.place(model, p.urgency(model, p.state.Demand[model]), true)
 		}
 	}
@@ -279,7 +284,7 @@
 	}
 	for i := range p.state.Servers {
 		s := &p.state.Servers[i]
-		if p.ordered[s.ID] || s.resident(model) != nil {
+		if p.ordered[s.ID] || s.resident(model) != nil || !p.hasRateFor(s, model) {
 			continue
 		}
 		duration, fromStore := p.loadDuration(s, model)
--- a/pkg/modelplan/plan_test.go
+++ b/pkg/modelplan/plan_test.go
@@ -431,3 +431,69 @@
 	require.Len(t, plan, 1)
 	assert.Equal(t, modelplan.Action{Server: "a", Kind: modelplan.UnloadModel, Model: "m1", EvictedFor: "m9"}, plan[0])
 }
+
+// limitedServer returns a server that states a rate limit.
+func limitedServer(id string, perSecond float64, held ...string) modelplan.Server {
+	s := newServer(id, held)
+	s.Limited, s.RateLimit = true, perSecond
+	return s
+}
+
+// Requests wait for a model whose only server states a rate limit. It is loaded on another
+// server, once.
+func TestModelOfLimitedServerIsLoadedElsewhere(t *testing.T) {
+	servers := []modelplan.Server{limitedServer("a", 3, "m0", "m1", "m2"), newServer("b", []string{"m3", "m4", "m5"}, "m0")}
+	demand := map[string]modelplan.Demand{
+		"m0": {Rate: 1, WorthRate: 1, Waiting: 2}, "m1": {Rate: 1, WorthRate: 1}, "m2": {Rate: 0.1, WorthRate: 0.1},
+		"m3": {Rate: 1, WorthRate: 1}, "m4": {Rate: 1, WorthRate: 1}, "m5": {Rate: 0.1, WorthRate: 0.1},
+	}
+	actions := modelplan.Plan(now, state(servers, demand))
+	require.Len(t, actions, 1)
+	assert.Equal(t, modelplan.Action{Server: "b", Kind: modelplan.UnloadModel, Model: "m5", EvictedFor: "m0"}, actions[0])
+
+	servers[1].Models, servers[1].Loading = servers[1].Models[:2], "m0"
+	assert.Empty(t, modelplan.Plan(now, state(servers, demand)), "it is being loaded")
+	servers[0].Limited = false
+	servers[1].Models, servers[1].Loading = append(servers[1].Models, modelplan.Resident{Model: "m5"}), ""
+	assert.Empty(t, modelplan.Plan(now, state(servers, demand)), "without a limit the requests wait for a slot")
+}
+
+// A server that states a rate limit gets a model only if the requests for it fit.
+func TestLimitedServerGetsOnlyModelsThatFitItsRate(t *testing.T) {
+	for rate, want := range map[float64]string{0.5: "a", 2: "b"} {
+		servers := []modelplan.Server{limitedServer("a", 3, "m1"), newServer("b", []string{"m3", "m4", "m5"})}
+		for i := range servers {
+			servers[i].OnDisk["m0"] = true
+		}
+		actions := modelplan.Plan(now, state(servers, map[string]modelplan.Demand{
+			"m0": {Rate: rate, WorthRate: rate, Waiting: 2}, "m1": {Rate: 2, WorthRate: 2},
+		}))
+		require.NotEmpty(t, actions)
+		assert.Equal(t, want, actions[0].Server, "%v requests/s", rate)
+	}
+	all := []modelplan.Server{limitedServer("a", 0, "m1"), limitedServer("b", 0, "m2")}
+	all[0].OnDisk["m0"] = true
+	actions := modelplan.Plan(now, state(all, map[string]modelplan.Demand{"m0": {Rate: 2, WorthRate: 2, Waiting: 2}}))
+	assert.Len(t, actions, 1, "all servers state limits")
+}
+
+// A replica on a server that states a rate limit doesn't make that on another server a surplus.
+func TestReplicaBesideALimitedServerIsKept(t *testing.T) {
+	servers := []modelplan.Server{limitedServer("a", 3, "m0"), newServer("b", []string{"m0", "m1", "m2"}, "m9")}
+	servers[0].Busy = true
+	actions := modelplan.Plan(now, state(servers, map[string]modelplan.Demand{
+		"m0": {Rate: 1, WorthRate: 1}, "m1": {Rate: 0.5, WorthRate: 0.5}, "m2": {Rate: 0.7, WorthRate: 0.7}, "m9": {Waiting: 1},
+	}))
+	require.Len(t, actions, 1)
+	assert.Equal(t, "m1", actions[0].Model)
+}
+
+// The adapter of a model that was loaded beside a server with a rate limit follows the model.
+func TestAdapterOfLimitedServerIsLoadedElsewhere(t *testing.T) {
+	servers := []modelplan.Server{limitedServer("a", 3, "m0"), newServer("b", []string{"m0"})}
+	servers[0].Models[0].Adapters = []modelplan.Adapter{{Name: "x"}}
+	waiting := map[string]modelplan.Demand{"m0": {Rate: 1, Waiting: 1, Adapters: map[string]float64{"x": 1}}}
+	actions := modelplan.Plan(now, state(servers, waiting))
+	assert.Equal(t, []modelplan.Action{{Server: "b", Kind: modelplan.LoadAdapter, Model: "m0", Adapter: "x"}}, actions)
+	assert.Empty(t, modelplan.Plan(now, state(servers[:1], waiting)), "no other server holds the model")
+}
--- a/pkg/modelplan/replicas.go
+++ b/pkg/modelplan/replicas.go
@@ -1,6 +1,9 @@
 package modelplan
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // urgency returns the worth of loading a model that no server holds: that of the waiting
 // requests and of those expected during the load.
@@ -21,12 +24,40 @@
 	for _, model := range p.modelsByWeight(func(_ string, d Demand) float64 { return d.Rate }) {
 		d := p.state.Demand[model]
 		wanted := p.wantedReplicas(model, d)
-		if len(p.byModel[model]) < wanted && len(p.byModel[model]) > 0 {
+		if p.replicas(model) < wanted && len(p.byModel[model]) > 0 {
 			p.place(model, d.WorthRate, false)
 		}
 	}
 }
 
+// replicas returns how many servers hold or load a model. Those that state a rate limit don't
+// count, because they can't replace the others.
+func (p *planner) replicas(model string) int {
+	n := 0
+	for _, s := range p.byModel[model] {
+		if !s.Limited {
+			n++
+		}
+	}
+	return n
+}
+
+// hasRateFor reports whether the requests for a model fit into the rate that a server accepts,
+// beside those for the models that only it and other servers with limits hold. If all servers
+// state limits, any of them does.
+func (p *planner) hasRateFor(s *Server, model string) bool {
+	if !s.Limited || !slices.ContainsFunc(p.state.Servers, func(other Server) bool { return !other.Limited }) {
+		return true
+	}
+	rate := p.state.Demand[model].Rate
+	for _, resident := range s.Models {
+		if p.replicas(resident.Model) == 0 {
+			rate += p.state.Demand[resident.Model].Rate
+		}
+	}
+	return rate <= s.RateLimit
+}
+
 // wantedReplicas returns how many replicas a model needs for its work, and for the loss of one.
 func (p *planner) wantedReplicas(model string, d Demand) int {
 	least := 1
