Count the requests for all models of a server that wait for its permits

Cause: a server's permits are shared by the requests for all models that it holds, but a request was admitted to the queue by the number of others that wait for the same model and adapter.

Change: each request that waits for a permit counts at all servers that hold its model, and a new one is admitted by the shortest wait at one of them.

Test: edge.TestRequestsForAllModelsOfALimitedServerCount failed (1,240 of 707 refusals counted tenfold came late) and passes, 5 runs and 3 with -race.

--- a/internal/edge/ratelimit.go
+++ b/internal/edge/ratelimit.go
@@ -1,12 +1,14 @@
 package edge
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/slotqueue"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
 
@@ -27,6 +29,8 @@
 	// sent and repeated count the requests, and among them the retries, that this instance
 	// has sent since loggedAt.
 	sent, repeated atomic.Int64
+	// awaited is the number of requests that wait for a permit.
+	awaited atomic.Int64
 
 	mu       sync.Mutex
 	stated   limit.StatedRate
@@ -84,12 +88,30 @@
 	return len(l.permits) > 0 && !now.Before(l.permits[0])
 }
 
-// rate returns the limit on the requests of all instances together, and the number of
-// instances that share it.
-func (l *rateLimit) rate() (perSecond float64, sharing int) {
+// permitDelay returns how long another request is expected to wait for a permit of one of the
+// servers, and the same for the last of those that wait already. It is 0 if one of the servers
+// states no limit.
+func permitDelay(servers []*rateLimit) (next, last time.Duration) {
+	next = math.MaxInt64
+	for _, l := range servers {
+		awaited := int(l.awaited.Load())
+		delay := l.queueDelay(awaited + 1)
+		if awaited > 0 {
+			// Requests that can still meet their objective overtake.
+			delay *= slotqueue.LateSlowdown
+		}
+		if delay < next {
+			next, last = delay, l.queueDelay(awaited)
+		}
+	}
+	return next, last
+}
+
+// queueDelay returns how long this instance's part of the rate takes for a number of requests.
+func (l *rateLimit) queueDelay(requests int) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.stated.PerSecond(), max(l.sharing, 1)
+	return limit.QueueDelay(requests*max(l.sharing, 1), l.stated.PerSecond())
 }
 
 // newest returns the newest statement of the server.
--- a/internal/edge/ratelimit_test.go
+++ b/internal/edge/ratelimit_test.go
@@ -138,6 +138,7 @@
 	lateRefusals int
 }
 
+// newLimitFleet starts a fleet whose two servers belong to a plain service.
 func newLimitFleet(t *testing.T, instances int) *limitFleet {
 	f := &limitFleet{
 		virtualFleet: newVirtualFleet(t), statuses: map[int]int{},
@@ -169,7 +170,9 @@
 		for i := range int(during / interval) {
 			f.sending.Go(func() {
 				sent := time.Now()
-				got := f.send(f.Context(), instance, fmt.Sprintf("%s-%d", name, i), "/read/x", nil)
+				got := f.send(f.Context(), instance, fmt.Sprintf("%s-%d", name, i), "/read/x", map[string]string{
+					standin.HeaderModel: fmt.Sprint("m", i%10),
+				})
 				f.mu.Lock()
 				defer f.mu.Unlock()
 				f.statuses[got.Code]++
@@ -337,3 +340,31 @@
 		assert.Less(t, 10*f.lateRefusals, f.statuses[http.StatusServiceUnavailable])
 	})
 }
+
+// Requests for many models share the permits of the server that holds all of them.
+func TestRequestsForAllModelsOfALimitedServerCount(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := newLimitFleet(t, 0)
+		models, residents := map[string]fleet.Model{}, []fleet.Resident{}
+		for n := range 10 {
+			name := fmt.Sprint("m", n)
+			models[name] = fleet.Model{Name: name}
+			residents = append(residents, fleet.Resident{Model: name})
+		}
+		f.servers = map[fleet.ServerID]*fleet.Server{}
+		f.addServer(&fleet.Server{ID: "limited", Service: engine, Zone: "zone-a", Slots: 8, Models: residents}, f.limited)
+		manifest := fleet.NewManifest(1, []fleet.Route{{
+			Name: "read", Host: host, PathPrefix: "/read/", Kind: fleet.KindSafe, Shares: []fleet.Share{{Service: engine, Weight: 1}},
+			MaxAttempts: 2, Timeout: 3 * time.Second, TargetLatency: 500 * time.Millisecond,
+		}}, []fleet.Service{{Name: engine, Engine: &fleet.Engine{Slots: 8, Models: models}}}, fleet.CallerLimits{MaxBodyBytes: 1000})
+		f.limited.setLimit(4)
+		for n := range 2 {
+			instance := f.newInstance(instanceName(n), f.newViews(manifest), 2)
+			f.load(instanceName(n), instance, 20, 20*time.Second)
+		}
+		f.sending.Wait()
+		assert.LessOrEqual(t, f.limited.mostOverLimit(), 0)
+		assert.GreaterOrEqual(t, f.statuses[http.StatusOK], 4*20*9/10, "%v", f.statuses)
+		assert.Less(t, 10*f.lateRefusals, f.statuses[http.StatusServiceUnavailable])
+	})
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -57,8 +57,8 @@
 	triedBackoff time.Duration
 	// retryReserved means that the next attempt is already charged to the retry budget.
 	retryReserved atomic.Bool
-	// rateLimitsChecked means that the wait for servers with rate limits has been estimated.
-	rateLimitsChecked bool
+	// permitsAwaited are the rate limits whose permits the request waits for.
+	permitsAwaited []*rateLimit
 	// status is the HTTP status of the last answer, or 0 if there was none.
 	status int
 	// budgetCounted means that the request has added its share to the retry budget.
--- a/internal/edge/slots.go
+++ b/internal/edge/slots.go
@@ -74,19 +74,6 @@
 	return w
 }
 
-// waitingFor returns how many of the queued requests are for a model.
-func (s *slotQueue) waitingFor(model string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	n := 0
-	for _, w := range s.waits {
-		if w.request.model == model {
-			n++
-		}
-	}
-	return n
-}
-
 // withdraw removes a request from the queue. If the request was already granted a slot,
 // withdraw returns the server of that slot, which the caller must use or release.
 func (s *slotQueue) withdraw(w *slotWait) *backend {
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -5,9 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/serverpick"
-	"github.com/cyclamenhoist/cyclamenhoist/pkg/slotqueue"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/workload"
 )
 
@@ -38,6 +36,7 @@
 	waitedFrom := time.Now()
 	defer func() {
 		q.progress.queued += time.Since(waitedFrom)
+		q.endAwaitPermits()
 		if done != nil {
 			done()
 		}
@@ -204,29 +203,40 @@
 	return outcome{}, false
 }
 
-// checkRateLimits refuses a request that begins to wait if all its servers state rate limits
-// and too many other requests wait for them.
+// checkRateLimits refuses a request that begins to wait for a permit, if too many others wait
+// for those of its servers.
 func (q *request) checkRateLimits(view *View, now time.Time) (outcome, bool) {
-	if q.rateLimitsChecked {
+	if q.permitsAwaited != nil {
 		return outcome{}, false
 	}
-	q.rateLimitsChecked = true
-	perSecond := 0.0
+	var awaited []*rateLimit
 	for _, b := range view.services[q.service] {
 		if b.holds(q.model) {
-			rate, sharing := b.stats.rateLimit.rate()
-			perSecond += rate / float64(sharing)
+			awaited = append(awaited, &b.stats.rateLimit)
 		}
 	}
-	ahead := q.edge.slots(q.service).waitingFor(q.model)
-	wait := limit.QueueDelay(ahead+1, perSecond)
-	if ahead > 0 {
-		wait *= slotqueue.LateSlowdown
-	}
+	wait, before := permitDelay(awaited)
 	if wait <= q.edge.waitLimit(q.deadline).Sub(now) || q.loadsInTime(view) {
+		q.awaitPermits(awaited)
 		return outcome{}, false
 	}
-	return refused(reasonRateLimit, jitter(limit.QueueDelay(ahead, perSecond))), true
+	return refused(reasonRateLimit, jitter(before)), true
+}
+
+// awaitPermits counts the request as waiting for permits of the servers.
+func (q *request) awaitPermits(servers []*rateLimit) {
+	q.permitsAwaited = servers
+	for _, l := range servers {
+		l.awaited.Add(1)
+	}
+}
+
+// endAwaitPermits ends what awaitPermits began.
+func (q *request) endAwaitPermits() {
+	for _, l := range q.permitsAwaited {
+		l.awaited.Add(-1)
+	}
+	q.permitsAwaited = nil
 }
 
 // modelWait is how long the request waits for a model that no server is loading.
