Log where streams began and where they are resumed

Cause: the software version of servers and the attempt that a client's stream began as weren't decoded, so the logs couldn't tell whether an instance or a client resumes a stream at another version, or which version began it.

An instance logs stream_resumed with the versions that it knows. No request is routed otherwise.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -153,6 +153,9 @@
 	q.status = 0
 	q.progress.attemptBegins(b.server.ID, b.stats.inFlight.Load()-1, time.Now())
 	b.stats.rateLimit.recordSent(q.sends > 0)
+	if q.lastEvent >= 0 {
+		q.logResumption(b)
+	}
 	ctx, span := q.edge.tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("server", string(b.server.ID))))
 	defer span.End()
@@ -266,7 +269,7 @@
 		answer.Close(false)
 		return retry.FaultBeforeFirstByte
 	case success && answer.Stream:
-		fault := q.stream(answer, watchdog)
+		fault := q.stream(b, answer, watchdog)
 		if fault == retry.FaultNone {
 			q.edge.workload(q.service).Observe(q.workloadKind(), q.progress.observation())
 		}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -66,6 +66,9 @@
 	// lastEvent is the ID of the last stream event sent to the client, or negative if
 	// none was sent.
 	lastEvent int64
+	// streamVersion is the software version of the server that sent the first event of the
+	// stream; empty if it isn't known.
+	streamVersion string
 	// headWritten means that status and headers of an answer have been sent to the
 	// client.
 	headWritten bool
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -26,7 +26,7 @@
 
 // stream forwards events as they arrive, and combines events that arrive together into
 // one write. An incomplete event is not forwarded.
-func (q *request) stream(answer *platform.Answer, watchdog *time.Timer) retry.Fault {
+func (q *request) stream(b *backend, answer *platform.Answer, watchdog *time.Timer) retry.Fault {
 	stall := q.stallTimeout()
 	flusher := http.NewResponseController(q.w)
 	buffer := make([]byte, 0, streamBufferBytes)
@@ -44,6 +44,9 @@
 				return retry.FaultAfterFirstByte
 			}
 			buffer = append(buffer[:0], rest...)
+			if q.headWritten && q.streamVersion == "" {
+				q.streamVersion = b.server.Version
+			}
 		}
 		switch {
 		case err == io.EOF && len(buffer) == 0 && q.headWritten:
@@ -96,6 +99,17 @@
 	return rest, nil
 }
 
+// logResumption logs that a stream is resumed at a server, by the client in a new request or by
+// this instance within its answer.
+func (q *request) logResumption(b *backend) {
+	by := "client"
+	if q.sends > 0 {
+		by = "instance"
+	}
+	q.edge.log.Info().Str("request", q.head.ID).Str("first_attempt", q.head.FirstAttempt).Int64("after", q.lastEvent).
+		Str("began_at", q.streamVersion).Str("server", string(b.server.ID)).Str("version", b.server.Version).Str("by", by).Msg("stream_resumed")
+}
+
 // newEvents returns the events that follow the event with the ID after, and the ID of the
 // last event. Events without an ID are forwarded with the event before them. It fails
 // with errEventOrder if an event is missing or out of order.
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -20,6 +20,9 @@
 	Service string
 	Address string
 	Zone    string
+	// Version is the version of the server's software. Servers of several versions can serve
+	// side by side, but what they write doesn't fit together.
+	Version string
 	// StartedAt is the server's start time in Unix milliseconds; 0 if not reported.
 	StartedAt int64
 	// Sequence orders the reports of one incarnation of the server.
