--- a/internal/edge/virtual_test.go
+++ b/internal/edge/virtual_test.go
@@ -78,14 +78,14 @@
 }
 
 // send sends a request to an instance and returns the answer when it is complete.
-func (f *virtualFleet) send(ctx context.Context, e *edge.Edge, id, path string, header map[string]string) *httptest.ResponseRecorder {
+func (f *virtualFleet) send(ctx context.Context, e *edge.Edge, id, path string, header map[string]string) (w *httptest.ResponseRecorder) {
 	req := httptest.NewRequestWithContext(ctx, http.MethodPost, path, strings.NewReader("a body"))
 	req.Host = host
 	req.Header.Set(standin.HeaderID, id)
 	for name, value := range header {
 		req.Header.Set(name, value)
 	}
-	w := httptest.NewRecorder()
+	w = httptest.NewRecorder()
 	defer func() {
 		// An answer that ends early aborts the handler.
 		if broken := recover(); broken != nil {
