Resume a stream within its answer at the version that began it

Cause (hypothesis 1): an instance resumed a stream at any server that holds the model, because it didn't know the versions. The class: replicas taken for interchangeable that aren't.

Change: once a stream has begun, only servers of its version can serve the request. If none of them holds the model, the request waits for it there: demand tells the version, and the planner loads the model, and its adapter, on a server of that version. If no server of the version is left, the answer is cut at once.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -28,6 +28,8 @@
 // Want describes the model that a request needs and the time that the request has.
 type Want struct {
 	Service, Model, Adapter string
+	// ServerVersion is the software version that the server must have; empty for any.
+	ServerVersion string
 	// Objective is the latency objective of the request's route, and Remaining the time until
 	// the request's deadline.
 	Objective, Remaining time.Duration
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -70,12 +70,13 @@
 type waitState uint8
 
 const (
-	waitNone   waitState = iota
-	waitServer           // the service has no server
-	waitModel            // no server holds the model
-	waitSlot             // all servers that hold the model are full
-	waitPermit           // a server that holds the model has room, but no permit for its rate limit
-	waitTried            // all servers that hold the model have been tried
+	waitNone    waitState = iota
+	waitServer            // the service has no server
+	waitModel             // no server holds the model
+	waitSlot              // all servers that hold the model are full
+	waitPermit            // a server that holds the model has room, but no permit for its rate limit
+	waitTried             // all servers that hold the model have been tried
+	waitVersion           // the service has no server of the version that began the stream
 )
 
 func (q *request) choose(view *View) (*backend, waitState) {
@@ -87,7 +88,7 @@
 	holders := make([]*backend, 0, len(all))
 	candidates := make([]serverpick.Candidate, 0, len(all))
 	for _, b := range all {
-		if !b.holds(q.model) {
+		if !q.servedBy(b) {
 			continue
 		}
 		holders = append(holders, b)
@@ -97,7 +98,11 @@
 			NeedsPermit: !b.stats.rateLimit.usable(now),
 		})
 	}
-	if len(holders) == 0 {
+	switch {
+	case len(holders) > 0:
+	case !slices.ContainsFunc(all, q.hasStreamVersion):
+		return nil, waitVersion
+	default:
 		return nil, waitModel
 	}
 	if allTried(candidates) {
@@ -151,9 +156,17 @@
 	return true
 }
 
+// servedBy reports whether a server can serve the request: it holds the model and, if the stream
+// has begun, has the version that began it.
+func (q *request) servedBy(b *backend) bool { return b.holds(q.model) && q.hasStreamVersion(b) }
+
+func (q *request) hasStreamVersion(b *backend) bool {
+	return q.streamVersion == "" || b.server.Version == q.streamVersion
+}
+
 func (q *request) want() Want {
 	return Want{
-		Service: q.service, Model: q.head.Model, Adapter: q.head.Adapter,
+		Service: q.service, Model: q.head.Model, Adapter: q.head.Adapter, ServerVersion: q.streamVersion,
 		Objective: q.route.TargetLatency, Remaining: time.Until(q.deadline), NonRepeatable: !q.route.Idempotent(),
 		Work: q.expected.Work(q.slots), RunTime: q.expected.Reading + q.expected.Generation,
 	}
@@ -185,6 +198,8 @@
 	switch state {
 	case waitServer:
 		return refused(reasonNoServer, jitter(time.Second)), true
+	case waitVersion:
+		return refused(reasonNoVersion, 0), true
 	case waitPermit:
 		return q.checkRateLimits(view, now)
 	case waitSlot, waitTried:
@@ -211,7 +226,7 @@
 	}
 	var awaited []*rateLimit
 	for _, b := range view.services[q.service] {
-		if b.holds(q.model) {
+		if q.servedBy(b) {
 			awaited = append(awaited, &b.stats.rateLimit)
 		}
 	}
@@ -248,7 +263,7 @@
 // time.
 func (q *request) loadsInTime(view *View) bool {
 	for _, b := range view.services[q.service] {
-		if at, loading := b.loading[q.head.Model]; loading && at.Before(q.deadline.Add(-minServiceTime)) {
+		if at, loading := b.loading[q.head.Model]; loading && q.hasStreamVersion(b) && at.Before(q.deadline.Add(-minServiceTime)) {
 			return true
 		}
 	}
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -31,7 +31,7 @@
 }
 
 func keyOf(w edge.Want) demand.Key {
-	return demand.Key{Service: w.Service, Model: w.Model, Adapter: w.Adapter}
+	return demand.Key{Service: w.Service, Model: w.Model, Adapter: w.Adapter, ServerVersion: w.ServerVersion}
 }
 
 func (c *Collector) tallyFor(key demand.Key) *demand.Tally {
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -205,6 +205,9 @@
 			if _, limited := h.permits.rateLimit(t.server, now); limited {
 				continue // requests wait for permits
 			}
+			if key.ServerVersion != "" && t.server.Version != key.ServerVersion {
+				continue
+			}
 			if t.known && !t.busy && state != nil && (key.Adapter == "" || state.adapters[key.Adapter]) {
 				t.nextReportAt = now
 			}
--- a/internal/placer/service.go
+++ b/internal/placer/service.go
@@ -94,7 +94,7 @@
 	out := &placerpb.DemandReport{Instance: instance, Address: address}
 	for key, t := range r.Tallies {
 		out.Demands = append(out.Demands, &placerpb.ModelDemand{
-			Service: key.Service, Model: key.Model, Adapter: key.Adapter,
+			Service: key.Service, Model: key.Model, Adapter: key.Adapter, ServerVersion: key.ServerVersion,
 			Arrived: t.Arrived, ArrivedLasting: t.ArrivedNonRepeatable, Waiting: t.Waiting, WaitingLasting: t.WaitingNonRepeatable,
 			WorkUs: uint32(min(t.Work.Microseconds(), math.MaxUint32)), RunMs: uint32(min(t.RunTime.Milliseconds(), math.MaxUint32)),
 		})
@@ -118,7 +118,7 @@
 		History: make(map[demand.Key]demand.Past, len(r.History)),
 	}
 	for _, d := range r.Demands {
-		out.Tallies[demand.Key{Service: d.Service, Model: d.Model, Adapter: d.Adapter}] = demand.Tally{
+		out.Tallies[demand.Key{Service: d.Service, Model: d.Model, Adapter: d.Adapter, ServerVersion: d.ServerVersion}] = demand.Tally{
 			Arrived: d.Arrived, ArrivedNonRepeatable: min(d.ArrivedLasting, d.Arrived),
 			Waiting: d.Waiting, WaitingNonRepeatable: min(d.WaitingLasting, d.Waiting),
 			Work: time.Duration(d.WorkUs) * time.Microsecond, RunTime: time.Duration(d.RunMs) * time.Millisecond,
--- a/internal/placer/tracked.go
+++ b/internal/placer/tracked.go
@@ -150,7 +150,7 @@
 // planServer returns the server as input for a plan.
 func (t *trackedServer) planServer(engine *fleet.Engine, tracker *demand.Tracker, running map[demand.Placement]int) modelplan.Server {
 	s := modelplan.Server{
-		ID: string(t.server.ID), MemoryMB: engine.WeightsMB,
+		ID: string(t.server.ID), Version: t.server.Version, MemoryMB: engine.WeightsMB,
 		Busy:    !t.known || t.uncertain || t.callInFlight || t.busy,
 		Loading: t.loading, FromStore: t.fromStore, InMemory: t.inMemory, OnDisk: t.onDisk,
 	}
--- a/pkg/demand/tracker.go
+++ b/pkg/demand/tracker.go
@@ -31,6 +31,9 @@
 // Key identifies a model of a service, or an adapter of that model.
 type Key struct {
 	Service, Model, Adapter string
+	// ServerVersion is set for requests that only servers of one software version can serve.
+	// Arrivals and times of use don't distinguish versions.
+	ServerVersion string
 }
 
 // Tally counts the requests of one instance for one model.
@@ -277,14 +280,31 @@
 			continue
 		}
 		d := out[key.Model]
-		d.Waiting += weight
-		if key.Adapter != "" {
-			if d.Adapters == nil {
-				d.Adapters = map[string]float64{}
+		if key.ServerVersion == "" {
+			d.Waiting += weight
+			d.Adapters = addAdapter(d.Adapters, key.Adapter, weight)
+		} else {
+			v := d.Versions[key.ServerVersion]
+			v.Waiting += weight
+			v.Adapters = addAdapter(v.Adapters, key.Adapter, weight)
+			if d.Versions == nil {
+				d.Versions = map[string]modelplan.VersionDemand{}
 			}
-			d.Adapters[key.Adapter] += weight
+			d.Versions[key.ServerVersion] = v
 		}
 		out[key.Model] = d
 	}
 	return out
 }
+
+// addAdapter adds the worth of requests that wait for an adapter. An empty name adds nothing.
+func addAdapter(adapters map[string]float64, name string, worth float64) map[string]float64 {
+	if name == "" {
+		return adapters
+	}
+	if adapters == nil {
+		adapters = map[string]float64{}
+	}
+	adapters[name] += worth
+	return adapters
+}
--- a/pkg/demand/tracker_test.go
+++ b/pkg/demand/tracker_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/modelplan"
 )
 
 const (
@@ -58,3 +60,19 @@
 	assert.Empty(t, after.Running(now.Add(ttl+1)), "reports expire")
 	assert.Empty(t, instances[0].History(start.Add(time.Hour)), "old demand is forgotten")
 }
+
+// Requests that need a software version are kept apart from those that any server can serve.
+func TestWaitingForAVersion(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	tracker := NewTracker(time.Second)
+	key := Key{Service: "s", Model: "m", Adapter: "x"}
+	versioned := key
+	versioned.ServerVersion = "v2"
+	tracker.Report("i", Report{Tallies: map[Key]Tally{
+		key: {Arrived: 1, Waiting: 1}, versioned: {Waiting: 2},
+	}}, now)
+	got := tracker.Of("s", now)["m"]
+	assert.Equal(t, 1.0, got.Waiting)
+	assert.Equal(t, map[string]float64{"x": 1}, got.Adapters)
+	assert.Equal(t, map[string]modelplan.VersionDemand{"v2": {Waiting: 2, Adapters: map[string]float64{"x": 2}}}, got.Versions)
+}
--- a/pkg/modelplan/replicas.go
+++ b/pkg/modelplan/replicas.go
@@ -25,7 +25,7 @@
 		d := p.state.Demand[model]
 		wanted := p.wantedReplicas(model, d)
 		if p.replicas(model) < wanted && len(p.byModel[model]) > 0 {
-			p.place(model, d.WorthRate, false)
+			p.place(model, d.WorthRate, false, nil)
 		}
 	}
 }
