Resume a client's stream at the version that began it

Cause (hypothesis 2): the instance at which a client takes a stream up didn't know which version began it. The first attempt went through another instance, which may be gone, and the client names only that attempt. The class: state that an answer depends on and that only one replaceable instance has.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -33,6 +33,12 @@
 // run sends the request to servers until it is answered or no further attempt is allowed.
 // It reports true if the client has received a server's answer.
 func (q *request) run(ctx context.Context) (outcome, bool) {
+	if q.resumes() {
+		if out, ok := q.findOrigin(ctx); !ok {
+			return out, false
+		}
+	}
+	defer q.edge.begun.end(q.streamID())
 	q.expected = q.edge.workload(q.service).Estimate(q.workloadKind(), q.route.TargetLatency)
 	if q.model != "" {
 		q.edge.demand.Arrived(q.want())
@@ -156,6 +162,7 @@
 	if q.lastEvent >= 0 {
 		q.logResumption(b)
 	}
+	q.recordOrigin(b)
 	ctx, span := q.edge.tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("server", string(b.server.ID))))
 	defer span.End()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -11,6 +11,7 @@
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/retry"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/streamorigin"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
 
@@ -61,6 +62,7 @@
 	servers *platform.Servers
 	demand  Demand
 	permits Permits
+	origins Origins
 	log     *log.Logger
 	tracer  trace.Tracer
 	started time.Time
@@ -80,6 +82,9 @@
 	// slotQueues maps a service to the *slotQueue of requests that wait for a free slot.
 	slotQueues sync.Map
 
+	// begun are the streams in progress that other instances don't know of.
+	begun unannounced
+
 	budgetsMu sync.Mutex
 	budgets   map[string]*retry.Budget
 	// budgetInstances is the number of instances that the budgets are configured for.
@@ -90,9 +95,10 @@
 }
 
 // New returns an Edge that routes by the given views.
-func New(cfg Config, views *Views, servers *platform.Servers, demand Demand, permits Permits, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *Edge {
+func New(cfg Config, views *Views, servers *platform.Servers, demand Demand, permits Permits, origins Origins, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *Edge {
 	return &Edge{
-		cfg: cfg, views: views, servers: servers, demand: demand, permits: permits, log: logger, tracer: tracer, started: time.Now(),
+		cfg: cfg, views: views, servers: servers, demand: demand, permits: permits, origins: origins, log: logger, tracer: tracer, started: time.Now(),
+		begun:    unannounced{streams: map[string]streamorigin.Origin{}},
 		budgets:  map[string]*retry.Budget{},
 		served:   metrics.NewRegisteredCounter("edge_served", registry),
 		refusals: metrics.NewRegisteredCounter("edge_refused", registry),
--- /dev/null
+++ b/internal/edge/origins.go
@@ -0,0 +1,159 @@
+package edge
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/streamorigin"
+)
+
+// Origins keeps where streams began, so that a client can take a stream up again through
+// another instance.
+type Origins interface {
+	// Began records where a stream begins, before its first event. If announce is set, other
+	// instances get to know it, also those that start later.
+	Began(stream string, origin streamorigin.Origin, announce bool)
+	// Origin returns where a stream began, and false if neither this instance nor those that it
+	// reaches know.
+	Origin(ctx context.Context, stream string) (streamorigin.Origin, bool)
+}
+
+// versionsOf returns the versions of the listed servers, and those that were listed before
+// within streamorigin.TTL.
+func versionsOf(servers map[fleet.ServerID]*fleet.Server, before map[string]map[string]time.Time, now time.Time) map[string]map[string]time.Time {
+	out := map[string]map[string]time.Time{}
+	set := func(service, version string, last time.Time) {
+		if out[service] == nil {
+			out[service] = map[string]time.Time{}
+		}
+		out[service][version] = last
+	}
+	for service, versions := range before {
+		for version, last := range versions {
+			if last.IsZero() {
+				last = now
+			}
+			if now.Sub(last) < streamorigin.TTL {
+				set(service, version, last)
+			}
+		}
+	}
+	for _, server := range servers {
+		set(server.Service, server.Version, time.Time{})
+	}
+	return out
+}
+
+// recentVersions returns the versions of a service at which streams that still last can have
+// begun.
+func (v *View) recentVersions(service string, now time.Time) []string {
+	var out []string
+	for version, last := range v.versions[service] {
+		if last.IsZero() || now.Sub(last) < streamorigin.TTL {
+			out = append(out, version)
+		}
+	}
+	return out
+}
+
+// resumes reports whether the client takes up a stream that began in an earlier attempt.
+func (q *request) resumes() bool { return q.route.Kind == fleet.KindStream && q.head.LastEventID >= 0 }
+
+// streamID returns the name of the stream: the client's attempt that receives, or has received,
+// its first event.
+func (q *request) streamID() string {
+	if q.resumes() {
+		return q.head.FirstAttempt
+	}
+	return q.head.ID
+}
+
+// findOrigin finds the version at which the client's stream began. While the service has had
+// only one, it is that one. It reports false with the outcome if the version isn't known, since
+// a stream can't change it.
+func (q *request) findOrigin(ctx context.Context) (outcome, bool) {
+	view := q.edge.views.Load()
+	if q.head.FirstAttempt != "" {
+		if origin, known := q.edge.origins.Origin(ctx, q.head.FirstAttempt); known {
+			if !slices.ContainsFunc(q.route.Shares, func(s fleet.Share) bool { return s.Service == origin.Service }) {
+				return refused(reasonNoVersion, 0), false
+			}
+			q.service, q.streamVersion = origin.Service, origin.Version
+			if engine := view.Manifest.Services[q.service].Engine; engine != nil {
+				q.slots = engine.Slots
+			}
+			return outcome{}, true
+		}
+	}
+	versions := view.recentVersions(q.service, time.Now())
+	if len(versions) > 1 {
+		return refused(reasonNoOrigin, jitter(minRetryAfter)), false
+	}
+	if len(versions) == 1 {
+		q.streamVersion = versions[0]
+	}
+	return outcome{}, true
+}
+
+// recordOrigin records that the stream begins, or goes on, at a server. Other instances need to
+// know only if the service has had several versions.
+func (q *request) recordOrigin(b *backend) {
+	stream := q.streamID()
+	if q.route.Kind != fleet.KindStream || !q.route.CanResume || stream == "" {
+		return
+	}
+	origin := streamorigin.Origin{Service: q.service, Version: b.server.Version}
+	announce := len(q.edge.views.Load().recentVersions(q.service, time.Now())) > 1
+	q.edge.origins.Began(stream, origin, announce)
+	if !announce {
+		q.edge.begun.begin(stream, origin)
+	}
+}
+
+// AnnounceStreams lets the other instances know of the streams in progress that began while
+// their services had one version, if they now have several.
+func (e *Edge) AnnounceStreams() {
+	view, now := e.views.Load(), time.Now()
+	for service := range view.versions {
+		if len(view.recentVersions(service, now)) > 1 {
+			for stream, origin := range e.begun.take(service) {
+				e.origins.Began(stream, origin, true)
+			}
+		}
+	}
+}
+
+// unannounced are the streams in progress that other instances don't know of.
+type unannounced struct {
+	mu      sync.Mutex
+	streams map[string]streamorigin.Origin
+}
+
+func (u *unannounced) begin(stream string, origin streamorigin.Origin) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.streams[stream] = origin
+}
+
+func (u *unannounced) end(stream string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.streams, stream)
+}
+
+// take removes and returns the streams of a service.
+func (u *unannounced) take(service string) map[string]streamorigin.Origin {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	out := map[string]streamorigin.Origin{}
+	for stream, origin := range u.streams {
+		if origin.Service == service {
+			out[stream] = origin
+			delete(u.streams, stream)
+		}
+	}
+	return out
+}
--- a/internal/edge/outcome.go
+++ b/internal/edge/outcome.go
@@ -19,6 +19,7 @@
 	reasonBodyTooLarge reason = "body too large"
 	reasonNoServer     reason = "no server"
 	reasonNoModel      reason = "model not loaded in time"
+	reasonNoOrigin     reason = "version that began the stream unknown"
 	reasonNoVersion    reason = "no server of the version that began the stream"
 	reasonRateLimit    reason = "rate limit of the servers"
 	reasonTooLate      reason = "too little time left"
--- a/internal/edge/streamversion_test.go
+++ b/internal/edge/streamversion_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"regexp"
@@ -109,8 +110,9 @@
 
 // publish makes the current servers known to all instances.
 func (f *versionFleet) publish() {
-	for _, views := range f.views {
-		views.SetServers(f.servers)
+	for n, views := range f.views {
+		views.SetServers(maps.Clone(f.servers))
+		f.instances[n].AnnounceStreams()
 	}
 }
 
@@ -185,3 +187,116 @@
 	versions, all := versionsIn(begun + rest)
 	return versions, all == streamEvents && strings.Contains(rest, fmt.Sprintf("id: %d\n", streamEvents))
 }
+
+// removeVersion removes the servers of a version from the list.
+func (f *versionFleet) removeVersion(version string) {
+	listed := map[fleet.ServerID]*fleet.Server{}
+	for id, server := range f.servers {
+		if server.Version != version {
+			listed[id] = server
+		}
+	}
+	f.servers = listed
+	f.publish()
+}
+
+// beginStream begins a stream at an instance and breaks it off after two events, and changes
+// the fleet then. It returns the answer to the client that takes the stream up at an instance.
+func (f *versionFleet) beginStream(first *edge.Edge, change func() *edge.Edge) (begun, rest *httptest.ResponseRecorder) {
+	ctx, closeConnection := context.WithCancel(f.Context())
+	var second *edge.Edge
+	time.AfterFunc(55*time.Millisecond, func() {
+		second = change()
+		closeConnection()
+	})
+	begun = f.stream(ctx, first, "first", nil)
+	_, events := versionsIn(begun.Body.String())
+	assert.Equal(f, 2, events)
+	rest = f.stream(f.Context(), second, "again", map[string]string{"Last-Event-Id": strconv.Itoa(events), headerResumes: "first"})
+	return begun, rest
+}
+
+// TestStreamIsTakenUpWhileVersionsChange: whatever instances know, a stream goes on at the
+// version that began it, or the client is told at once that it doesn't.
+func TestStreamIsTakenUpWhileVersionsChange(t *testing.T) {
+	for name, c := range map[string]struct {
+		versions []string
+		// change changes the fleet while the stream runs, and returns the instance at which the
+		// client takes it up.
+		change func(f *versionFleet) *edge.Edge
+		// goesOn means that the stream is completed; otherwise it is refused.
+		goesOn bool
+	}{
+		"one version": {[]string{"v1", "v1"}, func(f *versionFleet) *edge.Edge {
+			f.origins.forget()
+			return f.instances[1]
+		}, true},
+		"a second version appears": {[]string{"v1", "v1"}, func(f *versionFleet) *edge.Edge {
+			for n := range 8 {
+				f.addEngine(fmt.Sprint("new", n), "v2")
+			}
+			f.publish()
+			return f.instances[1]
+		}, true},
+		"the version goes away": {[]string{"v1"}, func(f *versionFleet) *edge.Edge {
+			f.addEngine("new", "v2")
+			f.publish()
+			f.removeVersion("v1")
+			return f.instances[1]
+		}, false},
+		"the version goes away and comes back": {[]string{"v1"}, func(f *versionFleet) *edge.Edge {
+			f.addEngine("new", "v2")
+			f.publish()
+			f.removeVersion("v1")
+			f.addEngine("back", "v1")
+			f.publish()
+			return f.instances[1]
+		}, true},
+		"an instance hasn't heard of the version": {[]string{"v2", "v1"}, func(f *versionFleet) *edge.Edge {
+			views := edge.NewViews()
+			views.SetManifest(f.manifest)
+			views.SetServers(map[fleet.ServerID]*fleet.Server{"e1": f.servers["e1"]})
+			return f.newInstance("behind", views, 3)
+		}, false},
+		"a new instance": {[]string{"v1", "v2", "v2", "v2", "v2", "v2"}, func(f *versionFleet) *edge.Edge {
+			return f.addInstance("new")
+		}, true},
+		"those that knew are gone": {[]string{"v1", "v2"}, func(f *versionFleet) *edge.Edge {
+			f.origins.forget()
+			return f.addInstance("new")
+		}, false},
+		"an instance is cut off from the others": {[]string{"v1", "v2"}, func(f *versionFleet) *edge.Edge {
+			f.origins.cutOff(true, instanceName(1))
+			return f.instances[1]
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				f := newVersionFleet(t, 2, c.versions...)
+				// The stream begins at the first engine.
+				for id, server := range f.servers {
+					if id != "e0" {
+						server.Models = nil
+					}
+				}
+				f.publish()
+				restore := func() *edge.Edge {
+					for _, server := range f.servers {
+						server.Models = []fleet.Resident{{Model: "m"}}
+					}
+					f.publish()
+					return c.change(f)
+				}
+				begun, rest := f.beginStream(f.instances[0], restore)
+				versions, events := versionsIn(begun.Body.String() + rest.Body.String())
+				assert.Len(t, versions, 1)
+				if c.goesOn {
+					assert.Equal(t, streamEvents, events)
+					return
+				}
+				assert.Equal(t, http.StatusServiceUnavailable, rest.Code)
+				assert.Equal(t, 2, events)
+			})
+		})
+	}
+}
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -27,6 +27,9 @@
 	Manifest *fleet.Manifest
 	services map[string][]*backend
 	engines  map[fleet.ServerID]*fleet.Server
+	// versions are the software versions of the servers of each service, and when those that
+	// are no longer listed were last listed; the zero time for the others.
+	versions map[string]map[string]time.Time
 	// superseded is closed when a newer view replaces this one.
 	superseded chan struct{}
 }
@@ -227,6 +230,7 @@
 			delete(v.residency, id)
 		}
 	}
+	view.versions = versionsOf(v.servers, v.current.Load().versions, time.Now())
 	old := v.current.Swap(view)
 	close(old.superseded)
 }
--- a/internal/edge/virtual_test.go
+++ b/internal/edge/virtual_test.go
@@ -21,6 +21,7 @@
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/streamorigin"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
 )
@@ -33,6 +34,7 @@
 	servers   map[fleet.ServerID]*fleet.Server
 	listeners *memoryListeners
 	permits   *permits
+	origins   *origins
 }
 
 // inVirtualTime runs a test in a synctest bubble.
@@ -43,7 +45,9 @@
 }
 
 func newVirtualFleet(t *testing.T) *virtualFleet {
-	return &virtualFleet{T: t, servers: map[fleet.ServerID]*fleet.Server{}, permits: newPermits(), listeners: &memoryListeners{byAddress: map[string]*memoryListener{}}}
+	// The handlers of closed servers end before the bubble does.
+	t.Cleanup(func() { time.Sleep(time.Second) })
+	return &virtualFleet{T: t, servers: map[fleet.ServerID]*fleet.Server{}, permits: newPermits(), origins: newOrigins(), listeners: &memoryListeners{byAddress: map[string]*memoryListener{}}}
 }
 
 // addServer starts a server and lists it.
@@ -73,7 +77,7 @@
 func (f *virtualFleet) newInstance(name string, views *edge.Views, instances int) *edge.Edge {
 	views.SetInstances(instances)
 	return edge.New(edge.Config{Name: name, Zone: "zone-a", RetryRatio: 0.2, RetryExtra: 200, RetryWindow: 10 * time.Second, Instances: instances},
-		views, platform.NewServersWithDial(f.dial), noDemand{}, f.permits.of(name), &log.Logger{Level: log.PanicLevel}, metrics.NewRegistry(),
+		views, platform.NewServersWithDial(f.dial), noDemand{}, f.permits.of(name), f.origins.of(name), &log.Logger{Level: log.PanicLevel}, metrics.NewRegistry(),
 		noop.NewTracerProvider().Tracer(""))
 }
 
@@ -151,6 +155,66 @@
 	return p.limits[key].Reserve(p.instance, r.Limit, r.Count, time.Now()), nil
 }
 
+// origins is what the instances know of streams. Announced streams are kept by instances that
+// outlive the others.
+type origins struct {
+	mu        sync.Mutex
+	announced *streamorigin.Memory
+	// lost are the instances that don't reach the others.
+	lost map[string]bool
+}
+
+func newOrigins() *origins {
+	return &origins{announced: streamorigin.NewMemory(), lost: map[string]bool{}}
+}
+
+// of returns the origins as one instance knows them.
+func (o *origins) of(instance string) edge.Origins {
+	return originsOf{o, instance, streamorigin.NewMemory()}
+}
+
+// cutOff cuts an instance off from the others, or reconnects it.
+func (o *origins) cutOff(cut bool, instance string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lost[instance] = cut
+}
+
+// forget loses what was announced.
+func (o *origins) forget() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.announced = streamorigin.NewMemory()
+}
+
+type originsOf struct {
+	*origins
+
+	instance string
+	own      *streamorigin.Memory
+}
+
+func (o originsOf) Began(stream string, origin streamorigin.Origin, announce bool) {
+	o.own.Put(stream, origin, time.Now())
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if announce && !o.lost[o.instance] {
+		o.announced.Put(stream, origin, time.Now())
+	}
+}
+
+func (o originsOf) Origin(_ context.Context, stream string) (streamorigin.Origin, bool) {
+	if origin, known := o.own.Get(stream); known {
+		return origin, true
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.lost[o.instance] {
+		return streamorigin.Origin{}, false
+	}
+	return o.announced.Get(stream)
+}
+
 // memoryListeners connects clients to listeners in memory.
 type memoryListeners struct {
 	mu        sync.Mutex
--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -80,6 +80,7 @@
 		placer.NewCollector,
 		func(c *placer.Collector) edge.Demand { return c },
 		func(p *placer.Placer) edge.Permits { return p },
+		func(p *placer.Placer) edge.Origins { return p },
 		func(s *Settings) (*telemetry.Tracing, error) {
 			return telemetry.NewTracing(context.Background(), s.Tracing.OTLPURL, s.Tracing.SampleRatio, s.Instance.Name, s.Instance.Zone)
 		},
@@ -100,11 +101,11 @@
 	return instance, nil
 }
 
-func newEdge(s *Settings, views *edge.Views, servers *platform.Servers, demand edge.Demand, permits edge.Permits, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *edge.Edge {
+func newEdge(s *Settings, views *edge.Views, servers *platform.Servers, demand edge.Demand, permits edge.Permits, origins edge.Origins, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *edge.Edge {
 	return edge.New(edge.Config{
 		Name: s.Instance.Name, Zone: s.Instance.Zone, RetryRatio: s.Retries.Ratio, RetryWindow: s.Retries.Window.D(),
 		RetryExtra: s.Retries.Extra, Instances: s.Retries.Instances,
-	}, views, servers, demand, permits, logger, registry, tracer)
+	}, views, servers, demand, permits, origins, logger, registry, tracer)
 }
 
 func newPlacer(s *Settings, store *platform.Store, views *edge.Views, c *placer.Collector, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *placer.Placer {
--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -108,7 +108,10 @@
 
 func (i *Instance) watchServers(ctx context.Context) {
 	interval := i.settings.Servers.DrainTimeout.D() / listReadsPerDrain
-	list := newServerList(i.views.SetServers, interval)
+	list := newServerList(func(servers map[fleet.ServerID]*fleet.Server) {
+		i.views.SetServers(servers)
+		i.edge.AnnounceStreams()
+	}, interval)
 	i.store.WatchServers(ctx, interval, func(b platform.ServerListBatch) {
 		i.serverList.markAvailable()
 		list.apply(b)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -66,6 +66,7 @@
 	holder    *holder
 	collector *Collector
 	permits   *permitDesk
+	origins   *origins
 	views     *edge.Views
 	peers     *peer.Client
 	log       *log.Logger
@@ -86,7 +87,7 @@
 	permits := newPermitDesk()
 	dialer := &net.Dialer{Timeout: callTimeout, KeepAliveConfig: peer.KeepAlive()}
 	return &Placer{
-		name: cfg.Name, address: cfg.Address, elector: e, collector: collector, views: views, log: logger, permits: permits,
+		name: cfg.Name, address: cfg.Address, elector: e, collector: collector, views: views, log: logger, permits: permits, origins: newOrigins(),
 		peers: peer.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}, tracer),
@@ -106,6 +107,7 @@
 	group.Go(func() { p.holder.run(ctx) })
 	group.Go(func() { p.reportDemand(ctx) })
 	group.Go(func() { p.watch(ctx) })
+	group.Go(func() { p.sendOrigins(ctx) })
 	group.Go(func() { p.elector.runElection(ctx, stop) })
 	group.Wait()
 }
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -58,8 +58,8 @@
 
 	views     *edge.Views
 	collector *Collector
-	// stop ends the instance gracefully.
-	stop func()
+	// stop ends the instance gracefully, and end at once.
+	stop, end func()
 }
 
 func (c *cluster) start(name string) *instance { return c.startAt(name, c.store) }
@@ -97,7 +97,7 @@
 	go func() { _ = peer.ServeMux(serving, listener, mux, tracer, logger) }()
 	ended := make(chan struct{})
 	go func() { defer close(ended); i.Run(ctx, stop) }()
-	i.stop = cancel
+	i.stop, i.end = cancel, func() { end(); <-ended; endServing() }
 	c.Cleanup(func() { end(); <-ended; endServing() })
 	return i
 }
