Don't take a refusal without the limit for the end of a limit

Cause: any answer without the limit ended it. A refusal (421 for a model that the server lacks, 503 when it is full) doesn't show that the server needs no limit any longer, and each would have let the instance send freely until the next answer.

Change: only an answer of a run ends a limit.

--- a/internal/edge/ratelimit.go
+++ b/internal/edge/ratelimit.go
@@ -228,6 +228,9 @@
 		q.edge.log.Warn().Str("server", string(b.server.ID)).Str("request", q.head.ID).Err(answer.RateLimitErr).Msg("rate_limit_unreadable")
 		return
 	}
+	if answer.RateLimit == limit.Unlimited && !answer.Signed {
+		return // a refusal needn't state the limit
+	}
 	ended, event := b.stats.rateLimit.observe(answer.RateLimit, q.progress.sentAt, time.Now())
 	if event != nil {
 		q.edge.log.Info().Str("server", string(b.server.ID)).Str("request", q.head.ID).
--- a/internal/edge/ratelimit_test.go
+++ b/internal/edge/ratelimit_test.go
@@ -38,6 +38,8 @@
 	statedAt time.Time
 	told     map[string]time.Time // by instance
 	arrivals []arrival
+	// refuses makes the server refuse every second request, without its limit.
+	refuses bool
 }
 
 type arrival struct {
@@ -68,7 +70,14 @@
 		at: now, limit: s.limit,
 		bound: s.limit > 0 && isTold && now.Sub(told) >= toldAfter && now.Sub(s.statedAt) >= rateLimitGrace,
 	})
+	refused := s.refuses && len(s.arrivals)%2 == 0
 	s.mu.Unlock()
+	if refused {
+		w.Header().Set(standin.HeaderID, id)
+		w.Header().Set("Cyclamenhoist-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	time.Sleep(s.duration)
 	s.mu.Lock()
 	if s.limit > 0 {
@@ -232,6 +241,12 @@
 			time.Sleep(6 * time.Second)
 			assert.Greater(f, f.limited.arrivalsWithin(time.Second), 20, "the limit is gone")
 		},
+		"refusals don't tell it": func(f *limitFleet) {
+			f.limited.setLimit(4)
+			f.limited.mu.Lock()
+			defer f.limited.mu.Unlock()
+			f.limited.refuses = true
+		},
 		"told late": func(f *limitFleet) {
 			f.limited.setLimit(4)
 			time.Sleep(6 * time.Second)
