Wait for another server to load the model instead of refusing by rate limits

What callers saw, in a trial: in the four seconds after a server that holds hot models begins to state a limit, 36 and 44 of 100 requests were refused.

Cause: requests beyond the limits were refused by the queue for permits alone, also where another server could load their model within the time that they had.

Change: such a request waits as for a model that no server holds, and is refused like that if nothing is being loaded.

--- a/internal/edge/ratelimit.go
+++ b/internal/edge/ratelimit.go
@@ -88,23 +88,22 @@
 	return len(l.permits) > 0 && !now.Before(l.permits[0])
 }
 
-// permitDelay returns how long another request is expected to wait for a permit of one of the
-// servers, and the same for the last of those that wait already. It is 0 if one of the servers
-// states no limit.
-func permitDelay(servers []*rateLimit) (next, last time.Duration) {
-	next = math.MaxInt64
+// permitDelay returns how long one of the requests that wait for permits of the servers is
+// expected to wait, and how long the others are. It is 0 if one of the servers states no limit.
+func permitDelay(servers []*rateLimit) (wait, others time.Duration) {
+	wait = math.MaxInt64
 	for _, l := range servers {
 		awaited := int(l.awaited.Load())
-		delay := l.queueDelay(awaited + 1)
-		if awaited > 0 {
+		delay := l.queueDelay(awaited)
+		if awaited > 1 {
 			// Requests that can still meet their objective overtake.
 			delay *= slotqueue.LateSlowdown
 		}
-		if delay < next {
-			next, last = delay, l.queueDelay(awaited)
+		if delay < wait {
+			wait, others = delay, l.queueDelay(awaited-1)
 		}
 	}
-	return next, last
+	return wait, others
 }
 
 // queueDelay returns how long this instance's part of the rate takes for a number of requests.
--- a/internal/edge/ratelimit_test.go
+++ b/internal/edge/ratelimit_test.go
@@ -383,3 +383,34 @@
 		assert.Less(t, 10*f.lateRefusals, f.statuses[http.StatusServiceUnavailable])
 	})
 }
+
+// Requests beyond the limit of their model's only server wait while another server can load the
+// model, which takes less time than they have.
+func TestRequestsBeyondALimitWaitForAnotherServerToLoadTheModel(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := newLimitFleet(t, 0)
+		f.servers = map[fleet.ServerID]*fleet.Server{}
+		f.addServer(&fleet.Server{ID: "limited", Service: engine, Zone: "zone-a", Slots: 8, Models: []fleet.Resident{{Model: "m0"}}}, f.limited)
+		f.addServer(&fleet.Server{ID: "free", Service: engine, Zone: "zone-a", Slots: 8}, f.free)
+		manifest := fleet.NewManifest(1, []fleet.Route{{
+			Name: "read", Host: host, PathPrefix: "/read/", Kind: fleet.KindSafe, Shares: []fleet.Share{{Service: engine, Weight: 1}},
+			MaxAttempts: 2, Timeout: 3 * time.Second, TargetLatency: 500 * time.Millisecond,
+		}}, []fleet.Service{{Name: engine, Engine: &fleet.Engine{Slots: 8, Models: map[string]fleet.Model{"m0": {Name: "m0"}}}}},
+			fleet.CallerLimits{MaxBodyBytes: 1000})
+		f.limited.setLimit(2)
+		views := f.newViews(manifest)
+		instance := f.newInstance("i", views, 1)
+		send := func(id string) {
+			got := f.send(f.Context(), instance, id, "/read/x", map[string]string{standin.HeaderModel: "m0"})
+			assert.Equal(t, http.StatusOK, got.Code, id)
+		}
+		send("i-first")
+		for n := range 20 {
+			f.sending.Go(func() { send(fmt.Sprint("i-", n)) })
+		}
+		time.Sleep(700 * time.Millisecond)
+		views.SetResidency(map[fleet.ServerID]edge.Residency{"free": {Sequence: 1, Models: []fleet.Resident{{Model: "m0"}}}})
+		f.sending.Wait()
+		assert.LessOrEqual(t, f.limited.mostOverLimit(), 0)
+	})
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -59,6 +59,8 @@
 	retryReserved atomic.Bool
 	// permitsAwaited are the rate limits whose permits the request waits for.
 	permitsAwaited []*rateLimit
+	// awaitsLoad means that the permits won't do, but another server may load the model.
+	awaitsLoad bool
 	// status is the HTTP status of the last answer, or 0 if there was none.
 	status int
 	// budgetCounted means that the request has added its share to the retry budget.
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -218,31 +218,41 @@
 	return outcome{}, false
 }
 
-// checkRateLimits refuses a request that begins to wait for a permit, if too many others wait
-// for those of its servers.
+// checkRateLimits refuses a request for whose servers too many others wait for permits. A
+// request for a model that another server can load waits for that as for a model that no server
+// holds.
 func (q *request) checkRateLimits(view *View, now time.Time) (outcome, bool) {
-	if q.permitsAwaited != nil {
+	if q.permitsAwaited == nil {
+		q.awaitPermits(view)
+	} else if !q.awaitsLoad {
 		return outcome{}, false
 	}
-	var awaited []*rateLimit
-	for _, b := range view.services[q.service] {
-		if q.servedBy(b) {
-			awaited = append(awaited, &b.stats.rateLimit)
-		}
+	wait, before := permitDelay(q.permitsAwaited)
+	if wait <= q.edge.waitLimit(q.deadline).Sub(now) {
+		q.awaitsLoad = false
+		return outcome{}, false
 	}
-	wait, before := permitDelay(awaited)
-	if wait <= q.edge.waitLimit(q.deadline).Sub(now) || q.loadsInTime(view) {
-		q.awaitPermits(awaited)
+	q.awaitsLoad = q.loadsInTime(view) || now.Sub(q.arrived) <= q.modelWait() && q.canLoadElsewhere(view)
+	if q.awaitsLoad {
 		return outcome{}, false
 	}
 	return refused(reasonRateLimit, jitter(before)), true
 }
 
-// awaitPermits counts the request as waiting for permits of the servers.
-func (q *request) awaitPermits(servers []*rateLimit) {
-	q.permitsAwaited = servers
-	for _, l := range servers {
-		l.awaited.Add(1)
+// canLoadElsewhere reports whether a server that states no rate limit can load the model.
+func (q *request) canLoadElsewhere(view *View) bool {
+	return q.model != "" && slices.ContainsFunc(view.services[q.service], func(b *backend) bool {
+		return q.hasStreamVersion(b) && !b.stats.rateLimit.limited.Load()
+	})
+}
+
+// awaitPermits counts the request as waiting for permits of its servers.
+func (q *request) awaitPermits(view *View) {
+	for _, b := range view.services[q.service] {
+		if q.servedBy(b) {
+			q.permitsAwaited = append(q.permitsAwaited, &b.stats.rateLimit)
+			b.stats.rateLimit.awaited.Add(1)
+		}
 	}
 }
 
@@ -251,7 +261,7 @@
 	for _, l := range q.permitsAwaited {
 		l.awaited.Add(-1)
 	}
-	q.permitsAwaited = nil
+	q.permitsAwaited, q.awaitsLoad = nil, false
 }
 
 // modelWait is how long the request waits for a model that no server is loading.
