Name the permit issuer and the wire headers of tests, and split conditions

After reading the change as a newcomer: headers that tests speak stand with the stand-ins, the type that gives out permits says so, the manifest of the limit tests is written once, and a server is suspected after cheap checks only. Only streams are ended as streams.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -38,7 +38,9 @@
 			return out, false
 		}
 	}
-	defer q.edge.begun.end(q.streamID())
+	if q.route.Kind == fleet.KindStream {
+		defer q.edge.begun.end(q.streamID())
+	}
 	q.expected = q.edge.workload(q.service).Estimate(q.workloadKind(), q.route.TargetLatency)
 	if q.model != "" {
 		q.edge.demand.Arrived(q.want())
--- a/internal/edge/ratelimit_test.go
+++ b/internal/edge/ratelimit_test.go
@@ -16,7 +16,6 @@
 )
 
 const (
-	headerRateLimit = "Server-Limit"
 	// rateLimitGrace is the time after a server first states a limit from which on the limit
 	// binds. toldAfter is the time after which an instance has to obey a limit that it was told.
 	rateLimitGrace = 3 * time.Second
@@ -74,14 +73,14 @@
 	s.mu.Unlock()
 	if refused {
 		w.Header().Set(standin.HeaderID, id)
-		w.Header().Set("Cyclamenhoist-Not-Executed", "1")
+		w.Header().Set(standin.HeaderNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	time.Sleep(s.duration)
 	s.mu.Lock()
 	if s.limit > 0 {
-		w.Header().Set(headerRateLimit, fmt.Sprint(s.limit))
+		w.Header().Set(standin.HeaderRateLimit, fmt.Sprint(s.limit))
 		if s.statedAt.IsZero() {
 			s.statedAt = time.Now()
 		}
@@ -164,10 +163,15 @@
 }
 
 func limitManifest() *fleet.Manifest {
+	return readManifest(fleet.Service{Name: plain}, time.Second, 150*time.Millisecond)
+}
+
+// readManifest has one route, to the given service.
+func readManifest(service fleet.Service, timeout, objective time.Duration) *fleet.Manifest {
 	return fleet.NewManifest(1, []fleet.Route{{
-		Name: "read", Host: host, PathPrefix: "/read/", Kind: fleet.KindSafe, Shares: []fleet.Share{{Service: plain, Weight: 1}},
-		MaxAttempts: 2, Timeout: time.Second, TargetLatency: 150 * time.Millisecond,
-	}}, []fleet.Service{{Name: plain}}, fleet.CallerLimits{MaxBodyBytes: 1000})
+		Name: "read", Host: host, PathPrefix: "/read/", Kind: fleet.KindSafe, Shares: []fleet.Share{{Service: service.Name, Weight: 1}},
+		MaxAttempts: 2, Timeout: timeout, TargetLatency: objective,
+	}}, []fleet.Service{service}, fleet.CallerLimits{MaxBodyBytes: 1000})
 }
 
 func instanceName(n int) string { return fmt.Sprint("i", n) }
@@ -368,10 +372,7 @@
 		}
 		f.servers = map[fleet.ServerID]*fleet.Server{}
 		f.addServer(&fleet.Server{ID: "limited", Service: engine, Zone: "zone-a", Slots: 8, Models: residents}, f.limited)
-		manifest := fleet.NewManifest(1, []fleet.Route{{
-			Name: "read", Host: host, PathPrefix: "/read/", Kind: fleet.KindSafe, Shares: []fleet.Share{{Service: engine, Weight: 1}},
-			MaxAttempts: 2, Timeout: 3 * time.Second, TargetLatency: 500 * time.Millisecond,
-		}}, []fleet.Service{{Name: engine, Engine: &fleet.Engine{Slots: 8, Models: models}}}, fleet.CallerLimits{MaxBodyBytes: 1000})
+		manifest := readManifest(fleet.Service{Name: engine, Engine: &fleet.Engine{Slots: 8, Models: models}}, 3*time.Second, 500*time.Millisecond)
 		f.limited.setLimit(4)
 		for n := range 2 {
 			instance := f.newInstance(instanceName(n), f.newViews(manifest), 2)
@@ -392,11 +393,8 @@
 		f.servers = map[fleet.ServerID]*fleet.Server{}
 		f.addServer(&fleet.Server{ID: "limited", Service: engine, Zone: "zone-a", Slots: 8, Models: []fleet.Resident{{Model: "m0"}}}, f.limited)
 		f.addServer(&fleet.Server{ID: "free", Service: engine, Zone: "zone-a", Slots: 8}, f.free)
-		manifest := fleet.NewManifest(1, []fleet.Route{{
-			Name: "read", Host: host, PathPrefix: "/read/", Kind: fleet.KindSafe, Shares: []fleet.Share{{Service: engine, Weight: 1}},
-			MaxAttempts: 2, Timeout: 3 * time.Second, TargetLatency: 500 * time.Millisecond,
-		}}, []fleet.Service{{Name: engine, Engine: &fleet.Engine{Slots: 8, Models: map[string]fleet.Model{"m0": {Name: "m0"}}}}},
-			fleet.CallerLimits{MaxBodyBytes: 1000})
+		models := map[string]fleet.Model{"m0": {Name: "m0"}}
+		manifest := readManifest(fleet.Service{Name: engine, Engine: &fleet.Engine{Slots: 8, Models: models}}, 3*time.Second, 500*time.Millisecond)
 		f.limited.setLimit(2)
 		views := f.newViews(manifest)
 		instance := f.newInstance("i", views, 1)
--- a/internal/edge/streamversion_test.go
+++ b/internal/edge/streamversion_test.go
@@ -20,10 +20,7 @@
 	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
 )
 
-const (
-	headerResumes = "Resumes"
-	streamEvents  = 6
-)
+const streamEvents = 6
 
 // versionedServer streams events that name its software version.
 type versionedServer struct {
@@ -182,7 +179,7 @@
 	begun := f.stream(ctx, first, id, nil).Body.String()
 	_, events := versionsIn(begun)
 	rest := f.stream(f.Context(), second, id+"-again", map[string]string{
-		"Last-Event-Id": strconv.Itoa(events), headerResumes: id,
+		"Last-Event-Id": strconv.Itoa(events), standin.HeaderResumes: id,
 	}).Body.String()
 	versions, all := versionsIn(begun + rest)
 	return versions, all == streamEvents && strings.Contains(rest, fmt.Sprintf("id: %d\n", streamEvents))
@@ -212,7 +209,7 @@
 	begun = f.stream(ctx, first, "first", nil)
 	_, events := versionsIn(begun.Body.String())
 	assert.Equal(f, 2, events)
-	rest = f.stream(f.Context(), second, "again", map[string]string{"Last-Event-Id": strconv.Itoa(events), headerResumes: "first"})
+	rest = f.stream(f.Context(), second, "again", map[string]string{"Last-Event-Id": strconv.Itoa(events), standin.HeaderResumes: "first"})
 	return begun, rest
 }
 
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -47,7 +47,7 @@
 type holder struct {
 	control *platform.Control
 	elector *elector
-	permits *permitDesk
+	permits *permitIssuer
 	views   *edge.Views
 	log     *log.Logger
 	name    string
@@ -201,14 +201,15 @@
 		}
 		h.suspectedSince[key] = now
 		for _, t := range h.servers {
-			state := t.models[key.Model]
-			if _, limited := h.permits.rateLimit(t.server, now); limited {
-				continue // requests wait for permits
-			}
 			if key.ServerVersion != "" && t.server.Version != key.ServerVersion {
 				continue
 			}
-			if t.known && !t.busy && state != nil && (key.Adapter == "" || state.adapters[key.Adapter]) {
+			state := t.models[key.Model]
+			if !t.known || t.busy || state == nil || key.Adapter != "" && !state.adapters[key.Adapter] {
+				continue
+			}
+			// Requests wait for permits of a server that states a rate limit.
+			if _, limited := h.permits.rateLimit(t.server, now); !limited {
 				t.nextReportAt = now
 			}
 		}
--- a/internal/placer/permits.go
+++ b/internal/placer/permits.go
@@ -15,11 +15,11 @@
 // permits.
 const limitTTL = 30 * time.Second
 
-// permitDesk gives out the permits for servers that state a rate limit, while this instance is
+// permitIssuer gives out the permits for servers that state a rate limit, while this instance is
 // the holder.
-type permitDesk struct {
+type permitIssuer struct {
 	mu     sync.Mutex
-	limits map[incarnation]*deskLimit
+	limits map[incarnation]*issuedLimit
 }
 
 // incarnation identifies one run of a server's process.
@@ -28,38 +28,38 @@
 	startedAt int64
 }
 
-type deskLimit struct {
+type issuedLimit struct {
 	*limit.Shared
 
 	usedAt time.Time
 }
 
-func newPermitDesk() *permitDesk { return &permitDesk{limits: map[incarnation]*deskLimit{}} }
+func newPermitIssuer() *permitIssuer { return &permitIssuer{limits: map[incarnation]*issuedLimit{}} }
 
 // reserve reserves permits for an instance.
-func (d *permitDesk) reserve(instance string, r edge.PermitRequest, now time.Time) limit.Grant {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+func (i *permitIssuer) reserve(instance string, r edge.PermitRequest, now time.Time) limit.Grant {
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	server := incarnation{r.Server, r.StartedAt}
-	shared := d.limits[server]
+	shared := i.limits[server]
 	if shared == nil {
-		for other, l := range d.limits {
+		for other, l := range i.limits {
 			if now.Sub(l.usedAt) > limitTTL {
-				delete(d.limits, other)
+				delete(i.limits, other)
 			}
 		}
-		shared = &deskLimit{Shared: limit.NewShared(now)}
-		d.limits[server] = shared
+		shared = &issuedLimit{Shared: limit.NewShared(now)}
+		i.limits[server] = shared
 	}
 	shared.usedAt = now
 	return shared.Reserve(instance, r.Limit, r.Count, now)
 }
 
 // rateLimit returns the limit that a server states, as far as instances have told it.
-func (d *permitDesk) rateLimit(server *fleet.Server, now time.Time) (perSecond float64, limited bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	known := d.limits[incarnation{server.ID, server.StartedAt}]
+func (i *permitIssuer) rateLimit(server *fleet.Server, now time.Time) (perSecond float64, limited bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	known := i.limits[incarnation{server.ID, server.StartedAt}]
 	if known == nil || now.Sub(known.usedAt) > limitTTL {
 		return limit.Unlimited, false
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -65,7 +65,7 @@
 	elector   *elector
 	holder    *holder
 	collector *Collector
-	permits   *permitDesk
+	permits   *permitIssuer
 	origins   *origins
 	views     *edge.Views
 	peers     *peer.Client
@@ -84,7 +84,7 @@
 		Self:          leaderlease.Record{Holder: cfg.Name, Incarnation: uuid.NewString(), Address: cfg.Address},
 		LeaseDuration: cfg.Lease, Fenced: cfg.Fenced,
 	}, views.Known)
-	permits := newPermitDesk()
+	permits := newPermitIssuer()
 	dialer := &net.Dialer{Timeout: callTimeout, KeepAliveConfig: peer.KeepAlive()}
 	return &Placer{
 		name: cfg.Name, address: cfg.Address, elector: e, collector: collector, views: views, log: logger, permits: permits, origins: newOrigins(),
--- a/pkg/limit/doc.go
+++ b/pkg/limit/doc.go
@@ -1,3 +1,3 @@
-// Package limit provides an adaptive concurrency limit: the maximum number of requests in
-// flight on one backend server.
+// Package limit provides limits on the requests to one backend server: an adaptive limit on
+// those in flight, and a limit on their rate that the server states and all instances share.
 package limit
--- a/pkg/modelplan/plan.go
+++ b/pkg/modelplan/plan.go
@@ -245,8 +245,8 @@
 }
 
 // placeAdapter loads an adapter on that of the given servers that holds its model and has the
-// fewest adapters. Servers that state a rate limit count only if all that hold the model do. If that server lacks a free slot or memory, the least recently used adapter is
-// unloaded first.
+// fewest adapters. Servers that state a rate limit count only if all that hold the model do. If
+// the server lacks a free slot or memory, its least recently used adapter is unloaded first.
 func (p *planner) placeAdapter(model, name string, servers []*Server) {
 	var best *Server
 	for _, s := range servers {
