Let both instances know the holder before a test counts permits

Two reservations within five seconds are compared. On a slow machine the second instance could take that long to hear of the holder. The checks are the same.

--- a/internal/placer/permits_test.go
+++ b/internal/placer/permits_test.go
@@ -33,12 +33,12 @@
 func TestInstancesShareTheRateOfAServer(t *testing.T) {
 	c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0"})
 	first, second := c.start("i0"), c.start("i1")
+	assert.Equal(t, 1, second.reserve(c, permitRequest(0, 2)).Permits.Count, "another process of the server")
 	require.Equal(t, 1, first.reserve(c, permitRequest(0, 1)).Permits.Count)
 	denied := second.reserve(c, permitRequest(0, 1))
 	assert.Zero(t, denied.Permits.Count)
 	assert.Positive(t, denied.Permits.Retry)
 	assert.Equal(t, 2, denied.Instances)
-	assert.Equal(t, 1, second.reserve(c, permitRequest(0, 2)).Permits.Count, "another process of the server")
 
 	_, err := first.Reserve(t.Context(), edge.PermitRequest{
 		Server: "s0", StartedAt: 1, Limit: limit.Statement{PerSecond: limit.Unlimited, At: time.Now()},
