Keep permits for requests that have no other server

Cause: each request that would have preferred a limited server reserved a permit there, also if it then went to another server. Requests for hot models, at all instances, so took the permits that requests for models with one server waited for.

Change: a request that has another server asks for spare permits only: those that can be used now and that no instance has reserved.

--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -23,10 +23,7 @@
 type PermitRequest struct {
 	Server    fleet.ServerID
 	StartedAt int64
-	// Limit is what the server has stated to the asking instance.
-	Limit limit.Statement
-	// Count is the number of permits; 0 only tells the limit.
-	Count int
+	limit.Ask
 }
 
 const (
@@ -43,21 +40,23 @@
 var errPermitsDown = errors.New("the last reservation of permits failed")
 
 // askForPermits reserves permits for a server that a request would be sent to if it had one.
-// Requests that wait for a slot are dispatched when the permit can be used.
-func (e *Edge) askForPermits(b *backend, now time.Time) {
-	stated, ask := b.stats.rateLimit.beginAsking(now)
-	if !ask {
+// Spare ones are enough if the request has another server. Requests that wait for a slot are
+// dispatched when the permit can be used.
+func (e *Edge) askForPermits(b *backend, spare bool, now time.Time) {
+	stated, begun := b.stats.rateLimit.beginAsking(spare, now)
+	if !begun {
 		return
 	}
 	count := max(int(math.Ceil(stated.PerSecond*permitBatch.Seconds())), 1)
 	go func() {
-		reply, err := e.reservePermits(b, stated, count)
+		ask := limit.Ask{Stated: stated, Count: count, Spare: spare}
+		reply, err := e.reservePermits(b, ask)
 		now := time.Now()
 		if err != nil {
 			e.log.Debug().Str("server", string(b.server.ID)).Err(err).Msg("permits_unavailable")
-			b.stats.rateLimit.endAskingAlone(count, e.sharingInstances(), e.phase(b.server.ID), now)
+			b.stats.rateLimit.endAskingAlone(ask, e.sharingInstances(), e.phase(b.server.ID), now)
 		} else {
-			b.stats.rateLimit.endAsking(reply, now)
+			b.stats.rateLimit.endAsking(ask, reply, now)
 		}
 		if reply.Permits.First > 0 {
 			time.AfterFunc(reply.Permits.First, func() { e.dispatchSlots(b.server.Service) })
@@ -67,13 +66,13 @@
 	}()
 }
 
-func (e *Edge) reservePermits(b *backend, stated limit.Statement, count int) (limit.Grant, error) {
+func (e *Edge) reservePermits(b *backend, ask limit.Ask) (limit.Grant, error) {
 	if e.elapsed() < time.Duration(e.permitsDownUntil.Load()) {
 		return limit.Grant{}, errPermitsDown
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), permitTimeout)
 	defer cancel()
-	reply, err := e.permits.Reserve(ctx, PermitRequest{Server: b.server.ID, StartedAt: b.server.StartedAt, Limit: stated, Count: count})
+	reply, err := e.permits.Reserve(ctx, PermitRequest{Server: b.server.ID, StartedAt: b.server.StartedAt, Ask: ask})
 	if err != nil {
 		e.permitsDownUntil.Store(int64(e.elapsed() + permitOutage))
 	}
@@ -89,7 +88,7 @@
 func (e *Edge) tellLimitEnded(b *backend) {
 	stated := b.stats.rateLimit.newest()
 	go func() {
-		if _, err := e.reservePermits(b, stated, 0); err != nil {
+		if _, err := e.reservePermits(b, limit.Ask{Stated: stated}); err != nil {
 			e.log.Debug().Str("server", string(b.server.ID)).Err(err).Msg("permits_unavailable")
 		}
 	}()
--- a/internal/edge/ratelimit.go
+++ b/internal/edge/ratelimit.go
@@ -38,9 +38,9 @@
 	// permits are the times from which the permits can be used, in order.
 	permits []time.Time
 	// asking is true while permits are being reserved, and askAt is the time before which no
-	// more are.
-	asking bool
-	askAt  time.Time
+	// more are; askSpareAt is the same for spare ones.
+	asking            bool
+	askAt, askSpareAt time.Time
 	// sharing is the number of instances that share the rate.
 	sharing int
 	// alone gives out permits while the holder doesn't respond; nil while it does.
@@ -158,16 +158,19 @@
 	limited := l.stated.PerSecond() != limit.Unlimited
 	l.limited.Store(limited)
 	if !limited {
-		l.permits, l.askAt, l.alone = nil, time.Time{}, nil
+		l.permits, l.askAt, l.askSpareAt, l.alone = nil, time.Time{}, time.Time{}, nil
 	}
 }
 
 // beginAsking returns what the server has stated, and true if permits should be reserved now.
-func (l *rateLimit) beginAsking(now time.Time) (limit.Statement, bool) {
+func (l *rateLimit) beginAsking(spare bool, now time.Time) (limit.Statement, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	stated := l.stated.Newest()
-	if l.asking || stated.PerSecond == limit.Unlimited || now.Before(l.askAt) || len(l.permits) > 0 && now.Before(l.permits[0]) {
+	stated, askAt := l.stated.Newest(), l.askAt
+	if spare {
+		askAt = l.askSpareAt
+	}
+	if l.asking || stated.PerSecond == limit.Unlimited || now.Before(askAt) || len(l.permits) > 0 && now.Before(l.permits[0]) {
 		return stated, false
 	}
 	l.asking = true
@@ -175,22 +178,25 @@
 }
 
 // endAsking records the reply to a reservation.
-func (l *rateLimit) endAsking(grant limit.Grant, now time.Time) {
+func (l *rateLimit) endAsking(ask limit.Ask, grant limit.Grant, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.asking, l.alone = false, nil
 	l.stated.Merge(grant.Limit)
 	l.applyStated()
-	if l.limited.Load() {
+	if !l.limited.Load() {
+		return
+	}
+	if !ask.Spare {
 		l.sharing = grant.Instances
-		l.addPermits(grant.Permits, now)
 	}
+	l.addPermits(ask, grant.Permits, now)
 }
 
 // endAskingAlone reserves permits of this instance's share of the rate, since the holder
 // doesn't respond. phase, from 0 to 1, is different for each instance, to spread their permits
 // over time.
-func (l *rateLimit) endAskingAlone(count, instances int, phase float64, now time.Time) {
+func (l *rateLimit) endAskingAlone(ask limit.Ask, instances int, phase float64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.asking = false
@@ -203,10 +209,10 @@
 	if l.alone == nil {
 		l.alone = limit.NewPacer(now.Add(time.Duration(phase * float64(interval))))
 	}
-	l.addPermits(l.alone.Reserve(interval, count, now), now)
+	l.addPermits(ask, l.alone.Reserve(interval, ask.Count, ask.Spare, now), now)
 }
 
-func (l *rateLimit) addPermits(permits limit.Permits, now time.Time) {
+func (l *rateLimit) addPermits(ask limit.Ask, permits limit.Permits, now time.Time) {
 	for i := range permits.Count {
 		at := now.Add(permits.First + time.Duration(i)*permits.Interval)
 		if at.Before(now) {
@@ -215,7 +221,11 @@
 		l.permits = append(l.permits, at)
 	}
 	slices.SortFunc(l.permits, time.Time.Compare)
-	l.askAt = now.Add(permits.Retry)
+	if ask.Spare {
+		l.askSpareAt = now.Add(permits.Retry)
+	} else {
+		l.askAt = now.Add(permits.Retry)
+	}
 }
 
 // recordRateLimit records the rate limit of an answer.
--- a/internal/edge/ratelimit_test.go
+++ b/internal/edge/ratelimit_test.go
@@ -412,3 +412,42 @@
 		assert.LessOrEqual(t, f.limited.mostOverLimit(), 0)
 	})
 }
+
+// Requests that have another server don't take the permits that others wait for.
+func TestPermitsGoToRequestsWithoutAnotherServer(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := newLimitFleet(t, 0)
+		f.servers = map[fleet.ServerID]*fleet.Server{}
+		f.addServer(&fleet.Server{ID: "limited", Service: engine, Zone: "zone-a", Slots: 8, Models: []fleet.Resident{{Model: "m0"}, {Model: "m1"}}}, f.limited)
+		f.addServer(&fleet.Server{ID: "free", Service: engine, Zone: "zone-b", Slots: 8, Models: []fleet.Resident{{Model: "m0"}}}, f.free)
+		models := map[string]fleet.Model{"m0": {Name: "m0"}, "m1": {Name: "m1"}}
+		manifest := readManifest(fleet.Service{Name: engine, Engine: &fleet.Engine{Slots: 8, Models: models}}, 3*time.Second, 500*time.Millisecond)
+		f.limited.setLimit(3)
+		const instances, alone = 6, 5
+		late := 0
+		for n := range instances {
+			instance := f.newInstance(instanceName(n), f.newViews(manifest), instances)
+			model, interval := "m0", 100*time.Millisecond
+			if n == alone {
+				model, interval = "m1", 500*time.Millisecond
+			}
+			f.sending.Go(func() {
+				for i := range int(20 * time.Second / interval) {
+					f.sending.Go(func() {
+						sent := time.Now()
+						got := f.send(f.Context(), instance, fmt.Sprintf("%s-%d", instanceName(n), i), "/read/x", map[string]string{standin.HeaderModel: model})
+						f.mu.Lock()
+						defer f.mu.Unlock()
+						if got.Code != http.StatusOK || time.Since(sent) > 500*time.Millisecond {
+							late++
+						}
+					})
+					time.Sleep(interval)
+				}
+			})
+		}
+		f.sending.Wait()
+		assert.LessOrEqual(t, f.limited.mostOverLimit(), 0)
+		assert.LessOrEqual(t, late, 1)
+	})
+}
--- a/internal/edge/virtual_test.go
+++ b/internal/edge/virtual_test.go
@@ -152,7 +152,7 @@
 	if p.limits[key] == nil {
 		p.limits[key] = limit.NewShared(time.Now())
 	}
-	return p.limits[key].Reserve(p.instance, r.Limit, r.Count, time.Now()), nil
+	return p.limits[key].Reserve(p.instance, r.Ask, time.Now()), nil
 }
 
 // origins is what the instances know of streams. Announced streams are kept by instances that
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -116,14 +116,14 @@
 }
 
 // pickWithPermit chooses a server and takes a permit if the server states a rate limit. If the
-// best server lacks a permit, one is reserved for the next request. A request that has to wait
-// reserves permits for all its servers.
+// best server lacks a permit, a spare one is reserved for the next request. A request that has to
+// wait reserves permits for all its servers.
 func (q *request) pickWithPermit(pick serverpick.Request, holders []*backend, candidates []serverpick.Candidate, now time.Time) (*backend, waitState) {
 	if slices.ContainsFunc(candidates, func(c serverpick.Candidate) bool { return c.NeedsPermit }) {
 		best := pick
 		best.WithoutPermit = true
-		if i := serverpick.Pick(best, candidates); i >= 0 && candidates[i].NeedsPermit {
-			q.edge.askForPermits(holders[i], now)
+		if i := serverpick.Pick(best, candidates); i >= 0 && candidates[i].NeedsPermit && serverpick.Pick(pick, candidates) >= 0 {
+			q.edge.askForPermits(holders[i], true, now)
 		}
 	}
 	for {
@@ -140,7 +140,7 @@
 	state := waitSlot
 	for i, c := range candidates {
 		if c.NeedsPermit && !c.Tried {
-			q.edge.askForPermits(holders[i], now)
+			q.edge.askForPermits(holders[i], false, now)
 			state = waitPermit
 		}
 	}
--- a/internal/placer/permits.go
+++ b/internal/placer/permits.go
@@ -52,7 +52,7 @@
 		i.limits[server] = shared
 	}
 	shared.usedAt = now
-	return shared.Reserve(instance, r.Limit, r.Count, now)
+	return shared.Reserve(instance, r.Ask, now)
 }
 
 // rateLimit returns the limit that a server states, as far as instances have told it.
@@ -98,13 +98,14 @@
 
 func encodePermitRequest(instance string, r edge.PermitRequest, now time.Time) *placerpb.PermitRequest {
 	return &placerpb.PermitRequest{
-		Instance: instance, Server: string(r.Server), Born: r.StartedAt, Limit: encodeRateLimit(r.Limit, now), Count: uint32(max(r.Count, 0)),
+		Instance: instance, Server: string(r.Server), Born: r.StartedAt, Limit: encodeRateLimit(r.Stated, now), Count: uint32(max(r.Count, 0)), Spare: r.Spare,
 	}
 }
 
 func decodePermitRequest(r *placerpb.PermitRequest, now time.Time) edge.PermitRequest {
 	return edge.PermitRequest{
-		Server: fleet.ServerID(r.Server), StartedAt: r.Born, Limit: decodeRateLimit(r.Limit, now), Count: int(r.Count),
+		Server: fleet.ServerID(r.Server), StartedAt: r.Born,
+		Ask: limit.Ask{Stated: decodeRateLimit(r.Limit, now), Count: int(r.Count), Spare: r.Spare},
 	}
 }
 
--- a/internal/placer/permits_test.go
+++ b/internal/placer/permits_test.go
@@ -16,7 +16,7 @@
 
 // permitRequest asks for one permit for a server that has stated the limit.
 func permitRequest(perSecond float64, startedAt int64) edge.PermitRequest {
-	return edge.PermitRequest{Server: "s0", StartedAt: startedAt, Count: 1, Limit: limit.Statement{PerSecond: perSecond, At: time.Now()}}
+	return edge.PermitRequest{Server: "s0", StartedAt: startedAt, Ask: limit.Ask{Count: 1, Stated: limit.Statement{PerSecond: perSecond, At: time.Now()}}}
 }
 
 // reserve reserves a permit as soon as the instance knows the holder.
@@ -41,11 +41,11 @@
 	assert.Equal(t, 2, denied.Instances)
 
 	_, err := first.Reserve(t.Context(), edge.PermitRequest{
-		Server: "s0", StartedAt: 1, Limit: limit.Statement{PerSecond: limit.Unlimited, At: time.Now()},
+		Server: "s0", StartedAt: 1, Ask: limit.Ask{Stated: limit.Statement{PerSecond: limit.Unlimited, At: time.Now()}},
 	})
 	require.NoError(t, err)
 	asked := permitRequest(0, 1)
-	asked.Limit.At = time.Now().Add(-time.Minute)
+	asked.Stated.At = time.Now().Add(-time.Minute)
 	assert.Equal(t, limit.Unlimited, second.reserve(c, asked).Limit.PerSecond, "the limit has ended")
 }
 
--- a/pkg/limit/pacer.go
+++ b/pkg/limit/pacer.go
@@ -39,15 +39,19 @@
 // PermitInterval returns the time between two permits under a limit.
 func PermitInterval(perSecond float64) time.Duration { return QueueDelay(1, perSecond) }
 
-// Reserve reserves up to count permits at the given interval, of which none is later than
-// maxPacerAhead.
-func (p *Pacer) Reserve(interval time.Duration, count int, now time.Time) Permits {
+// Reserve reserves up to count permits at the given interval. Spare permits are those that can
+// be used now, which nobody who needs them has reserved; the others are at most maxPacerAhead
+// later.
+func (p *Pacer) Reserve(interval time.Duration, count int, spare bool, now time.Time) Permits {
 	horizon := now.Add(maxPacerAhead)
+	if spare {
+		horizon = now
+	}
 	if earliest := now.Add(-max(maxPacerCredit-interval, 0)); p.next.Before(earliest) {
 		p.next = earliest
 	}
 	// The interval may have become shorter.
-	if latest := horizon.Add(interval); p.next.After(latest) {
+	if latest := now.Add(maxPacerAhead + interval); p.next.After(latest) {
 		p.next = latest
 	}
 	permits := Permits{First: p.next.Sub(now), Interval: interval}
--- a/pkg/limit/pacer_test.go
+++ b/pkg/limit/pacer_test.go
@@ -20,7 +20,7 @@
 		var used []time.Time
 		eager := rapid.Bool().Draw(t, "eager")
 		for now.Before(end) {
-			permits := pacer.Reserve(PermitInterval(perSecond), rapid.IntRange(1, 8).Draw(t, "count"), now)
+			permits := pacer.Reserve(PermitInterval(perSecond), rapid.IntRange(1, 8).Draw(t, "count"), !eager && rapid.Bool().Draw(t, "spare"), now)
 			for i := range permits.Count {
 				at := now.Add(permits.First + time.Duration(i)*permits.Interval)
 				if at.Before(now) {
@@ -54,12 +54,31 @@
 func TestPacerFollowsAChangedLimit(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
 	pacer := NewPacer(now)
-	assert.Equal(t, 1, pacer.Reserve(PermitInterval(0), 5, now).Count, "a limit of none is probed")
-	denied := pacer.Reserve(PermitInterval(0), 5, now)
+	assert.Equal(t, 1, pacer.Reserve(PermitInterval(0), 5, false, now).Count, "a limit of none is probed")
+	denied := pacer.Reserve(PermitInterval(0), 5, false, now)
 	assert.Zero(t, denied.Count)
 	assert.Equal(t, PermitInterval(0)-maxPacerAhead, denied.Retry)
-	raised := pacer.Reserve(PermitInterval(100), 5, now)
+	raised := pacer.Reserve(PermitInterval(100), 5, false, now)
 	assert.Equal(t, 10*time.Millisecond, raised.Retry, "the raised limit counts, not the time until the next probe")
-	lowered := pacer.Reserve(PermitInterval(1), 5, now.Add(raised.Retry))
+	lowered := pacer.Reserve(PermitInterval(1), 5, false, now.Add(raised.Retry))
 	assert.Equal(t, 1, lowered.Count)
 }
+
+// An instance whose requests have other servers gets a permit only if no other needs it.
+func TestSparePermitsAreThoseThatNobodyNeeds(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	shared, stated := NewShared(now), Statement{PerSecond: 4, At: now}
+	needs, spare := Ask{Stated: stated, Count: 1}, Ask{Stated: stated, Count: 1, Spare: true}
+	assert.Equal(t, 1, shared.Reserve("a", spare, now).Permits.Count)
+	assert.Zero(t, shared.Reserve("a", spare, now).Permits.Count)
+	grant := shared.Reserve("b", needs, now)
+	assert.Equal(t, 1, grant.Permits.Count, "reserved ahead")
+	assert.Equal(t, 1, grant.Instances, "a doesn't share the rate")
+	for range 40 {
+		now = now.Add(PermitInterval(stated.PerSecond))
+		assert.Zero(t, shared.Reserve("a", spare, now).Permits.Count)
+		assert.Equal(t, 1, shared.Reserve("b", needs, now).Permits.Count)
+	}
+	now = now.Add(time.Second)
+	assert.Equal(t, 1, shared.Reserve("a", spare, now).Permits.Count)
+}
--- a/pkg/limit/shared.go
+++ b/pkg/limit/shared.go
@@ -39,16 +39,29 @@
 	Instances int
 }
 
-// Reserve reserves up to count permits for an instance to which the server has stated a limit.
-// A count of 0 only tells the limit.
-func (s *Shared) Reserve(instance string, stated Statement, count int, now time.Time) Grant {
-	s.stated.Merge(stated)
+// Ask asks for permits.
+type Ask struct {
+	// Stated is what the server has stated to the asking instance.
+	Stated Statement
+	// Count is the number of permits; 0 only tells the limit.
+	Count int
+	// Spare asks for permits that no instance needs: the requests have other servers.
+	Spare bool
+}
+
+// Reserve reserves permits for an instance.
+func (s *Shared) Reserve(instance string, ask Ask, now time.Time) Grant {
+	s.stated.Merge(ask.Stated)
 	grant := Grant{Limit: s.stated.Newest()}
-	if count <= 0 || grant.Limit.PerSecond == Unlimited {
+	if ask.Count <= 0 || grant.Limit.PerSecond == Unlimited {
 		return grant
 	}
 	interval := PermitInterval(grant.Limit.PerSecond)
-	grant.Permits = s.pacer.Reserve(interval, count, now)
+	grant.Permits = s.pacer.Reserve(interval, ask.Count, ask.Spare, now)
+	if ask.Spare {
+		grant.Permits.Retry = min(max(grant.Permits.Retry, interval), maxRetry)
+		return grant
+	}
 	if grant.Permits.Count == 0 {
 		if due := now.Add(grant.Permits.Retry); s.retryAt.Before(due) {
 			s.retryAt = due
