Log under which unanswered requests a server crashed

An instance whose exchange breaks off connects to the server again. If the connection is refused, it logs server_crashed with the prompts of the requests that the server hadn't begun to answer; otherwise server_broke_off.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -198,6 +198,9 @@
 		fault = retry.FaultTimeout
 	}
 	q.recordHealth(b, fault, probe)
+	if fault == retry.FaultBeforeFirstByte || fault == retry.FaultAfterFirstByte {
+		q.investigateCrash(b)
+	}
 	return fault
 }
 
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/crashcause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/workload"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
@@ -34,6 +35,8 @@
 	// services.
 	model    string
 	affinity string
+	// prompt is nil for plain services.
+	prompt crashcause.Prompt
 	// sharedPart is the part of the prompt that affinity stands for.
 	sharedPart float64
 	// expected is the time that the request is expected to take of a server.
@@ -165,6 +168,7 @@
 		q.slots = engine.Slots
 		q.model = modelKey(q.head.Model, q.head.Adapter)
 		q.affinity, q.sharedPart = affinityKey(q.head), sharedPart(q.head)
+		q.prompt = promptOf(q.head)
 	}
 	return q.readBody(r, view.Manifest.Limits.MaxBodyBytes)
 }
@@ -205,6 +209,14 @@
 	return strings.Join(ids, "|")
 }
 
+func promptOf(head platform.RequestHead) crashcause.Prompt {
+	prompt := make(crashcause.Prompt, 0, len(head.Prefix))
+	for _, part := range head.Prefix {
+		prompt = append(prompt, part.ID)
+	}
+	return prompt
+}
+
 // sharedPart returns the part of a prompt, from 0 to 1, that is shared with other requests.
 func sharedPart(head platform.RequestHead) float64 {
 	shared, all := 0.0, 0.0
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -52,6 +52,7 @@
 	health                 retry.Health
 	load                   atomic.Pointer[loadSample]
 	rateLimit              rateLimit
+	crash                  crashCheck
 	// missing maps models that the server reported as absent to a missingRecord; a later
 	// residency or missingTTL clears the entry.
 	missing sync.Map
--- a/internal/edge/virtual_test.go
+++ b/internal/edge/virtual_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -241,14 +241,14 @@
 	l := m.byAddress[address]
 	m.mu.Unlock()
 	if l == nil {
-		return nil, errors.New("connection refused")
+		return nil, syscall.ECONNREFUSED
 	}
 	client, server := net.Pipe()
 	select {
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	case <-l.closed:
-		return nil, errors.New("connection refused")
+		return nil, syscall.ECONNREFUSED
 	case l.conns <- server:
 		return addressedConn{client, l}, nil
 	}
