Refuse prompts with a part that crashes servers

Cause: nothing related the crashes to what the requests had in common. What an instance learns of a crash was kept per server, while the cause travels with requests. The class: a fault that follows the work, contained per machine.

Each instance now records the prompts that a crashed server was about to answer, and tells the others. A part is blocked if servers crash under it so often, while none of so many answered requests has it, that this is unlikely with a sound part; the instances count these answers together. Requests with the part are refused as not run, and those under way are canceled. A request that is answered all the same ends the block.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -30,6 +30,24 @@
 	maxAnswerBytes = 16 << 20
 )
 
+// runUnlessBlocked runs the request. It is refused, or canceled by block, if a part of its prompt
+// is found to crash servers before one has begun to answer it.
+func (q *request) runUnlessBlocked(ctx context.Context, block context.CancelCauseFunc) (outcome, bool) {
+	if len(q.prompt) == 0 {
+		return q.run(ctx)
+	}
+	q.edge.unanswered.add(q, block)
+	defer q.edge.unanswered.remove(q)
+	if _, blocked := q.edge.crashes.Blocked(q.prompt); blocked {
+		return refused(reasonPartBlocked, 0), false
+	}
+	out, ok := q.run(ctx)
+	if !ok && errors.Is(context.Cause(ctx), errPartBlocked) {
+		out = q.accountForRuns(refused(reasonPartBlocked, 0))
+	}
+	return out, ok
+}
+
 // run sends the request to servers until it is answered or no further attempt is allowed.
 // It reports true if the client has received a server's answer.
 func (q *request) run(ctx context.Context) (outcome, bool) {
@@ -50,6 +68,10 @@
 		if !ok {
 			return q.accountForRuns(out), false
 		}
+		if ctx.Err() != nil {
+			q.edge.release(q.service, b)
+			return q.accountForRuns(refused(reasonTimeout, 0)), false
+		}
 		if !q.reserveAttempt() {
 			q.edge.release(q.service, b)
 			return q.accountForRuns(refused(reasonBudget, jitter(time.Second))), false
@@ -261,6 +283,7 @@
 // handleAnswer validates an answer and forwards it to the client.
 func (q *request) handleAnswer(b *backend, answer *platform.Answer, watchdog *time.Timer) retry.Fault {
 	q.status = answer.Status
+	b.stats.crash.answered()
 	q.recordRateLimit(b, answer)
 	if answer.HasLoad {
 		q.progress.load, q.progress.hasLoad = answer.Load, true
@@ -289,6 +312,9 @@
 	}
 	fault := q.forwardBuffered(answer)
 	if fault == retry.FaultNone {
+		if success {
+			q.recordAnswered()
+		}
 		q.progress.firstEventAt, q.progress.lastEventAt = time.Now(), time.Now()
 		q.edge.workload(q.service).Observe(q.workloadKind(), q.progress.observation())
 	}
--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -21,39 +22,121 @@
 	crashCheckTimeout = 300 * time.Millisecond
 )
 
+// Crashes knows the prompt parts that crash servers, from what all instances see.
+type Crashes interface {
+	// Crashed records a crash that this instance has seen.
+	Crashed(c crashcause.Crash)
+	// Answered records that a server has begun to answer a request.
+	Answered(p crashcause.Prompt)
+	// Blocked returns the part of the prompt that crashes servers, and false if it has none.
+	Blocked(p crashcause.Prompt) (string, bool)
+	// OnBlock sets the function that is called for each part that becomes blocked.
+	OnBlock(blocked func(crashcause.Block))
+}
+
+// errPartBlocked cancels requests when a part of their prompts is found to crash servers.
+var errPartBlocked = errors.New("a part of the prompt crashes servers")
+
+// unanswered are the requests that no server has begun to answer.
+type unanswered struct {
+	mu sync.Mutex
+	// cancels maps each request to the function that cancels it.
+	cancels map[*request]context.CancelCauseFunc
+}
+
+func (u *unanswered) add(q *request, cancel context.CancelCauseFunc) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.cancels[q] = cancel
+}
+
+func (u *unanswered) remove(q *request) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.cancels, q)
+}
+
+// cancelWith cancels the requests whose prompts have a part, and returns how many there are.
+func (u *unanswered) cancelWith(part string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	n := 0
+	for q, cancel := range u.cancels {
+		if q.prompt.Shares(part) {
+			cancel(errPartBlocked)
+			n++
+		}
+	}
+	return n
+}
+
+// partBlocked refuses the requests with a part that crashes servers. Those that wait are
+// refused, and those that a server hasn't begun to answer are canceled there.
+func (e *Edge) partBlocked(b crashcause.Block) {
+	n := e.unanswered.cancelWith(b.Part)
+	e.log.Warn().Str("part", b.Part).Int("crashes", b.Crashes).Dur("for", time.Until(b.Until)).Int("canceled", n).Msg("prompt_part_blocked")
+}
+
+// recordAnswered records that a server has begun to answer the request.
+func (q *request) recordAnswered() {
+	if len(q.prompt) == 0 {
+		return
+	}
+	q.edge.unanswered.remove(q)
+	q.edge.crashes.Answered(q.prompt)
+}
+
 // crashCheck finds out whether a server whose exchanges break has crashed.
 type crashCheck struct {
+	// crashed is true from a crash on until the server answers again.
+	crashed atomic.Bool
+
 	mu sync.Mutex
-	// brokenAt is when the first of the exchanges broke, and prompts are those that the server
-	// hadn't begun to answer.
+	// brokenAt is when the first exchange of the current check, or of the last crash, broke.
 	brokenAt time.Time
-	prompts  []crashcause.Prompt
-	running  bool
+	// prompts are those of broken exchanges that the server hadn't begun to answer.
+	prompts []crashcause.Prompt
+	running bool
 }
 
-// begin adds a broken exchange, and reports whether the caller has to run the check. prompt is
-// nil if the server had begun to answer it.
-func (c *crashCheck) begin(prompt crashcause.Prompt, now time.Time) bool {
+// begin adds an exchange that began at sentAt and has broken, and reports whether the caller has
+// to run the check. prompt is nil if the server had begun to answer. Requests that are sent after
+// a crash tell nothing of it.
+func (c *crashCheck) begin(prompt crashcause.Prompt, sentAt, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if (c.running || c.crashed.Load()) && sentAt.After(c.brokenAt) {
+		return false
+	}
 	if prompt != nil {
 		c.prompts = append(c.prompts, prompt)
 	}
 	if c.running {
 		return false
 	}
-	c.running, c.brokenAt = true, now
+	c.running = true
+	if !c.crashed.Load() {
+		c.brokenAt = now
+	}
 	return true
 }
 
-// end returns what was added since begin.
-func (c *crashCheck) end() (prompts []crashcause.Prompt, brokenAt time.Time) {
+// end returns what was added since begin. crashed is the result of the check.
+func (c *crashCheck) end(crashed bool) (prompts []crashcause.Prompt, brokenAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.crashed.Store(crashed)
 	prompts, c.prompts, c.running = c.prompts, nil, false
 	return prompts, c.brokenAt
 }
 
+// answered records that the server answers.
+func (c *crashCheck) answered() {
+	if c.crashed.Load() {
+		c.crashed.Store(false)
+	}
+}
+
 // investigateCrash finds out, in the background, whether the server whose exchange has broken
 // off has crashed.
 func (q *request) investigateCrash(b *backend) {
@@ -61,10 +144,9 @@
 	if q.lastEvent < 0 && len(q.prompt) > 0 {
 		unanswered = q.prompt
 	}
-	if !b.stats.crash.begin(unanswered, time.Now()) {
-		return
+	if b.stats.crash.begin(unanswered, q.progress.sentAt, time.Now()) {
+		go q.edge.checkCrash(b)
 	}
-	go q.edge.checkCrash(b)
 }
 
 func (e *Edge) checkCrash(b *backend) {
@@ -72,13 +154,17 @@
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
 	err := e.servers.CheckListening(ctx, b.server)
-	prompts, brokenAt := b.stats.crash.end()
-	if !errors.Is(err, platform.ErrNotListening) {
+	crashed := errors.Is(err, platform.ErrNotListening)
+	prompts, brokenAt := b.stats.crash.end(crashed)
+	if !crashed {
 		e.log.Info().Str("server", string(b.server.ID)).Err(err).Int("unanswered", len(prompts)).Msg("server_broke_off")
 		return
 	}
 	e.log.Warn().Str("server", string(b.server.ID)).Int64("started_at", b.server.StartedAt).Dur("ago", time.Since(brokenAt)).
 		Strs("unanswered", promptNames(prompts)).Msg("server_crashed")
+	if len(prompts) > 0 {
+		e.crashes.Crashed(crashcause.Crash{Server: crashcause.Server{ID: string(b.server.ID), StartedAt: b.server.StartedAt}, At: brokenAt, Prompts: prompts})
+	}
 }
 
 // promptNames returns the IDs of the parts of each prompt, for the log.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,6 +64,7 @@
 	demand  Demand
 	permits Permits
 	origins Origins
+	crashes Crashes
 	log     *log.Logger
 	tracer  trace.Tracer
 	started time.Time
@@ -82,6 +84,8 @@
 	// slotQueues maps a service to the *slotQueue of requests that wait for a free slot.
 	slotQueues sync.Map
 
+	unanswered unanswered
+
 	// begun are the streams in progress that other instances don't know of.
 	begun unannounced
 
@@ -94,18 +98,29 @@
 	latency                             metrics.Timer
 }
 
+// Peers is what the instances of a deployment know together.
+type Peers struct {
+	Permits Permits
+	Origins Origins
+	Crashes Crashes
+}
+
 // New returns an Edge that routes by the given views.
-func New(cfg Config, views *Views, servers *platform.Servers, demand Demand, permits Permits, origins Origins, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *Edge {
-	return &Edge{
-		cfg: cfg, views: views, servers: servers, demand: demand, permits: permits, origins: origins, log: logger, tracer: tracer, started: time.Now(),
-		begun:    unannounced{streams: map[string]streamorigin.Origin{}},
-		budgets:  map[string]*retry.Budget{},
-		served:   metrics.NewRegisteredCounter("edge_served", registry),
-		refusals: metrics.NewRegisteredCounter("edge_refused", registry),
-		failures: metrics.NewRegisteredCounter("edge_failed", registry),
-		repeats:  metrics.NewRegisteredCounter("edge_repeats", registry),
-		latency:  metrics.NewRegisteredTimer("edge_latency_ns", registry),
+func New(cfg Config, views *Views, servers *platform.Servers, demand Demand, peers Peers, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *Edge {
+	e := &Edge{
+		cfg: cfg, views: views, servers: servers, demand: demand, permits: peers.Permits, origins: peers.Origins, crashes: peers.Crashes,
+		log: logger, tracer: tracer, started: time.Now(),
+		begun:      unannounced{streams: map[string]streamorigin.Origin{}},
+		unanswered: unanswered{cancels: map[*request]context.CancelCauseFunc{}},
+		budgets:    map[string]*retry.Budget{},
+		served:     metrics.NewRegisteredCounter("edge_served", registry),
+		refusals:   metrics.NewRegisteredCounter("edge_refused", registry),
+		failures:   metrics.NewRegisteredCounter("edge_failed", registry),
+		repeats:    metrics.NewRegisteredCounter("edge_repeats", registry),
+		latency:    metrics.NewRegisteredTimer("edge_latency_ns", registry),
 	}
+	e.crashes.OnBlock(e.partBlocked)
+	return e
 }
 
 // SetRetries changes the limits on retries.
--- a/internal/edge/outcome.go
+++ b/internal/edge/outcome.go
@@ -22,6 +22,7 @@
 	reasonNoOrigin     reason = "version that began the stream unknown"
 	reasonNoVersion    reason = "no server of the version that began the stream"
 	reasonRateLimit    reason = "rate limit of the servers"
+	reasonPartBlocked  reason = "a part of the prompt crashes servers"
 	reasonTooLate      reason = "too little time left"
 	reasonLost         reason = "answer lost"
 	reasonTimeout      reason = "time limit"
--- a/internal/edge/promptcrash_test.go
+++ b/internal/edge/promptcrash_test.go
@@ -46,7 +46,8 @@
 	views   []*edge.Views
 	started int
 	running map[string]*http.Server
-	crashes []time.Time
+	// crashTimes are the times of crashes.
+	crashTimes []time.Time
 	// arrivals are the times at which requests with a deadly part reached servers.
 	arrivals []time.Time
 }
@@ -69,13 +70,26 @@
 		f.startServer()
 	}
 	for n := range instances {
-		views := f.newViews(f.manifest)
-		f.views = append(f.views, views)
-		f.instances = append(f.instances, f.newInstance(instanceName(n), views, instances))
+		f.addInstance(instanceName(n))
 	}
 	return f
 }
 
+func (f *crashFleet) addInstance(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	views := f.newViews(f.manifest)
+	views.SetServers(maps.Clone(f.servers))
+	f.views = append(f.views, views)
+	f.instances = append(f.instances, f.newInstance(name, views, len(f.instances)+1))
+}
+
+func (f *crashFleet) runningServers() map[string]*http.Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.running)
+}
+
 // startServer starts a server under a new ID and lists it.
 func (f *crashFleet) startServer() {
 	f.mu.Lock()
@@ -135,7 +149,7 @@
 	server := f.running[id]
 	delete(f.running, id)
 	if server != nil {
-		f.crashes = append(f.crashes, time.Now())
+		f.crashTimes = append(f.crashTimes, time.Now())
 	}
 	f.mu.Unlock()
 	if server == nil {
@@ -239,14 +253,12 @@
 	return got.Code == http.StatusOK && strings.Contains(got.Body.String(), fmt.Sprintf("id: %d\n", streamEvents))
 }
 
-// knownAt returns when all instances are to refuse requests with the part.
+// knownAt returns when all instances are to refuse requests with the part: some time after the
+// crash that makes it known, or after the last if there are fewer.
 func (f *crashFleet) knownAt() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.crashes) < crashesUntilKnown {
-		return time.Now()
-	}
-	return f.crashes[crashesUntilKnown-1].Add(knownAfter)
+	return f.crashTimes[min(crashesUntilKnown, len(f.crashTimes))-1].Add(knownAfter)
 }
 
 // arrivedAfter returns how many requests with the part have reached servers after a time.
@@ -262,28 +274,90 @@
 	return n
 }
 
+// tainted is a load of which some requests have the deadly part.
+func tainted(perSecond, deadlyPerSecond float64) load {
+	return load{
+		duration: 20 * time.Second, perSecond: perSecond, deadlyPerSecond: deadlyPerSecond, deadlyFrom: 2 * time.Second,
+		prompt: func(random *rand.Rand, deadly bool) []string {
+			if deadly {
+				return []string{caller, "topic0", deadlyPart}
+			}
+			return []string{fmt.Sprint("caller", random.IntN(3)), fmt.Sprint("topic", random.IntN(500))}
+		},
+	}
+}
+
 // TestPromptPartCrashesServersOneAfterTheOther: requests with one part in their prompts crashed
 // one server after the other, without end.
 func TestPromptPartCrashesServersOneAfterTheOther(t *testing.T) {
+	for name, c := range map[string]struct {
+		instances, servers         int
+		perSecond, deadlyPerSecond float64
+	}{
+		"some":         {6, 12, 80, 4},
+		"few":          {6, 12, 80, 1},
+		"many":         {6, 12, 80, 20},
+		"few servers":  {8, 9, 60, 3},
+		"few requests": {8, 12, 15, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				f := newCrashFleet(t, c.instances, c.servers)
+				start := time.Now()
+				served := f.play(tainted(c.perSecond, c.deadlyPerSecond), 1)
+				known := f.knownAt()
+				assert.GreaterOrEqual(t, len(f.crashTimes), 3)
+				assert.LessOrEqual(t, f.arrivedAfter(known), lateArrivals, "requests that reached servers")
+				before, _ := served.share(start, start.Add(2*time.Second))
+				after, n := served.share(known.Add(knownAfter), time.Now())
+				assert.GreaterOrEqual(t, n, 20)
+				assert.GreaterOrEqual(t, after, servedShare*before, "sound requests")
+			})
+		})
+	}
+}
+
+// What is known to crash servers is refused at once, by each instance, as not run. An instance
+// that doesn't reach the others finds out by itself.
+func TestPromptPartIsRefusedAsNotRun(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := newCrashFleet(t, 4, 12)
+		f.crashes.cutOff(instanceName(3))
+		f.play(tainted(80, 4), 2)
+		f.addInstance("late")
+		arrivals, began := len(f.arrivals), time.Now()
+		header := map[string]string{standin.HeaderModel: "m", standin.HeaderPrefix: caller + ":10," + deadlyPart + ":10,own:10"}
+		for n, e := range f.instances {
+			got := f.send(t.Context(), e, fmt.Sprint("known", n), "/stream/x", header)
+			assert.Equal(t, http.StatusServiceUnavailable, got.Code)
+			assert.Zero(t, time.Since(began))
+		}
+		assert.Len(t, f.arrivals, arrivals)
+	})
+}
+
+// Servers that crash for other reasons, several at once, don't lead to the refusal of anything.
+func TestServersCrashForOtherReasons(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		f := newCrashFleet(t, 6, 12)
-		start := time.Now()
-		served := f.play(load{
-			duration: 20 * time.Second, perSecond: 80, deadlyPerSecond: 4, deadlyFrom: 2 * time.Second,
-			prompt: func(random *rand.Rand, deadly bool) []string {
-				parts := []string{fmt.Sprint("caller", random.IntN(3)), fmt.Sprint("topic", random.IntN(500))}
-				if deadly {
-					parts = []string{caller, "topic0", deadlyPart}
+		for n := range 6 {
+			time.AfterFunc(time.Duration(2+3*n)*time.Second, func() {
+				for id := range f.runningServers() {
+					if len(id)%2 == n%2 {
+						f.crash(id)
+					}
 				}
-				return parts
-			},
-		}, 1)
-		known := f.knownAt()
-		assert.GreaterOrEqual(t, len(f.crashes), 3)
-		assert.LessOrEqual(t, f.arrivedAfter(known), lateArrivals, "requests that reached servers")
-		before, _ := served.share(start, start.Add(2*time.Second))
-		after, n := served.share(known.Add(knownAfter), time.Now())
-		assert.GreaterOrEqual(t, n, 20)
-		assert.GreaterOrEqual(t, after, servedShare*before, "sound requests")
+			})
+		}
+		start := time.Now()
+		served := f.play(tainted(80, 0), 3)
+		got, _ := served.share(start.Add(19*time.Second), time.Now())
+		assert.Greater(t, got, 0.9)
+		for caller := range 3 {
+			for n, e := range f.instances {
+				header := map[string]string{standin.HeaderModel: "m", standin.HeaderPrefix: fmt.Sprintf("caller%d:10,own:10", caller)}
+				assert.True(t, f.served(e, fmt.Sprint("after", caller, n), header))
+			}
+		}
 	})
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -92,7 +92,9 @@
 		ctx, span := e.tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer),
 			trace.WithAttributes(attribute.String("request", q.head.ID), attribute.String("route", q.route.Name)))
 		defer span.End()
-		out, ok = q.run(ctx)
+		ctx, block := context.WithCancelCause(ctx)
+		defer block(nil)
+		out, ok = q.runUnlessBlocked(ctx, block)
 		if !ok && r.Context().Err() != nil {
 			out = outcome{reason: reasonCanceled}
 		}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -89,6 +89,9 @@
 		return nil, errors.Wrap(err, "write events")
 	}
 	q.lastEvent = last
+	if q.progress.events == 0 {
+		q.recordAnswered()
+	}
 	q.progress.eventsForwarded(q.arrived, time.Now())
 	if q.promptRead != nil {
 		q.promptRead()
--- a/internal/edge/virtual_test.go
+++ b/internal/edge/virtual_test.go
@@ -19,6 +19,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/crashcause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/streamorigin"
@@ -35,6 +36,7 @@
 	listeners *memoryListeners
 	permits   *permits
 	origins   *origins
+	crashes   *crashes
 }
 
 // inVirtualTime runs a test in a synctest bubble.
@@ -47,7 +49,7 @@
 func newVirtualFleet(t *testing.T) *virtualFleet {
 	// The handlers of closed servers end before the bubble does.
 	t.Cleanup(func() { time.Sleep(time.Second) })
-	return &virtualFleet{T: t, servers: map[fleet.ServerID]*fleet.Server{}, permits: newPermits(), origins: newOrigins(), listeners: &memoryListeners{byAddress: map[string]*memoryListener{}}}
+	return &virtualFleet{T: t, servers: map[fleet.ServerID]*fleet.Server{}, permits: newPermits(), origins: newOrigins(), crashes: newCrashes(t), listeners: &memoryListeners{byAddress: map[string]*memoryListener{}}}
 }
 
 // addServer starts a server and lists it.
@@ -77,7 +79,8 @@
 func (f *virtualFleet) newInstance(name string, views *edge.Views, instances int) *edge.Edge {
 	views.SetInstances(instances)
 	return edge.New(edge.Config{Name: name, Zone: "zone-a", RetryRatio: 0.2, RetryExtra: 200, RetryWindow: 10 * time.Second, Instances: instances},
-		views, platform.NewServersWithDial(f.dial), noDemand{}, f.permits.of(name), f.origins.of(name), &log.Logger{Level: log.PanicLevel}, metrics.NewRegistry(),
+		views, platform.NewServersWithDial(f.dial), noDemand{},
+		edge.Peers{Permits: f.permits.of(name), Origins: f.origins.of(name), Crashes: f.crashes.of(name)}, &log.Logger{Level: log.PanicLevel}, metrics.NewRegistry(),
 		noop.NewTracerProvider().Tracer(""))
 }
 
@@ -215,6 +218,76 @@
 	return o.announced.Get(stream)
 }
 
+// crashes exchanges what the instances know of crashes.
+type crashes struct {
+	*testing.T
+
+	mu  sync.Mutex
+	all map[string]*crashcause.Watcher
+	// lost are the instances that don't reach the others.
+	lost map[string]bool
+}
+
+func newCrashes(t *testing.T) *crashes {
+	return &crashes{T: t, all: map[string]*crashcause.Watcher{}, lost: map[string]bool{}}
+}
+
+// of returns what one instance knows. It learns what the others know already.
+func (c *crashes) of(instance string) edge.Crashes {
+	own := crashcause.NewWatcher(crashTransport{c, instance})
+	for _, other := range c.others(instance) {
+		own.Merge(other.Evidence())
+	}
+	c.mu.Lock()
+	c.all[instance] = own
+	c.mu.Unlock()
+	go own.Run(c.Context())
+	return own
+}
+
+// cutOff cuts an instance off from the others.
+func (c *crashes) cutOff(instance string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lost[instance] = true
+}
+
+// others returns the instances that one reaches.
+func (c *crashes) others(instance string) []*crashcause.Watcher {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []*crashcause.Watcher
+	for name, other := range c.all {
+		if name != instance && !c.lost[name] && !c.lost[instance] {
+			out = append(out, other)
+		}
+	}
+	return out
+}
+
+type crashTransport struct {
+	*crashes
+
+	instance string
+}
+
+func (t crashTransport) Tell(e crashcause.Evidence) {
+	for _, other := range t.others(t.instance) {
+		time.AfterFunc(evidenceDelay, func() { other.Merge(e) })
+	}
+}
+
+func (t crashTransport) Ask(_ context.Context, questions []crashcause.Question) (replies []crashcause.Reply) {
+	time.Sleep(evidenceDelay)
+	for _, other := range t.others(t.instance) {
+		replies = append(replies, other.Reply(questions)...)
+	}
+	return replies
+}
+
+// evidenceDelay is the time until other instances know of a crash.
+const evidenceDelay = 5 * time.Millisecond
+
 // memoryListeners connects clients to listeners in memory.
 type memoryListeners struct {
 	mu        sync.Mutex
--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -79,8 +79,7 @@
 		func(s *Settings) *platform.Store { return platform.NewStore(s.Store.Address) },
 		placer.NewCollector,
 		func(c *placer.Collector) edge.Demand { return c },
-		func(p *placer.Placer) edge.Permits { return p },
-		func(p *placer.Placer) edge.Origins { return p },
+		func(p *placer.Placer) edge.Peers { return edge.Peers{Permits: p, Origins: p, Crashes: p} },
 		func(s *Settings) (*telemetry.Tracing, error) {
 			return telemetry.NewTracing(context.Background(), s.Tracing.OTLPURL, s.Tracing.SampleRatio, s.Instance.Name, s.Instance.Zone)
 		},
@@ -101,11 +100,11 @@
 	return instance, nil
 }
 
-func newEdge(s *Settings, views *edge.Views, servers *platform.Servers, demand edge.Demand, permits edge.Permits, origins edge.Origins, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *edge.Edge {
+func newEdge(s *Settings, views *edge.Views, servers *platform.Servers, demand edge.Demand, peers edge.Peers, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *edge.Edge {
 	return edge.New(edge.Config{
 		Name: s.Instance.Name, Zone: s.Instance.Zone, RetryRatio: s.Retries.Ratio, RetryWindow: s.Retries.Window.D(),
 		RetryExtra: s.Retries.Extra, Instances: s.Retries.Instances,
-	}, views, servers, demand, permits, origins, logger, registry, tracer)
+	}, views, servers, demand, peers, logger, registry, tracer)
 }
 
 func newPlacer(s *Settings, store *platform.Store, views *edge.Views, c *placer.Collector, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *placer.Placer {
--- /dev/null
+++ b/internal/placer/crashes.go
@@ -0,0 +1,271 @@
+package placer
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/crashcause"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
+)
+
+const (
+	// crashBatchDelay is the time for which evidence is collected before it is sent.
+	crashBatchDelay = 2 * time.Millisecond
+	// crashTimeout limits a call that tells of crashes, and answersTimeout one that asks for
+	// answers. The called instance may be gone.
+	crashTimeout   = 300 * time.Millisecond
+	answersTimeout = 100 * time.Millisecond
+	// crashRetryDelay is the delay before evidence that a peer hasn't received is sent again, and
+	// crashRetries how often it is.
+	crashRetryDelay = 500 * time.Millisecond
+	crashRetries    = 20
+	// crashReadInterval is the interval at which a new instance reads from its peers until one
+	// answers.
+	crashReadInterval = 200 * time.Millisecond
+)
+
+// crashTransport exchanges evidence about crashes with the other instances.
+type crashTransport struct {
+	placer *Placer
+
+	mu sync.Mutex
+	// pending is the evidence to send, by the address of the instance.
+	pending map[string]crashcause.Evidence
+	changed chan struct{}
+}
+
+func newCrashTransport(p *Placer) *crashTransport {
+	return &crashTransport{placer: p, pending: map[string]crashcause.Evidence{}, changed: make(chan struct{}, 1)}
+}
+
+// Tell sends evidence to all other instances. There is some only while servers crash.
+func (t *crashTransport) Tell(e crashcause.Evidence) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, address := range t.placer.otherInstances() {
+		t.pending[address] = t.pending[address].Append(e)
+	}
+	signal(t.changed)
+}
+
+// send sends the pending evidence until ctx ends.
+func (t *crashTransport) send(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.changed:
+		}
+		pause.For(ctx, crashBatchDelay)
+		t.mu.Lock()
+		batches := t.pending
+		t.pending = map[string]crashcause.Evidence{}
+		t.mu.Unlock()
+		for address, batch := range batches {
+			go t.sendTo(ctx, address, batch)
+		}
+	}
+}
+
+// sendTo sends evidence to an instance until it is received or the instance is gone.
+func (t *crashTransport) sendTo(ctx context.Context, address string, e crashcause.Evidence) {
+	for range crashRetries {
+		err := t.sendOnce(ctx, address, e)
+		if err == nil {
+			return
+		}
+		t.placer.log.Debug().Err(err).Str("peer", address).Int("crashes", len(e.Crashes)).Msg("crashes_untold")
+		pause.For(ctx, crashRetryDelay)
+		if ctx.Err() != nil || !slices.Contains(t.placer.otherInstances(), address) {
+			return
+		}
+	}
+	t.placer.log.Info().Str("peer", address).Int("crashes", len(e.Crashes)).Int("blocks", len(e.Blocks)).Msg("crashes_given_up")
+}
+
+func (t *crashTransport) sendOnce(ctx context.Context, address string, e crashcause.Evidence) error {
+	ctx, cancel := context.WithTimeout(ctx, crashTimeout)
+	defer cancel()
+	_, err := t.client(address).TellCrashes(ctx, encodeEvidence(e, time.Now()))
+	return err
+}
+
+func (t *crashTransport) client(address string) placerpb.DRPCPlacerClient {
+	return placerpb.NewDRPCPlacerClient(t.placer.peers.Conn(address))
+}
+
+// Ask asks all other instances for their answers, and returns the replies that come in time.
+func (t *crashTransport) Ask(ctx context.Context, questions []crashcause.Question) []crashcause.Reply {
+	ctx, cancel := context.WithTimeout(ctx, answersTimeout)
+	defer cancel()
+	others := t.placer.otherInstances()
+	replies := make(chan []crashcause.Reply, len(others))
+	for _, address := range others {
+		go func() {
+			got, err := t.client(address).AskAnswers(ctx, encodeQuestions(questions, time.Now()))
+			if err != nil {
+				t.placer.log.Debug().Err(err).Str("peer", address).Msg("answers_unknown")
+			}
+			replies <- decodeReplies(got, time.Now())
+		}()
+	}
+	var all []crashcause.Reply
+	for range others {
+		all = append(all, <-replies...)
+	}
+	return all
+}
+
+// readAll reads, after the start of this instance, what one of the others knows.
+func (t *crashTransport) readAll(ctx context.Context) {
+	for pause.For(ctx, crashReadInterval) {
+		if t.placer.peerAddresses.Load() == nil {
+			continue
+		}
+		others := t.placer.otherInstances()
+		if len(others) == 0 {
+			return
+		}
+		address := others[rand.IntN(len(others))]
+		evidence, err := t.readFrom(ctx, address)
+		if err == nil {
+			t.placer.Merge(decodeEvidence(evidence, time.Now()))
+			return
+		}
+		t.placer.log.Debug().Err(err).Str("peer", address).Msg("crashes_unread")
+	}
+}
+
+func (t *crashTransport) readFrom(ctx context.Context, address string) (*placerpb.CrashEvidence, error) {
+	ctx, cancel := context.WithTimeout(ctx, crashTimeout)
+	defer cancel()
+	return t.client(address).ReadCrashes(ctx, &placerpb.CrashQuery{})
+}
+
+// otherInstances returns the addresses of the other instances, as far as known.
+func (p *Placer) otherInstances() []string {
+	peers := p.peerAddresses.Load()
+	if peers == nil {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(*peers), func(address string) bool { return address == p.address })
+}
+
+// TellCrashes handles the call of another instance.
+func (s *service) TellCrashes(_ context.Context, r *placerpb.CrashEvidence) (*placerpb.CrashesTold, error) {
+	s.placer.Merge(decodeEvidence(r, time.Now()))
+	return &placerpb.CrashesTold{}, nil
+}
+
+// AskAnswers handles the call of another instance.
+func (s *service) AskAnswers(_ context.Context, r *placerpb.AnswerQuestions) (*placerpb.AnswerReplies, error) {
+	now := time.Now()
+	return encodeReplies(s.placer.Reply(decodeQuestions(r, now)), now), nil
+}
+
+// ReadCrashes handles the call of another instance.
+func (s *service) ReadCrashes(context.Context, *placerpb.CrashQuery) (*placerpb.CrashEvidence, error) {
+	return encodeEvidence(s.placer.Evidence(), time.Now()), nil
+}
+
+func encodeEvidence(e crashcause.Evidence, now time.Time) *placerpb.CrashEvidence {
+	out := &placerpb.CrashEvidence{}
+	for _, c := range e.Crashes {
+		crash := &placerpb.ServerCrash{Server: c.Server.ID, Born: c.Server.StartedAt, AgeUs: ageUs(c.At, now)}
+		for _, prompt := range c.Prompts {
+			crash.Prompts = append(crash.Prompts, &placerpb.Prompt{Parts: prompt})
+		}
+		out.Crashes = append(out.Crashes, crash)
+	}
+	for _, b := range e.Blocks {
+		out.Blocks = append(out.Blocks, &placerpb.BlockedPart{
+			Part: b.Part, RemainingUs: uint64(max(b.Until.Sub(now), 0).Microseconds()), Blocks: uint32(b.Blocks), Crashes: uint32(b.Crashes),
+			LastCrashAgeUs: ageUs(b.LastCrash, now),
+		})
+	}
+	for _, a := range e.Answers {
+		out.Answers = append(out.Answers, &placerpb.AnsweredPart{Part: a.Part, AgeUs: ageUs(a.At, now)})
+	}
+	return out
+}
+
+func decodeEvidence(e *placerpb.CrashEvidence, now time.Time) crashcause.Evidence {
+	var out crashcause.Evidence
+	for _, c := range e.Crashes {
+		crash := crashcause.Crash{Server: crashcause.Server{ID: c.Server, StartedAt: c.Born}, At: before(now, c.AgeUs)}
+		for _, prompt := range c.Prompts {
+			crash.Prompts = append(crash.Prompts, prompt.Parts)
+		}
+		out.Crashes = append(out.Crashes, crash)
+	}
+	for _, b := range e.Blocks {
+		out.Blocks = append(out.Blocks, crashcause.Block{
+			Part: b.Part, Until: now.Add(microseconds(b.RemainingUs)), Blocks: int(min(b.Blocks, maxBlockCount)), Crashes: int(b.Crashes),
+			LastCrash: before(now, b.LastCrashAgeUs),
+		})
+	}
+	for _, a := range e.Answers {
+		out.Answers = append(out.Answers, crashcause.Answer{Part: a.Part, At: before(now, a.AgeUs)})
+	}
+	return out
+}
+
+func encodeQuestions(questions []crashcause.Question, now time.Time) *placerpb.AnswerQuestions {
+	out := &placerpb.AnswerQuestions{}
+	for _, q := range questions {
+		out.Questions = append(out.Questions, &placerpb.AnswerQuestion{Part: q.Part, AgeUs: ageUs(q.Since, now)})
+	}
+	return out
+}
+
+func decodeQuestions(r *placerpb.AnswerQuestions, now time.Time) []crashcause.Question {
+	out := make([]crashcause.Question, 0, len(r.Questions))
+	for _, q := range r.Questions {
+		out = append(out, crashcause.Question{Part: q.Part, Since: before(now, q.AgeUs)})
+	}
+	return out
+}
+
+func encodeReplies(replies []crashcause.Reply, now time.Time) *placerpb.AnswerReplies {
+	out := &placerpb.AnswerReplies{}
+	for _, r := range replies {
+		reply := &placerpb.AnswerReply{Part: r.Part, Answers: uint64(max(r.Answers, 0)), Answered: !r.AnsweredAt.IsZero()}
+		if reply.Answered {
+			reply.AgeUs = ageUs(r.AnsweredAt, now)
+		}
+		out.Replies = append(out.Replies, reply)
+	}
+	return out
+}
+
+func decodeReplies(r *placerpb.AnswerReplies, now time.Time) []crashcause.Reply {
+	out := make([]crashcause.Reply, 0, len(r.GetReplies()))
+	for _, reply := range r.GetReplies() {
+		decoded := crashcause.Reply{Part: reply.Part, Answers: int64(min(reply.Answers, math.MaxInt32))}
+		if reply.Answered {
+			decoded.AnsweredAt = before(now, reply.AgeUs)
+		}
+		out = append(out, decoded)
+	}
+	return out
+}
+
+const (
+	// maxEvidenceAge bounds the times in evidence, and maxBlockCount the counts of blocks, which
+	// a faulty peer could exaggerate.
+	maxEvidenceAge = 24 * time.Hour
+	maxBlockCount  = 1 << 8
+)
+
+func ageUs(at, now time.Time) uint64 { return uint64(max(now.Sub(at), 0).Microseconds()) }
+
+func before(now time.Time, ageUs uint64) time.Time { return now.Add(-microseconds(ageUs)) }
+
+func microseconds(us uint64) time.Duration {
+	return time.Duration(min(us, uint64(maxEvidenceAge.Microseconds()))) * time.Microsecond
+}
--- a/internal/placer/origins.go
+++ b/internal/placer/origins.go
@@ -55,17 +55,7 @@
 
 // originKeepers returns the addresses of the other instances that keep the origin of a stream.
 func (p *Placer) originKeepers(stream string, n int) []string {
-	peers := p.peerAddresses.Load()
-	if peers == nil {
-		return nil
-	}
-	others := make([]string, 0, len(*peers))
-	for _, address := range *peers {
-		if address != p.address {
-			others = append(others, address)
-		}
-	}
-	return streamorigin.Keepers(stream, others, n)
+	return streamorigin.Keepers(stream, p.otherInstances(), n)
 }
 
 // sendOrigins sends the announced origins until ctx ends.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -19,6 +19,7 @@
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/crashcause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/demand"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/leaderlease"
@@ -58,8 +59,11 @@
 	Fenced bool
 }
 
-// Placer is an instance's part in the placement of models.
+// Placer is an instance's part in the placement of models, and in what else the instances know
+// together.
 type Placer struct {
+	*crashcause.Watcher
+
 	name      string
 	address   string
 	elector   *elector
@@ -67,6 +71,7 @@
 	collector *Collector
 	permits   *permitIssuer
 	origins   *origins
+	crashes   *crashTransport
 	views     *edge.Views
 	peers     *peer.Client
 	log       *log.Logger
@@ -86,7 +91,7 @@
 	}, views.Known)
 	permits := newPermitIssuer()
 	dialer := &net.Dialer{Timeout: callTimeout, KeepAliveConfig: peer.KeepAlive()}
-	return &Placer{
+	p := &Placer{
 		name: cfg.Name, address: cfg.Address, elector: e, collector: collector, views: views, log: logger, permits: permits, origins: newOrigins(),
 		peers: peer.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
@@ -98,6 +103,9 @@
 			wake: make(chan struct{}, 1), published: make(chan struct{}),
 		},
 	}
+	p.crashes = newCrashTransport(p)
+	p.Watcher = crashcause.NewWatcher(p.crashes)
+	return p
 }
 
 // Run runs the placer until ctx ends. When stop ends, it releases the lease; after that it
@@ -108,6 +116,9 @@
 	group.Go(func() { p.reportDemand(ctx) })
 	group.Go(func() { p.watch(ctx) })
 	group.Go(func() { p.sendOrigins(ctx) })
+	group.Go(func() { p.crashes.send(ctx) })
+	group.Go(func() { p.crashes.readAll(ctx) })
+	group.Go(func() { p.Watcher.Run(ctx) })
 	group.Go(func() { p.elector.runElection(ctx, stop) })
 	group.Wait()
 }
