Relay connections to servers while an instance doesn't reach them

Clients whose connections were open to an instance that had lost its path to all servers got answers for a third to a half of their first attempts; most waited until their time was used up.

Cause: an instance judges servers one by one and concludes nothing about its own path, and it had no other way to the servers than a path of its own. The class: a partial partition taken for many independent failures.

When connections to several servers fail in a row, the instance tries several more. If none accepts, it asks the other instances which of them reach servers, and opens its connections through these, first through those of its zone. Only the way of the bytes changes: requests, cancellations and the end of answers work as on a direct connection. Framing tells an answer that the server has ended from one that a failing relay cuts off.

--- /dev/null
+++ b/internal/edge/unreachable_test.go
@@ -0,0 +1,238 @@
+package edge_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/relay"
+	"github.com/cyclamenhoist/cyclamenhoist/platform"
+	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
+)
+
+const (
+	// detectedAfter is the time after which an instance that reaches no server is to serve its
+	// clients through others, and servedLikeOthers the least part of the share that they serve.
+	detectedAfter    = 3 * time.Second
+	servedLikeOthers = 2.0 / 3
+	// directDialTimeout is the time after which a connection that hangs is given up.
+	directDialTimeout = 300 * time.Millisecond
+)
+
+// pathState is the state of an instance's network path to the servers.
+type pathState int
+
+const (
+	pathOpen pathState = iota
+	// pathHangs drops the packets of all connections.
+	pathHangs
+	// pathRefuses resets open connections and refuses new ones.
+	pathRefuses
+)
+
+// pathFleet is a set of instances that can lose their paths to the servers.
+type pathFleet struct {
+	*crashFleet
+
+	mu      sync.Mutex
+	paths   map[string]pathState
+	dialers map[string]*relay.Dialer
+}
+
+func newPathFleet(t *testing.T, instances int) *pathFleet {
+	f := &pathFleet{crashFleet: newCrashFleet(t, 0, 12), paths: map[string]pathState{}, dialers: map[string]*relay.Dialer{}}
+	for n := range instances {
+		name := instanceName(n)
+		dialer := f.addRelay(name, fmt.Sprintf("zone-%d", n%3))
+		views := f.newViews(f.manifest)
+		servers := platform.NewServersWithDial(dialer.Dial)
+		dialer.OnCut(servers.CloseAllIdle)
+		f.views = append(f.views, views)
+		f.instances = append(f.instances, f.newInstanceWith(name, views, instances, servers))
+	}
+	for name, dialer := range f.dialers {
+		dialer.SetPeers(func() []string {
+			return slices.DeleteFunc(slices.Collect(maps.Keys(f.dialers)), func(other string) bool { return other == name })
+		})
+	}
+	return f
+}
+
+// addRelay starts the relay of an instance, at its name as the address, and returns its dialer.
+func (f *pathFleet) addRelay(name, zone string) *relay.Dialer {
+	logger := &log.Logger{Level: log.PanicLevel}
+	direct := func(ctx context.Context, network, address string) (net.Conn, error) {
+		return f.dialFrom(ctx, name, network, address)
+	}
+	dialer := relay.NewDialer(relay.DialerConfig{
+		Zone: zone, Dial: direct, DialPeer: f.dial, Log: logger,
+		Servers: func() []string {
+			var addresses []string
+			for _, server := range f.servers {
+				addresses = append(addresses, server.Address)
+			}
+			return addresses
+		},
+	})
+	f.dialers[name] = dialer
+	server := relay.NewServer(relay.ServerConfig{
+		Zone: zone, Dial: direct, IsServer: func(string) bool { return true }, Reaches: dialer.Reaches, Log: logger,
+	})
+	listener := prefixListener{f.listeners.listen(name)}
+	f.Cleanup(func() { _ = listener.Close() })
+	go func() { _ = server.Serve(f.Context(), listener) }()
+	go dialer.Run(f.Context())
+	return dialer
+}
+
+// prefixListener strips the prefix of each connection.
+type prefixListener struct{ net.Listener }
+
+func (l prefixListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	reader := bufio.NewReader(conn)
+	_, err = reader.Discard(len(relay.Prefix))
+	return readConn{conn, reader}, err
+}
+
+type readConn struct {
+	net.Conn
+
+	reader *bufio.Reader
+}
+
+func (c readConn) Read(p []byte) (int, error) { return c.reader.Read(p) }
+
+func (f *pathFleet) path(name string) pathState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.paths[name]
+}
+
+func (f *pathFleet) setPaths(state pathState, instances ...int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range instances {
+		f.paths[instanceName(n)] = state
+	}
+}
+
+func (f *pathFleet) dialFrom(ctx context.Context, name, network, address string) (net.Conn, error) {
+	switch f.path(name) {
+	case pathRefuses:
+		return nil, syscall.ECONNREFUSED
+	case pathHangs:
+		ctx, cancel := context.WithTimeout(ctx, directDialTimeout)
+		defer cancel()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	default:
+	}
+	conn, err := f.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return pathConn{conn, f, name}, nil
+}
+
+// pathConn is a connection over the path of an instance.
+type pathConn struct {
+	net.Conn
+
+	fleet *pathFleet
+	name  string
+}
+
+func (c pathConn) Write(p []byte) (int, error) {
+	switch c.fleet.path(c.name) {
+	case pathHangs:
+		return len(p), nil
+	case pathRefuses:
+		return 0, syscall.ECONNRESET
+	default:
+		return c.Conn.Write(p)
+	}
+}
+
+// TestInstanceWithoutServersServesFewerClients: clients of instances that had lost their network
+// path to the servers were served far less often than those of the others.
+func TestInstanceWithoutServersServesFewerClients(t *testing.T) {
+	for name, c := range map[string]struct {
+		state pathState
+		cut   []int
+	}{
+		"most hang":     {pathHangs, []int{0, 1, 2, 3}},
+		"some hang":     {pathHangs, []int{5}},
+		"most refuse":   {pathRefuses, []int{0, 1, 2, 3}},
+		"a zone refuse": {pathRefuses, []int{0, 3}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				f := newPathFleet(t, 6)
+				cut, others := &outcomes{}, &outcomes{}
+				start := time.Now()
+				time.AfterFunc(2*time.Second, func() { f.setPaths(c.state, c.cut...) })
+				time.AfterFunc(12*time.Second, func() { f.setPaths(pathOpen, c.cut...) })
+				f.sendToAll(15*time.Second, func(n int) *outcomes {
+					if slices.Contains(c.cut, n) {
+						return cut
+					}
+					return others
+				})
+				from, to := start.Add(2*time.Second+detectedAfter), start.Add(12*time.Second)
+				servedByCut, n := cut.share(from, to)
+				servedByOthers, _ := others.share(from, to)
+				assert.Greater(t, n, 20)
+				assert.GreaterOrEqual(t, servedByCut, servedLikeOthers*servedByOthers)
+				for _, n := range c.cut {
+					assert.True(t, f.dialers[instanceName(n)].Reaches(), "the path is used again")
+				}
+			})
+		})
+	}
+}
+
+// sendToAll sends requests to all instances for a time, and records their outcomes.
+func (f *pathFleet) sendToAll(duration time.Duration, record func(instance int) *outcomes) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var group sync.WaitGroup
+	for end, n := time.Now().Add(duration), 0; time.Now().Before(end); n++ {
+		time.Sleep(10 * time.Millisecond)
+		instance := random.IntN(len(f.instances))
+		group.Go(func() {
+			sent := time.Now()
+			header := map[string]string{standin.HeaderModel: "m"}
+			record(instance).add(sent, f.served(f.instances[instance], fmt.Sprint("id", n), header))
+		})
+	}
+	group.Wait()
+}
+
+// An instance without a path refuses at once, as not run, what no other instance can relay.
+func TestNoInstanceReachesTheServers(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := newPathFleet(t, 2)
+		f.setPaths(pathRefuses, 0, 1)
+		f.sendToAll(2*time.Second, func(int) *outcomes { return &outcomes{} })
+		got := f.send(t.Context(), f.instances[0], "id", "/stream/x", map[string]string{standin.HeaderModel: "m"})
+		assert.Equal(t, http.StatusServiceUnavailable, got.Code)
+		f.setPaths(pathOpen, 0, 1)
+		time.Sleep(2 * time.Second)
+		assert.True(t, f.served(f.instances[0], "again", map[string]string{standin.HeaderModel: "m"}))
+	})
+}
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -182,6 +183,22 @@
 	return v.manifest != nil && v.servers != nil
 }
 
+// ServerAddresses returns the addresses of all listed servers.
+func (v *Views) ServerAddresses() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	addresses := make([]string, 0, len(v.servers))
+	for _, server := range v.servers {
+		addresses = append(addresses, server.Address)
+	}
+	return addresses
+}
+
+// IsServer reports whether a listed server has the address.
+func (v *Views) IsServer(address string) bool {
+	return slices.Contains(v.ServerAddresses(), address)
+}
+
 // SetResidency updates the models held by the given servers, as reported by the placer.
 // Residencies older than the current ones are ignored.
 func (v *Views) SetResidency(changed map[fleet.ServerID]Residency) {
--- a/internal/edge/virtual_test.go
+++ b/internal/edge/virtual_test.go
@@ -77,9 +77,14 @@
 
 // newInstance starts an instance.
 func (f *virtualFleet) newInstance(name string, views *edge.Views, instances int) *edge.Edge {
+	return f.newInstanceWith(name, views, instances, platform.NewServersWithDial(f.dial))
+}
+
+// newInstanceWith starts an instance that connects to servers in its own way.
+func (f *virtualFleet) newInstanceWith(name string, views *edge.Views, instances int, servers *platform.Servers) *edge.Edge {
 	views.SetInstances(instances)
 	return edge.New(edge.Config{Name: name, Zone: "zone-a", RetryRatio: 0.2, RetryExtra: 200, RetryWindow: 10 * time.Second, Instances: instances},
-		views, platform.NewServersWithDial(f.dial), noDemand{},
+		views, servers, noDemand{},
 		edge.Peers{Permits: f.permits.of(name), Origins: f.origins.of(name), Crashes: f.crashes.of(name)}, &log.Logger{Level: log.PanicLevel}, metrics.NewRegistry(),
 		noop.NewTracerProvider().Tracer(""))
 }
--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -21,7 +21,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/relay"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/telemetry"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
@@ -42,6 +44,9 @@
 	// clientKeepAlive is the interval of the TCP keep-alive probes that detect
 	// a client that disappeared without closing its connection.
 	clientKeepAlive = 2 * time.Second
+	// relayDialTimeout is the timeout of a connection to an instance that relays. A round trip
+	// within the platform takes a few milliseconds.
+	relayDialTimeout = 300 * time.Millisecond
 	// idleConnInterval is the interval at which expired idle connections to
 	// servers are closed.
 	idleConnInterval = 5 * time.Second
@@ -58,6 +63,8 @@
 	store    *platform.Store
 	servers  *platform.Servers
 	placer   *placer.Placer
+	dialer   *relay.Dialer
+	relay    *relay.Server
 	tracing  *telemetry.Tracing
 
 	// manifests and serverList record whether the store can be read.
@@ -75,7 +82,9 @@
 		},
 		metrics.NewRegistry,
 		edge.NewViews,
-		platform.NewServers,
+		newDialer,
+		newServers,
+		newRelay,
 		func(s *Settings) *platform.Store { return platform.NewStore(s.Store.Address) },
 		placer.NewCollector,
 		func(c *placer.Collector) edge.Demand { return c },
@@ -107,6 +116,26 @@
 	}, views, servers, demand, peers, logger, registry, tracer)
 }
 
+// newDialer connects to servers through other instances if this one has lost its path to them.
+func newDialer(s *Settings, views *edge.Views, logger *log.Logger) *relay.Dialer {
+	peers := &net.Dialer{Timeout: relayDialTimeout, KeepAliveConfig: peer.KeepAlive()}
+	return relay.NewDialer(relay.DialerConfig{
+		Zone: s.Instance.Zone, Dial: platform.DialServer, DialPeer: peers.DialContext, Servers: views.ServerAddresses, Log: logger,
+	})
+}
+
+func newServers(dialer *relay.Dialer) *platform.Servers {
+	servers := platform.NewServersWithDial(dialer.Dial)
+	dialer.OnCut(servers.CloseAllIdle)
+	return servers
+}
+
+func newRelay(s *Settings, views *edge.Views, dialer *relay.Dialer, logger *log.Logger) *relay.Server {
+	return relay.NewServer(relay.ServerConfig{
+		Zone: s.Instance.Zone, Dial: platform.DialServer, IsServer: views.IsServer, Reaches: dialer.Reaches, Log: logger,
+	})
+}
+
 func newPlacer(s *Settings, store *platform.Store, views *edge.Views, c *placer.Collector, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *placer.Placer {
 	return placer.New(placer.Config{
 		Name: s.Instance.Name, Address: s.Peers.Address,
@@ -125,13 +154,16 @@
 	Store    *platform.Store
 	Servers  *platform.Servers
 	Placer   *placer.Placer
+	Dialer   *relay.Dialer
+	Relay    *relay.Server
 	Tracing  *telemetry.Tracing
 }
 
 func newInstance(p instanceParams) *Instance {
+	p.Dialer.SetPeers(p.Placer.OtherInstances)
 	return &Instance{
 		settings: p.Settings, log: p.Log, registry: p.Registry, views: p.Views, edge: p.Edge,
-		store: p.Store, servers: p.Servers, placer: p.Placer, tracing: p.Tracing,
+		store: p.Store, servers: p.Servers, placer: p.Placer, dialer: p.Dialer, relay: p.Relay, tracing: p.Tracing,
 		manifests:  &dependency{log: p.Log, name: "published manifests"},
 		serverList: &dependency{log: p.Log, name: "server list"},
 	}
@@ -243,10 +275,12 @@
 	i.log.Info().Int64("requests", i.edge.InFlight()).Msg("draining")
 	grace, cancel := context.WithTimeout(ctx, i.settings.Shutdown.Grace.D()-exitReserve)
 	defer cancel()
+	i.relay.Refuse()
 	now := time.Now()
 	i.edge.Drain(now.Add(drainAcceptTime), now.Add(i.settings.Shutdown.Grace.D()-drainExecutionReserve))
 	pause.For(grace, drainDelay)
 	if err := front.Shutdown(grace); err != nil {
 		i.log.Warn().Err(err).Int64("requests", i.edge.InFlight()).Msg("drain_cut_short")
 	}
+	i.relay.Wait(grace)
 }
--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -9,9 +9,11 @@
 	"github.com/go-faster/errors"
 	"github.com/phuslu/log"
 	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmigrate"
 	"storj.io/drpc/drpcmux"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/relay"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
@@ -26,6 +28,7 @@
 	group.Go(func() error { i.watchSettings(ctx); return nil })
 	group.Go(func() error { return i.servePeers(ctx) })
 	group.Go(func() error { i.placer.Run(ctx, stop); return nil })
+	group.Go(func() error { i.dialer.Run(ctx); return nil })
 	group.Go(func() error {
 		for ctx.Err() == nil {
 			pause.For(ctx, idleConnInterval)
@@ -45,7 +48,18 @@
 	if err != nil {
 		return errors.Join(ErrListen, err)
 	}
-	return peer.ServeMux(ctx, listener, mux, i.tracing.Tracer, i.log)
+	protocols := drpcmigrate.NewListenMux(listener, len(relay.Prefix))
+	relayed := protocols.Route(relay.Prefix)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		if err := protocols.Run(ctx); err != nil && ctx.Err() == nil {
+			return errors.Join(ErrListen, err)
+		}
+		return nil
+	})
+	group.Go(func() error { return i.relay.Serve(ctx, relayed) })
+	group.Go(func() error { return peer.ServeMux(ctx, protocols.Default(), mux, i.tracing.Tracer, i.log) })
+	return group.Wait()
 }
 
 // dependency tracks whether an external dependency is available, and logs when
--- a/internal/placer/crashes.go
+++ b/internal/placer/crashes.go
@@ -47,7 +47,7 @@
 func (t *crashTransport) Tell(e crashcause.Evidence) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, address := range t.placer.otherInstances() {
+	for _, address := range t.placer.OtherInstances() {
 		t.pending[address] = t.pending[address].Append(e)
 	}
 	signal(t.changed)
@@ -81,7 +81,7 @@
 		}
 		t.placer.log.Debug().Err(err).Str("peer", address).Int("crashes", len(e.Crashes)).Msg("crashes_untold")
 		pause.For(ctx, crashRetryDelay)
-		if ctx.Err() != nil || !slices.Contains(t.placer.otherInstances(), address) {
+		if ctx.Err() != nil || !slices.Contains(t.placer.OtherInstances(), address) {
 			return
 		}
 	}
@@ -103,7 +103,7 @@
 func (t *crashTransport) Ask(ctx context.Context, questions []crashcause.Question) []crashcause.Reply {
 	ctx, cancel := context.WithTimeout(ctx, answersTimeout)
 	defer cancel()
-	others := t.placer.otherInstances()
+	others := t.placer.OtherInstances()
 	replies := make(chan []crashcause.Reply, len(others))
 	for _, address := range others {
 		go func() {
@@ -127,7 +127,7 @@
 		if t.placer.peerAddresses.Load() == nil {
 			continue
 		}
-		others := t.placer.otherInstances()
+		others := t.placer.OtherInstances()
 		if len(others) == 0 {
 			return
 		}
@@ -147,8 +147,8 @@
 	return t.client(address).ReadCrashes(ctx, &placerpb.CrashQuery{})
 }
 
-// otherInstances returns the addresses of the other instances, as far as known.
-func (p *Placer) otherInstances() []string {
+// OtherInstances returns the addresses of the other instances, as far as known.
+func (p *Placer) OtherInstances() []string {
 	peers := p.peerAddresses.Load()
 	if peers == nil {
 		return nil
--- a/internal/placer/crashes_test.go
+++ b/internal/placer/crashes_test.go
@@ -20,7 +20,7 @@
 		all = append(all, c.start(fmt.Sprint("i", n)))
 	}
 	for _, i := range all {
-		c.eventually("the instances know each other", func() bool { return len(i.otherInstances()) == len(all)-1 })
+		c.eventually("the instances know each other", func() bool { return len(i.OtherInstances()) == len(all)-1 })
 	}
 	started := time.Now()
 	for n, i := range all {
--- a/internal/placer/origins.go
+++ b/internal/placer/origins.go
@@ -55,7 +55,7 @@
 
 // originKeepers returns the addresses of the other instances that keep the origin of a stream.
 func (p *Placer) originKeepers(stream string, n int) []string {
-	return streamorigin.Keepers(stream, p.otherInstances(), n)
+	return streamorigin.Keepers(stream, p.OtherInstances(), n)
 }
 
 // sendOrigins sends the announced origins until ctx ends.
--- /dev/null
+++ b/internal/relay/server.go
@@ -0,0 +1,142 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/phuslu/log"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
+)
+
+const (
+	// requestTimeout limits the first line of a connection.
+	requestTimeout = 2 * time.Second
+	// endTimeout is how long a client has to close its connection after the server has.
+	endTimeout = 2 * time.Second
+	// drainCheckInterval is how often Wait checks whether the relayed connections have ended.
+	drainCheckInterval = 50 * time.Millisecond
+)
+
+// ServerConfig configures a Server.
+type ServerConfig struct {
+	// Zone is the availability zone of the instance.
+	Zone string
+	// Dial opens a connection to a server directly.
+	Dial DialFunc
+	// IsServer reports whether an address is that of a listed server.
+	IsServer func(address string) bool
+	// Reaches reports whether this instance reaches the servers.
+	Reaches func() bool
+	Log     *log.Logger
+}
+
+// Server relays connections of other instances to servers.
+type Server struct {
+	cfg      ServerConfig
+	open     atomic.Int64
+	draining atomic.Bool
+}
+
+// NewServer returns a Server.
+func NewServer(cfg ServerConfig) *Server { return &Server{cfg: cfg} }
+
+// Serve handles the connections of a listener, which strips Prefix, until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	for {
+		conn, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "accept relayed connection")
+		}
+		go s.handle(ctx, conn)
+	}
+}
+
+// Refuse refuses further connections, because the instance is about to stop.
+func (s *Server) Refuse() { s.draining.Store(true) }
+
+// Wait waits until the open connections have ended or ctx ends.
+func (s *Server) Wait(ctx context.Context) {
+	for s.open.Load() > 0 && pause.For(ctx, drainCheckInterval) {
+	}
+}
+
+func (s *Server) handle(ctx context.Context, client net.Conn) {
+	// The reply is delivered before the connection is closed.
+	defer func() { _ = client.Close() }()
+	stop := context.AfterFunc(ctx, func() { reset(client) })
+	defer stop()
+	reader := bufio.NewReader(client)
+	var address string
+	err := withTimeout(client, requestTimeout, func() error {
+		var err error
+		address, err = readLine(reader)
+		return err
+	})
+	if err != nil {
+		s.cfg.Log.Debug().Err(err).Msg("relay_request_unread")
+		return
+	}
+	server, result := s.connect(ctx, address)
+	if server != nil {
+		s.open.Add(1)
+		defer s.open.Add(-1)
+		defer reset(server)
+	}
+	if _, err := client.Write([]byte(string(result) + s.cfg.Zone + "\n")); err != nil || server == nil {
+		return
+	}
+	s.relay(client, reader, server)
+	reset(client)
+}
+
+// connect connects to a server. The connection is nil if the request only asks for the status.
+func (s *Server) connect(ctx context.Context, address string) (net.Conn, status) {
+	switch {
+	case s.draining.Load() || !s.cfg.Reaches():
+		return nil, statusUnreachable
+	case address == "":
+		return nil, statusConnected
+	case !s.cfg.IsServer(address):
+		return nil, statusUnknown
+	}
+	server, err := s.cfg.Dial(ctx, "tcp", address)
+	switch {
+	case err == nil:
+		return server, statusConnected
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, statusRefused
+	default:
+		s.cfg.Log.Debug().Err(err).Str("address", address).Msg("relay_dial_failed")
+		return nil, statusFailed
+	}
+}
+
+// relay copies both ways until either end closes its connection.
+func (s *Server) relay(client net.Conn, fromClient io.Reader, server net.Conn) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		// An error means that the client has reset its connection, or that either is broken.
+		_, _ = io.Copy(server, fromClient)
+		reset(server)
+		reset(client)
+	}()
+	if err := copyFrames(client, server); err != nil {
+		return
+	}
+	// A reset would discard what the client hasn't read yet, so it closes the connection first.
+	_ = client.SetReadDeadline(time.Now().Add(endTimeout))
+	<-ended
+}
