Hand the lease over when its holder doesn't reach the servers

No model was loaded while the holder of the lease had lost its path to the servers: it kept renewing the lease through the store.

Such a holder now releases the lease, and an instance without a path doesn't claim it. Orders aren't relayed: servers tell holders apart by the machine that an order comes from. The test failed before: the second instance never took over.

--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -136,10 +136,11 @@
 	})
 }
 
-func newPlacer(s *Settings, store *platform.Store, views *edge.Views, c *placer.Collector, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *placer.Placer {
+func newPlacer(s *Settings, store *platform.Store, views *edge.Views, c *placer.Collector, dialer *relay.Dialer, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *placer.Placer {
 	return placer.New(placer.Config{
 		Name: s.Instance.Name, Address: s.Peers.Address,
 		Lease: s.Placing.Lease.D(), Fenced: s.Placing.ServersCheckEpochs,
+		ReachesServers: dialer.Reaches,
 	}, store, views, c, logger, registry, tracer)
 }
 
--- a/internal/placer/elector.go
+++ b/internal/placer/elector.go
@@ -46,8 +46,9 @@
 	store *platform.Store
 	log   *log.Logger
 	self  leaderlease.Record
-	// eligible reports whether this instance should claim the lease.
-	eligible func() bool
+	// known reports whether this instance knows the servers, and reaches whether it reaches them.
+	// Otherwise another instance should hold the lease.
+	known, reaches func() bool
 
 	mu    sync.Mutex
 	state *leaderlease.State
@@ -59,9 +60,9 @@
 	changed chan struct{}
 }
 
-func newElector(store *platform.Store, logger *log.Logger, cfg leaderlease.Config, eligible func() bool) *elector {
+func newElector(store *platform.Store, logger *log.Logger, cfg leaderlease.Config, known, reaches func() bool) *elector {
 	return &elector{
-		store: store, log: logger, self: cfg.Self, eligible: eligible,
+		store: store, log: logger, self: cfg.Self, known: known, reaches: reaches,
 		state: leaderlease.New(cfg), changed: make(chan struct{}, 1), readNow: make(chan struct{}, 1),
 	}
 }
@@ -82,8 +83,14 @@
 		if e.read {
 			wait = e.state.NextAppend(rank) - sinceBoot()
 		}
-		due := e.read && wait <= 0 && (e.state.IsHolder() || e.eligible())
+		reaches := e.reaches()
+		due := e.read && wait <= 0 && reaches && (e.state.IsHolder() || e.known())
+		cut := e.state.IsHolder() && !reaches
 		e.mu.Unlock()
+		if cut {
+			e.log.Warn().Msg("tenure_released_unreachable_servers")
+			e.release(stop)
+		}
 		if due {
 			if err := e.append(ctx, false); err != nil {
 				pause.Until(stop, e.changed, appendRetryInterval)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -57,6 +57,9 @@
 	Lease         time.Duration
 	// Fenced means that servers reject orders with an older epoch.
 	Fenced bool
+	// ReachesServers reports whether this instance reaches the servers. While it doesn't, another
+	// instance should place models.
+	ReachesServers func() bool
 }
 
 // Placer is an instance's part in the placement of models, and in what else the instances know
@@ -88,7 +91,7 @@
 	e := newElector(store, logger, leaderlease.Config{
 		Self:          leaderlease.Record{Holder: cfg.Name, Incarnation: uuid.NewString(), Address: cfg.Address},
 		LeaseDuration: cfg.Lease, Fenced: cfg.Fenced,
-	}, views.Known)
+	}, views.Known, cfg.ReachesServers)
 	permits := newPermitIssuer()
 	dialer := &net.Dialer{Timeout: callTimeout, KeepAliveConfig: peer.KeepAlive()}
 	p := &Placer{
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"net"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,8 +57,9 @@
 type instance struct {
 	*Placer
 
-	views     *edge.Views
-	collector *Collector
+	views          *edge.Views
+	collector      *Collector
+	reachesServers atomic.Bool
 	// stop ends the instance gracefully, and end at once.
 	stop, end func()
 }
@@ -71,7 +73,10 @@
 	i := &instance{views: edge.NewViews(), collector: NewCollector()}
 	logger := &log.Logger{Level: log.PanicLevel}
 	tracer := noop.NewTracerProvider().Tracer("")
-	i.Placer = New(Config{Name: name, Address: listener.Addr().String(), Lease: 400 * time.Millisecond, Fenced: true},
+	i.reachesServers.Store(true)
+	i.Placer = New(Config{
+		Name: name, Address: listener.Addr().String(), Lease: 400 * time.Millisecond, Fenced: true, ReachesServers: i.reachesServers.Load,
+	},
 		platform.NewStore(store.Address()), i.views, i.collector, logger, metrics.NewRegistry(), tracer)
 	servers := map[fleet.ServerID]*fleet.Server{}
 	for n, s := range c.servers {
@@ -175,6 +180,26 @@
 	assert.Zero(t, c.servers[0].LoadsOverCapacity())
 }
 
+// TestHolderWithoutServersPlacesNothing: a holder that had lost its path to the servers kept the
+// lease, so that no model was loaded until it had the path again.
+func TestHolderWithoutServersPlacesNothing(t *testing.T) {
+	c := newCluster(t, []string{"a", "b"}, standin.ServerConfig{ID: "s0", OnDisk: []string{"a", "b"}})
+	first := c.start("i0")
+	c.eventually("the first holds the lease", first.elector.isHolder)
+	second := c.start("i1")
+	defer second.collector.Wait(wantModel("a"))()
+	c.eventually("the first loads for the second", func() bool { return c.holds(0, "a") })
+	first.reachesServers.Store(false)
+	c.eventually("the second takes over", second.elector.isHolder)
+	defer first.collector.Wait(wantModel("b"))()
+	c.eventually("the second loads for the first", func() bool { return c.holds(0, "b") })
+	second.reachesServers.Store(false)
+	c.eventually("none holds the lease", func() bool { return !second.elector.isHolder() && !first.elector.isHolder() })
+	first.reachesServers.Store(true)
+	c.eventually("the first takes over again", first.elector.isHolder)
+	assert.Zero(t, c.servers[0].LoadsOverCapacity())
+}
+
 // An instance that the store rejects learns from a peer which instance is the holder, and has
 // its models loaded there.
 func TestLeaseIsReceivedFromPeers(t *testing.T) {
