Forward long answers whole instead of their first 16 MiB

A caller whose answer was longer than 16 MiB got the first 16 MiB, with that length, as the whole answer. forwardBuffered read through a reader that ends at the limit, and took its end for the end of the answer.

An answer of up to 1 MiB is still buffered, so that another server can be asked if it breaks off. A longer one is forwarded as it arrives, and the client's connection is broken off if the server's is; a body without end lasts until the request's time is over and takes no memory.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -26,8 +26,11 @@
 	// stallTimeoutGaps is how long a stream can stall before it is resumed at another
 	// server, in multiples of the route's objective for the gap between events.
 	stallTimeoutGaps = 2
-	// maxAnswerBytes is the maximum size of a buffered answer.
-	maxAnswerBytes = 16 << 20
+	// bufferedAnswerBytes is the size up to which an answer is buffered. A longer one is forwarded
+	// as it arrives.
+	bufferedAnswerBytes = 1 << 20
+	// copyBufferBytes is the size of the parts in which a longer one is forwarded.
+	copyBufferBytes = 32 << 10
 )
 
 // runUnlessBlocked runs the request. It is refused, or canceled by block, if a part of its prompt
@@ -150,7 +153,7 @@
 	if q.runs == 0 {
 		return outcome{}, true
 	}
-	if !q.route.Idempotent() || q.runs >= q.route.MaxAttempts {
+	if q.partForwarded || !q.route.Idempotent() || q.runs >= q.route.MaxAttempts {
 		return q.accountForRuns(refused(reasonLost, 0)), false
 	}
 	return outcome{}, true
@@ -335,19 +338,31 @@
 }
 
 // forwardBuffered reads the whole answer before it writes any of it to the client, so
-// that a truncated answer can still be requested from another server.
+// that a truncated answer can still be requested from another server. This isn't possible
+// with an answer that is too long to be buffered.
 func (q *request) forwardBuffered(answer *platform.Answer) retry.Fault {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
-	answer.Close(err == nil)
+	body, err := io.ReadAll(io.LimitReader(answer.Body, bufferedAnswerBytes+1))
+	long := len(body) > bufferedAnswerBytes
+	if err != nil || !long {
+		answer.Close(err == nil)
+	}
 	if err != nil {
 		return retry.FaultAfterFirstByte
 	}
 	serverFailed := answer.Status >= http.StatusInternalServerError
-	if serverFailed && q.repeatAfterError() {
+	switch {
+	case serverFailed && q.repeatAfterError():
+		if long {
+			answer.Close(false)
+		}
 		return retry.FaultServerError
-	}
-	if q.headWritten {
+	case q.headWritten:
+		if long {
+			answer.Close(false)
+		}
 		return retry.FaultAfterFirstByte // an error cannot follow the events already sent
+	case long:
+		return q.forwardLong(answer, body)
 	}
 	q.writeHead(answer, len(body))
 	// The HTTP server handles a disconnected client, so the error is ignored.
@@ -355,6 +370,41 @@
 	return retry.FaultNone
 }
 
+// forwardLong forwards an answer of which a part has been read. If it breaks off, so does the
+// client's connection.
+func (q *request) forwardLong(answer *platform.Answer, begin []byte) retry.Fault {
+	q.partForwarded = true
+	q.writeHead(answer, -1)
+	fromServer := &trackedReader{Reader: answer.Body}
+	_, err := q.w.Write(begin)
+	if err == nil {
+		_, err = io.CopyBuffer(writerOnly{q.w}, fromServer, make([]byte, copyBufferBytes))
+	}
+	answer.Close(err == nil)
+	if fromServer.failed {
+		return retry.FaultAfterFirstByte
+	}
+	// The HTTP server handles a disconnected client.
+	return retry.FaultNone
+}
+
+// trackedReader remembers whether reading has failed.
+type trackedReader struct {
+	io.Reader
+
+	failed bool
+}
+
+// Read implements io.Reader.
+func (r *trackedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.failed = r.failed || err != nil && !errors.Is(err, io.EOF)
+	return n, err
+}
+
+// writerOnly hides the other methods of a writer, so that copies to it use their own buffer.
+type writerOnly struct{ io.Writer }
+
 // repeatAfterError reports whether the request is retried on another server after a
 // server error.
 func (q *request) repeatAfterError() bool {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -77,7 +77,10 @@
 	// headWritten means that status and headers of an answer have been sent to the
 	// client.
 	headWritten bool
-	progress    progress
+	// partForwarded means that the client has a part of an answer that can't be continued by
+	// another server.
+	partForwarded bool
+	progress      progress
 }
 
 // ServeHTTP serves one client request.
