--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -44,6 +44,9 @@
 	// clientKeepAlive is the interval of the TCP keep-alive probes that detect
 	// a client that disappeared without closing its connection.
 	clientKeepAlive = 2 * time.Second
+	// clientKeepAliveProbes is the number of unanswered probes after which a client's connection
+	// is given up, unless a TCP_USER_TIMEOUT is set.
+	clientKeepAliveProbes = 2
 	// relayDialTimeout is the timeout of a connection to an instance that relays. A round trip
 	// within the platform takes a few milliseconds.
 	relayDialTimeout = 300 * time.Millisecond
@@ -225,10 +228,7 @@
 // serve runs one HTTP server until ctx ends.
 func (i *Instance) serve(ctx context.Context, group *errgroup.Group, address string, server *http.Server) {
 	group.Go(func() error {
-		listen := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: clientKeepAlive, Interval: clientKeepAlive, Count: 2,
-		}}
-		listener, err := listen.Listen(ctx, "tcp", address)
+		listener, err := listenForClients(ctx, address)
 		if err != nil {
 			return errors.Join(ErrListen, err)
 		}
@@ -241,6 +241,13 @@
 	})
 }
 
+func listenForClients(ctx context.Context, address string) (net.Listener, error) {
+	listen := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: clientKeepAlive, Interval: clientKeepAlive, Count: clientKeepAliveProbes,
+	}}
+	return listen.Listen(ctx, "tcp", address)
+}
+
 func (i *Instance) readinessHandler(stop context.Context) http.Handler {
 	router := chi.NewRouter()
 	router.Get(platform.PathReadiness, func(w http.ResponseWriter, _ *http.Request) {
