Pace requests to servers that say that they are brittle

Nothing read Server-Brittle, and requests to plain services join a server's queue, so that under load brittle servers reject many and fall over, one after the other.

While a server says that it is brittle, an instance sends to it at a pace that begins at a third of its part of the server's capacity, falls with each rejection and rises so slowly that all instances together cause fewer rejections than the server bears; and only while fewer requests are known to be there than it has slots. Requests that can't get a turn in time are refused at once.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -223,6 +223,9 @@
 		fault = retry.FaultTimeout
 	}
 	q.recordHealth(b, fault, probe)
+	if fault == retry.FaultNone {
+		b.stats.brittle.served(time.Since(q.progress.sentAt), q.edge.brittleLoad(b))
+	}
 	if fault == retry.FaultBeforeFirstByte || fault == retry.FaultAfterFirstByte {
 		q.investigateCrash(b)
 	}
@@ -288,6 +291,7 @@
 	q.status = answer.Status
 	b.stats.crash.answered()
 	q.recordRateLimit(b, answer)
+	q.recordBrittle(b, answer)
 	if answer.HasLoad {
 		q.progress.load, q.progress.hasLoad = answer.Load, true
 		b.stats.recordLoad(answer.Load, q.edge.workload(q.service).MeanReading(), time.Now())
--- /dev/null
+++ b/internal/edge/brittle.go
@@ -0,0 +1,136 @@
+package edge
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/serverpick"
+	"github.com/cyclamenhoist/cyclamenhoist/platform"
+)
+
+// brittlePace paces the requests to one incarnation of a server while it says that it is brittle.
+type brittlePace struct {
+	// active is true while the server is brittle. It can be read without the lock.
+	active atomic.Bool
+
+	mu    sync.Mutex
+	limit limit.Brittle
+}
+
+// stated records what an answer states, and reports whether the server has become brittle or has
+// ceased to be.
+func (p *brittlePace) stated(tolerated int, load limit.BrittleLoad, sent, now time.Time) (changed bool, rate float64) {
+	if tolerated < 0 && !p.active.Load() {
+		return false, limit.Unlimited
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.limit.IsBrittle()
+	p.limit.Stated(tolerated, load, sent, now)
+	p.active.Store(p.limit.IsBrittle())
+	return p.limit.IsBrittle() != before, p.limit.Rate()
+}
+
+func (p *brittlePace) rejected(now time.Time) {
+	if !p.active.Load() {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit.Rejected(now)
+}
+
+func (p *brittlePace) served(took time.Duration, load limit.BrittleLoad) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit.Served(took, load)
+}
+
+// rate returns the requests per second that this instance sends to the server.
+func (p *brittlePace) rate() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limit.Rate()
+}
+
+// brittleLoad returns what the pace of a server depends on.
+func (e *Edge) brittleLoad(b *backend) limit.BrittleLoad {
+	instances := e.views.Instances()
+	if instances == 0 {
+		instances = e.cfg.Instances
+	}
+	return limit.BrittleLoad{Slots: b.server.Slots, Waiting: int(b.stats.waiting.Load()), Instances: instances}
+}
+
+// brittleUsable reports whether a request can be sent to the server now.
+func (e *Edge) brittleUsable(b *backend, load serverpick.Load, now time.Time) bool {
+	p := &b.stats.brittle
+	if !p.active.Load() {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limit.Usable(e.brittleLoad(b), now) && load.Estimate() < int64(b.server.Slots)
+}
+
+// takeBrittle takes the turn of a request, and reports false if there is none.
+func (e *Edge) takeBrittle(b *backend, load serverpick.Load, now time.Time) bool {
+	p := &b.stats.brittle
+	if !p.active.Load() {
+		return true
+	}
+	if !e.brittleUsable(b, load, now) {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit.Take()
+	return true
+}
+
+// recordBrittle records whether the server says that it is brittle, and whether it had no room.
+func (q *request) recordBrittle(b *backend, answer *platform.Answer) {
+	if !answer.RequestIDMatches || answer.Misdirected || !answer.Signed && !answer.NotExecuted {
+		return // not an answer of this server to this request
+	}
+	if answer.HasLoad {
+		b.stats.waiting.Store(int64(min(answer.Load.Waiting, maxBelievedWaiting)))
+	}
+	if answer.ToleratedErr != nil {
+		q.edge.log.Warn().Str("server", string(b.server.ID)).Str("request", q.head.ID).Err(answer.ToleratedErr).Msg("brittle_unreadable")
+		return
+	}
+	if answer.ToleratedRejections >= 0 || answer.Signed { // a refusal needn't state it
+		changed, rate := b.stats.brittle.stated(answer.ToleratedRejections, q.edge.brittleLoad(b), q.progress.sentAt, time.Now())
+		if changed {
+			q.edge.log.Info().Str("server", string(b.server.ID)).Str("request", q.head.ID).
+				Int("tolerated", answer.ToleratedRejections).Float64("rate", rate).Msg("server_brittle")
+		}
+	}
+	if answer.NotExecuted {
+		b.stats.brittle.rejected(time.Now())
+	}
+}
+
+// checkBrittle refuses a request for which the brittle servers of a plain service have no turn in
+// time, behind the requests that wait already.
+func (q *request) checkBrittle(view *View, now time.Time) (outcome, bool) {
+	if q.model != "" || q.awaitsBrittle {
+		return outcome{}, false
+	}
+	perSecond := 0.0
+	for _, b := range view.services[q.service] {
+		if !b.stats.brittle.active.Load() {
+			return outcome{}, false
+		}
+		perSecond += b.stats.brittle.rate()
+	}
+	delay := limit.QueueDelay(int(q.edge.WaitingForSlot(q.service)), perSecond)
+	if delay <= q.edge.waitLimit(q.deadline).Sub(now) {
+		q.awaitsBrittle = true
+		return outcome{}, false
+	}
+	return refused(reasonBrittle, jitter(delay)), true
+}
--- a/internal/edge/outcome.go
+++ b/internal/edge/outcome.go
@@ -23,6 +23,7 @@
 	reasonNoVersion    reason = "no server of the version that began the stream"
 	reasonRateLimit    reason = "rate limit of the servers"
 	reasonPartBlocked  reason = "a part of the prompt crashes servers"
+	reasonBrittle      reason = "servers bear no more requests"
 	reasonTooLate      reason = "too little time left"
 	reasonLost         reason = "answer lost"
 	reasonTimeout      reason = "time limit"
--- a/internal/edge/promptcrash_test.go
+++ b/internal/edge/promptcrash_test.go
@@ -39,8 +39,7 @@
 type crashFleet struct {
 	*virtualFleet
 
-	manifest  *fleet.Manifest
-	instances []*edge.Edge
+	manifest *fleet.Manifest
 
 	mu      sync.Mutex
 	views   []*edge.Views
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -62,6 +62,8 @@
 	retryReserved atomic.Bool
 	// permitsAwaited are the rate limits whose permits the request waits for.
 	permitsAwaited []*rateLimit
+	// awaitsBrittle means that the request has been found to be in time for brittle servers.
+	awaitsBrittle bool
 	// awaitsLoad means that the permits won't do, but another server may load the model.
 	awaitsLoad bool
 	// status is the HTTP status of the last answer, or 0 if there was none.
--- a/internal/edge/streamversion_test.go
+++ b/internal/edge/streamversion_test.go
@@ -65,10 +65,9 @@
 type versionFleet struct {
 	*virtualFleet
 
-	engines   map[string]*versionedServer
-	manifest  *fleet.Manifest
-	instances []*edge.Edge
-	views     []*edge.Views
+	engines  map[string]*versionedServer
+	manifest *fleet.Manifest
+	views    []*edge.Views
 }
 
 // newVersionFleet starts engines of the given versions, which all hold the model "m".
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -50,10 +50,13 @@
 	// unread is the expected time to read the prompts of the instance's requests that haven't
 	// had an event, in nanoseconds, and unreadRequests their number.
 	unread, unreadRequests atomic.Int64
-	health                 retry.Health
-	load                   atomic.Pointer[loadSample]
-	rateLimit              rateLimit
-	crash                  crashCheck
+	// waiting is the number of requests that waited on the server at its last answer.
+	waiting   atomic.Int64
+	health    retry.Health
+	load      atomic.Pointer[loadSample]
+	rateLimit rateLimit
+	crash     crashCheck
+	brittle   brittlePace
 	// missing maps models that the server reported as absent to a missingRecord; a later
 	// residency or missingTTL clears the entry.
 	missing sync.Map
--- a/internal/edge/virtual_test.go
+++ b/internal/edge/virtual_test.go
@@ -37,6 +37,7 @@
 	permits   *permits
 	origins   *origins
 	crashes   *crashes
+	instances []*edge.Edge
 }
 
 // inVirtualTime runs a test in a synctest bubble.
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -92,10 +92,11 @@
 			continue
 		}
 		holders = append(holders, b)
+		load := b.stats.loadAt(now)
 		candidates = append(candidates, serverpick.Candidate{
 			ID: string(b.server.ID), SameZone: b.server.Zone == q.edge.cfg.Zone, Slots: b.server.Slots,
-			Load: b.stats.loadAt(now), Usable: b.stats.health.Usable(elapsed), Tried: q.tried[b.server.ID],
-			NeedsPermit: !b.stats.rateLimit.usable(now),
+			Load: load, Usable: b.stats.health.Usable(elapsed), Tried: q.tried[b.server.ID],
+			NeedsPermit: !b.stats.rateLimit.usable(now), Paced: !q.edge.brittleUsable(b, load, now),
 		})
 	}
 	switch {
@@ -131,6 +132,11 @@
 		if i < 0 {
 			break
 		}
+		if !q.edge.takeBrittle(holders[i], candidates[i].Load, now) {
+			// Another request has taken the turn.
+			candidates[i].Paced = true
+			continue
+		}
 		if holders[i].stats.rateLimit.take(now) {
 			return holders[i], waitNone
 		}
@@ -202,7 +208,9 @@
 		return refused(reasonNoVersion, 0), true
 	case waitPermit:
 		return q.checkRateLimits(view, now)
-	case waitSlot, waitTried:
+	case waitSlot:
+		return q.checkBrittle(view, now)
+	case waitTried:
 		return outcome{}, false
 	}
 	engine := view.Manifest.Services[q.service].Engine
--- a/pkg/serverpick/pick.go
+++ b/pkg/serverpick/pick.go
@@ -65,6 +65,8 @@
 	// NeedsPermit is true for a server that states a rate limit, while the instance has no
 	// permit for it.
 	NeedsPermit bool
+	// Paced is true for a server that isn't to get another request yet.
+	Paced bool
 }
 
 // Request holds the properties of a request that affect the choice.
@@ -86,7 +88,7 @@
 // Pick returns the index of the chosen candidate. It returns -1 if there is no candidate left,
 // or if the request waits for a slot and none is free.
 func Pick(req Request, candidates []Candidate) int {
-	usable := untried(candidates)
+	usable := notPaced(candidates, untried(candidates))
 	if !req.WithoutPermit {
 		usable = withPermit(candidates, usable)
 	}
@@ -118,6 +120,11 @@
 	return best
 }
 
+// notPaced returns the servers that can get a request now.
+func notPaced(candidates []Candidate, usable []int) []int {
+	return slices.DeleteFunc(usable, func(i int) bool { return candidates[i].Paced })
+}
+
 // withPermit returns the servers that can be sent a request within their rate limits.
 func withPermit(candidates []Candidate, usable []int) []int {
 	return slices.DeleteFunc(usable, func(i int) bool { return candidates[i].NeedsPermit })
