Count the answers since a part was last answered

With nine servers that all crash, requests with the deadly part kept reaching servers: only answers since the first crash counted against a part, and there were none while all servers were down.

Answers before the crashes count as well, from the last one with the part on. A part that no request was answered with for a while, among hundreds that were, is rare if it is sound, and rarely found under several crashes. The shares of requests that are tried begin lower now, since rare parts matter more.

--- a/internal/placer/crashes_test.go
+++ b/internal/placer/crashes_test.go
@@ -67,6 +67,6 @@
 	_, blocked := f.Blocked(crashcause.Prompt{"p", "own"}, now.Add(3*time.Hour))
 	assert.False(t, blocked)
 	replies := decodeReplies(encodeReplies([]crashcause.Reply{{Part: "p", Answers: -5}}, now), now)
-	f.Hear([]crashcause.Question{{Part: "p", Since: now}}, replies)
+	f.Hear([]crashcause.Question{{Part: "p", Since: now}}, replies, now)
 	assert.Empty(t, decodeReplies(nil, now))
 }
--- a/pkg/crashcause/chance.go
+++ b/pkg/crashcause/chance.go
@@ -2,8 +2,12 @@
 
 import "math"
 
-// shareStep is the step in which the shares of requests that a part may have are tried.
-const shareStep = 0.05
+// minShare is the least share of requests that a part is assumed to have, and shareFactor the
+// factor between two shares that are tried.
+const (
+	minShare    = 0.002
+	shareFactor = 1.25
+)
 
 // chanceIfSound returns the highest chance that a sound part occurs in so many of the crashes
 // though none of so many answered requests has it, over all shares of requests that the part may
@@ -13,7 +17,7 @@
 		return 1
 	}
 	highest := 0.0
-	for share := shareStep; share < 1; share += shareStep {
+	for share := minShare; share < 1; share *= shareFactor {
 		inOneCrash := 1 - math.Pow(1-share, prompts)
 		highest = max(highest, atLeast(occurs, crashes, inOneCrash)*math.Pow(1-share, float64(answers)))
 	}
--- a/pkg/crashcause/doc.go
+++ b/pkg/crashcause/doc.go
@@ -2,9 +2,9 @@
 // requests with that part can be refused before they crash more of them.
 //
 // Each instance records which requests a crashed server was about to answer, and tells the
-// others. A part is blocked if several servers have crashed under different requests with it,
-// none of which has been answered since the first of these crashes, while so many others have
-// been, over all instances, that a sound part would be among them.
+// others. A part is blocked if several servers have crashed under different requests with it
+// since one was last answered, while so many others have been, over all instances, that a sound
+// part would be among them.
 //
 // A Finder decides without I/O; a Watcher runs it and exchanges evidence over a Transport.
 //
--- a/pkg/crashcause/evidence.go
+++ b/pkg/crashcause/evidence.go
@@ -76,7 +76,8 @@
 	}
 }
 
-// Question asks an instance for its answers to requests since the first crash under a part.
+// Question asks an instance for its answers to requests since one with a part was last answered,
+// as far as the asking instance knows; since the zero time if it knows of none.
 type Question struct {
 	Part  string
 	Since time.Time
--- a/pkg/crashcause/finder.go
+++ b/pkg/crashcause/finder.go
@@ -61,10 +61,11 @@
 	own bool
 }
 
-// otherAnswers is the number of requests that the other instances have answered since a time.
+// otherAnswers is the number of requests that the other instances have answered since a time, as
+// heard at another.
 type otherAnswers struct {
-	since   time.Time
-	answers int64
+	since, heardAt time.Time
+	answers        int64
 }
 
 // NewFinder returns a Finder without evidence.
@@ -200,7 +201,7 @@
 // expire removes what is too old to count.
 func (f *Finder) expire(now time.Time) {
 	maps.DeleteFunc(f.crashes, func(_ Server, c *crash) bool { return now.Sub(c.at) > evidenceTTL })
-	maps.DeleteFunc(f.others, func(_ string, o otherAnswers) bool { return now.Sub(o.since) > evidenceTTL })
+	maps.DeleteFunc(f.others, func(_ string, o otherAnswers) bool { return now.Sub(o.heardAt) > evidenceTTL })
 	maps.DeleteFunc(f.blocks, func(_ string, b Block) bool { return now.Sub(b.Until) > retrialTime })
 }
 
@@ -208,10 +209,11 @@
 type partEvidence struct {
 	part string
 	// depth is the position of the part in prompts. Later parts are more specific.
-	depth       int
-	crashes     map[Server]bool
-	prompts     map[string]bool
-	first, last time.Time
+	depth   int
+	crashes map[Server]bool
+	prompts map[string]bool
+	// last is the time of the last of the crashes.
+	last time.Time
 	// own is true if a request of this instance is among them.
 	own bool
 }
@@ -247,10 +249,7 @@
 
 func (e *partEvidence) add(server Server, at time.Time, prompt string, own bool) {
 	e.crashes[server], e.prompts[prompt], e.own = true, true, e.own || own
-	if e.first.IsZero() {
-		e.first = at
-	}
-	e.first, e.last = earlier(e.first, at), later(e.last, at)
+	e.last = later(e.last, at)
 }
 
 // recurs reports whether servers have crashed under the part often enough to block it. again
@@ -285,12 +284,13 @@
 		if !e.own {
 			continue // an instance whose requests crashed the servers decides
 		}
-		answers := f.answered.since(e.first, now)
-		if others := f.others[e.part]; others.since.Equal(e.first) {
+		since := f.answered.last(e.part)
+		answers := f.answered.since(since, now)
+		if others, heard := f.others[e.part]; heard && others.since.Equal(since) {
 			answers += others.answers
 		}
 		if chanceIfSound(len(e.crashes), len(f.crashes), promptsPerCrash, answers) > chanceOfError {
-			questions = append(questions, Question{Part: e.part, Since: e.first})
+			questions = append(questions, Question{Part: e.part, Since: since})
 			continue
 		}
 		b := Block{
@@ -319,11 +319,11 @@
 }
 
 // Hear records the replies of the other instances to questions.
-func (f *Finder) Hear(questions []Question, replies []Reply) {
+func (f *Finder) Hear(questions []Question, replies []Reply, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, q := range questions {
-		heard := otherAnswers{since: q.Since}
+		heard := otherAnswers{since: q.Since, heardAt: now}
 		for _, r := range replies {
 			if r.Part != q.Part {
 				continue
--- a/pkg/crashcause/fleet_test.go
+++ b/pkg/crashcause/fleet_test.go
@@ -113,7 +113,7 @@
 		}
 	}
 	s.after(2*messageDelay, func() {
-		s.finders[instance].Hear(questions, replies)
+		s.finders[instance].Hear(questions, replies, s.now)
 		blocks, _ := s.finders[instance].Decide(s.now)
 		s.blocked(blocks)
 		s.tell(instance, Evidence{Blocks: blocks})
--- a/pkg/crashcause/watcher.go
+++ b/pkg/crashcause/watcher.go
@@ -82,7 +82,8 @@
 		for questions := w.decide(); len(questions) > 0 && ctx.Err() == nil; questions = w.decide() {
 			pause.For(ctx, askInterval-time.Since(asked))
 			asked = time.Now()
-			w.finder.Hear(questions, w.transport.Ask(ctx, questions))
+			replies := w.transport.Ask(ctx, questions)
+			w.finder.Hear(questions, replies, time.Now())
 		}
 	}
 }
