Send no requests to a server that has crashed

A server whose machine refuses connections gets no requests until it listens again, which is checked twice a second while it is listed. Models that only it holds count as held nowhere, so that requests wait for a load, or are told at once.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -210,6 +210,9 @@
 	var fault retry.Fault
 	if err != nil {
 		fault = sendFault(err)
+		if errors.Is(err, platform.ErrNotListening) {
+			q.edge.investigateCrash(b, nil, q.progress.sentAt)
+		}
 	} else {
 		fault = q.handleAnswer(b, answer, watchdog)
 	}
--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -18,6 +18,11 @@
 	// crashCheckDelay is the time for which exchanges that break at the same moment are collected
 	// before the server is checked.
 	crashCheckDelay = 2 * time.Millisecond
+	// crashRecheckInterval is how often it is checked whether a crashed server runs again, and
+	// crashRechecks how often, after which requests find out. A server that starts again under a
+	// new ID is listed, and the old one no longer, within some seconds.
+	crashRecheckInterval = 500 * time.Millisecond
+	crashRechecks        = 20
 	// crashCheckTimeout limits the check whether a server still listens.
 	crashCheckTimeout = 300 * time.Millisecond
 )
@@ -122,12 +127,13 @@
 }
 
 // end returns what was added since begin. crashed is the result of the check.
-func (c *crashCheck) end(crashed bool) (prompts []crashcause.Prompt, brokenAt time.Time) {
+// again means that the crash was known.
+func (c *crashCheck) end(crashed bool) (again bool, prompts []crashcause.Prompt, brokenAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.crashed.Store(crashed)
+	again = c.crashed.Swap(crashed) && crashed
 	prompts, c.prompts, c.running = c.prompts, nil, false
-	return prompts, c.brokenAt
+	return again, prompts, c.brokenAt
 }
 
 // answered records that the server answers.
@@ -144,29 +150,53 @@
 	if q.lastEvent < 0 && len(q.prompt) > 0 {
 		unanswered = q.prompt
 	}
-	if b.stats.crash.begin(unanswered, q.progress.sentAt, time.Now()) {
-		go q.edge.checkCrash(b)
+	q.edge.investigateCrash(b, unanswered, q.progress.sentAt)
+}
+
+func (e *Edge) investigateCrash(b *backend, unanswered crashcause.Prompt, sentAt time.Time) {
+	if b.stats.crash.begin(unanswered, sentAt, time.Now()) {
+		go e.checkCrash(b)
 	}
 }
 
+// checkCrash finds out whether a server has crashed, and whether it runs again.
 func (e *Edge) checkCrash(b *backend) {
 	time.Sleep(crashCheckDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
-	defer cancel()
-	err := e.servers.CheckListening(ctx, b.server)
+	err := e.checkListening(b)
 	crashed := errors.Is(err, platform.ErrNotListening)
-	prompts, brokenAt := b.stats.crash.end(crashed)
+	again, prompts, brokenAt := b.stats.crash.end(crashed)
 	if !crashed {
 		e.log.Info().Str("server", string(b.server.ID)).Err(err).Int("unanswered", len(prompts)).Msg("server_broke_off")
 		return
 	}
 	e.log.Warn().Str("server", string(b.server.ID)).Int64("started_at", b.server.StartedAt).Dur("ago", time.Since(brokenAt)).
 		Strs("unanswered", promptNames(prompts)).Msg("server_crashed")
+	if !again {
+		go e.awaitRestart(b)
+	}
 	if len(prompts) > 0 {
 		e.crashes.Crashed(crashcause.Crash{Server: crashcause.Server{ID: string(b.server.ID), StartedAt: b.server.StartedAt}, At: brokenAt, Prompts: prompts})
 	}
 }
 
+func (e *Edge) checkListening(b *backend) error {
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	return e.servers.CheckListening(ctx, b.server)
+}
+
+// awaitRestart keeps requests from a crashed server until it listens again.
+func (e *Edge) awaitRestart(b *backend) {
+	for range crashRechecks {
+		time.Sleep(crashRecheckInterval)
+		if !e.views.Load().lists(b) || !b.stats.crash.crashed.Load() || !errors.Is(e.checkListening(b), platform.ErrNotListening) {
+			break
+		}
+	}
+	b.stats.crash.answered()
+	e.dispatchSlots(b.server.Service)
+}
+
 // promptNames returns the IDs of the parts of each prompt, for the log.
 func promptNames(prompts []crashcause.Prompt) []string {
 	names := make([]string, 0, len(prompts))
--- a/internal/edge/promptcrash_test.go
+++ b/internal/edge/promptcrash_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -15,6 +16,7 @@
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/platform"
 	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
 )
 
@@ -360,3 +362,32 @@
 		}
 	})
 }
+
+// TestRequestsAreSentToACrashedServer: until a crashed server was removed from the list, requests
+// were sent there again and again.
+func TestRequestsAreSentToACrashedServer(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := newCrashFleet(t, 1, 2)
+		dials := map[string]int{}
+		var mu sync.Mutex
+		servers := platform.NewServersWithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := f.dial(ctx, network, address)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				dials[address]++
+			}
+			return conn, err
+		})
+		views := f.newViews(f.manifest)
+		f.views = append(f.views, views)
+		e := f.newInstanceWith("i", views, 1, servers)
+		f.crash("e1")
+		began := time.Now()
+		for n := range 100 {
+			assert.True(t, f.served(e, fmt.Sprint("id", n), map[string]string{standin.HeaderModel: "m"}))
+		}
+		assert.Greater(t, time.Since(began), listLag)
+		assert.LessOrEqual(t, dials["10.0.1.1:80"], 12, "one request, and checks whether it runs again")
+	})
+}
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -319,6 +319,11 @@
 	b.stats.missing.Store(key, missingRecord{sequence: sequence, when: time.Now()})
 }
 
+// lists reports whether the incarnation of a server accepts requests in this view.
+func (v *View) lists(b *backend) bool {
+	return slices.ContainsFunc(v.services[b.server.Service], func(listed *backend) bool { return listed.stats == b.stats })
+}
+
 // Engines returns all listed servers that run models, including draining ones.
 func (v *View) Engines() map[fleet.ServerID]*fleet.Server { return v.engines }
 
--- a/internal/edge/virtual_test.go
+++ b/internal/edge/virtual_test.go
@@ -48,8 +48,8 @@
 }
 
 func newVirtualFleet(t *testing.T) *virtualFleet {
-	// The handlers of closed servers end before the bubble does.
-	t.Cleanup(func() { time.Sleep(time.Second) })
+	// The handlers of closed servers, and the checks of crashed ones, end before the bubble does.
+	t.Cleanup(func() { time.Sleep(time.Minute) })
 	return &virtualFleet{T: t, servers: map[fleet.ServerID]*fleet.Server{}, permits: newPermits(), origins: newOrigins(), crashes: newCrashes(t), listeners: &memoryListeners{byAddress: map[string]*memoryListener{}}}
 }
 
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -162,9 +162,11 @@
 	return true
 }
 
-// servedBy reports whether a server can serve the request: it holds the model and, if the stream
-// has begun, has the version that began it.
-func (q *request) servedBy(b *backend) bool { return b.holds(q.model) && q.hasStreamVersion(b) }
+// servedBy reports whether a server can serve the request: it runs, holds the model and, if the
+// stream has begun, has the version that began it.
+func (q *request) servedBy(b *backend) bool {
+	return b.holds(q.model) && q.hasStreamVersion(b) && !b.stats.crash.crashed.Load()
+}
 
 func (q *request) hasStreamVersion(b *backend) bool {
 	return q.streamVersion == "" || b.server.Version == q.streamVersion
