Read the version of a stream's server without a race

The watchdog of an attempt looks for another server of the version that began the stream while the attempt may be storing that version.

The version is stored atomically.

--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -71,6 +71,14 @@
 	return q.head.ID
 }
 
+// streamVersion returns the software version that began the stream; empty if it isn't known.
+func (q *request) streamVersion() string {
+	if version := q.began.Load(); version != nil {
+		return *version
+	}
+	return ""
+}
+
 // findOrigin finds the version at which the client's stream began. While the service has had
 // only one, it is that one. It reports false with the outcome if the version isn't known, since
 // a stream can't change it.
@@ -81,7 +89,8 @@
 			if !slices.ContainsFunc(q.route.Shares, func(s fleet.Share) bool { return s.Service == origin.Service }) {
 				return refused(reasonNoVersion, 0), false
 			}
-			q.service, q.streamVersion = origin.Service, origin.Version
+			q.service = origin.Service
+			q.began.Store(&origin.Version)
 			if engine := view.Manifest.Services[q.service].Engine; engine != nil {
 				q.slots = engine.Slots
 			}
@@ -93,7 +102,7 @@
 		return refused(reasonNoOrigin, jitter(minRetryAfter)), false
 	}
 	if len(versions) == 1 {
-		q.streamVersion = versions[0]
+		q.began.Store(&versions[0])
 	}
 	return outcome{}, true
 }
--- a/internal/edge/promptcrash_test.go
+++ b/internal/edge/promptcrash_test.go
@@ -388,6 +388,8 @@
 			assert.True(t, f.served(e, fmt.Sprint("id", n), map[string]string{standin.HeaderModel: "m"}))
 		}
 		assert.Greater(t, time.Since(began), listLag)
+		mu.Lock()
+		defer mu.Unlock()
 		assert.LessOrEqual(t, dials["10.0.1.1:80"], 12, "one request, and checks whether it runs again")
 	})
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -73,9 +73,9 @@
 	// lastEvent is the ID of the last stream event sent to the client, or negative if
 	// none was sent.
 	lastEvent int64
-	// streamVersion is the software version of the server that sent the first event of the
-	// stream; empty if it isn't known.
-	streamVersion string
+	// began is the software version of the server that sent the first event of the stream; nil
+	// if it isn't known. The watchdog of an attempt reads it while events arrive.
+	began atomic.Pointer[string]
 	// headWritten means that status and headers of an answer have been sent to the
 	// client.
 	headWritten bool
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -44,8 +44,8 @@
 				return retry.FaultAfterFirstByte
 			}
 			buffer = append(buffer[:0], rest...)
-			if q.headWritten && q.streamVersion == "" {
-				q.streamVersion = b.server.Version
+			if q.headWritten && q.streamVersion() == "" {
+				q.began.Store(&b.server.Version)
 			}
 		}
 		switch {
@@ -110,7 +110,7 @@
 		by = "instance"
 	}
 	q.edge.log.Info().Str("request", q.head.ID).Str("first_attempt", q.head.FirstAttempt).Int64("after", q.lastEvent).
-		Str("began_at", q.streamVersion).Str("server", string(b.server.ID)).Str("version", b.server.Version).Str("by", by).Msg("stream_resumed")
+		Str("began_at", q.streamVersion()).Str("server", string(b.server.ID)).Str("version", b.server.Version).Str("by", by).Msg("stream_resumed")
 }
 
 // newEvents returns the events that follow the event with the ID after, and the ID of the
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -169,12 +169,12 @@
 }
 
 func (q *request) hasStreamVersion(b *backend) bool {
-	return q.streamVersion == "" || b.server.Version == q.streamVersion
+	return q.streamVersion() == "" || b.server.Version == q.streamVersion()
 }
 
 func (q *request) want() Want {
 	return Want{
-		Service: q.service, Model: q.head.Model, Adapter: q.head.Adapter, ServerVersion: q.streamVersion,
+		Service: q.service, Model: q.head.Model, Adapter: q.head.Adapter, ServerVersion: q.streamVersion(),
 		Objective: q.route.TargetLatency, Remaining: time.Until(q.deadline), NonRepeatable: !q.route.Idempotent(),
 		Work: q.expected.Work(q.slots), RunTime: q.expected.Reading + q.expected.Generation,
 	}
