Pick relays also where no other zone has one

With three or more instances of its own availability zone that reach servers, and none of another, an instance without a path panicked as it picked among them: the list was sliced beyond its capacity. Found by reading; the test panicked before.

--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -73,7 +73,12 @@
 // pick returns up to maxRelays of the instances, in the order in which to try them. Traffic
 // between availability zones is billed.
 func (r *relays) pick() []string {
-	return append(sample(r.sameZone, maxRelays-1), sample(r.others, maxRelays)...)[:min(maxRelays, len(r.sameZone)+len(r.others))]
+	picked := sample(r.sameZone, maxRelays)
+	if len(picked) == maxRelays && len(r.others) > 0 {
+		// The last one is in another availability zone, in case the own one is cut off.
+		picked = picked[:maxRelays-1]
+	}
+	return append(picked, sample(r.others, maxRelays-len(picked))...)
 }
 
 // NewDialer returns a Dialer, which needs Run.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -183,6 +183,9 @@
 		assert.Contains(t, r.others, got[maxRelays-1], "another zone, if a zone's relays fail")
 	}
 	assert.Len(t, (&relays{sameZone: []string{"a"}}).pick(), 1)
+	assert.Len(t, (&relays{sameZone: []string{"a", "b", "c", "d"}}).pick(), maxRelays, "no other zone")
+	assert.Len(t, (&relays{others: []string{"x", "y", "z", "w"}}).pick(), maxRelays, "none in the own zone")
+	assert.Len(t, (&relays{sameZone: []string{"a"}, others: []string{"x"}}).pick(), 2)
 	assert.Empty(t, (&relays{}).pick())
 }
 
