--- a/internal/edge/longanswer_test.go
+++ b/internal/edge/longanswer_test.go
@@ -10,7 +10,6 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -59,8 +58,6 @@
 		return
 	}
 	if reset {
-		// What was written is read before the reset is seen.
-		time.Sleep(50 * time.Millisecond)
 		_ = conn.(*net.TCPConn).SetLinger(0)
 	}
 }
--- a/pkg/crashcause/fleet_test.go
+++ b/pkg/crashcause/fleet_test.go
@@ -306,3 +306,34 @@
 	assert.Greater(t, chanceIfSound(3, 6, 2, 10), chanceIfSound(6, 6, 2, 10), "crashes without the part")
 	assert.Greater(t, chanceIfSound(3, 3, 20, 10), chanceIfSound(3, 3, 2, 10), "more prompts at each crash")
 }
+
+// Two deadly parts at once, while some servers crash for reasons of their own and an instance is
+// replaced by one that has to ask: both are blocked, and nothing else is.
+func TestTwoDeadlyPartsBesideOtherCrashes(t *testing.T) {
+	for _, size := range fleets[1:3] {
+		for seed := range size.seeds / 2 {
+			s := newSimulation(seed, size.instances, size.servers)
+			prompt := func() (Prompt, bool) {
+				switch draw := s.random.Float64(); {
+				case draw < 0.03:
+					return Prompt{"caller0", "topic0", "deadly", fmt.Sprint("own", s.random.Uint64())}, true
+				case draw < 0.06:
+					return Prompt{"caller1", "deadlier", fmt.Sprint("own", s.random.Uint64())}, true
+				default:
+					return s.soundPrompt(), false
+				}
+			}
+			s.run(10*time.Second, size.perSecond, prompt)
+			s.crash(s.random.IntN(size.servers))
+			s.finders[0] = NewFinder()
+			s.finders[0].Merge(s.finders[1].Evidence(s.now), s.now)
+			s.run(10*time.Second, size.perSecond, prompt)
+			for _, f := range s.finders {
+				_, first := f.Blocked(Prompt{"caller0", "topic0", "deadly", "own"}, s.now)
+				_, second := f.Blocked(Prompt{"caller1", "deadlier", "own"}, s.now)
+				assert.True(t, first && second, "%+v, seed %d", size, seed)
+			}
+			assert.Len(t, s.blocks, 2, "%+v, seed %d: %v", size, seed, s.blocks)
+		}
+	}
+}
