Log when servers say that they leave, or want no requests for a time

The report of requests to leaving servers has three hypotheses that no log line tells apart. The headers Server-Leaving and Retry-After (of a 503) are decoded, and the first answer of a server that has one is logged, with the instance that relayed it. Nothing acts on them yet.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -295,6 +295,7 @@
 	b.stats.crash.answered()
 	q.recordRateLimit(b, answer)
 	q.recordBrittle(b, answer)
+	q.recordStanding(b, answer)
 	if answer.HasLoad {
 		q.progress.load, q.progress.hasLoad = answer.Load, true
 		b.stats.recordLoad(answer.Load, q.edge.workload(q.service).MeanReading(), time.Now())
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -57,6 +57,7 @@
 	rateLimit rateLimit
 	crash     crashCheck
 	brittle   brittlePace
+	standing  standing
 	// missing maps models that the server reported as absent to a missingRecord; a later
 	// residency or missingTTL clears the entry.
 	missing sync.Map
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -280,7 +280,7 @@
 	}
 	switch result := status(reply[0]); result {
 	case statusConnected:
-		return &conn{Conn: raw, frames: &frameReader{conn: reader}, server: serverAddress(address)}, reply[1:], nil
+		return &conn{Conn: raw, frames: &frameReader{conn: reader}, server: serverAddress(address), relay: relay}, reply[1:], nil
 	case statusRefused:
 		reset(raw)
 		return nil, "", errors.Wrap(syscall.ECONNREFUSED, "relayed")
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -105,10 +105,14 @@
 	net.Conn
 
 	frames *frameReader
-	// server is the address of the server.
+	// server is the address of the server, and relay that of the other instance.
 	server net.Addr
+	relay  string
 }
 
+// Relay returns the address of the instance that relays the connection.
+func (c *conn) Relay() string { return c.relay }
+
 // Read implements io.Reader. It returns io.EOF only if the server has closed its connection.
 func (c *conn) Read(p []byte) (int, error) { return c.frames.Read(p) }
 
