Reproduce requests to servers that have said that they leave

The test's servers say in their answers that they leave, while their entries stay ready; some instances relay their connections through others.

--- /dev/null
+++ b/internal/edge/standing_test.go
@@ -0,0 +1,331 @@
+package edge_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
+)
+
+// headerServer names the server in the answers of a standingServer.
+const headerServer = "X-Test-Server"
+
+// serverArrival is a request that has reached a server.
+type serverArrival struct {
+	at time.Time
+	// from is the instance whose connection it came on, and id that of the request.
+	from, id string
+}
+
+// rejection is an answer with Retry-After.
+type rejection struct {
+	at, until time.Time
+}
+
+// standingServer answers requests, and says that it leaves or rejects requests for a time.
+type standingServer struct {
+	id   string
+	work time.Duration
+
+	mu sync.Mutex
+	// leaving means that all answers say that the server leaves.
+	leaving  bool
+	arrivals []serverArrival
+	// leavingTold is when an answer to each instance first said that the server leaves.
+	leavingTold map[string]time.Time
+	// rejectFrom and rejectFor are from when and for how long requests of each instance are
+	// rejected.
+	rejectFrom time.Time
+	rejectFor  time.Duration
+	rejections map[string]rejection
+}
+
+func (s *standingServer) setLeaving(leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = leaving
+}
+
+// reject returns the rest of the time for which requests of an instance are rejected.
+func (s *standingServer) reject(from string, now time.Time) time.Duration {
+	if s.rejectFrom.IsZero() || now.Before(s.rejectFrom) {
+		return 0
+	}
+	r, known := s.rejections[from]
+	if !known {
+		r = rejection{now, now.Add(s.rejectFor)}
+		s.rejections[from] = r
+	}
+	return r.until.Sub(now)
+}
+
+func (s *standingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	s.mu.Lock()
+	s.arrivals = append(s.arrivals, serverArrival{now, r.RemoteAddr, r.Header.Get(standin.HeaderID)})
+	header := w.Header()
+	header.Set(headerServer, s.id)
+	header.Set(standin.HeaderID, r.Header.Get(standin.HeaderID))
+	if s.leaving {
+		header.Set(standin.HeaderLeaving, "1")
+		if _, told := s.leavingTold[r.RemoteAddr]; !told {
+			s.leavingTold[r.RemoteAddr] = now
+		}
+	}
+	rest := s.reject(r.RemoteAddr, now)
+	s.mu.Unlock()
+	if rest > 0 {
+		header.Set(standin.HeaderNotExecuted, "1")
+		header.Set("Retry-After", fmt.Sprintf("%.3f", rest.Seconds()))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	header.Set(standin.HeaderSignature, "signed")
+	time.Sleep(s.work)
+	if r.Header.Get(standin.HeaderModel) == "" {
+		_, _ = fmt.Fprint(w, "answer")
+		return
+	}
+	header.Set("Content-Type", "text/event-stream")
+	_, _ = fmt.Fprint(w, events(1, 6))
+}
+
+func (s *standingServer) received() []serverArrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.arrivals)
+}
+
+// standingFleet is a set of instances, which can lose their paths, before servers that say
+// whether they want requests.
+type standingFleet struct {
+	*virtualFleet
+
+	paths    *paths
+	views    []*edge.Views
+	standing map[string]*standingServer
+	service  string
+
+	mu sync.Mutex
+	// sentAt is when clients sent each request, and passedOn when each instance first passed on
+	// an answer of a server that said that it leaves.
+	sentAt   map[string]time.Time
+	passedOn map[string]time.Time
+}
+
+func newStandingFleet(t *testing.T, service string, instances, servers int) *standingFleet {
+	f := &standingFleet{
+		virtualFleet: newVirtualFleet(t), standing: map[string]*standingServer{}, service: service,
+		sentAt: map[string]time.Time{}, passedOn: map[string]time.Time{},
+	}
+	f.paths = newPaths(f.virtualFleet)
+	list, services := manifestParts()
+	manifest := fleet.NewManifest(1, list, services, fleet.CallerLimits{MaxBodyBytes: 1000})
+	for n := range servers {
+		f.addStanding(fmt.Sprint("s", n))
+	}
+	for n := range instances {
+		views := f.newViews(manifest)
+		f.views = append(f.views, views)
+		f.paths.addInstance(n, instances, views)
+	}
+	f.paths.connectRelays()
+	return f
+}
+
+func (f *standingFleet) addStanding(id string) *standingServer {
+	s := &standingServer{id: id, work: 20 * time.Millisecond, leavingTold: map[string]time.Time{}, rejections: map[string]rejection{}}
+	f.standing[id] = s
+	f.addServer(&fleet.Server{ID: fleet.ServerID(id), Service: f.service, Zone: "zone-a", Slots: 16, Models: []fleet.Resident{{Model: "m"}}}, s)
+	return s
+}
+
+// publish makes the current servers known to all instances.
+func (f *standingFleet) publish() {
+	for _, views := range f.views {
+		views.SetServers(maps.Clone(f.servers))
+	}
+}
+
+// request sends a request to an instance.
+func (f *standingFleet) request(n int, id string) *httptest.ResponseRecorder {
+	f.mu.Lock()
+	f.sentAt[id] = time.Now()
+	f.mu.Unlock()
+	path, header := "/read/x", map[string]string{standin.HeaderDeadline: "3000"}
+	if f.service == engine {
+		path, header[standin.HeaderModel] = "/stream/x", "m"
+	}
+	got := f.send(f.Context(), f.instances[n], id, path, header)
+	if got.Header().Get(standin.HeaderLeaving) != "" {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		key := instanceName(n) + got.Header().Get(headerServer)
+		if _, passed := f.passedOn[key]; !passed {
+			f.passedOn[key] = time.Now()
+		}
+	}
+	return got
+}
+
+// play sends requests to the instances for a time, and returns the number of answers by status.
+func (f *standingFleet) play(duration time.Duration, perSecond float64, seed uint64) map[int]int {
+	random := rand.New(rand.NewPCG(seed, 1))
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	statuses := map[int]int{}
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		time.Sleep(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
+		n, id := random.IntN(len(f.instances)), fmt.Sprint("id", random.Uint64())
+		group.Go(func() {
+			code := f.request(n, id).Code
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[code]++
+		})
+	}
+	group.Wait()
+	return statuses
+}
+
+// leavingBound is the time after which no request is to reach a server from an instance that has
+// passed on that the server leaves.
+const leavingBound = 2 * time.Second
+
+// late returns how many requests have reached the server too late from an instance that had passed
+// on that it leaves, to its clients or to another instance.
+func (f *standingFleet) late(s *standingServer) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, a := range s.received() {
+		sent := f.sentAt[a.id]
+		for _, passed := range []time.Time{f.passedOn[a.from+s.id], s.leavingTold[a.from]} {
+			if !passed.IsZero() && sent.Sub(passed) > leavingBound {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
+// TestRequestsReachAServerThatSaidThatItLeaves: a server that said in its answers that it leaves,
+// while it was listed as ready, went on getting requests.
+func TestRequestsReachAServerThatSaidThatItLeaves(t *testing.T) {
+	for name, c := range map[string]struct {
+		service   string
+		perSecond float64
+		// cut are the instances that lose their paths at cutAt, until uncutAt.
+		cut            []int
+		cutAt, uncutAt time.Duration
+	}{
+		"plain":                                  {service: plain, perSecond: 100},
+		"engines":                                {service: engine, perSecond: 100},
+		"few requests":                           {service: plain, perSecond: 6},
+		"engines, waiting":                       {service: engine, perSecond: 2000},
+		"some instances relayed":                 {service: plain, perSecond: 100, cut: []int{0, 1}, cutAt: time.Second, uncutAt: 12 * time.Second},
+		"most instances relayed":                 {service: engine, perSecond: 100, cut: []int{0, 1, 2, 3, 4}, cutAt: time.Second, uncutAt: 12 * time.Second},
+		"relayed after the server has said it":   {service: plain, perSecond: 100, cut: []int{0, 1, 2}, cutAt: 7 * time.Second, uncutAt: 12 * time.Second},
+		"relayed until after it has said so":     {service: plain, perSecond: 20, cut: []int{0, 1, 2}, cutAt: time.Second, uncutAt: 7 * time.Second},
+		"relayed, and few requests of the relay": {service: plain, perSecond: 8, cut: []int{0, 1, 2, 3, 4}, cutAt: time.Second, uncutAt: 12 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				f := newStandingFleet(t, c.service, 6, 4)
+				time.AfterFunc(5*time.Second, func() { f.standing["s1"].setLeaving(true) })
+				time.AfterFunc(c.cutAt, func() { f.paths.setPaths(pathHangs, c.cut...) })
+				time.AfterFunc(c.uncutAt, func() { f.paths.setPaths(pathOpen, c.cut...) })
+				statuses := f.play(14*time.Second, c.perSecond, 1)
+				assert.NotEmpty(t, f.standing["s1"].leavingTold)
+				assert.Zero(t, f.late(f.standing["s1"]), "requests that reached the server too late")
+				if c.perSecond <= 100 {
+					all := 0
+					for _, n := range statuses {
+						all += n
+					}
+					assert.GreaterOrEqual(t, float64(statuses[http.StatusOK]), 0.97*float64(all), "the other servers serve: %v", statuses)
+				}
+			})
+		})
+	}
+}
+
+// A server that has started again under its ID is a new one.
+func TestServerThatLeftComesBackUnderItsID(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := newStandingFleet(t, plain, 3, 2)
+		f.standing["s0"].setLeaving(true)
+		f.standing["s1"].setLeaving(true)
+		f.play(3*time.Second, 50, 1)
+		for id := range f.standing {
+			f.standing[id].setLeaving(false)
+			back := *f.servers[fleet.ServerID(id)]
+			back.StartedAt = 7
+			f.servers[fleet.ServerID(id)] = &back
+		}
+		f.publish()
+		statuses := f.play(2*time.Second, 50, 2)
+		assert.Len(t, statuses, 1)
+		assert.Positive(t, statuses[http.StatusOK])
+	})
+}
+
+// Requests that no server but leaving ones could serve are refused at once, as not run.
+func TestAllServersLeave(t *testing.T) {
+	for _, service := range []string{plain, engine} {
+		t.Run(service, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				f := newStandingFleet(t, service, 3, 2)
+				for _, s := range f.standing {
+					s.setLeaving(true)
+				}
+				f.play(3*time.Second, 50, 1)
+				for n := range f.instances {
+					began := time.Now()
+					got := f.request(n, fmt.Sprint("refused", n))
+					assert.Equal(t, http.StatusServiceUnavailable, got.Code)
+					assert.NotEmpty(t, got.Header().Get("Retry-After"))
+					assert.Zero(t, time.Since(began))
+				}
+				for _, s := range f.standing {
+					assert.Zero(t, f.late(s))
+				}
+				// A new server serves.
+				f.addStanding("new")
+				f.publish()
+				assert.Equal(t, http.StatusOK, f.request(0, "served").Code)
+			})
+		})
+	}
+}
+
+// A server whose entry is lost for a time, and listed again, is still leaving. So is one whose
+// later answers don't say it.
+func TestLeavingServerIsListedAgain(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := newStandingFleet(t, plain, 3, 3)
+		f.standing["s1"].setLeaving(true)
+		f.play(2*time.Second, 60, 1)
+		entry := f.servers["s1"]
+		delete(f.servers, "s1")
+		f.publish()
+		f.play(3*time.Second, 60, 2)
+		f.standing["s1"].setLeaving(false)
+		f.servers["s1"] = entry
+		f.publish()
+		f.play(5*time.Second, 60, 3)
+		assert.Zero(t, f.late(f.standing["s1"]))
+	})
+}
--- a/internal/edge/unreachable_test.go
+++ b/internal/edge/unreachable_test.go
@@ -17,6 +17,7 @@
 	"github.com/phuslu/log"
 	"github.com/stretchr/testify/assert"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/relay"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
@@ -42,53 +43,69 @@
 	pathRefuses
 )
 
-// pathFleet is a set of instances that can lose their paths to the servers.
-type pathFleet struct {
-	*crashFleet
+// paths are the network paths of instances to the servers, which they can lose, and their relays.
+type paths struct {
+	*virtualFleet
 
 	mu      sync.Mutex
-	paths   map[string]pathState
+	states  map[string]pathState
 	dialers map[string]*relay.Dialer
 }
 
-func newPathFleet(t *testing.T, instances int) *pathFleet {
-	f := &pathFleet{crashFleet: newCrashFleet(t, 0, 12), paths: map[string]pathState{}, dialers: map[string]*relay.Dialer{}}
-	for n := range instances {
-		name := instanceName(n)
-		dialer := f.addRelay(name, fmt.Sprintf("zone-%d", n%3))
-		views := f.newViews(f.manifest)
-		servers := platform.NewServersWithDial(dialer.Dial)
-		dialer.OnCut(servers.CloseAllIdle)
-		f.views = append(f.views, views)
-		f.instances = append(f.instances, f.newInstanceWith(name, views, instances, servers))
-	}
+func newPaths(f *virtualFleet) *paths {
+	return &paths{virtualFleet: f, states: map[string]pathState{}, dialers: map[string]*relay.Dialer{}}
+}
+
+// addInstance starts an instance with a relay.
+func (f *paths) addInstance(n, instances int, views *edge.Views) {
+	name := instanceName(n)
+	dialer := f.addRelay(name, fmt.Sprintf("zone-%d", n%3), views)
+	servers := platform.NewServersWithDial(dialer.Dial)
+	dialer.OnCut(servers.CloseAllIdle)
+	f.instances = append(f.instances, f.newInstanceWith(name, views, instances, servers))
+}
+
+// connectRelays lets all instances use the relays of the others.
+func (f *paths) connectRelays() {
 	for name, dialer := range f.dialers {
 		dialer.SetPeers(func() []string {
 			return slices.DeleteFunc(slices.Collect(maps.Keys(f.dialers)), func(other string) bool { return other == name })
 		})
 	}
+}
+
+// pathFleet is a set of instances that can lose their paths to the servers.
+type pathFleet struct {
+	*crashFleet
+
+	paths *paths
+}
+
+func newPathFleet(t *testing.T, instances int) *pathFleet {
+	crashes := newCrashFleet(t, 0, 12)
+	f := &pathFleet{crashFleet: crashes, paths: newPaths(crashes.virtualFleet)}
+	for n := range instances {
+		views := crashes.newViews(f.manifest)
+		f.views = append(f.views, views)
+		f.paths.addInstance(n, instances, views)
+	}
+	f.paths.connectRelays()
 	return f
 }
 
 // addRelay starts the relay of an instance, at its name as the address, and returns its dialer.
-func (f *pathFleet) addRelay(name, zone string) *relay.Dialer {
+func (f *paths) addRelay(name, zone string, views *edge.Views) *relay.Dialer {
 	logger := &log.Logger{Level: log.PanicLevel}
 	direct := func(ctx context.Context, network, address string) (net.Conn, error) {
 		return f.dialFrom(ctx, name, network, address)
 	}
 	dialer := relay.NewDialer(relay.DialerConfig{
 		Zone: zone, Dial: direct, DialPeer: f.dial, Log: logger,
-		Servers: func() []string {
-			var addresses []string
-			for _, server := range f.servers {
-				addresses = append(addresses, server.Address)
-			}
-			return addresses
-		},
+		Servers: views.ServerAddresses,
 	})
 	f.dialers[name] = dialer
 	server := relay.NewServer(relay.ServerConfig{
-		Zone: zone, Dial: direct, IsServer: func(string) bool { return true }, Reaches: dialer.Reaches, Log: logger,
+		Zone: zone, Dial: direct, IsServer: views.IsServer, Reaches: dialer.Reaches, Log: logger,
 	})
 	listener := prefixListener{f.listeners.listen(name)}
 	f.Cleanup(func() { _ = listener.Close() })
@@ -118,21 +135,21 @@
 
 func (c readConn) Read(p []byte) (int, error) { return c.reader.Read(p) }
 
-func (f *pathFleet) path(name string) pathState {
+func (f *paths) path(name string) pathState {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.paths[name]
+	return f.states[name]
 }
 
-func (f *pathFleet) setPaths(state pathState, instances ...int) {
+func (f *paths) setPaths(state pathState, instances ...int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, n := range instances {
-		f.paths[instanceName(n)] = state
+		f.states[instanceName(n)] = state
 	}
 }
 
-func (f *pathFleet) dialFrom(ctx context.Context, name, network, address string) (net.Conn, error) {
+func (f *paths) dialFrom(ctx context.Context, name, _, address string) (net.Conn, error) {
 	switch f.path(name) {
 	case pathRefuses:
 		return nil, syscall.ECONNREFUSED
@@ -143,7 +160,7 @@
 		return nil, ctx.Err()
 	default:
 	}
-	conn, err := f.dial(ctx, network, address)
+	conn, err := f.listeners.dialFrom(ctx, name, address)
 	if err != nil {
 		return nil, err
 	}
@@ -154,12 +171,12 @@
 type pathConn struct {
 	net.Conn
 
-	fleet *pathFleet
+	paths *paths
 	name  string
 }
 
 func (c pathConn) Write(p []byte) (int, error) {
-	switch c.fleet.path(c.name) {
+	switch c.paths.path(c.name) {
 	case pathHangs:
 		return len(p), nil
 	case pathRefuses:
@@ -186,8 +203,8 @@
 				f := newPathFleet(t, 6)
 				cut, others := &outcomes{}, &outcomes{}
 				start := time.Now()
-				time.AfterFunc(2*time.Second, func() { f.setPaths(c.state, c.cut...) })
-				time.AfterFunc(12*time.Second, func() { f.setPaths(pathOpen, c.cut...) })
+				time.AfterFunc(2*time.Second, func() { f.paths.setPaths(c.state, c.cut...) })
+				time.AfterFunc(12*time.Second, func() { f.paths.setPaths(pathOpen, c.cut...) })
 				f.sendToAll(15*time.Second, func(n int) *outcomes {
 					if slices.Contains(c.cut, n) {
 						return cut
@@ -200,7 +217,7 @@
 				assert.Greater(t, n, 20)
 				assert.GreaterOrEqual(t, servedByCut, servedLikeOthers*servedByOthers)
 				for _, n := range c.cut {
-					assert.True(t, f.dialers[instanceName(n)].Reaches(), "the path is used again")
+					assert.True(t, f.paths.dialers[instanceName(n)].Reaches(), "the path is used again")
 				}
 			})
 		})
@@ -227,11 +244,11 @@
 func TestNoInstanceReachesTheServers(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		f := newPathFleet(t, 2)
-		f.setPaths(pathRefuses, 0, 1)
+		f.paths.setPaths(pathRefuses, 0, 1)
 		f.sendToAll(2*time.Second, func(int) *outcomes { return &outcomes{} })
 		got := f.send(t.Context(), f.instances[0], "id", "/stream/x", map[string]string{standin.HeaderModel: "m"})
 		assert.Equal(t, http.StatusServiceUnavailable, got.Code)
-		f.setPaths(pathOpen, 0, 1)
+		f.paths.setPaths(pathOpen, 0, 1)
 		time.Sleep(2 * time.Second)
 		assert.True(t, f.served(f.instances[0], "again", map[string]string{standin.HeaderModel: "m"}))
 	})
--- a/internal/edge/virtual_test.go
+++ b/internal/edge/virtual_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -72,7 +73,7 @@
 func (f *virtualFleet) newViews(manifest *fleet.Manifest) *edge.Views {
 	views := edge.NewViews()
 	require.True(f, views.SetManifest(manifest))
-	views.SetServers(f.servers)
+	views.SetServers(maps.Clone(f.servers))
 	return views
 }
 
@@ -316,6 +317,11 @@
 }
 
 func (m *memoryListeners) dial(ctx context.Context, address string) (net.Conn, error) {
+	return m.dialFrom(ctx, "", address)
+}
+
+// dialFrom connects to a listener, which sees source as the address of the client.
+func (m *memoryListeners) dialFrom(ctx context.Context, source, address string) (net.Conn, error) {
 	m.mu.Lock()
 	l := m.byAddress[address]
 	m.mu.Unlock()
@@ -328,20 +334,20 @@
 		return nil, ctx.Err()
 	case <-l.closed:
 		return nil, syscall.ECONNREFUSED
-	case l.conns <- server:
-		return addressedConn{client, l}, nil
+	case l.conns <- addressedConn{server, memoryAddress(source)}:
+		return addressedConn{client, l.Addr()}, nil
 	}
 }
 
-// addressedConn is a connection with the address of the listener, by which connections are
+// addressedConn is a connection with the address of the other end, by which connections are
 // pooled.
 type addressedConn struct {
 	net.Conn
 
-	listener *memoryListener
+	remote net.Addr
 }
 
-func (c addressedConn) RemoteAddr() net.Addr { return c.listener.Addr() }
+func (c addressedConn) RemoteAddr() net.Addr { return c.remote }
 
 func (l *memoryListener) Accept() (net.Conn, error) {
 	select {
