Take the sending of evidence about crashes out into an outbox

What servers say of leaving has to be told to other instances as well, in batches and again until it is received. The part of the transport of crashes that does so is a type of its own now, for any kind of message.

--- a/internal/placer/crashes.go
+++ b/internal/placer/crashes.go
@@ -5,7 +5,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
@@ -14,16 +13,8 @@
 )
 
 const (
-	// crashBatchDelay is the time for which evidence is collected before it is sent.
-	crashBatchDelay = 2 * time.Millisecond
-	// crashTimeout limits a call that tells of crashes, and answersTimeout one that asks for
-	// answers. The called instance may be gone.
-	crashTimeout   = 300 * time.Millisecond
+	// answersTimeout limits a call that asks for answers.
 	answersTimeout = 100 * time.Millisecond
-	// crashRetryDelay is the delay before evidence that a peer hasn't received is sent again, and
-	// crashRetries how often it is.
-	crashRetryDelay = 500 * time.Millisecond
-	crashRetries    = 20
 	// crashReadInterval is the interval at which a new instance reads from its peers until one
 	// answers.
 	crashReadInterval = 200 * time.Millisecond
@@ -32,71 +23,20 @@
 // crashTransport exchanges evidence about crashes with the other instances.
 type crashTransport struct {
 	placer *Placer
-
-	mu sync.Mutex
-	// pending is the evidence to send, by the address of the instance.
-	pending map[string]crashcause.Evidence
-	changed chan struct{}
+	outbox *outbox[crashcause.Evidence]
 }
 
 func newCrashTransport(p *Placer) *crashTransport {
-	return &crashTransport{placer: p, pending: map[string]crashcause.Evidence{}, changed: make(chan struct{}, 1)}
+	return &crashTransport{placer: p, outbox: newOutbox(p, "crashes", crashcause.Evidence.Append,
+		func(ctx context.Context, client placerpb.DRPCPlacerClient, e crashcause.Evidence) error {
+			_, err := client.TellCrashes(ctx, encodeEvidence(e, time.Now()))
+			return err
+		})}
 }
 
 // Tell sends evidence to all other instances. There is some only while servers crash.
 func (t *crashTransport) Tell(e crashcause.Evidence) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, address := range t.placer.OtherInstances() {
-		t.pending[address] = t.pending[address].Append(e)
-	}
-	signal(t.changed)
-}
-
-// send sends the pending evidence until ctx ends.
-func (t *crashTransport) send(ctx context.Context) {
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.changed:
-		}
-		pause.For(ctx, crashBatchDelay)
-		t.mu.Lock()
-		batches := t.pending
-		t.pending = map[string]crashcause.Evidence{}
-		t.mu.Unlock()
-		for address, batch := range batches {
-			go t.sendTo(ctx, address, batch)
-		}
-	}
-}
-
-// sendTo sends evidence to an instance until it is received or the instance is gone.
-func (t *crashTransport) sendTo(ctx context.Context, address string, e crashcause.Evidence) {
-	for range crashRetries {
-		err := t.sendOnce(ctx, address, e)
-		if err == nil {
-			return
-		}
-		t.placer.log.Debug().Err(err).Str("peer", address).Int("crashes", len(e.Crashes)).Msg("crashes_untold")
-		pause.For(ctx, crashRetryDelay)
-		if ctx.Err() != nil || !slices.Contains(t.placer.OtherInstances(), address) {
-			return
-		}
-	}
-	t.placer.log.Info().Str("peer", address).Int("crashes", len(e.Crashes)).Int("blocks", len(e.Blocks)).Msg("crashes_given_up")
-}
-
-func (t *crashTransport) sendOnce(ctx context.Context, address string, e crashcause.Evidence) error {
-	ctx, cancel := context.WithTimeout(ctx, crashTimeout)
-	defer cancel()
-	_, err := t.client(address).TellCrashes(ctx, encodeEvidence(e, time.Now()))
-	return err
-}
-
-func (t *crashTransport) client(address string) placerpb.DRPCPlacerClient {
-	return placerpb.NewDRPCPlacerClient(t.placer.peers.Conn(address))
+	t.outbox.put(e, t.placer.OtherInstances()...)
 }
 
 // Ask asks all other instances for their answers, and returns the replies that come in time.
@@ -107,7 +47,7 @@
 	replies := make(chan []crashcause.Reply, len(others))
 	for _, address := range others {
 		go func() {
-			got, err := t.client(address).AskAnswers(ctx, encodeQuestions(questions, time.Now()))
+			got, err := t.placer.client(address).AskAnswers(ctx, encodeQuestions(questions, time.Now()))
 			if err != nil {
 				t.placer.log.Debug().Err(err).Str("peer", address).Msg("answers_unknown")
 			}
@@ -142,9 +82,9 @@
 }
 
 func (t *crashTransport) readFrom(ctx context.Context, address string) (*placerpb.CrashEvidence, error) {
-	ctx, cancel := context.WithTimeout(ctx, crashTimeout)
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	return t.client(address).ReadCrashes(ctx, &placerpb.CrashQuery{})
+	return t.placer.client(address).ReadCrashes(ctx, &placerpb.CrashQuery{})
 }
 
 // OtherInstances returns the addresses of the other instances, as far as known.
--- a/internal/placer/origins.go
+++ b/internal/placer/origins.go
@@ -80,7 +80,7 @@
 func (p *Placer) sendOriginsTo(ctx context.Context, address string, batch []*placerpb.StreamOrigin) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	if _, err := placerpb.NewDRPCPlacerClient(p.peers.Conn(address)).KeepOrigins(ctx, &placerpb.StreamOrigins{Origins: batch}); err != nil {
+	if _, err := p.client(address).KeepOrigins(ctx, &placerpb.StreamOrigins{Origins: batch}); err != nil {
 		p.log.Debug().Err(err).Str("peer", address).Int("streams", len(batch)).Msg("origins_unsent")
 	}
 }
@@ -96,7 +96,7 @@
 	replies := make(chan *placerpb.StreamOrigin, len(keepers))
 	for _, address := range keepers {
 		go func() {
-			reply, err := placerpb.NewDRPCPlacerClient(p.peers.Conn(address)).FindOrigin(ctx, &placerpb.OriginQuery{Stream: stream})
+			reply, err := p.client(address).FindOrigin(ctx, &placerpb.OriginQuery{Stream: stream})
 			if err != nil {
 				p.log.Debug().Err(err).Str("peer", address).Msg("origin_unread")
 			}
--- a/internal/placer/permits.go
+++ b/internal/placer/permits.go
@@ -76,7 +76,7 @@
 	if !held || holder.Address == p.address {
 		return limit.Grant{}, errNoHolder
 	}
-	reply, err := placerpb.NewDRPCPlacerClient(p.peers.Conn(holder.Address)).Reserve(ctx, encodePermitRequest(p.name, r, time.Now()))
+	reply, err := p.client(holder.Address).Reserve(ctx, encodePermitRequest(p.name, r, time.Now()))
 	if err != nil {
 		return limit.Grant{}, err
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -119,7 +119,7 @@
 	group.Go(func() { p.reportDemand(ctx) })
 	group.Go(func() { p.watch(ctx) })
 	group.Go(func() { p.sendOrigins(ctx) })
-	group.Go(func() { p.crashes.send(ctx) })
+	group.Go(func() { p.crashes.outbox.run(ctx) })
 	group.Go(func() { p.crashes.readAll(ctx) })
 	group.Go(func() { p.Watcher.Run(ctx) })
 	group.Go(func() { p.elector.runElection(ctx, stop) })
@@ -185,7 +185,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply, err := placerpb.NewDRPCPlacerClient(p.peers.Conn(r.Address)).Report(ctx, encodeDemand(p.name, p.address, report))
+	reply, err := p.client(r.Address).Report(ctx, encodeDemand(p.name, p.address, report))
 	if err != nil {
 		return err
 	}
@@ -236,7 +236,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply, err := placerpb.NewDRPCPlacerClient(p.peers.Conn(address)).Watch(ctx, &placerpb.WatchRequest{})
+	reply, err := p.client(address).Watch(ctx, &placerpb.WatchRequest{})
 	if err != nil {
 		p.log.Debug().Err(err).Str("peer", address).Msg("tenure_unheard")
 		return
@@ -278,7 +278,7 @@
 func (p *Placer) watchOnce(ctx context.Context, address string, epoch, version int64) (*placerpb.Placement, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout+callTimeout)
 	defer cancel()
-	return placerpb.NewDRPCPlacerClient(p.peers.Conn(address)).Watch(ctx, &placerpb.WatchRequest{
+	return p.client(address).Watch(ctx, &placerpb.WatchRequest{
 		Epoch: epoch, Version: version, WaitMs: uint32(watchTimeout.Milliseconds()),
 	})
 }
