Send no requests to servers that say in their answers that they leave

What callers saw: requests to a server that was about to exit, which fail when it does. A server that said so in its answers while its entry was still ready got requests until the store listed it as draining.

Cause: an instance learned of leaving servers from the list alone, and nothing read what the servers themselves say. The class: two sources for one fact, of which the slower one is used.

Change: a server that says that it leaves is treated as a draining one by the view, so by the request path and by the planner of models. Other instances are told, as one of them may have passed the answer on as a relay without reading it, or may place models. An instance relays no connections to servers that don't accept requests of its own. The standing outlives a lost entry, and ends with the incarnation. A request that was assigned before is checked once more when its connection is open.

While the tests were written, some chose a server that got no requests (ties are broken by the order of the list); they choose the busiest now, or send bursts.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -206,8 +206,13 @@
 	})
 	defer watchdog.Stop()
 
-	answer, err := q.edge.servers.Send(attemptCtx, q.newCall(b.server))
+	answer, err := q.edge.servers.Send(attemptCtx, q.newCall(b))
 	var fault retry.Fault
+	if errors.Is(err, platform.ErrWithdrawn) {
+		// This is no evidence about the server.
+		b.stats.health.Released(probe)
+		return retry.FaultNotSent
+	}
 	if err != nil {
 		fault = sendFault(err)
 		if errors.Is(err, platform.ErrNotListening) {
@@ -259,11 +264,11 @@
 	}
 }
 
-func (q *request) newCall(server *fleet.Server) platform.Call {
+func (q *request) newCall(b *backend) platform.Call {
 	return platform.Call{
-		Server: server, Method: q.method, Target: q.target, Host: q.host, Header: q.header, Body: q.body,
+		Server: b.server, Method: q.method, Target: q.target, Host: q.host, Header: q.header, Body: q.body,
 		RequestID: q.head.ID, Remaining: time.Until(q.deadline), Priority: min(max(q.route.Priority, 0), 9),
-		ResumeAfter: q.lastEvent, NewConnection: !q.route.Idempotent(),
+		ResumeAfter: q.lastEvent, NewConnection: !q.route.Idempotent(), Proceed: b.stats.standing.accepts,
 	}
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -58,16 +58,17 @@
 
 // Edge serves client requests. It is an http.Handler.
 type Edge struct {
-	cfg     Config
-	views   *Views
-	servers *platform.Servers
-	demand  Demand
-	permits Permits
-	origins Origins
-	crashes Crashes
-	log     *log.Logger
-	tracer  trace.Tracer
-	started time.Time
+	cfg       Config
+	views     *Views
+	servers   *platform.Servers
+	demand    Demand
+	permits   Permits
+	origins   Origins
+	crashes   Crashes
+	standings Standings
+	log       *log.Logger
+	tracer    trace.Tracer
+	started   time.Time
 
 	draining atomic.Bool
 	// waitUntil is when waiting requests are refused, and acceptUntil when new requests
@@ -100,15 +101,16 @@
 
 // Peers is what the instances of a deployment know together.
 type Peers struct {
-	Permits Permits
-	Origins Origins
-	Crashes Crashes
+	Permits   Permits
+	Origins   Origins
+	Crashes   Crashes
+	Standings Standings
 }
 
 // New returns an Edge that routes by the given views.
 func New(cfg Config, views *Views, servers *platform.Servers, demand Demand, peers Peers, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *Edge {
 	e := &Edge{
-		cfg: cfg, views: views, servers: servers, demand: demand, permits: peers.Permits, origins: peers.Origins, crashes: peers.Crashes,
+		cfg: cfg, views: views, servers: servers, demand: demand, permits: peers.Permits, origins: peers.Origins, crashes: peers.Crashes, standings: peers.Standings,
 		log: logger, tracer: tracer, started: time.Now(),
 		begun:      unannounced{streams: map[string]streamorigin.Origin{}},
 		unanswered: unanswered{cancels: map[*request]context.CancelCauseFunc{}},
@@ -120,6 +122,7 @@
 		latency:    metrics.NewRegisteredTimer("edge_latency_ns", registry),
 	}
 	e.crashes.OnBlock(e.partBlocked)
+	e.standings.OnTold(e.standingTold)
 	return e
 }
 
--- a/internal/edge/standing.go
+++ b/internal/edge/standing.go
@@ -4,46 +4,131 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
 
-// standing is what one incarnation of a server has said about further requests.
+// leavingTTL is how long it is remembered that a server is leaving after its entry is removed. An
+// entry that was lost can be written again.
+const leavingTTL = 10 * time.Minute
+
+// maxStandings bounds the standings that are remembered, which a faulty peer could exaggerate.
+const maxStandings = 1 << 16
+
+// Standing is what one incarnation of a server has said about further requests.
+type Standing struct {
+	Server    fleet.ServerID
+	StartedAt int64
+	// Leaving means that the server is about to exit.
+	Leaving bool
+}
+
+// Standings exchanges with the other instances what servers have said about further requests.
+type Standings interface {
+	// TellAll tells all other instances, in the background.
+	TellAll(Standing)
+	// OnTold sets the function that is called for what another instance tells.
+	OnTold(told func(Standing))
+}
+
+// standing is what this instance knows of one incarnation of a server.
 type standing struct {
-	// leaving is true once the server has said that it is about to exit.
+	// leaving is true once the server has said that it is about to exit. This doesn't end before
+	// the incarnation does, as a late answer may not say it.
 	leaving atomic.Bool
-	// notBefore is until when it wants no requests from this instance; nil if it hasn't said so.
-	notBefore atomic.Pointer[time.Time]
+	// unlistedAt is when the server was first missing in the list; the zero time while it is
+	// listed. It is guarded by the lock of the Views.
+	unlistedAt time.Time
 }
 
-// rest extends the time without requests, and reports whether it begins now.
-func (s *standing) rest(until, now time.Time) bool {
-	for {
-		current := s.notBefore.Load()
-		if current != nil && !until.After(*current) {
-			return false
-		}
-		if s.notBefore.CompareAndSwap(current, &until) {
-			return current == nil || !now.Before(*current)
-		}
-	}
+// accepts reports whether the server accepts requests of this instance.
+func (s *standing) accepts() bool { return !s.leaving.Load() }
+
+// remembered reports whether the standing of a server that isn't listed still matters.
+func (s *standing) remembered(now time.Time) bool {
+	return s.leaving.Load() && now.Sub(s.unlistedAt) < leavingTTL
 }
 
-// recordStanding records whether the server says that it is leaving, or wants no more requests for
-// a time.
+// recordStanding records whether the server says that it is leaving.
 func (q *request) recordStanding(b *backend, answer *platform.Answer) {
 	if !answer.RequestIDMatches || answer.Misdirected || !answer.Signed && !answer.NotExecuted && answer.RetryAfter == 0 {
 		return // not an answer of this server to this request
 	}
-	now := time.Now()
-	if answer.Leaving && !b.stats.standing.leaving.Swap(true) {
+	if answer.Leaving && !b.stats.standing.leaving.Load() {
 		q.edge.log.Info().Str("server", string(b.server.ID)).Int64("started_at", b.server.StartedAt).Str("request", q.head.ID).
 			Str("relay", answer.Relay).Msg("server_leaving")
+		said := Standing{Server: b.server.ID, StartedAt: b.server.StartedAt, Leaving: true}
+		q.edge.applyStanding(said)
+		q.edge.standings.TellAll(said)
 	}
 	switch {
 	case answer.RetryAfterErr != nil:
 		q.edge.log.Warn().Str("server", string(b.server.ID)).Str("request", q.head.ID).Err(answer.RetryAfterErr).Msg("retry_after_unreadable")
-	case answer.RetryAfter > 0 && b.stats.standing.rest(now.Add(answer.RetryAfter), now):
+	case answer.RetryAfter > 0:
 		q.edge.log.Info().Str("server", string(b.server.ID)).Str("request", q.head.ID).Dur("retry_after", answer.RetryAfter).
 			Str("relay", answer.Relay).Msg("server_rests")
 	}
 }
+
+// standingTold applies what another instance tells.
+func (e *Edge) standingTold(said Standing) {
+	if e.applyStanding(said) {
+		e.log.Info().Str("server", string(said.Server)).Int64("started_at", said.StartedAt).Bool("leaving", said.Leaving).Msg("standing_told")
+	}
+}
+
+// applyStanding applies what a server has said, and reports whether it is news.
+func (e *Edge) applyStanding(said Standing) bool {
+	return e.views.SetStanding(said, time.Now())
+}
+
+// SetStanding records what a server has said, publishes a view without the server if it is
+// leaving, and reports whether it is news.
+func (v *Views) SetStanding(said Standing, now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(v.standings) >= maxStandings {
+		v.forgetStandings(now)
+	}
+	key := statsKey{said.Server, said.StartedAt}
+	if len(v.standings) >= maxStandings && v.standings[key] == nil {
+		return false
+	}
+	known := v.standingOf(key, now)
+	if !said.Leaving || known.leaving.Swap(true) {
+		return false
+	}
+	v.publish()
+	return true
+}
+
+// standingOf returns the standing of an incarnation of a server.
+func (v *Views) standingOf(key statsKey, now time.Time) *standing {
+	known := v.standings[key]
+	if known == nil {
+		known = &standing{}
+		if server := v.servers[key.id]; server == nil || server.StartedAt != key.startedAt {
+			known.unlistedAt = now
+		}
+		v.standings[key] = known
+	}
+	return known
+}
+
+// forgetStandings removes the standings that no longer matter.
+func (v *Views) forgetStandings(now time.Time) {
+	for key, known := range v.standings {
+		server := v.servers[key.id]
+		switch listed := server != nil && server.StartedAt == key.startedAt; {
+		case listed:
+			known.unlistedAt = time.Time{}
+		case known.unlistedAt.IsZero():
+			known.unlistedAt = now
+			fallthrough
+		default:
+			if !known.remembered(now) {
+				delete(v.standings, key)
+			}
+		}
+	}
+}
--- a/internal/edge/standing_test.go
+++ b/internal/edge/standing_test.go
@@ -1,9 +1,11 @@
 package edge_test
 
 import (
+	"context"
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -15,6 +17,7 @@
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/platform"
 	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
 )
 
@@ -199,6 +202,22 @@
 	return statuses
 }
 
+// burst sends concurrent requests to an instance, so that all servers get some.
+func (f *standingFleet) burst(n int, name string) {
+	var group sync.WaitGroup
+	for i := range 8 * len(f.standing) {
+		group.Go(func() { f.request(n, fmt.Sprint(name, i)) })
+	}
+	group.Wait()
+}
+
+// busiest returns the server that has got the most requests.
+func (f *standingFleet) busiest() *standingServer {
+	return slices.MaxFunc(slices.Collect(maps.Values(f.standing)), func(a, b *standingServer) int {
+		return len(a.received()) - len(b.received())
+	})
+}
+
 // leavingBound is the time after which no request is to reach a server from an instance that has
 // passed on that the server leaves.
 const leavingBound = 2 * time.Second
@@ -244,12 +263,16 @@
 		t.Run(name, func(t *testing.T) {
 			inVirtualTime(t, func(t *testing.T) {
 				f := newStandingFleet(t, c.service, 6, 4)
-				time.AfterFunc(5*time.Second, func() { f.standing["s1"].setLeaving(true) })
+				var leaving *standingServer
+				time.AfterFunc(5*time.Second, func() {
+					leaving = f.busiest()
+					leaving.setLeaving(true)
+				})
 				time.AfterFunc(c.cutAt, func() { f.paths.setPaths(pathHangs, c.cut...) })
 				time.AfterFunc(c.uncutAt, func() { f.paths.setPaths(pathOpen, c.cut...) })
 				statuses := f.play(14*time.Second, c.perSecond, 1)
-				assert.NotEmpty(t, f.standing["s1"].leavingTold)
-				assert.Zero(t, f.late(f.standing["s1"]), "requests that reached the server too late")
+				assert.NotEmpty(t, leaving.leavingTold)
+				assert.Zero(t, f.late(leaving), "requests that reached the server too late")
 				if c.perSecond <= 100 {
 					all := 0
 					for _, n := range statuses {
@@ -316,8 +339,9 @@
 func TestLeavingServerIsListedAgain(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		f := newStandingFleet(t, plain, 3, 3)
+		f.burst(0, "before")
 		f.standing["s1"].setLeaving(true)
-		f.play(2*time.Second, 60, 1)
+		f.play(2*time.Second, 200, 1)
 		entry := f.servers["s1"]
 		delete(f.servers, "s1")
 		f.publish()
@@ -329,3 +353,79 @@
 		assert.Zero(t, f.late(f.standing["s1"]))
 	})
 }
+
+// fromInstance returns how many requests have reached the server from an instance since a time.
+func (s *standingServer) fromInstance(name string, since time.Time) int {
+	n := 0
+	for _, a := range s.received() {
+		if a.from == name && !a.at.Before(since) {
+			n++
+		}
+	}
+	return n
+}
+
+// An instance that has relayed an answer which says that the server leaves doesn't send its own
+// requests there, though it hasn't read the answer.
+func TestInstanceThatRelayedTheAnswerKnowsThatTheServerLeaves(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := newStandingFleet(t, plain, 2, 2)
+		f.paths.setPaths(pathRefuses, 0)
+		f.burst(0, "cut")
+		time.Sleep(time.Second)
+		f.standing["s0"].setLeaving(true)
+		f.burst(0, "told")
+		assert.NotZero(t, f.standing["s0"].leavingTold[instanceName(1)])
+		time.Sleep(leavingBound)
+		since := time.Now()
+		f.burst(1, "own")
+		assert.Zero(t, f.standing["s0"].fromInstance(instanceName(1), since))
+	})
+}
+
+// An instance that knows that a server leaves relays no requests to it, of others that don't know.
+func TestNoRequestsAreRelayedToALeavingServer(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := newStandingFleet(t, plain, 2, 2)
+		f.standings.cutOff(instanceName(0))
+		f.standing["s0"].setLeaving(true)
+		f.burst(1, "own")
+		assert.NotZero(t, f.standing["s0"].leavingTold[instanceName(1)])
+		time.Sleep(leavingBound)
+		f.paths.setPaths(pathRefuses, 0)
+		since := time.Now()
+		for n := range 20 {
+			f.burst(0, fmt.Sprint("relayed", n))
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Zero(t, f.standing["s0"].fromInstance(instanceName(1), since))
+		assert.NotZero(t, f.standing["s1"].fromInstance(instanceName(1), since))
+	})
+}
+
+// A request isn't sent to a server that has said that it leaves while the connection was opened.
+func TestServerLeavesWhileAConnectionIsOpened(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := newStandingFleet(t, plain, 0, 2)
+		slow := false
+		servers := platform.NewServersWithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+			if slow && address == f.servers["s0"].Address {
+				time.Sleep(200 * time.Millisecond)
+			}
+			return f.dial(ctx, network, address)
+		})
+		list, services := manifestParts()
+		views := f.newViews(fleet.NewManifest(1, list, services, fleet.CallerLimits{MaxBodyBytes: 1000}))
+		f.instances = append(f.instances, f.newInstanceWith(instanceName(0), views, 1, servers))
+		slow = true
+		var group sync.WaitGroup
+		for n := range 8 {
+			group.Go(func() { assert.Equal(t, http.StatusOK, f.request(0, fmt.Sprint("id", n)).Code) })
+		}
+		time.Sleep(100 * time.Millisecond)
+		views.SetStanding(edge.Standing{Server: "s0", Leaving: true}, time.Now())
+		group.Wait()
+		assert.Empty(t, f.standing["s0"].received())
+		assert.Len(t, f.standing["s1"].received(), 8)
+	})
+}
--- a/internal/edge/unreachable_test.go
+++ b/internal/edge/unreachable_test.go
@@ -105,7 +105,7 @@
 	})
 	f.dialers[name] = dialer
 	server := relay.NewServer(relay.ServerConfig{
-		Zone: zone, Dial: direct, IsServer: views.IsServer, Reaches: dialer.Reaches, Log: logger,
+		Zone: zone, Dial: direct, Accepts: views.AcceptsRequests, Reaches: dialer.Reaches, Log: logger,
 	})
 	listener := prefixListener{f.listeners.listen(name)}
 	f.Cleanup(func() { _ = listener.Close() })
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -57,7 +57,7 @@
 	rateLimit rateLimit
 	crash     crashCheck
 	brittle   brittlePace
-	standing  standing
+	standing  *standing
 	// missing maps models that the server reported as absent to a missingRecord; a later
 	// residency or missingTTL clears the entry.
 	missing sync.Map
@@ -131,6 +131,8 @@
 	residency map[fleet.ServerID]Residency
 	stats     map[statsKey]*stats
 	groups    map[string]*retry.Group
+	// standings are those of the listed servers, and of others that still matter.
+	standings map[statsKey]*standing
 }
 
 type statsKey struct {
@@ -142,7 +144,7 @@
 func NewViews() *Views {
 	v := &Views{
 		residency: map[fleet.ServerID]Residency{}, stats: map[statsKey]*stats{},
-		groups: map[string]*retry.Group{},
+		groups: map[string]*retry.Group{}, standings: map[statsKey]*standing{},
 	}
 	v.current.Store(&View{superseded: make(chan struct{})})
 	return v
@@ -198,9 +200,17 @@
 	return addresses
 }
 
-// IsServer reports whether a listed server has the address.
-func (v *Views) IsServer(address string) bool {
-	return slices.Contains(v.ServerAddresses(), address)
+// AcceptsRequests reports whether a listed server with the address accepts requests of this
+// instance, its own or relayed ones.
+func (v *Views) AcceptsRequests(address string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for id, server := range v.servers {
+		if server.Address == address && !server.Draining && v.standings[statsKey{id, server.StartedAt}].accepts() {
+			return true
+		}
+	}
+	return false
 }
 
 // SetResidency updates the models held by the given servers, as reported by the placer.
@@ -223,14 +233,22 @@
 	view := &View{Manifest: v.manifest, services: map[string][]*backend{}, engines: map[fleet.ServerID]*fleet.Server{}, superseded: make(chan struct{})}
 	retained := make(map[statsKey]*stats, len(v.servers))
 	counts := map[string]int{}
+	now := time.Now()
+	v.forgetStandings(now)
 	for id, server := range v.servers {
 		counts[server.Service]++
 		key := statsKey{id, server.StartedAt}
 		serverStats := v.stats[key]
 		if serverStats == nil {
-			serverStats = &stats{group: v.group(server.Service)}
+			serverStats = &stats{group: v.group(server.Service), standing: v.standingOf(key, now)}
 		}
 		retained[key] = serverStats
+		if serverStats.standing.leaving.Load() && !server.Draining {
+			// The server has said so before its entry does.
+			draining := *server
+			draining.Draining = true
+			server = &draining
+		}
 		if v.manifest != nil && v.manifest.Services[server.Service].Engine != nil {
 			view.engines[id] = server
 		}
@@ -252,7 +270,7 @@
 			delete(v.residency, id)
 		}
 	}
-	view.versions = versionsOf(v.servers, v.current.Load().versions, time.Now())
+	view.versions = versionsOf(v.servers, v.current.Load().versions, now)
 	old := v.current.Swap(view)
 	close(old.superseded)
 }
--- a/internal/edge/virtual_test.go
+++ b/internal/edge/virtual_test.go
@@ -38,6 +38,7 @@
 	permits   *permits
 	origins   *origins
 	crashes   *crashes
+	standings *standings
 	instances []*edge.Edge
 }
 
@@ -51,7 +52,7 @@
 func newVirtualFleet(t *testing.T) *virtualFleet {
 	// The handlers of closed servers, and the checks of crashed ones, end before the bubble does.
 	t.Cleanup(func() { time.Sleep(time.Minute) })
-	return &virtualFleet{T: t, servers: map[fleet.ServerID]*fleet.Server{}, permits: newPermits(), origins: newOrigins(), crashes: newCrashes(t), listeners: &memoryListeners{byAddress: map[string]*memoryListener{}}}
+	return &virtualFleet{T: t, servers: map[fleet.ServerID]*fleet.Server{}, permits: newPermits(), origins: newOrigins(), crashes: newCrashes(t), standings: newStandings(), listeners: &memoryListeners{byAddress: map[string]*memoryListener{}}}
 }
 
 // addServer starts a server and lists it.
@@ -87,7 +88,7 @@
 	views.SetInstances(instances)
 	return edge.New(edge.Config{Name: name, Zone: "zone-a", RetryRatio: 0.2, RetryExtra: 200, RetryWindow: 10 * time.Second, Instances: instances},
 		views, servers, noDemand{},
-		edge.Peers{Permits: f.permits.of(name), Origins: f.origins.of(name), Crashes: f.crashes.of(name)}, &log.Logger{Level: log.PanicLevel}, metrics.NewRegistry(),
+		edge.Peers{Permits: f.permits.of(name), Origins: f.origins.of(name), Crashes: f.crashes.of(name), Standings: f.standings.of(name)}, &log.Logger{Level: log.PanicLevel}, metrics.NewRegistry(),
 		noop.NewTracerProvider().Tracer(""))
 }
 
@@ -292,7 +293,51 @@
 	return replies
 }
 
-// evidenceDelay is the time until other instances know of a crash.
+// standings exchanges what servers have said about further requests.
+type standings struct {
+	mu   sync.Mutex
+	told map[string]func(edge.Standing)
+	// lost are the instances that don't reach the others.
+	lost map[string]bool
+}
+
+func newStandings() *standings {
+	return &standings{told: map[string]func(edge.Standing){}, lost: map[string]bool{}}
+}
+
+// of returns the exchange as one instance uses it.
+func (s *standings) of(instance string) edge.Standings { return standingsOf{s, instance} }
+
+// cutOff cuts an instance off from the others.
+func (s *standings) cutOff(instance string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost[instance] = true
+}
+
+type standingsOf struct {
+	*standings
+
+	instance string
+}
+
+func (s standingsOf) OnTold(told func(edge.Standing)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told[s.instance] = told
+}
+
+func (s standingsOf) TellAll(said edge.Standing) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, told := range s.told {
+		if name != s.instance && !s.lost[name] && !s.lost[s.instance] {
+			time.AfterFunc(evidenceDelay, func() { told(said) })
+		}
+	}
+}
+
+// evidenceDelay is the time until other instances know what one tells them.
 const evidenceDelay = 5 * time.Millisecond
 
 // memoryListeners connects clients to listeners in memory.
--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -91,7 +91,9 @@
 		func(s *Settings) *platform.Store { return platform.NewStore(s.Store.Address) },
 		placer.NewCollector,
 		func(c *placer.Collector) edge.Demand { return c },
-		func(p *placer.Placer) edge.Peers { return edge.Peers{Permits: p, Origins: p, Crashes: p} },
+		func(p *placer.Placer) edge.Peers {
+			return edge.Peers{Permits: p, Origins: p, Crashes: p, Standings: p.Standings()}
+		},
 		func(s *Settings) (*telemetry.Tracing, error) {
 			return telemetry.NewTracing(context.Background(), s.Tracing.OTLPURL, s.Tracing.SampleRatio, s.Instance.Name, s.Instance.Zone)
 		},
@@ -135,7 +137,7 @@
 
 func newRelay(s *Settings, views *edge.Views, dialer *relay.Dialer, logger *log.Logger) *relay.Server {
 	return relay.NewServer(relay.ServerConfig{
-		Zone: s.Instance.Zone, Dial: platform.DialServer, IsServer: views.IsServer, Reaches: dialer.Reaches, Log: logger,
+		Zone: s.Instance.Zone, Dial: platform.DialServer, Accepts: views.AcceptsRequests, Reaches: dialer.Reaches, Log: logger,
 	})
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -75,6 +75,7 @@
 	permits   *permitIssuer
 	origins   *origins
 	crashes   *crashTransport
+	standings *standings
 	views     *edge.Views
 	peers     *peer.Client
 	log       *log.Logger
@@ -106,7 +107,7 @@
 			wake: make(chan struct{}, 1), published: make(chan struct{}),
 		},
 	}
-	p.crashes = newCrashTransport(p)
+	p.crashes, p.standings = newCrashTransport(p), newStandings(p)
 	p.Watcher = crashcause.NewWatcher(p.crashes)
 	return p
 }
@@ -120,6 +121,7 @@
 	group.Go(func() { p.watch(ctx) })
 	group.Go(func() { p.sendOrigins(ctx) })
 	group.Go(func() { p.crashes.outbox.run(ctx) })
+	group.Go(func() { p.standings.outbox.run(ctx) })
 	group.Go(func() { p.crashes.readAll(ctx) })
 	group.Go(func() { p.Watcher.Run(ctx) })
 	group.Go(func() { p.elector.runElection(ctx, stop) })
--- /dev/null
+++ b/internal/placer/standings.go
@@ -0,0 +1,63 @@
+package placer
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+)
+
+// standings exchanges with the other instances what servers have said about further requests.
+type standings struct {
+	placer *Placer
+	outbox *outbox[[]edge.Standing]
+	told   atomic.Pointer[func(edge.Standing)]
+}
+
+func newStandings(p *Placer) *standings {
+	return &standings{placer: p, outbox: newOutbox(p, "standings",
+		func(first, second []edge.Standing) []edge.Standing { return append(first, second...) },
+		func(ctx context.Context, client placerpb.DRPCPlacerClient, list []edge.Standing) error {
+			_, err := client.TellStandings(ctx, encodeStandings(list))
+			return err
+		})}
+}
+
+// TellAll tells all other instances.
+func (s *standings) TellAll(standing edge.Standing) {
+	s.outbox.put([]edge.Standing{standing}, s.placer.OtherInstances()...)
+}
+
+// OnTold sets the function that is called for what another instance tells.
+func (s *standings) OnTold(told func(edge.Standing)) { s.told.Store(&told) }
+
+// Standings returns the exchange of what servers have said about further requests.
+func (p *Placer) Standings() edge.Standings { return p.standings }
+
+// TellStandings handles the call of another instance.
+func (s *service) TellStandings(_ context.Context, r *placerpb.ServerStandings) (*placerpb.StandingsTold, error) {
+	if told := s.placer.standings.told.Load(); told != nil {
+		for _, standing := range decodeStandings(r) {
+			(*told)(standing)
+		}
+	}
+	return &placerpb.StandingsTold{}, nil
+}
+
+func encodeStandings(list []edge.Standing) *placerpb.ServerStandings {
+	out := &placerpb.ServerStandings{}
+	for _, standing := range list {
+		out.Standings = append(out.Standings, &placerpb.ServerStanding{Server: string(standing.Server), Born: standing.StartedAt, Leaving: standing.Leaving})
+	}
+	return out
+}
+
+func decodeStandings(r *placerpb.ServerStandings) []edge.Standing {
+	out := make([]edge.Standing, 0, len(r.Standings))
+	for _, standing := range r.Standings {
+		out = append(out, edge.Standing{Server: fleet.ServerID(standing.Server), StartedAt: standing.Born, Leaving: standing.Leaving})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/placer/standings_test.go
@@ -0,0 +1,37 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
+	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
+)
+
+// One instance hears that an engine leaves, which is listed as ready. All others learn it, and the
+// holder loads the model elsewhere.
+func TestModelOfALeavingServerIsLoadedElsewhere(t *testing.T) {
+	c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0", Models: []string{"a"}, OnDisk: []string{"a"}}, standin.ServerConfig{ID: "s1", OnDisk: []string{"a"}})
+	var all []*instance
+	for n := range 3 {
+		i := c.start(fmt.Sprint("i", n))
+		i.Standings().OnTold(func(said edge.Standing) { i.views.SetStanding(said, time.Now()) })
+		all = append(all, i)
+	}
+	for _, i := range all {
+		c.eventually("the instances know each other", func() bool { return len(i.OtherInstances()) == len(all)-1 })
+		c.eventually("the placement is known", func() bool { return i.views.Load().Holders(summaries, "a") == 1 })
+	}
+	said := edge.Standing{Server: "s0", Leaving: true}
+	all[1].views.SetStanding(said, time.Now())
+	all[1].Standings().TellAll(said)
+	for _, i := range all {
+		c.eventually("the server isn't used", func() bool { return i.views.Load().Holders(summaries, "a") == 0 || c.holds(1, "a") })
+	}
+	defer all[1].collector.Wait(wantModel("a"))()
+	c.eventually("the model is loaded elsewhere", func() bool { return c.holds(1, "a") })
+	for _, i := range all {
+		c.eventually("the other server is used", func() bool { return i.views.Load().Holders(summaries, "a") == 1 })
+	}
+}
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -30,8 +30,8 @@
 	statusFailed status = 'f'
 	// statusUnreachable means that the instance itself doesn't reach the servers, or stops.
 	statusUnreachable status = 'u'
-	// statusUnknown means that the address isn't that of a server.
-	statusUnknown status = 'n'
+	// statusNoServer means that no listed server with the address accepts requests.
+	statusNoServer status = 'n'
 )
 
 const (
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -52,7 +52,7 @@
 	direct := (&net.Dialer{Timeout: time.Second}).DialContext
 	f.relay = NewServer(ServerConfig{
 		Zone: "zone-a", Dial: direct, Log: logger, Reaches: func() bool { return reaches },
-		IsServer: func(address string) bool { return address != "127.0.0.1:1" },
+		Accepts: func(address string) bool { return address != "127.0.0.1:1" },
 	})
 	peers := listen(t)
 	ctx, stop := context.WithCancel(t.Context())
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -30,8 +30,9 @@
 	Zone string
 	// Dial opens a connection to a server directly.
 	Dial DialFunc
-	// IsServer reports whether an address is that of a listed server.
-	IsServer func(address string) bool
+	// Accepts reports whether a listed server with an address accepts requests of this instance.
+	// To the server, relayed requests are requests of this instance.
+	Accepts func(address string) bool
 	// Reaches reports whether this instance reaches the servers.
 	Reaches func() bool
 	Log     *log.Logger
@@ -108,8 +109,8 @@
 		return nil, statusUnreachable
 	case address == "":
 		return nil, statusConnected
-	case !s.cfg.IsServer(address):
-		return nil, statusUnknown
+	case !s.cfg.Accepts(address):
+		return nil, statusNoServer
 	}
 	server, err := s.cfg.Dial(ctx, "tcp", address)
 	switch {
