--- a/internal/edge/silence_test.go
+++ b/internal/edge/silence_test.go
@@ -105,3 +105,8 @@
 		Slots: 8, WeightsMB: 100, Models: map[string]fleet.Model{"m": {Name: "m", WeightsMB: 10}},
 	}}}
 }
+
+func testManifest() *fleet.Manifest {
+	list, services := manifestParts()
+	return fleet.NewManifest(1, list, services, fleet.CallerLimits{MaxBodyBytes: 1000})
+}
--- a/internal/edge/standing_test.go
+++ b/internal/edge/standing_test.go
@@ -133,8 +133,7 @@
 		sentAt: map[string]time.Time{}, passedOn: map[string]time.Time{},
 	}
 	f.paths = newPaths(f.virtualFleet)
-	list, services := manifestParts()
-	manifest := fleet.NewManifest(1, list, services, fleet.CallerLimits{MaxBodyBytes: 1000})
+	manifest := testManifest()
 	for n := range servers {
 		f.addStanding(fmt.Sprint("s", n))
 	}
@@ -414,8 +413,7 @@
 			}
 			return f.dial(ctx, network, address)
 		})
-		list, services := manifestParts()
-		views := f.newViews(fleet.NewManifest(1, list, services, fleet.CallerLimits{MaxBodyBytes: 1000}))
+		views := f.newViews(testManifest())
 		f.instances = append(f.instances, f.newInstanceWith(instanceName(0), views, 1, servers))
 		slow = true
 		var group sync.WaitGroup
