Send no requests to a server before the end of its Retry-After

What callers saw: an instance went on sending requests to a server that had asked for a pause, and each was rejected and sent again elsewhere. If all servers of a service had asked for one, clients were told to come back at once.

Cause: the Retry-After of servers was passed on to clients, but nothing of the instance read it.

Change: a server that rejects a request with 503 and a Retry-After is no candidate until then, for the instance that it has said it to. The time outlives a lost entry and ends with the incarnation. A request whose servers all want none waits if the first accepts requests in time, else it is refused as not run with that time, unless the model can be loaded elsewhere.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -125,7 +125,7 @@
 func (q *request) hasAlternative(b *backend) bool {
 	now, elapsed := time.Now(), q.edge.elapsed()
 	for _, other := range q.edge.views.Load().services[q.service] {
-		if other.server.ID != b.server.ID && q.servedBy(other) && other.stats.health.Usable(elapsed) && other.stats.rateLimit.usable(now) {
+		if other.server.ID != b.server.ID && q.servedBy(other) && other.stats.health.Usable(elapsed) && other.stats.rateLimit.usable(now) && other.stats.standing.accepts() {
 			return true
 		}
 	}
--- a/internal/edge/outcome.go
+++ b/internal/edge/outcome.go
@@ -24,6 +24,7 @@
 	reasonRateLimit    reason = "rate limit of the servers"
 	reasonPartBlocked  reason = "a part of the prompt crashes servers"
 	reasonBrittle      reason = "servers bear no more requests"
+	reasonRest         reason = "servers want no requests for a time"
 	reasonTooLate      reason = "too little time left"
 	reasonLost         reason = "answer lost"
 	reasonTimeout      reason = "time limit"
--- a/internal/edge/standing.go
+++ b/internal/edge/standing.go
@@ -21,12 +21,17 @@
 	StartedAt int64
 	// Leaving means that the server is about to exit.
 	Leaving bool
+	// RestUntil is until when the server wants no requests; the zero time if it hasn't said so. It
+	// is said to one instance.
+	RestUntil time.Time
 }
 
 // Standings exchanges with the other instances what servers have said about further requests.
 type Standings interface {
 	// TellAll tells all other instances, in the background.
 	TellAll(Standing)
+	// Tell tells the instance at an address, in the background.
+	Tell(address string, said Standing)
 	// OnTold sets the function that is called for what another instance tells.
 	OnTold(told func(Standing))
 }
@@ -36,20 +41,44 @@
 	// leaving is true once the server has said that it is about to exit. This doesn't end before
 	// the incarnation does, as a late answer may not say it.
 	leaving atomic.Bool
+	// restUntil is until when it wants no requests of this instance; nil if it hasn't said so.
+	restUntil atomic.Pointer[time.Time]
 	// unlistedAt is when the server was first missing in the list; the zero time while it is
 	// listed. It is guarded by the lock of the Views.
 	unlistedAt time.Time
 }
 
-// accepts reports whether the server accepts requests of this instance.
-func (s *standing) accepts() bool { return !s.leaving.Load() }
+// accepts reports whether the server accepts requests of this instance now.
+func (s *standing) accepts() bool { return !s.leaving.Load() && s.restLeft(time.Now()) <= 0 }
+
+// restLeft returns for how long the server wants no requests of this instance.
+func (s *standing) restLeft(now time.Time) time.Duration {
+	if until := s.restUntil.Load(); until != nil {
+		return until.Sub(now)
+	}
+	return 0
+}
+
+// extendRest extends the time without requests, and reports whether it begins now.
+func (s *standing) extendRest(until, now time.Time) bool {
+	for {
+		current := s.restUntil.Load()
+		if current != nil && !until.After(*current) {
+			return false
+		}
+		if s.restUntil.CompareAndSwap(current, &until) {
+			return current == nil || !now.Before(*current)
+		}
+	}
+}
 
 // remembered reports whether the standing of a server that isn't listed still matters.
 func (s *standing) remembered(now time.Time) bool {
-	return s.leaving.Load() && now.Sub(s.unlistedAt) < leavingTTL
+	return s.leaving.Load() && now.Sub(s.unlistedAt) < leavingTTL || s.restLeft(now) > 0
 }
 
-// recordStanding records whether the server says that it is leaving.
+// recordStanding records whether the server says that it is leaving, or wants no more requests for
+// a time.
 func (q *request) recordStanding(b *backend, answer *platform.Answer) {
 	if !answer.RequestIDMatches || answer.Misdirected || !answer.Signed && !answer.NotExecuted && answer.RetryAfter == 0 {
 		return // not an answer of this server to this request
@@ -61,10 +90,22 @@
 		q.edge.applyStanding(said)
 		q.edge.standings.TellAll(said)
 	}
-	switch {
-	case answer.RetryAfterErr != nil:
+	if answer.RetryAfterErr != nil {
 		q.edge.log.Warn().Str("server", string(b.server.ID)).Str("request", q.head.ID).Err(answer.RetryAfterErr).Msg("retry_after_unreadable")
-	case answer.RetryAfter > 0:
+	}
+	if answer.RetryAfter > 0 {
+		q.recordRest(b, answer)
+	}
+}
+
+// recordRest records for how long the server wants no more requests. It says so to the instance
+// from which it gets them, which is the relay if there is one.
+func (q *request) recordRest(b *backend, answer *platform.Answer) {
+	said := Standing{Server: b.server.ID, StartedAt: b.server.StartedAt, RestUntil: time.Now().Add(answer.RetryAfter)}
+	if answer.Relay != "" {
+		q.edge.standings.Tell(answer.Relay, said)
+	}
+	if q.edge.applyStanding(said) {
 		q.edge.log.Info().Str("server", string(b.server.ID)).Str("request", q.head.ID).Dur("retry_after", answer.RetryAfter).
 			Str("relay", answer.Relay).Msg("server_rests")
 	}
@@ -73,7 +114,8 @@
 // standingTold applies what another instance tells.
 func (e *Edge) standingTold(said Standing) {
 	if e.applyStanding(said) {
-		e.log.Info().Str("server", string(said.Server)).Int64("started_at", said.StartedAt).Bool("leaving", said.Leaving).Msg("standing_told")
+		e.log.Info().Str("server", string(said.Server)).Int64("started_at", said.StartedAt).Bool("leaving", said.Leaving).
+			Dur("retry_after", max(time.Until(said.RestUntil), 0)).Msg("standing_told")
 	}
 }
 
@@ -95,8 +137,9 @@
 		return false
 	}
 	known := v.standingOf(key, now)
+	rests := !said.RestUntil.IsZero() && known.extendRest(said.RestUntil, now)
 	if !said.Leaving || known.leaving.Swap(true) {
-		return false
+		return rests
 	}
 	v.publish()
 	return true
--- a/internal/edge/virtual_test.go
+++ b/internal/edge/virtual_test.go
@@ -337,6 +337,14 @@
 	}
 }
 
+func (s standingsOf) Tell(address string, said edge.Standing) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if told := s.told[address]; told != nil && !s.lost[address] && !s.lost[s.instance] {
+		time.AfterFunc(evidenceDelay, func() { told(said) })
+	}
+}
+
 // evidenceDelay is the time until other instances know what one tells them.
 const evidenceDelay = 5 * time.Millisecond
 
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -53,7 +54,7 @@
 		if out, refuse := q.checkRefusal(state, view); refuse {
 			return nil, out, false
 		}
-		if (state == waitModel || state == waitPermit && q.model != "") && done == nil {
+		if (state == waitModel || (state == waitPermit || state == waitRest) && q.model != "") && done == nil {
 			done = q.edge.demand.Wait(q.want())
 		}
 		b, more := q.waitForChange(ctx, view, state)
@@ -75,6 +76,7 @@
 	waitModel             // no server holds the model
 	waitSlot              // all servers that hold the model are full
 	waitPermit            // a server that holds the model has room, but no permit for its rate limit
+	waitRest              // all servers that hold the model want no requests for a time
 	waitTried             // all servers that hold the model have been tried
 	waitVersion           // the service has no server of the version that began the stream
 )
@@ -87,10 +89,15 @@
 	now, elapsed := time.Now(), q.edge.elapsed()
 	holders := make([]*backend, 0, len(all))
 	candidates := make([]serverpick.Candidate, 0, len(all))
+	resting := 0
 	for _, b := range all {
 		if !q.servedBy(b) {
 			continue
 		}
+		if b.stats.standing.restLeft(now) > 0 {
+			resting++
+			continue
+		}
 		holders = append(holders, b)
 		load := b.stats.loadAt(now)
 		candidates = append(candidates, serverpick.Candidate{
@@ -101,6 +108,8 @@
 	}
 	switch {
 	case len(holders) > 0:
+	case resting > 0:
+		return nil, waitRest
 	case !slices.ContainsFunc(all, q.hasStreamVersion):
 		return nil, waitVersion
 	default:
@@ -210,6 +219,8 @@
 		return refused(reasonNoVersion, 0), true
 	case waitPermit:
 		return q.checkRateLimits(view, now)
+	case waitRest:
+		return q.checkRest(view, now)
 	case waitSlot:
 		return q.checkBrittle(view, now)
 	case waitTried:
@@ -249,10 +260,33 @@
 	return refused(reasonRateLimit, jitter(before)), true
 }
 
-// canLoadElsewhere reports whether a server that states no rate limit can load the model.
+// checkRest refuses a request whose servers all want no requests for longer than it can wait, unless
+// another one may load the model in time.
+func (q *request) checkRest(view *View, now time.Time) (outcome, bool) {
+	left := q.restLeft(view, now)
+	if left <= q.edge.waitLimit(q.deadline).Sub(now) ||
+		q.loadsInTime(view) || now.Sub(q.arrived) <= q.modelWait() && q.canLoadElsewhere(view) {
+		return outcome{}, false
+	}
+	return refused(reasonRest, jitter(left)), true
+}
+
+// restLeft returns the time until the first of the request's servers wants requests again.
+func (q *request) restLeft(view *View, now time.Time) time.Duration {
+	left := time.Duration(math.MaxInt64)
+	for _, b := range view.services[q.service] {
+		if q.servedBy(b) {
+			left = min(left, b.stats.standing.restLeft(now))
+		}
+	}
+	return left
+}
+
+// canLoadElsewhere reports whether a server that states no rate limit and accepts requests can load
+// the model.
 func (q *request) canLoadElsewhere(view *View) bool {
 	return q.model != "" && slices.ContainsFunc(view.services[q.service], func(b *backend) bool {
-		return q.hasStreamVersion(b) && !b.stats.rateLimit.limited.Load()
+		return q.hasStreamVersion(b) && !b.stats.rateLimit.limited.Load() && b.stats.standing.accepts()
 	})
 }
 
@@ -304,6 +338,8 @@
 		return q.waitForSlot(ctx, view, min(limit, slotRecheckInterval))
 	case waitTried:
 		limit = min(limit, q.triedBackoff)
+	case waitRest:
+		limit = min(limit, q.restLeft(view, time.Now()))
 	}
 	// The instance may start draining in the meantime.
 	limit = min(limit, drainCheckInterval)
--- a/internal/placer/standings.go
+++ b/internal/placer/standings.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
@@ -20,7 +21,7 @@
 	return &standings{placer: p, outbox: newOutbox(p, "standings",
 		func(first, second []edge.Standing) []edge.Standing { return append(first, second...) },
 		func(ctx context.Context, client placerpb.DRPCPlacerClient, list []edge.Standing) error {
-			_, err := client.TellStandings(ctx, encodeStandings(list))
+			_, err := client.TellStandings(ctx, encodeStandings(list, time.Now()))
 			return err
 		})}
 }
@@ -30,6 +31,11 @@
 	s.outbox.put([]edge.Standing{standing}, s.placer.OtherInstances()...)
 }
 
+// Tell tells the instance at an address.
+func (s *standings) Tell(address string, standing edge.Standing) {
+	s.outbox.put([]edge.Standing{standing}, address)
+}
+
 // OnTold sets the function that is called for what another instance tells.
 func (s *standings) OnTold(told func(edge.Standing)) { s.told.Store(&told) }
 
@@ -39,25 +45,32 @@
 // TellStandings handles the call of another instance.
 func (s *service) TellStandings(_ context.Context, r *placerpb.ServerStandings) (*placerpb.StandingsTold, error) {
 	if told := s.placer.standings.told.Load(); told != nil {
-		for _, standing := range decodeStandings(r) {
+		for _, standing := range decodeStandings(r, time.Now()) {
 			(*told)(standing)
 		}
 	}
 	return &placerpb.StandingsTold{}, nil
 }
 
-func encodeStandings(list []edge.Standing) *placerpb.ServerStandings {
+func encodeStandings(list []edge.Standing, now time.Time) *placerpb.ServerStandings {
 	out := &placerpb.ServerStandings{}
 	for _, standing := range list {
-		out.Standings = append(out.Standings, &placerpb.ServerStanding{Server: string(standing.Server), Born: standing.StartedAt, Leaving: standing.Leaving})
+		out.Standings = append(out.Standings, &placerpb.ServerStanding{
+			Server: string(standing.Server), Born: standing.StartedAt, Leaving: standing.Leaving,
+			RestUs: uint64(max(standing.RestUntil.Sub(now), 0).Microseconds()),
+		})
 	}
 	return out
 }
 
-func decodeStandings(r *placerpb.ServerStandings) []edge.Standing {
+func decodeStandings(r *placerpb.ServerStandings, now time.Time) []edge.Standing {
 	out := make([]edge.Standing, 0, len(r.Standings))
 	for _, standing := range r.Standings {
-		out = append(out, edge.Standing{Server: fleet.ServerID(standing.Server), StartedAt: standing.Born, Leaving: standing.Leaving})
+		decoded := edge.Standing{Server: fleet.ServerID(standing.Server), StartedAt: standing.Born, Leaving: standing.Leaving}
+		if standing.RestUs > 0 {
+			decoded.RestUntil = now.Add(microseconds(standing.RestUs))
+		}
+		out = append(out, decoded)
 	}
 	return out
 }
--- a/internal/placer/standings_test.go
+++ b/internal/placer/standings_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
+
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
 )
@@ -35,3 +37,17 @@
 		c.eventually("the other server is used", func() bool { return i.views.Load().Holders(summaries, "a") == 1 })
 	}
 }
+
+// For how long a server wants no requests is told to the instance that relayed the rejection alone.
+func TestRestIsToldToTheRelay(t *testing.T) {
+	c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0"})
+	first, relay := c.start("i0"), c.start("i1")
+	said := edge.Standing{Server: "s0", StartedAt: 7, RestUntil: time.Now().Add(time.Minute)}
+	told := make(chan edge.Standing, 1)
+	relay.Standings().OnTold(func(said edge.Standing) { told <- said })
+	first.Standings().Tell(relay.address, said)
+	got := <-told
+	assert.WithinDuration(t, said.RestUntil, got.RestUntil, testTimeout)
+	got.RestUntil = said.RestUntil
+	assert.Equal(t, said, got)
+}
