Log which requests a crashed server hadn't answered

The report of the request that crashes servers has hypotheses that the log can't tell apart: server_crashed named the prompts alone, so nothing of plain requests.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -216,7 +216,7 @@
 	if err != nil {
 		fault = sendFault(err)
 		if errors.Is(err, platform.ErrNotListening) {
-			q.edge.investigateCrash(b, nil, q.progress.sentAt)
+			q.edge.investigateCrash(b, nil, "", q.progress.sentAt)
 		}
 	} else {
 		fault = q.handleAnswer(b, answer, watchdog)
--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -101,13 +101,15 @@
 	brokenAt time.Time
 	// prompts are those of broken exchanges that the server hadn't begun to answer.
 	prompts []crashcause.Prompt
+	// digests are those of requests whose exchanges broke before an answer began.
+	digests []string
 	running bool
 }
 
 // begin adds an exchange that began at sentAt and has broken, and reports whether the caller has
-// to run the check. prompt is nil if the server had begun to answer. Requests that are sent after
-// a crash tell nothing of it.
-func (c *crashCheck) begin(prompt crashcause.Prompt, sentAt, now time.Time) bool {
+// to run the check. prompt is nil, and digest empty, if the server had begun to answer. Requests that
+// are sent after a crash tell nothing of it.
+func (c *crashCheck) begin(prompt crashcause.Prompt, digest string, sentAt, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if (c.running || c.crashed.Load()) && sentAt.After(c.brokenAt) {
@@ -116,6 +118,9 @@
 	if prompt != nil {
 		c.prompts = append(c.prompts, prompt)
 	}
+	if digest != "" {
+		c.digests = append(c.digests, digest)
+	}
 	if c.running {
 		return false
 	}
@@ -128,12 +133,13 @@
 
 // end returns what was added since begin. crashed is the result of the check.
 // again means that the crash was known.
-func (c *crashCheck) end(crashed bool) (again bool, prompts []crashcause.Prompt, brokenAt time.Time) {
+func (c *crashCheck) end(crashed bool) (again bool, prompts []crashcause.Prompt, digests []string, brokenAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	again = c.crashed.Swap(crashed) && crashed
-	prompts, c.prompts, c.running = c.prompts, nil, false
-	return again, prompts, c.brokenAt
+	prompts, digests = c.prompts, c.digests
+	c.prompts, c.digests, c.running = nil, nil, false
+	return again, prompts, digests, c.brokenAt
 }
 
 // answered records that the server answers.
@@ -147,14 +153,18 @@
 // off has crashed.
 func (q *request) investigateCrash(b *backend) {
 	var unanswered crashcause.Prompt
-	if q.lastEvent < 0 && len(q.prompt) > 0 {
-		unanswered = q.prompt
+	digest := ""
+	if q.lastEvent < 0 {
+		digest = q.digest()
+		if len(q.prompt) > 0 {
+			unanswered = q.prompt
+		}
 	}
-	q.edge.investigateCrash(b, unanswered, q.progress.sentAt)
+	q.edge.investigateCrash(b, unanswered, digest, q.progress.sentAt)
 }
 
-func (e *Edge) investigateCrash(b *backend, unanswered crashcause.Prompt, sentAt time.Time) {
-	if b.stats.crash.begin(unanswered, sentAt, time.Now()) {
+func (e *Edge) investigateCrash(b *backend, unanswered crashcause.Prompt, digest string, sentAt time.Time) {
+	if b.stats.crash.begin(unanswered, digest, sentAt, time.Now()) {
 		go e.checkCrash(b)
 	}
 }
@@ -164,13 +174,13 @@
 	time.Sleep(crashCheckDelay)
 	err := e.checkListening(b)
 	crashed := errors.Is(err, platform.ErrNotListening)
-	again, prompts, brokenAt := b.stats.crash.end(crashed)
+	again, prompts, digests, brokenAt := b.stats.crash.end(crashed)
 	if !crashed {
 		e.log.Info().Str("server", string(b.server.ID)).Err(err).Int("unanswered", len(prompts)).Msg("server_broke_off")
 		return
 	}
 	e.log.Warn().Str("server", string(b.server.ID)).Int64("started_at", b.server.StartedAt).Dur("ago", time.Since(brokenAt)).
-		Strs("unanswered", promptNames(prompts)).Msg("server_crashed")
+		Strs("unanswered", promptNames(prompts)).Strs("requests", digests).Msg("server_crashed")
 	if !again {
 		go e.awaitRestart(b)
 	}
