--- a/internal/edge/promptcrash_test.go
+++ b/internal/edge/promptcrash_test.go
@@ -42,6 +42,7 @@
 	*virtualFleet
 
 	manifest *fleet.Manifest
+	service  string
 
 	mu      sync.Mutex
 	views   []*edge.Views
@@ -51,6 +52,8 @@
 	crashTimes []time.Time
 	// arrivals are the times at which requests with a deadly part reached servers.
 	arrivals []time.Time
+	// repeats are the deadly requests that come again, by their bodies.
+	repeats map[string]*deadlyRequest
 }
 
 const (
@@ -60,22 +63,28 @@
 )
 
 func newCrashFleet(t *testing.T, instances, servers int) *crashFleet {
-	f := &crashFleet{virtualFleet: newVirtualFleet(t), running: map[string]*http.Server{}}
+	f := newCrashServers(t, engine, servers)
 	f.manifest = fleet.NewManifest(1, []fleet.Route{{
 		Name: "stream", Host: host, PathPrefix: "/stream/", Kind: fleet.KindStream, CanResume: true,
 		Shares: []fleet.Share{{Service: engine, Weight: 1}}, MaxAttempts: 2, Timeout: 5 * time.Second,
 		TargetLatency: 500 * time.Millisecond, GapTarget: 600 * time.Millisecond,
 	}}, []fleet.Service{{Name: engine, Engine: &fleet.Engine{Slots: 64, Models: map[string]fleet.Model{"m": {Name: "m"}}}}},
 		fleet.CallerLimits{MaxBodyBytes: 1000})
-	for range servers {
-		f.startServer()
-	}
 	for n := range instances {
 		f.addInstance(instanceName(n))
 	}
 	return f
 }
 
+// newCrashServers starts the servers of a service, without instances.
+func newCrashServers(t *testing.T, service string, servers int) *crashFleet {
+	f := &crashFleet{virtualFleet: newVirtualFleet(t), service: service, running: map[string]*http.Server{}, repeats: map[string]*deadlyRequest{}}
+	for range servers {
+		f.startServer()
+	}
+	return f
+}
+
 func (f *crashFleet) addInstance(name string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -98,7 +107,7 @@
 	f.started++
 	id := fmt.Sprint("e", f.started)
 	server := &fleet.Server{
-		ID: fleet.ServerID(id), Service: engine, Zone: "zone-a", Version: "v1", Slots: 64, Models: []fleet.Resident{{Model: "m"}},
+		ID: fleet.ServerID(id), Service: f.service, Zone: "zone-a", Version: "v1", Slots: 64, Models: []fleet.Resident{{Model: "m"}},
 		Address: fmt.Sprintf("10.0.1.%d:80", f.started),
 	}
 	listener := f.listeners.listen(server.Address)
@@ -121,6 +130,14 @@
 	header := w.Header()
 	header.Set(standin.HeaderID, r.Header.Get(standin.HeaderID))
 	header.Set(standin.HeaderSignature, "signed")
+	if f.crashesUnder(id, r) {
+		panic(http.ErrAbortHandler)
+	}
+	if f.service == plain {
+		time.Sleep(30 * time.Millisecond)
+		_, _ = fmt.Fprint(w, "answer")
+		return
+	}
 	header.Set("Content-Type", "text/event-stream")
 	deadly := strings.Contains(r.Header.Get(standin.HeaderPrefix), deadlyPart+":")
 	if deadly {
--- a/internal/edge/virtual_test.go
+++ b/internal/edge/virtual_test.go
@@ -93,8 +93,13 @@
 }
 
 // send sends a request to an instance and returns the answer when it is complete.
-func (f *virtualFleet) send(ctx context.Context, e *edge.Edge, id, path string, header map[string]string) (w *httptest.ResponseRecorder) {
-	req := httptest.NewRequestWithContext(ctx, http.MethodPost, path, strings.NewReader("a body"))
+func (f *virtualFleet) send(ctx context.Context, e *edge.Edge, id, path string, header map[string]string) *httptest.ResponseRecorder {
+	return f.sendBody(ctx, e, id, path, "a body", header)
+}
+
+// sendBody sends a request with the given body.
+func (f *virtualFleet) sendBody(ctx context.Context, e *edge.Edge, id, path, body string, header map[string]string) (w *httptest.ResponseRecorder) {
+	req := httptest.NewRequestWithContext(ctx, http.MethodPost, path, strings.NewReader(body))
 	req.Host = host
 	req.Header.Set(standin.HeaderID, id)
 	for name, value := range header {
