Refuse a request that has crashed servers one after the other

What callers saw: one request that comes again and again crashed the servers of a service in rounds, and in each of them the service was down for seconds.

Cause: the finder of what crashes have in common knew parts of prompts alone. Requests without a prompt weren't recorded at all, and the content of a whole request wasn't a thing that requests can have in common.

Change: a trait of a request is a part of its prompt or the digest of its content. The same finder weighs both, with the same calls between instances. A whole request is blocked after three crashes under sends that each followed the crash before, if the answers of its service since speak against it, and after six in any case, since only its repeats are refused then. Requests that crash servers together wait for the crash that tells them apart; a part isn't blamed for what one request explains, nor a request for what a part explains. Answers are counted by service.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -33,20 +33,18 @@
 	copyBufferBytes = 32 << 10
 )
 
-// runUnlessBlocked runs the request. It is refused, or canceled by block, if a part of its prompt
-// is found to crash servers before one has begun to answer it.
+// runUnlessBlocked runs the request. It is refused, or canceled by block, if one of its traits is
+// found to crash servers before one has begun to answer it.
 func (q *request) runUnlessBlocked(ctx context.Context, block context.CancelCauseFunc) (outcome, bool) {
-	if len(q.prompt) == 0 {
-		return q.run(ctx)
-	}
 	q.edge.unanswered.add(q, block)
 	defer q.edge.unanswered.remove(q)
-	if _, blocked := q.edge.crashes.Blocked(q.prompt); blocked {
-		return refused(reasonPartBlocked, 0), false
+	if trait, blocked := q.edge.crashes.Blocked(q.identity); blocked {
+		return refused(blockedReason(trait), 0), false
 	}
 	out, ok := q.run(ctx)
-	if !ok && errors.Is(context.Cause(ctx), errPartBlocked) {
-		out = q.accountForRuns(refused(reasonPartBlocked, 0))
+	if !ok && errors.Is(context.Cause(ctx), errBlocked) {
+		trait, _ := q.edge.crashes.Blocked(q.identity)
+		out = q.accountForRuns(refused(blockedReason(trait), 0))
 	}
 	return out, ok
 }
@@ -216,7 +214,7 @@
 	if err != nil {
 		fault = sendFault(err)
 		if errors.Is(err, platform.ErrNotListening) {
-			q.edge.investigateCrash(b, nil, "", q.progress.sentAt)
+			q.edge.investigateCrash(b, nil, q.progress.sentAt)
 		}
 	} else {
 		fault = q.handleAnswer(b, answer, watchdog)
@@ -328,7 +326,8 @@
 	}
 	fault := q.forwardBuffered(answer)
 	if fault == retry.FaultNone {
-		if success {
+		// A plain server has run the request whatever its answer says.
+		if success || q.model == "" {
 			q.recordAnswered()
 		}
 		q.progress.firstEventAt, q.progress.lastEventAt = time.Now(), time.Now()
--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -27,20 +27,28 @@
 	crashCheckTimeout = 300 * time.Millisecond
 )
 
-// Crashes knows the prompt parts that crash servers, from what all instances see.
+// Crashes knows the traits of requests that crash servers, from what all instances see.
 type Crashes interface {
 	// Crashed records a crash that this instance has seen.
 	Crashed(c crashcause.Crash)
 	// Answered records that a server has begun to answer a request.
-	Answered(p crashcause.Prompt)
-	// Blocked returns the part of the prompt that crashes servers, and false if it has none.
-	Blocked(p crashcause.Prompt) (string, bool)
-	// OnBlock sets the function that is called for each part that becomes blocked.
+	Answered(r crashcause.Request)
+	// Blocked returns the trait of the request that crashes servers, and false if it has none.
+	Blocked(r crashcause.Request) (string, bool)
+	// OnBlock sets the function that is called for each trait that becomes blocked.
 	OnBlock(blocked func(crashcause.Block))
 }
 
-// errPartBlocked cancels requests when a part of their prompts is found to crash servers.
-var errPartBlocked = errors.New("a part of the prompt crashes servers")
+// errBlocked cancels requests when one of their traits is found to crash servers.
+var errBlocked = errors.New("such requests crash servers")
+
+// blockedReason returns why requests with a blocked trait are refused.
+func blockedReason(trait string) reason {
+	if crashcause.IsWhole(trait) {
+		return reasonRequestBlocked
+	}
+	return reasonPartBlocked
+}
 
 // unanswered are the requests that no server has begun to answer.
 type unanswered struct {
@@ -61,34 +69,31 @@
 	delete(u.cancels, q)
 }
 
-// cancelWith cancels the requests whose prompts have a part, and returns how many there are.
-func (u *unanswered) cancelWith(part string) int {
+// cancelWith cancels the requests that have a trait, and returns how many there are.
+func (u *unanswered) cancelWith(trait string) int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	n := 0
 	for q, cancel := range u.cancels {
-		if q.prompt.Shares(part) {
-			cancel(errPartBlocked)
+		if q.identity.Has(trait) {
+			cancel(errBlocked)
 			n++
 		}
 	}
 	return n
 }
 
-// partBlocked refuses the requests with a part that crashes servers. Those that wait are
+// traitBlocked refuses the requests with a trait that crashes servers. Those that wait are
 // refused, and those that a server hasn't begun to answer are canceled there.
-func (e *Edge) partBlocked(b crashcause.Block) {
-	n := e.unanswered.cancelWith(b.Part)
-	e.log.Warn().Str("part", b.Part).Int("crashes", b.Crashes).Dur("for", time.Until(b.Until)).Int("canceled", n).Msg("prompt_part_blocked")
+func (e *Edge) traitBlocked(b crashcause.Block) {
+	n := e.unanswered.cancelWith(b.Trait)
+	e.log.Warn().Str("trait", b.Trait).Int("crashes", b.Crashes).Dur("for", time.Until(b.Until)).Int("canceled", n).Msg("requests_blocked")
 }
 
 // recordAnswered records that a server has begun to answer the request.
 func (q *request) recordAnswered() {
-	if len(q.prompt) == 0 {
-		return
-	}
 	q.edge.unanswered.remove(q)
-	q.edge.crashes.Answered(q.prompt)
+	q.edge.crashes.Answered(q.identity)
 }
 
 // crashCheck finds out whether a server whose exchanges break has crashed.
@@ -99,27 +104,22 @@
 	mu sync.Mutex
 	// brokenAt is when the first exchange of the current check, or of the last crash, broke.
 	brokenAt time.Time
-	// prompts are those of broken exchanges that the server hadn't begun to answer.
-	prompts []crashcause.Prompt
-	// digests are those of requests whose exchanges broke before an answer began.
-	digests []string
-	running bool
+	// unanswered are the requests of broken exchanges that the server hadn't begun to answer.
+	unanswered []crashcause.LostRequest
+	running    bool
 }
 
 // begin adds an exchange that began at sentAt and has broken, and reports whether the caller has
-// to run the check. prompt is nil, and digest empty, if the server had begun to answer. Requests that
-// are sent after a crash tell nothing of it.
-func (c *crashCheck) begin(prompt crashcause.Prompt, digest string, sentAt, now time.Time) bool {
+// to run the check. unanswered is nil if the server had begun to answer. Requests that are sent after
+// a crash tell nothing of it.
+func (c *crashCheck) begin(unanswered *crashcause.Request, sentAt, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if (c.running || c.crashed.Load()) && sentAt.After(c.brokenAt) {
 		return false
 	}
-	if prompt != nil {
-		c.prompts = append(c.prompts, prompt)
-	}
-	if digest != "" {
-		c.digests = append(c.digests, digest)
+	if unanswered != nil {
+		c.unanswered = append(c.unanswered, crashcause.LostRequest{Request: *unanswered, SentAt: sentAt})
 	}
 	if c.running {
 		return false
@@ -133,13 +133,12 @@
 
 // end returns what was added since begin. crashed is the result of the check.
 // again means that the crash was known.
-func (c *crashCheck) end(crashed bool) (again bool, prompts []crashcause.Prompt, digests []string, brokenAt time.Time) {
+func (c *crashCheck) end(crashed bool) (again bool, unanswered []crashcause.LostRequest, brokenAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	again = c.crashed.Swap(crashed) && crashed
-	prompts, digests = c.prompts, c.digests
-	c.prompts, c.digests, c.running = nil, nil, false
-	return again, prompts, digests, c.brokenAt
+	unanswered, c.unanswered, c.running = c.unanswered, nil, false
+	return again, unanswered, c.brokenAt
 }
 
 // answered records that the server answers.
@@ -152,19 +151,15 @@
 // investigateCrash finds out, in the background, whether the server whose exchange has broken
 // off has crashed.
 func (q *request) investigateCrash(b *backend) {
-	var unanswered crashcause.Prompt
-	digest := ""
+	var unanswered *crashcause.Request
 	if q.lastEvent < 0 {
-		digest = q.digest()
-		if len(q.prompt) > 0 {
-			unanswered = q.prompt
-		}
+		unanswered = &q.identity
 	}
-	q.edge.investigateCrash(b, unanswered, digest, q.progress.sentAt)
+	q.edge.investigateCrash(b, unanswered, q.progress.sentAt)
 }
 
-func (e *Edge) investigateCrash(b *backend, unanswered crashcause.Prompt, digest string, sentAt time.Time) {
-	if b.stats.crash.begin(unanswered, digest, sentAt, time.Now()) {
+func (e *Edge) investigateCrash(b *backend, unanswered *crashcause.Request, sentAt time.Time) {
+	if b.stats.crash.begin(unanswered, sentAt, time.Now()) {
 		go e.checkCrash(b)
 	}
 }
@@ -174,18 +169,18 @@
 	time.Sleep(crashCheckDelay)
 	err := e.checkListening(b)
 	crashed := errors.Is(err, platform.ErrNotListening)
-	again, prompts, digests, brokenAt := b.stats.crash.end(crashed)
+	again, unanswered, brokenAt := b.stats.crash.end(crashed)
 	if !crashed {
-		e.log.Info().Str("server", string(b.server.ID)).Err(err).Int("unanswered", len(prompts)).Msg("server_broke_off")
+		e.log.Info().Str("server", string(b.server.ID)).Err(err).Int("unanswered", len(unanswered)).Msg("server_broke_off")
 		return
 	}
 	e.log.Warn().Str("server", string(b.server.ID)).Int64("started_at", b.server.StartedAt).Dur("ago", time.Since(brokenAt)).
-		Strs("unanswered", promptNames(prompts)).Strs("requests", digests).Msg("server_crashed")
+		Strs("unanswered", promptNames(unanswered)).Strs("requests", digests(unanswered)).Msg("server_crashed")
 	if !again {
 		go e.awaitRestart(b)
 	}
-	if len(prompts) > 0 {
-		e.crashes.Crashed(crashcause.Crash{Server: crashcause.Server{ID: string(b.server.ID), StartedAt: b.server.StartedAt}, At: brokenAt, Prompts: prompts})
+	if len(unanswered) > 0 {
+		e.crashes.Crashed(crashcause.Crash{Server: crashcause.Server{ID: string(b.server.ID), StartedAt: b.server.StartedAt}, At: brokenAt, Requests: unanswered})
 	}
 }
 
@@ -207,11 +202,22 @@
 	e.dispatchSlots(b.server.Service)
 }
 
-// promptNames returns the IDs of the parts of each prompt, for the log.
-func promptNames(prompts []crashcause.Prompt) []string {
-	names := make([]string, 0, len(prompts))
-	for _, p := range prompts {
-		names = append(names, strings.Join(p, ","))
+// promptNames returns the IDs of the parts of each request's prompt, for the log.
+func promptNames(requests []crashcause.LostRequest) []string {
+	var names []string
+	for _, r := range requests {
+		if len(r.Prompt) > 0 {
+			names = append(names, strings.Join(r.Prompt, ","))
+		}
 	}
 	return slices.Compact(names)
 }
+
+// digests returns the digests of requests, for the log.
+func digests(requests []crashcause.LostRequest) []string {
+	var out []string
+	for _, r := range requests {
+		out = append(out, r.Digest)
+	}
+	return slices.Compact(out)
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -121,7 +121,7 @@
 		repeats:    metrics.NewRegisteredCounter("edge_repeats", registry),
 		latency:    metrics.NewRegisteredTimer("edge_latency_ns", registry),
 	}
-	e.crashes.OnBlock(e.partBlocked)
+	e.crashes.OnBlock(e.traitBlocked)
 	e.standings.OnTold(e.standingTold)
 	return e
 }
--- a/internal/edge/promptcrash_test.go
+++ b/internal/edge/promptcrash_test.go
@@ -52,8 +52,13 @@
 	crashTimes []time.Time
 	// arrivals are the times at which requests with a deadly part reached servers.
 	arrivals []time.Time
-	// repeats are the deadly requests that come again, by their bodies.
-	repeats map[string]*deadlyRequest
+	// repeats are the deadly requests that come again, by their bodies, and crashDelay the time
+	// after which a server that runs one crashes.
+	repeats    map[string]*deadlyRequest
+	crashDelay time.Duration
+	// keepAlive is false if servers close the connection after each answer. Whether they have
+	// closed an idle one can't be seen in memory.
+	keepAlive bool
 }
 
 const (
@@ -63,7 +68,7 @@
 )
 
 func newCrashFleet(t *testing.T, instances, servers int) *crashFleet {
-	f := newCrashServers(t, engine, servers)
+	f := newCrashServers(t, engine, servers, true)
 	f.manifest = fleet.NewManifest(1, []fleet.Route{{
 		Name: "stream", Host: host, PathPrefix: "/stream/", Kind: fleet.KindStream, CanResume: true,
 		Shares: []fleet.Share{{Service: engine, Weight: 1}}, MaxAttempts: 2, Timeout: 5 * time.Second,
@@ -77,8 +82,8 @@
 }
 
 // newCrashServers starts the servers of a service, without instances.
-func newCrashServers(t *testing.T, service string, servers int) *crashFleet {
-	f := &crashFleet{virtualFleet: newVirtualFleet(t), service: service, running: map[string]*http.Server{}, repeats: map[string]*deadlyRequest{}}
+func newCrashServers(t *testing.T, service string, servers int, keepAlive bool) *crashFleet {
+	f := &crashFleet{virtualFleet: newVirtualFleet(t), service: service, running: map[string]*http.Server{}, repeats: map[string]*deadlyRequest{}, crashDelay: crashDelay, keepAlive: keepAlive}
 	for range servers {
 		f.startServer()
 	}
@@ -112,6 +117,7 @@
 	}
 	listener := f.listeners.listen(server.Address)
 	httpServer := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.answer(id, w, r) })}
+	httpServer.SetKeepAlivesEnabled(f.keepAlive)
 	go func() { _ = httpServer.Serve(listener) }()
 	f.Cleanup(func() { _ = httpServer.Close() })
 	f.running[id] = httpServer
--- a/internal/edge/repeatcrash_test.go
+++ b/internal/edge/repeatcrash_test.go
@@ -22,7 +22,11 @@
 
 // deadlyRequest is a request that crashes each server which runs it. It comes again and again.
 type deadlyRequest struct {
-	arrivals, crashes []time.Time
+	arrivals []time.Time
+	// crashes are those of servers that were running it, whichever request they crashed under.
+	crashes []time.Time
+	// runs are the servers that run it, and how many times.
+	runs map[string]int
 }
 
 // late returns how many repeats have reached servers too late.
@@ -44,20 +48,24 @@
 	body, err := io.ReadAll(r.Body)
 	f.mu.Lock()
 	deadly := f.repeats[string(body)]
-	if deadly != nil {
-		deadly.arrivals = append(deadly.arrivals, time.Now())
-	}
-	f.mu.Unlock()
 	if deadly == nil || err != nil {
+		f.mu.Unlock()
 		return false
 	}
-	time.Sleep(crashDelay)
+	deadly.arrivals = append(deadly.arrivals, time.Now())
+	deadly.runs[id]++
+	f.mu.Unlock()
+	time.Sleep(f.crashDelay)
+	f.mu.Lock()
 	if r.Context().Err() != nil {
+		deadly.runs[id]--
+		f.mu.Unlock()
 		return false
 	}
-	f.mu.Lock()
-	if f.running[id] != nil {
-		deadly.crashes = append(deadly.crashes, time.Now())
+	for _, d := range f.repeats {
+		if f.running[id] != nil && d.runs[id] > 0 {
+			d.crashes = append(d.crashes, time.Now())
+		}
 	}
 	f.mu.Unlock()
 	f.crash(id)
@@ -79,7 +87,7 @@
 
 // newRepeatFleet starts instances before servers of a service.
 func newRepeatFleet(t *testing.T, service string, instances, servers int) *crashFleet {
-	f := newCrashServers(t, service, servers)
+	f := newCrashServers(t, service, servers, false)
 	f.manifest = testManifest()
 	for n := range instances {
 		f.addInstance(instanceName(n))
@@ -90,10 +98,7 @@
 // ask sends a request to a random instance, once more if it isn't answered, and reports whether the
 // first attempt and whether either was.
 func (f *crashFleet) ask(instances []int, id, path, body string) (first, either bool) {
-	header := map[string]string{standin.HeaderDeadline: "1000"}
-	if f.service == engine {
-		header[standin.HeaderModel], header[standin.HeaderPrefix] = "m", "shared:100,"+fmt.Sprintf("%x", body)+":50"
-	}
+	header := f.header(body)
 	for n, instance := range instances {
 		ctx, cancel := context.WithTimeout(f.Context(), time.Second)
 		got := f.sendBody(ctx, f.instances[instance], fmt.Sprint(id, "-", n), path, body, header)
@@ -106,6 +111,27 @@
 	return false, false
 }
 
+// refusedByAll asserts that all instances refuse a request at once, as not run.
+func (f *crashFleet) refusedByAll(path, body string) {
+	arrivals := len(f.repeats[body].arrivals)
+	for n, e := range f.instances {
+		began := time.Now()
+		got := f.sendBody(f.Context(), e, fmt.Sprint("refused", body, n), path, body, f.header(body))
+		assert.Equal(f, http.StatusServiceUnavailable, got.Code)
+		assert.Zero(f, time.Since(began))
+	}
+	assert.Len(f, f.repeats[body].arrivals, arrivals)
+}
+
+// header returns the headers of a request with a body.
+func (f *crashFleet) header(body string) map[string]string {
+	header := map[string]string{standin.HeaderDeadline: "1000"}
+	if f.service == engine {
+		header[standin.HeaderModel], header[standin.HeaderPrefix] = "m", fmt.Sprintf("shared:100,%x:50", body)
+	}
+	return header
+}
+
 // repeat plays the load, and returns the outcomes of sound requests, repeats included.
 func (f *crashFleet) repeat(l repeatedLoad, seed uint64) *outcomes {
 	random := rand.New(rand.NewPCG(seed, 1))
@@ -113,7 +139,7 @@
 	var group sync.WaitGroup
 	for _, body := range l.deadly {
 		if f.repeats[body] == nil {
-			f.repeats[body] = &deadlyRequest{}
+			f.repeats[body] = &deadlyRequest{runs: map[string]int{}}
 		}
 		random := rand.New(rand.NewPCG(seed, uint64(len(body))))
 		group.Go(func() {
@@ -165,21 +191,27 @@
 		"two streams":      {engine, "/stream/x", 6, 9, 40, []string{"d", "dd"}, time.Second},
 		"stream, once":     {engine, "/once/x", 6, 9, 40, []string{"d"}, 700 * time.Millisecond},
 		"one instance":     {plain, "/read/x", 1, 4, 30, []string{"d"}, 700 * time.Millisecond},
+		"at once":          {plain, "/read/x", 6, 4, 30, []string{"at once"}, 700 * time.Millisecond},
 		"nothing else":     {plain, "/read/x", 6, 4, 0.5, []string{"d"}, 400 * time.Millisecond},
 	} {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprint(name, "/", seed), func(t *testing.T) {
 				inVirtualTime(t, func(t *testing.T) {
 					f := newRepeatFleet(t, c.service, c.instances, c.servers)
+					if name == "at once" {
+						f.crashDelay = time.Millisecond
+					}
 					start := time.Now()
 					served := f.repeat(repeatedLoad{
 						path: c.path, duration: 45 * time.Second, perSecond: c.perSecond, deadly: c.deadly, interval: c.interval,
 						deadlyFrom: 8 * time.Second, deadlyUntil: 45 * time.Second,
 					}, seed)
+					assert.GreaterOrEqual(t, len(f.crashTimes), repeatCrashes)
 					for _, body := range c.deadly {
 						d := f.repeats[body]
-						assert.GreaterOrEqual(t, len(d.crashes), repeatCrashes)
+						assert.NotEmpty(t, d.crashes)
 						assert.LessOrEqual(t, d.late(), lateArrivals, "%s: repeats that reached servers, %d crashes", body, len(d.crashes))
+						f.refusedByAll(c.path, body)
 					}
 					before, _ := served.share(start, start.Add(7*time.Second))
 					assert.Equal(t, 1.0, before)
@@ -190,3 +222,128 @@
 		}
 	}
 }
+
+// Sound requests are served beside a deadly one and after it: those with the same body as many
+// others, and those that take so long that they are lost in one crash after the other.
+func TestSoundRequestsBesideARepeatedOne(t *testing.T) {
+	for name, body := range map[string]func(random *rand.Rand, n int) string{
+		"each its own":  nil,
+		"a few bodies":  func(random *rand.Rand, _ int) string { return fmt.Sprint("common", random.IntN(5)) },
+		"one body":      func(*rand.Rand, int) string { return "common" },
+		"seldom bodies": func(random *rand.Rand, _ int) string { return fmt.Sprint("seldom", random.IntN(200)) },
+		"long bodies":   func(_ *rand.Rand, n int) string { return strings.Repeat("x", 900) + fmt.Sprint(n) },
+		"empty bodies":  func(*rand.Rand, int) string { return "" },
+	} {
+		for _, service := range []string{plain, engine} {
+			t.Run(fmt.Sprint(name, "/", service), func(t *testing.T) {
+				inVirtualTime(t, func(t *testing.T) {
+					f := newRepeatFleet(t, service, 6, 5)
+					path := map[string]string{plain: "/read/x", engine: "/stream/x"}[service]
+					start := time.Now()
+					served := f.repeat(repeatedLoad{
+						path: path, duration: 30 * time.Second, perSecond: 40, deadly: []string{"d"}, interval: 700 * time.Millisecond,
+						deadlyFrom: 5 * time.Second, deadlyUntil: 20 * time.Second, body: body,
+					}, 1)
+					got, n := served.share(start.Add(14*time.Second), time.Now())
+					assert.Equal(t, 1.0, got, "of %d", n)
+					f.refusedByAll(path, "d")
+				})
+			})
+		}
+	}
+}
+
+// Servers that crash for other reasons, several at once, don't lead to the refusal of any request,
+// however common.
+func TestRequestsAreServedAfterOtherCrashes(t *testing.T) {
+	for _, service := range []string{plain, engine} {
+		for seed := range uint64(12) {
+			t.Run(fmt.Sprint(service, "/", seed), func(t *testing.T) {
+				inVirtualTime(t, func(t *testing.T) {
+					f := newRepeatFleet(t, service, 6, 5)
+					path := map[string]string{plain: "/read/x", engine: "/stream/x"}[service]
+					random := rand.New(rand.NewPCG(seed, 9))
+					for n := range 8 {
+						time.AfterFunc(time.Duration(2000+2500*n)*time.Millisecond, func() {
+							for id := range f.runningServers() {
+								if random.IntN(3) > 0 {
+									f.crash(id)
+								}
+							}
+						})
+					}
+					bodies := func(random *rand.Rand, n int) string {
+						return []string{"common", fmt.Sprint("seldom", random.IntN(50)), fmt.Sprint("own", n)}[n%3]
+					}
+					start := time.Now()
+					served := f.repeat(repeatedLoad{path: path, duration: 34 * time.Second, perSecond: 60, body: bodies}, seed)
+					got, n := served.share(start.Add(26*time.Second), time.Now())
+					assert.Equal(t, 1.0, got, "of %d", n)
+				})
+			})
+		}
+	}
+}
+
+// Each instance sees one crash under the same request. Together they know that it crashes servers:
+// all refuse it, also one that didn't see a crash, and one that starts later. One that doesn't reach
+// the others finds out by itself.
+func TestInstancesFindTheRepeatedRequestTogether(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := newRepeatFleet(t, plain, 6, 5)
+		f.repeats["d"] = &deadlyRequest{runs: map[string]int{}}
+		f.crashes.cutOff(instanceName(5))
+		f.repeat(repeatedLoad{path: "/write/x", duration: 10 * time.Second, perSecond: 40}, 1)
+		for n := range 3 {
+			f.ask([]int{n}, fmt.Sprint("id", n), "/write/x", "d")
+			time.Sleep(time.Second)
+		}
+		assert.Len(t, f.repeats["d"].crashes, 3)
+		alone := f.instances[5]
+		f.instances = f.instances[:5]
+		f.addInstance("late")
+		f.refusedByAll("/write/x", "d")
+		f.instances = append(f.instances, alone)
+		for n := 0; f.sendBody(t.Context(), alone, fmt.Sprint("alone", n), "/write/x", "d", f.header("d")).Code != http.StatusServiceUnavailable; n++ {
+			time.Sleep(4 * time.Second)
+		}
+		assert.LessOrEqual(t, len(f.repeats["d"].crashes), 3+certainAlone)
+		f.refusedByAll("/write/x", "d")
+	})
+}
+
+// certainAlone is the number of crashes after which an instance alone knows the request, though few
+// others are answered.
+const certainAlone = 6
+
+// A request that has ceased to crash servers is served again when its block ends. One that hasn't
+// crashes one server, and is blocked again.
+func TestBlockOfARequestEnds(t *testing.T) {
+	for name, mended := range map[string]bool{"mended": true, "still deadly": false} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				f := newRepeatFleet(t, plain, 3, 5)
+				f.repeat(repeatedLoad{
+					path: "/write/x", duration: 20 * time.Second, perSecond: 20, deadly: []string{"d"}, interval: time.Second,
+					deadlyFrom: 3 * time.Second, deadlyUntil: 20 * time.Second,
+				}, 1)
+				f.refusedByAll("/write/x", "d")
+				crashes := len(f.repeats["d"].crashes)
+				time.Sleep(6 * time.Minute)
+				if mended {
+					delete(f.repeats, "d")
+					for n := range f.instances {
+						_, served := f.ask([]int{n}, fmt.Sprint("again", n), "/write/x", "d")
+						assert.True(t, served)
+					}
+					return
+				}
+				f.repeat(repeatedLoad{
+					path: "/write/x", duration: 20 * time.Second, perSecond: 20, deadly: []string{"d"}, interval: time.Second, deadlyUntil: 20 * time.Second,
+				}, 2)
+				assert.LessOrEqual(t, len(f.repeats["d"].crashes), crashes+2)
+				f.refusedByAll("/write/x", "d")
+			})
+		})
+	}
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -35,8 +35,8 @@
 	// services.
 	model    string
 	affinity string
-	// prompt is nil for plain services.
-	prompt crashcause.Prompt
+	// identity is what the request is known by if a server crashes under it.
+	identity crashcause.Request
 	// sharedPart is the part of the prompt that affinity stands for.
 	sharedPart float64
 	// expected is the time that the request is expected to take of a server.
@@ -171,11 +171,12 @@
 	if q.head.LastEventID >= 0 {
 		q.lastEvent = q.head.LastEventID
 	}
+	q.identity.Service = q.service
 	if engine := view.Manifest.Services[q.service].Engine; engine != nil {
 		q.slots = engine.Slots
 		q.model = modelKey(q.head.Model, q.head.Adapter)
 		q.affinity, q.sharedPart = affinityKey(q.head), sharedPart(q.head)
-		q.prompt = promptOf(q.head)
+		q.identity.Prompt = promptOf(q.head)
 	}
 	return q.readBody(r, view.Manifest.Limits.MaxBodyBytes)
 }
@@ -197,6 +198,7 @@
 		return outcome{reason: reasonBody}, false
 	}
 	q.body = body
+	q.identity.Digest = q.digest()
 	return outcome{}, true
 }
 
--- a/internal/placer/crashes.go
+++ b/internal/placer/crashes.go
@@ -117,19 +117,19 @@
 	out := &placerpb.CrashEvidence{}
 	for _, c := range e.Crashes {
 		crash := &placerpb.ServerCrash{Server: c.Server.ID, Born: c.Server.StartedAt, AgeUs: ageUs(c.At, now)}
-		for _, prompt := range c.Prompts {
-			crash.Prompts = append(crash.Prompts, &placerpb.Prompt{Parts: prompt})
+		for _, r := range c.Requests {
+			crash.Requests = append(crash.Requests, &placerpb.CrashRequest{Parts: r.Prompt, Service: r.Service, Digest: r.Digest, SentAgeUs: ageUs(r.SentAt, now)})
 		}
 		out.Crashes = append(out.Crashes, crash)
 	}
 	for _, b := range e.Blocks {
-		out.Blocks = append(out.Blocks, &placerpb.BlockedPart{
-			Part: b.Part, RemainingUs: uint64(max(b.Until.Sub(now), 0).Microseconds()), Blocks: uint32(b.Blocks), Crashes: uint32(b.Crashes),
+		out.Blocks = append(out.Blocks, &placerpb.BlockedTrait{
+			Trait: b.Trait, RemainingUs: uint64(max(b.Until.Sub(now), 0).Microseconds()), Blocks: uint32(b.Blocks), Crashes: uint32(b.Crashes),
 			LastCrashAgeUs: ageUs(b.LastCrash, now),
 		})
 	}
 	for _, a := range e.Answers {
-		out.Answers = append(out.Answers, &placerpb.AnsweredPart{Part: a.Part, AgeUs: ageUs(a.At, now)})
+		out.Answers = append(out.Answers, &placerpb.AnsweredTrait{Trait: a.Trait, AgeUs: ageUs(a.At, now)})
 	}
 	return out
 }
@@ -138,19 +138,21 @@
 	var out crashcause.Evidence
 	for _, c := range e.Crashes {
 		crash := crashcause.Crash{Server: crashcause.Server{ID: c.Server, StartedAt: c.Born}, At: before(now, c.AgeUs)}
-		for _, prompt := range c.Prompts {
-			crash.Prompts = append(crash.Prompts, prompt.Parts)
+		for _, r := range c.Requests {
+			crash.Requests = append(crash.Requests, crashcause.LostRequest{
+				Request: crashcause.Request{Prompt: r.Parts, Service: r.Service, Digest: r.Digest}, SentAt: before(now, r.SentAgeUs),
+			})
 		}
 		out.Crashes = append(out.Crashes, crash)
 	}
 	for _, b := range e.Blocks {
 		out.Blocks = append(out.Blocks, crashcause.Block{
-			Part: b.Part, Until: now.Add(microseconds(b.RemainingUs)), Blocks: int(min(b.Blocks, maxBlockCount)), Crashes: int(b.Crashes),
+			Trait: b.Trait, Until: now.Add(microseconds(b.RemainingUs)), Blocks: int(min(b.Blocks, maxBlockCount)), Crashes: int(b.Crashes),
 			LastCrash: before(now, b.LastCrashAgeUs),
 		})
 	}
 	for _, a := range e.Answers {
-		out.Answers = append(out.Answers, crashcause.Answer{Part: a.Part, At: before(now, a.AgeUs)})
+		out.Answers = append(out.Answers, crashcause.Answer{Trait: a.Trait, At: before(now, a.AgeUs)})
 	}
 	return out
 }
@@ -158,7 +160,7 @@
 func encodeQuestions(questions []crashcause.Question, now time.Time) *placerpb.AnswerQuestions {
 	out := &placerpb.AnswerQuestions{}
 	for _, q := range questions {
-		out.Questions = append(out.Questions, &placerpb.AnswerQuestion{Part: q.Part, AgeUs: ageUs(q.Since, now)})
+		out.Questions = append(out.Questions, &placerpb.AnswerQuestion{Trait: q.Trait, Service: q.Service, AgeUs: ageUs(q.Since, now)})
 	}
 	return out
 }
@@ -166,7 +168,7 @@
 func decodeQuestions(r *placerpb.AnswerQuestions, now time.Time) []crashcause.Question {
 	out := make([]crashcause.Question, 0, len(r.Questions))
 	for _, q := range r.Questions {
-		out = append(out, crashcause.Question{Part: q.Part, Since: before(now, q.AgeUs)})
+		out = append(out, crashcause.Question{Trait: q.Trait, Service: q.Service, Since: before(now, q.AgeUs)})
 	}
 	return out
 }
@@ -174,7 +176,7 @@
 func encodeReplies(replies []crashcause.Reply, now time.Time) *placerpb.AnswerReplies {
 	out := &placerpb.AnswerReplies{}
 	for _, r := range replies {
-		reply := &placerpb.AnswerReply{Part: r.Part, Answers: uint64(max(r.Answers, 0)), Answered: !r.AnsweredAt.IsZero()}
+		reply := &placerpb.AnswerReply{Trait: r.Trait, Answers: uint64(max(r.Answers, 0)), Answered: !r.AnsweredAt.IsZero()}
 		if reply.Answered {
 			reply.AgeUs = ageUs(r.AnsweredAt, now)
 		}
@@ -186,7 +188,7 @@
 func decodeReplies(r *placerpb.AnswerReplies, now time.Time) []crashcause.Reply {
 	out := make([]crashcause.Reply, 0, len(r.GetReplies()))
 	for _, reply := range r.GetReplies() {
-		decoded := crashcause.Reply{Part: reply.Part, Answers: int64(min(reply.Answers, math.MaxInt32))}
+		decoded := crashcause.Reply{Trait: reply.Trait, Answers: int64(min(reply.Answers, math.MaxInt32))}
 		if reply.Answered {
 			decoded.AnsweredAt = before(now, reply.AgeUs)
 		}
--- a/internal/placer/crashes_test.go
+++ b/internal/placer/crashes_test.go
@@ -26,11 +26,11 @@
 	for n, i := range all {
 		i.Crashed(crashcause.Crash{
 			Server: crashcause.Server{ID: fmt.Sprint("gone", n)}, At: started,
-			Prompts: []crashcause.Prompt{{"shared", "deadly", fmt.Sprint("own", n)}},
+			Requests: []crashcause.LostRequest{{Request: crashcause.Request{Service: summaries, Prompt: crashcause.Prompt{"shared", "deadly", fmt.Sprint("own", n)}, Digest: fmt.Sprint(n)}, SentAt: started}},
 		})
 	}
-	deadly := crashcause.Prompt{"shared", "deadly", "another"}
-	sound := crashcause.Prompt{"shared", "sound", "another"}
+	deadly := crashcause.Request{Service: summaries, Prompt: crashcause.Prompt{"shared", "deadly", "another"}}
+	sound := crashcause.Request{Service: summaries, Prompt: crashcause.Prompt{"shared", "sound", "another"}}
 	blocks := func(i *instance) bool { _, blocked := i.Blocked(deadly); return blocked }
 	for _, i := range all {
 		assert.False(t, blocks(i), "nothing was answered yet")
@@ -57,16 +57,16 @@
 func TestEvidenceOfAFaultyPeer(t *testing.T) {
 	now := time.Now()
 	e := crashcause.Evidence{
-		Crashes: []crashcause.Crash{{Server: crashcause.Server{ID: "s", StartedAt: -1}, At: now.Add(time.Hour), Prompts: []crashcause.Prompt{nil, {}, {"one"}}}},
-		Blocks:  []crashcause.Block{{Part: "p", Until: now.Add(1000 * time.Hour), Blocks: 1 << 30, Crashes: -1, LastCrash: now.Add(time.Hour)}},
-		Answers: []crashcause.Answer{{Part: "p", At: now.Add(time.Hour)}},
+		Crashes: []crashcause.Crash{{Server: crashcause.Server{ID: "s", StartedAt: -1}, At: now.Add(time.Hour), Requests: []crashcause.LostRequest{{}, {Request: crashcause.Request{Prompt: crashcause.Prompt{}}}, {Request: crashcause.Request{Prompt: crashcause.Prompt{"one"}}}, {Request: crashcause.Request{Digest: "d"}, SentAt: now.Add(time.Hour)}}}},
+		Blocks:  []crashcause.Block{{Trait: "p", Until: now.Add(1000 * time.Hour), Blocks: 1 << 30, Crashes: -1, LastCrash: now.Add(time.Hour)}},
+		Answers: []crashcause.Answer{{Trait: "p", At: now.Add(time.Hour)}},
 	}
 	f := crashcause.NewFinder()
 	f.Merge(decodeEvidence(encodeEvidence(e, now), now), now)
 	f.Decide(now)
-	_, blocked := f.Blocked(crashcause.Prompt{"p", "own"}, now.Add(3*time.Hour))
+	_, blocked := f.Blocked(crashcause.Request{Prompt: crashcause.Prompt{"p", "own"}}, now.Add(3*time.Hour))
 	assert.False(t, blocked)
-	replies := decodeReplies(encodeReplies([]crashcause.Reply{{Part: "p", Answers: -5}}, now), now)
-	f.Hear([]crashcause.Question{{Part: "p", Since: now}}, replies, now)
+	replies := decodeReplies(encodeReplies([]crashcause.Reply{{Trait: "p", Answers: -5}}, now), now)
+	f.Hear([]crashcause.Question{{Trait: "p", Since: now}}, replies, now)
 	assert.Empty(t, decodeReplies(nil, now))
 }
--- a/pkg/crashcause/answers.go
+++ b/pkg/crashcause/answers.go
@@ -10,10 +10,16 @@
 
 // answerLog remembers when requests were answered, for an evidenceTTL at least.
 type answerLog struct {
-	// recent and older are when a request with a part was last answered. Answers are added to
+	// recent and older are when a request with a trait was last answered. Answers are added to
 	// recent, which becomes older after an evidenceTTL.
 	recent, older map[string]time.Time
 	recentSince   time.Time
+	// services are the numbers of answers to requests for each service.
+	services map[string]*answerCounts
+}
+
+// answerCounts counts the answers of an evidenceTTL.
+type answerCounts struct {
 	// counts is a ring of the numbers of answers per countInterval. begun is the time from which
 	// on, and at the newest interval up to which answers are counted.
 	counts  [countSlots]uint32
@@ -21,16 +27,37 @@
 	counted int64
 }
 
-func newAnswerLog() *answerLog { return &answerLog{recent: map[string]time.Time{}} }
+func newAnswerLog() *answerLog {
+	return &answerLog{recent: map[string]time.Time{}, services: map[string]*answerCounts{}}
+}
+
+// count counts an answer to a request for a service.
+func (l *answerLog) count(service string, now time.Time) {
+	counts := l.services[service]
+	if counts == nil {
+		counts = &answerCounts{}
+		l.services[service] = counts
+	}
+	counts.count(now)
+}
+
+// since returns the number of answers to requests for a service since a time, less those of the
+// countInterval that it lies in.
+func (l *answerLog) since(service string, at, now time.Time) int64 {
+	if counts := l.services[service]; counts != nil {
+		return counts.since(at, now)
+	}
+	return 0
+}
 
 // count counts an answer.
-func (l *answerLog) count(now time.Time) {
+func (l *answerCounts) count(now time.Time) {
 	l.advance(now)
 	l.counts[l.counted%int64(countSlots)]++
 }
 
 // advance clears the intervals that have begun since the last answer.
-func (l *answerLog) advance(now time.Time) {
+func (l *answerCounts) advance(now time.Time) {
 	if l.begun.IsZero() {
 		l.begun = now
 	}
@@ -42,7 +69,7 @@
 }
 
 // since returns the number of answers since a time, less those of the interval it lies in.
-func (l *answerLog) since(at, now time.Time) int64 {
+func (l *answerCounts) since(at, now time.Time) int64 {
 	if l.begun.IsZero() {
 		return 0
 	}
@@ -58,18 +85,18 @@
 	return n
 }
 
-// set records an answer to a request with a part.
-func (l *answerLog) set(part string, at time.Time) {
+// set records an answer to a request with a trait.
+func (l *answerLog) set(trait string, at time.Time) {
 	if at.Sub(l.recentSince) > evidenceTTL || len(l.recent) >= maxAnswered {
 		l.recent, l.older, l.recentSince = map[string]time.Time{}, l.recent, at
 	}
-	l.recent[part] = at
+	l.recent[trait] = at
 }
 
-// last returns when a request with a part was last answered; the zero time if it isn't known.
-func (l *answerLog) last(part string) time.Time {
-	if at, found := l.recent[part]; found {
+// last returns when a request with a trait was last answered; the zero time if it isn't known.
+func (l *answerLog) last(trait string) time.Time {
+	if at, found := l.recent[trait]; found {
 		return at
 	}
-	return l.older[part]
+	return l.older[trait]
 }
--- a/pkg/crashcause/fleet_test.go
+++ b/pkg/crashcause/fleet_test.go
@@ -35,8 +35,9 @@
 
 type flight struct {
 	instance, server int
-	prompt           Prompt
+	request          Request
 	deadly           bool
+	sentAt           time.Time
 	answeredAt       time.Time
 }
 
@@ -86,7 +87,7 @@
 
 func (s *simulation) blocked(blocks []Block) {
 	for _, b := range blocks {
-		s.blocks[b.Part]++
+		s.blocks[b.Trait]++
 	}
 }
 
@@ -145,8 +146,9 @@
 }
 
 func (s *simulation) send(p Prompt, deadly bool) {
+	r := requestOf(p)
 	instance := s.random.IntN(len(s.finders))
-	if _, blocked := s.finders[instance].Blocked(p, s.now); blocked {
+	if _, blocked := s.finders[instance].Blocked(r, s.now); blocked {
 		return
 	}
 	server := s.random.IntN(s.servers)
@@ -157,7 +159,7 @@
 		s.late++
 	}
 	latency := time.Duration(20+s.random.ExpFloat64()*60) * time.Millisecond
-	s.flights = append(s.flights, flight{instance, server, p, deadly, s.now.Add(latency)})
+	s.flights = append(s.flights, flight{instance, server, r, deadly, s.now, s.now.Add(latency)})
 }
 
 func (s *simulation) endFlights() {
@@ -173,23 +175,23 @@
 		}
 		s.flights = slices.Delete(s.flights, i, i+1)
 		i--
-		s.tell(f.instance, s.finders[f.instance].Answered(f.prompt, s.now))
+		s.tell(f.instance, s.finders[f.instance].Answered(f.request, s.now))
 	}
 }
 
 // crash ends a server under the requests that it hasn't answered.
 func (s *simulation) crash(server int) {
-	lost := map[int][]Prompt{}
+	lost := map[int][]LostRequest{}
 	s.flights = slices.DeleteFunc(s.flights, func(f flight) bool {
 		if f.server == server {
-			lost[f.instance] = append(lost[f.instance], f.prompt)
+			lost[f.instance] = append(lost[f.instance], LostRequest{f.request, f.sentAt})
 		}
 		return f.server == server
 	})
 	at, incarnation := s.now, Server{ID: fmt.Sprint("s", server), StartedAt: s.started[server]}
-	for instance, prompts := range lost {
+	for instance, requests := range lost {
 		s.after(messageDelay, func() {
-			s.crashed(instance, Crash{Server: incarnation, At: at, Prompts: prompts})
+			s.crashed(instance, Crash{Server: incarnation, At: at, Requests: requests})
 		})
 	}
 	s.away[server] = s.now.Add(serverRestart)
@@ -204,6 +206,9 @@
 	s.wake(instance)
 }
 
+// requestOf returns a request for the simulated service, whose content is its prompt.
+func requestOf(p Prompt) Request { return Request{Service: "engines", Prompt: p, Digest: p.key()} }
+
 // soundPrompt returns the prompt of a request with one of three first parts and one of many
 // second ones, of which some are frequent.
 func (s *simulation) soundPrompt() Prompt {
@@ -252,8 +257,11 @@
 					s.cutOff[0] = true
 				}
 				for server := range size.servers {
-					prompts := []Prompt{s.soundPrompt(), s.soundPrompt(), s.soundPrompt()}
-					s.crashed(0, Crash{Server: Server{ID: fmt.Sprint("s", server)}, At: s.now, Prompts: prompts})
+					var requests []LostRequest
+					for range 3 {
+						requests = append(requests, LostRequest{requestOf(s.soundPrompt()), s.now})
+					}
+					s.crashed(0, Crash{Server: Server{ID: fmt.Sprint("s", server)}, At: s.now, Requests: requests})
 				}
 				s.run(4*time.Second, size.perSecond, prompt)
 				delete(s.cutOff, 0)
@@ -264,7 +272,7 @@
 				now := s.now
 				for _, f := range s.finders {
 					for caller := range 3 {
-						_, blocked := f.Blocked(Prompt{fmt.Sprint("caller", caller), "own"}, now)
+						_, blocked := f.Blocked(requestOf(Prompt{fmt.Sprint("caller", caller), "own"}), now)
 						assert.False(t, blocked, "%+v, seed %d, alone %v", size, seed, alone)
 					}
 				}
@@ -329,8 +337,8 @@
 			s.finders[0].Merge(s.finders[1].Evidence(s.now), s.now)
 			s.run(10*time.Second, size.perSecond, prompt)
 			for _, f := range s.finders {
-				_, first := f.Blocked(Prompt{"caller0", "topic0", "deadly", "own"}, s.now)
-				_, second := f.Blocked(Prompt{"caller1", "deadlier", "own"}, s.now)
+				_, first := f.Blocked(requestOf(Prompt{"caller0", "topic0", "deadly", "own"}), s.now)
+				_, second := f.Blocked(requestOf(Prompt{"caller1", "deadlier", "own"}), s.now)
 				assert.True(t, first && second, "%+v, seed %d", size, seed)
 			}
 			assert.Len(t, s.blocks, 2, "%+v, seed %d: %v", size, seed, s.blocks)
--- a/pkg/crashcause/watcher.go
+++ b/pkg/crashcause/watcher.go
@@ -23,7 +23,7 @@
 	Ask(ctx context.Context, questions []Question) []Reply
 }
 
-// Watcher decides with a Finder which parts are blocked, whenever servers crash. It is safe for
+// Watcher decides with a Finder which traits are blocked, whenever servers crash. It is safe for
 // concurrent use.
 type Watcher struct {
 	finder    *Finder
@@ -37,14 +37,14 @@
 	return &Watcher{finder: NewFinder(), transport: transport, crashed: make(chan struct{}, 1)}
 }
 
-// OnBlock sets the function that is called for each part that becomes blocked.
+// OnBlock sets the function that is called for each trait that becomes blocked.
 func (w *Watcher) OnBlock(blocked func(Block)) { w.onBlock.Store(&blocked) }
 
-// Blocked returns the part of the prompt that crashes servers, and false if it has none.
-func (w *Watcher) Blocked(p Prompt) (string, bool) { return w.finder.Blocked(p, time.Now()) }
+// Blocked returns the trait of the request that crashes servers, and false if it has none.
+func (w *Watcher) Blocked(r Request) (string, bool) { return w.finder.Blocked(r, time.Now()) }
 
 // Answered records that a server has begun to answer a request.
-func (w *Watcher) Answered(p Prompt) { w.tell(w.finder.Answered(p, time.Now())) }
+func (w *Watcher) Answered(r Request) { w.tell(w.finder.Answered(r, time.Now())) }
 
 // Crashed records a crash that this instance has seen.
 func (w *Watcher) Crashed(c Crash) {
@@ -88,7 +88,7 @@
 	}
 }
 
-// decide blocks parts, and returns what the other instances are to be asked.
+// decide blocks traits, and returns what the other instances are to be asked.
 func (w *Watcher) decide() []Question {
 	blocks, questions := w.finder.Decide(time.Now())
 	w.notify(blocks)
--- /dev/null
+++ b/pkg/crashcause/whole_test.go
@@ -0,0 +1,175 @@
+package crashcause
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// evidenceTest feeds a Finder with crashes and answers.
+type evidenceTest struct {
+	*Finder
+
+	now     time.Time
+	crashes int
+}
+
+func newEvidenceTest() *evidenceTest {
+	return &evidenceTest{Finder: NewFinder(), now: time.Unix(1_800_000_000, 0)}
+}
+
+func content(digest string, parts ...string) Request {
+	return Request{Service: "s", Prompt: parts, Digest: digest}
+}
+
+// answer answers n requests of different content, with one request's prompt parts.
+func (e *evidenceTest) answer(n int) {
+	for i := range n {
+		e.now = e.now.Add(10 * time.Millisecond)
+		e.Answered(content(fmt.Sprint("answered", e.now.UnixNano(), i), "other", "own"), e.now)
+	}
+}
+
+// crash crashes a server under requests that were sent a moment before.
+func (e *evidenceTest) crash(requests ...Request) {
+	e.now = e.now.Add(time.Second)
+	e.crashAt(e.now, requests...)
+}
+
+func (e *evidenceTest) crashAt(at time.Time, requests ...Request) {
+	var lost []LostRequest
+	for _, r := range requests {
+		lost = append(lost, LostRequest{r, at.Add(-50 * time.Millisecond)})
+	}
+	e.crashes++
+	e.Crashed(Crash{Server: Server{ID: fmt.Sprint("server", e.crashes)}, At: at, Requests: lost}, e.now)
+}
+
+// decide returns the traits that become blocked.
+func (e *evidenceTest) decide() []string {
+	blocks, _ := e.Decide(e.now)
+	var traits []string
+	for _, b := range blocks {
+		traits = append(traits, b.Trait)
+	}
+	return traits
+}
+
+func whole(digest string) string { return wholePrefix + digest }
+
+func TestWholeRequestIsBlockedAfterThreeCrashes(t *testing.T) {
+	e := newEvidenceTest()
+	e.answer(500)
+	for n := range 3 {
+		assert.Empty(t, e.decide())
+		e.crash(content("deadly"), content(fmt.Sprint("sound", n)))
+	}
+	assert.Equal(t, []string{whole("deadly")}, e.decide())
+	trait, blocked := e.Blocked(content("deadly"), e.now)
+	assert.True(t, blocked)
+	assert.True(t, IsWhole(trait))
+	_, blocked = e.Blocked(content("sound0"), e.now)
+	assert.False(t, blocked)
+}
+
+// Copies of a request on servers that crash at the same moment are one trial.
+func TestServersCrashAtOnceUnderCopiesOfARequest(t *testing.T) {
+	e := newEvidenceTest()
+	e.answer(2000)
+	for range 6 {
+		e.crashAt(e.now, content("common"))
+	}
+	assert.Empty(t, e.decide())
+}
+
+// A request that has been answered since isn't to blame.
+func TestAnsweredRequestIsNotBlocked(t *testing.T) {
+	e := newEvidenceTest()
+	e.answer(500)
+	for range 6 {
+		e.crash(content("common"))
+		e.Answered(content("common"), e.now.Add(time.Millisecond))
+		e.now = e.now.Add(time.Second)
+		assert.Empty(t, e.decide())
+	}
+}
+
+// Of many requests that were lost, some are lost several times by chance.
+func TestManyRequestsAreLost(t *testing.T) {
+	lost := func(others int) *evidenceTest {
+		e := newEvidenceTest()
+		e.answer(140)
+		for n := range 3 {
+			requests := []Request{content("again")}
+			for other := range others {
+				requests = append(requests, content(fmt.Sprint("lost", n, other)))
+			}
+			e.crash(requests...)
+		}
+		return e
+	}
+	assert.Equal(t, []string{whole("again")}, lost(1).decide())
+	e := lost(3)
+	evidence, services := e.evidence()
+	d := &decision{Finder: e.Finder, services: services, now: e.now}
+	for _, found := range evidence {
+		if found.trait == whole("again") {
+			assert.Less(t, d.chanceIfSound(found, 140)/float64(services["s"].wholes), chanceOfError, "without the others it would be")
+		}
+	}
+	assert.Empty(t, e.decide())
+}
+
+// Two requests that crash servers together can't be told apart by few crashes. The next one tells.
+func TestRequestsCrashServersTogether(t *testing.T) {
+	e := newEvidenceTest()
+	e.answer(500)
+	for range 3 {
+		e.crash(content("deadly"), content("with it"))
+	}
+	assert.Empty(t, e.decide())
+	e.crash(content("deadly"))
+	assert.Equal(t, []string{whole("deadly")}, e.decide())
+	_, blocked := e.Blocked(content("with it"), e.now)
+	assert.False(t, blocked)
+	e.crash(content("with it"))
+	assert.Equal(t, []string{whole("with it")}, e.decide(), "it crashes servers without the other one")
+}
+
+// A sound request that is lost in each crash under a deadly part is not to blame.
+func TestRequestIsLostBesideADeadlyPart(t *testing.T) {
+	e := newEvidenceTest()
+	e.answer(500)
+	for n := range 3 {
+		e.crash(content(fmt.Sprint("deadly", n), "dead", "own"), content("beside", "other", "own"))
+	}
+	assert.Equal(t, []string{"dead"}, e.decide())
+	_, blocked := e.Blocked(content("beside", "other", "own"), e.now)
+	assert.False(t, blocked)
+}
+
+// A part that a deadly request shares with sound ones, which were lost beside it, is not to blame.
+func TestPartOfADeadlyRequest(t *testing.T) {
+	e := newEvidenceTest()
+	e.answer(500)
+	for n := range 3 {
+		e.crash(content("deadly", "rare", "own"), content(fmt.Sprint("sound", n), "rare", "own2"))
+		assert.NotContains(t, e.decide(), "rare")
+	}
+	_, blocked := e.Blocked(content("deadly", "rare", "own"), e.now)
+	assert.True(t, blocked)
+	_, blocked = e.Blocked(content("sound", "rare", "own2"), e.now)
+	assert.False(t, blocked)
+}
+
+// Answers of one service tell nothing of the requests of another, whose servers are all down.
+func TestAnswersOfAnotherServiceDontCount(t *testing.T) {
+	e := newEvidenceTest()
+	for n := range 3 {
+		e.crash(Request{Service: "down", Digest: "lost"}, Request{Service: "down", Digest: fmt.Sprint(n)})
+		e.answer(1000)
+	}
+	assert.Empty(t, e.decide())
+}
