Check the list again when the connection to a server is open

A request that had been assigned a server was sent there although the list had the server as draining, or no longer, by the time that its connection was open: each connection may take 300 ms, and through other instances up to three times 900 ms, beside the bound of 2 s. The check before writing knew only what the server itself had said. The standing of a server now holds both, so relays and requests ask one thing.

TestServerLeavesWhileAConnectionIsOpened: its cases for the list were red before.

--- a/internal/edge/standing.go
+++ b/internal/edge/standing.go
@@ -43,13 +43,17 @@
 	leaving atomic.Bool
 	// restUntil is until when it wants no requests of this instance; nil if it hasn't said so.
 	restUntil atomic.Pointer[time.Time]
+	// closed is true while the list has the server as draining, or doesn't have it.
+	closed atomic.Bool
 	// unlistedAt is when the server was first missing in the list; the zero time while it is
 	// listed. It is guarded by the lock of the Views.
 	unlistedAt time.Time
 }
 
 // accepts reports whether the server accepts requests of this instance now.
-func (s *standing) accepts() bool { return !s.leaving.Load() && s.restLeft(time.Now()) <= 0 }
+func (s *standing) accepts() bool {
+	return !s.closed.Load() && !s.leaving.Load() && s.restLeft(time.Now()) <= 0
+}
 
 // restLeft returns for how long the server wants no requests of this instance.
 func (s *standing) restLeft(now time.Time) time.Duration {
@@ -130,7 +134,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if len(v.standings) >= maxStandings {
-		v.forgetStandings(now)
+		v.updateStandings(now)
 	}
 	key := statsKey{said.Server, said.StartedAt}
 	if len(v.standings) >= maxStandings && v.standings[key] == nil {
@@ -150,28 +154,31 @@
 	known := v.standings[key]
 	if known == nil {
 		known = &standing{}
-		if server := v.servers[key.id]; server == nil || server.StartedAt != key.startedAt {
-			known.unlistedAt = now
-		}
+		v.applyList(key, known, now)
 		v.standings[key] = known
 	}
 	return known
 }
 
-// forgetStandings removes the standings that no longer matter.
-func (v *Views) forgetStandings(now time.Time) {
+// applyList applies the list to the standing of an incarnation of a server.
+func (v *Views) applyList(key statsKey, known *standing, now time.Time) {
+	server := v.servers[key.id]
+	listed := server != nil && server.StartedAt == key.startedAt
+	known.closed.Store(!listed || server.Draining)
+	switch {
+	case listed:
+		known.unlistedAt = time.Time{}
+	case known.unlistedAt.IsZero():
+		known.unlistedAt = now
+	}
+}
+
+// updateStandings applies the list to the standings, and removes those that no longer matter.
+func (v *Views) updateStandings(now time.Time) {
 	for key, known := range v.standings {
-		server := v.servers[key.id]
-		switch listed := server != nil && server.StartedAt == key.startedAt; {
-		case listed:
-			known.unlistedAt = time.Time{}
-		case known.unlistedAt.IsZero():
-			known.unlistedAt = now
-			fallthrough
-		default:
-			if !known.remembered(now) {
-				delete(v.standings, key)
-			}
+		v.applyList(key, known, now)
+		if !known.unlistedAt.IsZero() && !known.remembered(now) {
+			delete(v.standings, key)
 		}
 	}
 }
--- a/internal/edge/standing_test.go
+++ b/internal/edge/standing_test.go
@@ -384,46 +384,79 @@
 
 // An instance that knows that a server leaves relays no requests to it, of others that don't know.
 func TestNoRequestsAreRelayedToALeavingServer(t *testing.T) {
-	inVirtualTime(t, func(t *testing.T) {
-		f := newStandingFleet(t, plain, 2, 2)
-		f.standings.cutOff(instanceName(0))
-		f.standing["s0"].setLeaving(true)
-		f.burst(1, "own")
-		assert.NotZero(t, f.standing["s0"].leavingTold[instanceName(1)])
-		time.Sleep(leavingBound)
-		f.paths.setPaths(pathRefuses, 0)
-		since := time.Now()
-		for n := range 20 {
-			f.burst(0, fmt.Sprint("relayed", n))
-			time.Sleep(100 * time.Millisecond)
-		}
-		assert.Zero(t, f.standing["s0"].fromInstance(instanceName(1), since))
-		assert.NotZero(t, f.standing["s1"].fromInstance(instanceName(1), since))
-	})
+	for name, listed := range map[string]bool{"says so": false, "listed as draining": true} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				f := newStandingFleet(t, plain, 2, 2)
+				f.standings.cutOff(instanceName(0))
+				if listed {
+					f.listDraining("s0")
+					f.views[1].SetServers(maps.Clone(f.servers)) // the other instance learns it later
+				} else {
+					f.standing["s0"].setLeaving(true)
+					f.burst(1, "own")
+					assert.NotZero(t, f.standing["s0"].leavingTold[instanceName(1)])
+				}
+				time.Sleep(leavingBound)
+				f.paths.setPaths(pathRefuses, 0)
+				since := time.Now()
+				for n := range 20 {
+					f.burst(0, fmt.Sprint("relayed", n))
+					time.Sleep(100 * time.Millisecond)
+				}
+				assert.Zero(t, f.standing["s0"].fromInstance(instanceName(1), since))
+				assert.NotZero(t, f.standing["s1"].fromInstance(instanceName(1), since))
+			})
+		})
+	}
 }
 
-// A request isn't sent to a server that has said that it leaves while the connection was opened.
+// A request isn't sent to a server that begins to leave while the connection is opened, whether it
+// says so itself or the list does.
 func TestServerLeavesWhileAConnectionIsOpened(t *testing.T) {
-	inVirtualTime(t, func(t *testing.T) {
-		f := newStandingFleet(t, plain, 0, 2)
-		slow := false
-		servers := platform.NewServersWithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
-			if slow && address == f.servers["s0"].Address {
-				time.Sleep(200 * time.Millisecond)
-			}
-			return f.dial(ctx, network, address)
+	for name, leave := range map[string]func(f *standingFleet, views *edge.Views){
+		"says so": func(_ *standingFleet, views *edge.Views) {
+			views.SetStanding(edge.Standing{Server: "s0", Leaving: true}, time.Now())
+		},
+		"listed as draining": func(f *standingFleet, views *edge.Views) {
+			f.listDraining("s0")
+			views.SetServers(f.servers)
+		},
+		"removed from the list": func(f *standingFleet, views *edge.Views) {
+			delete(f.servers, "s0")
+			views.SetServers(f.servers)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				f := newStandingFleet(t, plain, 0, 2)
+				slow, address := false, f.servers["s0"].Address
+				servers := platform.NewServersWithDial(func(ctx context.Context, network, to string) (net.Conn, error) {
+					if slow && to == address {
+						time.Sleep(200 * time.Millisecond)
+					}
+					return f.dial(ctx, network, to)
+				})
+				views := f.newViews(testManifest())
+				f.instances = append(f.instances, f.newInstanceWith(instanceName(0), views, 1, servers))
+				slow = true
+				var group sync.WaitGroup
+				for n := range 8 {
+					group.Go(func() { assert.Equal(t, http.StatusOK, f.request(0, fmt.Sprint("id", n)).Code) })
+				}
+				time.Sleep(100 * time.Millisecond)
+				leave(f, views)
+				group.Wait()
+				assert.Empty(t, f.standing["s0"].received())
+				assert.Len(t, f.standing["s1"].received(), 8)
+			})
 		})
-		views := f.newViews(testManifest())
-		f.instances = append(f.instances, f.newInstanceWith(instanceName(0), views, 1, servers))
-		slow = true
-		var group sync.WaitGroup
-		for n := range 8 {
-			group.Go(func() { assert.Equal(t, http.StatusOK, f.request(0, fmt.Sprint("id", n)).Code) })
-		}
-		time.Sleep(100 * time.Millisecond)
-		views.SetStanding(edge.Standing{Server: "s0", Leaving: true}, time.Now())
-		group.Wait()
-		assert.Empty(t, f.standing["s0"].received())
-		assert.Len(t, f.standing["s1"].received(), 8)
-	})
+	}
+}
+
+// listDraining changes the entry of a server, which the instances learn by publish.
+func (f *standingFleet) listDraining(id fleet.ServerID) {
+	draining := *f.servers[id]
+	draining.Draining = true
+	f.servers[id] = &draining
 }
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -206,7 +206,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for id, server := range v.servers {
-		if server.Address == address && !server.Draining && v.standings[statsKey{id, server.StartedAt}].accepts() {
+		if server.Address == address && v.standings[statsKey{id, server.StartedAt}].accepts() {
 			return true
 		}
 	}
@@ -234,7 +234,7 @@
 	retained := make(map[statsKey]*stats, len(v.servers))
 	counts := map[string]int{}
 	now := time.Now()
-	v.forgetStandings(now)
+	v.updateStandings(now)
 	for id, server := range v.servers {
 		counts[server.Service]++
 		key := statsKey{id, server.StartedAt}
