Keep the answers to whole requests apart from those to parts of prompts

Nearly each request has a content of its own, so its answers filled the memory of 8,192 traits within a minute at some hundred requests a second, and displaced those of the parts of prompts. What is forgotten counted as never answered, so more answers spoke against it than there had been. The two are kept apart, and answers are counted only from when it is known that none was to the trait. TestAnswerIsForgotten.

--- a/pkg/crashcause/answers.go
+++ b/pkg/crashcause/answers.go
@@ -8,16 +8,24 @@
 	countSlots    = int(evidenceTTL/countInterval) + 1
 )
 
-// answerLog remembers when requests were answered, for an evidenceTTL at least.
+// answerLog remembers when requests were answered, for an evidenceTTL at least unless there are too
+// many of them.
 type answerLog struct {
-	// recent and older are when a request with a trait was last answered. Answers are added to
-	// recent, which becomes older after an evidenceTTL.
-	recent, older map[string]time.Time
-	recentSince   time.Time
+	// parts and wholes are kept apart, as nearly each request has a content of its own.
+	parts, wholes lastAnswers
 	// services are the numbers of answers to requests for each service.
 	services map[string]*answerCounts
 }
 
+// lastAnswers are the times at which requests with a trait were last answered.
+type lastAnswers struct {
+	// recent and older are those times. Answers are added to recent, which becomes older after an
+	// evidenceTTL, or when it is full.
+	recent, older map[string]time.Time
+	// recentSince and olderSince are the times from which on they have all answers.
+	recentSince, olderSince time.Time
+}
+
 // answerCounts counts the answers of an evidenceTTL.
 type answerCounts struct {
 	// counts is a ring of the numbers of answers per countInterval. begun is the time from which
@@ -28,7 +36,7 @@
 }
 
 func newAnswerLog() *answerLog {
-	return &answerLog{recent: map[string]time.Time{}, services: map[string]*answerCounts{}}
+	return &answerLog{services: map[string]*answerCounts{}}
 }
 
 // count counts an answer to a request for a service.
@@ -85,18 +93,34 @@
 	return n
 }
 
+// of returns the answers to requests with traits of the same kind.
+func (l *answerLog) of(trait string) *lastAnswers {
+	if IsWhole(trait) {
+		return &l.wholes
+	}
+	return &l.parts
+}
+
 // set records an answer to a request with a trait.
 func (l *answerLog) set(trait string, at time.Time) {
-	if at.Sub(l.recentSince) > evidenceTTL || len(l.recent) >= maxAnswered {
-		l.recent, l.older, l.recentSince = map[string]time.Time{}, l.recent, at
+	answers := l.of(trait)
+	if answers.recent == nil || at.Sub(answers.recentSince) > evidenceTTL || len(answers.recent) >= maxAnswered {
+		answers.recent, answers.older = map[string]time.Time{}, answers.recent
+		answers.recentSince, answers.olderSince = at, answers.recentSince
 	}
-	l.recent[trait] = at
+	answers.recent[trait] = at
 }
 
 // last returns when a request with a trait was last answered; the zero time if it isn't known.
 func (l *answerLog) last(trait string) time.Time {
-	if at, found := l.recent[trait]; found {
+	answers := l.of(trait)
+	if at, found := answers.recent[trait]; found {
 		return at
 	}
-	return l.older[trait]
+	return answers.older[trait]
+}
+
+// unansweredSince returns from when on it is known that no request with a trait was answered.
+func (l *answerLog) unansweredSince(trait string) time.Time {
+	return later(l.last(trait), l.of(trait).olderSince)
 }
--- a/pkg/crashcause/decide.go
+++ b/pkg/crashcause/decide.go
@@ -236,7 +236,7 @@
 	if !e.own || len(d.blocks) >= maxBlocks && before.Blocks == 0 {
 		return // an instance whose requests crashed the servers decides
 	}
-	since := d.answered.last(e.trait)
+	since := d.answered.unansweredSince(e.trait)
 	if !certain {
 		answers := d.answered.since(e.service, since, d.now)
 		if others, heard := d.others[e.trait]; heard && others.since.Equal(since) {
--- a/pkg/crashcause/whole_test.go
+++ b/pkg/crashcause/whole_test.go
@@ -173,3 +173,20 @@
 	}
 	assert.Empty(t, e.decide())
 }
+
+// A request that was answered before so many others that it is forgotten isn't held to be one that
+// never was. Such answers don't displace those to parts of prompts.
+func TestAnswerIsForgotten(t *testing.T) {
+	e := newEvidenceTest()
+	answeredAt := e.now
+	e.Answered(content("seldom", "part", "own"), answeredAt)
+	for n := range 2 * maxAnswered {
+		e.now = e.now.Add(time.Millisecond)
+		e.Answered(content(fmt.Sprint("other", n)), e.now)
+	}
+	assert.Zero(t, e.answered.last(whole("seldom")))
+	assert.Greater(t, e.answered.unansweredSince(whole("seldom")), answeredAt)
+	assert.LessOrEqual(t, e.answered.unansweredSince(whole("seldom")), e.now.Add(-maxAnswered*time.Millisecond))
+	assert.Equal(t, answeredAt, e.answered.unansweredSince("part"))
+	assert.Zero(t, e.answered.unansweredSince("never"))
+}
