--- a/pkg/crashcause/decide.go
+++ b/pkg/crashcause/decide.go
@@ -107,7 +107,7 @@
 
 	now      time.Time
 	services map[string]*serviceCrashes
-	// parts and wholes are the traits that crashes happened under.
+	// parts are all that crashes happened under, and wholes the whole requests to decide on.
 	parts, wholes []*traitEvidence
 	// explained are the crashes of traits that are blocked or about to be, and byWhole those of
 	// each whole request among these.
@@ -128,10 +128,11 @@
 	d := &decision{Finder: f, now: now, services: services, explained: servers{}}
 	for _, e := range all {
 		whole, blocked := IsWhole(e.trait), d.isBlocked(e)
+		_, again := d.blocks[e.trait]
 		switch {
 		case !whole:
 			d.parts = append(d.parts, e)
-		case !blocked:
+		case !blocked && (again || e.trials >= minCrashes):
 			d.wholes = append(d.wholes, e)
 		}
 		if blocked {
@@ -184,8 +185,8 @@
 		case unexplained == 0:
 			continue
 		case again: // one crash is enough
-		case e.trials < minCrashes || e.trials == minCrashes && unexplained < minCrashes:
-			continue
+		case e.trials == minCrashes && unexplained < minCrashes:
+			continue // other traits explain some of them
 		case e.trials < ambiguousCrashes && d.hasRivalPart(e):
 			continue
 		}
--- a/pkg/crashcause/whole_test.go
+++ b/pkg/crashcause/whole_test.go
@@ -190,3 +190,17 @@
 	assert.Equal(t, answeredAt, e.answered.unansweredSince("part"))
 	assert.Zero(t, e.answered.unansweredSince("never"))
 }
+
+func BenchmarkDecideAfterManyCrashes(b *testing.B) {
+	e := newEvidenceTest()
+	for crash := range maxCrashes {
+		var requests []Request
+		for n := range maxCrashRequests {
+			requests = append(requests, content(fmt.Sprint(crash, "-", n), "first", fmt.Sprint("topic", n), "own"))
+		}
+		e.crashAt(e.now.Add(-time.Duration(crash)*time.Millisecond), requests...)
+	}
+	for b.Loop() {
+		e.decide()
+	}
+}
