--- a/internal/edge/repeatcrash_test.go
+++ b/internal/edge/repeatcrash_test.go
@@ -196,6 +196,7 @@
 	} {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprint(name, "/", seed), func(t *testing.T) {
+				t.Parallel()
 				inVirtualTime(t, func(t *testing.T) {
 					f := newRepeatFleet(t, c.service, c.instances, c.servers)
 					if name == "at once" {
@@ -236,6 +237,7 @@
 	} {
 		for _, service := range []string{plain, engine} {
 			t.Run(fmt.Sprint(name, "/", service), func(t *testing.T) {
+				t.Parallel()
 				inVirtualTime(t, func(t *testing.T) {
 					f := newRepeatFleet(t, service, 6, 5)
 					path := map[string]string{plain: "/read/x", engine: "/stream/x"}[service]
@@ -259,11 +261,12 @@
 	for _, service := range []string{plain, engine} {
 		for seed := range uint64(12) {
 			t.Run(fmt.Sprint(service, "/", seed), func(t *testing.T) {
+				t.Parallel()
 				inVirtualTime(t, func(t *testing.T) {
 					f := newRepeatFleet(t, service, 6, 5)
 					path := map[string]string{plain: "/read/x", engine: "/stream/x"}[service]
-					random := rand.New(rand.NewPCG(seed, 9))
 					for n := range 8 {
+						random := rand.New(rand.NewPCG(seed, uint64(n)))
 						time.AfterFunc(time.Duration(2000+2500*n)*time.Millisecond, func() {
 							for id := range f.runningServers() {
 								if random.IntN(3) > 0 {
--- a/internal/edge/resting_test.go
+++ b/internal/edge/resting_test.go
@@ -63,6 +63,7 @@
 		"most instances relayed": {service: engine, perSecond: 300, rest: 3 * time.Second, cut: []int{0, 1, 2, 3, 4}},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			inVirtualTime(t, func(t *testing.T) {
 				f := newStandingFleet(t, c.service, 6, 4)
 				time.AfterFunc(time.Second, func() { f.paths.setPaths(pathHangs, c.cut...) })
--- a/internal/edge/standing_test.go
+++ b/internal/edge/standing_test.go
@@ -260,6 +260,7 @@
 		"relayed, and few requests of the relay": {service: plain, perSecond: 8, cut: []int{0, 1, 2, 3, 4}, cutAt: time.Second, uncutAt: 12 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			inVirtualTime(t, func(t *testing.T) {
 				f := newStandingFleet(t, c.service, 6, 4)
 				var leaving *standingServer
