Reproduce a server that says only in reports and orders that it leaves

What callers saw (reported): requests reached a server that had said that it leaves. Servers say so in all their answers, and two kinds of answer were still not looked at: those to reports and orders, and those that are given up before they arrive because the client has left.

--- a/internal/edge/standing_test.go
+++ b/internal/edge/standing_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -119,6 +120,8 @@
 	views    []*edge.Views
 	standing map[string]*standingServer
 	service  string
+	// patience is after which time the client of a request leaves; 0 for never, or if it is nil.
+	patience func(id string) time.Duration
 
 	mu sync.Mutex
 	// sentAt is when clients sent each request, and passedOn when each instance first passed on
@@ -169,7 +172,13 @@
 	if f.service == engine {
 		path, header[standin.HeaderModel] = "/stream/x", "m"
 	}
-	got := f.send(f.Context(), f.instances[n], id, path, header)
+	ctx := f.Context()
+	if f.patience != nil && f.patience(id) > 0 {
+		var leave context.CancelFunc
+		ctx, leave = context.WithTimeout(ctx, f.patience(id))
+		defer leave()
+	}
+	got := f.send(ctx, f.instances[n], id, path, header)
 	if got.Header().Get(standin.HeaderLeaving) != "" {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -285,6 +294,32 @@
 	}
 }
 
+// Most answers that say that a server leaves are given up before they arrive, because their clients
+// have left.
+func TestClientsLeaveBeforeTheAnswerSaysThatTheServerLeaves(t *testing.T) {
+	for _, service := range []string{plain, engine} {
+		t.Run(service, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				f := newStandingFleet(t, service, 3, 4)
+				f.patience = func(id string) time.Duration {
+					if strings.HasSuffix(id, "0") {
+						return 0
+					}
+					return 100 * time.Millisecond
+				}
+				for _, s := range f.standing {
+					s.work = 200 * time.Millisecond
+				}
+				time.AfterFunc(2*time.Second, func() { f.standing["s0"].setLeaving(true) })
+				statuses := f.play(10*time.Second, 60, 1)
+				assert.NotEmpty(t, f.standing["s0"].leavingTold)
+				assert.Zero(t, f.late(f.standing["s0"]))
+				assert.Positive(t, statuses[http.StatusOK])
+			})
+		})
+	}
+}
+
 // A server that has started again under its ID is a new one.
 func TestServerThatLeftComesBackUnderItsID(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
--- a/internal/placer/standings_test.go
+++ b/internal/placer/standings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,18 +12,39 @@
 	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
 )
 
-// One instance hears that an engine leaves, which is listed as ready. All others learn it, and the
-// holder loads the model elsewhere.
-func TestModelOfALeavingServerIsLoadedElsewhere(t *testing.T) {
-	c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0", Models: []string{"a"}, OnDisk: []string{"a"}}, standin.ServerConfig{ID: "s1", OnDisk: []string{"a"}})
+// startListening starts instances that apply what the others tell of servers, and waits until they
+// know each other.
+func (c *cluster) startListening(n int) []*instance {
 	var all []*instance
-	for n := range 3 {
+	for n := range n {
 		i := c.start(fmt.Sprint("i", n))
 		i.Standings().OnTold(func(said edge.Standing) { i.views.SetStanding(said, time.Now()) })
 		all = append(all, i)
 	}
 	for _, i := range all {
 		c.eventually("the instances know each other", func() bool { return len(i.OtherInstances()) == len(all)-1 })
+	}
+	return all
+}
+
+// knowsServers reports whether the instance has read the reports of all servers as the holder.
+func (i *instance) knowsServers() bool {
+	i.holder.mu.Lock()
+	defer i.holder.mu.Unlock()
+	for _, t := range i.holder.servers {
+		if !t.known {
+			return false
+		}
+	}
+	return len(i.holder.servers) > 0
+}
+
+// One instance hears that an engine leaves, which is listed as ready. All others learn it, and the
+// holder loads the model elsewhere.
+func TestModelOfALeavingServerIsLoadedElsewhere(t *testing.T) {
+	c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0", Models: []string{"a"}, OnDisk: []string{"a"}}, standin.ServerConfig{ID: "s1", OnDisk: []string{"a"}})
+	all := c.startListening(3)
+	for _, i := range all {
 		c.eventually("the placement is known", func() bool { return i.views.Load().Holders(summaries, "a") == 1 })
 	}
 	said := edge.Standing{Server: "s0", Leaving: true}
@@ -51,3 +73,29 @@
 	got.RestUntil = said.RestUntil
 	assert.Equal(t, said, got)
 }
+
+// A server that serves no requests says that it leaves in its answers to reports and orders alone.
+func TestServerSaysInReportsAndOrdersThatItLeaves(t *testing.T) {
+	t.Run("report", func(t *testing.T) {
+		c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0", Models: []string{"a"}, OnDisk: []string{"a"}}, standin.ServerConfig{ID: "s1", OnDisk: []string{"a"}})
+		c.servers[0].SetFaults(standin.ServerFaults{Leaving: true})
+		all := c.startListening(3)
+		defer all[1].collector.Wait(wantModel("a"))()
+		c.eventually("the model is loaded elsewhere", func() bool { return c.holds(1, "a") })
+		for _, i := range all {
+			c.eventually("the other server alone is used", func() bool {
+				return i.views.Load().Holders(summaries, "a") == 1 && i.views.Load().Services()[summaries].Servers == 1
+			})
+		}
+	})
+	t.Run("order", func(t *testing.T) {
+		c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0", OnDisk: []string{"a"}})
+		all := c.startListening(2)
+		c.eventually("the holder has read the report", func() bool { return slices.ContainsFunc(all, (*instance).knowsServers) })
+		c.servers[0].SetFaults(standin.ServerFaults{Leaving: true})
+		defer all[1].collector.Wait(wantModel("a"))()
+		for _, i := range all {
+			c.eventually("the server isn't used", func() bool { return i.views.Load().Services()[summaries].Servers == 0 })
+		}
+	})
+}
