Read what servers say in answers to reports and orders

What callers saw (reported): requests reached a server that had said that it leaves. Cause: a server says so in all its answers, and only those to clients' requests were looked at. A server that gets few requests, or none, tells the holder first, which reads its reports and sends it orders. Class: one fact from several sources, of which some aren't read.

Change: platform.Notice holds what any answer says about further requests; Control hands it to the placer. edge.StandingRecorder, taken out of the request, records it and tells the others, so that there is one copy of that for requests, reports and orders.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -58,17 +58,17 @@
 
 // Edge serves client requests. It is an http.Handler.
 type Edge struct {
-	cfg       Config
-	views     *Views
-	servers   *platform.Servers
-	demand    Demand
-	permits   Permits
-	origins   Origins
-	crashes   Crashes
-	standings Standings
-	log       *log.Logger
-	tracer    trace.Tracer
-	started   time.Time
+	cfg      Config
+	views    *Views
+	servers  *platform.Servers
+	demand   Demand
+	permits  Permits
+	origins  Origins
+	crashes  Crashes
+	recorder *StandingRecorder
+	log      *log.Logger
+	tracer   trace.Tracer
+	started  time.Time
 
 	draining atomic.Bool
 	// waitUntil is when waiting requests are refused, and acceptUntil when new requests
@@ -110,8 +110,9 @@
 // New returns an Edge that routes by the given views.
 func New(cfg Config, views *Views, servers *platform.Servers, demand Demand, peers Peers, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *Edge {
 	e := &Edge{
-		cfg: cfg, views: views, servers: servers, demand: demand, permits: peers.Permits, origins: peers.Origins, crashes: peers.Crashes, standings: peers.Standings,
-		log: logger, tracer: tracer, started: time.Now(),
+		cfg: cfg, views: views, servers: servers, demand: demand, permits: peers.Permits, origins: peers.Origins, crashes: peers.Crashes,
+		recorder: NewStandingRecorder(views, peers.Standings, logger),
+		log:      logger, tracer: tracer, started: time.Now(),
 		begun:      unannounced{streams: map[string]streamorigin.Origin{}},
 		unanswered: unanswered{cancels: map[*request]context.CancelCauseFunc{}},
 		budgets:    map[string]*retry.Budget{},
@@ -122,7 +123,7 @@
 		latency:    metrics.NewRegisteredTimer("edge_latency_ns", registry),
 	}
 	e.crashes.OnBlock(e.traitBlocked)
-	e.standings.OnTold(e.standingTold)
+	peers.Standings.OnTold(e.standingTold)
 	return e
 }
 
--- a/internal/edge/standing.go
+++ b/internal/edge/standing.go
@@ -4,6 +4,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
@@ -81,53 +83,76 @@
 	return s.leaving.Load() && now.Sub(s.unlistedAt) < leavingTTL || s.restLeft(now) > 0
 }
 
-// recordStanding records whether the server says that it is leaving, or wants no more requests for
-// a time.
-func (q *request) recordStanding(b *backend, answer *platform.Answer) {
-	if !answer.RequestIDMatches || answer.Misdirected || !answer.Signed && !answer.NotExecuted && answer.RetryAfter == 0 {
-		return // not an answer of this server to this request
-	}
-	if answer.Leaving && !b.stats.standing.leaving.Load() {
-		q.edge.log.Info().Str("server", string(b.server.ID)).Int64("started_at", b.server.StartedAt).Str("request", q.head.ID).
-			Str("relay", answer.Relay).Msg("server_leaving")
-		said := Standing{Server: b.server.ID, StartedAt: b.server.StartedAt, Leaving: true}
-		q.edge.applyStanding(said)
-		q.edge.standings.TellAll(said)
+// StandingRecorder records what servers say to this instance about further requests, and tells the
+// other instances. It is safe for concurrent use.
+type StandingRecorder struct {
+	views *Views
+	peers Standings
+	log   *log.Logger
+}
+
+// NewStandingRecorder returns a StandingRecorder that records in the given views.
+func NewStandingRecorder(views *Views, peers Standings, logger *log.Logger) *StandingRecorder {
+	return &StandingRecorder{views: views, peers: peers, log: logger}
+}
+
+// AnswerOrigin says to what a server has answered.
+type AnswerOrigin struct {
+	// Request is the ID of the request; empty for a report or an order.
+	Request string
+	// Relay is the address of the instance that has relayed the answer; empty if it was direct.
+	Relay string
+}
+
+// Record records what a server says in an answer.
+func (r *StandingRecorder) Record(server *fleet.Server, notice platform.Notice, origin AnswerOrigin) {
+	if notice.Leaving {
+		said := Standing{Server: server.ID, StartedAt: server.StartedAt, Leaving: true}
+		if r.views.SetStanding(said, time.Now()) {
+			r.log.Info().Str("server", string(server.ID)).Int64("started_at", server.StartedAt).Str("request", origin.Request).
+				Str("relay", origin.Relay).Msg("server_leaving")
+			r.peers.TellAll(said)
+		}
 	}
-	if answer.RetryAfterErr != nil {
-		q.edge.log.Warn().Str("server", string(b.server.ID)).Str("request", q.head.ID).Err(answer.RetryAfterErr).Msg("retry_after_unreadable")
+	if notice.RetryAfterErr != nil {
+		r.log.Warn().Str("server", string(server.ID)).Str("request", origin.Request).Err(notice.RetryAfterErr).Msg("retry_after_unreadable")
 	}
-	if answer.RetryAfter > 0 {
-		q.recordRest(b, answer)
+	if notice.RetryAfter > 0 {
+		r.recordRest(server, notice.RetryAfter, origin)
 	}
 }
 
 // recordRest records for how long the server wants no more requests. It says so to the instance
 // from which it gets them, which is the relay if there is one.
-func (q *request) recordRest(b *backend, answer *platform.Answer) {
-	said := Standing{Server: b.server.ID, StartedAt: b.server.StartedAt, RestUntil: time.Now().Add(answer.RetryAfter)}
-	if answer.Relay != "" {
-		q.edge.standings.Tell(answer.Relay, said)
+func (r *StandingRecorder) recordRest(server *fleet.Server, rest time.Duration, origin AnswerOrigin) {
+	now := time.Now()
+	said := Standing{Server: server.ID, StartedAt: server.StartedAt, RestUntil: now.Add(rest)}
+	if origin.Relay != "" {
+		r.peers.Tell(origin.Relay, said)
+	}
+	if r.views.SetStanding(said, now) {
+		r.log.Info().Str("server", string(server.ID)).Str("request", origin.Request).Dur("retry_after", rest).
+			Str("relay", origin.Relay).Msg("server_rests")
 	}
-	if q.edge.applyStanding(said) {
-		q.edge.log.Info().Str("server", string(b.server.ID)).Str("request", q.head.ID).Dur("retry_after", answer.RetryAfter).
-			Str("relay", answer.Relay).Msg("server_rests")
+}
+
+// recordStanding records whether the server says that it is leaving, or wants no more requests for
+// a time.
+func (q *request) recordStanding(b *backend, answer *platform.Answer) {
+	if !answer.RequestIDMatches || answer.Misdirected || !answer.Signed && !answer.NotExecuted && answer.RetryAfter == 0 {
+		return // not an answer of this server to this request
 	}
+	q.edge.recorder.Record(b.server, answer.Notice, AnswerOrigin{Request: q.head.ID, Relay: answer.Relay})
 }
 
 // standingTold applies what another instance tells.
 func (e *Edge) standingTold(said Standing) {
-	if e.applyStanding(said) {
+	if e.views.SetStanding(said, time.Now()) {
 		e.log.Info().Str("server", string(said.Server)).Int64("started_at", said.StartedAt).Bool("leaving", said.Leaving).
 			Dur("retry_after", max(time.Until(said.RestUntil), 0)).Msg("standing_told")
 	}
 }
 
-// applyStanding applies what a server has said, and reports whether it is news.
-func (e *Edge) applyStanding(said Standing) bool {
-	return e.views.SetStanding(said, time.Now())
-}
-
 // SetStanding records what a server has said, publishes a view without the server if it is
 // leaving, and reports whether it is news.
 func (v *Views) SetStanding(said Standing, now time.Time) bool {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -101,13 +101,17 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}, tracer),
 		holder: &holder{
-			control: platform.NewControl(), elector: e, permits: permits, views: views, log: logger, name: cfg.Name,
+			elector: e, permits: permits, views: views, log: logger, name: cfg.Name,
 			orders:  metrics.NewRegisteredCounter("placer_orders", registry),
 			tracker: demand.NewTracker(waitingTTL), instances: instanceRegistry{}, reported: map[string]bool{}, servers: map[fleet.ServerID]*trackedServer{}, suspectedSince: map[demand.Key]time.Time{},
 			wake: make(chan struct{}, 1), published: make(chan struct{}),
 		},
 	}
 	p.crashes, p.standings = newCrashTransport(p), newStandings(p)
+	recorder := edge.NewStandingRecorder(views, p.standings, logger)
+	p.holder.control = platform.NewControl(func(server *fleet.Server, notice platform.Notice) {
+		recorder.Record(server, notice, edge.AnswerOrigin{})
+	})
 	p.Watcher = crashcause.NewWatcher(p.crashes)
 	return p
 }
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -251,7 +251,7 @@
 	defer i.collector.Wait(wantModel("a"))()
 	c.eventually("it loads without the store", func() bool { return c.holds(0, "a") })
 
-	_, err := platform.NewControl().SendOrder(t.Context(), platform.Order{
+	_, err := platform.NewControl(func(*fleet.Server, platform.Notice) {}).SendOrder(t.Context(), platform.Order{
 		Server: i.views.Load().Engines()["s0"], Model: "a", Expect: 77, Holder: "another", Epoch: 1 << 40,
 	})
 	require.ErrorIs(t, err, platform.ErrOrderBusy)
--- a/internal/placer/standings_test.go
+++ b/internal/placer/standings_test.go
@@ -17,9 +17,7 @@
 func (c *cluster) startListening(n int) []*instance {
 	var all []*instance
 	for n := range n {
-		i := c.start(fmt.Sprint("i", n))
-		i.Standings().OnTold(func(said edge.Standing) { i.views.SetStanding(said, time.Now()) })
-		all = append(all, i)
+		all = append(all, c.startListener(fmt.Sprint("i", n)))
 	}
 	for _, i := range all {
 		c.eventually("the instances know each other", func() bool { return len(i.OtherInstances()) == len(all)-1 })
@@ -27,6 +25,12 @@
 	return all
 }
 
+func (c *cluster) startListener(name string) *instance {
+	i := c.start(name)
+	i.Standings().OnTold(func(said edge.Standing) { i.views.SetStanding(said, time.Now()) })
+	return i
+}
+
 // knowsServers reports whether the instance has read the reports of all servers as the holder.
 func (i *instance) knowsServers() bool {
 	i.holder.mu.Lock()
@@ -78,14 +82,14 @@
 func TestServerSaysInReportsAndOrdersThatItLeaves(t *testing.T) {
 	t.Run("report", func(t *testing.T) {
 		c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0", Models: []string{"a"}, OnDisk: []string{"a"}}, standin.ServerConfig{ID: "s1", OnDisk: []string{"a"}})
-		c.servers[0].SetFaults(standin.ServerFaults{Leaving: true})
 		all := c.startListening(3)
+		c.eventually("the holder has read the reports", func() bool { return slices.ContainsFunc(all, (*instance).knowsServers) })
+		c.servers[0].SetFaults(standin.ServerFaults{Leaving: true})
+		// The holder reads the report of a server again that should hold the model.
 		defer all[1].collector.Wait(wantModel("a"))()
 		c.eventually("the model is loaded elsewhere", func() bool { return c.holds(1, "a") })
 		for _, i := range all {
-			c.eventually("the other server alone is used", func() bool {
-				return i.views.Load().Holders(summaries, "a") == 1 && i.views.Load().Services()[summaries].Servers == 1
-			})
+			c.eventually("the other server alone is used", func() bool { return i.views.Load().Holders(summaries, "a") == 1 && i.views.Load().Services()[summaries].Servers == 1 })
 		}
 	})
 	t.Run("order", func(t *testing.T) {
@@ -99,3 +103,15 @@
 		}
 	})
 }
+
+// A server has said that it leaves before the instance that heard it knew the others.
+func TestInstancesThatAreKnownLaterLearnThatAServerLeaves(t *testing.T) {
+	c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0", Models: []string{"a"}, OnDisk: []string{"a"}}, standin.ServerConfig{ID: "s1", OnDisk: []string{"a"}})
+	c.servers[0].SetFaults(standin.ServerFaults{Leaving: true})
+	all := c.startListening(3)
+	defer all[1].collector.Wait(wantModel("a"))()
+	c.eventually("the model is loaded elsewhere", func() bool { return c.holds(1, "a") })
+	for _, i := range append(all, c.startListener("late")) {
+		c.eventually("the other server alone is used", func() bool { return i.views.Load().Holders(summaries, "a") == 1 && i.views.Load().Services()[summaries].Servers == 1 })
+	}
+}
