Name leaving servers in the placement, for instances that were not told

Cause: an instance that hears that a server leaves tells the others that it knows at that moment. One that starts later, or that had not reported to the holder yet, used the server until an answer of its own said it. Class: a fact that is told once, to those who are there.

Change: the holder's placement, which each instance reads at least once a second, holds the servers that have said that they leave and are listed as ready; usually there are none. The holder is told also by instances that don't know the others yet. Builds before ignore the new field, and their placements don't have it.

--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -31,6 +31,8 @@
 	// versions are the software versions of the servers of each service, and when those that
 	// are no longer listed were last listed; the zero time for the others.
 	versions map[string]map[string]time.Time
+	// leaving are the servers that have said that they leave before their entry does.
+	leaving []Standing
 	// superseded is closed when a newer view replaces this one.
 	superseded chan struct{}
 }
@@ -245,6 +247,7 @@
 		retained[key] = serverStats
 		if serverStats.standing.leaving.Load() && !server.Draining {
 			// The server has said so before its entry does.
+			view.leaving = append(view.leaving, Standing{Server: id, StartedAt: server.StartedAt, Leaving: true})
 			draining := *server
 			draining.Draining = true
 			server = &draining
@@ -346,6 +349,9 @@
 // Engines returns all listed servers that run models, including draining ones.
 func (v *View) Engines() map[fleet.ServerID]*fleet.Server { return v.engines }
 
+// Leaving returns the servers that have said that they leave before their entry does.
+func (v *View) Leaving() []Standing { return v.leaving }
+
 // Holders returns the number of servers of a service that can serve requests for a model.
 func (v *View) Holders(service, model string) int {
 	n := 0
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -277,6 +277,7 @@
 		if len(placement.Servers) > 0 {
 			p.views.SetResidency(decodePlacement(placement, time.Now()))
 		}
+		p.standings.receive(placement.Leaving)
 		pause.For(ctx, watchInterval)
 	}
 }
--- a/internal/placer/service.go
+++ b/internal/placer/service.go
@@ -54,6 +54,7 @@
 	defer h.mu.Unlock()
 	out := &placerpb.Placement{Placing: true, Epoch: h.epoch, Version: h.placementVersion}
 	now := time.Now()
+	out.Leaving = encodeStandings(h.views.Load().Leaving(), now).Standings
 	for id, t := range h.servers {
 		if !t.known || epoch == h.epoch && t.version <= version {
 			continue
--- a/internal/placer/standings.go
+++ b/internal/placer/standings.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -26,9 +27,14 @@
 		})}
 }
 
-// TellAll tells all other instances.
+// TellAll tells all other instances. The holder of the lease tells those that this one doesn't know
+// yet.
 func (s *standings) TellAll(standing edge.Standing) {
-	s.outbox.put([]edge.Standing{standing}, s.placer.OtherInstances()...)
+	others := s.placer.OtherInstances()
+	if holder, _, held := s.placer.elector.holder(); held && holder.Address != s.placer.address && !slices.Contains(others, holder.Address) {
+		others = append(others, holder.Address)
+	}
+	s.outbox.put([]edge.Standing{standing}, others...)
 }
 
 // Tell tells the instance at an address.
@@ -44,12 +50,17 @@
 
 // TellStandings handles the call of another instance.
 func (s *service) TellStandings(_ context.Context, r *placerpb.ServerStandings) (*placerpb.StandingsTold, error) {
-	if told := s.placer.standings.told.Load(); told != nil {
-		for _, standing := range decodeStandings(r, time.Now()) {
+	s.placer.standings.receive(r.Standings)
+	return &placerpb.StandingsTold{}, nil
+}
+
+// receive applies what another instance tells.
+func (s *standings) receive(list []*placerpb.ServerStanding) {
+	if told := s.told.Load(); told != nil {
+		for _, standing := range decodeStandings(list, time.Now()) {
 			(*told)(standing)
 		}
 	}
-	return &placerpb.StandingsTold{}, nil
 }
 
 func encodeStandings(list []edge.Standing, now time.Time) *placerpb.ServerStandings {
@@ -63,9 +74,9 @@
 	return out
 }
 
-func decodeStandings(r *placerpb.ServerStandings, now time.Time) []edge.Standing {
-	out := make([]edge.Standing, 0, len(r.Standings))
-	for _, standing := range r.Standings {
+func decodeStandings(list []*placerpb.ServerStanding, now time.Time) []edge.Standing {
+	out := make([]edge.Standing, 0, len(list))
+	for _, standing := range list {
 		decoded := edge.Standing{Server: fleet.ServerID(standing.Server), StartedAt: standing.Born, Leaving: standing.Leaving}
 		if standing.RestUs > 0 {
 			decoded.RestUntil = now.Add(microseconds(standing.RestUs))
