Reproduce a Retry-After that comes after the request was given up

What callers saw (reported): a server had asked an instance for a pause, and went on getting requests.

Tests that describe what holds already: TestRestingServerIsNoAlternative (red with the standing taken out of hasAlternative, which no test noticed before), TestRetryAfterIsExtendedAndNotShortened (red when the later answer always counts), TestRelayThatStartsAgainDuringARest (not seen red), and a Retry-After of zero, an empty one and one that isn't a number.

--- a/internal/edge/resting_test.go
+++ b/internal/edge/resting_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
 )
@@ -83,6 +85,41 @@
 	}
 }
 
+// A server that rejects a request with a Retry-After after the request was given up got more
+// requests: nobody had read the answer.
+func TestRetryAfterOfARequestThatWasGivenUp(t *testing.T) {
+	for name, c := range map[string]struct {
+		rejectAfter, patience time.Duration
+		slow                  bool
+	}{
+		"some clients leave":    {rejectAfter: 300 * time.Millisecond, patience: 250 * time.Millisecond},
+		"clients leave":         {rejectAfter: 300 * time.Millisecond, patience: 250 * time.Millisecond},
+		"first byte is late":    {rejectAfter: time.Second},
+		"time limit has passed": {rejectAfter: 3001 * time.Millisecond},
+	} {
+		for _, service := range []string{plain, engine} {
+			t.Run(name+", "+service, func(t *testing.T) {
+				t.Parallel()
+				inVirtualTime(t, func(t *testing.T) {
+					f := newStandingFleet(t, service, 3, 4)
+					f.patience = func(id string) time.Duration {
+						if name == "some clients leave" && strings.HasSuffix(id, "0") {
+							return 0
+						}
+						return c.patience
+					}
+					resting := f.standing["s1"]
+					resting.rejectAfter = c.rejectAfter
+					time.AfterFunc(2*time.Second, func() { resting.rejectEach(10 * time.Second) })
+					f.play(16*time.Second, 60, 1)
+					assert.NotEmpty(t, resting.rejections)
+					assert.LessOrEqual(t, resting.duringRest(), restArrivals, "requests while the server wanted none")
+				})
+			})
+		}
+	}
+}
+
 // While all servers want no requests, what can't wait for them is refused at once, until the first
 // of them accepts requests again. What can wait is served then.
 func TestAllServersWantNoRequests(t *testing.T) {
@@ -117,6 +154,83 @@
 	}
 }
 
+// An attempt isn't given up for a server that wants no requests: the request would run twice, and
+// later.
+func TestRestingServerIsNoAlternative(t *testing.T) {
+	for _, service := range []string{plain, engine} {
+		t.Run(service, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				f := newStandingFleet(t, service, 1, 2)
+				slow := f.standing["s0"]
+				slow.work = 2 * time.Second
+				f.views[0].SetStanding(edge.Standing{Server: "s1", RestUntil: time.Now().Add(time.Minute)}, time.Now())
+				assert.Equal(t, http.StatusOK, f.request(0, "id").Code)
+				assert.Len(t, slow.received(), 1)
+				assert.Empty(t, f.standing["s1"].received())
+			})
+		})
+	}
+}
+
+// A second Retry-After extends the time that the first one has begun, and doesn't shorten it.
+func TestRetryAfterIsExtendedAndNotShortened(t *testing.T) {
+	for name, c := range map[string]struct {
+		// rests are what the server says, a hundred milliseconds apart, and ends when it accepts
+		// requests again.
+		rests []time.Duration
+		ends  time.Duration
+	}{
+		"extended":           {[]time.Duration{time.Second, 3 * time.Second}, 3100 * time.Millisecond},
+		"shorter":            {[]time.Duration{3 * time.Second, time.Second}, 3 * time.Second},
+		"extended, shorter":  {[]time.Duration{time.Second, 3 * time.Second, 500 * time.Millisecond}, 3100 * time.Millisecond},
+		"none after a while": {[]time.Duration{2 * time.Second, 0}, 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				f := newStandingFleet(t, plain, 1, 2)
+				began := time.Now()
+				for _, rest := range c.rests {
+					f.views[0].SetStanding(edge.Standing{Server: "s1", RestUntil: time.Now().Add(rest)}, time.Now())
+					time.Sleep(100 * time.Millisecond)
+				}
+				time.Sleep(time.Until(began.Add(c.ends - time.Millisecond)))
+				f.burst(0, "before")
+				assert.Empty(t, f.standing["s1"].received())
+				time.Sleep(time.Until(began.Add(c.ends)))
+				f.burst(0, "after")
+				assert.NotEmpty(t, f.standing["s1"].received())
+			})
+		})
+	}
+}
+
+// A relay that starts after it was told, or while it is told, learns from the first rejection that
+// it relays, and the instance whose request was rejected leaves the server alone.
+func TestRelayThatStartsAgainDuringARest(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := newStandingFleet(t, plain, 3, 2)
+		f.paths.setPaths(pathRefuses, 0, 1)
+		f.burst(0, "cut")
+		f.burst(1, "cut too")
+		time.Sleep(time.Second)
+		resting := f.standing["s0"]
+		resting.rejectEach(20 * time.Second)
+		f.burst(0, "rejected")
+		assert.NotEmpty(t, resting.rejections[instanceName(2)])
+		f.restart(2)
+		resting.mu.Lock()
+		clear(resting.rejections) // a restart of the relay excuses what it sends
+		resting.mu.Unlock()
+		for n := range 5 {
+			f.burst(1, fmt.Sprint("other", n))
+			f.burst(0, fmt.Sprint("again", n))
+			f.burst(2, fmt.Sprint("own", n))
+			time.Sleep(restSettled)
+		}
+		assert.LessOrEqual(t, resting.duringRest(), restArrivals)
+	})
+}
+
 // A server that wants no requests for a time is still left alone when its entry was lost meanwhile,
 // and gets requests at once when it has started again.
 func TestRestEndsWithTheIncarnation(t *testing.T) {
@@ -185,6 +299,9 @@
 		"429":       {http.StatusTooManyRequests, "60"},
 		"a date":    {http.StatusServiceUnavailable, "Fri, 04 Dec 2026 10:00:00 GMT"},
 		"negative":  {http.StatusServiceUnavailable, "-5"},
+		"zero":      {http.StatusServiceUnavailable, "0"},
+		"empty":     {http.StatusServiceUnavailable, ""},
+		"no number": {http.StatusServiceUnavailable, "NaN"},
 		"not a 503": {http.StatusOK, "60"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/edge/standing_test.go
+++ b/internal/edge/standing_test.go
@@ -52,7 +52,9 @@
 	// rejected.
 	rejectFrom time.Time
 	rejectFor  time.Duration
-	rejections map[string]rejection
+	// rejectAfter is how long it takes the server to reject a request.
+	rejectAfter time.Duration
+	rejections  map[string]rejection
 }
 
 func (s *standingServer) setLeaving(leaving bool) {
@@ -61,11 +63,20 @@
 	s.leaving = leaving
 }
 
-// reject returns the rest of the time for which requests of an instance are rejected.
-func (s *standingServer) reject(from string, now time.Time) time.Duration {
-	if s.rejectFrom.IsZero() || now.Before(s.rejectFrom) {
+// reject returns the rest of the time for which requests of an instance are rejected, once the
+// server has found that it rejects one.
+func (s *standingServer) reject(from string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rejectFrom.IsZero() || time.Now().Before(s.rejectFrom) {
 		return 0
 	}
+	if s.rejectAfter > 0 {
+		s.mu.Unlock()
+		time.Sleep(s.rejectAfter)
+		s.mu.Lock()
+	}
+	now := time.Now()
 	r, known := s.rejections[from]
 	if !known {
 		r = rejection{now, now.Add(s.rejectFor)}
@@ -87,9 +98,8 @@
 			s.leavingTold[r.RemoteAddr] = now
 		}
 	}
-	rest := s.reject(r.RemoteAddr, now)
 	s.mu.Unlock()
-	if rest > 0 {
+	if rest := s.reject(r.RemoteAddr); rest > 0 {
 		header.Set(standin.HeaderNotExecuted, "1")
 		header.Set("Retry-After", fmt.Sprintf("%.3f", rest.Seconds()))
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -156,6 +166,15 @@
 	return s
 }
 
+// restart replaces an instance by one that has just started.
+func (f *standingFleet) restart(n int) {
+	instances := len(f.instances)
+	f.views[n] = f.newViews(testManifest())
+	f.paths.addInstance(n, instances, f.views[n])
+	f.instances[n], f.instances = f.instances[instances], f.instances[:instances]
+	f.paths.connectRelays()
+}
+
 // publish makes the current servers known to all instances.
 func (f *standingFleet) publish() {
 	for _, views := range f.views {
--- a/internal/edge/unreachable_test.go
+++ b/internal/edge/unreachable_test.go
@@ -164,12 +164,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return pathConn{conn, f, name}, nil
+	return pathConn{conn.(addressedConn), f, name}, nil
 }
 
 // pathConn is a connection over the path of an instance.
 type pathConn struct {
-	net.Conn
+	addressedConn
 
 	paths *paths
 	name  string
--- a/internal/edge/virtual_test.go
+++ b/internal/edge/virtual_test.go
@@ -407,6 +407,9 @@
 
 func (c addressedConn) RemoteAddr() net.Addr { return c.remote }
 
+// CloseWrite does nothing: the other end doesn't notice it.
+func (c addressedConn) CloseWrite() error { return nil }
+
 func (l *memoryListener) Accept() (net.Conn, error) {
 	select {
 	case conn := <-l.conns:
