Hear the answers that arrive just after their request was given up

What callers saw (reported): a server had asked an instance for a pause, and went on getting requests. Cause of the part reproduced here: the connection of a request was closed at once when its client left or its time limit passed, and a rejection with Retry-After that was on its way was lost. A server that takes as long to reject as its clients wait, or as the time limit, was never heard. Class: an answer is tied to the request that waits for it, though what it says holds longer.

Change: giving up closes the sending half of the connection, by which the server sees its end as before; the head of an answer that arrives within 150 ms is passed to Call.Late, and the connection is then reset. Relayed connections are closed at once as before.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -267,6 +267,7 @@
 		Server: b.server, Method: q.method, Target: q.target, Host: q.host, Header: q.header, Body: q.body,
 		RequestID: q.head.ID, Remaining: time.Until(q.deadline), Priority: min(max(q.route.Priority, 0), 9),
 		ResumeAfter: q.lastEvent, NewConnection: !q.route.Idempotent(), Proceed: b.stats.standing.accepts,
+		Late: func(answer *platform.Answer) { q.recordStanding(b, answer) },
 	}
 }
 
--- a/internal/edge/resting_test.go
+++ b/internal/edge/resting_test.go
@@ -89,34 +89,38 @@
 // requests: nobody had read the answer.
 func TestRetryAfterOfARequestThatWasGivenUp(t *testing.T) {
 	for name, c := range map[string]struct {
+		service               string
 		rejectAfter, patience time.Duration
-		slow                  bool
+		unsafe                bool
 	}{
-		"some clients leave":    {rejectAfter: 300 * time.Millisecond, patience: 250 * time.Millisecond},
-		"clients leave":         {rejectAfter: 300 * time.Millisecond, patience: 250 * time.Millisecond},
-		"first byte is late":    {rejectAfter: time.Second},
-		"time limit has passed": {rejectAfter: 3001 * time.Millisecond},
+		"some clients leave":          {service: plain, rejectAfter: 300 * time.Millisecond, patience: 250 * time.Millisecond},
+		"clients leave":               {service: plain, rejectAfter: 300 * time.Millisecond, patience: 250 * time.Millisecond},
+		"first byte is late":          {service: plain, rejectAfter: time.Second},
+		"time limit has passed":       {service: plain, rejectAfter: 3001 * time.Millisecond, unsafe: true},
+		"engine, some clients leave":  {service: engine, rejectAfter: 300 * time.Millisecond, patience: 250 * time.Millisecond},
+		"engine, clients leave":       {service: engine, rejectAfter: 300 * time.Millisecond, patience: 250 * time.Millisecond},
+		"engine, first byte is late":  {service: engine, rejectAfter: time.Second},
+		"rejects at half of the time": {service: plain, rejectAfter: 1500 * time.Millisecond, unsafe: true},
 	} {
-		for _, service := range []string{plain, engine} {
-			t.Run(name+", "+service, func(t *testing.T) {
-				t.Parallel()
-				inVirtualTime(t, func(t *testing.T) {
-					f := newStandingFleet(t, service, 3, 4)
-					f.patience = func(id string) time.Duration {
-						if name == "some clients leave" && strings.HasSuffix(id, "0") {
-							return 0
-						}
-						return c.patience
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			inVirtualTime(t, func(t *testing.T) {
+				f := newStandingFleet(t, c.service, 3, 4)
+				f.unsafe = c.unsafe
+				f.patience = func(id string) time.Duration {
+					if strings.Contains(name, "some") && strings.HasSuffix(id, "0") {
+						return 0
 					}
-					resting := f.standing["s1"]
-					resting.rejectAfter = c.rejectAfter
-					time.AfterFunc(2*time.Second, func() { resting.rejectEach(10 * time.Second) })
-					f.play(16*time.Second, 60, 1)
-					assert.NotEmpty(t, resting.rejections)
-					assert.LessOrEqual(t, resting.duringRest(), restArrivals, "requests while the server wanted none")
-				})
+					return c.patience
+				}
+				resting := f.standing["s1"]
+				resting.rejectAfter = c.rejectAfter
+				time.AfterFunc(2*time.Second, func() { resting.rejectEach(10 * time.Second) })
+				f.play(16*time.Second, 60, 1)
+				assert.NotEmpty(t, resting.rejections)
+				assert.LessOrEqual(t, resting.duringRest(), restArrivals, "requests while the server wanted none")
 			})
-		}
+		})
 	}
 }
 
--- a/internal/edge/standing_test.go
+++ b/internal/edge/standing_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -63,30 +64,53 @@
 	s.leaving = leaving
 }
 
+// noticeDelay is how long after the connection of a request was closed a server still answers it.
+const noticeDelay = 100 * time.Millisecond
+
 // reject returns the rest of the time for which requests of an instance are rejected, once the
 // server has found that it rejects one.
-func (s *standingServer) reject(from string) time.Duration {
+func (s *standingServer) reject(r *http.Request) time.Duration {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.rejectFrom.IsZero() || time.Now().Before(s.rejectFrom) {
+	rejects, after := !s.rejectFrom.IsZero() && !time.Now().Before(s.rejectFrom), s.rejectAfter
+	s.mu.Unlock()
+	if !rejects {
 		return 0
 	}
-	if s.rejectAfter > 0 {
-		s.mu.Unlock()
-		time.Sleep(s.rejectAfter)
-		s.mu.Lock()
+	if after > 0 {
+		takeTimeToReject(r, after)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := time.Now()
-	r, known := s.rejections[from]
+	told, known := s.rejections[r.RemoteAddr]
 	if !known {
-		r = rejection{now, now.Add(s.rejectFor)}
-		s.rejections[from] = r
+		told = rejection{now, now.Add(s.rejectFor)}
+		s.rejections[r.RemoteAddr] = told
+	}
+	return told.until.Sub(now)
+}
+
+// takeTimeToReject waits until the server has found that it rejects a request. It ends the request
+// if its connection has been closed long before.
+func takeTimeToReject(r *http.Request, after time.Duration) {
+	end := time.NewTimer(after)
+	defer end.Stop()
+	select {
+	case <-end.C:
+		return
+	case <-r.Context().Done():
+	}
+	select {
+	case <-end.C:
+	case <-time.After(noticeDelay):
+		panic(http.ErrAbortHandler)
 	}
-	return r.until.Sub(now)
 }
 
 func (s *standingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
+	// The end of the connection is noticed once the body has been read.
+	_, _ = io.Copy(io.Discard, r.Body)
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, serverArrival{now, r.RemoteAddr, r.Header.Get(standin.HeaderID)})
 	header := w.Header()
@@ -99,7 +123,7 @@
 		}
 	}
 	s.mu.Unlock()
-	if rest := s.reject(r.RemoteAddr); rest > 0 {
+	if rest := s.reject(r); rest > 0 {
 		header.Set(standin.HeaderNotExecuted, "1")
 		header.Set("Retry-After", fmt.Sprintf("%.3f", rest.Seconds()))
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -130,6 +154,8 @@
 	views    []*edge.Views
 	standing map[string]*standingServer
 	service  string
+	// unsafe makes all requests those of a route whose requests may run once.
+	unsafe bool
 	// patience is after which time the client of a request leaves; 0 for never, or if it is nil.
 	patience func(id string) time.Duration
 
@@ -191,6 +217,9 @@
 	if f.service == engine {
 		path, header[standin.HeaderModel] = "/stream/x", "m"
 	}
+	if f.unsafe {
+		path = "/write/x"
+	}
 	ctx := f.Context()
 	if f.patience != nil && f.patience(id) > 0 {
 		var leave context.CancelFunc
--- a/internal/placer/standings_test.go
+++ b/internal/placer/standings_test.go
@@ -89,7 +89,9 @@
 		defer all[1].collector.Wait(wantModel("a"))()
 		c.eventually("the model is loaded elsewhere", func() bool { return c.holds(1, "a") })
 		for _, i := range all {
-			c.eventually("the other server alone is used", func() bool { return i.views.Load().Holders(summaries, "a") == 1 && i.views.Load().Services()[summaries].Servers == 1 })
+			c.eventually("the other server alone is used", func() bool {
+				return i.views.Load().Holders(summaries, "a") == 1 && i.views.Load().Services()[summaries].Servers == 1
+			})
 		}
 	})
 	t.Run("order", func(t *testing.T) {
@@ -112,6 +114,8 @@
 	defer all[1].collector.Wait(wantModel("a"))()
 	c.eventually("the model is loaded elsewhere", func() bool { return c.holds(1, "a") })
 	for _, i := range append(all, c.startListener("late")) {
-		c.eventually("the other server alone is used", func() bool { return i.views.Load().Holders(summaries, "a") == 1 && i.views.Load().Services()[summaries].Servers == 1 })
+		c.eventually("the other server alone is used", func() bool {
+			return i.views.Load().Holders(summaries, "a") == 1 && i.views.Load().Services()[summaries].Servers == 1
+		})
 	}
 }
