Reproduce orders to a server that wants nothing for a time

A server that rejects a request with Retry-After wants nothing from that machine for so long.

TestReportsAndOrdersReachAServerDuringItsRetryAfter fails: the holder orders both models of the resting server. TestRetryAfterOfAReportAppliesToRequests passes since answers to reports are read.

--- a/internal/placer/standings_test.go
+++ b/internal/placer/standings_test.go
@@ -119,3 +119,28 @@
 		})
 	}
 }
+
+// A server that rejects a report with a Retry-After wants no requests of the holder either.
+func TestRetryAfterOfAReportAppliesToRequests(t *testing.T) {
+	c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0", Models: []string{"a"}})
+	c.servers[0].SetFaults(standin.ServerFaults{Rest: time.Hour})
+	i := c.start("i0")
+	c.eventually("requests aren't accepted", func() bool { return !i.views.AcceptsRequests(c.servers[0].Address()) })
+}
+
+// A server that wants nothing of the holder for a time got reports and orders all the while.
+func TestReportsAndOrdersReachAServerDuringItsRetryAfter(t *testing.T) {
+	c := newCluster(t, []string{"a", "b"}, standin.ServerConfig{ID: "s0", OnDisk: []string{"a", "b"}}, standin.ServerConfig{ID: "s1", OnDisk: []string{"a", "b"}})
+	i := c.start("i0")
+	c.eventually("the holder has read the reports", i.knowsServers)
+	i.views.SetStanding(edge.Standing{Server: "s0", RestUntil: time.Now().Add(time.Hour)}, time.Now())
+	calls := c.servers[0].Calls()
+	for _, model := range c.models {
+		defer i.collector.Wait(wantModel(model))()
+		c.eventually("the model is loaded elsewhere", func() bool { return c.holds(1, model) })
+	}
+	// The next reports of both servers are due.
+	calls1 := c.servers[1].Calls()
+	c.eventually("the report of the other server is read", func() bool { return c.servers[1].Calls() > calls1 })
+	assert.LessOrEqual(t, c.servers[0].Calls(), calls+1, "one report can have been on its way")
+}
