Send no reports and orders to a server that wants nothing for a time

A server that rejects a request with Retry-After wants nothing from the machine that sent it. Cause: the pause was asked for requests only; the holder went on ordering. Class: a rule about machines applied to one kind of call.

Change: while a server wants nothing of the holder, its report isn't read, its loads aren't confirmed, and plans take it for busy, so that models are loaded elsewhere. A server that rejects requests is a poor place for a model anyway.

--- a/internal/edge/standing.go
+++ b/internal/edge/standing.go
@@ -174,6 +174,16 @@
 	return true
 }
 
+// RestLeft returns for how long a server wants nothing from this instance.
+func (v *Views) RestLeft(server *fleet.Server, now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if known := v.standings[statsKey{server.ID, server.StartedAt}]; known != nil {
+		return known.restLeft(now)
+	}
+	return 0
+}
+
 // standingOf returns the standing of an incarnation of a server.
 func (v *Views) standingOf(key statsKey, now time.Time) *standing {
 	known := v.standings[key]
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -96,7 +96,7 @@
 	}
 	h.syncServers(view, now)
 	for _, t := range h.servers {
-		if t.isLoadDue(now) {
+		if t.isLoadDue(now) && h.views.RestLeft(t.server, now) <= 0 {
 			h.confirmLoad(ctx, t)
 		}
 	}
@@ -109,7 +109,7 @@
 		}
 	}
 	for _, t := range h.servers {
-		if !t.callInFlight && !now.Before(t.nextReportAt) {
+		if !t.callInFlight && !now.Before(t.nextReportAt) && h.views.RestLeft(t.server, now) <= 0 {
 			h.fetchReport(ctx, t)
 		}
 	}
@@ -159,6 +159,7 @@
 		if t.server.Service == service && !t.server.Draining {
 			server := t.planServer(engine, h.tracker, running)
 			server.RateLimit, server.Limited = h.permits.rateLimit(t.server, now)
+			server.Busy = server.Busy || h.views.RestLeft(t.server, now) > 0
 			state.Servers = append(state.Servers, server)
 		}
 	}
@@ -273,11 +274,15 @@
 	}()
 }
 
-// sendOrder sends an order and applies its result to the server's state.
+// sendOrder sends an order and applies its result to the server's state. The error is
+// platform.ErrOrderBusy also if the server wants nothing from this instance for a time.
 func (h *holder) sendOrder(ctx context.Context, t *trackedServer, a modelplan.Action, order platform.Order) error {
 	if epoch, allowed := h.elector.canOrder(); !allowed || epoch != order.Epoch {
 		return platform.ErrOrderFenced
 	}
+	if h.views.RestLeft(order.Server, time.Now()) > 0 {
+		return platform.ErrOrderBusy
+	}
 	h.orders.Inc(1)
 	if a.FromStore {
 		// Counted before the order is sent, because a load may have started even if the
