Reproduce a block of a request that another instance had answered

Suspected cause of the one failure of TestRequestsAreServedAfterOtherCrashes: an instance that has enough answers of its own, or six trials, decides without asking the others whether they have answered the request since. Tried directly: two instances, a content that comes seldom, lost in three or six crashes of other causes and answered by the other instance between them.

--- a/pkg/crashcause/whole_test.go
+++ b/pkg/crashcause/whole_test.go
@@ -48,8 +48,21 @@
 }
 
 // decide returns the traits that become blocked.
-func (e *evidenceTest) decide() []string {
-	blocks, _ := e.Decide(e.now)
+func (e *evidenceTest) decide() []string { return e.decideWith() }
+
+// decideWith returns the traits that become blocked, once the other instances have replied to the
+// questions of the first decision.
+func (e *evidenceTest) decideWith(others ...*Finder) []string {
+	blocks, questions := e.Decide(e.now)
+	if len(questions) > 0 {
+		var replies []Reply
+		for _, other := range others {
+			replies = append(replies, other.Reply(questions, e.now)...)
+		}
+		e.Hear(questions, replies, e.now)
+		further, _ := e.Decide(e.now)
+		blocks = append(blocks, further...)
+	}
 	var traits []string
 	for _, b := range blocks {
 		traits = append(traits, b.Trait)
@@ -204,3 +217,26 @@
 		e.decide()
 	}
 }
+
+// TestSeldomRequestAnsweredElsewhereWasBlocked: an instance with enough answers of its own blocked a
+// request that was lost in crashes of other causes, though another instance had answered it between
+// them.
+func TestSeldomRequestAnsweredElsewhereWasBlocked(t *testing.T) {
+	for _, crashes := range []int{minCrashes, certainCrashes} {
+		for _, answeredBefore := range []int{1, crashes - 1} {
+			t.Run(fmt.Sprint(crashes, " crashes, answered before the last ", answeredBefore), func(t *testing.T) {
+				e, other := newEvidenceTest(), NewFinder()
+				e.answer(2000)
+				for n := range crashes {
+					if n == crashes-answeredBefore {
+						other.Answered(content("seldom"), e.now.Add(100*time.Millisecond))
+					}
+					e.crash(content("seldom"), content(fmt.Sprint("lost", n)))
+				}
+				assert.Empty(t, e.decideWith(other))
+				_, blocked := e.Blocked(content("seldom"), e.now)
+				assert.False(t, blocked)
+			})
+		}
+	}
+}
