Ask the other instances before each block

Suspected cause: an instance with enough answers of its own, or six trials, decided without asking the others whether they had answered the request since. Class: a decision on a part of the evidence.

Change: a trait is blocked only after the others have been asked since the last crash under it.

--- a/pkg/crashcause/decide.go
+++ b/pkg/crashcause/decide.go
@@ -232,21 +232,18 @@
 }
 
 // block blocks a trait if what has been answered speaks against it, or if that doesn't matter,
-// because the crashes are certain evidence.
+// because the crashes are certain evidence. The other instances are always asked first: one of them
+// may have answered a request with the trait between the crashes.
 func (d *decision) block(e *traitEvidence, before Block, certain bool) {
 	if !e.own || len(d.blocks) >= maxBlocks && before.Blocks == 0 {
 		return // an instance whose requests crashed the servers decides
 	}
 	since := d.answered.unansweredSince(e.trait)
-	if !certain {
-		answers := d.answered.since(e.service, since, d.now)
-		if others, heard := d.others[e.trait]; heard && others.since.Equal(since) {
-			answers += others.answers
-		}
-		if d.chanceIfSound(e, answers) > chanceOfError {
-			d.questions = append(d.questions, Question{Trait: e.trait, Service: e.service, Since: since})
-			return
-		}
+	others, heard := d.others[e.trait]
+	heard = heard && others.since.Equal(since) && !others.heardAt.Before(e.last)
+	if !heard || !certain && d.chanceIfSound(e, d.answered.since(e.service, since, d.now)+others.answers) > chanceOfError {
+		d.questions = append(d.questions, Question{Trait: e.trait, Service: e.service, Since: since})
+		return
 	}
 	b := Block{
 		Trait: e.trait, Blocks: before.Blocks + 1, Crashes: len(e.crashes), LastCrash: e.last,
