--- a/internal/edge/repeatcrash_test.go
+++ b/internal/edge/repeatcrash_test.go
@@ -258,8 +258,10 @@
 // Servers that crash for other reasons, several at once, don't lead to the refusal of any request,
 // however common.
 func TestRequestsAreServedAfterOtherCrashes(t *testing.T) {
+	// A request that another instance had answered was blocked in one of six runs of seed 1286 with engines.
+	seeds := []uint64{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 1286}
 	for _, service := range []string{plain, engine} {
-		for seed := range uint64(12) {
+		for _, seed := range seeds {
 			t.Run(fmt.Sprint(service, "/", seed), func(t *testing.T) {
 				t.Parallel()
 				inVirtualTime(t, func(t *testing.T) {
