Don't let a test wait for a call that a refused request never makes

TestInstanceDiesRightAfterItSentTheRequest hung once beside four runs of such tests: it waited for the first instance to call the plain service, and no request was in flight. Traced by a trial: with the other instances paused, the first request ends as "the instances that keep the identity can't be reached", which is allowed, and the test waits for ever. A busy machine does the same.

Why the test was wrong: it assumed that its first request always reaches the server. It now repeats the request, with the same identity, until it does. All that it checked is checked as before; a case with the other instances paused is added, which hangs on the old test.

--- a/internal/failuretest/identity_test.go
+++ b/internal/failuretest/identity_test.go
@@ -103,13 +103,22 @@
 // first instance has crashed.
 func TestInstanceDiesRightAfterItSentTheRequest(t *testing.T) {
 	t.Parallel()
-	for name, logDown := range map[string]bool{"log up": false, "log away": true} {
+	for name, test := range map[string]struct{ logDown, othersPaused bool }{
+		"log up":                   {},
+		"log away":                 {logDown: true},
+		"others are paused before": {othersPaused: true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := startCluster(t, platformSettings(), nil, targetsDocument(t, true, nil), zoneA, zoneA, zoneB, zoneB)
-			if logDown {
+			if test.logDown {
 				c.setLogDown(true)
 			}
+			if test.othersPaused {
+				for _, n := range c.nodes[1:] {
+					n.pause()
+				}
+			}
 			first, caller, attempted := c.nodes[0], c.newCaller(), &attempts{}
 			executed := make(chan struct{})
 			afterPlainCall(first, func() {
@@ -118,9 +127,20 @@
 			})
 			sent := newResultCounter()
 			sent.send(func() callResult {
-				result := caller.postEntry(first, "entry")
-				attempted.add("entry", result)
-				return result
+				for {
+					result := caller.postEntry(first, "entry")
+					select {
+					case <-executed:
+						attempted.add("entry", result)
+						return result
+					default:
+						// The instances that keep the identity didn't respond in time, and the plain
+						// service wasn't called.
+						for _, n := range c.nodes[1:] {
+							n.resume()
+						}
+					}
+				}
 			})
 			<-executed
 			require.Equal(t, 1, c.platform.PlainRuns("entry"))
