Reproduce a claim that arrives after its end

What callers saw: in TestSameIdentityAtAllInstances, beside load, a repeat at another instance gets 409 "the first request hasn't ended yet" until the test gives up.

Suspected: a claim that its claimant gave up after 300 ms is processed by a busy owner after the report of its end. The report finds nothing and is acknowledged; then the claim is granted to an attempt that is over.

--- a/pkg/identity/claimer_test.go
+++ b/pkg/identity/claimer_test.go
@@ -280,3 +280,39 @@
 		claim.Finish(context.Background(), Result{NotRun: true})
 	}
 }
+
+// lateClaims delivers the first claim to each owner after the claimant has given it up.
+type lateClaims struct {
+	*network
+
+	delay time.Duration
+	late  sync.Map
+}
+
+func (l *lateClaims) Claim(ctx context.Context, m Member, r ClaimRequest) (Answer, error) {
+	if _, delayed := l.late.LoadOrStore(m.ID, true); !delayed {
+		time.AfterFunc(l.delay, func() { _, _ = l.network.Claim(context.WithoutCancel(ctx), m, r) })
+		<-ctx.Done()
+		return Answer{}, ctx.Err()
+	}
+	return l.network.Claim(ctx, m, r)
+}
+
+// TestClaimArrivesAfterItsEnd: an owner that processed a claim after the report of its end counted it
+// as running until its time limit, and the request was refused with 409 for so long.
+func TestClaimArrivesAfterItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, members := newNetwork(4)
+		key := Key{11}
+		claimer := n.claimers[members[0].ID]
+		claimer.Peers = &lateClaims{network: n, delay: 2 * time.Second}
+		refused := claimer.Claim(t.Context(), Request{Key: key, RunFor: time.Minute})
+		require.Equal(t, Unavailable, refused.Verdict())
+		time.Sleep(3 * time.Second) // the late claims have arrived
+		for _, m := range members[1:] {
+			again := n.claimers[m.ID].Claim(t.Context(), Request{Key: key, Wait: time.Second, RunFor: time.Minute})
+			require.Equal(t, Run, again.Verdict())
+			again.Finish(t.Context(), Result{NotRun: true})
+		}
+	})
+}
