Grant nothing to an attempt whose end was reported before its claim arrived

Suspected cause, shown in memory: an owner processed a claim that had been given up after the report of its end. Class: two messages that overtake each other, of which the later one undoes the earlier.

Change: an owner remembers the ends of attempts that hold nothing, as long as identities and no more of them, and refuses a claim of such an attempt. It grants less, never more, so at most one run holds as before. Nothing on the wire changes.

--- a/pkg/identity/table.go
+++ b/pkg/identity/table.go
@@ -89,11 +89,21 @@
 	expiryQueue expiryHeap
 	bodyBytes   int64
 	closed      bool
+	// ended are the attempts whose end was reported before their claim arrived, and endedQueue
+	// when they are forgotten, in this order.
+	ended      map[string]bool
+	endedQueue []endedAttempt
+}
+
+// endedAttempt is an attempt to which the table grants nothing any more.
+type endedAttempt struct {
+	attempt string
+	expires time.Time
 }
 
 // NewTable returns an empty table.
 func NewTable(limits Limits) *Table {
-	return &Table{limits: limits, entries: map[Key]*entry{}}
+	return &Table{limits: limits, entries: map[Key]*entry{}, ended: map[string]bool{}}
 }
 
 // Len returns the number of identities in the table.
@@ -103,7 +113,7 @@
 // already has it.
 func (t *Table) Claim(now time.Time, r ClaimRequest) Answer {
 	t.Expire(now)
-	if t.closed {
+	if t.closed || t.ended[r.Attempt] {
 		return Answer{Verdict: Unavailable}
 	}
 	e, ok := t.entries[r.Key]
@@ -149,11 +159,16 @@
 }
 
 // Finish records the result of a run. The result is ignored if the attempt doesn't
-// hold the identity, or if a known result has already been recorded.
+// hold the identity, or if a known result has already been recorded. A claim of the attempt that
+// arrives later is refused: the claimant has given it up, and nobody would report its end.
 func (t *Table) Finish(now time.Time, key Key, attempt string, r Result) {
 	t.Expire(now)
 	e, ok := t.entries[key]
-	if !ok || e.attempt != attempt || e.state == entryFinished {
+	if !ok || e.attempt != attempt {
+		t.recordEnd(now, attempt)
+		return
+	}
+	if e.state == entryFinished {
 		return
 	}
 	if r.NotRun {
@@ -171,6 +186,15 @@
 	heap.Fix(&t.expiryQueue, e.heapIndex)
 }
 
+// recordEnd remembers the end of an attempt that holds no identity.
+func (t *Table) recordEnd(now time.Time, attempt string) {
+	if t.ended[attempt] || len(t.ended) >= t.limits.Entries {
+		return
+	}
+	t.ended[attempt] = true
+	t.endedQueue = append(t.endedQueue, endedAttempt{attempt, now.Add(t.limits.Retention)})
+}
+
 // limitBody drops the body of a result if it would exceed Limits.BodyBytes.
 func (t *Table) limitBody(r Result) Result {
 	if t.bodyBytes+int64(len(r.Body)) > t.limits.BodyBytes {
@@ -180,11 +204,15 @@
 	return r
 }
 
-// Expire evicts the identities whose retention has ended.
+// Expire evicts the identities, and forgets the ended attempts, whose retention has ended.
 func (t *Table) Expire(now time.Time) {
 	for len(t.expiryQueue) > 0 && !now.Before(t.expiryQueue[0].expires) {
 		t.remove(t.expiryQueue[0])
 	}
+	for len(t.endedQueue) > 0 && !now.Before(t.endedQueue[0].expires) {
+		delete(t.ended, t.endedQueue[0].attempt)
+		t.endedQueue = t.endedQueue[1:]
+	}
 }
 
 func (t *Table) remove(e *entry) {
--- a/pkg/identity/table_test.go
+++ b/pkg/identity/table_test.go
@@ -178,3 +178,20 @@
 	oneZone := []Member{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}
 	require.Len(t, Owners(Key{1}, oneZone), ownersPerKey)
 }
+
+// The ends of attempts that hold nothing are remembered for a time, and no more of them than identities.
+func TestEndedAttemptsAreForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(Limits{Entries: 3, Retention: time.Minute})
+	for i := range 5 {
+		table.Finish(now, Key{1}, fmt.Sprint(i), Result{NotRun: true})
+		table.Finish(now, Key{1}, fmt.Sprint(i), Result{Known: true})
+	}
+	require.Len(t, table.ended, 3)
+	require.Equal(t, Unavailable, table.Claim(now, ClaimRequest{Key: Key{1}, Attempt: "0", RunFor: time.Second}).Verdict)
+	require.Zero(t, table.Len())
+	now = now.Add(time.Minute)
+	require.Equal(t, Run, table.Claim(now, ClaimRequest{Key: Key{1}, Attempt: "0", RunFor: time.Second}).Verdict)
+	require.Empty(t, table.ended)
+	require.Empty(t, table.endedQueue)
+}
