--- a/internal/failuretest/identity_test.go
+++ b/internal/failuretest/identity_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -77,11 +78,23 @@
 	attempted := c.newCaller().postEntriesToAll("entry", c.nodes...)
 	attempted.assertAtMostOnce(c)
 	caller := c.newCaller()
+	var retried atomic.Value
+	c.Cleanup(func() {
+		if c.Failed() {
+			c.Log("last retried: ", retried.Load())
+		}
+	})
 	for key := range attempted.results {
-		for _, n := range c.nodes {
+		for i, n := range c.nodes {
 			// The request is retried because the owner of the key can be too slow to
 			// answer the first one.
-			c.eventually(func() bool { return caller.postEntry(n, key).outcome == answered }, key+" is answered again")
+			c.eventually(func() bool {
+				last := caller.postEntry(n, key)
+				if last.outcome != answered {
+					retried.Store(fmt.Sprintf("%s at instance %d, run %d times, was first %+v, now %+v", key, i, c.platform.PlainRuns(key), attempted.results[key], last))
+				}
+				return last.outcome == answered
+			}, key+" is answered again")
 		}
 	}
 	c.assertRequestsAccounted()
