--- a/pkg/modelplan/adapterturns_test.go
+++ b/pkg/modelplan/adapterturns_test.go
@@ -150,3 +150,22 @@
 	}
 	assert.LessOrEqual(t, a.reloads, a.loads/maxReloadedSoon, "of %d loads came soon after the unload", a.loads)
 }
+
+// TestModelsWithCopiesOnOneServerWaitForIt: after most servers had been replaced, the models whose only
+// copy lay on the disk of one of the others were loaded there one after the other, while the new
+// servers stayed empty.
+func TestModelsWithCopiesOnOneServerWaitForIt(t *testing.T) {
+	names := []string{"m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7"}
+	demand := map[string]modelplan.Demand{}
+	for _, name := range names[modelSlots:] {
+		demand[name] = modelplan.Demand{Rate: 2, WorthRate: 2, Waiting: 10, LastUsed: now}
+	}
+	servers := []modelplan.Server{newServer("old", names[:modelSlots], names...), newServer("new0", nil), newServer("new1", nil), newServer("new2", nil)}
+	fromStore := 0
+	for _, action := range modelplan.Plan(now, state(servers, demand)) {
+		if action.FromStore {
+			fromStore++
+		}
+	}
+	assert.Positive(t, fromStore, "the old server can load one of five models at a time")
+}
