--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -18,12 +18,16 @@
 import tempfile
 
 
+MIN_PRICE = 0.01  # prices whose mean is below this part of the worth aren't printed
+
+
 def play(args, day, seed):
     """Plays one day and returns the bench's report, or None if the bench failed."""
     with tempfile.TemporaryDirectory() as directory:
         path = os.path.join(directory, "report.json")
         command = [args.bench, "run", args.site, day, "--seed", str(seed), "--jobs", "1",
-                   "--report", path, "--why", args.why] + (["--no-cpu"] if args.no_cpu else [])
+                   "--report", path, "--why", args.why]
+        command += (["--no-cpu"] if args.no_cpu else []) + (["--small"] if args.small else [])
         # The bench returns a failure for a day that breaks a rule, but writes its report.
         done = subprocess.run(command, capture_output=True, text=True, check=False)
         if not os.path.exists(path):
@@ -84,7 +88,7 @@
     for field in ("parts", "kinds", "ends"):
         print(f"\n{field}: " + ", ".join(f"{k} {v:.3f}" for k, v in sorted(mean_table(every, field).items())))
     prices = sorted(mean_table(every, "prices").items(), key=lambda item: -abs(item[1]))
-    print("\nprices: " + ", ".join(f"{k} {v:.4f}" for k, v in prices[:12]))
+    print("\nprices: " + ", ".join(f"{k} {v:.4f}" for k, v in prices if abs(v) >= MIN_PRICE))
     for day in days:
         windows = mean_table([r for key, r in runs.items() if key.split()[0] == day] or every, "windows")
         print(f"\n{day}, worth from second: " + " ".join(f"{k}:{v:.2f}" for k, v in sorted(windows.items(), key=lambda i: int(i[0]))))
@@ -117,6 +121,7 @@
     parser.add_argument("--first-seed", type=int, default=1)
     parser.add_argument("--jobs", type=int, default=3, help="days played at once")
     parser.add_argument("--no-cpu", action="store_true", help="charge no processor time")
+    parser.add_argument("--small", action="store_true", help="play the small twins of large days")
     parser.add_argument("--against", help="results to compare with, run by run")
     parser.add_argument("--why", default="measure worth over several seeds", help="a line for the bench's journal")
     args = parser.parse_args()
