Hold the lease at an instance that can do the work

Cause: the first claim won, and most of 295 instances are too small to place models for 130 servers. The new holder, added two seconds before, asked all servers for their reports at once on a link of 20 Mbit/s; nearly all calls timed out, were repeated, and held up orders and renewals. Each reply to a demand report listed all instances, some 6 KB.

Change: - Instances state their capacity (processor share, link). The holder names the instances that should follow it, by capacity and how long they are known; these claim in that order, the others later, spread by capacity. - A holder releases the lease to an instance of over twice its capacity, in calm. Watchers hear of a release at once. - Reports are fetched within a window that shrinks when most calls time out; servers that respond come first. - Replies list the instances only if they have changed. - Instances read the placement less often the more of them there are. - A new holder plans when nine tenths of the instances have reported.

At full size not measured yet.

--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -25,6 +25,7 @@
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/relay"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/telemetry"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/leaderlease"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
@@ -145,6 +146,7 @@
 	return placer.New(placer.Config{
 		Name: s.Instance.Name, Address: s.Peers.Address,
 		Lease: s.Placing.Lease.D(), Fenced: s.Placing.ServersCheckEpochs,
+		Capacity:       leaderlease.Capacity(s.Machine.Cores*s.Machine.CoreShare, s.Machine.LinkMbps),
 		ReachesServers: dialer.Reaches,
 	}, store, views, c, logger, registry, tracer)
 }
--- a/internal/placer/elector.go
+++ b/internal/placer/elector.go
@@ -50,9 +50,18 @@
 	// Otherwise another instance should hold the lease.
 	known, reaches func() bool
 
+	// capacity is how much of a holder's work this instance can do.
+	capacity float64
+	// released is called after this instance has released the lease.
+	released func()
+
 	mu    sync.Mutex
 	state *leaderlease.State
 	read  bool
+	// successors are the instances that the last holder named to follow it, in order.
+	successors []string
+	// handover is the instance to release the lease to; "" to keep it.
+	handover string
 	// lastContact is the time since boot at which the holder last responded.
 	lastContact time.Duration
 	// readNow triggers an immediate read of the lease.
@@ -60,9 +69,9 @@
 	changed chan struct{}
 }
 
-func newElector(store *platform.Store, logger *log.Logger, cfg leaderlease.Config, known, reaches func() bool) *elector {
+func newElector(store *platform.Store, logger *log.Logger, cfg leaderlease.Config, capacity float64, known, reaches func() bool) *elector {
 	return &elector{
-		store: store, log: logger, self: cfg.Self, known: known, reaches: reaches,
+		store: store, log: logger, self: cfg.Self, known: known, reaches: reaches, capacity: capacity, released: func() {},
 		state: leaderlease.New(cfg), changed: make(chan struct{}, 1), readNow: make(chan struct{}, 1),
 	}
 }
@@ -76,23 +85,34 @@
 		MinInterval: e.readInterval, EndInterval: e.readNow, Deliver: e.observe,
 		ReadFailed: func(err error) { e.log.Debug().Err(err).Msg("tenure_unread") },
 	})
-	rank := rand.Float64()
+	random := rand.Float64()
 	for stop.Err() == nil && ctx.Err() == nil {
 		e.mu.Lock()
 		wait := time.Second
 		if e.read {
-			wait = e.state.NextAppend(rank) - sinceBoot()
+			wait = e.state.NextAppend(leaderlease.ClaimDelay(e.self.Holder, e.capacity, e.successors, random)) - sinceBoot()
 		}
 		reaches := e.reaches()
 		due := e.read && wait <= 0 && reaches && (e.state.IsHolder() || e.known())
 		cut := e.state.IsHolder() && !reaches
+		successor := e.handover
+		handover := e.state.IsHolder() && successor != ""
+		e.handover = ""
 		e.mu.Unlock()
 		if cut {
 			e.log.Warn().Msg("tenure_released_unreachable_servers")
 			e.release(stop)
+			continue
+		}
+		if handover {
+			e.log.Info().Str("successor", successor).Float64("capacity", e.capacity).Msg("tenure_handed_over")
+			if err := e.append(ctx, leaderlease.Record{Released: true, Successor: successor}); err != nil {
+				pause.Until(stop, e.changed, appendRetryInterval)
+			}
+			continue
 		}
 		if due {
-			if err := e.append(ctx, false); err != nil {
+			if err := e.append(ctx, leaderlease.Record{}); err != nil {
 				pause.Until(stop, e.changed, appendRetryInterval)
 			}
 			continue
@@ -106,7 +126,7 @@
 // so this instance continues to place models until the release succeeds.
 func (e *elector) release(ctx context.Context) {
 	for e.isHolder() && ctx.Err() == nil {
-		if err := e.append(ctx, true); err != nil {
+		if err := e.append(ctx, leaderlease.Record{Released: true}); err != nil {
 			pause.For(ctx, appendRetryInterval)
 		}
 	}
@@ -143,14 +163,15 @@
 	}
 }
 
-// append claims, renews or releases the lease. If the result of an append is lost, the next
-// read resolves it: a repeated append is conditional on the same end of the log.
-func (e *elector) append(ctx context.Context, release bool) error {
+// append claims or renews the lease, or releases it as the record says. If the result of an
+// append is lost, the next read resolves it: a repeated append is conditional on the same end of
+// the log.
+func (e *elector) append(ctx context.Context, release leaderlease.Record) error {
 	e.mu.Lock()
 	at := e.state.End()
 	e.mu.Unlock()
 	r := e.self
-	r.Released = release
+	r.Released, r.Successor = release.Released, release.Successor
 	value, err := json.Marshal(r)
 	if err != nil {
 		return errors.Wrap(err, "encode lease record")
@@ -162,10 +183,13 @@
 		return err
 	}
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	before := e.state.Epoch()
-	e.state.Appended(offset, release, started)
+	e.state.Appended(offset, r, started)
 	e.logChange(before)
+	e.mu.Unlock()
+	if r.Released {
+		e.released()
+	}
 	return nil
 }
 
@@ -175,6 +199,25 @@
 	return e.state.IsHolder()
 }
 
+// setSuccessors records the instances that the holder names to follow it, in order. A new holder
+// names none at first.
+func (e *elector) setSuccessors(names []string) {
+	if len(names) == 0 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.successors = names
+}
+
+// handOver releases the lease to another instance.
+func (e *elector) handOver(successor string) {
+	e.mu.Lock()
+	e.handover = successor
+	e.mu.Unlock()
+	signal(e.changed)
+}
+
 // superseded records that a server rejected an epoch: another instance holds the lease,
 // although its record hasn't been read yet.
 func (e *elector) superseded(epoch int64) {
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -1,7 +1,9 @@
 package placer
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +14,7 @@
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/demand"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/leaderlease"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/modelplan"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
@@ -29,7 +32,8 @@
 	unloadTimeout = 5 * time.Second
 	// withdrawDelay is the time in which instances learn that a model has been withdrawn from
 	// a server, so that few requests reach the server during the unload.
-	withdrawDelay = 20 * time.Millisecond
+	// It is added to the interval at which instances read the placement.
+	withdrawDelay = 10 * time.Millisecond
 	// planInterval is the minimum interval between two plans.
 	planInterval = 5 * time.Millisecond
 	// idlePlanInterval is the interval of plans without a trigger, since demand decays over
@@ -38,6 +42,11 @@
 	// suspectAfter is how long requests can wait for a model that a server should hold before
 	// the report of that server is fetched again.
 	suspectAfter = 150 * time.Millisecond
+	// minReported is the part of the instances that must have reported before a new holder makes
+	// a plan. Of hundreds of instances, some are always restarting.
+	minReported = 0.9
+	// handoverInterval is the interval of checks whether another instance should hold the lease.
+	handoverInterval = time.Second
 	// demandTimeout is how long a new holder waits for the demand of instances that may be
 	// gone before it makes its first plan.
 	demandTimeout = 1500 * time.Millisecond
@@ -53,9 +62,14 @@
 	name    string
 	orders  metrics.Counter
 
-	mu           sync.Mutex
-	tracker      *demand.Tracker
-	instances    instanceRegistry
+	mu        sync.Mutex
+	tracker   *demand.Tracker
+	instances *instanceRegistry
+	// named are the instances that should follow this holder. They are updated at nextHandover.
+	named        []string
+	nextHandover time.Time
+	// reports limits the reports that are fetched at once.
+	reports      *callWindow
 	servers      map[fleet.ServerID]*trackedServer
 	storeLimiter *storeLimiter
 	epoch        int64
@@ -108,13 +122,51 @@
 			}
 		}
 	}
+	h.fetchReports(ctx, now)
+	h.considerHandover(now)
+}
+
+// fetchReports fetches the reports that are due, as many as the window allows: first those of
+// servers that responded last time, and among these of servers that get no orders without.
+func (h *holder) fetchReports(ctx context.Context, now time.Time) {
+	var due []*trackedServer
 	for _, t := range h.servers {
 		if !t.callInFlight && !now.Before(t.nextReportAt) && h.views.RestLeft(t.server, now) <= 0 {
-			h.fetchReport(ctx, t)
+			due = append(due, t)
+		}
+	}
+	slices.SortStableFunc(due, func(a, b *trackedServer) int {
+		return cmp.Or(cmp.Compare(a.unreadReports, b.unreadReports), cmp.Compare(a.reportUrgency(), b.reportUrgency()))
+	})
+	for _, t := range due {
+		if !h.reports.begin() {
+			return
 		}
+		h.fetchReport(ctx, t)
 	}
 }
 
+// considerHandover updates the instances that should follow this one, and releases the lease if
+// one of them is much better suited.
+func (h *holder) considerHandover(now time.Time) {
+	if now.Before(h.nextHandover) {
+		return
+	}
+	h.nextHandover = now.Add(handoverInterval)
+	candidates := h.instances.candidates(now)
+	h.named = leaderlease.Successors(h.name, candidates)
+	if successor := leaderlease.HandoverTo(h.name, h.elector.capacity, now.Sub(h.epochBegan), candidates); successor != "" {
+		h.elector.handOver(successor)
+	}
+}
+
+// successors returns the names of the instances that should follow this holder, in order.
+func (h *holder) successors() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.named
+}
+
 // beginEpoch discards the state from an earlier lease, which may be out of date.
 func (h *holder) beginEpoch(epoch int64, now time.Time) {
 	if epoch == h.epoch {
@@ -125,10 +177,10 @@
 	h.tracker, h.reported, h.expected = demand.NewTracker(waitingTTL), map[string]bool{}, h.views.Instances()
 }
 
-// knowsDemand reports whether all instances have reported their demand to this holder. It
+// knowsDemand reports whether nearly all instances have reported their demand to this holder. It
 // doesn't wait long for instances that may be gone.
 func (h *holder) knowsDemand(now time.Time) bool {
-	return h.expected > 0 && len(h.reported) >= h.expected || now.Sub(h.epochBegan) > demandTimeout
+	return h.expected > 0 && float64(len(h.reported)) >= minReported*float64(h.expected) || now.Sub(h.epochBegan) > demandTimeout
 }
 
 func (h *holder) syncServers(view *edge.View, now time.Time) {
@@ -226,11 +278,14 @@
 		defer h.mu.Unlock()
 		t.callInFlight = false
 		now := time.Now()
+		h.reports.end(errors.Is(err, context.DeadlineExceeded))
+		signal(h.wake)
 		if err != nil {
-			h.log.Info().Str("server", string(server.ID)).Err(err).Msg("report_unread")
-			t.nextReportAt = now.Add(unreachableInterval)
+			h.log.Info().Str("server", string(server.ID)).Err(err).Int("window", h.reports.size).Msg("report_unread")
+			t.nextReportAt = now.Add(t.retryDelay())
 			return
 		}
+		t.unreadReports = 0
 		if t.applyReport(report, now) {
 			h.publish(t)
 		}
@@ -252,7 +307,7 @@
 	}
 	go func() {
 		if a.Kind == modelplan.UnloadModel {
-			pause.For(ctx, withdrawDelay)
+			pause.For(ctx, withdrawDelay+watchInterval(h.views.Instances()))
 		}
 		err := h.sendOrder(ctx, t, a, order)
 		if err == nil && a.Kind == modelplan.UnloadModel {
@@ -402,9 +457,22 @@
 	if t.known {
 		h.views.SetResidency(map[fleet.ServerID]edge.Residency{t.server.ID: t.residency(h.sequence())})
 	}
+	h.wakeWatchers()
+	signal(h.wake)
+}
+
+// wakeWatchers ends the long polls for the placement.
+func (h *holder) wakeWatchers() {
 	close(h.published)
 	h.published = make(chan struct{})
-	signal(h.wake)
+}
+
+// leaseReleased tells the instances that watch the placement at once that another one has to
+// claim the lease.
+func (h *holder) leaseReleased() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.wakeWatchers()
 }
 
 // versionsPerEpoch makes the placement sequences of a later epoch higher than those of earlier
@@ -414,19 +482,19 @@
 func (h *holder) sequence() int64 { return h.epoch*versionsPerEpoch + h.placementVersion }
 
 // receiveReport records the demand of an instance and returns the addresses of the instances
-// that have reported recently.
-func (h *holder) receiveReport(instance, address string, report demand.Report) []string {
+// that have reported recently, and their version.
+func (h *holder) receiveReport(instance, address string, capacity float64, report demand.Report) ([]string, uint64) {
 	epoch, placing := h.elector.canOrder()
 	h.mu.Lock()
 	now := time.Now()
 	if placing {
 		h.beginEpoch(epoch, now)
 	}
-	h.instances.add(instance, address, now)
+	h.instances.add(instance, address, capacity, now)
 	h.reported[instance] = true
 	h.tracker.Report(instance, report, now)
-	peers := h.instances.addresses(now)
+	peers, version := h.instances.addresses(now)
 	h.mu.Unlock()
 	signal(h.wake)
-	return peers
+	return peers, version
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -43,9 +43,12 @@
 	callTimeout = 500 * time.Millisecond
 	// watchTimeout is how long the holder holds a long poll without changes.
 	watchTimeout = time.Second
-	// watchInterval is the minimum interval between two watch calls, to batch changes that
-	// follow each other closely.
-	watchInterval = 10 * time.Millisecond
+	// minWatchInterval is the minimum interval between two watch calls, to batch changes that
+	// follow each other closely. Each call costs the holder some 30 us of processor time, so the
+	// interval grows by watchIntervalPerInstance with the number of instances, which limits the
+	// calls to 6,000 a second.
+	minWatchInterval         = 10 * time.Millisecond
+	watchIntervalPerInstance = 170 * time.Microsecond
 	// holderRetryInterval is the delay after a failed call to the holder.
 	holderRetryInterval = 200 * time.Millisecond
 )
@@ -57,6 +60,8 @@
 	Lease         time.Duration
 	// Fenced means that servers reject orders with an older epoch.
 	Fenced bool
+	// Capacity is how much of a holder's work this instance can do. See leaderlease.Capacity.
+	Capacity float64
 	// ReachesServers reports whether this instance reaches the servers. While it doesn't, another
 	// instance should place models.
 	ReachesServers func() bool
@@ -83,8 +88,10 @@
 	// skippedReports counts consecutive skipped reports. Only reportDemand accesses it.
 	skippedReports int
 	historySent    historyReceiver
-	// peerAddresses are the addresses of peers that can be queried for the holder.
+	// peerAddresses are the addresses of peers that can be queried for the holder, and
+	// peersVersion is their version at the holder that reported them.
 	peerAddresses atomic.Pointer[[]string]
+	peersVersion  atomic.Uint64
 }
 
 // New returns a Placer, which Run starts.
@@ -92,7 +99,7 @@
 	e := newElector(store, logger, leaderlease.Config{
 		Self:          leaderlease.Record{Holder: cfg.Name, Incarnation: uuid.NewString(), Address: cfg.Address},
 		LeaseDuration: cfg.Lease, Fenced: cfg.Fenced,
-	}, views.Known, cfg.ReachesServers)
+	}, cfg.Capacity, views.Known, cfg.ReachesServers)
 	permits := newPermitIssuer()
 	dialer := &net.Dialer{Timeout: callTimeout, KeepAliveConfig: peer.KeepAlive()}
 	p := &Placer{
@@ -103,10 +110,11 @@
 		holder: &holder{
 			elector: e, permits: permits, views: views, log: logger, name: cfg.Name,
 			orders:  metrics.NewRegisteredCounter("placer_orders", registry),
-			tracker: demand.NewTracker(waitingTTL), instances: instanceRegistry{}, reported: map[string]bool{}, servers: map[fleet.ServerID]*trackedServer{}, suspectedSince: map[demand.Key]time.Time{},
+			tracker: demand.NewTracker(waitingTTL), instances: newInstanceRegistry(), reports: newCallWindow(), reported: map[string]bool{}, servers: map[fleet.ServerID]*trackedServer{}, suspectedSince: map[demand.Key]time.Time{},
 			wake: make(chan struct{}, 1), published: make(chan struct{}),
 		},
 	}
+	e.released = p.holder.leaseReleased
 	p.crashes, p.standings = newCrashTransport(p), newStandings(p)
 	recorder := edge.NewStandingRecorder(views, p.standings, logger)
 	p.holder.control = platform.NewControl(func(server *fleet.Server, notice platform.Notice) {
@@ -177,7 +185,7 @@
 	}
 	if p.elector.placing() {
 		epoch, _ := p.elector.canOrder()
-		p.setPeers(p.holder.receiveReport(p.name, p.address, report))
+		p.setPeers(p.holder.receiveReport(p.name, p.address, p.elector.capacity, report))
 		p.historySent.reported(r.Incarnation, epoch, withHistory)
 		return nil
 	}
@@ -191,7 +199,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply, err := p.client(r.Address).Report(ctx, encodeDemand(p.name, p.address, report))
+	message := encodeDemand(p.name, p.address, report)
+	message.Capacity, message.PeersVersion = float32(p.elector.capacity), p.peersVersion.Load()
+	reply, err := p.client(r.Address).Report(ctx, message)
 	if err != nil {
 		return err
 	}
@@ -200,7 +210,10 @@
 		return errNoHolder
 	}
 	p.elector.holderResponded(reply.Tenure.GetEpoch())
-	p.setPeers(reply.Peers)
+	p.elector.setSuccessors(reply.Successors)
+	if reply.PeersVersion == 0 || reply.PeersVersion != message.PeersVersion {
+		p.setPeers(reply.Peers, reply.PeersVersion)
+	}
 	p.historySent.reported(r.Incarnation, reply.Tenure.GetEpoch(), withHistory)
 	return nil
 }
@@ -223,10 +236,12 @@
 	h.incarnation, h.epoch = incarnation, epoch
 }
 
-// setPeers sets the addresses of the instances of the deployment.
-func (p *Placer) setPeers(peers []string) {
+// setPeers sets the addresses of the instances of the deployment, and their version at the
+// holder; 0 if they have none.
+func (p *Placer) setPeers(peers []string, version uint64) {
 	p.views.SetInstances(len(peers))
 	p.peerAddresses.Store(&peers)
+	p.peersVersion.Store(version)
 }
 
 // queryPeer queries a random peer for the holder, so that an instance that the store rejects
@@ -278,10 +293,15 @@
 			p.views.SetResidency(decodePlacement(placement, time.Now()))
 		}
 		p.standings.receive(placement.Leaving)
-		pause.For(ctx, watchInterval)
+		pause.For(ctx, watchInterval(p.views.Instances()))
 	}
 }
 
+// watchInterval returns the minimum interval between two watch calls of one instance.
+func watchInterval(instances int) time.Duration {
+	return max(minWatchInterval, time.Duration(instances)*watchIntervalPerInstance)
+}
+
 func (p *Placer) watchOnce(ctx context.Context, address string, epoch, version int64) (*placerpb.Placement, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout+callTimeout)
 	defer cancel()
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -75,7 +75,7 @@
 	tracer := noop.NewTracerProvider().Tracer("")
 	i.reachesServers.Store(true)
 	i.Placer = New(Config{
-		Name: name, Address: listener.Addr().String(), Lease: 400 * time.Millisecond, Fenced: true, ReachesServers: i.reachesServers.Load,
+		Name: name, Address: listener.Addr().String(), Lease: 400 * time.Millisecond, Fenced: true, Capacity: 1, ReachesServers: i.reachesServers.Load,
 	},
 		platform.NewStore(store.Address()), i.views, i.collector, logger, metrics.NewRegistry(), tracer)
 	servers := map[fleet.ServerID]*fleet.Server{}
@@ -378,7 +378,7 @@
 	start := time.Unix(1_800_000_000, 0)
 	views := edge.NewViews()
 	views.SetInstances(2)
-	h := &holder{views: views, instances: instanceRegistry{}}
+	h := &holder{views: views, instances: newInstanceRegistry()}
 	h.beginEpoch(1, start)
 	assert.False(t, h.knowsDemand(start))
 	h.reported["i0"] = true
--- a/internal/placer/service.go
+++ b/internal/placer/service.go
@@ -24,8 +24,22 @@
 	if !s.placer.elector.placing() {
 		return &placerpb.DemandReply{Tenure: lease}, nil
 	}
-	peers := s.placer.holder.receiveReport(r.Instance, r.Address, decodeDemand(r))
-	return &placerpb.DemandReply{Placing: true, Instances: uint32(len(peers)), Peers: peers, Tenure: lease}, nil
+	peers, version := s.placer.holder.receiveReport(r.Instance, r.Address, float64(finiteCapacity(r.Capacity)), decodeDemand(r))
+	reply := &placerpb.DemandReply{
+		Placing: true, Instances: uint32(len(peers)), Tenure: lease, PeersVersion: version, Successors: s.placer.holder.successors(),
+	}
+	if r.PeersVersion != version {
+		reply.Peers = peers
+	}
+	return reply, nil
+}
+
+// finiteCapacity returns a capacity within its range; 0 if it isn't a number.
+func finiteCapacity(capacity float32) float32 {
+	if !(capacity > 0) {
+		return 0
+	}
+	return min(capacity, 1)
 }
 
 // Watch is a long poll. It returns the servers that have changed since the caller's version.
--- a/internal/placer/tracked.go
+++ b/internal/placer/tracked.go
@@ -21,8 +21,10 @@
 	maxStaleReports = 8
 	// refreshInterval is the interval at which reports of idle servers are fetched.
 	refreshInterval = 8 * time.Second
-	// unreachableInterval is the delay before a report is fetched again after a failure.
-	unreachableInterval = 500 * time.Millisecond
+	// unreachableInterval is the delay before a report is fetched again after a failure. It
+	// doubles with each further failure, up to maxUnreachableInterval.
+	unreachableInterval    = 500 * time.Millisecond
+	maxUnreachableInterval = 2 * time.Second
 )
 
 // trackedServer is the holder's view of one server.
@@ -51,6 +53,8 @@
 	// nextReportAt is when to fetch the next report.
 	nextReportAt time.Time
 	staleReports int
+	// unreadReports counts consecutive failures to fetch the report.
+	unreadReports int
 	// version is the version of the placement in which the server last changed.
 	version int64
 }
@@ -64,6 +68,21 @@
 	return &trackedServer{server: server, nextReportAt: now, models: map[string]*modelState{}}
 }
 
+// retryDelay returns the delay before the report is fetched again after a failure.
+func (t *trackedServer) retryDelay() time.Duration {
+	delay := unreachableInterval << min(t.unreadReports, 4)
+	t.unreadReports++
+	return min(delay, maxUnreachableInterval)
+}
+
+// reportUrgency orders reports that are due; the lowest is the most urgent.
+func (t *trackedServer) reportUrgency() int {
+	if !t.known || t.uncertain {
+		return 0
+	}
+	return 1
+}
+
 // applyReport updates the state from a report. It returns false if the report is older than
 // the known state.
 func (t *trackedServer) applyReport(r platform.Report, now time.Time) bool {
--- a/pkg/leaderlease/leaderlease.go
+++ b/pkg/leaderlease/leaderlease.go
@@ -31,6 +31,9 @@
 	Address     string `json:"address"`
 	// Released ends the lease, so that another instance can claim it immediately.
 	Released bool `json:"released,omitempty"`
+	// Successor is the name of the instance that a holder releases the lease to. The others
+	// leave it some time to claim the lease. It is empty if any instance may follow.
+	Successor string `json:"successor,omitempty"`
 }
 
 // Config configures a State.
@@ -49,9 +52,9 @@
 	// servers reject superseded epochs. Outages of the log store last about ten seconds,
 	// during which no instance can take over.
 	outageLeases = 5
-	// claimStagger is the range over which claims are spread, as several instances detect an
-	// unreachable holder at the same time.
-	claimStagger = 150 * time.Millisecond
+	// successorHeadStart is how long the other instances wait for the successor that a holder
+	// has named.
+	successorHeadStart = 500 * time.Millisecond
 )
 
 // State is the lease as known to one instance. It isn't safe for concurrent use. Times are
@@ -116,9 +119,7 @@
 
 // Appended records that the log accepted a record of this instance at offset. started is when
 // the append was sent.
-func (s *State) Appended(offset int64, released bool, started time.Duration) {
-	r := s.cfg.Self
-	r.Released = released
+func (s *State) Appended(offset int64, r Record, started time.Duration) {
 	s.Observe(offset, r, started)
 	s.renewed = started
 }
@@ -182,16 +183,20 @@
 }
 
 // NextAppend returns when to append the next record, either to renew the lease or to claim an
-// expired one. rank is between 0 and 1 and spreads the claims of several instances.
-func (s *State) NextAppend(rank float64) time.Duration {
-	if s.IsHolder() {
+// expired one. claimDelay is this instance's ClaimDelay.
+func (s *State) NextAppend(claimDelay time.Duration) time.Duration {
+	switch {
+	case s.IsHolder():
 		return s.renewed + s.cfg.LeaseDuration/renewalsPerLease
+	case s.last.Incarnation != "" && s.last.Holder == s.cfg.Self.Holder && !s.last.Released:
+		// The holder was an earlier process of this instance, which has ended.
+		return s.lastContact
+	case s.last.Released && s.last.Successor == s.cfg.Self.Holder:
+		return s.lastContact
+	case s.last.Released && s.last.Successor != "":
+		return s.lastContact + successorHeadStart + claimDelay
+	case s.last.Incarnation == "" || s.last.Released:
+		return s.lastContact + claimDelay
 	}
-	stagger := time.Duration(rank * float64(claimStagger))
-	if s.last.Incarnation == "" || s.last.Released || s.last.Holder == s.cfg.Self.Holder {
-		// No wait is needed: the lease is free, or its holder was an earlier process of this
-		// instance.
-		return s.lastContact + stagger
-	}
-	return s.lastContact + s.expiryDelay() + stagger
+	return s.lastContact + s.expiryDelay() + claimDelay
 }
