Read the store at one instance for all

Each of 295 instances read the server list, the manifest and the lease itself.

Change: the instance that holds the lease tells the others with the placement, which they follow anyway, what has changed in the server list, the version of the newest manifest and when it renewed the lease, with the age of each. An instance reads the list itself when what it knows may be older than half of the time in which a draining server must be left; a manifest is always read from the store, in a long poll of 25 s that ends when a newer one is told or nothing is told any more; the lease is read once a minute while the holder says that it has renewed it. The age counts from when the holder read the store, by the clock of the instance that is told, with the time on the way. Every two to three minutes the whole list is compared. Failed reads are repeated after up to 1 s instead of 250 ms.

Builds that tell nothing of the store are followed as before, and those that don't ask aren't told.

--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -175,6 +175,16 @@
 	return true
 }
 
+// ManifestVersion returns the version of the manifest in force, or 0 if there is none.
+func (v *Views) ManifestVersion() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.manifest == nil {
+		return 0
+	}
+	return v.manifest.Version
+}
+
 // SetServers replaces the server list.
 func (v *Views) SetServers(servers map[fleet.ServerID]*fleet.Server) {
 	v.mu.Lock()
--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -24,7 +24,9 @@
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/relay"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/storemirror"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/telemetry"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/leaderlease"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
@@ -65,6 +67,7 @@
 	views    *edge.Views
 	edge     *edge.Edge
 	store    *platform.Store
+	mirror   *storemirror.Mirror
 	servers  *platform.Servers
 	placer   *placer.Placer
 	dialer   *relay.Dialer
@@ -90,6 +93,7 @@
 		newServers,
 		newRelay,
 		func(s *Settings) *platform.Store { return platform.NewStore(s.Store.Address) },
+		func(s *Settings) *storemirror.Mirror { return storemirror.New(s.Servers.DrainTimeout.D()) },
 		placer.NewCollector,
 		func(c *placer.Collector) edge.Demand { return c },
 		func(p *placer.Placer) edge.Peers {
@@ -142,13 +146,13 @@
 	})
 }
 
-func newPlacer(s *Settings, store *platform.Store, views *edge.Views, c *placer.Collector, dialer *relay.Dialer, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *placer.Placer {
+func newPlacer(s *Settings, store *platform.Store, mirror *storemirror.Mirror, views *edge.Views, c *placer.Collector, dialer *relay.Dialer, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *placer.Placer {
 	return placer.New(placer.Config{
 		Name: s.Instance.Name, Address: s.Peers.Address,
 		Lease: s.Placing.Lease.D(), Fenced: s.Placing.ServersCheckEpochs,
 		Capacity:       leaderlease.Capacity(s.Machine.Cores*s.Machine.CoreShare, s.Machine.LinkMbps),
 		ReachesServers: dialer.Reaches,
-	}, store, views, c, logger, registry, tracer)
+	}, store, mirror, views, c, logger, registry, tracer)
 }
 
 type instanceParams struct {
@@ -160,6 +164,7 @@
 	Views    *edge.Views
 	Edge     *edge.Edge
 	Store    *platform.Store
+	Mirror   *storemirror.Mirror
 	Servers  *platform.Servers
 	Placer   *placer.Placer
 	Dialer   *relay.Dialer
@@ -169,9 +174,13 @@
 
 func newInstance(p instanceParams) *Instance {
 	p.Dialer.SetPeers(p.Placer.OtherInstances)
+	p.Mirror.OnServers(func(servers map[fleet.ServerID]*fleet.Server) {
+		p.Views.SetServers(servers)
+		p.Edge.AnnounceStreams()
+	})
 	return &Instance{
 		settings: p.Settings, log: p.Log, registry: p.Registry, views: p.Views, edge: p.Edge,
-		store: p.Store, servers: p.Servers, placer: p.Placer, dialer: p.Dialer, relay: p.Relay, tracing: p.Tracing,
+		store: p.Store, mirror: p.Mirror, servers: p.Servers, placer: p.Placer, dialer: p.Dialer, relay: p.Relay, tracing: p.Tracing,
 		manifests:  &dependency{log: p.Log, name: "published manifests"},
 		serverList: &dependency{log: p.Log, name: "server list"},
 	}
--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -25,6 +25,7 @@
 func (i *Instance) startControllers(ctx, stop context.Context, group *errgroup.Group) {
 	group.Go(func() error { i.watchManifest(ctx); return nil })
 	group.Go(func() error { i.watchServers(ctx); return nil })
+	group.Go(func() error { i.reviewMirror(ctx); return nil })
 	group.Go(func() error { i.watchSettings(ctx); return nil })
 	group.Go(func() error { return i.servePeers(ctx) })
 	group.Go(func() error { i.placer.Run(ctx, stop); return nil })
@@ -110,24 +111,34 @@
 				i.log.Warn().Int64("version", m.Version).Msg("older_manifest_ignored")
 			}
 		},
-		Unreadable:    func(err error) { i.log.Error().Err(err).Msg("manifest_unreadable") },
-		ReadFailed:    i.manifests.markLost,
-		ReadSucceeded: i.manifests.markAvailable,
+		Unreadable: func(err error) { i.log.Error().Err(err).Msg("manifest_unreadable") },
+		ReadFailed: i.manifests.markLost,
+		ReadSucceeded: func() {
+			i.manifests.markAvailable()
+			i.mirror.ManifestRead(i.views.ManifestVersion())
+		},
+		Wait:      i.mirror.ManifestWait,
+		Interrupt: i.mirror.ManifestInterrupt(),
 	})
 }
 
-// listReadsPerDrain is the number of reads of the server list within
-// DrainTimeout. Reading twice in that time leaves half of it for slow reads.
-const listReadsPerDrain = 2
-
 func (i *Instance) watchServers(ctx context.Context) {
-	interval := i.settings.Servers.DrainTimeout.D() / listReadsPerDrain
-	list := newServerList(func(servers map[fleet.ServerID]*fleet.Server) {
-		i.views.SetServers(servers)
-		i.edge.AnnounceStreams()
-	}, interval)
-	i.store.WatchServers(ctx, interval, func(b platform.ServerListBatch) {
-		i.serverList.markAvailable()
-		list.apply(b)
-	}, i.serverList.markLost)
+	i.store.WatchServers(ctx, platform.ServerWatch{
+		Deliver: func(b platform.ServerListBatch) {
+			i.serverList.markAvailable()
+			i.mirror.ListRead(b)
+		},
+		ReadFailed: i.serverList.markLost,
+		Delay:      i.mirror.ListDelay,
+		From:       i.mirror.ListFrom,
+	})
+}
+
+// reviewInterval is the interval at which the mirror of the store is reviewed.
+const reviewInterval = time.Second
+
+func (i *Instance) reviewMirror(ctx context.Context) {
+	for pause.For(ctx, reviewInterval) {
+		i.mirror.Review()
+	}
 }
--- a/internal/placer/compat_test.go
+++ b/internal/placer/compat_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -13,6 +14,9 @@
 	"google.golang.org/protobuf/types/dynamicpb"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/storemirror"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
 )
 
 // Builds whose placements have no leaving servers read those of this one, and the other way round.
@@ -46,3 +50,41 @@
 	sent.Leaving = nil
 	assert.True(t, proto.Equal(sent, &back))
 }
+
+// Builds that don't ask for news of the store, or don't tell any, work with those that do.
+func TestNewsOfTheStoreIsOptional(t *testing.T) {
+	c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0", OnDisk: []string{"a"}})
+	i := c.start("i0")
+	c.eventually("it holds the lease", i.elector.placing)
+	i.mirror.ManifestRead(7)
+
+	placement, err := (&service{placer: i.Placer}).Watch(t.Context(), &placerpb.WatchRequest{})
+	require.NoError(t, err)
+	assert.Nil(t, placement.Store)
+	placement, err = (&service{placer: i.Placer}).Watch(t.Context(), &placerpb.WatchRequest{Store: true})
+	require.NoError(t, err)
+	assert.Equal(t, int64(7), placement.Store.GetManifestVersion())
+
+	reply, err := (&service{placer: i.Placer}).Report(t.Context(), &placerpb.DemandReport{Instance: "former", Address: "10.0.0.1:1"})
+	require.NoError(t, err)
+	assert.Contains(t, reply.Peers, "10.0.0.1:1")
+	version := reply.PeersVersion
+	reply, err = (&service{placer: i.Placer}).Report(t.Context(), &placerpb.DemandReport{Instance: "former", Address: "10.0.0.1:1", PeersVersion: version})
+	require.NoError(t, err)
+	assert.Empty(t, reply.Peers, "they are known")
+}
+
+// An entry of the server list is the same after it was told.
+func TestNewsIsDecodedAsTold(t *testing.T) {
+	news := storemirror.News{
+		Held: time.Second, ManifestVersion: 3, ManifestAge: 2 * time.Second, ListEnd: 9, ListAge: time.Millisecond, Complete: true,
+		Entries: []fleet.Entry{
+			{ID: "s", Offset: 5, Server: &fleet.Server{
+				ID: "s", Service: summaries, Address: "10.0.0.2:1", Zone: "z", Version: "v2", StartedAt: 77, Sequence: 4, Slots: 12,
+				Draining: true, Remaining: time.Second, Models: []fleet.Resident{{Model: "a", Adapters: []string{"x"}}},
+			}},
+			{ID: "gone", Offset: 6, Removed: true},
+		},
+	}
+	assert.Equal(t, news, decodeNews(encodeNews(news, 0)))
+}
--- a/internal/placer/elector.go
+++ b/internal/placer/elector.go
@@ -9,8 +9,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/phuslu/log"
-	"golang.org/x/sys/unix"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/bootclock"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/leaderlease"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
@@ -22,25 +22,17 @@
 	leaseKey = "holder"
 	// leaseReadInterval is the minimum interval between two reads of the lease, because each
 	// read is billed. leaseReadIntervalHealthy applies while the holder responds, when
-	// frequent reads aren't needed.
-	leaseReadInterval        = 1500 * time.Millisecond
-	leaseReadIntervalHealthy = 5 * time.Second
+	// frequent reads aren't needed. leaseReadIntervalConfirmed applies while it also says that
+	// its last renewal is recent: no other instance has claimed the lease before that.
+	leaseReadInterval          = 1500 * time.Millisecond
+	leaseReadIntervalHealthy   = 5 * time.Second
+	leaseReadIntervalConfirmed = time.Minute
 	// holderHealthyFor is how long after a response the holder is considered healthy.
 	holderHealthyFor = 3 * time.Second
 	// appendRetryInterval is the delay before a failed append is retried.
 	appendRetryInterval = 300 * time.Millisecond
 )
 
-// sinceBoot returns the time since the machine started, including suspensions.
-func sinceBoot() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		// Linux has had this clock since 2.6.39.
-		panic("no boot-time clock: " + err.Error())
-	}
-	return time.Duration(ts.Nano())
-}
-
 // elector claims, renews and releases the lease.
 type elector struct {
 	store *platform.Store
@@ -64,6 +56,8 @@
 	handover string
 	// lastContact is the time since boot at which the holder last responded.
 	lastContact time.Duration
+	// confirmed means that the holder said then that it had renewed the lease recently.
+	confirmed bool
 	// readNow triggers an immediate read of the lease.
 	readNow chan struct{}
 	changed chan struct{}
@@ -90,7 +84,7 @@
 		e.mu.Lock()
 		wait := time.Second
 		if e.read {
-			wait = e.state.NextAppend(leaderlease.ClaimDelay(e.self.Holder, e.capacity, e.successors, random)) - sinceBoot()
+			wait = e.state.NextAppend(leaderlease.ClaimDelay(e.self.Holder, e.capacity, e.successors, random)) - bootclock.Now()
 		}
 		reaches := e.reaches()
 		due := e.read && wait <= 0 && reaches && (e.state.IsHolder() || e.known())
@@ -135,7 +129,7 @@
 func (e *elector) observe(b platform.Batch) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := sinceBoot()
+	now := bootclock.Now()
 	before := e.state.Epoch()
 	for _, record := range b.Records {
 		var r leaderlease.Record
@@ -176,7 +170,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode lease record")
 	}
-	started := sinceBoot()
+	started := bootclock.Now()
 	offset, err := e.store.AppendAt(ctx, platform.TopicLease, leaseKey, at, value)
 	if err != nil {
 		e.log.Info().Err(err).Int64("at", at).Msg("tenure_append_failed")
@@ -232,15 +226,35 @@
 func (e *elector) holderResponded(epoch int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.lastContact = sinceBoot()
+	e.lastContact = bootclock.Now()
 	e.state.HolderResponded(epoch, e.lastContact)
 }
 
+// renewalHeard records how long ago the holder renewed the lease, as it says itself. If it hasn't
+// for a lease duration, the lease is read again soon, because another instance may hold it.
+func (e *elector) renewalHeard(age time.Duration) {
+	e.mu.Lock()
+	before := e.confirmed
+	e.confirmed = age < e.state.LeaseDuration()
+	lost := before && !e.confirmed
+	e.mu.Unlock()
+	if lost {
+		signal(e.readNow)
+	}
+}
+
+// renewalAge returns how long ago this instance renewed the lease.
+func (e *elector) renewalAge() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return bootclock.Now() - e.state.Renewed()
+}
+
 // suspectHolder triggers a read of the lease, because the holder doesn't respond or no longer
 // considers itself the holder.
 func (e *elector) suspectHolder() {
 	e.mu.Lock()
-	e.lastContact = 0
+	e.lastContact, e.confirmed = 0, false
 	e.mu.Unlock()
 	signal(e.readNow)
 }
@@ -248,7 +262,11 @@
 func (e *elector) readInterval() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if sinceBoot()-e.lastContact < holderHealthyFor {
+	switch {
+	case bootclock.Now()-e.lastContact >= holderHealthyFor:
+	case e.confirmed:
+		return leaseReadIntervalConfirmed
+	default:
 		return leaseReadIntervalHealthy
 	}
 	return leaseReadInterval
@@ -294,7 +312,7 @@
 func (e *elector) canOrder() (int64, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.state.Epoch(), e.state.CanOrder(sinceBoot())
+	return e.state.Epoch(), e.state.CanOrder(bootclock.Now())
 }
 
 func signal(c chan struct{}) {
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -467,9 +467,9 @@
 	h.published = make(chan struct{})
 }
 
-// leaseReleased tells the instances that watch the placement at once that another one has to
-// claim the lease.
-func (h *holder) leaseReleased() {
+// wakeAllWatchers ends the long polls for the placement, because there is something to tell that
+// isn't part of it.
+func (h *holder) wakeAllWatchers() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.wakeWatchers()
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -16,9 +16,11 @@
 	"go.opentelemetry.io/otel/trace"
 	"storj.io/drpc/drpcmux"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/bootclock"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/storemirror"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/crashcause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/demand"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
@@ -41,7 +43,7 @@
 	reportBatchDelay = 2 * time.Millisecond
 	// callTimeout limits a call to the holder.
 	callTimeout = 500 * time.Millisecond
-	// watchTimeout is how long the holder holds a long poll without changes.
+	// watchTimeout is how long the holder holds a long poll without changes, at most.
 	watchTimeout = time.Second
 	// minWatchInterval is the minimum interval between two watch calls, to batch changes that
 	// follow each other closely. Each call costs the holder some 30 us of processor time, so the
@@ -82,6 +84,7 @@
 	crashes   *crashTransport
 	standings *standings
 	views     *edge.Views
+	mirror    *storemirror.Mirror
 	peers     *peer.Client
 	log       *log.Logger
 
@@ -95,7 +98,7 @@
 }
 
 // New returns a Placer, which Run starts.
-func New(cfg Config, store *platform.Store, views *edge.Views, collector *Collector, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *Placer {
+func New(cfg Config, store *platform.Store, mirror *storemirror.Mirror, views *edge.Views, collector *Collector, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *Placer {
 	e := newElector(store, logger, leaderlease.Config{
 		Self:          leaderlease.Record{Holder: cfg.Name, Incarnation: uuid.NewString(), Address: cfg.Address},
 		LeaseDuration: cfg.Lease, Fenced: cfg.Fenced,
@@ -103,7 +106,7 @@
 	permits := newPermitIssuer()
 	dialer := &net.Dialer{Timeout: callTimeout, KeepAliveConfig: peer.KeepAlive()}
 	p := &Placer{
-		name: cfg.Name, address: cfg.Address, elector: e, collector: collector, views: views, log: logger, permits: permits, origins: newOrigins(),
+		name: cfg.Name, address: cfg.Address, elector: e, collector: collector, views: views, mirror: mirror, log: logger, permits: permits, origins: newOrigins(),
 		peers: peer.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}, tracer),
@@ -114,7 +117,8 @@
 			wake: make(chan struct{}, 1), published: make(chan struct{}),
 		},
 	}
-	e.released = p.holder.leaseReleased
+	e.released = p.holder.wakeAllWatchers
+	mirror.SetTeller(e.placing, p.holder.wakeAllWatchers)
 	p.crashes, p.standings = newCrashTransport(p), newStandings(p)
 	recorder := edge.NewStandingRecorder(views, p.standings, logger)
 	p.holder.control = platform.NewControl(func(server *fleet.Server, notice platform.Notice) {
@@ -275,7 +279,7 @@
 			continue
 		}
 		var placement *placerpb.Placement
-		err := errNoHolder
+		asked, err := bootclock.Now(), errNoHolder
 		if held && r.Address != p.address {
 			placement, err = p.watchOnce(ctx, r.Address, epoch, version)
 		}
@@ -289,6 +293,12 @@
 		}
 		epoch, version = placement.Epoch, placement.Version
 		p.elector.holderResponded(epoch)
+		if placement.Store != nil {
+			p.elector.renewalHeard(time.Duration(placement.Store.RenewedMs) * time.Millisecond)
+			p.mirror.Hear(decodeNews(placement.Store), asked)
+		} else {
+			p.mirror.HearNothing()
+		}
 		if len(placement.Servers) > 0 {
 			p.views.SetResidency(decodePlacement(placement, time.Now()))
 		}
@@ -305,8 +315,10 @@
 func (p *Placer) watchOnce(ctx context.Context, address string, epoch, version int64) (*placerpb.Placement, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout+callTimeout)
 	defer cancel()
+	listEnd, manifestVersion := p.mirror.Known()
 	return p.client(address).Watch(ctx, &placerpb.WatchRequest{
-		Epoch: epoch, Version: version, WaitMs: uint32(watchTimeout.Milliseconds()),
+		Epoch: epoch, Version: version, WaitMs: uint32(min(p.mirror.TellInterval(), watchTimeout).Milliseconds()),
+		Store: true, ListEnd: listEnd, ManifestVersion: manifestVersion,
 	})
 }
 
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -19,6 +19,7 @@
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/storemirror"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/demand"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/modelplan"
@@ -77,7 +78,7 @@
 	i.Placer = New(Config{
 		Name: name, Address: listener.Addr().String(), Lease: 400 * time.Millisecond, Fenced: true, Capacity: 1, ReachesServers: i.reachesServers.Load,
 	},
-		platform.NewStore(store.Address()), i.views, i.collector, logger, metrics.NewRegistry(), tracer)
+		platform.NewStore(store.Address()), storemirror.New(2*time.Second), i.views, i.collector, logger, metrics.NewRegistry(), tracer)
 	servers := map[fleet.ServerID]*fleet.Server{}
 	for n, s := range c.servers {
 		id := fleet.ServerID(s.ID())
--- a/internal/placer/service.go
+++ b/internal/placer/service.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/bootclock"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/demand"
@@ -44,6 +45,7 @@
 
 // Watch is a long poll. It returns the servers that have changed since the caller's version.
 func (s *service) Watch(ctx context.Context, r *placerpb.WatchRequest) (*placerpb.Placement, error) {
+	received := bootclock.Now()
 	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(r.WaitMs)*time.Millisecond, watchTimeout))
 	defer cancel()
 	for {
@@ -51,7 +53,11 @@
 			return &placerpb.Placement{Tenure: s.placer.elector.leaseForPeers()}, nil
 		}
 		placement, published := s.placer.holder.placement(r.Epoch, r.Version)
-		if len(placement.Servers) > 0 || ctx.Err() != nil {
+		hasNews := r.Store && s.placer.mirror.HasNews(r.ListEnd, r.ManifestVersion)
+		if len(placement.Servers) > 0 || hasNews || ctx.Err() != nil {
+			if r.Store {
+				placement.Store = encodeNews(s.placer.mirror.Tell(r.ListEnd, bootclock.Now()-received), s.placer.elector.renewalAge())
+			}
 			return placement, nil
 		}
 		select {
--- /dev/null
+++ b/internal/storemirror/mirror.go
@@ -0,0 +1,239 @@
+package storemirror
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/bootclock"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/platform"
+)
+
+const (
+	// readsPerDrain and tellerReadsPerDrain are the reads of the server list, within the time
+	// in which a draining server must stop receiving requests, of an instance that isn't told
+	// and of the one that tells the others. The latter and the interval of messages together
+	// stay below the interval of the former, so that instances that are told don't read.
+	readsPerDrain       = 2
+	tellerReadsPerDrain = 5
+	// tellsPerDrain is the number of messages to each instance within that time.
+	tellsPerDrain = 5
+	// checkInterval is how long an instance relies on what it is told before it reads the
+	// complete list itself, in case the teller is wrong. It varies by checkSpread.
+	checkInterval = 2 * time.Minute
+	checkSpread   = time.Minute
+	// maxManifestAge is the age of what an instance has been told of the manifest up to which it
+	// waits for a newer one in a single long poll. The teller's own polls take platform.PollWait.
+	maxManifestAge = platform.PollWait + time.Second
+)
+
+// News is what an instance tells others of the store.
+type News struct {
+	// Held is how long the question was held before it was answered.
+	Held time.Duration
+	// ManifestVersion is the version of the newest manifest, and ManifestAge the time since that
+	// was read.
+	ManifestVersion int64
+	ManifestAge     time.Duration
+	// ListAge is the time since the server list was read, up to the offset ListEnd.
+	ListEnd int64
+	ListAge time.Duration
+	// Entries are those that changed since the offset up to which the other instance knows the
+	// list, or all usable servers if Complete is true.
+	Entries  []fleet.Entry
+	Complete bool
+}
+
+// Mirror is an instance's copy. It is safe for concurrent use.
+type Mirror struct {
+	now func() time.Duration
+	// drainTimeout is the time within which a draining server stops receiving new requests.
+	drainTimeout time.Duration
+	// tells reports whether this instance tells the others, and changed is called after there is
+	// something new to tell.
+	tells   func() bool
+	changed func()
+	// check is this instance's checkInterval.
+	check time.Duration
+
+	mu       sync.Mutex
+	list     *serverList
+	listRead freshness
+	// next is the offset up to which the list is known. checkDue means that the next read
+	// compares the complete list.
+	next     int64
+	checkDue bool
+	bulletin *fleet.Bulletin
+
+	manifestRead    freshness
+	manifestVersion int64
+	// hinted is the highest version that was told. What is told once is looked up once.
+	hinted int64
+	// heard means that the last message told of the store.
+	heard bool
+	// interrupt ends a long poll for the manifest.
+	interrupt chan struct{}
+	// longPoll is true while a long poll relies on what is told.
+	longPoll bool
+}
+
+// New returns an empty Mirror. drainTimeout is the time within which a draining server stops
+// receiving new requests.
+func New(drainTimeout time.Duration) *Mirror {
+	return &Mirror{
+		now: bootclock.Now, drainTimeout: drainTimeout, tells: func() bool { return false }, changed: func() {},
+		check: checkInterval + rand.N(checkSpread), list: newServerList(func(map[fleet.ServerID]*fleet.Server) {}, drainTimeout/readsPerDrain),
+		bulletin: fleet.NewBulletin(), interrupt: make(chan struct{}, 1),
+	}
+}
+
+// OnServers sets what is called with the usable servers when they change. It must be called before
+// the mirror is used.
+func (m *Mirror) OnServers(publish func(map[fleet.ServerID]*fleet.Server)) { m.list.publish = publish }
+
+// SetTeller sets how to find out whether this instance tells the others, and what to call when
+// there is something new to tell. It must be called before the mirror is used.
+func (m *Mirror) SetTeller(tells func() bool, changed func()) { m.tells, m.changed = tells, changed }
+
+// TellInterval returns the maximum interval between two messages to an instance.
+func (m *Mirror) TellInterval() time.Duration { return m.drainTimeout / tellsPerDrain }
+
+// ListDelay returns for how long the server list need not be read.
+func (m *Mirror) ListDelay() time.Duration {
+	tells := m.tells()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	if tells {
+		return m.listRead.readAt + m.drainTimeout/tellerReadsPerDrain - now
+	}
+	m.checkDue = now-m.listRead.readAt >= m.check
+	return m.listRead.readIn(now, m.drainTimeout/readsPerDrain, m.check)
+}
+
+// ListFrom returns the offset from which to read the list, given the one that the last read
+// ended at; -1 to read it completely.
+func (m *Mirror) ListFrom(next int64) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.checkDue {
+		return -1
+	}
+	return max(next, m.next)
+}
+
+// ListRead applies a batch that this instance has read.
+func (m *Mirror) ListRead(b platform.ServerListBatch) {
+	m.mu.Lock()
+	m.list.apply(b)
+	m.next, m.checkDue = b.Next, false
+	if b.AtEnd {
+		// The steady clock doesn't count suspensions, so a read during one seems shorter.
+		m.listRead.read(m.now() - time.Since(b.Started))
+	}
+	news := m.bulletin.Update(m.list.listing(), m.next)
+	m.mu.Unlock()
+	if news {
+		m.changed()
+	}
+}
+
+// ManifestRead records that the manifest in force, with the version, was the newest one now.
+func (m *Mirror) ManifestRead(version int64) {
+	m.mu.Lock()
+	m.manifestRead.read(m.now())
+	news := version != m.manifestVersion
+	m.manifestVersion = version
+	m.mu.Unlock()
+	if news {
+		m.changed()
+	}
+}
+
+// ManifestWait returns the duration of the next long poll for the manifest.
+func (m *Mirror) ManifestWait() time.Duration {
+	tells := m.tells()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.longPoll = !tells && m.manifestRead.age(m.now()) < maxManifestAge && m.heard
+	if m.longPoll {
+		return platform.MaxPollWait
+	}
+	return platform.PollWait
+}
+
+// ManifestInterrupt returns the channel that ends a long poll for the manifest.
+func (m *Mirror) ManifestInterrupt() <-chan struct{} { return m.interrupt }
+
+// Review ends a long poll for the manifest that relies on messages which no longer arrive. It is
+// to be called about every second.
+func (m *Mirror) Review() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.longPoll && m.manifestRead.age(m.now()) >= maxManifestAge {
+		m.endLongPoll()
+	}
+}
+
+func (m *Mirror) endLongPoll() {
+	m.longPoll = false
+	select {
+	case m.interrupt <- struct{}{}:
+	default:
+	}
+}
+
+// Known returns the offset up to which this instance knows the server list, and the version of
+// the manifest.
+func (m *Mirror) Known() (listEnd, manifestVersion int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.next, m.manifestVersion
+}
+
+// Tell returns the news for an instance that knows the list up to an offset. held is how long its
+// question was held.
+func (m *Mirror) Tell(listEnd int64, held time.Duration) News {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	n := News{
+		Held: held, ManifestVersion: m.manifestVersion, ManifestAge: m.manifestRead.age(now),
+		ListEnd: m.next, ListAge: m.listRead.age(now),
+	}
+	n.Entries, n.Complete = m.bulletin.Since(listEnd)
+	return n
+}
+
+// HasNews reports whether there is something to tell to an instance with this knowledge.
+func (m *Mirror) HasNews(listEnd, manifestVersion int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return manifestVersion < m.manifestVersion || m.bulletin.HasNews(listEnd)
+}
+
+// Hear applies the news of another instance, which was asked at the given time since boot.
+func (m *Mirror) Hear(n News, asked time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.heard = true
+	m.list.applyTold(n.Entries, n.Complete && n.ListEnd >= m.next)
+	m.next = max(m.next, n.ListEnd)
+	m.listRead.told(asked, n.Held, n.ListAge)
+	m.bulletin.Update(m.list.listing(), m.next)
+	switch {
+	case n.ManifestVersion == m.manifestVersion:
+		m.manifestRead.told(asked, n.Held, n.ManifestAge)
+	case n.ManifestVersion > max(m.manifestVersion, m.hinted):
+		m.hinted = n.ManifestVersion
+		m.endLongPoll()
+	}
+}
+
+// HearNothing records that the instance that should tell the others tells nothing of the store.
+func (m *Mirror) HearNothing() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.heard = false
+}
--- a/internal/fleetapp/serverlist.go
+++ b/internal/storemirror/serverlist.go
@@ -1,4 +1,4 @@
-package fleetapp
+package storemirror
 
 import (
 	"sync"
@@ -47,6 +47,33 @@
 	l.expire(now, changed)
 }
 
+// applyTold applies entries that another instance has read. If complete is true, servers that
+// they lack are removed.
+func (l *serverList) applyTold(entries []fleet.Entry, complete bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.lastRead = now
+	changed := false
+	if complete {
+		changed = l.directory.Replace(now, entries)
+	} else {
+		for _, entry := range entries {
+			changed = l.directory.Apply(now, entry) || changed
+		}
+	}
+	if changed {
+		l.expire(now, true)
+	}
+}
+
+// listing returns the newest entry of each server.
+func (l *serverList) listing() []fleet.Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.directory.Listing()
+}
+
 // expire carries out the removals that have expired, publishes the servers if
 // they changed, and schedules the next expiry.
 func (l *serverList) expire(now time.Time, changed bool) {
--- a/internal/fleetapp/serverlist_test.go
+++ b/internal/storemirror/serverlist_test.go
@@ -1,4 +1,4 @@
-package fleetapp
+package storemirror
 
 import (
 	"sync/atomic"
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -202,6 +202,16 @@
 	return next
 }
 
+// Listing returns the newest entry of each server that was ever listed. Those without a usable
+// server are returned as removed.
+func (d *Directory) Listing() []Entry {
+	out := make([]Entry, 0, len(d.entries))
+	for id, current := range d.entries {
+		out = append(out, Entry{ID: id, Offset: current.offset, Server: current.server, Removed: current.server == nil})
+	}
+	return out
+}
+
 // Servers returns the usable servers by ID, draining ones included.
 func (d *Directory) Servers() map[ServerID]*Server {
 	out := make(map[ServerID]*Server, len(d.entries))
--- a/pkg/leaderlease/leaderlease.go
+++ b/pkg/leaderlease/leaderlease.go
@@ -150,6 +150,12 @@
 // Epoch returns the epoch of the last record that was read.
 func (s *State) Epoch() int64 { return s.epoch }
 
+// LeaseDuration returns how long an unreachable holder is waited for.
+func (s *State) LeaseDuration() time.Duration { return s.cfg.LeaseDuration }
+
+// Renewed returns when this instance last claimed or renewed the lease.
+func (s *State) Renewed() time.Duration { return s.renewed }
+
 // End returns the offset at which the next record must be appended.
 func (s *State) End() int64 { return s.end }
 
