Refuse what a stream's client won't wait for, and count the load that follows an unload

The platform's clients leave a stream without an event after the longest of two seconds and multiples of its objectives, whatever the deadline. Six loads from the weight store began together, as a place made by an unload didn't count as a load while the unload lasted.

Change: a request for a stream waits for a model, a slot or a permit no longer than its client does. If the load in progress ends after that, the request is refused at once, as not run, with the time until the model is there. A load that follows an unload occupies the weight store from the unload on.

Tests: edge.TestClientLeavesBeforeItsDeadline, placer.TestLoadAfterAnUnloadOccupiesTheStore.

--- a/internal/edge/brittle.go
+++ b/internal/edge/brittle.go
@@ -128,7 +128,7 @@
 		perSecond += b.stats.brittle.rate()
 	}
 	delay := limit.QueueDelay(int(q.edge.WaitingForSlot(q.service)), perSecond)
-	if delay <= q.edge.waitLimit(q.deadline).Sub(now) {
+	if delay <= q.waitLimit().Sub(now) {
 		q.awaitsBrittle = true
 		return outcome{}, false
 	}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -49,6 +49,9 @@
 	arrived time.Time
 	// deadline is when an answer becomes useless to the client.
 	deadline time.Time
+	// leavesAt is when the client leaves if it has got nothing until then: the deadline, or
+	// earlier for a stream.
+	leavesAt time.Time
 
 	// tried lists the servers to avoid because they failed or refused the request. sends
 	// counts the attempts that reached a server, and runs those that may have executed
@@ -166,6 +169,10 @@
 		limit = defaultTimeout
 	}
 	q.deadline = q.arrived.Add(limit)
+	q.leavesAt = q.deadline
+	if patience := q.route.Patience(); patience > 0 && patience < limit {
+		q.leavesAt = q.arrived.Add(patience)
+	}
 	q.service = q.route.PickService()
 	q.header = platform.ForwardedHeaders(r.Header)
 	if q.head.LastEventID >= 0 {
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -206,8 +206,8 @@
 // continues to wait.
 func (q *request) checkRefusal(state waitState, view *View) (outcome, bool) {
 	now := time.Now()
-	if !now.Before(q.edge.waitLimit(q.deadline)) {
-		if q.deadline.Sub(now) > minServiceTime {
+	if !now.Before(q.waitLimit()) {
+		if q.usefulUntil().Sub(now) > minServiceTime {
 			return refused(reasonStopping, jitter(minRetryAfter)), true
 		}
 		return refused(reasonTooLate, 0), true
@@ -233,7 +233,19 @@
 	if _, known := engine.Models[q.head.Model]; !known {
 		return refused(reasonNoModel, jitter(time.Second)), true
 	}
-	if now.Sub(q.arrived) > q.modelWait() && !q.loadsInTime(view) {
+	return q.checkModel(view, now)
+}
+
+// checkModel refuses a request for a model that no server holds: at once if the load in progress
+// ends too late, because no other one is started for it, else after modelWait.
+func (q *request) checkModel(view *View, now time.Time) (outcome, bool) {
+	loadedAt, loading := q.loadedAt(view)
+	switch {
+	case loading && q.inTime(loadedAt):
+		return outcome{}, false
+	case loading && loadedAt.After(now):
+		return refused(reasonNoModel, jitter(loadedAt.Sub(now))), true
+	case now.Sub(q.arrived) > q.modelWait():
 		return refused(reasonNoModel, jitter(time.Second)), true
 	}
 	return outcome{}, false
@@ -249,7 +261,7 @@
 		return outcome{}, false
 	}
 	wait, before := permitDelay(q.permitsAwaited)
-	if wait <= q.edge.waitLimit(q.deadline).Sub(now) {
+	if wait <= q.waitLimit().Sub(now) {
 		q.awaitsLoad = false
 		return outcome{}, false
 	}
@@ -264,7 +276,7 @@
 // another one may load the model in time.
 func (q *request) checkRest(view *View, now time.Time) (outcome, bool) {
 	left := q.restLeft(view, now)
-	if left <= q.edge.waitLimit(q.deadline).Sub(now) ||
+	if left <= q.waitLimit().Sub(now) ||
 		q.loadsInTime(view) || now.Sub(q.arrived) <= q.modelWait() && q.canLoadElsewhere(view) {
 		return outcome{}, false
 	}
@@ -313,22 +325,45 @@
 	return time.Duration(modelWaitShare * float64(q.deadline.Sub(q.arrived)))
 }
 
-// loadsInTime reports whether a server is loading the model and is expected to finish in
-// time.
-func (q *request) loadsInTime(view *View) bool {
+// usefulUntil is when the client leaves if nothing more is sent to it.
+func (q *request) usefulUntil() time.Time {
+	if q.headWritten {
+		return q.deadline
+	}
+	return q.leavesAt
+}
+
+// waitLimit returns until when the request can wait for a server.
+func (q *request) waitLimit() time.Time { return q.edge.waitLimit(q.usefulUntil()) }
+
+// inTime reports whether a model that is loaded at the given time is of use to the client.
+func (q *request) inTime(loadedAt time.Time) bool {
+	return loadedAt.Before(q.usefulUntil().Add(-minServiceTime))
+}
+
+// loadedAt returns when the first load of the model in progress is expected to end; false if
+// there is none.
+func (q *request) loadedAt(view *View) (first time.Time, loading bool) {
 	for _, b := range view.services[q.service] {
-		if at, loading := b.loading[q.head.Model]; loading && q.hasStreamVersion(b) && at.Before(q.deadline.Add(-minServiceTime)) {
-			return true
+		if at, found := b.loading[q.head.Model]; found && q.hasStreamVersion(b) && (!loading || at.Before(first)) {
+			first, loading = at, true
 		}
 	}
-	return false
+	return first, loading
+}
+
+// loadsInTime reports whether a server is loading the model and is expected to finish in
+// time.
+func (q *request) loadsInTime(view *View) bool {
+	at, loading := q.loadedAt(view)
+	return loading && q.inTime(at)
 }
 
 // waitForChange waits until the view or the instance's state may have changed, or until a
 // slot is granted, in which case it returns the server. It reports false if the request
 // was canceled or its deadline has passed.
 func (q *request) waitForChange(ctx context.Context, view *View, state waitState) (*backend, bool) {
-	limit := time.Until(q.edge.waitLimit(q.deadline))
+	limit := time.Until(q.waitLimit())
 	modelWait := time.Until(q.arrived.Add(q.modelWait()))
 	if modelWait > 0 {
 		limit = min(limit, modelWait)
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -433,3 +433,18 @@
 		}
 	}
 }
+
+// TestLoadAfterAnUnloadOccupiesTheStore: the place that an unload makes for a load from the weight
+// store didn't count as one while the unload lasted. Six such loads began together where four may
+// run, and half of the servers did nothing else for 13 s.
+func TestLoadAfterAnUnloadOccupiesTheStore(t *testing.T) {
+	tracked := newTrackedServer(&fleet.Server{ID: "s0", Service: summaries}, time.Unix(1_800_000_000, 0))
+	tracked.onDisk, tracked.reservedFor = map[string]bool{"on disk": true}, "elsewhere"
+	plan := func() modelplan.Server {
+		return tracked.planServer(&fleet.Engine{}, demand.NewTracker(waitingTTL), nil)
+	}
+	assert.Equal(t, "elsewhere", plan().Loading)
+	assert.True(t, plan().FromStore)
+	tracked.reservedFor = "on disk"
+	assert.False(t, plan().FromStore)
+}
--- a/internal/placer/tracked.go
+++ b/internal/placer/tracked.go
@@ -174,7 +174,8 @@
 		Loading: t.loading, FromStore: t.fromStore, InMemory: t.inMemory, OnDisk: t.onDisk,
 	}
 	if t.reservedFor != "" {
-		s.Loading = t.reservedFor
+		// The load that follows the unload occupies the weight store from now on.
+		s.Loading, s.FromStore = t.reservedFor, !t.inMemory[t.reservedFor] && !t.onDisk[t.reservedFor]
 	}
 	for name, state := range t.models {
 		key := demand.Key{Service: t.server.Service, Model: name}
--- a/pkg/fleet/manifest.go
+++ b/pkg/fleet/manifest.go
@@ -56,6 +56,24 @@
 	return r.Kind == KindSafe || r.Kind == KindStream && r.CanResume
 }
 
+const (
+	// minPatience, patiencePerObjective and patiencePerGap are how long the platform's clients
+	// wait for the next event of a stream, its first one included: the longest of minPatience
+	// and these multiples of the objectives.
+	minPatience          = 2 * time.Second
+	patiencePerObjective = 4
+	patiencePerGap       = 8
+)
+
+// Patience returns how long a client waits for the next event of a stream before it leaves,
+// whatever its deadline; 0 if the route has no streams.
+func (r *Route) Patience() time.Duration {
+	if r.Kind != KindStream {
+		return 0
+	}
+	return max(minPatience, patiencePerObjective*r.TargetLatency, patiencePerGap*r.GapTarget)
+}
+
 // PickService selects a service at random, by the weights of the traffic split.
 func (r *Route) PickService() string {
 	if len(r.Shares) == 1 {
