Use no extra retries while the number of instances is unknown

Cause: an instance that has just started doesn't know how many share the extra retries, and took a sixteenth until the holder told it. 295 instances that start together took 18 times what is allowed.

Change: until the number is known, an instance has one retry and three quarters of the ratio. The setting that names a number until then stays, and is 0 by default.

--- a/internal/edge/brittle.go
+++ b/internal/edge/brittle.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,10 +58,7 @@
 
 // brittleLoad returns what the pace of a server depends on.
 func (e *Edge) brittleLoad(b *backend) limit.BrittleLoad {
-	instances := e.views.Instances()
-	if instances == 0 {
-		instances = e.cfg.Instances
-	}
+	instances := cmp.Or(e.views.Instances(), e.cfg.Instances, assumedInstances)
 	return limit.BrittleLoad{Slots: b.server.Slots, Waiting: int(b.stats.waiting.Load()), Instances: instances}
 }
 
--- a/internal/edge/budget_test.go
+++ b/internal/edge/budget_test.go
@@ -59,3 +59,34 @@
 	views.SetInstances(1)
 	assert.Zero(t, countRetries())
 }
+
+// TestRetriesOfInstancesThatRestartTogether: after all 295 instances had been killed, each took a
+// sixteenth of the extra retries until it knew their number. In 10 s there were 3,064 retries
+// for 11,544 requests, with 2,939 allowed.
+func TestRetriesOfInstancesThatRestartTogether(t *testing.T) {
+	const (
+		instances = 295
+		requests  = 11_544
+		extra     = 630
+		ratio     = 0.2
+		window    = 10 * time.Second
+	)
+	// The number becomes known in the third second.
+	const knownAfter = requests / instances / 4
+	retries := 0
+	for range instances {
+		views := NewViews()
+		e := &Edge{cfg: Config{RetryRatio: ratio, RetryExtra: extra, RetryWindow: window}, views: views, started: time.Now(), budgets: map[string]*retry.Budget{}}
+		for n := range requests / instances {
+			if n == knownAfter {
+				views.SetInstances(instances)
+			}
+			now := window * time.Duration(n) / (requests / instances)
+			e.budget("s").RecordFirstAttempt(now)
+			for e.budget("s").Withdraw(now) {
+				retries++
+			}
+		}
+	}
+	assert.LessOrEqual(t, float64(retries), extra+ratio*requests)
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -201,9 +201,14 @@
 	negligibleRefill = 1e-9
 )
 
-// budgetConfig returns this instance's share of the retries allowed for all instances.
+// budgetConfig returns this instance's share of the retries allowed for all instances. While their
+// number isn't known, a share of the extra retries isn't either: hundreds of instances that have
+// restarted together would each take too large a one.
 func (e *Edge) budgetConfig() retry.BudgetConfig {
-	extra := e.cfg.RetryExtra / float64(e.budgetInstances)
+	extra := 0.0
+	if e.budgetInstances > 0 {
+		extra = e.cfg.RetryExtra / float64(e.budgetInstances)
+	}
 	if extra < 1 {
 		return retry.BudgetConfig{Ratio: ratioWithoutExtra * e.cfg.RetryRatio, Burst: 1, PerSecond: negligibleRefill}
 	}
@@ -220,7 +225,7 @@
 }
 
 // sharingInstances returns the number of instances that share a budget, with headroom for
-// instances that start later. It changes in steps, so that budgets are rarely
+// instances that start later; 0 if it is unknown. It changes in steps, so that budgets are rarely
 // reconfigured.
 func (e *Edge) sharingInstances() int {
 	known := e.views.Instances()
@@ -230,5 +235,8 @@
 	return (known*5/4/instanceStep + 1) * instanceStep
 }
 
+// assumedInstances is the number of instances that share a server's limit while it is unknown.
+const assumedInstances = 16
+
 // instanceStep is the step to which the number of instances is rounded up.
 const instanceStep = 4
--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"time"
@@ -54,7 +55,7 @@
 		now := time.Now()
 		if err != nil {
 			e.log.Debug().Str("server", string(b.server.ID)).Err(err).Msg("permits_unavailable")
-			b.stats.rateLimit.endAskingAlone(ask, e.sharingInstances(), e.phase(b.server.ID), now)
+			b.stats.rateLimit.endAskingAlone(ask, cmp.Or(e.sharingInstances(), assumedInstances), e.phase(b.server.ID), now)
 		} else {
 			b.stats.rateLimit.endAsking(ask, reply, now)
 		}
--- a/internal/fleetapp/settings.go
+++ b/internal/fleetapp/settings.go
@@ -63,8 +63,8 @@
 	Extra  float64        `json:"extra" validate:"min=0,max=1000000"`
 	Window jsonc.Duration `json:"window" validate:"min=1s,max=10m"`
 	// Instances is the number of instances that share the budget until their
-	// actual number is known.
-	Instances int `json:"instances" validate:"min=1,max=10000"`
+	// actual number is known. If it is 0, none of them uses Extra until then.
+	Instances int `json:"instances" validate:"min=0,max=10000"`
 }
 
 // Placing configures the lease under which one instance places models.
