Don't repeat rejected reads of what is told

While the holder tells that the manifest is the newest and that it has renewed the lease, an instance that the store rejects asked again each second for both. It now asks when it isn't told any more. Test: storemirror.TestRejectedInstanceAsksAgainWhenItIsToldNothing.

--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -117,8 +117,9 @@
 			i.manifests.markAvailable()
 			i.mirror.ManifestRead(i.views.ManifestVersion())
 		},
-		Wait:      i.mirror.ManifestWait,
-		Interrupt: i.mirror.ManifestInterrupt(),
+		Wait:         i.mirror.ManifestWait,
+		Interrupt:    i.mirror.ManifestInterrupt(),
+		FailureDelay: i.mirror.ManifestRetryDelay,
 	})
 }
 
--- a/internal/placer/elector.go
+++ b/internal/placer/elector.go
@@ -76,7 +76,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go e.store.Follow(ctx, platform.TopicLease, platform.Follower{
-		MinInterval: e.readInterval, EndInterval: e.readNow, Deliver: e.observe,
+		MinInterval: e.readInterval, FailureDelay: e.retryDelay, EndInterval: e.readNow, Deliver: e.observe,
 		ReadFailed: func(err error) { e.log.Debug().Err(err).Msg("tenure_unread") },
 	})
 	random := rand.Float64()
@@ -272,6 +272,17 @@
 	return leaseReadInterval
 }
 
+// retryDelay returns for how long a read of the lease that has failed need not be repeated, because
+// the holder says that it has renewed the lease.
+func (e *elector) retryDelay() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.confirmed {
+		return 0
+	}
+	return e.lastContact + holderHealthyFor - bootclock.Now()
+}
+
 // receiveLease records the lease as known to a peer.
 func (e *elector) receiveLease(t *placerpb.Tenure) {
 	if t == nil || t.Epoch == 0 {
--- a/internal/storemirror/mirror.go
+++ b/internal/storemirror/mirror.go
@@ -163,6 +163,17 @@
 	return platform.PollWait
 }
 
+// ManifestRetryDelay returns for how long a read of the manifest that has failed need not be
+// repeated, because the manifest in force is told to be the newest.
+func (m *Mirror) ManifestRetryDelay() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.heard {
+		return 0
+	}
+	return maxManifestAge - m.manifestRead.age(m.now())
+}
+
 // ManifestInterrupt returns the channel that ends a long poll for the manifest.
 func (m *Mirror) ManifestInterrupt() <-chan struct{} { return m.interrupt }
 
--- a/internal/storemirror/mirror_test.go
+++ b/internal/storemirror/mirror_test.go
@@ -284,6 +284,19 @@
 	assert.Equal(t, platform.PollWait, m.ManifestWait())
 }
 
+// An instance that the store rejects doesn't go on asking while it is told that nothing is new.
+func TestRejectedInstanceAsksAgainWhenItIsToldNothing(t *testing.T) {
+	r := newReplay(2)
+	r.teller = 0
+	r.mirrors[0].ManifestRead(3)
+	r.mirrors[1].ManifestRead(3)
+	assert.Zero(t, r.mirrors[1].ManifestRetryDelay(), "nothing is told")
+	r.tell(1, 0)
+	assert.Positive(t, r.mirrors[1].ManifestRetryDelay())
+	r.now += maxManifestAge
+	assert.LessOrEqual(t, r.mirrors[1].ManifestRetryDelay(), time.Duration(0))
+}
+
 func TestTellerOfAnEarlierBuildTellsNothing(t *testing.T) {
 	r := newReplay(2)
 	r.teller = 0
