Don't take the only version listed for the one that began a stream

What operators of a similar system saw: after all instances had been killed at once, streams that clients took up were joined from two software versions.

Cause: an instance that has just started knows no origins. If the servers of the old version have just left, it lists the new one alone, and took that for the version that had begun the stream.

Change: a stream of unknown origin goes on only if this instance, or one of those that it asks, has known the servers for as long as a stream of the route can last, and all had one version. Otherwise it is refused as not run. Builds that don't answer this are asked for the origin as before.

--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -18,7 +18,18 @@
 	Began(stream string, origin streamorigin.Origin, announce bool)
 	// Origin returns where a stream began, and false if neither this instance nor those that it
 	// reaches know.
-	Origin(ctx context.Context, stream string) (streamorigin.Origin, bool)
+	Origin(ctx context.Context, q OriginQuestion) (streamorigin.Origin, bool)
+}
+
+// OriginQuestion asks where a stream began.
+type OriginQuestion struct {
+	// Stream is the client's attempt that received the first event; empty if it isn't known.
+	Stream string
+	// Service is the service that would continue the stream, and Within the longest time that the
+	// stream can have lasted. An instance that has known all versions of the service for that long
+	// knows the origin if there was only one.
+	Service string
+	Within  time.Duration
 }
 
 // versionsOf returns the versions of the listed servers, and those that were listed before
@@ -59,6 +70,28 @@
 	return out
 }
 
+// SoleVersion returns the only software version that the servers of a service have had within a
+// time. It reports false if there were several or none, or if this instance hasn't known the
+// servers for that long: one that has just started doesn't know those that left before.
+func (v *View) SoleVersion(service string, within time.Duration, now time.Time) (string, bool) {
+	if v.knownSince.IsZero() || now.Sub(v.knownSince) < within {
+		return "", false
+	}
+	versions := v.recentVersions(service, now)
+	if len(versions) != 1 {
+		return "", false
+	}
+	return versions[0], true
+}
+
+// longestStream returns the longest time that a stream of a route lasts.
+func longestStream(route *fleet.Route) time.Duration {
+	if route.Timeout <= 0 {
+		return streamorigin.TTL
+	}
+	return min(route.Timeout, streamorigin.TTL)
+}
+
 // resumes reports whether the client takes up a stream that began in an earlier attempt.
 func (q *request) resumes() bool { return q.route.Kind == fleet.KindStream && q.head.LastEventID >= 0 }
 
@@ -79,30 +112,27 @@
 	return ""
 }
 
-// findOrigin finds the version at which the client's stream began. While the service has had
-// only one, it is that one. It reports false with the outcome if the version isn't known, since
-// a stream can't change it.
+// findOrigin finds the version at which the client's stream began. It reports false with the
+// outcome if the version isn't known, since a stream can't change it.
 func (q *request) findOrigin(ctx context.Context) (outcome, bool) {
-	view := q.edge.views.Load()
-	if q.head.FirstAttempt != "" {
-		if origin, known := q.edge.origins.Origin(ctx, q.head.FirstAttempt); known {
-			if !slices.ContainsFunc(q.route.Shares, func(s fleet.Share) bool { return s.Service == origin.Service }) {
-				return refused(reasonNoVersion, 0), false
-			}
-			q.service = origin.Service
-			q.began.Store(&origin.Version)
-			if engine := view.Manifest.Services[q.service].Engine; engine != nil {
-				q.slots = engine.Slots
-			}
-			return outcome{}, true
+	view, within := q.edge.views.Load(), longestStream(q.route)
+	question := OriginQuestion{Stream: q.head.FirstAttempt, Service: q.service, Within: within}
+	origin, known := q.edge.origins.Origin(ctx, question)
+	if !known {
+		version, sole := view.SoleVersion(q.service, within, time.Now())
+		if !sole {
+			return refused(reasonNoOrigin, jitter(minRetryAfter)), false
 		}
+		q.began.Store(&version)
+		return outcome{}, true
 	}
-	versions := view.recentVersions(q.service, time.Now())
-	if len(versions) > 1 {
-		return refused(reasonNoOrigin, jitter(minRetryAfter)), false
+	if !slices.ContainsFunc(q.route.Shares, func(s fleet.Share) bool { return s.Service == origin.Service }) {
+		return refused(reasonNoVersion, 0), false
 	}
-	if len(versions) == 1 {
-		q.began.Store(&versions[0])
+	q.service = origin.Service
+	q.began.Store(&origin.Version)
+	if engine := view.Manifest.Services[q.service].Engine; engine != nil {
+		q.slots = engine.Slots
 	}
 	return outcome{}, true
 }
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -31,6 +31,8 @@
 	// versions are the software versions of the servers of each service, and when those that
 	// are no longer listed were last listed; the zero time for the others.
 	versions map[string]map[string]time.Time
+	// knownSince is when this instance first knew the servers; the zero time if it doesn't.
+	knownSince time.Time
 	// leaving are the servers that have said that they leave before their entry does.
 	leaving []Standing
 	// superseded is closed when a newer view replaces this one.
@@ -283,8 +285,12 @@
 			delete(v.residency, id)
 		}
 	}
-	view.versions = versionsOf(v.servers, v.current.Load().versions, now)
-	old := v.current.Swap(view)
+	old := v.current.Load()
+	view.versions, view.knownSince = versionsOf(v.servers, old.versions, now), old.knownSince
+	if v.servers != nil && view.knownSince.IsZero() {
+		view.knownSince = now
+	}
+	v.current.Store(view)
 	close(old.superseded)
 }
 
--- a/internal/placer/origins.go
+++ b/internal/placer/origins.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/streamorigin"
@@ -85,30 +86,43 @@
 	}
 }
 
-// Origin returns where a stream began, as far as this instance or one of its keepers knows.
-func (p *Placer) Origin(ctx context.Context, stream string) (streamorigin.Origin, bool) {
-	if origin, known := p.origins.memory.Get(stream); known {
+// Origin returns where a stream began, as far as this instance or one of its keepers knows. If none
+// of them does, but one has known that there was a single version all the time, it is that.
+func (p *Placer) Origin(ctx context.Context, q edge.OriginQuestion) (streamorigin.Origin, bool) {
+	if origin, known := p.origins.memory.Get(q.Stream); known {
 		return origin, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	keepers := p.originKeepers(stream, originLookups)
+	keepers := p.originKeepers(q.Stream, originLookups)
 	replies := make(chan *placerpb.StreamOrigin, len(keepers))
+	query := &placerpb.OriginQuery{Stream: q.Stream, Service: q.Service, WithinMs: milliseconds(q.Within)}
 	for _, address := range keepers {
 		go func() {
-			reply, err := p.client(address).FindOrigin(ctx, &placerpb.OriginQuery{Stream: stream})
+			reply, err := p.client(address).FindOrigin(ctx, query)
 			if err != nil {
 				p.log.Debug().Err(err).Str("peer", address).Msg("origin_unread")
 			}
 			replies <- reply
 		}()
 	}
+	sole := map[string]bool{}
 	for range keepers {
-		if reply := <-replies; reply.GetServerVersion() != "" {
+		reply := <-replies
+		if reply.GetServerVersion() != "" {
 			origin := streamorigin.Origin{Service: reply.Service, Version: reply.ServerVersion}
-			p.origins.memory.Put(stream, origin, time.Now())
+			p.origins.memory.Put(q.Stream, origin, time.Now())
 			return origin, true
 		}
+		if version := reply.GetSoleVersion(); version != "" {
+			sole[version] = true
+		}
+	}
+	if len(sole) != 1 {
+		return streamorigin.Origin{}, false
+	}
+	for version := range sole {
+		return streamorigin.Origin{Service: q.Service, Version: version}, true
 	}
 	return streamorigin.Origin{}, false
 }
@@ -124,6 +138,11 @@
 
 // FindOrigin handles the call of another instance.
 func (s *service) FindOrigin(_ context.Context, r *placerpb.OriginQuery) (*placerpb.StreamOrigin, error) {
-	origin, _ := s.placer.origins.memory.Get(r.Stream)
-	return &placerpb.StreamOrigin{Stream: r.Stream, Service: origin.Service, ServerVersion: origin.Version}, nil
+	origin, known := s.placer.origins.memory.Get(r.Stream)
+	reply := &placerpb.StreamOrigin{Stream: r.Stream, Service: origin.Service, ServerVersion: origin.Version}
+	if !known && r.Service != "" {
+		within := time.Duration(r.WithinMs) * time.Millisecond
+		reply.SoleVersion, _ = s.placer.views.Load().SoleVersion(r.Service, within, time.Now())
+	}
+	return reply, nil
 }
