Tell nothing twice

An instance that can't read the manifest that it was told of was told again at once, some twenty times a second, as was one that was told a removal found without a new record of the list: found by reading the code. An instance now states the highest version of the manifest that it knows of, and a change without a new record gets an offset of its own.

Test: storemirror.TestNothingIsToldTwice, which failed first.

--- a/internal/storemirror/mirror.go
+++ b/internal/storemirror/mirror.go
@@ -195,12 +195,12 @@
 	}
 }
 
-// Known returns the offset up to which this instance knows the server list, and the version of
-// the manifest.
+// Known returns the offset up to which this instance knows the server list, and the highest version
+// of the manifest that it knows of.
 func (m *Mirror) Known() (listEnd, manifestVersion int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.next, m.manifestVersion
+	return m.next, max(m.manifestVersion, m.hinted)
 }
 
 // Tell returns the news for an instance that knows the list up to an offset. held is how long its
@@ -211,7 +211,7 @@
 	now := m.now()
 	n := News{
 		Held: held, ManifestVersion: m.manifestVersion, ManifestAge: m.manifestRead.age(now),
-		ListEnd: m.next, ListAge: m.listRead.age(now),
+		ListEnd: m.bulletin.End(), ListAge: m.listRead.age(now),
 	}
 	n.Entries, n.Complete = m.bulletin.Since(listEnd)
 	return n
--- a/internal/storemirror/mirror_test.go
+++ b/internal/storemirror/mirror_test.go
@@ -284,6 +284,30 @@
 	assert.Equal(t, platform.PollWait, m.ManifestWait())
 }
 
+// What an instance has been told isn't news to it, also if it can't read the manifest, and if the
+// store has come back from an older copy of the list.
+func TestNothingIsToldTwice(t *testing.T) {
+	r := newReplay(2)
+	r.teller = 0
+	teller := r.mirrors[0]
+	news := func() bool { return teller.HasNews(r.mirrors[1].Known()) }
+	r.heartbeat("s0")
+	r.heartbeat("s1")
+	r.read(0)
+	teller.ManifestRead(4)
+	require.True(t, news())
+	r.tell(1, 0)
+	assert.False(t, news())
+
+	r.log = r.log[:1]
+	r.next[0] = -1
+	r.read(0)
+	require.True(t, news(), "a server is gone")
+	r.tell(1, 0)
+	assert.False(t, news())
+	assert.NotContains(t, r.servers[1], fleet.ServerID("s1"))
+}
+
 // An instance that the store rejects doesn't go on asking while it is told that nothing is new.
 func TestRejectedInstanceAsksAgainWhenItIsToldNothing(t *testing.T) {
 	r := newReplay(2)
--- a/pkg/fleet/bulletin.go
+++ b/pkg/fleet/bulletin.go
@@ -26,13 +26,17 @@
 	if b.since < 0 {
 		b.since = end
 	}
+	last, news := b.end, false
 	b.end = max(b.end, end)
-	news := false
 	for _, e := range listing {
 		before, known := b.told[e.ID]
 		if !known && e.Removed || known && !differs(before.entry, e) {
 			continue
 		}
+		if b.end == last {
+			// Others have been told up to this offset without the change.
+			b.end++
+		}
 		b.told[e.ID] = toldEntry{entry: e, changedAt: b.end}
 		news = true
 	}
@@ -49,6 +53,11 @@
 		x.StartedAt != y.StartedAt || x.Slots != y.Slots || x.Draining != y.Draining
 }
 
+// End returns the highest offset up to which the list was known; -1 if it wasn't. It doesn't fall
+// if the store comes back from an older copy of the list, and can be higher than the list's end by
+// the changes that were found without a new record.
+func (b *Bulletin) End() int64 { return b.end }
+
 // Since returns the entries that have changed since an offset of the list, up to which the
 // recipient knows it. If the recipient may hold servers whose removal isn't known here, complete
 // is true and the entries are all usable servers.
