Fetch models from the weight store whose copies lie on a crowded server; fewer calls at the start

Cause of the first: a model with a copy on some server was never fetched from the weight store. After most servers have been replaced, the only copies of many models lie on few servers, whose memory can't hold all that requests wait for; they took turns there beside empty servers.

Change: small instances claim later; the teller polls an idle list briefly, and an empty poll counts as current at its end; an interruption waits 250 ms; the holder doesn't read its own lease.

--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -131,6 +131,7 @@
 		},
 		ReadFailed: i.serverList.markLost,
 		Delay:      i.mirror.ListDelay,
+		Wait:       i.mirror.ListWait,
 		From:       i.mirror.ListFrom,
 	})
 }
--- a/internal/placer/elector.go
+++ b/internal/placer/elector.go
@@ -174,6 +174,7 @@
 	offset, err := e.store.AppendAt(ctx, platform.TopicLease, leaseKey, at, value)
 	if err != nil {
 		e.log.Info().Err(err).Int64("at", at).Msg("tenure_append_failed")
+		signal(e.readNow)
 		return err
 	}
 	e.mu.Lock()
@@ -182,6 +183,7 @@
 	e.logChange(before)
 	e.mu.Unlock()
 	if r.Released {
+		signal(e.readNow)
 		e.released()
 	}
 	return nil
@@ -262,8 +264,12 @@
 func (e *elector) readInterval() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := bootclock.Now()
 	switch {
-	case bootclock.Now()-e.lastContact >= holderHealthyFor:
+	case e.state.IsHolder() && now-e.state.Renewed() < e.state.LeaseDuration():
+		// The condition of the next renewal shows whether another instance has claimed the lease.
+		return leaseReadIntervalConfirmed
+	case now-e.lastContact >= holderHealthyFor:
 	case e.confirmed:
 		return leaseReadIntervalConfirmed
 	default:
--- a/internal/storemirror/mirror.go
+++ b/internal/storemirror/mirror.go
@@ -23,6 +23,9 @@
 	// complete list itself, in case the teller is wrong. It varies by checkSpread.
 	checkInterval = 2 * time.Minute
 	checkSpread   = time.Minute
+	// hintGrace is how long an instance that is told of a newer manifest waits for its long poll to
+	// return that. Nearly always it does, as the store answers all polls at once.
+	hintGrace = 250 * time.Millisecond
 	// maxManifestAge is the age of what an instance has been told of the manifest up to which it
 	// waits for a newer one in a single long poll. The teller's own polls take platform.PollWait.
 	maxManifestAge = platform.PollWait + time.Second
@@ -47,7 +50,8 @@
 
 // Mirror is an instance's copy. It is safe for concurrent use.
 type Mirror struct {
-	now func() time.Duration
+	now   func() time.Duration
+	after func(time.Duration, func())
 	// drainTimeout is the time within which a draining server stops receiving new requests.
 	drainTimeout time.Duration
 	// tells reports whether this instance tells the others, and changed is called after there is
@@ -82,7 +86,7 @@
 // receiving new requests.
 func New(drainTimeout time.Duration) *Mirror {
 	return &Mirror{
-		now: bootclock.Now, drainTimeout: drainTimeout, tells: func() bool { return false }, changed: func() {},
+		now: bootclock.Now, after: func(d time.Duration, do func()) { time.AfterFunc(d, do) }, drainTimeout: drainTimeout, tells: func() bool { return false }, changed: func() {},
 		check: checkInterval + rand.N(checkSpread), list: newServerList(func(map[fleet.ServerID]*fleet.Server) {}, drainTimeout/readsPerDrain),
 		bulletin: fleet.NewBulletin(), interrupt: make(chan struct{}, 1),
 	}
@@ -112,6 +116,15 @@
 	return m.listRead.readIn(now, m.drainTimeout/readsPerDrain, m.check)
 }
 
+// ListWait returns the duration of the next long poll for the list. Those that are told have to be
+// told in time that the list hasn't changed, too.
+func (m *Mirror) ListWait() time.Duration {
+	if m.tells() {
+		return min(m.drainTimeout/tellerReadsPerDrain, platform.PollWait)
+	}
+	return platform.PollWait
+}
+
 // ListFrom returns the offset from which to read the list, given the one that the last read
 // ended at; -1 to read it completely.
 func (m *Mirror) ListFrom(next int64) int64 {
@@ -130,7 +143,7 @@
 	m.next, m.checkDue = b.Next, false
 	if b.AtEnd {
 		// The steady clock doesn't count suspensions, so a read during one seems shorter.
-		m.listRead.read(m.now() - time.Since(b.Started))
+		m.listRead.read(m.now() - time.Since(b.CurrentAt))
 	}
 	news := m.bulletin.Update(m.list.listing(), m.next)
 	m.mu.Unlock()
@@ -238,6 +251,15 @@
 		m.manifestRead.told(asked, n.Held, n.ManifestAge)
 	case n.ManifestVersion > max(m.manifestVersion, m.hinted):
 		m.hinted = n.ManifestVersion
+		m.after(hintGrace, m.lookUpHint)
+	}
+}
+
+// lookUpHint ends a long poll that hasn't returned the manifest that was told of.
+func (m *Mirror) lookUpHint() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.manifestVersion < m.hinted {
 		m.endLongPoll()
 	}
 }
--- a/internal/storemirror/mirror_test.go
+++ b/internal/storemirror/mirror_test.go
@@ -24,6 +24,8 @@
 	next  []int64
 	// servers are the servers that each instance uses.
 	servers []map[fleet.ServerID]*fleet.Server
+	// timers are what the instances have postponed.
+	timers []func()
 	// teller is the instance that tells the others; -1 if none does.
 	teller int
 }
@@ -33,6 +35,7 @@
 	for i := range instances {
 		m := New(drainTimeout)
 		m.now = func() time.Duration { return r.now }
+		m.after = func(_ time.Duration, do func()) { r.timers = append(r.timers, do) }
 		m.SetTeller(func() bool { return r.teller == i }, func() {})
 		m.OnServers(func(servers map[fleet.ServerID]*fleet.Server) { r.servers[i] = servers })
 		r.mirrors = append(r.mirrors, m)
@@ -61,7 +64,7 @@
 	if from >= 0 {
 		from = r.mirrors[i].ListFrom(from)
 	}
-	batch := platform.ServerListBatch{Next: int64(len(r.log)), Complete: from < 0, AtEnd: true, Started: time.Now()}
+	batch := platform.ServerListBatch{Next: int64(len(r.log)), Complete: from < 0, AtEnd: true, CurrentAt: time.Now()}
 	if from < 0 {
 		newest := map[fleet.ServerID]fleet.Entry{}
 		for _, e := range r.log {
@@ -121,6 +124,13 @@
 	}
 }
 
+func (r *replay) runTimers() {
+	for _, do := range r.timers {
+		do()
+	}
+	r.timers = nil
+}
+
 func (r *replay) allReads() int {
 	sum := 0
 	for _, n := range r.reads {
@@ -148,6 +158,15 @@
 	}
 }
 
+// Servers may write nothing for a time, for example before there are requests. The teller's polls
+// end often enough to tell that the list is still the same.
+func TestTellerPollsAnIdleListBriefly(t *testing.T) {
+	r := newReplay(2)
+	r.teller = 0
+	assert.LessOrEqual(t, r.mirrors[0].ListWait()+r.mirrors[1].TellInterval(), drainTimeout/readsPerDrain)
+	assert.Equal(t, platform.PollWait, r.mirrors[1].ListWait())
+}
+
 // A server that is listed as draining is known at each instance within the time, whether it is
 // told or the teller has just failed.
 func TestDrainingServerIsKnownInTime(t *testing.T) {
@@ -268,10 +287,18 @@
 	teller.ManifestRead(4)
 	assert.True(t, teller.HasNews(0, 3))
 	r.tell(1, 0)
+	assert.False(t, interrupted(m), "the poll is about to return it")
+	r.runTimers()
 	assert.True(t, interrupted(m), "there is a newer one")
 	r.tell(1, 0)
+	r.runTimers()
 	assert.False(t, interrupted(m), "once for each version, as it may be invented")
 	m.ManifestRead(4)
+	teller.ManifestRead(5)
+	r.tell(1, 0)
+	m.ManifestRead(5)
+	r.runTimers()
+	assert.False(t, interrupted(m), "the poll has returned it")
 	r.tell(1, 0)
 	require.Equal(t, platform.MaxPollWait, m.ManifestWait())
 
--- a/pkg/leaderlease/candidate.go
+++ b/pkg/leaderlease/candidate.go
@@ -51,8 +51,12 @@
 	// claimInterval separates the claims of successors. A claim is read by the others within
 	// some 10 ms.
 	claimInterval = 40 * time.Millisecond
-	// maxClaimSpread is the range over which the claims of instances without a turn are spread.
-	maxClaimSpread = time.Second
+	// claimSpread is the range over which the claims of equal instances without a turn are spread.
+	claimSpread = 500 * time.Millisecond
+	// smallClaimDelay is how long the smallest instances leave others the time to claim the lease.
+	// An instance that follows an empty log learns of the first claim only when its long poll of
+	// two seconds ends.
+	smallClaimDelay = 3 * time.Second
 )
 
 func (c Candidate) isFit() bool { return c.Known >= minKnown && c.Silent <= maxSilence }
@@ -83,8 +87,8 @@
 		return time.Duration(turn) * claimInterval
 	}
 	capacity = min(max(capacity, 0), 1)
-	spread := time.Duration((1 - capacity + random) / 2 * float64(maxClaimSpread))
-	return time.Duration(len(successors))*claimInterval + spread
+	delay := time.Duration((1-capacity)*float64(smallClaimDelay) + random*float64(claimSpread))
+	return time.Duration(len(successors))*claimInterval + delay
 }
 
 // handoverRatio is how many times the capacity of the holder another instance must have to be
--- a/pkg/modelplan/cost.go
+++ b/pkg/modelplan/cost.go
@@ -63,11 +63,53 @@
 	return loss + unload*blockedLossPerSecond + d.Waiting
 }
 
+// copyServes reports whether it is worth waiting for a server that has a copy of the model's
+// weights. It isn't if each such server is the only one for more models that requests wait for
+// than fit into its memory: they would take turns there.
+//
+// The load pattern it answers: most servers have been replaced, and the only copies lie on the few
+// that are left, while the new ones are empty.
+func (p *planner) copyServes(model string) bool {
+	for i := range p.state.Servers {
+		if s := &p.state.Servers[i]; s.hasCopy(model) && s.resident(model) == nil && !p.isCrowded(s) {
+			return true
+		}
+	}
+	return false
+}
+
+// isCrowded reports whether more models are waited for that only this server has copies of than
+// fit into its memory.
+func (p *planner) isCrowded(s *Server) bool {
+	if crowded, known := p.crowded[s.ID]; known {
+		return crowded
+	}
+	needed := 0.0
+	for name, d := range p.state.Demand {
+		if d.Waiting > 0 && s.hasCopy(name) && p.isOnlySource(s, name) {
+			needed += p.state.Models[name].WeightsMB
+		}
+	}
+	p.crowded[s.ID] = needed > s.MemoryMB
+	return p.crowded[s.ID]
+}
+
+// isOnlySource reports whether no other server holds the model, loads it or has a copy of it.
+func (p *planner) isOnlySource(s *Server, model string) bool {
+	for i := range p.state.Servers {
+		other := &p.state.Servers[i]
+		if other.ID != s.ID && (other.hasCopy(model) || other.Loading == model || other.resident(model) != nil) {
+			return false
+		}
+	}
+	return true
+}
+
 // copyExists reports whether a server that doesn't hold the model has a copy of its weights in
 // host memory or on disk.
 func (p *planner) copyExists(model string) bool {
 	for i := range p.state.Servers {
-		if s := &p.state.Servers[i]; s.resident(model) == nil && (s.InMemory[model] || s.OnDisk[model]) {
+		if s := &p.state.Servers[i]; s.resident(model) == nil && s.hasCopy(model) {
 			return true
 		}
 	}
--- a/pkg/modelplan/plan.go
+++ b/pkg/modelplan/plan.go
@@ -181,12 +181,13 @@
 	ordered           map[string]bool      // servers with an action in this plan
 	storeLoads        int                  // loads from the weight store in progress
 	storeLoadsStarted int                  // loads from the weight store started by this plan
+	crowded           map[string]bool      // isCrowded, by server
 	actions           []Action
 }
 
 // Plan returns the orders to send now.
 func Plan(now time.Time, state State) []Action {
-	p := &planner{now: now, state: state, byModel: map[string][]*Server{}, ordered: map[string]bool{}}
+	p := &planner{now: now, state: state, byModel: map[string][]*Server{}, ordered: map[string]bool{}, crowded: map[string]bool{}}
 	for i := range state.Servers {
 		s := &state.Servers[i]
 		if s.Busy {
@@ -293,7 +294,7 @@
 	var best *Server
 	var bestVictims []*Resident
 	bestCost := 0.0
-	copyExists, storeLoads := p.copyExists(model), maxStoreLoads
+	copyServes, storeLoads := p.copyServes(model), maxStoreLoads
 	if !urgent {
 		storeLoads = prefetchStoreLoads
 	}
@@ -303,7 +304,7 @@
 			continue
 		}
 		duration, fromStore := p.loadDuration(s, model)
-		if fromStore && (copyExists || !p.canLoadFromStore(storeLoads)) {
+		if fromStore && (copyServes || !p.canLoadFromStore(storeLoads)) {
 			// Waiting for a busy server with a copy is faster than a load from the store.
 			continue
 		}
--- a/pkg/modelplan/server.go
+++ b/pkg/modelplan/server.go
@@ -12,6 +12,9 @@
 	return nil
 }
 
+// hasCopy reports whether the server has a copy of the model's weights in host memory or on disk.
+func (s *Server) hasCopy(model string) bool { return s.InMemory[model] || s.OnDisk[model] }
+
 // FreeMB returns the memory, in MB, that is left after the models that the server holds or is
 // loading. It is negative if a load would exceed the memory.
 func (s *Server) FreeMB(models map[string]Model) float64 {
