Let requests for adapters wait beside a long load of their model

A request for an adapter was refused at once while another server loaded its model, although a server that holds the model could have loaded the adapter in milliseconds: found by reading the change. edge.TestAdapterIsWaitedForBesideALongLoad failed first.

--- a/internal/edge/patience_test.go
+++ b/internal/edge/patience_test.go
@@ -58,6 +58,31 @@
 	})
 }
 
+// A request for an adapter waits for it at a server that holds the model, while another one takes
+// long to load the model.
+func TestAdapterIsWaitedForBesideALongLoad(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := newVirtualFleet(t)
+		for _, id := range []fleet.ServerID{"s0", "s1"} {
+			f.addServer(&fleet.Server{ID: id, Service: "engine", Slots: 8}, http.NotFoundHandler())
+		}
+		models := map[string]fleet.Model{"m": {Name: "m", WeightsMB: 100, StoreLoad: 13 * time.Second}}
+		views := f.newViews(fleet.NewManifest(1, []fleet.Route{{
+			Name: "r", Host: host, PathPrefix: "/s/", Kind: fleet.KindStream, Timeout: 5 * time.Second, TargetLatency: 600 * time.Millisecond,
+			MaxAttempts: 1, Shares: []fleet.Share{{Service: "engine", Weight: 1}},
+		}}, []fleet.Service{{Name: "engine", Engine: &fleet.Engine{Slots: 8, WeightsMB: 200, Models: models}}}, fleet.CallerLimits{}))
+		e := f.newInstance("i0", views, 1)
+		views.SetResidency(map[fleet.ServerID]edge.Residency{
+			"s0": {Sequence: 1, Models: []fleet.Resident{{Model: "m"}}},
+			"s1": {Sequence: 1, Loading: map[string]time.Time{"m": time.Now().Add(13 * time.Second)}},
+		})
+		started := time.Now()
+		header := map[string]string{standin.HeaderModel: "m/a1", standin.HeaderDeadline: "5000"}
+		assert.Equal(t, http.StatusServiceUnavailable, f.send(t.Context(), e, "1", "/s/1", header).Code)
+		assert.Greater(t, time.Since(started), time.Second, "the adapter could have been loaded")
+	})
+}
+
 // Routes whose objectives are missing or absurd leave the deadline as it is.
 func TestPatienceOfARoute(t *testing.T) {
 	assert.Equal(t, 12*time.Second, (&fleet.Route{Kind: fleet.KindStream, TargetLatency: 3 * time.Second, GapTarget: 600 * time.Millisecond}).Patience())
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -236,14 +236,15 @@
 	return q.checkModel(view, now)
 }
 
-// checkModel refuses a request for a model that no server holds: at once if the load in progress
-// ends too late, because no other one is started for it, else after modelWait.
+// checkModel refuses a request for a model, or an adapter, that no server holds: at once if the load
+// of the model in progress ends too late, because no other one is started for it, else after
+// modelWait. An adapter can still be loaded on a server that holds its model.
 func (q *request) checkModel(view *View, now time.Time) (outcome, bool) {
 	loadedAt, loading := q.loadedAt(view)
 	switch {
 	case loading && q.inTime(loadedAt):
 		return outcome{}, false
-	case loading && loadedAt.After(now):
+	case loading && loadedAt.After(now) && view.Holders(q.service, q.head.Model) == 0:
 		return refused(reasonNoModel, jitter(loadedAt.Sub(now))), true
 	case now.Sub(q.arrived) > q.modelWait():
 		return refused(reasonNoModel, jitter(time.Second)), true
