--- a/internal/placer/compat_test.go
+++ b/internal/placer/compat_test.go
@@ -57,6 +57,7 @@
 	i := c.start("i0")
 	c.eventually("it holds the lease", i.elector.placing)
 	i.mirror.ManifestRead(7)
+	c.eventually("it has reported to itself", func() bool { return i.peerAddresses.Load() != nil })
 
 	placement, err := (&service{placer: i.Placer}).Watch(t.Context(), &placerpb.WatchRequest{})
 	require.NoError(t, err)
