Log what relayed answers say, what is disregarded, and how a drain becomes known

Now there is a line for an answer that this instance relays for another one and that says that the server leaves or wants no requests (notice_relayed), for an answer that says so and isn't taken for one of the server (notice_disregarded), and for each server that the list withdraws, with whether this instance has read that or was told (server_withdrawn).

For the first, a relay follows the requests and answers on a connection that it relays (platform.Exchanges). The bytes aren't changed, and what the answers say has no effect yet.

--- a/internal/edge/standing.go
+++ b/internal/edge/standing.go
@@ -136,10 +136,25 @@
 	}
 }
 
+// FollowRelayed returns what follows the exchanges on a connection to the server at an address that
+// this instance relays for another one.
+func (r *StandingRecorder) FollowRelayed(string) *platform.Exchanges {
+	return platform.NewExchanges(func(platform.RelayedRequest) bool { return true }, func(request platform.RelayedRequest, answer *platform.Answer) {
+		if answer.Leaving || answer.RetryAfter > 0 {
+			r.log.Info().Str("server", string(request.Server)).Str("request", request.ID).Bool("leaving", answer.Leaving).
+				Dur("retry_after", answer.RetryAfter).Msg("notice_relayed")
+		}
+	})
+}
+
 // recordStanding records whether the server says that it is leaving, or wants no more requests for
 // a time.
 func (q *request) recordStanding(b *backend, answer *platform.Answer) {
 	if !answer.RequestIDMatches || answer.Misdirected || !answer.Signed && !answer.NotExecuted && answer.RetryAfter == 0 {
+		if answer.Leaving || answer.RetryAfter > 0 {
+			q.edge.log.Info().Str("server", string(b.server.ID)).Str("request", q.head.ID).Int("status", answer.Status).
+				Bool("request_id_matches", answer.RequestIDMatches).Bool("misdirected", answer.Misdirected).Msg("notice_disregarded")
+		}
 		return // not an answer of this server to this request
 	}
 	q.edge.recorder.Record(b.server, answer.Notice, AnswerOrigin{Request: q.head.ID, Relay: answer.Relay})
--- a/internal/edge/unreachable_test.go
+++ b/internal/edge/unreachable_test.go
@@ -104,8 +104,10 @@
 		Servers: views.ServerAddresses,
 	})
 	f.dialers[name] = dialer
+	recorder := edge.NewStandingRecorder(views, f.standings.of(name), logger)
 	server := relay.NewServer(relay.ServerConfig{
 		Zone: zone, Dial: direct, Accepts: views.AcceptsRequests, Reaches: dialer.Reaches, Log: logger,
+		Follow: func(address string) relay.Exchanges { return recorder.FollowRelayed(address) },
 	})
 	listener := prefixListener{f.listeners.listen(name)}
 	f.Cleanup(func() { _ = listener.Close() })
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -187,12 +187,19 @@
 	return v.manifest.Version
 }
 
-// SetServers replaces the server list.
-func (v *Views) SetServers(servers map[fleet.ServerID]*fleet.Server) {
+// SetServers replaces the server list, and returns the servers that no longer accept requests
+// according to it.
+func (v *Views) SetServers(servers map[fleet.ServerID]*fleet.Server) (withdrawn []fleet.ServerID) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	for id, before := range v.servers {
+		if now := servers[id]; !before.Draining && (now == nil || now.Draining) {
+			withdrawn = append(withdrawn, id)
+		}
+	}
 	v.servers = servers
 	v.publish()
+	return withdrawn
 }
 
 // Known reports whether both a manifest and a server list have been received, so that
--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -92,6 +92,7 @@
 		newDialer,
 		newServers,
 		newRelay,
+		newStandingRecorder,
 		func(s *Settings) *platform.Store { return platform.NewStore(s.Store.Address) },
 		func(s *Settings) *storemirror.Mirror { return storemirror.New(s.Servers.DrainTimeout.D()) },
 		placer.NewCollector,
@@ -140,9 +141,14 @@
 	return servers
 }
 
-func newRelay(s *Settings, views *edge.Views, dialer *relay.Dialer, logger *log.Logger) *relay.Server {
+func newStandingRecorder(views *edge.Views, p *placer.Placer, logger *log.Logger) *edge.StandingRecorder {
+	return edge.NewStandingRecorder(views, p.Standings(), logger)
+}
+
+func newRelay(s *Settings, views *edge.Views, dialer *relay.Dialer, recorder *edge.StandingRecorder, logger *log.Logger) *relay.Server {
 	return relay.NewServer(relay.ServerConfig{
 		Zone: s.Instance.Zone, Dial: platform.DialServer, Accepts: views.AcceptsRequests, Reaches: dialer.Reaches, Log: logger,
+		Follow: func(address string) relay.Exchanges { return recorder.FollowRelayed(address) },
 	})
 }
 
@@ -174,8 +180,10 @@
 
 func newInstance(p instanceParams) *Instance {
 	p.Dialer.SetPeers(p.Placer.OtherInstances)
-	p.Mirror.OnServers(func(servers map[fleet.ServerID]*fleet.Server) {
-		p.Views.SetServers(servers)
+	p.Mirror.OnServers(func(servers map[fleet.ServerID]*fleet.Server, source storemirror.Source) {
+		for _, id := range p.Views.SetServers(servers) {
+			p.Log.Info().Str("server", string(id)).Bool("listed", servers[id] != nil).Str("source", string(source)).Msg("server_withdrawn")
+		}
 		p.Edge.AnnounceStreams()
 	})
 	return &Instance{
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -30,6 +30,12 @@
 	stop context.CancelFunc
 }
 
+// unfollowed are the exchanges of a connection that nobody follows.
+type unfollowed struct{}
+
+func (unfollowed) Requests(from io.Reader) io.Reader { return from }
+func (unfollowed) Answers(from io.Reader) io.Reader  { return from }
+
 func listen(t *testing.T) net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -53,6 +59,7 @@
 	f.relay = NewServer(ServerConfig{
 		Zone: "zone-a", Dial: direct, Log: logger, Reaches: func() bool { return reaches },
 		Accepts: func(address string) bool { return address != "127.0.0.1:1" },
+		Follow:  func(string) Exchanges { return unfollowed{} },
 	})
 	peers := listen(t)
 	ctx, stop := context.WithCancel(t.Context())
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -35,7 +35,16 @@
 	Accepts func(address string) bool
 	// Reaches reports whether this instance reaches the servers.
 	Reaches func() bool
-	Log     *log.Logger
+	// Follow returns what follows the exchanges on a new connection to the server at an address.
+	Follow func(address string) Exchanges
+	Log    *log.Logger
+}
+
+// Exchanges follows the requests and answers on a connection. Both methods return readers of the
+// bytes that they are given. Reading of requests fails at one that must not be passed on.
+type Exchanges interface {
+	Requests(from io.Reader) io.Reader
+	Answers(from io.Reader) io.Reader
 }
 
 // Server relays connections of other instances to servers.
@@ -98,7 +107,8 @@
 	if _, err := client.Write([]byte(string(result) + s.cfg.Zone + "\n")); err != nil || server == nil {
 		return
 	}
-	s.relay(client, reader, server)
+	exchanges := s.cfg.Follow(address)
+	s.relay(client, exchanges.Requests(reader), server, exchanges.Answers(server))
 	reset(client)
 }
 
@@ -125,16 +135,17 @@
 }
 
 // relay copies both ways until either end closes its connection.
-func (s *Server) relay(client net.Conn, fromClient io.Reader, server net.Conn) {
+func (s *Server) relay(client net.Conn, fromClient io.Reader, server net.Conn, fromServer io.Reader) {
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		// An error means that the client has reset its connection, or that either is broken.
+		// An error means that the client has reset its connection, that a request must not be passed
+		// on, or that either connection is broken.
 		_, _ = io.Copy(server, fromClient)
 		reset(server)
 		reset(client)
 	}()
-	if err := copyFrames(client, server); err != nil {
+	if err := copyFrames(client, fromServer); err != nil {
 		return
 	}
 	// A reset would discard what the client hasn't read yet, so it closes the connection first.
--- a/internal/storemirror/mirror.go
+++ b/internal/storemirror/mirror.go
@@ -87,14 +87,16 @@
 func New(drainTimeout time.Duration) *Mirror {
 	return &Mirror{
 		now: bootclock.Now, after: func(d time.Duration, do func()) { time.AfterFunc(d, do) }, drainTimeout: drainTimeout, tells: func() bool { return false }, changed: func() {},
-		check: checkInterval + rand.N(checkSpread), list: newServerList(func(map[fleet.ServerID]*fleet.Server) {}, drainTimeout/readsPerDrain),
+		check: checkInterval + rand.N(checkSpread), list: newServerList(func(map[fleet.ServerID]*fleet.Server, Source) {}, drainTimeout/readsPerDrain),
 		bulletin: fleet.NewBulletin(), interrupt: make(chan struct{}, 1),
 	}
 }
 
 // OnServers sets what is called with the usable servers when they change. It must be called before
 // the mirror is used.
-func (m *Mirror) OnServers(publish func(map[fleet.ServerID]*fleet.Server)) { m.list.publish = publish }
+func (m *Mirror) OnServers(publish func(map[fleet.ServerID]*fleet.Server, Source)) {
+	m.list.publish = publish
+}
 
 // SetTeller sets how to find out whether this instance tells the others, and what to call when
 // there is something new to tell. It must be called before the mirror is used.
--- a/internal/storemirror/mirror_test.go
+++ b/internal/storemirror/mirror_test.go
@@ -37,7 +37,7 @@
 		m.now = func() time.Duration { return r.now }
 		m.after = func(_ time.Duration, do func()) { r.timers = append(r.timers, do) }
 		m.SetTeller(func() bool { return r.teller == i }, func() {})
-		m.OnServers(func(servers map[fleet.ServerID]*fleet.Server) { r.servers[i] = servers })
+		m.OnServers(func(servers map[fleet.ServerID]*fleet.Server, _ Source) { r.servers[i] = servers })
 		r.mirrors = append(r.mirrors, m)
 		r.next[i] = -1
 	}
--- a/internal/storemirror/serverlist.go
+++ b/internal/storemirror/serverlist.go
@@ -8,11 +8,22 @@
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
 
+// Source is how an instance learned of a change of the server list.
+type Source string
+
+// SourceStore and SourceInstance mean that this instance has read the change, or was told of it by
+// another one; SourceExpiry that a removal it had learned before has taken effect.
+const (
+	SourceStore    Source = "store"
+	SourceInstance Source = "instance"
+	SourceExpiry   Source = "expiry"
+)
+
 // serverList applies the batches of the server list and publishes the servers
 // that can be used. Pending removals take effect at their expiry, even if
 // nothing is read at that time.
 type serverList struct {
-	publish func(map[fleet.ServerID]*fleet.Server)
+	publish func(map[fleet.ServerID]*fleet.Server, Source)
 	// interval is the minimum interval between two reads.
 	interval time.Duration
 
@@ -22,7 +33,7 @@
 	expiryTimer *time.Timer
 }
 
-func newServerList(publish func(map[fleet.ServerID]*fleet.Server), interval time.Duration) *serverList {
+func newServerList(publish func(map[fleet.ServerID]*fleet.Server, Source), interval time.Duration) *serverList {
 	return &serverList{publish: publish, interval: interval, directory: fleet.NewDirectory(), lastRead: time.Now()}
 }
 
@@ -44,7 +55,7 @@
 			changed = l.directory.Apply(now, entry) || changed
 		}
 	}
-	l.expire(now, changed)
+	l.expire(now, changed, SourceStore)
 }
 
 // applyTold applies entries that another instance has read. If complete is true, servers that
@@ -63,7 +74,7 @@
 		}
 	}
 	if changed {
-		l.expire(now, true)
+		l.expire(now, true, SourceInstance)
 	}
 }
 
@@ -76,9 +87,9 @@
 
 // expire carries out the removals that have expired, publishes the servers if
 // they changed, and schedules the next expiry.
-func (l *serverList) expire(now time.Time, changed bool) {
+func (l *serverList) expire(now time.Time, changed bool, source Source) {
 	if l.directory.Expire(now) || changed {
-		l.publish(l.directory.Servers())
+		l.publish(l.directory.Servers(), source)
 	}
 	if l.expiryTimer != nil {
 		l.expiryTimer.Stop()
@@ -90,6 +101,6 @@
 	l.expiryTimer = time.AfterFunc(next.Sub(now), func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.expire(time.Now(), false)
+		l.expire(time.Now(), false, SourceExpiry)
 	})
 }
--- a/internal/storemirror/serverlist_test.go
+++ b/internal/storemirror/serverlist_test.go
@@ -18,7 +18,7 @@
 func TestPendingRemovalTakesEffectWithoutARead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var servers atomic.Int64
-		list := newServerList(func(s map[fleet.ServerID]*fleet.Server) { servers.Store(int64(len(s))) }, time.Second)
+		list := newServerList(func(s map[fleet.ServerID]*fleet.Server, _ Source) { servers.Store(int64(len(s))) }, time.Second)
 		entry := fleet.Entry{ID: "s", Offset: 1, Server: &fleet.Server{ID: "s", Sequence: 1}}
 		list.apply(platform.ServerListBatch{Entries: []fleet.Entry{entry}, Complete: true})
 		time.Sleep(9 * time.Second)
