--- a/internal/edge/standingfleet_test.go
+++ b/internal/edge/standingfleet_test.go
@@ -40,8 +40,10 @@
 
 	mu sync.Mutex
 	// leaving means that all answers say that the server leaves.
-	leaving  bool
-	arrivals []serverArrival
+	leaving bool
+	// leavingAnswer replaces the answers of a server that leaves; nil for its usual ones.
+	leavingAnswer http.HandlerFunc
+	arrivals      []serverArrival
 	// leavingTold is when an answer to each instance first said that the server leaves.
 	leavingTold map[string]time.Time
 	// rejectFrom and rejectFor are from when and for how long requests of each instance are
@@ -59,6 +61,13 @@
 	s.leaving = leaving
 }
 
+// leaveWith makes the server say that it leaves in answers of another form.
+func (s *standingServer) leaveWith(answer http.HandlerFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving, s.leavingAnswer = true, answer
+}
+
 // noticeDelay is how long after the connection of a request was closed a server still answers it.
 const noticeDelay = 100 * time.Millisecond
 
@@ -107,7 +116,10 @@
 	// The end of the connection is noticed once the body has been read.
 	_, _ = io.Copy(io.Discard, r.Body)
 	s.mu.Lock()
-	s.arrivals = append(s.arrivals, serverArrival{now, r.RemoteAddr, r.Header.Get(standin.HeaderID)})
+	misdirected := r.Header.Get(standin.HeaderExpect) != s.id
+	if !misdirected {
+		s.arrivals = append(s.arrivals, serverArrival{now, r.RemoteAddr, r.Header.Get(standin.HeaderID)})
+	}
 	header := w.Header()
 	header.Set(headerServer, s.id)
 	header.Set(standin.HeaderID, r.Header.Get(standin.HeaderID))
@@ -117,7 +129,17 @@
 			s.leavingTold[r.RemoteAddr] = now
 		}
 	}
+	answer := s.leavingAnswer
 	s.mu.Unlock()
+	switch {
+	case misdirected:
+		header.Set(standin.HeaderInstance, s.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	case answer != nil:
+		answer(w, r)
+		return
+	}
 	if rest := s.reject(r); rest > 0 {
 		header.Set(standin.HeaderNotExecuted, "1")
 		header.Set("Retry-After", fmt.Sprintf("%.3f", rest.Seconds()))
--- /dev/null
+++ b/internal/edge/unheard_test.go
@@ -0,0 +1,171 @@
+package edge_test
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
+)
+
+// TestRelayUsesAServerWhoseLeavingItPassedOn: an instance that had relayed answers which say that a
+// server leaves sent requests there, because the instance that it relayed for told it nothing.
+func TestRelayUsesAServerWhoseLeavingItPassedOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		service   string
+		instances int
+		// cut are the instances without paths to the servers, which don't reach the others either.
+		cut []int
+	}{
+		"plain":                  {plain, 2, []int{0}},
+		"engines":                {engine, 2, []int{0}},
+		"plain, three relays":    {plain, 4, []int{0}},
+		"engines, three relays":  {engine, 4, []int{0}},
+		"plain, most relayed":    {plain, 6, []int{0, 1, 2, 3}},
+		"engines, most relayed":  {engine, 6, []int{0, 1, 2, 3}},
+		"all but one relayed":    {plain, 6, []int{0, 1, 2, 3, 4}},
+		"engines, six, one only": {engine, 6, []int{0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			inVirtualTime(t, func(t *testing.T) {
+				f := newStandingFleet(t, c.service, c.instances, 2)
+				f.paths.setPaths(pathRefuses, c.cut...)
+				for _, n := range c.cut {
+					f.standings.cutOff(instanceName(n))
+					f.burst(n, fmt.Sprint("cut", n))
+				}
+				time.Sleep(time.Second)
+				leaving := f.standing["s0"]
+				leaving.setLeaving(true)
+				for _, n := range c.cut {
+					f.burst(n, fmt.Sprint("told", n))
+				}
+				assert.NotEmpty(t, leaving.leavingTold)
+				time.Sleep(leavingBound + time.Second)
+				var group sync.WaitGroup
+				for n := range c.instances {
+					if !slices.Contains(c.cut, n) {
+						group.Go(func() { f.burst(n, fmt.Sprint("own", n)) })
+					}
+				}
+				group.Wait()
+				assert.Zero(t, f.late(leaving), "requests that reached the server too late")
+			})
+		})
+	}
+}
+
+// TestConnectionOfAnotherBuildIsReused: an instance of an earlier build sent requests on a relayed
+// connection that was opened before the server said that it leaves.
+func TestConnectionOfAnotherBuildIsReused(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := newStandingFleet(t, plain, 2, 2)
+		f.paths.setPaths(pathRefuses, 0)
+		f.burst(0, "cut")
+		time.Sleep(time.Second)
+		leaving := f.standing["s0"]
+		conn, err := f.paths.dialers[instanceName(0)].Dial(t.Context(), "tcp", f.servers["s0"].Address)
+		require.NoError(t, err)
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		exchange := func(id string) error {
+			f.sentAt[id] = time.Now()
+			_, err := fmt.Fprintf(conn, "POST /read/x HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nCyclamenhoist-Expect-Instance: s0\r\nContent-Length: 6\r\n\r\na body", host, standin.HeaderID, id)
+			if err != nil {
+				return err
+			}
+			answer, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				return err
+			}
+			return answer.Write(new(strings.Builder))
+		}
+		require.NoError(t, exchange("first"))
+		leaving.setLeaving(true)
+		require.NoError(t, exchange("told"))
+		time.Sleep(leavingBound + time.Second)
+		assert.Error(t, exchange("later"))
+		assert.Zero(t, f.late(leaving))
+	})
+}
+
+// TestRelayUsesAServerDuringARetryAfterThatItPassedOn: the same of a rejection with Retry-After.
+func TestRelayUsesAServerDuringARetryAfterThatItPassedOn(t *testing.T) {
+	for _, service := range []string{plain, engine} {
+		t.Run(service, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				f := newStandingFleet(t, service, 2, 2)
+				f.paths.setPaths(pathRefuses, 0)
+				f.standings.cutOff(instanceName(0))
+				f.burst(0, "cut")
+				time.Sleep(time.Second)
+				resting := f.standing["s0"]
+				resting.rejectAfter = 50 * time.Millisecond
+				resting.rejectEach(10 * time.Second)
+				f.burst(0, "rejected")
+				assert.NotEmpty(t, resting.rejections[instanceName(1)])
+				time.Sleep(restSettled)
+				f.burst(1, "own")
+				assert.LessOrEqual(t, resting.duringRest(), restArrivals)
+			})
+		})
+	}
+}
+
+// TestAnswersThatSayThatAServerLeavesAreDisregarded: a server that said so in answers which aren't
+// passed on as they are went on getting requests.
+func TestAnswersThatSayThatAServerLeavesAreDisregarded(t *testing.T) {
+	for _, service := range []string{plain, engine} {
+		for name, answer := range map[string]http.HandlerFunc{
+			"unsigned 200":         func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) },
+			"unsigned 429":         func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) },
+			"unsigned 500":         func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
+			"unsigned 503":         func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+			"of another request":   func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(standin.HeaderID, "another") },
+			"without a request ID": func(w http.ResponseWriter, _ *http.Request) { w.Header().Del(standin.HeaderID) },
+		} {
+			t.Run(service+", "+name, func(t *testing.T) {
+				inVirtualTime(t, func(t *testing.T) {
+					f := newStandingFleet(t, service, 3, 6)
+					leaving := f.standing["s0"]
+					time.AfterFunc(2*time.Second, func() { leaving.leaveWith(answer) })
+					f.play(12*time.Second, 300, 1)
+					assert.NotEmpty(t, leaving.leavingTold)
+					assert.Zero(t, f.late(leaving), "requests that reached the server too late")
+				})
+			})
+		}
+	}
+}
+
+// TestServerAtAReusedAddressLeaves: a server that said that it leaves when it refused a request for
+// another one, whose address it has got, was sent requests of its own.
+func TestServerAtAReusedAddressLeaves(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := newStandingFleet(t, plain, 1, 2)
+		leaving := f.standing["s1"]
+		leaving.setLeaving(true)
+		entry, stale := f.servers["s1"], *f.servers["s0"]
+		stale.Address = entry.Address
+		f.servers["s0"] = &stale
+		delete(f.servers, "s1")
+		f.publish()
+		f.burst(0, "misdirected")
+		assert.NotEmpty(t, leaving.leavingTold)
+		assert.Empty(t, leaving.received())
+		f.servers["s1"] = entry
+		f.publish()
+		time.Sleep(leavingBound + time.Second)
+		f.burst(0, "later")
+		assert.Zero(t, f.late(leaving), "requests that reached the server too late")
+	})
+}
