Let a relay hear what the answers that it passes on say of their server

What callers saw: requests reached servers that had said that they leave, or wanted none for a time, sent by instances that had passed such answers on.

Cause: a relay copied bytes and learned what they say only from the instance that it relays for. If that one was killed, paused or cut off, runs a build that doesn't tell, or had given the request up, the relay used the server for its own requests and relayed more. The class: what an instance must know depended on another one telling it.

Change: what a server says in an answer that is relayed is recorded by the relay as if the answer were its own, before the head of the answer is passed on; it tells the others as well.

edge.TestRelayUsesAServerWhoseLeavingItPassedOn: 8 or 16 late requests in each of eight layouts before, none now. edge.TestRelayUsesAServerDuringARetryAfterThatItPassedOn: 8 or 9 requests within the pause before, at most 2 now.

--- a/internal/edge/standing.go
+++ b/internal/edge/standing.go
@@ -102,6 +102,8 @@
 	Request string
 	// Relay is the address of the instance that has relayed the answer; empty if it was direct.
 	Relay string
+	// ForOther means that this instance has relayed the answer for another one.
+	ForOther bool
 }
 
 // Record records what a server says in an answer.
@@ -110,7 +112,7 @@
 		said := Standing{Server: server.ID, StartedAt: server.StartedAt, Leaving: true}
 		if r.views.SetStanding(said, time.Now()) {
 			r.log.Info().Str("server", string(server.ID)).Int64("started_at", server.StartedAt).Str("request", origin.Request).
-				Str("relay", origin.Relay).Msg("server_leaving")
+				Str("relay", origin.Relay).Bool("for_other", origin.ForOther).Msg("server_leaving")
 			r.peers.TellAll(said)
 		}
 	}
@@ -132,21 +134,32 @@
 	}
 	if r.views.SetStanding(said, now) {
 		r.log.Info().Str("server", string(server.ID)).Str("request", origin.Request).Dur("retry_after", rest).
-			Str("relay", origin.Relay).Msg("server_rests")
+			Str("relay", origin.Relay).Bool("for_other", origin.ForOther).Msg("server_rests")
 	}
 }
 
 // FollowRelayed returns what follows the exchanges on a connection to the server at an address that
-// this instance relays for another one.
+// this instance relays for another one. What the server says, it says to this instance too: the other
+// one may never read it, or tell nobody.
 func (r *StandingRecorder) FollowRelayed(string) *platform.Exchanges {
 	return platform.NewExchanges(func(platform.RelayedRequest) bool { return true }, func(request platform.RelayedRequest, answer *platform.Answer) {
-		if answer.Leaving || answer.RetryAfter > 0 {
-			r.log.Info().Str("server", string(request.Server)).Str("request", request.ID).Bool("leaving", answer.Leaving).
-				Dur("retry_after", answer.RetryAfter).Msg("notice_relayed")
+		if answer.Misdirected {
+			return // another server has the address
 		}
+		r.Record(r.views.serverOf(request.Server), answer.Notice, AnswerOrigin{Request: request.ID, ForOther: true})
 	})
 }
 
+// serverOf returns the entry of a server; one that isn't listed has only its ID.
+func (v *Views) serverOf(id fleet.ServerID) *fleet.Server {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if server := v.servers[id]; server != nil {
+		return server
+	}
+	return &fleet.Server{ID: id}
+}
+
 // recordStanding records whether the server says that it is leaving, or wants no more requests for
 // a time.
 func (q *request) recordStanding(b *backend, answer *platform.Answer) {
