Ask for each request on a relayed connection whether the server accepts it

What callers saw: a request reached a server after the relay knew that it leaves, or that it drains or is gone, as the connection had been opened, and used, before.

Cause: a relay asked when it opened a connection, and not again. That a connection serves one request is kept by the instance that uses it, and builds before don't keep it. The class: time of check and time of use, and a rule that another build has to keep.

Change: a relay passes on each request only if the server that it names accepts requests, and checks once more when the connection is open.

edge.TestConnectionOfAnotherBuildIsReused: a late request in each of three cases before, none now.

--- a/internal/edge/standing.go
+++ b/internal/edge/standing.go
@@ -141,8 +141,9 @@
 // FollowRelayed returns what follows the exchanges on a connection to the server at an address that
 // this instance relays for another one. What the server says, it says to this instance too: the other
 // one may never read it, or tell nobody.
-func (r *StandingRecorder) FollowRelayed(string) *platform.Exchanges {
-	return platform.NewExchanges(func(platform.RelayedRequest) bool { return true }, func(request platform.RelayedRequest, answer *platform.Answer) {
+func (r *StandingRecorder) FollowRelayed(address string) *platform.Exchanges {
+	admit := func(request platform.RelayedRequest) bool { return r.views.AdmitsRelayed(request, address) }
+	return platform.NewExchanges(admit, func(request platform.RelayedRequest, answer *platform.Answer) {
 		if answer.Misdirected {
 			return // another server has the address
 		}
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -234,6 +234,23 @@
 	return false
 }
 
+// AdmitsRelayed reports whether a request can be relayed on a connection to the server at an address.
+// The connection may have been opened, and used, before the server ceased to accept requests. A new
+// one, to an address that a listed server has, can be meant for a server that isn't listed here; who
+// answers there then refuses the request.
+func (v *Views) AdmitsRelayed(r platform.RelayedRequest, address string) bool {
+	if r.Server == "" {
+		return v.AcceptsRequests(address)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	server := v.servers[r.Server]
+	if server == nil {
+		return r.First
+	}
+	return v.standings[statsKey{server.ID, server.StartedAt}].accepts()
+}
+
 // SetResidency updates the models held by the given servers, as reported by the placer.
 // Residencies older than the current ones are ignored.
 func (v *Views) SetResidency(changed map[fleet.ServerID]Residency) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -124,6 +124,10 @@
 	}
 	server, err := s.cfg.Dial(ctx, "tcp", address)
 	switch {
+	case err == nil && !s.cfg.Accepts(address):
+		// Connecting can take long.
+		reset(server)
+		return nil, statusNoServer
 	case err == nil:
 		return server, statusConnected
 	case errors.Is(err, syscall.ECONNREFUSED):
