Believe each answer of a server that says that it leaves

What callers saw: requests went on reaching a server that had said that it leaves in answers without a signature, with the ID of another request or without one.

Cause: what a server says of itself was read only from answers that count as an answer of this server to this request. Whether an answer can be passed on to a client has nothing to do with it. The class: a fact about the server tied to the request that it came with.

An unsigned answer could be believed of the wrong server only if another one has got the address and doesn't refuse the request; then the one that is believed to leave has left already.

Change: each answer is read, unless it says that another server has the address.

--- a/internal/edge/standing.go
+++ b/internal/edge/standing.go
@@ -161,15 +161,11 @@
 	return &fleet.Server{ID: id}
 }
 
-// recordStanding records whether the server says that it is leaving, or wants no more requests for
-// a time.
+// recordStanding records what a server says in an answer. It holds for the process at the other end of
+// the connection, also if the answer belongs to another request or can't be passed on.
 func (q *request) recordStanding(b *backend, answer *platform.Answer) {
-	if !answer.RequestIDMatches || answer.Misdirected || !answer.Signed && !answer.NotExecuted && answer.RetryAfter == 0 {
-		if answer.Leaving || answer.RetryAfter > 0 {
-			q.edge.log.Info().Str("server", string(b.server.ID)).Str("request", q.head.ID).Int("status", answer.Status).
-				Bool("request_id_matches", answer.RequestIDMatches).Bool("misdirected", answer.Misdirected).Msg("notice_disregarded")
-		}
-		return // not an answer of this server to this request
+	if answer.Misdirected {
+		return // another server has the address
 	}
 	q.edge.recorder.Record(b.server, answer.Notice, AnswerOrigin{Request: q.head.ID, Relay: answer.Relay})
 }
