Attribute what a server says to the server that has answered

What callers saw: a server that had said that it leaves, when it refused a request for the server that had its address before, was sent requests of its own.

Cause: a refusal that names another server was dropped with what it said of that one.

Change: an answer names the server that has given it, and what it says belongs to that one, listed or not. A relay finds the server by the address if neither the request nor the answer names it.

--- a/internal/edge/standing.go
+++ b/internal/edge/standing.go
@@ -106,7 +106,8 @@
 	ForOther bool
 }
 
-// Record records what a server says in an answer.
+// Record records what a server says in an answer. It holds for the process at the other end of the
+// connection, also if the answer belongs to another request or can't be passed on.
 func (r *StandingRecorder) Record(server *fleet.Server, notice platform.Notice, origin AnswerOrigin) {
 	if notice.Leaving {
 		said := Standing{Server: server.ID, StartedAt: server.StartedAt, Leaving: true}
@@ -144,30 +145,36 @@
 func (r *StandingRecorder) FollowRelayed(address string) *platform.Exchanges {
 	admit := func(request platform.RelayedRequest) bool { return r.views.AdmitsRelayed(request, address) }
 	return platform.NewExchanges(admit, func(request platform.RelayedRequest, answer *platform.Answer) {
-		if answer.Misdirected {
-			return // another server has the address
-		}
-		r.Record(r.views.serverOf(request.Server), answer.Notice, AnswerOrigin{Request: request.ID, ForOther: true})
+		r.Record(r.views.answeredBy(answer.Server, address), answer.Notice, AnswerOrigin{Request: request.ID, ForOther: true})
 	})
 }
 
-// serverOf returns the entry of a server; one that isn't listed has only its ID.
-func (v *Views) serverOf(id fleet.ServerID) *fleet.Server {
+// answeredBy returns the entry of the server that has answered from an address. The ID is empty if
+// neither the request nor the answer names the server. If it isn't listed, the entry has only its ID.
+func (v *Views) answeredBy(id fleet.ServerID, address string) *fleet.Server {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if server := v.servers[id]; server != nil {
 		return server
 	}
+	if id == "" {
+		for _, server := range v.servers {
+			if server.Address == address {
+				return server
+			}
+		}
+	}
 	return &fleet.Server{ID: id}
 }
 
-// recordStanding records what a server says in an answer. It holds for the process at the other end of
-// the connection, also if the answer belongs to another request or can't be passed on.
+// recordStanding records what a server says in an answer. It can be another one, which has got the
+// address.
 func (q *request) recordStanding(b *backend, answer *platform.Answer) {
+	server := b.server
 	if answer.Misdirected {
-		return // another server has the address
+		server = q.edge.views.answeredBy(answer.Server, b.server.Address)
 	}
-	q.edge.recorder.Record(b.server, answer.Notice, AnswerOrigin{Request: q.head.ID, Relay: answer.Relay})
+	q.edge.recorder.Record(server, answer.Notice, AnswerOrigin{Request: q.head.ID, Relay: answer.Relay})
 }
 
 // standingTold applies what another instance tells.
--- a/internal/edge/unheard_test.go
+++ b/internal/edge/unheard_test.go
@@ -162,24 +162,35 @@
 // TestServerAtAReusedAddressLeaves: a server that said that it leaves when it refused a request for
 // another one, whose address it has got, was sent requests of its own.
 func TestServerAtAReusedAddressLeaves(t *testing.T) {
-	inVirtualTime(t, func(t *testing.T) {
-		f := newStandingFleet(t, plain, 1, 2)
-		leaving := f.standing["s1"]
-		leaving.setLeaving(true)
-		entry, stale := f.servers["s1"], *f.servers["s0"]
-		stale.Address = entry.Address
-		f.servers["s0"] = &stale
-		delete(f.servers, "s1")
-		f.publish()
-		f.burst(0, "misdirected")
-		assert.NotEmpty(t, leaving.leavingTold)
-		assert.Empty(t, leaving.received())
-		f.servers["s1"] = entry
-		f.publish()
-		time.Sleep(leavingBound + time.Second)
-		f.burst(0, "later")
-		assert.Zero(t, f.late(leaving), "requests that reached the server too late")
-	})
+	for name, cut := range map[string][]int{"direct": nil, "relayed": {0}} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				f := newStandingFleet(t, plain, 1+len(cut), 2)
+				f.paths.setPaths(pathRefuses, cut...)
+				for _, n := range cut {
+					f.standings.cutOff(instanceName(n))
+					f.burst(n, "cut")
+					time.Sleep(time.Second)
+				}
+				leaving, last := f.standing["s1"], len(cut)
+				received := len(leaving.received())
+				leaving.setLeaving(true)
+				entry, stale := f.servers["s1"], *f.servers["s0"]
+				stale.Address = entry.Address
+				f.servers["s0"] = &stale
+				delete(f.servers, "s1")
+				f.publish()
+				f.burst(0, "misdirected")
+				assert.NotEmpty(t, leaving.leavingTold[instanceName(last)])
+				assert.Len(t, leaving.received(), received)
+				f.servers["s1"] = entry
+				f.publish()
+				time.Sleep(leavingBound + time.Second)
+				f.burst(last, "later")
+				assert.Zero(t, f.late(leaving), "requests that reached the server too late")
+			})
+		})
+	}
 }
 
 func TestRelayedRequestsAreAdmitted(t *testing.T) {
