Play random faults while servers leave, and count late requests

What the single tests of the incident don't cover: faults in series and at once. Servers leave in several forms of answers, instances lose their paths, tell nothing, learn the list late and restart, and instances of earlier builds reuse relayed connections.

--- a/internal/edge/standingfleet_test.go
+++ b/internal/edge/standingfleet_test.go
@@ -68,6 +68,12 @@
 	s.leaving, s.leavingAnswer = true, answer
 }
 
+func (s *standingServer) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 // noticeDelay is how long after the connection of a request was closed a server still answers it.
 const noticeDelay = 100 * time.Millisecond
 
@@ -212,6 +218,7 @@
 // restart replaces an instance by one that has just started.
 func (f *standingFleet) restart(n int) {
 	instances := len(f.instances)
+	f.paths.end(instanceName(n))
 	f.views[n] = f.newViews(testManifest())
 	f.paths.addInstance(n, instances, f.views[n])
 	f.instances[n], f.instances = f.instances[instances], f.instances[:instances]
@@ -221,15 +228,29 @@
 // publish makes the current servers known to all instances.
 func (f *standingFleet) publish() {
 	for _, views := range f.views {
-		views.SetServers(maps.Clone(f.servers))
+		views.SetServers(f.listing())
 	}
 }
 
-// request sends a request to an instance.
-func (f *standingFleet) request(n int, id string) *httptest.ResponseRecorder {
+// listing returns the current server list.
+func (f *standingFleet) listing() map[fleet.ServerID]*fleet.Server { return maps.Clone(f.servers) }
+
+// sentNow records that a client sends a request now.
+func (f *standingFleet) sentNow(id string) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.sentAt[id] = time.Now()
-	f.mu.Unlock()
+}
+
+// request sends a request to an instance.
+func (f *standingFleet) request(n int, id string) *httptest.ResponseRecorder {
+	return f.requestTo(f.instances[n], n, id)
+}
+
+// requestTo sends a request to an instance, which is the one with the number.
+func (f *standingFleet) requestTo(instance *edge.Edge, n int, id string) *httptest.ResponseRecorder {
+	f.sentNow(id)
+	source := f.paths.source(instanceName(n))
 	path, header := "/read/x", map[string]string{standin.HeaderDeadline: "3000"}
 	if f.service == engine {
 		path, header[standin.HeaderModel] = "/stream/x", "m"
@@ -243,11 +264,11 @@
 		ctx, leave = context.WithTimeout(ctx, f.patience(id))
 		defer leave()
 	}
-	got := f.send(ctx, f.instances[n], id, path, header)
+	got := f.send(ctx, instance, id, path, header)
 	if got.Header().Get(standin.HeaderLeaving) != "" {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		key := instanceName(n) + got.Header().Get(headerServer)
+		key := source + got.Header().Get(headerServer)
 		if _, passed := f.passedOn[key]; !passed {
 			f.passedOn[key] = time.Now()
 		}
@@ -297,18 +318,33 @@
 
 // late returns how many requests have reached the server too late from an instance that had passed
 // on that it leaves, to its clients or to another instance.
-func (f *standingFleet) late(s *standingServer) int {
+func (f *standingFleet) late(s *standingServer) int { return len(f.lateRequests(s)) }
+
+// lateRequest is a request that has reached a server too late.
+type lateRequest struct {
+	serverArrival
+
+	server       string
+	told, sentAt time.Time
+}
+
+func (r lateRequest) String() string {
+	return fmt.Sprintf("%s at %s from %s: told %v before, sent %v before", r.id, r.server, r.from, r.at.Sub(r.told), r.at.Sub(r.sentAt))
+}
+
+func (f *standingFleet) lateRequests(s *standingServer) (late []lateRequest) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := 0
-	for _, a := range s.received() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.arrivals {
 		sent := f.sentAt[a.id]
 		for _, passed := range []time.Time{f.passedOn[a.from+s.id], s.leavingTold[a.from]} {
 			if !passed.IsZero() && sent.Sub(passed) > leavingBound {
-				n++
+				late = append(late, lateRequest{a, s.id, passed, sent})
 				break
 			}
 		}
 	}
-	return n
+	return late
 }
--- a/internal/edge/unreachable_test.go
+++ b/internal/edge/unreachable_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -50,10 +51,14 @@
 	mu      sync.Mutex
 	states  map[string]pathState
 	dialers map[string]*relay.Dialer
+	// stops end the relays of the instances.
+	stops map[string]context.CancelFunc
+	// sources are the names by which servers know the instances. They change at a restart.
+	sources map[string]string
 }
 
 func newPaths(f *virtualFleet) *paths {
-	return &paths{virtualFleet: f, states: map[string]pathState{}, dialers: map[string]*relay.Dialer{}}
+	return &paths{virtualFleet: f, states: map[string]pathState{}, dialers: map[string]*relay.Dialer{}, stops: map[string]context.CancelFunc{}, sources: map[string]string{}}
 }
 
 // addInstance starts an instance with a relay.
@@ -67,8 +72,12 @@
 
 // connectRelays lets all instances use the relays of the others.
 func (f *paths) connectRelays() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for name, dialer := range f.dialers {
 		dialer.SetPeers(func() []string {
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			return slices.DeleteFunc(slices.Collect(maps.Keys(f.dialers)), func(other string) bool { return other == name })
 		})
 	}
@@ -96,14 +105,18 @@
 // addRelay starts the relay of an instance, at its name as the address, and returns its dialer.
 func (f *paths) addRelay(name, zone string, views *edge.Views) *relay.Dialer {
 	logger := &log.Logger{Level: log.PanicLevel}
-	direct := func(ctx context.Context, network, address string) (net.Conn, error) {
-		return f.dialFrom(ctx, name, network, address)
+	source := f.source(name)
+	direct := func(ctx context.Context, _, address string) (net.Conn, error) {
+		return f.dialFrom(ctx, name, source, address)
 	}
 	dialer := relay.NewDialer(relay.DialerConfig{
 		Zone: zone, Dial: direct, DialPeer: f.dial, Log: logger,
 		Servers: views.ServerAddresses,
 	})
-	f.dialers[name] = dialer
+	ctx, stop := context.WithCancel(f.Context())
+	f.mu.Lock()
+	f.dialers[name], f.stops[name] = dialer, stop
+	f.mu.Unlock()
 	recorder := edge.NewStandingRecorder(views, f.standings.of(name), logger)
 	server := relay.NewServer(relay.ServerConfig{
 		Zone: zone, Dial: direct, Accepts: views.AcceptsRequests, Reaches: dialer.Reaches, Log: logger,
@@ -111,8 +124,8 @@
 	})
 	listener := prefixListener{f.listeners.listen(name)}
 	f.Cleanup(func() { _ = listener.Close() })
-	go func() { _ = server.Serve(f.Context(), listener) }()
-	go dialer.Run(f.Context())
+	go func() { _ = server.Serve(ctx, listener) }()
+	go dialer.Run(ctx)
 	return dialer
 }
 
@@ -120,13 +133,18 @@
 type prefixListener struct{ net.Listener }
 
 func (l prefixListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		reader := bufio.NewReader(conn)
+		if _, err := reader.Discard(len(relay.Prefix)); err == nil {
+			return readConn{conn, reader}, nil
+		}
+		// The client has gone.
+		_ = conn.Close()
 	}
-	reader := bufio.NewReader(conn)
-	_, err = reader.Discard(len(relay.Prefix))
-	return readConn{conn, reader}, err
 }
 
 type readConn struct {
@@ -137,6 +155,21 @@
 
 func (c readConn) Read(p []byte) (int, error) { return c.reader.Read(p) }
 
+// source returns the name by which servers know an instance.
+func (f *paths) source(name string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return cmp.Or(f.sources[name], name)
+}
+
+// end ends the relay of an instance that is about to restart.
+func (f *paths) end(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stops[name]()
+	f.sources[name] = cmp.Or(f.sources[name], name) + "'"
+}
+
 func (f *paths) path(name string) pathState {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -151,7 +184,7 @@
 	}
 }
 
-func (f *paths) dialFrom(ctx context.Context, name, _, address string) (net.Conn, error) {
+func (f *paths) dialFrom(ctx context.Context, name, source, address string) (net.Conn, error) {
 	switch f.path(name) {
 	case pathRefuses:
 		return nil, syscall.ECONNREFUSED
@@ -162,7 +195,7 @@
 		return nil, ctx.Err()
 	default:
 	}
-	conn, err := f.listeners.dialFrom(ctx, name, address)
+	conn, err := f.listeners.dialFrom(ctx, source, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/edge/virtual_test.go
+++ b/internal/edge/virtual_test.go
@@ -338,10 +338,13 @@
 func (s *standings) of(instance string) edge.Standings { return standingsOf{s, instance} }
 
 // cutOff cuts an instance off from the others.
-func (s *standings) cutOff(instance string) {
+func (s *standings) cutOff(instance string) { s.setLost(instance, true) }
+
+// setLost cuts an instance off from the others, or reconnects it.
+func (s *standings) setLost(instance string, lost bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lost[instance] = true
+	s.lost[instance] = lost
 }
 
 type standingsOf struct {
