Let a relay obey the rate limits of answers that it passes on

What callers saw: a server that had named its rate limit got more requests than that allows, from an instance that had relayed answers with the limit and then had requests of its own.

A relay didn't read what it passed on, and learned a limit from answers to its own requests alone.

Change: a relay reads the limit too. That a limit has ended it learns from its own answers, as before.

--- a/internal/edge/brittle.go
+++ b/internal/edge/brittle.go
@@ -90,8 +90,8 @@
 
 // recordBrittle records whether the server says that it is brittle, and whether it had no room.
 func (q *request) recordBrittle(b *backend, answer *platform.Answer) {
-	if !answer.RequestIDMatches || answer.Misdirected || !answer.Signed && !answer.NotExecuted {
-		return // not an answer of this server to this request
+	if !answersRequest(answer) {
+		return
 	}
 	if answer.HasLoad {
 		b.stats.waiting.Store(int64(min(answer.Load.Waiting, maxBelievedWaiting)))
--- a/internal/edge/ratelimit.go
+++ b/internal/edge/ratelimit.go
@@ -7,6 +7,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/slotqueue"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
@@ -230,8 +233,8 @@
 
 // recordRateLimit records the rate limit of an answer.
 func (q *request) recordRateLimit(b *backend, answer *platform.Answer) {
-	if !answer.RequestIDMatches || answer.Misdirected || !answer.Signed && !answer.NotExecuted {
-		return // not an answer of this server to this request
+	if !answersRequest(answer) {
+		return
 	}
 	if answer.RateLimitErr != nil {
 		q.edge.log.Warn().Str("server", string(b.server.ID)).Str("request", q.head.ID).Err(answer.RateLimitErr).Msg("rate_limit_unreadable")
@@ -241,13 +244,39 @@
 		return // a refusal needn't state the limit
 	}
 	ended, event := b.stats.rateLimit.observe(answer.RateLimit, q.progress.sentAt, time.Now())
-	if event != nil {
-		q.edge.log.Info().Str("server", string(b.server.ID)).Str("request", q.head.ID).
-			Float64("limit", event.perSecond).Float64("previous", event.previous).
-			Int64("sent", event.sent).Int64("repeated", event.repeated).Dur("within", event.within).Msg("rate_limit_stated")
-	}
+	event.log(q.edge.log, b.server.ID, q.head.ID)
 	if ended {
 		q.edge.tellLimitEnded(b)
 		q.edge.dispatchSlots(q.service)
 	}
 }
+
+// answersRequest reports whether an answer is one of the intended server to the request.
+func answersRequest(answer *platform.Answer) bool {
+	return answer.RequestIDMatches && !answer.Misdirected && (answer.Signed || answer.NotExecuted)
+}
+
+// log logs the event, if there is one.
+func (e *rateLimitEvent) log(logger *log.Logger, server fleet.ServerID, request string) {
+	if e == nil {
+		return
+	}
+	logger.Info().Str("server", string(server)).Str("request", request).Float64("limit", e.perSecond).Float64("previous", e.previous).
+		Int64("sent", e.sent).Int64("repeated", e.repeated).Dur("within", e.within).Msg("rate_limit_stated")
+}
+
+// observeRelayedRateLimit records the rate limit of an answer that this instance relays for another
+// one. It binds this instance too. The end of a limit is learned from own answers.
+func (v *Views) observeRelayedRateLimit(request platform.RelayedRequest, answer *platform.Answer) *rateLimitEvent {
+	if !answersRequest(answer) || answer.RateLimitErr != nil || answer.RateLimit == limit.Unlimited {
+		return nil
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	server := v.servers[answer.Server]
+	if server == nil {
+		return nil
+	}
+	_, event := v.stats[statsKey{server.ID, server.StartedAt}].rateLimit.observe(answer.RateLimit, request.PassedOnAt, time.Now())
+	return event
+}
--- a/internal/edge/ratelimit_test.go
+++ b/internal/edge/ratelimit_test.go
@@ -451,3 +451,33 @@
 		assert.LessOrEqual(t, late, 1)
 	})
 }
+
+// TestRelayExceedsALimitThatItPassedOn: an instance that had relayed answers with the servers' rate
+// limits sent its own requests without regard to them.
+func TestRelayExceedsALimitThatItPassedOn(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		const perSecond, requests = 2, 120
+		f := newStandingFleet(t, plain, 2, 0)
+		var servers []*limitedServer
+		for _, id := range []string{"s0", "s1"} {
+			server := &limitedServer{id: id, duration: 20 * time.Millisecond, limit: perSecond, told: map[string]time.Time{}}
+			f.addServer(&fleet.Server{ID: fleet.ServerID(id), Service: plain, Zone: "zone-a", Slots: 100}, server)
+			servers = append(servers, server)
+		}
+		f.publish()
+		f.paths.setPaths(pathRefuses, 0)
+		for n := range 15 {
+			f.request(0, fmt.Sprint("relay-", n))
+			time.Sleep(500 * time.Millisecond)
+		}
+		var group sync.WaitGroup
+		for n := range requests {
+			group.Go(func() { f.request(1, fmt.Sprint("relay-own-", n)) })
+		}
+		group.Wait()
+		for _, server := range servers {
+			assert.NotEmpty(t, server.told)
+			assert.LessOrEqual(t, server.mostOverLimit(), 0, "requests beyond those allowed")
+		}
+	})
+}
--- a/internal/edge/standing.go
+++ b/internal/edge/standing.go
@@ -146,6 +146,7 @@
 	admit := func(request platform.RelayedRequest) bool { return r.views.AdmitsRelayed(request, address) }
 	return platform.NewExchanges(admit, func(request platform.RelayedRequest, answer *platform.Answer) {
 		r.Record(r.views.answeredBy(answer.Server, address), answer.Notice, AnswerOrigin{Request: request.ID, ForOther: true})
+		r.views.observeRelayedRateLimit(request, answer).log(r.log, answer.Server, request.ID)
 	})
 }
 
