--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -211,3 +211,15 @@
 		assert.Equal(t, err == nil, reader.ended, "only an empty frame ends the bytes")
 	})
 }
+
+// A server that ceases to accept requests while it is connected to gets none.
+func TestServerIsWithdrawnWhileConnecting(t *testing.T) {
+	backend, asked := listen(t), 0
+	s := NewServer(ServerConfig{
+		Dial: (&net.Dialer{}).DialContext, Reaches: func() bool { return true },
+		Accepts: func(string) bool { asked++; return asked == 1 },
+	})
+	conn, result := s.connect(t.Context(), backend.Addr().String())
+	assert.Nil(t, conn)
+	assert.Equal(t, statusNoServer, result)
+}
