Test a relayed answer that is never read, and the relay's protocol byte by byte

The instance that a relay connects for can be paused, or end, as the answer arrives; with the relay deaf, 8 late requests in each case. The protocol is unchanged: both ends work with what builds before send and reply.

--- a/internal/edge/unheard_test.go
+++ b/internal/edge/unheard_test.go
@@ -69,6 +69,37 @@
 	}
 }
 
+// TestPausedInstanceDoesNotReadTheRelayedAnswer: the same if the instance that it relays for is paused
+// as the answer arrives, or ends then.
+func TestPausedInstanceDoesNotReadTheRelayedAnswer(t *testing.T) {
+	for name, ends := range map[string]bool{"paused": false, "ends": true} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				f := newStandingFleet(t, plain, 2, 2)
+				f.paths.setPaths(pathRefuses, 0)
+				f.burst(0, "cut")
+				time.Sleep(time.Second)
+				leaving := f.standing["s0"]
+				leaving.setLeaving(true)
+				conn, err := f.paths.dialers[instanceName(0)].Dial(t.Context(), "tcp", f.servers["s0"].Address)
+				require.NoError(t, err)
+				defer conn.Close()
+				f.sentNow("unread")
+				_, err = fmt.Fprintf(conn, "GET /read/x HTTP/1.1\r\nHost: %s\r\n%s: unread\r\n%s: s0\r\n\r\n", host, standin.HeaderID, standin.HeaderExpect)
+				require.NoError(t, err)
+				time.Sleep(time.Second)
+				if ends {
+					require.NoError(t, conn.Close())
+				}
+				time.Sleep(leavingBound)
+				f.burst(1, "own")
+				assert.NotEmpty(t, leaving.leavingTold[instanceName(1)])
+				assert.Zero(t, f.late(leaving), "requests that reached the server too late")
+			})
+		})
+	}
+}
+
 // TestConnectionOfAnotherBuildIsReused: an instance of an earlier build sent requests on a relayed
 // connection that was opened before the server ceased to accept them.
 func TestConnectionOfAnotherBuildIsReused(t *testing.T) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -223,3 +223,51 @@
 	assert.Nil(t, conn)
 	assert.Equal(t, statusNoServer, result)
 }
+
+// What builds before answers were followed send to a relay, and reply as one, byte by byte.
+func TestRelayProtocolOfEarlierBuilds(t *testing.T) {
+	t.Run("client", func(t *testing.T) {
+		f := newFixture(t, true)
+		conn, err := net.Dial("tcp", (*f.dialer.peers.Load())()[0])
+		require.NoError(t, err)
+		defer conn.Close()
+		_, err = io.WriteString(conn, "RELAY-1\n"+f.backend.Addr().String()+"\nquestion")
+		require.NoError(t, err)
+		server := <-f.accepted
+		got := make([]byte, 8)
+		_, err = io.ReadFull(server, got)
+		require.NoError(t, err)
+		assert.Equal(t, "question", string(got))
+		_, err = io.WriteString(server, "answer")
+		require.NoError(t, err)
+		require.NoError(t, server.Close())
+		reply := "czone-a\n\x00\x06answer\x00\x00"
+		got = make([]byte, len(reply))
+		_, err = io.ReadFull(conn, got)
+		require.NoError(t, err)
+		assert.Equal(t, reply, string(got))
+	})
+	t.Run("relay", func(t *testing.T) {
+		f, earlier := newFixture(t, true), listen(t)
+		f.dialer.relays.Store(&relays{sameZone: []string{earlier.Addr().String()}})
+		request := Prefix + "10.0.0.1:80\n"
+		asked := make(chan string, 1)
+		go func() {
+			conn, err := earlier.Accept()
+			if err != nil {
+				return
+			}
+			got := make([]byte, len(request))
+			_, _ = io.ReadFull(conn, got)
+			asked <- string(got)
+			_, _ = io.WriteString(conn, "czone-a\n\x00\x06answer\x00\x00")
+		}()
+		conn, err := f.dialer.Dial(t.Context(), "tcp", "10.0.0.1:80")
+		require.NoError(t, err)
+		defer conn.Close()
+		answer, err := io.ReadAll(conn)
+		require.NoError(t, err)
+		assert.Equal(t, "answer", string(answer))
+		assert.Equal(t, request, <-asked)
+	})
+}
