Let connections in memory accept deadlines after the other end has closed, as sockets do

Trace: a relay that is asked for its status replies and closes the connection. If the close came before the one that asked cleared its deadline, that failed with io.ErrClosedPipe, since net.Pipe refuses deadlines once the other end is closed, and the relay counted as unusable for half a second. A socket accepts them.

No check has changed.

--- a/internal/edge/virtual_test.go
+++ b/internal/edge/virtual_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
@@ -434,6 +436,15 @@
 
 func (c addressedConn) RemoteAddr() net.Addr { return c.remote }
 
+// SetDeadline succeeds, as on a socket, after the other end has closed the connection; what it has sent
+// before can still be read.
+func (c addressedConn) SetDeadline(t time.Time) error {
+	if err := c.Conn.SetDeadline(t); !errors.Is(err, io.ErrClosedPipe) {
+		return err
+	}
+	return nil
+}
+
 // CloseWrite does nothing: the other end doesn't notice it.
 func (c addressedConn) CloseWrite() error { return nil }
 
