Confirm the manifest where withdrawn keys must cease to work, and fetch it from other instances

Cause: an instance that the store rejects kept serving with its last manifest. Withdrawn keys went on working there, and routes of newer versions were answered with 404.

Change: the mirror of the store records when the manifest in force was last certain to be the newest one, by its own reads or by what the holder tells, on the clock that includes suspensions. Where the settings ask for strict withdrawal, requests with keys are refused with 503 once that is too long ago. An instance that is told of a newer manifest and can't read it fetches it from the holder or another instance; until then it answers 503 in place of 404 and 401. Earlier builds neither tell the confirmation nor serve the manifest; such an instance then relies on its own reads.

Measured: TestWithdrawnKeyIsRefused fails without the check of the age, TestRoutesAndKeysOfANewerManifestAreNotDenied without IsBehind, TestConfirmationOfTheManifest with a confirmation by an older copy.

--- a/internal/edge/accounts.go
+++ b/internal/edge/accounts.go
@@ -5,21 +5,27 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/bootclock"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
 
-// Withdrawal configures how soon a withdrawn key must cease to work, at every instance.
-type Withdrawal struct {
-	// Within is that time; 0 if an instance may rely on its manifest without confirmation.
-	Within time.Duration
-	// Confirmed returns when the manifest in force was last certain to be the newest one, by
-	// bootclock, which includes suspensions.
-	Confirmed func() time.Duration
+// ManifestState is what is known of newer manifests than the one in force. Its zero value means that
+// the one in force is the newest.
+type ManifestState struct {
+	// WithdrawWithin is the time within which a withdrawn key must cease to work; 0 if the manifest in
+	// force needs no confirmation.
+	WithdrawWithin time.Duration
+	// ConfirmationAge returns the time since the manifest in force was last certain to be the newest
+	// one. It includes suspensions.
+	ConfirmationAge func() time.Duration
+	// IsBehind reports whether there is a newer manifest, which this instance hasn't got yet.
+	IsBehind func() bool
 }
 
-// confirmationMargin is the part of Withdrawal.Within that isn't used. It covers the resolution of
+// isBehind reports whether a newer manifest may allow what the one in force doesn't.
+func (s *ManifestState) isBehind() bool { return s.IsBehind != nil && s.IsBehind() }
+
+// confirmationMargin is the part of WithdrawWithin that isn't used. It covers the resolution of
 // the clocks.
 const confirmationMargin = 100 * time.Millisecond
 
@@ -34,11 +40,12 @@
 // confirmsKeys reports whether the manifest in force certainly contains all keys that were withdrawn
 // long enough ago.
 func (e *Edge) confirmsKeys() bool {
-	if e.cfg.Withdrawal.Within <= 0 {
+	manifest := &e.cfg.Manifest
+	if manifest.WithdrawWithin <= 0 {
 		return true
 	}
-	age := bootclock.Now() - e.cfg.Withdrawal.Confirmed()
-	confirmed := age < e.cfg.Withdrawal.Within-confirmationMargin
+	age := manifest.ConfirmationAge()
+	confirmed := age < manifest.WithdrawWithin-confirmationMargin
 	switch {
 	case !confirmed && !e.keys.lost.Swap(true):
 		e.log.Warn().Dur("age", age).Msg("keys_unconfirmed")
@@ -64,6 +71,9 @@
 	if single {
 		q.account = manifest.Accounts.ByKey(key)
 	}
+	if q.account == nil && q.edge.cfg.Manifest.isBehind() {
+		return refused(reasonBehind, jitter(minRetryAfter)), false
+	}
 	if q.account == nil {
 		q.edge.keysUnknown.Inc(1)
 		return outcome{status: http.StatusUnauthorized, reason: reasonKey}, false
--- /dev/null
+++ b/internal/edge/accounts_test.go
@@ -0,0 +1,129 @@
+package edge_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/phuslu/log"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/account"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/platform"
+	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
+)
+
+// manifestState is what an instance knows of newer manifests, as a test sets it.
+type manifestState struct {
+	age    time.Duration
+	behind bool
+}
+
+// newAccountHarness returns a harness whose manifest has accounts, and a public route.
+func newAccountHarness(t *testing.T, accounts ...account.Keys) (*harness, *standin.Server, *manifestState) {
+	w, state := newHarness(t), &manifestState{}
+	w.edge = edge.New(edge.Config{
+		Zone: "zone-a", RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second, Instances: 1,
+		Manifest: edge.ManifestState{
+			WithdrawWithin: 5 * time.Second, ConfirmationAge: func() time.Duration { return state.age }, IsBehind: func() bool { return state.behind },
+		},
+	}, w.views, platform.NewServers(), noDemand{},
+		edge.Peers{Permits: newPermits().of("i0"), Origins: w.origins.of("i0"), Crashes: newCrashes(t).of("i0"), Standings: newStandings().of("i0")},
+		&log.Logger{Level: log.PanicLevel}, metrics.NewRegistry(), w.tracer)
+	w.front.Config.Handler = w.edge
+	s := w.add(standin.ServerConfig{ID: "s1", Service: plain})
+	w.publishAccounts(8, accounts...)
+	return w, s, state
+}
+
+func (w *harness) publishAccounts(version int64, accounts ...account.Keys) {
+	shares := []fleet.Share{{Service: plain, Weight: 1}}
+	manifest := fleet.NewManifest(version, []fleet.Route{
+		{Name: "write", Host: host, PathPrefix: "/write/", Kind: fleet.KindUnsafe, Shares: shares, MaxAttempts: 1, Priority: 3},
+		{Name: "public", Host: host, PathPrefix: "/public/", Kind: fleet.KindSafe, Shares: shares, MaxAttempts: 1, Public: true},
+	}, []fleet.Service{{Name: plain}}, fleet.CallerLimits{})
+	directory, err := account.NewDirectory(accounts)
+	require.NoError(w, err)
+	manifest.Accounts = directory
+	require.True(w, w.views.SetManifest(manifest))
+	w.views.SetServers(w.servers)
+}
+
+func accountA(keys ...string) account.Keys {
+	return account.Keys{Account: account.Account{Name: "account-a", Priority: 1, HasPriority: true}, Keys: keys}
+}
+
+// A server got the client's key, and requests ran whose keys no manifest had.
+func TestServerGetsTheAccountAndNotTheKey(t *testing.T) {
+	w, s, _ := newAccountHarness(t, accountA("key-1"))
+	got := w.do(http.MethodPost, "/write/", map[string]string{standin.HeaderKey: "key-1", standin.HeaderAccount: "forged"})
+	require.Equal(t, http.StatusOK, got.status)
+	require.Len(t, s.Runs(), 1)
+	header := s.Runs()[0].Header
+	assert.Equal(t, []string{"account-a"}, header.Values(standin.HeaderAccount))
+	assert.Empty(t, header.Values(standin.HeaderKey))
+	assert.Equal(t, "1", header.Get("Cyclamenhoist-Request-Priority"), "the account's rank goes before the route's")
+
+	for name, header := range map[string]map[string]string{
+		"no key": {}, "unknown key": {standin.HeaderKey: "key-2"}, "another case": {standin.HeaderKey: "KEY-1"}, "only the account": {standin.HeaderAccount: "account-a"},
+	} {
+		assert.Equal(t, http.StatusUnauthorized, w.do(http.MethodPost, "/write/", header).status, name)
+	}
+	req := w.request(t.Context(), http.MethodPost, "/write/", nil)
+	req.Header[standin.HeaderKey] = []string{"key-1", "key-1"}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	assert.Equal(t, http.StatusUnauthorized, resp.StatusCode, "a key given twice")
+	assert.Len(t, s.Runs(), 1)
+
+	got = w.do(http.MethodPost, "/public/", map[string]string{standin.HeaderKey: "key-2", standin.HeaderAccount: "forged"})
+	require.Equal(t, http.StatusOK, got.status)
+	header = s.Runs()[1].Header
+	assert.Empty(t, header.Values(standin.HeaderAccount))
+	assert.Empty(t, header.Values(standin.HeaderKey))
+}
+
+// Withdrawn keys were served by instances that couldn't read the manifest.
+func TestWithdrawnKeyIsRefused(t *testing.T) {
+	w, s, state := newAccountHarness(t, accountA("key-1", "key-2"))
+	send := func(key string) reply {
+		return w.do(http.MethodPost, "/write/", map[string]string{standin.HeaderKey: key})
+	}
+	state.age = 4800 * time.Millisecond
+	require.Equal(t, http.StatusOK, send("key-1").status)
+	state.age = 5 * time.Second
+	refused := send("key-1")
+	assert.Equal(t, http.StatusServiceUnavailable, refused.status, "the key may have been withdrawn 5 s ago")
+	assert.NotEmpty(t, refused.header.Get("Retry-After"))
+	assert.Equal(t, http.StatusServiceUnavailable, send("unknown").status, "it may have been added meanwhile")
+	assert.Equal(t, http.StatusOK, w.do(http.MethodPost, "/public/", nil).status)
+	state.age = 0
+	assert.Equal(t, http.StatusOK, send("key-1").status)
+
+	w.publishAccounts(9, accountA("key-2"))
+	assert.Equal(t, http.StatusUnauthorized, send("key-1").status)
+	assert.Equal(t, http.StatusOK, send("key-2").status)
+	w.publishAccounts(10)
+	assert.Equal(t, http.StatusUnauthorized, send("key-2").status)
+	w.publishAccounts(11, accountA("key-1"))
+	assert.Equal(t, http.StatusOK, send("key-1").status)
+	assert.Len(t, s.Runs(), 5)
+}
+
+// An instance that knew of a newer manifest, which it couldn't read, answered 404 for its routes.
+func TestRoutesAndKeysOfANewerManifestAreNotDenied(t *testing.T) {
+	w, _, state := newAccountHarness(t, accountA("key-1"))
+	state.behind = true
+	key := map[string]string{standin.HeaderKey: "key-1"}
+	assert.Equal(t, http.StatusServiceUnavailable, w.do(http.MethodPost, "/added/", key).status)
+	assert.Equal(t, http.StatusServiceUnavailable, w.do(http.MethodPost, "/write/", map[string]string{standin.HeaderKey: "added"}).status)
+	assert.Equal(t, http.StatusOK, w.do(http.MethodPost, "/write/", key).status)
+	state.behind = false
+	assert.Equal(t, http.StatusNotFound, w.do(http.MethodPost, "/added/", key).status)
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -54,8 +54,8 @@
 	// Instances is the number of instances assumed to share RetryExtra until the actual
 	// number is known.
 	Instances int
-	// Withdrawal is when requests with keys are refused because a key may have been withdrawn.
-	Withdrawal Withdrawal
+	// Manifest is what is known of newer manifests than the one in force.
+	Manifest ManifestState
 }
 
 // Edge serves client requests. It is an http.Handler.
--- a/internal/edge/outcome.go
+++ b/internal/edge/outcome.go
@@ -15,6 +15,7 @@
 const (
 	reasonNoManifest      reason = "no manifest known yet"
 	reasonNoRoute         reason = "no route"
+	reasonBehind          reason = "newer manifest not known yet"
 	reasonKey             reason = "key unknown or missing"
 	reasonKeysUnconfirmed reason = "keys may have been withdrawn"
 	reasonBody            reason = "body unreadable"
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -163,6 +163,9 @@
 	}
 	q.method, q.target, q.host = r.Method, r.RequestURI, r.Host
 	q.route = view.Manifest.Route(hostName(r.Host), rawPath(r))
+	if q.route == nil && q.edge.cfg.Manifest.isBehind() {
+		return refused(reasonBehind, jitter(minRetryAfter)), false
+	}
 	if q.route == nil {
 		return outcome{status: http.StatusNotFound, reason: reasonNoRoute}, false
 	}
--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -94,7 +94,11 @@
 		newRelay,
 		newStandingRecorder,
 		func(s *Settings) *platform.Store { return platform.NewStore(s.Store.Address) },
-		func(s *Settings) *storemirror.Mirror { return storemirror.New(s.Servers.DrainTimeout.D()) },
+		func(s *Settings) *storemirror.Mirror {
+			mirror := storemirror.New(s.Servers.DrainTimeout.D())
+			mirror.SetConfirmWithin(s.Accounts.withdrawal())
+			return mirror
+		},
 		placer.NewCollector,
 		func(c *placer.Collector) edge.Demand { return c },
 		func(p *placer.Placer) edge.Peers {
@@ -120,10 +124,11 @@
 	return instance, nil
 }
 
-func newEdge(s *Settings, views *edge.Views, servers *platform.Servers, demand edge.Demand, peers edge.Peers, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *edge.Edge {
+func newEdge(s *Settings, mirror *storemirror.Mirror, views *edge.Views, servers *platform.Servers, demand edge.Demand, peers edge.Peers, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *edge.Edge {
 	return edge.New(edge.Config{
 		Name: s.Instance.Name, Zone: s.Instance.Zone, RetryRatio: s.Retries.Ratio, RetryWindow: s.Retries.Window.D(),
 		RetryExtra: s.Retries.Extra, Instances: s.Retries.Instances,
+		Manifest: edge.ManifestState{WithdrawWithin: s.Accounts.withdrawal(), ConfirmationAge: mirror.ConfirmationAge, IsBehind: mirror.IsBehind},
 	}, views, servers, demand, peers, logger, registry, tracer)
 }
 
--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -24,6 +24,7 @@
 // controllers keep running.
 func (i *Instance) startControllers(ctx, stop context.Context, group *errgroup.Group) {
 	group.Go(func() error { i.watchManifest(ctx); return nil })
+	group.Go(func() error { i.fetchManifests(ctx); return nil })
 	group.Go(func() error { i.watchServers(ctx); return nil })
 	group.Go(func() error { i.reviewMirror(ctx); return nil })
 	group.Go(func() error { i.watchSettings(ctx); return nil })
@@ -104,18 +105,12 @@
 
 func (i *Instance) watchManifest(ctx context.Context) {
 	i.store.WatchManifest(ctx, platform.ManifestWatch{
-		Published: func(m *fleet.Manifest) {
-			if i.views.SetManifest(m) {
-				i.log.Info().Int64("version", m.Version).Int("routes", m.Routes()).Msg("manifest_in_force")
-			} else {
-				i.log.Warn().Int64("version", m.Version).Msg("older_manifest_ignored")
-			}
-		},
+		Published:  func(m *fleet.Manifest, document []byte) { i.applyManifest(m, document, "store") },
 		Unreadable: func(err error) { i.log.Error().Err(err).Msg("manifest_unreadable") },
 		ReadFailed: i.manifests.markLost,
-		ReadSucceeded: func() {
+		ReadSucceeded: func(currentSince time.Duration) {
 			i.manifests.markAvailable()
-			i.mirror.ManifestRead(i.views.ManifestVersion())
+			i.mirror.ManifestRead(i.views.ManifestVersion(), currentSince)
 		},
 		Wait:         i.mirror.ManifestWait,
 		Interrupt:    i.mirror.ManifestInterrupt(),
@@ -123,6 +118,66 @@
 	})
 }
 
+// applyManifest puts a manifest into force if it is newer than the one in force. source is where its
+// document was read.
+func (i *Instance) applyManifest(m *fleet.Manifest, document []byte, source string) {
+	if !i.views.SetManifest(m) {
+		i.log.Warn().Int64("version", m.Version).Str("source", source).Msg("older_manifest_ignored")
+		return
+	}
+	i.mirror.SetDocument(document)
+	entry := i.log.Info().Int64("version", m.Version).Int("routes", m.Routes()).Str("source", source)
+	if m.Accounts != nil {
+		entry = entry.Int("accounts", m.Accounts.Len())
+	}
+	entry.Msg("manifest_in_force")
+}
+
+const (
+	// manifestFetchDelay is how long an instance that is told of a newer manifest waits for its own
+	// read of the store before it fetches the manifest from another instance.
+	manifestFetchDelay = 200 * time.Millisecond
+	// manifestFetchRetryDelay is the delay after a fetch that brought no newer manifest.
+	manifestFetchRetryDelay = 500 * time.Millisecond
+)
+
+// fetchManifests fetches manifests that this instance is told of and can't read from the store.
+func (i *Instance) fetchManifests(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-i.mirror.Behind():
+		}
+		pause.For(ctx, manifestFetchDelay)
+		for i.mirror.IsBehind() && ctx.Err() == nil {
+			if err := i.fetchManifest(ctx); err != nil {
+				i.log.Debug().Err(err).Msg("manifest_unfetched")
+			}
+			if i.mirror.IsBehind() {
+				pause.For(ctx, manifestFetchRetryDelay)
+			}
+		}
+	}
+}
+
+func (i *Instance) fetchManifest(ctx context.Context) error {
+	document, err := i.placer.FetchManifest(ctx)
+	if err != nil {
+		return err
+	}
+	m, err := platform.DecodeManifest(document)
+	if err != nil {
+		i.log.Error().Err(err).Msg("manifest_unreadable")
+		return err
+	}
+	if m.Version > i.views.ManifestVersion() {
+		i.applyManifest(m, document, "instance")
+		i.mirror.ManifestFetched(i.views.ManifestVersion())
+	}
+	return nil
+}
+
 func (i *Instance) watchServers(ctx context.Context) {
 	i.store.WatchServers(ctx, platform.ServerWatch{
 		Deliver: func(b platform.ServerListBatch) {
--- a/internal/fleetapp/settings.go
+++ b/internal/fleetapp/settings.go
@@ -3,6 +3,7 @@
 import (
 	_ "embed"
 	"os"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -24,6 +25,7 @@
 	Servers   Servers   `json:"servers"`
 	Retries   Retries   `json:"retries"`
 	Placing   Placing   `json:"placing"`
+	Accounts  Accounts  `json:"accounts"`
 	Shutdown  Shutdown  `json:"shutdown"`
 	Tracing   Tracing   `json:"tracing"`
 	Log       LogOutput `json:"log"`
@@ -74,6 +76,23 @@
 	ServersCheckEpochs bool `json:"servers_check_epochs"`
 }
 
+// Accounts configures the keys of client accounts.
+type Accounts struct {
+	// StrictWithdrawal means that a withdrawn key ceases to work within WithdrawWithin at every
+	// instance. One that can't find out in time refuses requests with keys.
+	StrictWithdrawal bool           `json:"strict_withdrawal"`
+	WithdrawWithin   jsonc.Duration `json:"withdraw_within" validate:"min=1s,max=1h"`
+}
+
+// withdrawal returns the time after which an instance needs a confirmation that its manifest is the
+// newest; 0 if it needs none.
+func (a Accounts) withdrawal() time.Duration {
+	if !a.StrictWithdrawal {
+		return 0
+	}
+	return a.WithdrawWithin.D()
+}
+
 // Shutdown configures a graceful shutdown. Grace is the maximum time from the
 // signal to the end of the process.
 type Shutdown struct {
--- a/internal/placer/compat_test.go
+++ b/internal/placer/compat_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/types/descriptorpb"
 	"google.golang.org/protobuf/types/dynamicpb"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/bootclock"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/storemirror"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
@@ -56,7 +57,7 @@
 	c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0", OnDisk: []string{"a"}})
 	i := c.start("i0")
 	c.eventually("it holds the lease", i.elector.placing)
-	i.mirror.ManifestRead(7)
+	i.mirror.ManifestRead(7, bootclock.Now())
 	c.eventually("it has reported to itself", func() bool { return i.peerAddresses.Load() != nil })
 
 	placement, err := (&service{placer: i.Placer}).Watch(t.Context(), &placerpb.WatchRequest{})
@@ -65,6 +66,9 @@
 	placement, err = (&service{placer: i.Placer}).Watch(t.Context(), &placerpb.WatchRequest{Store: true})
 	require.NoError(t, err)
 	assert.Equal(t, int64(7), placement.Store.GetManifestVersion())
+	assert.Less(t, decodeNews(placement.Store).ConfirmationAge, time.Minute)
+	placement.Store.ConfirmedMs = 0
+	assert.Equal(t, unknownAge, decodeNews(placement.Store).ConfirmationAge, "an earlier build doesn't tell it")
 
 	reply, err := (&service{placer: i.Placer}).Report(t.Context(), &placerpb.DemandReport{Instance: "former", Address: "10.0.0.1:1"})
 	require.NoError(t, err)
@@ -89,3 +93,18 @@
 	}
 	assert.Equal(t, news, decodeNews(encodeNews(news, 0)))
 }
+
+// An instance that the store rejects gets the manifest from another one.
+func TestManifestOfAnotherInstance(t *testing.T) {
+	c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0", OnDisk: []string{"a"}})
+	first := c.start("i0")
+	c.eventually("i0 holds the lease", first.elector.placing)
+	second := c.start("i1")
+	_, err := first.FetchManifest(t.Context())
+	require.Error(t, err, "no other instance has one")
+	first.mirror.SetDocument([]byte("{}"))
+	c.eventually("i1 has the manifest", func() bool {
+		document, err := second.FetchManifest(t.Context())
+		return err == nil && string(document) == "{}"
+	})
+}
--- a/internal/placer/storenews.go
+++ b/internal/placer/storenews.go
@@ -18,6 +18,7 @@
 	out := &placerpb.StoreNews{
 		HeldMs: uint32(max(n.Held.Milliseconds(), 0)), ManifestVersion: n.ManifestVersion, ManifestAgeMs: milliseconds(n.ManifestAge),
 		ListEnd: n.ListEnd, ListAgeMs: milliseconds(n.ListAge), Complete: n.Complete, RenewedMs: milliseconds(renewed),
+		ConfirmedMs: min(milliseconds(n.ConfirmationAge), math.MaxUint32-1) + 1,
 	}
 	for _, e := range n.Entries {
 		listed := &placerpb.ListedServer{Id: string(e.ID), Offset: e.Offset, Removed: e.Removed}
@@ -34,10 +35,17 @@
 	return out
 }
 
+// unknownAge is the age of what a build doesn't tell.
+const unknownAge = 365 * 24 * time.Hour
+
 func decodeNews(n *placerpb.StoreNews) storemirror.News {
 	out := storemirror.News{
 		Held: time.Duration(n.HeldMs) * time.Millisecond, ManifestVersion: n.ManifestVersion, ManifestAge: time.Duration(n.ManifestAgeMs) * time.Millisecond,
 		ListEnd: n.ListEnd, ListAge: time.Duration(n.ListAgeMs) * time.Millisecond, Complete: n.Complete,
+		ConfirmationAge: unknownAge,
+	}
+	if n.ConfirmedMs > 0 {
+		out.ConfirmationAge = time.Duration(n.ConfirmedMs-1) * time.Millisecond
 	}
 	for _, listed := range n.Servers {
 		e := fleet.Entry{ID: fleet.ServerID(listed.Id), Offset: listed.Offset, Removed: listed.Removed}
--- a/internal/storemirror/mirror.go
+++ b/internal/storemirror/mirror.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/bootclock"
@@ -29,6 +30,9 @@
 	// maxManifestAge is the age of what an instance has been told of the manifest up to which it
 	// waits for a newer one in a single long poll. The teller's own polls take platform.PollWait.
 	maxManifestAge = platform.PollWait + time.Second
+	// confirmDueShare is the part of the time for which the manifest must be confirmed after which the
+	// next read isn't a long poll. The rest is for the read itself and for telling the others.
+	confirmDueShare = 4
 )
 
 // News is what an instance tells others of the store.
@@ -39,6 +43,8 @@
 	// was read.
 	ManifestVersion int64
 	ManifestAge     time.Duration
+	// ConfirmationAge is the time since that version was certain to be the newest one.
+	ConfirmationAge time.Duration
 	// ListAge is the time since the server list was read, up to the offset ListEnd.
 	ListEnd int64
 	ListAge time.Duration
@@ -72,6 +78,12 @@
 
 	manifestRead    freshness
 	manifestVersion int64
+	// document is the manifest in force as it was read.
+	document []byte
+	// confirmWithin is how old the confirmation of the manifest may become; 0 if that doesn't matter.
+	confirmWithin time.Duration
+	// behind is signaled when this instance is told of a newer manifest that it can't read.
+	behind chan struct{}
 	// hinted is the highest version that was told. What is told once is looked up once.
 	hinted int64
 	// heard means that the last message told of the store.
@@ -80,18 +92,29 @@
 	interrupt chan struct{}
 	// longPoll is true while a long poll relies on what is told.
 	longPoll bool
+
+	// confirmedAt is the last time at which the manifest in force was certain to be the newest one.
+	// newest is the highest version that this instance knows of, and inForce the one in force. They
+	// can be read without the lock.
+	confirmedAt     atomic.Int64
+	newest, inForce atomic.Int64
 }
 
 // New returns an empty Mirror. drainTimeout is the time within which a draining server stops
 // receiving new requests.
 func New(drainTimeout time.Duration) *Mirror {
-	return &Mirror{
+	m := &Mirror{
 		now: bootclock.Now, after: func(d time.Duration, do func()) { time.AfterFunc(d, do) }, drainTimeout: drainTimeout, tells: func() bool { return false }, changed: func() {},
 		check: checkInterval + rand.N(checkSpread), list: newServerList(func(map[fleet.ServerID]*fleet.Server, Source) {}, drainTimeout/readsPerDrain),
-		bulletin: fleet.NewBulletin(), interrupt: make(chan struct{}, 1),
+		bulletin: fleet.NewBulletin(), interrupt: make(chan struct{}, 1), behind: make(chan struct{}, 1),
 	}
+	m.confirmedAt.Store(int64(-neverConfirmed))
+	return m
 }
 
+// neverConfirmed is the age of a confirmation that there has never been.
+const neverConfirmed = 365 * 24 * time.Hour
+
 // OnServers sets what is called with the usable servers when they change. It must be called before
 // the mirror is used.
 func (m *Mirror) OnServers(publish func(map[fleet.ServerID]*fleet.Server, Source)) {
@@ -154,23 +177,90 @@
 	}
 }
 
-// ManifestRead records that the manifest in force, with the version, was the newest one now.
-func (m *Mirror) ManifestRead(version int64) {
+// ManifestRead records that this instance has read the manifest topic, and that the manifest in
+// force, with the version, was the newest one at a time since boot.
+func (m *Mirror) ManifestRead(version int64, currentSince time.Duration) {
 	m.mu.Lock()
 	m.manifestRead.read(m.now())
-	news := version != m.manifestVersion
-	m.manifestVersion = version
+	news := m.setVersion(version)
+	if version >= m.hinted {
+		m.confirm(currentSince)
+	}
 	m.mu.Unlock()
 	if news {
 		m.changed()
 	}
 }
 
+// ManifestFetched records that the manifest in force, with the version, was received from another
+// instance.
+func (m *Mirror) ManifestFetched(version int64) {
+	m.mu.Lock()
+	news := m.setVersion(version)
+	m.mu.Unlock()
+	if news {
+		m.changed()
+	}
+}
+
+// setVersion records the version of the manifest in force, and reports whether it has changed.
+func (m *Mirror) setVersion(version int64) bool {
+	news := version != m.manifestVersion
+	m.manifestVersion = version
+	m.inForce.Store(version)
+	m.newest.Store(max(m.newest.Load(), version))
+	return news
+}
+
+// confirm records a time at which the manifest in force was the newest one.
+func (m *Mirror) confirm(at time.Duration) {
+	if int64(at) > m.confirmedAt.Load() {
+		m.confirmedAt.Store(int64(at))
+	}
+}
+
+// SetConfirmWithin makes the instance read the store so often that, while the store responds, the
+// confirmation of the manifest doesn't become older. It must be called before the mirror is used.
+func (m *Mirror) SetConfirmWithin(d time.Duration) { m.confirmWithin = d }
+
+// ConfirmationAge returns the time since the manifest in force was last certain to be the newest.
+// It is safe to call for each request.
+func (m *Mirror) ConfirmationAge() time.Duration {
+	return m.now() - time.Duration(m.confirmedAt.Load())
+}
+
+// IsBehind reports whether this instance knows of a newer manifest than the one in force. It is safe
+// to call for each request.
+func (m *Mirror) IsBehind() bool { return m.inForce.Load() < m.newest.Load() }
+
+// Behind returns the channel that is signaled when this instance is told of a newer manifest that it
+// can't read.
+func (m *Mirror) Behind() <-chan struct{} { return m.behind }
+
+// SetDocument records the document of the manifest with the given version, for other instances.
+func (m *Mirror) SetDocument(document []byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.document = document
+}
+
+// Document returns the document of the manifest in force; nil if there is none. The caller must not
+// modify it.
+func (m *Mirror) Document() []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.document
+}
+
 // ManifestWait returns the duration of the next long poll for the manifest.
 func (m *Mirror) ManifestWait() time.Duration {
 	tells := m.tells()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.confirmWithin > 0 && m.ConfirmationAge() > m.confirmWithin/confirmDueShare {
+		m.longPoll = false
+		return 0
+	}
 	m.longPoll = !tells && m.manifestRead.age(m.now()) < maxManifestAge && m.heard
 	if m.longPoll {
 		return platform.MaxPollWait
@@ -225,7 +315,7 @@
 	defer m.mu.Unlock()
 	now := m.now()
 	n := News{
-		Held: held, ManifestVersion: m.manifestVersion, ManifestAge: m.manifestRead.age(now),
+		Held: held, ManifestVersion: m.manifestVersion, ManifestAge: m.manifestRead.age(now), ConfirmationAge: m.ConfirmationAge(),
 		ListEnd: m.bulletin.End(), ListAge: m.listRead.age(now),
 	}
 	n.Entries, n.Complete = m.bulletin.Since(listEnd)
@@ -251,8 +341,10 @@
 	switch {
 	case n.ManifestVersion == m.manifestVersion:
 		m.manifestRead.told(asked, n.Held, n.ManifestAge)
+		m.confirm(asked + n.Held - n.ConfirmationAge)
 	case n.ManifestVersion > max(m.manifestVersion, m.hinted):
 		m.hinted = n.ManifestVersion
+		m.newest.Store(max(m.newest.Load(), m.hinted))
 		m.after(hintGrace, m.lookUpHint)
 	}
 }
@@ -263,6 +355,10 @@
 	defer m.mu.Unlock()
 	if m.manifestVersion < m.hinted {
 		m.endLongPoll()
+		select {
+		case m.behind <- struct{}{}:
+		default:
+		}
 	}
 }
 
--- a/internal/storemirror/mirror_test.go
+++ b/internal/storemirror/mirror_test.go
@@ -277,14 +277,14 @@
 	r := newReplay(2)
 	r.teller = 0
 	teller, m := r.mirrors[0], r.mirrors[1]
-	teller.ManifestRead(3)
-	m.ManifestRead(3)
+	teller.ManifestRead(3, r.now)
+	m.ManifestRead(3, r.now)
 	assert.Equal(t, platform.PollWait, m.ManifestWait(), "nothing is told")
 	r.tell(1, 0)
 	assert.Equal(t, platform.MaxPollWait, m.ManifestWait())
 	assert.Equal(t, platform.PollWait, teller.ManifestWait(), "the teller has to know soon that its connection is dead")
 
-	teller.ManifestRead(4)
+	teller.ManifestRead(4, r.now)
 	assert.True(t, teller.HasNews(0, 3))
 	r.tell(1, 0)
 	assert.False(t, interrupted(m), "the poll is about to return it")
@@ -293,10 +293,10 @@
 	r.tell(1, 0)
 	r.runTimers()
 	assert.False(t, interrupted(m), "once for each version, as it may be invented")
-	m.ManifestRead(4)
-	teller.ManifestRead(5)
+	m.ManifestRead(4, r.now)
+	teller.ManifestRead(5, r.now)
 	r.tell(1, 0)
-	m.ManifestRead(5)
+	m.ManifestRead(5, r.now)
 	r.runTimers()
 	assert.False(t, interrupted(m), "the poll has returned it")
 	r.tell(1, 0)
@@ -321,7 +321,7 @@
 	r.heartbeat("s0")
 	r.heartbeat("s1")
 	r.read(0)
-	teller.ManifestRead(4)
+	teller.ManifestRead(4, r.now)
 	require.True(t, news())
 	r.tell(1, 0)
 	assert.False(t, news())
@@ -339,8 +339,8 @@
 func TestRejectedInstanceAsksAgainWhenItIsToldNothing(t *testing.T) {
 	r := newReplay(2)
 	r.teller = 0
-	r.mirrors[0].ManifestRead(3)
-	r.mirrors[1].ManifestRead(3)
+	r.mirrors[0].ManifestRead(3, r.now)
+	r.mirrors[1].ManifestRead(3, r.now)
 	assert.Zero(t, r.mirrors[1].ManifestRetryDelay(), "nothing is told")
 	r.tell(1, 0)
 	assert.Positive(t, r.mirrors[1].ManifestRetryDelay())
@@ -351,9 +351,62 @@
 func TestTellerOfAnEarlierBuildTellsNothing(t *testing.T) {
 	r := newReplay(2)
 	r.teller = 0
-	r.mirrors[0].ManifestRead(3)
-	r.mirrors[1].ManifestRead(3)
+	r.mirrors[0].ManifestRead(3, r.now)
+	r.mirrors[1].ManifestRead(3, r.now)
 	r.tell(1, 0)
 	r.mirrors[1].HearNothing()
 	assert.Equal(t, platform.PollWait, r.mirrors[1].ManifestWait())
 }
+
+// An instance that the store rejects knows from another one whether keys were withdrawn. While both
+// are cut off, and while a newer manifest is known that isn't in force, it doesn't.
+func TestConfirmationOfTheManifest(t *testing.T) {
+	r := newReplay(2)
+	r.teller = 0
+	teller, m := r.mirrors[0], r.mirrors[1]
+	assert.Greater(t, m.ConfirmationAge(), 24*time.Hour, "nothing is known")
+	teller.ManifestRead(3, r.now)
+	m.ManifestRead(3, r.now)
+	r.now += 5 * time.Second
+	assert.Equal(t, 5*time.Second, m.ConfirmationAge())
+	r.tell(1, 0)
+	assert.Equal(t, 5*time.Second, m.ConfirmationAge(), "the teller knows nothing newer")
+	teller.ManifestRead(3, r.now-time.Second)
+	r.tell(1, 10*time.Millisecond)
+	assert.Equal(t, time.Second, m.ConfirmationAge(), "the time on the way counts as age")
+
+	teller.ManifestRead(4, r.now)
+	r.tell(1, 0)
+	assert.True(t, m.IsBehind())
+	assert.Equal(t, time.Second, m.ConfirmationAge())
+	m.ManifestRead(3, r.now)
+	assert.Equal(t, time.Second, m.ConfirmationAge(), "the store has come back from an older copy")
+	r.runTimers()
+	select {
+	case <-m.Behind():
+	default:
+		t.Error("the manifest isn't fetched")
+	}
+	m.ManifestFetched(4)
+	assert.False(t, m.IsBehind())
+	assert.Equal(t, time.Second, m.ConfirmationAge())
+	r.tell(1, 0)
+	assert.Zero(t, m.ConfirmationAge())
+}
+
+// An instance whose messages of the store have ceased reads at once, before the confirmation is too
+// old.
+func TestConfirmationThatGrowsOldIsRead(t *testing.T) {
+	r := newReplay(2)
+	r.teller = 0
+	m := r.mirrors[1]
+	m.SetConfirmWithin(5 * time.Second)
+	r.mirrors[0].ManifestRead(3, r.now)
+	m.ManifestRead(3, r.now)
+	r.tell(1, 0)
+	assert.Equal(t, platform.MaxPollWait, m.ManifestWait())
+	r.now += maxManifestAge
+	m.Review()
+	assert.True(t, interrupted(m))
+	assert.Zero(t, m.ManifestWait())
+}
