Add the subcommand check-manifest

Cause: nothing told an operator or a script, before a manifest is published, whether instances will use it, what in it has no effect, and what it changes.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/go-faster/errors"
 	"github.com/jessevdk/go-flags"
@@ -54,6 +55,7 @@
 		{"serve", "run one entry instance", serveHelp, &serveCommand{environment: env}},
 		{"edge", "run one entry instance on the platform", edgeHelp, &edgeCommand{environment: env}},
 		{"check", "validate a settings or targets file", checkHelp, &checkCommand{environment: env}},
+		{"check-manifest", "check a manifest of the platform before it is published", checkManifestHelp, &checkManifestCommand{environment: env, stdin: os.Stdin}},
 		{"demo", "run stand-ins and instances in one process on loopback", demoHelp, &demoCommand{environment: env}},
 		{"standin", "run stand-ins of the platform's services and servers", standinHelp, &standinCommand{environment: env}},
 		{"publish", "publish a targets document", publishHelp, &publishCommand{environment: env}},
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -27,7 +27,7 @@
 func TestEveryCommandHasHelpWithAnExample(t *testing.T) {
 	_, usage, _ := run("--help")
 	for _, name := range []string{
-		"serve", "edge", "check", "demo", "standin", "publish", "status", "explain", "load", "experiment", "completion",
+		"serve", "edge", "check", "check-manifest", "demo", "standin", "publish", "status", "explain", "load", "experiment", "completion",
 	} {
 		require.Contains(t, usage, name)
 		code, help, _ := run(name, "--help")
