--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -77,7 +77,7 @@
 func (s *stats) recordLoad(load platform.ServerLoad, reading time.Duration, now time.Time) {
 	othersWaiting := min(max(int64(load.Waiting)-s.unreadRequests.Load(), 0), maxBelievedWaiting)
 	s.load.Store(&loadSample{
-		reported: int64(load.Running + load.Waiting), ownAtReport: s.inFlight.Load(),
+		reported: min(int64(load.Running), maxBelievedRequests) + min(int64(load.Waiting), maxBelievedWaiting), ownAtReport: s.inFlight.Load(),
 		othersUnread: time.Duration(othersWaiting) * reading, at: now,
 	})
 }
@@ -85,6 +85,9 @@
 // maxBelievedWaiting bounds the waiting requests that a server's report is believed to have.
 const maxBelievedWaiting = 1 << 12
 
+// maxBelievedRequests bounds the running requests that a server's report is believed to have.
+const maxBelievedRequests = 1 << 20
+
 // beginReading records that a server has to read the prompt of a request, until the returned
 // function is called.
 func (s *stats) beginReading(takes time.Duration) (done func()) {
