Pick servers by the expected time to the first event

Cause: with 71 instances and 60 engines each instance sends an engine less than a request a second. A report older than two seconds counted as an empty server, all instances chose the least loaded server by the same reports, and engines of half the speed got as many requests as the others.

Change: serverpick estimates the time to the first event: wait for a slot, backlog, the request's own prompt, times the server's slowness. Slowness is learned for each incarnation from the time between events relative to the mean of the route and model; the reported slowdown of the machine counts relative to its usual figure and fades within a second. Requests of other instances fade from the last report to the server's usual number, and to the mean of the service where there are no reports. Where several instances send, the better of two servers drawn among those within two requests of the best one is picked. Ejection, permits, pacing and affinity work as before, and the order with equal speeds and free slots is the former one. The pick fills buffers that are reused. New timers edge_first_event_expected_ns and edge_first_event_observed_ns, log fields expected, observed and slowness. Free memory isn't in the estimate, since instances don't know it.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -288,8 +288,10 @@
 		return noTimeout
 	}
 	remaining := time.Until(q.deadline)
-	load := b.stats.loadAt(time.Now())
+	now := time.Now()
+	load := b.loadAt(q.edge.serviceLoad(q.service), now)
 	queueDelay := load.Backlog() + q.expected.Reading*time.Duration(load.Estimate())/time.Duration(max(b.server.Slots, 1))
+	queueDelay = time.Duration(max(b.stats.speed.Slowness(now), 1) * float64(queueDelay))
 	return min(max(firstByteTimeoutTargets*q.route.TargetLatency, minFirstByteTimeout)+queueDelay, max(remaining/2, minFirstByteTimeout))
 }
 
@@ -302,7 +304,7 @@
 	q.recordStanding(b, answer)
 	if answer.HasLoad {
 		q.progress.load, q.progress.hasLoad = answer.Load, true
-		b.stats.recordLoad(answer.Load, q.edge.workload(q.service).MeanReading(), time.Now())
+		q.edge.recordLoad(b, answer.Load, time.Now())
 		// Other instances may have released slots on this server.
 		q.edge.dispatchSlots(q.service)
 	}
@@ -321,7 +323,7 @@
 	case success && answer.Stream:
 		fault := q.stream(b, answer, watchdog)
 		if fault == retry.FaultNone {
-			q.edge.workload(q.service).Observe(q.workloadKind(), q.progress.observation())
+			q.recordTimes(b)
 		}
 		return fault
 	}
@@ -332,11 +334,22 @@
 			q.recordAnswered()
 		}
 		q.progress.firstEventAt, q.progress.lastEventAt = time.Now(), time.Now()
-		q.edge.workload(q.service).Observe(q.workloadKind(), q.progress.observation())
+		if success {
+			q.recordTimes(b)
+		}
 	}
 	return fault
 }
 
+// recordTimes records how long a completed request took.
+func (q *request) recordTimes(b *backend) {
+	w, observed := q.edge.workload(q.service), q.progress.observation()
+	if ratio, ok := w.Ratio(q.workloadKind(), observed); ok {
+		b.stats.speed.Observed(ratio, observed.FirstEvent+observed.Generation, time.Now())
+	}
+	w.Observe(q.workloadKind(), observed)
+}
+
 // handleRefusal records that a server refused to execute the request: the server lacks
 // the model, or the request must be sent to another server.
 func (q *request) handleRefusal(b *backend, answer *platform.Answer) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -84,6 +84,10 @@
 	// workloads maps a service to the *workload.Estimator of its requests.
 	workloads sync.Map
 
+	// utilizations maps a service to the *serverpick.Mean of the utilization of its servers by
+	// other instances.
+	utilizations sync.Map
+
 	// slotQueues maps a service to the *slotQueue of requests that wait for a free slot.
 	slotQueues sync.Map
 
@@ -103,6 +107,9 @@
 	// keysUnknown and keysUnconfirmed count the requests that were refused for their keys.
 	keysUnknown, keysUnconfirmed metrics.Counter
 	latency                      metrics.Timer
+	// firstEventExpected and firstEventObserved are the times from sending requests for models to
+	// their first events.
+	firstEventExpected, firstEventObserved metrics.Timer
 }
 
 // Peers is what the instances of a deployment know together.
@@ -128,6 +135,9 @@
 		repeats:    metrics.NewRegisteredCounter("edge_repeats", registry),
 		latency:    metrics.NewRegisteredTimer("edge_latency_ns", registry),
 
+		firstEventExpected: metrics.NewRegisteredTimer("edge_first_event_expected_ns", registry),
+		firstEventObserved: metrics.NewRegisteredTimer("edge_first_event_observed_ns", registry),
+
 		keysUnknown:     metrics.NewRegisteredCounter("edge_keys_unknown", registry),
 		keysUnconfirmed: metrics.NewRegisteredCounter("edge_keys_unconfirmed", registry),
 	}
--- a/internal/edge/progress.go
+++ b/internal/edge/progress.go
@@ -22,6 +22,12 @@
 	ahead   int64
 	load    platform.ServerLoad
 	hasLoad bool
+	// expected is the expected time from sending the last attempt to its first event, and
+	// slowness how many times as long work was expected to take there as at other servers.
+	expected time.Duration
+	slowness float64
+	// firstID and lastID are the IDs of the first and the last event of the last attempt.
+	firstID, lastID int64
 	// firstEvent is the time from the arrival of the request to its first event, events is
 	// the number of writes with events, and longestPause the longest time between two of
 	// these.
@@ -33,13 +39,14 @@
 // attemptBegins records the start of an attempt.
 func (p *progress) attemptBegins(server fleet.ServerID, ahead int64, now time.Time) {
 	p.server, p.ahead, p.hasLoad, p.sentAt, p.firstEventAt = server, ahead, false, now, time.Time{}
+	p.firstID, p.lastID = 0, 0
 }
 
 // observation returns what a completed attempt shows about its server.
 func (p *progress) observation() workload.Observation {
 	return workload.Observation{
 		FirstEvent: p.firstEventAt.Sub(p.sentAt), Generation: p.lastEventAt.Sub(p.firstEventAt),
-		Alone: p.ahead == 0 && p.hasLoad && p.load.Waiting == 0,
+		Alone: p.ahead == 0 && p.hasLoad && p.load.Waiting == 0, Events: int(max(p.lastID-p.firstID, 0)),
 	}
 }
 
@@ -73,6 +80,12 @@
 func (p *progress) log(entry *log.Entry) *log.Entry {
 	entry = entry.Dur("queued", p.queued).Str("server", string(p.server)).Int64("ahead", p.ahead).
 		Dur("first_event", p.firstEvent).Dur("longest_pause", p.longestPause).Int("events", p.events)
+	if p.expected > 0 {
+		entry = entry.Dur("expected", p.expected).Float64("slowness", p.slowness)
+		if !p.firstEventAt.IsZero() {
+			entry = entry.Dur("observed", p.firstEventAt.Sub(p.sentAt))
+		}
+	}
 	if p.hasLoad {
 		entry = entry.Int("server_running", p.load.Running).Int("server_waiting", p.load.Waiting)
 	}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -89,6 +89,11 @@
 		return nil, errors.Wrap(err, "write events")
 	}
 	q.lastEvent = last
+	if q.progress.firstEventAt.IsZero() {
+		q.progress.firstID = last
+		q.recordFirstEvent(time.Now())
+	}
+	q.progress.lastID = last
 	if q.progress.events == 0 {
 		q.recordAnswered()
 	}
@@ -102,6 +107,15 @@
 	return rest, nil
 }
 
+// recordFirstEvent records when the first event of an attempt came, beside when it was expected.
+func (q *request) recordFirstEvent(now time.Time) {
+	if q.model == "" || q.progress.expected <= 0 {
+		return
+	}
+	q.edge.firstEventExpected.Update(q.progress.expected)
+	q.edge.firstEventObserved.Update(now.Sub(q.progress.sentAt))
+}
+
 // logResumption logs that a stream is resumed at a server, by the client in a new request or by
 // this instance within its answer.
 func (q *request) logResumption(b *backend) {
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -42,6 +42,7 @@
 // backend is one server in one view; its stats are shared with later views.
 type backend struct {
 	server  *fleet.Server
+	hash    uint64          // serverpick.HashID of its ID
 	models  map[string]bool // "model" and "model/adapter"
 	loading map[string]time.Time
 	stats   *stats
@@ -58,6 +59,7 @@
 	waiting   atomic.Int64
 	health    retry.Health
 	load      atomic.Pointer[loadSample]
+	speed     serverpick.Speed
 	rateLimit rateLimit
 	crash     crashCheck
 	brittle   brittlePace
@@ -70,18 +72,28 @@
 type loadSample struct {
 	reported, ownAtReport int64
 	othersUnread          time.Duration
+	usual                 serverpick.UsualLoad
 	at                    time.Time
 }
 
 // recordLoad records the load that a server reported. reading is the mean time to read a prompt.
 func (s *stats) recordLoad(load platform.ServerLoad, reading time.Duration, now time.Time) {
 	othersWaiting := min(max(int64(load.Waiting)-s.unreadRequests.Load(), 0), maxBelievedWaiting)
-	s.load.Store(&loadSample{
+	sample := &loadSample{
 		reported: min(int64(load.Running), maxBelievedRequests) + min(int64(load.Waiting), maxBelievedWaiting), ownAtReport: s.inFlight.Load(),
 		othersUnread: time.Duration(othersWaiting) * reading, at: now,
-	})
+	}
+	if before := s.load.Load(); before != nil {
+		sample.usual = before.usual
+	}
+	sample.usual = sample.usual.Observe(float64(sample.others()))
+	s.load.Store(sample)
+	s.speed.Reported(load.Slowdown, now)
 }
 
+// others returns the number of requests of other instances.
+func (l *loadSample) others() int64 { return max(l.reported-l.ownAtReport, 0) }
+
 // maxBelievedWaiting bounds the waiting requests that a server's report is believed to have.
 const maxBelievedWaiting = 1 << 12
 
@@ -108,6 +120,45 @@
 	return load
 }
 
+// serviceLoad is what is known of the servers of a service together.
+type serviceLoad struct {
+	// others is the mean utilization of servers by other instances.
+	others float64
+	// holding is the mean time that a request keeps a slot.
+	holding time.Duration
+}
+
+// loadAt returns the load of a server, with what is usual while its last report is old.
+func (b *backend) loadAt(service serviceLoad, now time.Time) serverpick.Load {
+	load := b.stats.loadAt(now)
+	var usual serverpick.UsualLoad
+	if sample := b.stats.load.Load(); sample != nil {
+		usual = sample.usual
+	}
+	load.OthersUsual, load.Holding = usual.Others(b.server.Slots, service.others), service.holding
+	return load
+}
+
+// othersUtilization returns the mean utilization of the servers of a service by other instances.
+func (e *Edge) othersUtilization(service string) *serverpick.Mean {
+	if m, known := e.utilizations.Load(service); known {
+		return m.(*serverpick.Mean)
+	}
+	m, _ := e.utilizations.LoadOrStore(service, &serverpick.Mean{})
+	return m.(*serverpick.Mean)
+}
+
+func (e *Edge) serviceLoad(service string) serviceLoad {
+	return serviceLoad{others: e.othersUtilization(service).Value(), holding: e.workload(service).MeanHolding()}
+}
+
+// recordLoad records the load that a server reported.
+func (e *Edge) recordLoad(b *backend, load platform.ServerLoad, now time.Time) {
+	b.stats.recordLoad(load, e.workload(b.server.Service).MeanReading(), now)
+	others := float64(b.stats.load.Load().others())
+	e.othersUtilization(b.server.Service).Observe(others / float64(max(b.server.Slots, 1)))
+}
+
 func modelKey(model, adapter string) string {
 	if adapter == "" {
 		return model
@@ -342,7 +393,7 @@
 )
 
 func (v *Views) backendOf(server *fleet.Server, serverStats *stats) *backend {
-	b := &backend{server: server, stats: serverStats, models: map[string]bool{}}
+	b := &backend{server: server, hash: serverpick.HashID(string(server.ID)), stats: serverStats, models: map[string]bool{}}
 	models, sequence := server.Models, int64(-1)
 	if r, known := v.residency[server.ID]; known && r.StartedAt == server.StartedAt {
 		models, b.loading, sequence = r.Models, r.Loading, r.Sequence
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -1,9 +1,12 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"math"
+	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/serverpick"
@@ -86,9 +89,10 @@
 	if len(all) == 0 {
 		return nil, waitServer
 	}
-	now, elapsed := time.Now(), q.edge.elapsed()
-	holders := make([]*backend, 0, len(all))
-	candidates := make([]serverpick.Candidate, 0, len(all))
+	now, elapsed, service := time.Now(), q.edge.elapsed(), q.edge.serviceLoad(q.service)
+	buffers := candidateBuffers.Get().(*candidateBuffer)
+	defer buffers.release()
+	holders, candidates := buffers.holders[:0], buffers.candidates[:0]
 	resting := 0
 	for _, b := range all {
 		if !q.servedBy(b) {
@@ -99,13 +103,14 @@
 			continue
 		}
 		holders = append(holders, b)
-		load := b.stats.loadAt(now)
+		load := b.loadAt(service, now)
 		candidates = append(candidates, serverpick.Candidate{
-			ID: string(b.server.ID), SameZone: b.server.Zone == q.edge.cfg.Zone, Slots: b.server.Slots,
+			ID: string(b.server.ID), Hash: b.hash, Slowness: b.stats.speed.Slowness(now), SameZone: b.server.Zone == q.edge.cfg.Zone, Slots: b.server.Slots,
 			Load: load, Usable: b.stats.health.Usable(elapsed), Tried: q.tried[b.server.ID],
 			NeedsPermit: !b.stats.rateLimit.usable(now), Paced: !q.edge.brittleUsable(b, load, now),
 		})
 	}
+	buffers.holders, buffers.candidates = holders, candidates
 	switch {
 	case len(holders) > 0:
 	case resting > 0:
@@ -118,13 +123,31 @@
 	if allTried(candidates) {
 		return nil, waitTried
 	}
-	pick := serverpick.Request{Affinity: q.affinity, WaitForSlot: q.model != ""}
+	pick := serverpick.Request{
+		Affinity: q.affinity, WaitForSlot: q.model != "",
+		Spread: serverpick.SpreadOf(cmp.Or(q.edge.views.Instances(), q.edge.cfg.Instances)), Random: rand.Uint64(),
+	}
 	if q.model != "" {
+		pick.Reading = q.expected.Reading
 		pick.Objective, pick.SharedReading = q.route.TargetLatency, time.Duration(q.sharedPart*float64(q.expected.Reading))
 	}
 	return q.pickWithPermit(pick, holders, candidates, now)
 }
 
+// candidateBuffer holds the candidates of one choice.
+type candidateBuffer struct {
+	holders    []*backend
+	candidates []serverpick.Candidate
+}
+
+var candidateBuffers = sync.Pool{New: func() any { return &candidateBuffer{} }}
+
+// release returns the buffer to the pool, without the views that it refers to.
+func (c *candidateBuffer) release() {
+	clear(c.holders)
+	candidateBuffers.Put(c)
+}
+
 // pickWithPermit chooses a server and takes a permit if the server states a rate limit. If the
 // best server lacks a permit, a spare one is reserved for the next request. A request that has to
 // wait reserves permits for all its servers.
@@ -147,6 +170,7 @@
 			continue
 		}
 		if holders[i].stats.rateLimit.take(now) {
+			q.progress.expected, q.progress.slowness = pick.FirstEvent(&candidates[i]), candidates[i].Slowness
 			return holders[i], waitNone
 		}
 		// Another request has taken the permit.
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -32,6 +32,9 @@
 	// Alone means that no other request waited to be read meanwhile, so that FirstEvent
 	// contains no waiting time.
 	Alone bool
+	// Events is the number of events of the answer that were generated in Generation; 0 if
+	// unknown.
+	Events int
 }
 
 // Estimator estimates the work of requests to one service. It is safe for concurrent use.
@@ -45,6 +48,8 @@
 
 type mean struct {
 	reading, generation float64 // in seconds
+	// perEvent is the time between two events, in seconds.
+	perEvent float64
 }
 
 // NewEstimator returns an Estimator without observations.
@@ -86,6 +91,40 @@
 		m.reading = update(m.reading, seconds)
 	}
 	m.generation = update(m.generation, o.Generation.Seconds())
+	if o.Events > 0 {
+		m.perEvent = update(m.perEvent, o.Generation.Seconds()/float64(o.Events))
+	}
+}
+
+// minRatioEvents is the number of events from which the time between them is compared: fewer may
+// have been sent together.
+const minRatioEvents = 4
+
+// Ratio returns how many times as long a completed request took as requests of its kind take on
+// average over all servers. The time between events is compared where there are some, since it
+// doesn't depend on the length of prompt and answer. It reports false if the observation says
+// nothing about the speed of its server.
+func (e *Estimator) Ratio(k Kind, o Observation) (float64, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	m := e.kinds[k]
+	switch {
+	case m == nil:
+		return 0, false
+	case o.Events >= minRatioEvents && m.perEvent > 0:
+		return o.Generation.Seconds() / float64(o.Events) / m.perEvent, true
+	case o.Events == 0 && o.Alone && m.reading > 0:
+		return o.FirstEvent.Seconds() / m.reading, true
+	}
+	return 0, false
+}
+
+// MeanHolding returns the mean time that a request of the service keeps a slot of its server; 0 if
+// unknown.
+func (e *Estimator) MeanHolding() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return seconds(e.all.reading + e.all.generation)
 }
 
 func update(mean, observed float64) float64 {
