Decide on the quotas of client accounts over all instances

Cause: an account's limit holds over all instances together, while its clients connect to few of them. Nothing enforced it.

Change: limit.Quotas is the holder's token bucket per account, with fallback shares for the instances that lose it, and limit.LocalQuota is an instance's part: grants that expire after 500 ms, its demand, and its fallback share.

Rules broken by hand, and the tests that then fail: a new holder begins with the whole burst (TestNewHolderBeginsWithPartOfTheBurst); the first version known sets the limit (TestNewestVersionSetsTheLimit); a share that isn't confirmed counts with its new size (TestFallbackSharesAddUpToOne); asks aren't bounded (TestFaultyAsksAreBounded).

--- /dev/null
+++ b/pkg/limit/quota_test.go
@@ -0,0 +1,147 @@
+package limit_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
+)
+
+const quotaUnit = "account"
+
+var known = limit.QuotaLimit{Rate: 1000, Burst: 1000, Version: 3}
+
+// quotaStart is later than 0, since a bucket fills from the start of the holder on.
+const quotaStart = time.Minute
+
+func need(cost float64, of limit.QuotaLimit) limit.QuotaAsk {
+	return limit.QuotaAsk{Need: cost, Least: cost, Limit: of}
+}
+
+// Guards against a new holder that grants the burst which the former one has just granted.
+func TestNewHolderBeginsWithPartOfTheBurst(t *testing.T) {
+	q := limit.NewQuotas(1, quotaStart)
+	assert.Zero(t, q.Reserve("a", quotaUnit, need(251, known), quotaStart).Amount)
+	assert.EqualValues(t, 250, q.Reserve("a", quotaUnit, need(250, known), quotaStart).Amount)
+	short := q.Reserve("a", quotaUnit, need(100, known), quotaStart)
+	assert.Zero(t, short.Amount)
+	assert.Equal(t, 100*time.Millisecond, short.Retry)
+	assert.EqualValues(t, 1000, q.Reserve("a", quotaUnit, need(1000, known), quotaStart+time.Minute).Amount)
+}
+
+// Guards against an instance of an older manifest that restores a limit that was lowered.
+func TestNewestVersionSetsTheLimit(t *testing.T) {
+	q := limit.NewQuotas(1, 0)
+	lowered := limit.QuotaLimit{Rate: 10, Burst: 10, Version: 4}
+	q.Reserve("a", quotaUnit, need(0, known), quotaStart)
+	all := limit.QuotaAsk{Need: 1000, Least: 1, Limit: lowered}
+	assert.EqualValues(t, 10, q.Reserve("b", quotaUnit, all, quotaStart).Amount)
+	assert.Zero(t, q.Reserve("a", quotaUnit, need(5, known), quotaStart+100*time.Millisecond).Amount)
+}
+
+// Guards against fallback shares that add up to more than the rate, also if replies are lost and the
+// holder is replaced.
+func TestFallbackSharesAddUpToOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const instances = 5
+		now, holds, asked := quotaStart, make([]float64, instances), make([]time.Duration, instances)
+		q := limit.NewQuotas(instances, now)
+		for range rapid.IntRange(1, 200).Draw(t, "asks") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond
+			if rapid.IntRange(0, 50).Draw(t, "holder") == 0 {
+				q = limit.NewQuotas(instances, now)
+				for j, fraction := range holds {
+					if rapid.Bool().Draw(t, "reaches the new holder") {
+						asked[j], holds[j] = now, q.Reserve(fmt.Sprint(j), quotaUnit, limit.QuotaAsk{Limit: known, Fraction: fraction}, now).Fraction
+					}
+				}
+			}
+			for j, at := range asked {
+				if now-at >= 20*time.Second {
+					holds[j] = 0 // it has forgotten the account, or is gone
+				}
+			}
+			i := rapid.IntRange(0, instances-1).Draw(t, "instance")
+			ask := need(float64(rapid.IntRange(0, 900).Draw(t, "need")), known)
+			ask.Demand, ask.Fraction = float64(rapid.IntRange(0, 9000).Draw(t, "demand")), holds[i]
+			grant := q.Reserve(fmt.Sprint(i), quotaUnit, ask, now)
+			asked[i] = now
+			if rapid.Bool().Draw(t, "received") {
+				holds[i] = grant.Fraction
+			}
+			sum := 0.0
+			for _, fraction := range holds {
+				sum += fraction
+			}
+			if sum > 1+1e-9 {
+				t.Fatalf("the shares are %v", holds)
+			}
+		}
+	})
+}
+
+// Guards against a bucket that a faulty peer breaks.
+func TestFaultyAsksAreBounded(t *testing.T) {
+	q := limit.NewQuotas(1, 0)
+	for _, bad := range []float64{math.NaN(), math.Inf(1), -1} {
+		ask := limit.QuotaAsk{Need: bad, Least: bad, Extra: bad, Demand: bad, Limit: known, Fraction: bad, Alone: bad}
+		grant := q.Reserve("bad", quotaUnit, ask, quotaStart)
+		assert.True(t, grant.Amount >= 0 && grant.Amount <= known.Burst && grant.Fraction >= 0 && grant.Fraction <= 1, "%+v", grant)
+	}
+	assert.EqualValues(t, 500, q.Reserve("good", quotaUnit, need(500, known), quotaStart+5*time.Second).Amount)
+}
+
+// Guards against grants that add up over time, and against cost that is given back later.
+func TestGrantsExpire(t *testing.T) {
+	var l limit.LocalQuota
+	l.Arrived(100, known, quotaStart)
+	l.Granted(limit.QuotaGrant{Amount: 300}, quotaStart, quotaStart+time.Millisecond)
+	taken, ok := l.Take(100, quotaStart+time.Millisecond)
+	assert.True(t, ok)
+	l.Return(taken, quotaStart+2*time.Millisecond)
+	_, ok = l.Take(300, quotaStart+499*time.Millisecond)
+	assert.True(t, ok)
+	l.Granted(limit.QuotaGrant{Amount: 300}, quotaStart, quotaStart+499*time.Millisecond)
+	_, ok = l.Take(1, quotaStart+500*time.Millisecond)
+	assert.False(t, ok)
+	l.Return(taken, quotaStart+500*time.Millisecond)
+	_, ok = l.Take(1, quotaStart+500*time.Millisecond)
+	assert.False(t, ok)
+}
+
+// Guards against an account that is refused for good by an instance with a small share.
+func TestSmallShareIsEnoughAfterSomeTime(t *testing.T) {
+	var l limit.LocalQuota
+	l.Arrived(500, known, quotaStart)
+	l.Lost(quotaStart)
+	unstated := limit.UnstatedFraction(10, true)
+	_, retry, ok := l.TakeAlone(500, unstated, quotaStart)
+	assert.False(t, ok)
+	assert.Greater(t, retry, time.Second)
+	_, _, ok = l.TakeAlone(500, unstated, quotaStart+20*time.Second)
+	assert.True(t, ok)
+}
+
+func BenchmarkReserveQuota(b *testing.B) {
+	for _, instances := range []int{8, 83, 300} {
+		b.Run(fmt.Sprint(instances), func(b *testing.B) {
+			q, now := limit.NewQuotas(instances, 0), quotaStart
+			names := make([]string, instances)
+			for i := range names {
+				names[i] = fmt.Sprint("instance-", i)
+			}
+			ask := need(1, known)
+			ask.Demand = 10
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now += 200 * time.Microsecond
+				q.Reserve(names[i%instances], quotaUnit, ask, now)
+			}
+		})
+	}
+}
