Enforce the quotas of client accounts over all instances

Cause: requests of an account weren't limited, though the manifest states ratePerS and burst.

Change: a request of a limited account takes its cost from the instance's balance, or waits for the new call ReserveQuota to the holder and at most 100 ms for the bucket to fill; else it is refused with 429 and Retry-After. Without a holder, the fallback share applies at once. Cost is given back if no server ran the request. WatchRequest names the instance, so that the holder hears those without requests; DemandReply says whether the holder states fallback shares.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -56,6 +56,9 @@
 	Instances int
 	// Manifest is what is known of newer manifests than the one in force.
 	Manifest ManifestState
+	// Clock is the clock by which quotas accrue and grants expire. It must include suspensions;
+	// nil means bootclock.Now.
+	Clock func() time.Duration
 }
 
 // Edge serves client requests. It is an http.Handler.
@@ -95,6 +98,8 @@
 
 	keys confirmation
 
+	quotas accountQuotas
+
 	// begun are the streams in progress that other instances don't know of.
 	begun unannounced
 
@@ -115,6 +120,7 @@
 // Peers is what the instances of a deployment know together.
 type Peers struct {
 	Permits   Permits
+	Quotas    Quotas
 	Origins   Origins
 	Crashes   Crashes
 	Standings Standings
@@ -141,6 +147,7 @@
 		keysUnknown:     metrics.NewRegisteredCounter("edge_keys_unknown", registry),
 		keysUnconfirmed: metrics.NewRegisteredCounter("edge_keys_unconfirmed", registry),
 	}
+	e.quotas.init(cfg.Clock, peers.Quotas, registry)
 	e.crashes.OnBlock(e.traitBlocked)
 	peers.Standings.OnTold(e.standingTold)
 	return e
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -65,7 +65,7 @@
 	w.tracer = sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(w.spans)).Tracer("")
 	w.edge = edge.New(edge.Config{Zone: "zone-a", RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second, Instances: 1},
 		w.views, platform.NewServers(), noDemand{},
-		edge.Peers{Permits: newPermits().of("i0"), Origins: w.origins.of("i0"), Crashes: newCrashes(t).of("i0"), Standings: newStandings().of("i0")}, &log.Logger{Level: log.PanicLevel}, metrics.NewRegistry(), w.tracer)
+		edge.Peers{Permits: newPermits().of("i0"), Quotas: newQuotas().of("i0"), Origins: w.origins.of("i0"), Crashes: newCrashes(t).of("i0"), Standings: newStandings().of("i0")}, &log.Logger{Level: log.PanicLevel}, metrics.NewRegistry(), w.tracer)
 	w.front = httptest.NewServer(w.edge)
 	t.Cleanup(w.front.Close)
 	return w
--- a/internal/edge/outcome.go
+++ b/internal/edge/outcome.go
@@ -18,6 +18,8 @@
 	reasonBehind          reason = "newer manifest not known yet"
 	reasonKey             reason = "key unknown or missing"
 	reasonKeysUnconfirmed reason = "keys may have been withdrawn"
+	reasonQuota           reason = "quota of the account used up"
+	reasonQuotaShare      reason = "this instance's share of the account's quota used up"
 	reasonBody            reason = "body unreadable"
 	reasonBodyTooLarge    reason = "body too large"
 	reasonNoServer        reason = "no server"
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -16,6 +16,7 @@
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/account"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/crashcause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/workload"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
@@ -38,6 +39,11 @@
 	affinity string
 	// account is the client account of the request; nil if it needs none.
 	account *account.Account
+	// manifestVersion is the version of the manifest that the request is served by.
+	manifestVersion int64
+	// quota is what the request has taken from quotaOf; nil if its account has no limit.
+	quota   limit.QuotaCost
+	quotaOf *accountQuota
 	// priority is the rank of the request, where 0 is the highest.
 	priority int
 	// identity is what the request is known by if a server crashes under it.
@@ -107,7 +113,10 @@
 		defer span.End()
 		ctx, block := context.WithCancelCause(ctx)
 		defer block(nil)
-		out, ok = q.runUnlessBlocked(ctx, block)
+		if out, ok = q.reserveQuota(ctx); ok {
+			out, ok = q.runUnlessBlocked(ctx, block)
+			q.returnQuota(ok)
+		}
 		if !ok && r.Context().Err() != nil {
 			out = outcome{reason: reasonCanceled}
 		}
@@ -133,7 +142,7 @@
 		return
 	}
 	entry := e.log.Info()
-	if out.status == http.StatusServiceUnavailable {
+	if out.status == http.StatusServiceUnavailable || out.status == http.StatusTooManyRequests {
 		e.refusals.Inc(1)
 	} else {
 		e.failures.Inc(1)
@@ -147,6 +156,9 @@
 	if q.route != nil && !q.deadline.IsZero() {
 		entry = entry.Str("route", q.route.Name).Dur("limit", q.deadline.Sub(q.arrived))
 	}
+	if q.account != nil {
+		entry = entry.Str("account", q.account.Name)
+	}
 	entry.Msg("request_ended")
 }
 
@@ -161,6 +173,7 @@
 	if !q.edge.acceptsRequests() {
 		return refused(reasonStopping, stoppingRetryAfter), false
 	}
+	q.manifestVersion = view.Manifest.Version
 	q.method, q.target, q.host = r.Method, r.RequestURI, r.Host
 	q.route = view.Manifest.Route(hostName(r.Host), rawPath(r))
 	if q.route == nil && q.edge.cfg.Manifest.isBehind() {
--- a/internal/edge/virtual_test.go
+++ b/internal/edge/virtual_test.go
@@ -38,6 +38,7 @@
 	servers   map[fleet.ServerID]*fleet.Server
 	listeners *memoryListeners
 	permits   *permits
+	quotas    *quotas
 	origins   *origins
 	crashes   *crashes
 	standings *standings
@@ -54,7 +55,7 @@
 func newVirtualFleet(t *testing.T) *virtualFleet {
 	// The handlers of closed servers, and the checks of crashed ones, end before the bubble does.
 	t.Cleanup(func() { time.Sleep(time.Minute) })
-	return &virtualFleet{T: t, servers: map[fleet.ServerID]*fleet.Server{}, permits: newPermits(), origins: newOrigins(), crashes: newCrashes(t), standings: newStandings(), listeners: &memoryListeners{byAddress: map[string]*memoryListener{}}}
+	return &virtualFleet{T: t, servers: map[fleet.ServerID]*fleet.Server{}, permits: newPermits(), quotas: newQuotas(), origins: newOrigins(), crashes: newCrashes(t), standings: newStandings(), listeners: &memoryListeners{byAddress: map[string]*memoryListener{}}}
 }
 
 // addServer starts a server and lists it.
@@ -89,9 +90,9 @@
 func (f *virtualFleet) newInstanceWith(name string, views *edge.Views, instances int, servers *platform.Servers) *edge.Edge {
 	views.SetInstances(instances)
 	f.origins.add(name, views)
-	return edge.New(edge.Config{Name: name, Zone: "zone-a", RetryRatio: 0.2, RetryExtra: 200, RetryWindow: 10 * time.Second, Instances: instances},
+	return edge.New(edge.Config{Name: name, Zone: "zone-a", RetryRatio: 0.2, RetryExtra: 200, RetryWindow: 10 * time.Second, Instances: instances, Clock: f.quotas.clock},
 		views, servers, noDemand{},
-		edge.Peers{Permits: f.permits.of(name), Origins: f.origins.of(name), Crashes: f.crashes.of(name), Standings: f.standings.of(name)}, &log.Logger{Level: log.PanicLevel}, metrics.NewRegistry(),
+		edge.Peers{Permits: f.permits.of(name), Quotas: f.quotas.of(name), Origins: f.origins.of(name), Crashes: f.crashes.of(name), Standings: f.standings.of(name)}, &log.Logger{Level: log.PanicLevel}, metrics.NewRegistry(),
 		noop.NewTracerProvider().Tracer(""))
 }
 
--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -102,7 +102,7 @@
 		placer.NewCollector,
 		func(c *placer.Collector) edge.Demand { return c },
 		func(p *placer.Placer) edge.Peers {
-			return edge.Peers{Permits: p, Origins: p, Crashes: p, Standings: p.Standings()}
+			return edge.Peers{Permits: p, Quotas: p, Origins: p, Crashes: p, Standings: p.Standings()}
 		},
 		func(s *Settings) (*telemetry.Tracing, error) {
 			return telemetry.NewTracing(context.Background(), s.Tracing.OTLPURL, s.Tracing.SampleRatio, s.Instance.Name, s.Instance.Zone)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -80,6 +80,7 @@
 	holder    *holder
 	collector *Collector
 	permits   *permitIssuer
+	quotas    *quotaIssuer
 	origins   *origins
 	crashes   *crashTransport
 	standings *standings
@@ -119,6 +120,7 @@
 	}
 	e.released = p.holder.wakeAllWatchers
 	mirror.SetTeller(e.placing, p.holder.wakeAllWatchers)
+	p.quotas = newQuotaIssuer(p.name, e.canOrder, views.Instances)
 	p.crashes, p.standings = newCrashTransport(p), newStandings(p)
 	recorder := edge.NewStandingRecorder(views, p.standings, logger)
 	p.holder.control = platform.NewControl(func(server *fleet.Server, notice platform.Notice) {
@@ -189,6 +191,7 @@
 	}
 	if p.elector.placing() {
 		epoch, _ := p.elector.canOrder()
+		p.quotas.statesShares.Store(true)
 		p.setPeers(p.holder.receiveReport(p.name, p.address, p.elector.capacity, report))
 		p.historySent.reported(r.Incarnation, epoch, withHistory)
 		return nil
@@ -215,6 +218,7 @@
 	}
 	p.elector.holderResponded(reply.Tenure.GetEpoch())
 	p.elector.setSuccessors(reply.Successors)
+	p.quotas.statesShares.Store(reply.StatesFallbackShares)
 	if reply.PeersVersion == 0 || reply.PeersVersion != message.PeersVersion {
 		p.setPeers(reply.Peers, reply.PeersVersion)
 	}
@@ -318,7 +322,7 @@
 	listEnd, manifestVersion := p.mirror.Known()
 	return p.client(address).Watch(ctx, &placerpb.WatchRequest{
 		Epoch: epoch, Version: version, WaitMs: uint32(min(p.mirror.TellInterval(), watchTimeout).Milliseconds()),
-		Store: true, ListEnd: listEnd, ManifestVersion: manifestVersion,
+		Store: true, ListEnd: listEnd, ManifestVersion: manifestVersion, Instance: p.name,
 	})
 }
 
--- a/internal/placer/service.go
+++ b/internal/placer/service.go
@@ -25,9 +25,11 @@
 	if !s.placer.elector.placing() {
 		return &placerpb.DemandReply{Tenure: lease}, nil
 	}
+	s.placer.quotas.heard(r.Instance)
 	peers, version := s.placer.holder.receiveReport(r.Instance, r.Address, float64(finiteCapacity(r.Capacity)), decodeDemand(r))
 	reply := &placerpb.DemandReply{
 		Placing: true, Instances: uint32(len(peers)), Tenure: lease, PeersVersion: version, Successors: s.placer.holder.successors(),
+		StatesFallbackShares: true,
 	}
 	if r.PeersVersion != version {
 		reply.Peers = peers
@@ -46,6 +48,9 @@
 // Watch is a long poll. It returns the servers that have changed since the caller's version.
 func (s *service) Watch(ctx context.Context, r *placerpb.WatchRequest) (*placerpb.Placement, error) {
 	received := bootclock.Now()
+	if r.Instance != "" && s.placer.elector.placing() {
+		s.placer.quotas.heard(r.Instance)
+	}
 	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(r.WaitMs)*time.Millisecond, watchTimeout))
 	defer cancel()
 	for {
--- a/pkg/limit/quota_test.go
+++ b/pkg/limit/quota_test.go
@@ -96,6 +96,52 @@
 	assert.EqualValues(t, 500, q.Reserve("good", quotaUnit, need(500, known), quotaStart+5*time.Second).Amount)
 }
 
+// granted returns what an instance gets that asks for all each 100 ms, while others are heard.
+func granted(q *limit.Quotas, instance string, from, to time.Duration, others ...string) (sum float64) {
+	for now := from; now <= to; now += 100 * time.Millisecond {
+		for _, other := range others {
+			q.Heard(other, now)
+		}
+		sum += q.Reserve(instance, quotaUnit, limit.QuotaAsk{Need: 1e6, Least: 1, Limit: known}, now).Amount
+	}
+	return sum
+}
+
+// Guards against a rate that is granted in full while silent instances use a part of it.
+func TestShareOfASilentInstanceIsReserved(t *testing.T) {
+	q, second := limit.NewQuotas(2, 0), time.Second
+	q.Heard("a", quotaStart)
+	part := q.Reserve("silent", quotaUnit, limit.QuotaAsk{Limit: known, Demand: 1000}, quotaStart).Fraction
+	assert.Positive(t, part)
+	assert.InDelta(t, known.Burst+(1-part)*known.Rate*10, granted(q, "a", quotaStart, quotaStart+10*second), known.Rate/10)
+	assert.InDelta(t, known.Rate*5, granted(q, "a", quotaStart+10*second, quotaStart+15*second, "silent"), known.Rate/10)
+}
+
+// Guards against a new holder that takes a partitioned zone, or a few dead instances, for idle.
+func TestSharesOfUnheardInstancesAreReserved(t *testing.T) {
+	for unheard, part := range map[int]float64{5: 0.05, 40: 0.85, 0: 0} {
+		q, heard := limit.NewQuotas(100, quotaStart), []string(nil)
+		for i := range 99 - unheard {
+			heard = append(heard, fmt.Sprint("i", i))
+		}
+		want := known.Burst/4 + (1-part)*known.Rate*10
+		assert.InDelta(t, want, granted(q, "a", quotaStart, quotaStart+10*time.Second, heard...), known.Rate/10, "%d unheard", unheard)
+	}
+}
+
+// Guards against use without the holder that is never counted, since asks arrive and replies don't.
+func TestUseWithoutTheHolderIsCharged(t *testing.T) {
+	q := limit.NewQuotas(2, 0)
+	alone := limit.QuotaAsk{Limit: known}
+	q.Reserve("alone", quotaUnit, alone, quotaStart)
+	granted(q, "a", quotaStart, quotaStart)
+	alone.Alone = 600
+	for range 2 {
+		q.Reserve("alone", quotaUnit, alone, quotaStart+500*time.Millisecond)
+	}
+	assert.InDelta(t, 400, granted(q, "a", quotaStart+time.Second, quotaStart+time.Second), 1)
+}
+
 // Guards against grants that add up over time, and against cost that is given back later.
 func TestGrantsExpire(t *testing.T) {
 	var l limit.LocalQuota
