Test that the holder hears idle instances and that empty buckets aren't asked for

Cause: three rules of the quotas could be broken without a failing test.

Change: tests for each. limit.Quotas reports whether it knows an instance.

Broken by hand, and the tests that then fail: the holder doesn't count Watch as a message (TestHolderHearsWatchingInstances); DemandReply doesn't say that shares are stated (TestHoldersGrantQuotas, which passed before if the lease moved); an instance asks without a pause while the bucket is empty (TestRequestsAboveTheQuotaAreRefused).

Not caught by a test: a fallback share's credit at each loss of the holder instead of once in 8 s; and a bucket that holds no more than a small burst. Not tried: a request that doesn't wait for the bucket.

--- a/internal/edge/quotas_test.go
+++ b/internal/edge/quotas_test.go
@@ -105,7 +105,10 @@
 		f, e := quotaFleet(t, plain)
 		assert.Equal(t, map[int]int{http.StatusOK: 20}, f.statuses(e, "unlimited", 20))
 		assert.Zero(t, f.quotas.calls)
+		begun := time.Now()
 		first := f.statuses(e, "limited", 20)
+		// They arrive one after the other, so that calls can't be shared.
+		assert.LessOrEqual(t, f.quotas.calls, int(time.Since(begun)/(25*time.Millisecond))+5, "calls while the bucket is empty")
 		assert.LessOrEqual(t, first[http.StatusOK], 4+1, "the burst with its excess of 1 s, and one that waited")
 		assert.GreaterOrEqual(t, first[http.StatusOK], 2)
 		assert.Equal(t, 20, first[http.StatusOK]+first[http.StatusTooManyRequests])
--- a/internal/placer/quotas_test.go
+++ b/internal/placer/quotas_test.go
@@ -33,11 +33,29 @@
 	}
 	c.eventually("i1 gets a grant", reserve)
 	c.eventually("i1 knows that shares are stated", second.StatesFallbackShares)
+	require.True(t, first.elector.placing(), "it isn't i1 that grants to itself")
 	first.stop()
 	c.eventually("i1 is the holder", second.elector.placing)
 	c.eventually("it grants to itself", reserve)
 }
 
+// Guards against a holder that takes instances without requests for silent, and reserves a part of
+// each account's rate for them.
+func TestHolderHearsWatchingInstances(t *testing.T) {
+	c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0"})
+	holder := c.start("i0")
+	c.eventually("i0 is the holder", holder.elector.placing)
+	heard := func() bool {
+		holder.quotas.mu.Lock()
+		defer holder.quotas.mu.Unlock()
+		return holder.quotas.quotas != nil && holder.quotas.quotas.Knows("watching")
+	}
+	assert.False(t, heard())
+	_, err := (&service{placer: holder.Placer}).Watch(t.Context(), &placerpb.WatchRequest{Instance: "watching"})
+	require.NoError(t, err)
+	assert.True(t, heard())
+}
+
 // Guards against fields that are lost on the wire.
 func TestQuotaMessages(t *testing.T) {
 	assert.Equal(t, quotaAsk, decodeQuotaAsk(encodeQuotaAsk("i", "account", quotaAsk)))
--- a/pkg/limit/quota.go
+++ b/pkg/limit/quota.go
@@ -168,6 +168,9 @@
 	known.at = max(known.at, now)
 }
 
+// Knows reports whether an instance has been heard, and isn't gone.
+func (q *Quotas) Knows(instance string) bool { return q.instances[instance] != nil }
+
 // Reserve grants an instance a part of an account's quota.
 func (q *Quotas) Reserve(instance, account string, ask QuotaAsk, now time.Duration) QuotaGrant {
 	ask = ask.bounded()
