Refuse requests at once that would wait too long for a slot

Load: more demand for a model than its servers can serve, at many instances that each know little of the servers.

Cause: a server whose last report was two seconds old counted as having room, also if every report had shown it full, so that the waiting requests of all instances asked it again and again. A request that couldn't be served was held until its client left. A slot cost each flow the same whatever server time it took, priorities beyond 3 counted alike, and clients that were refused waited behind all that had come meanwhile.

Change: a server that is usually full gets a request when its report is older than ProbeAfter: all instances together send it three requests for each of its slots that becomes free. slotqueue learns the time between grants for each model while requests wait, and a request is refused when it is expected to wait twice as long as it can, with the time after which it could wait as Retry-After, spread by the jitter as before. The slots are charged by server time, each step of priority down to 9 halves the weight, and time spent on earlier attempts (the deadline is shorter than the route's timeout) moves a request forward. New counter edge_refused_early.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -112,6 +112,8 @@
 	// keysUnknown and keysUnconfirmed count the requests that were refused for their keys.
 	keysUnknown, keysUnconfirmed metrics.Counter
 	latency                      metrics.Timer
+	// refusedEarly counts requests that were refused for what they were expected to wait.
+	refusedEarly metrics.Counter
 	// firstEventExpected and firstEventObserved are the times from sending requests for models to
 	// their first events.
 	firstEventExpected, firstEventObserved metrics.Timer
@@ -141,6 +143,7 @@
 		repeats:    metrics.NewRegisteredCounter("edge_repeats", registry),
 		latency:    metrics.NewRegisteredTimer("edge_latency_ns", registry),
 
+		refusedEarly:       metrics.NewRegisteredCounter("edge_refused_early", registry),
 		firstEventExpected: metrics.NewRegisteredTimer("edge_first_event_expected_ns", registry),
 		firstEventObserved: metrics.NewRegisteredTimer("edge_first_event_observed_ns", registry),
 
--- a/internal/edge/outcome.go
+++ b/internal/edge/outcome.go
@@ -31,6 +31,7 @@
 	reasonRequestBlocked  reason = "the request crashes servers"
 	reasonBrittle         reason = "servers bear no more requests"
 	reasonRest            reason = "servers want no requests for a time"
+	reasonBusy            reason = "servers busy for longer than the request can wait"
 	reasonTooLate         reason = "too little time left"
 	reasonLost            reason = "answer lost"
 	reasonTimeout         reason = "time limit"
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -78,6 +78,9 @@
 	permitsAwaited []*rateLimit
 	// awaitsBrittle means that the request has been found to be in time for brittle servers.
 	awaitsBrittle bool
+	// expectedWait is how long the request was expected to wait for a slot when it last joined the
+	// queue; 0 if unknown.
+	expectedWait time.Duration
 	// awaitsLoad means that the permits won't do, but another server may load the model.
 	awaitsLoad bool
 	// status is the HTTP status of the last answer, or 0 if there was none.
--- a/internal/edge/slots.go
+++ b/internal/edge/slots.go
@@ -64,16 +64,28 @@
 func (s *slotQueue) join(q *request) *slotWait {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ticket := s.order.Enqueue(time.Now(), slotqueue.Request{
+	now := time.Now()
+	ticket := s.order.Enqueue(now, slotqueue.Request{
 		Route: q.route.Name, Model: q.model, Priority: q.priority, NonRepeatable: !q.route.Idempotent(),
 		Objective: q.arrived.Add(q.route.TargetLatency), Deadline: q.deadline,
+		Spent: q.spentBefore(), Work: q.expected.Work(q.slots),
 	})
+	q.expectedWait = s.order.Expect(now, ticket)
 	w := &slotWait{request: q, ticket: ticket, granted: make(chan *backend, 1)}
 	s.waits[ticket] = w
 	s.waiting.Add(1)
 	return w
 }
 
+// spentBefore returns how long the client has tried before: its deadline is that much shorter than
+// the timeout of the route.
+func (q *request) spentBefore() time.Duration {
+	if q.head.Deadline <= 0 || q.route.Timeout <= 0 {
+		return 0
+	}
+	return max(q.route.Timeout-q.head.Deadline, 0)
+}
+
 // withdraw removes a request from the queue. If the request was already granted a slot,
 // withdraw returns the server of that slot, which the caller must use or release.
 func (s *slotQueue) withdraw(w *slotWait) *backend {
@@ -84,7 +96,7 @@
 		return b
 	default:
 	}
-	s.order.Remove(w.ticket)
+	s.order.Remove(time.Now(), w.ticket)
 	s.remove(w)
 	return nil
 }
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"sync"
@@ -126,6 +127,8 @@
 	others float64
 	// holding is the mean time that a request keeps a slot.
 	holding time.Duration
+	// instances is the number of instances that send to the servers.
+	instances int
 }
 
 // loadAt returns the load of a server, with what is usual while its last report is old.
@@ -135,6 +138,8 @@
 	if sample := b.stats.load.Load(); sample != nil {
 		usual = sample.usual
 	}
+	load.OthersWhenFull = usual.OthersWhenFull(b.server.Slots)
+	load.ProbeAfter = serverpick.ProbeAfter(service.holding, b.server.Slots, service.instances)
 	load.OthersUsual, load.Holding = usual.Others(b.server.Slots, service.others), service.holding
 	return load
 }
@@ -149,7 +154,10 @@
 }
 
 func (e *Edge) serviceLoad(service string) serviceLoad {
-	return serviceLoad{others: e.othersUtilization(service).Value(), holding: e.workload(service).MeanHolding()}
+	return serviceLoad{
+		others: e.othersUtilization(service).Value(), holding: e.workload(service).MeanHolding(),
+		instances: cmp.Or(e.views.Instances(), e.cfg.Instances),
+	}
 }
 
 // recordLoad records the load that a server reported.
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"cmp"
 	"context"
 	"math"
 	"math/rand/v2"
@@ -28,6 +27,10 @@
 	// drainCheckInterval is how often a waiting request checks whether the instance is
 	// draining.
 	drainCheckInterval = 500 * time.Millisecond
+	// refusalMargin is how many times the time that a request can wait its expected wait must be for
+	// it to be refused. The expected wait is a mean; requests that end, or servers that become
+	// faster, can halve it.
+	refusalMargin = 2
 	// modelWaitShare is the share of its time that a request waits for a model that no
 	// server is loading; the rest leaves the client time to retry.
 	modelWaitShare = 0.6
@@ -125,7 +128,7 @@
 	}
 	pick := serverpick.Request{
 		Affinity: q.affinity, WaitForSlot: q.model != "",
-		Spread: serverpick.SpreadOf(cmp.Or(q.edge.views.Instances(), q.edge.cfg.Instances)), Random: rand.Uint64(),
+		Spread: serverpick.SpreadOf(service.instances), Random: rand.Uint64(),
 	}
 	if q.model != "" {
 		pick.Reading = q.expected.Reading
@@ -246,6 +249,9 @@
 	case waitRest:
 		return q.checkRest(view, now)
 	case waitSlot:
+		if q.model != "" {
+			return q.checkQueue(view, now)
+		}
 		return q.checkBrittle(view, now)
 	case waitTried:
 		return outcome{}, false
@@ -276,6 +282,18 @@
 	return outcome{}, false
 }
 
+// checkQueue refuses a request that waits for a slot if those before it take much longer than it can
+// wait, and no other server is about to load the model. A request that may have run isn't refused,
+// since its client couldn't simply send it again.
+func (q *request) checkQueue(view *View, now time.Time) (outcome, bool) {
+	left := q.waitLimit().Sub(now)
+	if q.runs > 0 || q.headWritten || q.expectedWait <= refusalMargin*left || q.loadsInTime(view) {
+		return outcome{}, false
+	}
+	q.edge.refusedEarly.Inc(1)
+	return refused(reasonBusy, jitter(q.expectedWait-left)), true
+}
+
 // checkRateLimits refuses a request for whose servers too many others wait for permits. A
 // request for a model that another server can load waits for that as for a model that no server
 // holds.
--- a/internal/fleetsim/simulation.go
+++ b/internal/fleetsim/simulation.go
@@ -330,7 +330,7 @@
 func (s *simulation) dequeue(r *request) {
 	r.done, r.waitingForModel = true, false
 	if r.ticket != nil {
-		s.slotQueue.Remove(r.ticket)
+		s.slotQueue.Remove(wallClock(s.now), r.ticket)
 		delete(s.requestOf, r.ticket)
 	}
 	same := func(other *request) bool { return other == r }
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -13,6 +13,9 @@
 	// Weight is the weight of the request's flow relative to other flows; values below 1
 	// count as 1.
 	Weight int
+	// Cost is what serving the request is charged to its flow, relative to other requests; 0
+	// counts as 1.
+	Cost float64
 	// Deadline is the time after which it is useless to start the request.
 	Deadline time.Time
 	// Bytes is the memory that the request occupies while it waits.
@@ -192,10 +195,29 @@
 		return false
 	}
 	q.virtual = max(q.virtual, f.start)
-	f.start += 1 / f.weight
+	cost := t.Cost
+	if cost <= 0 {
+		cost = 1
+	}
+	f.start += cost / f.weight
 	return q.Remove(t)
 }
 
+// Position returns how many requests of its flow precede a waiting request, and the share of its
+// flow among the flows of the same caller.
+func (q *Queue) Position(t *Ticket) (ahead int, share float64) {
+	if t.flow == nil {
+		return 0, 1
+	}
+	sum := 0.0
+	for _, other := range q.order {
+		if other.key.caller == t.flow.key.caller {
+			sum += other.weight
+		}
+	}
+	return t.flow.position(t), t.flow.weight / sum
+}
+
 // Remove removes a request that will not be started. It reports whether the request was
 // in the queue.
 func (q *Queue) Remove(t *Ticket) bool {
--- a/pkg/serverpick/estimate.go
+++ b/pkg/serverpick/estimate.go
@@ -30,6 +30,10 @@
 	// OthersUsual is the usual number of requests of other instances on the server. What a
 	// report says of others fades to it, as these requests end and others are sent.
 	OthersUsual float64
+	// OthersWhenFull is the usual number if that fills the server, else 0. It counts in place of
+	// OthersUsual until the last report is older than ProbeAfter (0: two seconds).
+	OthersWhenFull float64
+	ProbeAfter     time.Duration
 	// Holding is the mean time that a request keeps a slot; 0 if unknown.
 	Holding time.Duration
 }
@@ -54,11 +58,19 @@
 // requestsAt returns that number with fadeRate(l.holding()), which is nearly always the same for
 // the servers of a service.
 func (l *Load) requestsAt(rate float64) float64 {
-	if l.Age < 0 || l.Age > loadMaxAge {
+	if l.Age < 0 || l.Age > l.probeAfter() {
 		return float64(l.InFlight) + l.OthersUsual
 	}
+	usual := max(l.OthersUsual, l.OthersWhenFull)
 	reported := float64(max(l.Reported-l.InFlightAtReport, 0))
-	return float64(l.InFlight) + l.OthersUsual + (reported-l.OthersUsual)*fade(l.Age, rate)
+	return float64(l.InFlight) + usual + (reported-usual)*fade(l.Age, rate)
+}
+
+func (l *Load) probeAfter() time.Duration {
+	if l.ProbeAfter <= 0 {
+		return loadMaxAge
+	}
+	return l.ProbeAfter
 }
 
 func (l *Load) holding() time.Duration {
@@ -106,6 +118,35 @@
 	return min(others, math.Floor(usualMaxPart*n), n-1)
 }
 
+// OthersWhenFull returns the usual number of requests of other instances if it fills the server, and
+// 0 otherwise.
+func (u UsualLoad) OthersWhenFull(slots int) float64 {
+	if others := u.others + (1-u.weight)*float64(slots); u.weight > 0 && others > usualMaxPart*float64(slots) {
+		return others
+	}
+	return 0
+}
+
+const (
+	// minProbeAfter and maxProbeAfter bound ProbeAfter. Below, an instance would ask a full server
+	// many times a second; above, a server that has room again would idle for too long.
+	minProbeAfter, maxProbeAfter = 300 * time.Millisecond, 10 * time.Second
+	// probesPerSlot is how many requests instances may send to a server that is usually full for
+	// each of its slots that becomes free. In replays near and above the capacity (310 to 400
+	// requests a second) 2 left slots idle, and 4 had a third more requests rejected.
+	probesPerSlot = 3
+)
+
+// ProbeAfter returns the age of a report of a full server from which it gets another request: all
+// instances together send it probesPerSlot requests in the time in which one of its slots becomes
+// free.
+func ProbeAfter(holding time.Duration, slots, instances int) time.Duration {
+	if holding <= 0 {
+		return loadMaxAge
+	}
+	return min(max(holding*time.Duration(max(instances, 1))/time.Duration(probesPerSlot*max(slots, 1)), minProbeAfter), maxProbeAfter)
+}
+
 // Mean is a moving average of the utilization of a service's servers by other instances. It is
 // safe for concurrent use; the zero value is an average of 0.
 type Mean struct{ bits atomic.Uint64 }
--- a/pkg/serverpick/replay_test.go
+++ b/pkg/serverpick/replay_test.go
@@ -195,7 +195,7 @@
 	for ticket, j := range s.jobs {
 		if p.now.Sub(j.arrived) > replayPatience {
 			p.left++
-			s.queue.Remove(ticket)
+			s.queue.Remove(p.now, ticket)
 			delete(s.jobs, ticket)
 		}
 	}
@@ -227,6 +227,8 @@
 				load.Age = -1
 			}
 		} else {
+			load.OthersWhenFull = k.usual.OthersWhenFull(p.slots)
+			load.ProbeAfter = serverpick.ProbeAfter(replayReading+replayGeneration, p.slots, p.fleet.instances)
 			load.OthersUsual, load.Holding = k.usual.Others(p.slots, j.from.mean.Value()), replayReading+replayGeneration
 			c.Slowness = k.speed.Slowness(p.now)
 		}
@@ -343,3 +345,14 @@
 	assert.GreaterOrEqual(t, after.onTime*before.arrived, before.onTime*after.arrived*99/100)
 	assert.LessOrEqual(t, after.busiest, before.busiest)
 }
+
+// At the limit of what the servers can do, requests wait at their instances, which must neither ask
+// full servers again and again nor leave slots idle.
+func TestReplayAtTheLimit(t *testing.T) {
+	f := engines71
+	f.perSecond, f.seconds = 340, 12
+	before, after := f.play(true), f.play(false)
+	t.Logf("before: %v; after: %v", before, after)
+	assert.Less(t, after.rejected, before.rejected/2)
+	assert.Greater(t, after.onTime, before.onTime)
+}
--- a/pkg/slotqueue/slotqueue.go
+++ b/pkg/slotqueue/slotqueue.go
@@ -5,7 +5,8 @@
 //
 // Waiting requests form flows by route, model, and whether they have missed their objective. A
 // flow is ordered by deadline, and the flows share the free slots by weighted fair queueing,
-// so that none of them starves.
+// so that none of them starves. The weight stands for what an answer in time is worth to the
+// caller, and a flow is charged the server time that its requests take.
 package slotqueue
 
 import (
@@ -25,9 +26,14 @@
 	// LateSlowdown is the factor by which requests that have missed their objective are served
 	// more slowly while others of the same priority can still meet theirs.
 	LateSlowdown = 1 + onTimeWeight
-	// lowestPriority is the priority with the lowest weight; numerically higher ones have the
-	// same weight. Each step towards 0 doubles the weight.
-	lowestPriority = 3
+	// lowestPriority is the priority with the lowest weight, the last one that exists. Each step
+	// towards 0 doubles the weight.
+	lowestPriority = 9
+	// minCost and maxCost bound the server time that a request is charged, relative to the mean:
+	// the times are estimates.
+	minCost, maxCost = 0.25, 4.0
+	// meanWorkGain is the weight of a request in the mean server time.
+	meanWorkGain = 1.0 / 32
 )
 
 // Request is a request that waits for a slot.
@@ -40,6 +46,12 @@
 	// Objective is the time until which an answer meets the latency objective. Deadline is the
 	// time after which an answer is useless.
 	Objective, Deadline time.Time
+	// Spent is the time that the client has spent on earlier attempts. It moves the request
+	// forward in its flow, so that clients that were refused don't wait behind those that came
+	// meanwhile.
+	Spent time.Duration
+	// Work is the server time that the request takes; 0 if unknown.
+	Work time.Duration
 }
 
 // Ticket is the queue position of a request.
@@ -55,16 +67,26 @@
 type Queue struct {
 	queue   *queue.Queue
 	tickets map[*queue.Ticket]*Ticket
+	models  map[string]*pace
+	// meanWork is the mean server time of requests, in seconds.
+	meanWork float64
 }
 
 // New returns an empty queue.
 func New() *Queue {
-	return &Queue{queue: queue.New(), tickets: map[*queue.Ticket]*Ticket{}}
+	return &Queue{queue: queue.New(), tickets: map[*queue.Ticket]*Ticket{}, models: map[string]*pace{}}
 }
 
 // Enqueue adds a request to the queue.
 func (q *Queue) Enqueue(now time.Time, r Request) *Ticket {
 	ticket := &Ticket{Request: r}
+	if work := r.Work.Seconds(); work > 0 {
+		if q.meanWork == 0 {
+			q.meanWork = work
+		}
+		q.meanWork += meanWorkGain * (work - q.meanWork)
+	}
+	q.paceOf(r.Model, now).waiting++
 	q.push(now, ticket)
 	return ticket
 }
@@ -72,11 +94,11 @@
 func (q *Queue) push(now time.Time, ticket *Ticket) {
 	ticket.late = !now.Before(ticket.Objective)
 	entry := queue.Request{
-		Class: "on time " + ticket.Route, Caller: ticket.Model, Deadline: ticket.Objective,
-		Weight: weight(ticket.Priority, ticket.NonRepeatable, ticket.late),
+		Class: "on time " + ticket.Route, Caller: ticket.Model, Deadline: ticket.Objective.Add(-ticket.Spent),
+		Cost: q.cost(ticket.Work), Weight: weight(ticket.Priority, ticket.NonRepeatable, ticket.late),
 	}
 	if ticket.late {
-		entry.Class, entry.Deadline = "late "+ticket.Route, ticket.Deadline
+		entry.Class, entry.Deadline = "late "+ticket.Route, ticket.Deadline.Add(-ticket.Spent)
 	}
 	ticket.queued = q.queue.Push(entry)
 	q.tickets[ticket.queued] = ticket
@@ -94,8 +116,21 @@
 	return w
 }
 
+// cost returns what a slot for a request is charged.
+func (q *Queue) cost(work time.Duration) float64 {
+	if work <= 0 || q.meanWork <= 0 {
+		return 1
+	}
+	return min(max(work.Seconds()/q.meanWork, minCost), maxCost)
+}
+
 // Remove removes a request that no longer needs a slot.
-func (q *Queue) Remove(ticket *Ticket) {
+func (q *Queue) Remove(now time.Time, ticket *Ticket) {
+	q.remove(ticket)
+	q.models[ticket.Model].left(now)
+}
+
+func (q *Queue) remove(ticket *Ticket) {
 	q.queue.Remove(ticket.queued)
 	delete(q.tickets, ticket.queued)
 }
@@ -106,13 +141,13 @@
 func (q *Queue) Dispatch(now time.Time, assign func(*Ticket) (assigned, full bool)) {
 	q.requeueLate(now)
 	full := map[string]bool{}
-	for q.dispatchOne(full, assign) {
+	for q.dispatchOne(now, full, assign) {
 	}
 }
 
 // dispatchOne offers a slot to the head of each flow in queue order until assign succeeds, and
 // reports whether it did. Models in full are skipped.
-func (q *Queue) dispatchOne(full map[string]bool, assign func(*Ticket) (assigned, full bool)) bool {
+func (q *Queue) dispatchOne(now time.Time, full map[string]bool, assign func(*Ticket) (assigned, full bool)) bool {
 	for _, head := range q.queue.Heads() {
 		ticket := q.tickets[head]
 		if full[ticket.Model] {
@@ -122,6 +157,7 @@
 		if assigned {
 			q.queue.Serve(head)
 			delete(q.tickets, head)
+			q.models[ticket.Model].granted(now)
 			return true
 		}
 		full[ticket.Model] = modelFull
@@ -141,7 +177,7 @@
 	// equal deadlines.
 	sort.Slice(late, func(i, j int) bool { return late[i].Deadline.Before(late[j].Deadline) })
 	for _, ticket := range late {
-		q.Remove(ticket)
+		q.remove(ticket)
 		q.push(now, ticket)
 	}
 }
--- a/pkg/slotqueue/slotqueue_test.go
+++ b/pkg/slotqueue/slotqueue_test.go
@@ -131,7 +131,7 @@
 	removed, waiting := queue.Enqueue(start, request(start, "m")), queue.Enqueue(start, request(start, "m"))
 	late := start.Add(objective)
 	queue.Dispatch(late, func(*slotqueue.Ticket) (bool, bool) { return false, true })
-	queue.Remove(removed)
+	queue.Remove(late, removed)
 	var got []*slotqueue.Ticket
 	queue.Dispatch(late, func(ticket *slotqueue.Ticket) (bool, bool) {
 		got = append(got, ticket)
