Let servers preempt requests first that can be repeated

Load: servers whose memory runs out preempted 237 running requests, the newest of the least urgent.

Cause: a server is sent the priority of the route or account. Of two requests of one priority the newer one is preempted, whether it is lost or is answered by another server.

Change: each priority in the manifest has two urgencies. Requests that can't be repeated, and streams of which the client has a part, are sent the more urgent one. The order of the priorities stays, and there is no change with more than five priorities.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -265,7 +265,7 @@
 func (q *request) newCall(b *backend) platform.Call {
 	return platform.Call{
 		Server: b.server, Method: q.method, Target: q.target, Host: q.host, Header: q.header, Body: q.body,
-		RequestID: q.head.ID, Remaining: time.Until(q.deadline), Priority: min(max(q.priority, 0), 9), Account: q.accountName(),
+		RequestID: q.head.ID, Remaining: time.Until(q.deadline), Priority: q.urgency(), Account: q.accountName(),
 		ResumeAfter: q.lastEvent, NewConnection: !q.route.Idempotent(), Proceed: b.stats.standing.accepts,
 		Late: func(answer *platform.Answer) { q.recordStanding(b, answer) },
 	}
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -35,7 +35,8 @@
 	// knownSince is when this instance first knew the servers; the zero time if it doesn't.
 	knownSince time.Time
 	// leaving are the servers that have said that they leave before their entry does.
-	leaving []Standing
+	leaving   []Standing
+	urgencies urgencies
 	// superseded is closed when a newer view replaces this one.
 	superseded chan struct{}
 }
@@ -193,6 +194,7 @@
 
 	mu        sync.Mutex
 	manifest  *fleet.Manifest
+	urgencies urgencies
 	servers   map[fleet.ServerID]*fleet.Server
 	residency map[fleet.ServerID]Residency
 	stats     map[statsKey]*stats
@@ -234,7 +236,7 @@
 	if v.manifest != nil && m.Version <= v.manifest.Version {
 		return false
 	}
-	v.manifest = m
+	v.manifest, v.urgencies = m, newUrgencies(m.Priorities())
 	v.publish()
 	return true
 }
@@ -330,7 +332,7 @@
 // publish builds and publishes the next view. A request that still reads the previous
 // view can at worst be sent to a server that has just started draining and refuses it.
 func (v *Views) publish() {
-	view := &View{Manifest: v.manifest, services: map[string][]*backend{}, engines: map[fleet.ServerID]*fleet.Server{}, superseded: make(chan struct{})}
+	view := &View{Manifest: v.manifest, urgencies: v.urgencies, services: map[string][]*backend{}, engines: map[fleet.ServerID]*fleet.Server{}, superseded: make(chan struct{})}
 	retained := make(map[statsKey]*stats, len(v.servers))
 	counts := map[string]int{}
 	now := time.Now()
--- a/pkg/account/account.go
+++ b/pkg/account/account.go
@@ -110,5 +110,19 @@
 // ByName returns the account with a name, or nil.
 func (d *Directory) ByName(name string) *Account { return d.byName[name] }
 
+// Priorities returns the priorities that accounts have of their own, without duplicates and in no
+// order.
+func (d *Directory) Priorities() []int {
+	seen := map[int]bool{}
+	var priorities []int
+	for _, a := range d.byName {
+		if a.HasPriority && !seen[a.Priority] {
+			seen[a.Priority] = true
+			priorities = append(priorities, a.Priority)
+		}
+	}
+	return priorities
+}
+
 // Len returns the number of accounts.
 func (d *Directory) Len() int { return len(d.byName) }
--- a/pkg/fleet/manifest.go
+++ b/pkg/fleet/manifest.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -147,6 +148,22 @@
 	count  int
 }
 
+// Priorities returns the priorities of all routes and accounts, in ascending order and without
+// duplicates.
+func (m *Manifest) Priorities() []int {
+	var priorities []int
+	for _, routes := range m.routes {
+		for i := range routes {
+			priorities = append(priorities, routes[i].Priority)
+		}
+	}
+	if m.Accounts != nil {
+		priorities = append(priorities, m.Accounts.Priorities()...)
+	}
+	slices.Sort(priorities)
+	return slices.Compact(priorities)
+}
+
 // NewManifest builds a manifest; it takes ownership of its arguments.
 func NewManifest(version int64, routes []Route, services []Service, limits CallerLimits) *Manifest {
 	m := &Manifest{Version: version, Services: map[string]Service{}, Limits: limits, routes: map[string][]Route{}, count: len(routes)}
