Bound the time without requests to servers that were full

Cause: a server counted as usually full after a single report of one that was two thirds full, and with many instances and few servers of a model ProbeAfter was several seconds, so that requests would wait for long after the end of a burst.

Change: the usual load begins at the mean utilization of the service. ProbeAfter is at most 200 ms for each server that holds the model, or two seconds as before where that is more. Whether a brittle server has room is judged by its last report, as before.

--- a/internal/edge/brittle.go
+++ b/internal/edge/brittle.go
@@ -73,7 +73,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.limit.Usable(e.brittleLoad(b), now) && load.Estimate() < int64(b.server.Slots)
+	return p.limit.Usable(e.brittleLoad(b), now) && load.LastKnown() < int64(b.server.Slots)
 }
 
 // takeBrittle takes the turn of a request, and reports false if there is none.
--- a/internal/edge/queuewait_test.go
+++ b/internal/edge/queuewait_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,8 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/retry"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
 
@@ -67,3 +70,28 @@
 		assert.Equal(t, want, q.spentBefore(), "%v", deadline)
 	}
 }
+
+// BenchmarkChoose200 measures the choice among 200 servers that hold the model, with the collection
+// of what is known of them.
+func BenchmarkChoose200(b *testing.B) {
+	views := NewViews()
+	views.SetInstances(71)
+	services := []fleet.Service{{Name: "engine", Engine: &fleet.Engine{Slots: 24, Models: map[string]fleet.Model{"m": {Name: "m"}}}}}
+	views.SetManifest(fleet.NewManifest(1, nil, services, fleet.CallerLimits{}))
+	servers := map[fleet.ServerID]*fleet.Server{}
+	for n := range 200 {
+		id := fleet.ServerID(fmt.Sprint("s", n))
+		servers[id] = &fleet.Server{ID: id, Service: "engine", Slots: 24, Models: []fleet.Resident{{Model: "m"}}}
+	}
+	views.SetServers(servers)
+	e := &Edge{views: views, started: time.Now(), budgets: map[string]*retry.Budget{}}
+	for n, server := range views.Load().services["engine"] {
+		e.recordLoad(server, platform.ServerLoad{Running: n % 20, Slots: 24, Slowdown: 1.2}, time.Now())
+	}
+	now := time.Now()
+	q := &request{edge: e, route: quick, service: "engine", model: "m", arrived: now, deadline: now.Add(harnessTimeout)}
+	b.ReportAllocs()
+	for b.Loop() {
+		q.choose(views.Load())
+	}
+}
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -139,8 +139,7 @@
 	if sample := b.stats.load.Load(); sample != nil {
 		usual = sample.usual
 	}
-	load.OthersWhenFull = usual.OthersWhenFull(b.server.Slots)
-	load.ProbeAfter = serverpick.ProbeAfter(service.holding, b.server.Slots, service.instances)
+	load.OthersWhenFull = usual.OthersWhenFull(b.server.Slots, service.others)
 	load.OthersUsual, load.Holding = usual.Others(b.server.Slots, service.others), service.holding
 	return load
 }
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -114,6 +114,10 @@
 		})
 	}
 	buffers.holders, buffers.candidates = holders, candidates
+	for i := range candidates {
+		c := &candidates[i]
+		c.Load.ProbeAfter = serverpick.ProbeAfter(service.holding, c.Slots, service.instances, len(candidates))
+	}
 	switch {
 	case len(holders) > 0:
 	case resting > 0:
--- a/pkg/serverpick/estimate.go
+++ b/pkg/serverpick/estimate.go
@@ -49,6 +49,15 @@
 	return l.Unread + max(l.OthersUnread-l.Age, 0)
 }
 
+// LastKnown returns the number of requests on the server with those of others as last reported, or
+// without them if the report is old.
+func (l Load) LastKnown() int64 {
+	if l.Age < 0 || l.Age > loadMaxAge {
+		return l.InFlight
+	}
+	return l.InFlight + max(l.Reported-l.InFlightAtReport, 0)
+}
+
 // Estimate returns the estimated number of requests on the server from all instances.
 func (l Load) Estimate() int64 { return int64(math.Round(l.requests())) }
 
@@ -110,41 +119,50 @@
 	return u
 }
 
-// Others returns the usual number of requests of other instances. Without reports it is the mean
-// utilization of the service's servers.
+// Others returns the usual number of requests of other instances, but never all slots. Without
+// reports it is the mean utilization of the service's servers.
 func (u UsualLoad) Others(slots int, serviceUtilization float64) float64 {
 	n := float64(max(slots, 1))
-	others := u.others + (1-u.weight)*min(serviceUtilization, 1)*n
-	return min(others, math.Floor(usualMaxPart*n), n-1)
+	return min(u.mean(n, serviceUtilization), math.Floor(usualMaxPart*n), n-1)
 }
 
 // OthersWhenFull returns the usual number of requests of other instances if it fills the server, and
-// 0 otherwise.
-func (u UsualLoad) OthersWhenFull(slots int) float64 {
-	if others := u.others + (1-u.weight)*float64(slots); u.weight > 0 && others > usualMaxPart*float64(slots) {
-		return others
+// 0 otherwise or without reports.
+func (u UsualLoad) OthersWhenFull(slots int, serviceUtilization float64) float64 {
+	n := float64(max(slots, 1))
+	others := u.mean(n, serviceUtilization)
+	if u.weight == 0 || others <= usualMaxPart*n {
+		return 0
 	}
-	return 0
+	return others
+}
+
+func (u UsualLoad) mean(slots, serviceUtilization float64) float64 {
+	return u.others + (1-u.weight)*min(serviceUtilization, 1)*slots
 }
 
 const (
-	// minProbeAfter and maxProbeAfter bound ProbeAfter. Below, an instance would ask a full server
-	// many times a second; above, a server that has room again would idle for too long.
-	minProbeAfter, maxProbeAfter = 300 * time.Millisecond, 10 * time.Second
+	// minProbeAfter bounds ProbeAfter: below, an instance would ask a full server many times a second.
+	minProbeAfter = 300 * time.Millisecond
+	// probeEvery is the time in which an instance asks one of the servers at least, if that isn't more
+	// often than each of them every loadMaxAge. Otherwise requests for a model that few servers hold
+	// would wait for seconds after the end of a burst.
+	probeEvery = 200 * time.Millisecond
 	// probesPerSlot is how many requests instances may send to a server that is usually full for
 	// each of its slots that becomes free. In replays near and above the capacity (310 to 400
 	// requests a second) 2 left slots idle, and 4 had a third more requests rejected.
 	probesPerSlot = 3
 )
 
-// ProbeAfter returns the age of a report of a full server from which it gets another request: all
-// instances together send it probesPerSlot requests in the time in which one of its slots becomes
-// free.
-func ProbeAfter(holding time.Duration, slots, instances int) time.Duration {
+// ProbeAfter returns the age of a report of a full server from which it gets another request, where
+// a request has a number of servers to choose from. All instances together send it probesPerSlot
+// requests in the time in which one of its slots becomes free.
+func ProbeAfter(holding time.Duration, slots, instances, servers int) time.Duration {
 	if holding <= 0 {
 		return loadMaxAge
 	}
-	return min(max(holding*time.Duration(max(instances, 1))/time.Duration(probesPerSlot*max(slots, 1)), minProbeAfter), maxProbeAfter)
+	after := holding * time.Duration(max(instances, 1)) / time.Duration(probesPerSlot*max(slots, 1))
+	return min(max(after, minProbeAfter), max(probeEvery*time.Duration(servers), loadMaxAge))
 }
 
 // Mean is a moving average of the utilization of a service's servers by other instances. It is
--- a/pkg/serverpick/estimate_test.go
+++ b/pkg/serverpick/estimate_test.go
@@ -63,6 +63,31 @@
 	assert.LessOrEqual(t, usual.Others(1, 1), 0.0, "the only slot")
 }
 
+// A server that is usually full must not be asked again and again, but is after a time that depends
+// on how many instances ask it. A server that was busy once isn't taken for full.
+func TestFullServersAreAskedAtIntervals(t *testing.T) {
+	var usual serverpick.UsualLoad
+	assert.Zero(t, usual.OthersWhenFull(24, 1))
+	assert.Zero(t, usual.Observe(17).OthersWhenFull(24, 0.5))
+	for range 10 {
+		usual = usual.Observe(26)
+	}
+	c := serverpick.Candidate{ID: "full", Slots: 24, Usable: true, Load: serverpick.Load{
+		Reported: 26, OthersUsual: usual.Others(24, 1), OthersWhenFull: usual.OthersWhenFull(24, 1),
+		Holding: 3 * time.Second, ProbeAfter: serverpick.ProbeAfter(3*time.Second, 24, 80, 30),
+	}}
+	pick := func(age time.Duration) int {
+		c.Load.Age = age
+		return serverpick.Pick(serverpick.Request{WaitForSlot: true}, []serverpick.Candidate{c})
+	}
+	assert.Equal(t, 3333*time.Millisecond, c.Load.ProbeAfter.Truncate(time.Millisecond))
+	assert.Equal(t, -1, pick(3*time.Second))
+	assert.Equal(t, 0, pick(3400*time.Millisecond))
+	assert.LessOrEqual(t, serverpick.ProbeAfter(time.Hour, 1, 300, 40), 10*time.Second, "bounded")
+	assert.Equal(t, 2*time.Second, serverpick.ProbeAfter(3*time.Second, 24, 80, 2), "few servers, after a burst")
+	assert.Equal(t, 2*time.Second, serverpick.ProbeAfter(0, 24, 80, 30), "as before while nothing is known")
+}
+
 // The estimate counts what a request waits for: requests beyond the free slots, prompts that are
 // read before it, and its own, at the speed of the server.
 func TestFirstEvent(t *testing.T) {
--- a/pkg/serverpick/replay_test.go
+++ b/pkg/serverpick/replay_test.go
@@ -227,8 +227,8 @@
 				load.Age = -1
 			}
 		} else {
-			load.OthersWhenFull = k.usual.OthersWhenFull(p.slots)
-			load.ProbeAfter = serverpick.ProbeAfter(replayReading+replayGeneration, p.slots, p.fleet.instances)
+			load.OthersWhenFull = k.usual.OthersWhenFull(p.slots, j.from.mean.Value())
+			load.ProbeAfter = serverpick.ProbeAfter(replayReading+replayGeneration, p.slots, p.fleet.instances, p.servers/2)
 			load.OthersUsual, load.Holding = k.usual.Others(p.slots, j.from.mean.Value()), replayReading+replayGeneration
 			c.Slowness = k.speed.Slowness(p.now)
 		}
