Protect the listeners of instances against untrusted clients

Cause: 400 clients that stop a byte short of a body of 1 MB take an instance of 144 MB to 485 MB, heads of 900 KB to 331 MB, and pipelined requests whose responses aren't read keep it from serving anybody.

Change: internal/clientguard wraps the listeners of both edges. Heads are limited in bytes and fields before they are parsed, bodies and buffered answers are reserved in one budget (a quarter of the machine's memory) as they arrive, deadlines follow progress, pipelined requests are paced, and beyond a limit on connections, from machine.max_fds and the memory, a new one takes the place of the one that is idle for longest or slowest. Relayed connections reserve memory too. Errors of a listener that pass no longer end it. Memory is given back when the use falls.

TestUntrustedClients runs the binary with 144 MB in its settings beside 400 connections of each kind.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -11,9 +11,9 @@
 	"github.com/go-faster/errors"
 	"github.com/phuslu/log"
 	"go.uber.org/dig"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/clientguard"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/configuration"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/decider"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/controller/observer"
@@ -75,6 +75,7 @@
 	operators  *operatorsAPI
 	members    *memberHistory
 	identities *identity.Claimer
+	guards     *guards
 }
 
 type instanceParts struct {
@@ -97,13 +98,14 @@
 	Operators  *operatorsAPI
 	Members    *memberHistory
 	Identities *identity.Claimer
+	Guards     *guards
 }
 
 func newInstance(p instanceParts) *Instance {
 	return &Instance{
 		self: p.Self, settings: p.Settings, logger: p.Logger, listeners: p.Listeners, tls: p.TLS, tracing: p.Tracing,
 		log: p.Log, observer: p.Observer, config: p.Config, decider: p.Decider, waker: p.Waker, gateway: p.Gateway,
-		peers: p.Peers, client: p.Client, operators: p.Operators, members: p.Members, identities: p.Identities,
+		peers: p.Peers, client: p.Client, operators: p.Operators, members: p.Members, identities: p.Identities, guards: p.Guards,
 	}
 }
 
@@ -198,14 +200,16 @@
 }
 
 func (i *Instance) startListeners(ctx context.Context, group *errgroup.Group) {
+	group.Go(func() error { clientguard.ReturnMemory(ctx, i.guards.budget); return nil })
 	group.Go(func() error {
-		return peer.Serve(ctx, i.tls.Listen(i.listeners.peers), i.peers, i.tracing.Tracer, i.logger)
+		return peer.Serve(ctx, i.tls.Listen(i.guards.peers.Listen(i.listeners.peers)), i.peers, i.tracing.Tracer, i.logger)
 	})
-	callers := netutil.LimitListener(i.listeners.callers, i.settings.Callers.MaxConnections)
-	i.serveHTTP(ctx, group, i.gateway.Server(), callers)
+	callers := i.gateway.Server()
+	i.guards.callers.Configure(callers)
+	i.serveHTTP(ctx, group, callers, i.guards.callers.Listen(i.listeners.callers))
 	i.serveHTTP(ctx, group, &http.Server{
-		Handler: i.operators.handler(), ReadHeaderTimeout: operatorTimeout,
-	}, i.tls.Listen(i.listeners.operators))
+		Handler: i.operators.handler(), ReadHeaderTimeout: operatorTimeout, MaxHeaderBytes: clientguard.DefaultHeaderBytes,
+	}, i.tls.Listen(i.guards.operators.Listen(i.listeners.operators)))
 }
 
 func (i *Instance) serveHTTP(ctx context.Context, group *errgroup.Group, server *http.Server, l net.Listener) {
--- a/internal/app/provide.go
+++ b/internal/app/provide.go
@@ -49,7 +49,7 @@
 		newLogger, newTracing, newTLS, newListeners, newSelf, newPeerClient, newPlatformHTTP,
 		newLogPort, newEngineClient, newWeightStore, newLiveList, newRouting, newModelUses, newObserver, newFetcher,
 		newLogClient, newConfiguration, newDecider, newRouter, newWaker, newGateway, newPeerServer,
-		newOperatorsAPI, newInstance, newIdentityTimes, newIdentityStore, newIdentityClient, newClaimer, newIdentityTracker, newMemberHistory,
+		newOperatorsAPI, newInstance, newIdentityTimes, newIdentityStore, newIdentityClient, newClaimer, newIdentityTracker, newMemberHistory, newGuards,
 		func() port.Clock { return port.SystemClock{} },
 		metrics.NewRegistry,
 	}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -29,6 +29,10 @@
 	// bufferedAnswerBytes is the size up to which an answer is buffered. A longer one is forwarded
 	// as it arrives.
 	bufferedAnswerBytes = 1 << 20
+	// firstAnswerBytes is the size of the first buffer for an answer, and unreservedAnswerBytes that of
+	// the largest one that counts as a part of the client's connection.
+	firstAnswerBytes      = 512
+	unreservedAnswerBytes = 16 << 10
 	// copyBufferBytes is the size of the parts in which a longer one is forwarded.
 	copyBufferBytes = 32 << 10
 )
@@ -367,8 +371,7 @@
 // that a truncated answer can still be requested from another server. This isn't possible
 // with an answer that is too long to be buffered.
 func (q *request) forwardBuffered(answer *platform.Answer) retry.Fault {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, bufferedAnswerBytes+1))
-	long := len(body) > bufferedAnswerBytes
+	body, long, err := q.readAnswer(answer.Body)
 	if err != nil || !long {
 		answer.Close(err == nil)
 	}
@@ -391,11 +394,38 @@
 		return q.forwardLong(answer, body)
 	}
 	q.writeHead(answer, len(body))
+	q.client.SendResponse()
 	// The HTTP server handles a disconnected client, so the error is ignored.
 	_, _ = q.w.Write(body)
 	return retry.FaultNone
 }
 
+// readAnswer reads an answer until its end, or reports that it is too long to be buffered: for any, or
+// for the memory that is left.
+func (q *request) readAnswer(from io.Reader) (body []byte, long bool, err error) {
+	q.client.ReleaseResponse()
+	body = make([]byte, 0, firstAnswerBytes)
+	for {
+		if len(body) == cap(body) {
+			larger := 2 * cap(body)
+			if larger > unreservedAnswerBytes && !q.client.ReserveResponse(int64(larger-len(body))) {
+				return body, true, nil
+			}
+			body = append(make([]byte, 0, larger), body...)
+		}
+		n, err := from.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case err != nil && !errors.Is(err, io.EOF):
+			return nil, false, err
+		case len(body) > bufferedAnswerBytes:
+			return body, true, nil
+		case err != nil:
+			return body, false, nil
+		}
+	}
+}
+
 // forwardLong forwards an answer of which a part has been read. If it breaks off, so does the
 // client's connection.
 func (q *request) forwardLong(answer *platform.Answer, begin []byte) retry.Fault {
--- a/internal/edge/outcome.go
+++ b/internal/edge/outcome.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/clientguard"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
 
@@ -22,6 +23,9 @@
 	reasonQuotaShare      reason = "this instance's share of the account's quota used up"
 	reasonBody            reason = "body unreadable"
 	reasonBodyTooLarge    reason = "body too large"
+	reasonBodyTimeout     reason = "body not received in time"
+	reasonMemory          reason = "no memory for the body"
+	reasonPipelined       reason = "too many requests sent ahead of their responses"
 	reasonNoServer        reason = "no server"
 	reasonNoModel         reason = "model not loaded in time"
 	reasonNoOrigin        reason = "version that began the stream unknown"
@@ -46,6 +50,8 @@
 	status     int
 	reason     reason
 	retryAfter time.Duration
+	// closes means that the connection is closed after the answer, because the body wasn't read.
+	closes bool
 }
 
 // refused returns an outcome that guarantees that the request was not and will not be
@@ -82,7 +88,7 @@
 	if o.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(o.retryAfter.Seconds(), 'f', 3, 64))
 	}
-	if e.draining.Load() {
+	if o.closes || e.draining.Load() {
 		header.Set("Connection", "close")
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
@@ -91,3 +97,11 @@
 	// The HTTP server handles a disconnected client, so the error is ignored.
 	_, _ = w.Write([]byte(string(o.reason) + "\n"))
 }
+
+// Refuse refuses a request of a client that sends too many at once. It hasn't run.
+func (e *Edge) Refuse(w http.ResponseWriter, r *http.Request) {
+	out := refused(reasonPipelined, jitter(clientguard.RetryAfter))
+	out.closes = true
+	e.refusals.Inc(1)
+	e.writeOutcome(w, platform.DecodeRequest(r.Header).ID, out)
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -13,6 +12,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/clientguard"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/account"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/crashcause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
@@ -23,8 +23,10 @@
 
 // request is the state of one client request.
 type request struct {
-	edge    *Edge
-	w       http.ResponseWriter
+	edge *Edge
+	w    http.ResponseWriter
+	// client accounts for the memory of the answer.
+	client  *clientguard.Conn
 	method  string
 	target  string
 	host    string
@@ -226,11 +228,17 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
+	q.client = clientguard.Client(r)
+	body, err := clientguard.ReadBody(r, limit, q.deadline)
 	switch {
-	case errors.As(err, &tooLarge):
-		return outcome{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}, false
+	case errors.Is(err, clientguard.ErrTooLarge):
+		return outcome{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge, closes: true}, false
+	case errors.Is(err, clientguard.ErrTimeout):
+		return outcome{status: http.StatusRequestTimeout, reason: reasonBodyTimeout, closes: true}, false
+	case errors.Is(err, clientguard.ErrNoMemory):
+		out := refused(reasonMemory, jitter(clientguard.RetryAfter))
+		out.closes = true
+		return out, false
 	case err != nil:
 		return outcome{reason: reasonBody}, false
 	}
--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -20,12 +20,14 @@
 	"go.uber.org/dig"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/clientguard"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/relay"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/storemirror"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/telemetry"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/bytebudget"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/leaderlease"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
@@ -40,10 +42,6 @@
 	// machine's memory. The rest is for stacks, sockets and the overshoot of a
 	// burst.
 	memoryLimitRatio = 0.6
-	// readHeaderTimeout and idleTimeout are longer than the times that manifests
-	// allow clients, which are 3 s and 15 s.
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 60 * time.Second
 	// clientKeepAlive is the interval of the TCP keep-alive probes that detect
 	// a client that disappeared without closing its connection.
 	clientKeepAlive = 2 * time.Second
@@ -73,6 +71,7 @@
 	dialer   *relay.Dialer
 	relay    *relay.Server
 	tracing  *telemetry.Tracing
+	guards   *guards
 
 	// manifests and serverList record whether the store can be read.
 	manifests, serverList *dependency
@@ -110,6 +109,8 @@
 		func(t *telemetry.Tracing) trace.Tracer { return t.Tracer },
 		newPlacer,
 		newEdge,
+		newBudget,
+		newGuards,
 		newInstance,
 	}
 	for _, provider := range providers {
@@ -150,10 +151,11 @@
 	return edge.NewStandingRecorder(views, p.Standings(), logger)
 }
 
-func newRelay(s *Settings, views *edge.Views, dialer *relay.Dialer, recorder *edge.StandingRecorder, logger *log.Logger) *relay.Server {
+func newRelay(s *Settings, views *edge.Views, dialer *relay.Dialer, recorder *edge.StandingRecorder, budget *bytebudget.Budget, logger *log.Logger) *relay.Server {
 	return relay.NewServer(relay.ServerConfig{
 		Zone: s.Instance.Zone, Dial: platform.DialServer, Accepts: views.AcceptsRequests, Reaches: dialer.Reaches, Log: logger,
-		Follow: func(address string) relay.Exchanges { return recorder.FollowRelayed(address) },
+		Follow:  func(address string) relay.Exchanges { return recorder.FollowRelayed(address) },
+		Reserve: func() (func(), bool) { return clientguard.Reserve(budget, bytebudget.Relay, relay.ConnectionBytes) },
 	})
 }
 
@@ -181,6 +183,7 @@
 	Dialer   *relay.Dialer
 	Relay    *relay.Server
 	Tracing  *telemetry.Tracing
+	Guards   *guards
 }
 
 func newInstance(p instanceParams) *Instance {
@@ -193,7 +196,7 @@
 	})
 	return &Instance{
 		settings: p.Settings, log: p.Log, registry: p.Registry, views: p.Views, edge: p.Edge,
-		store: p.Store, mirror: p.Mirror, servers: p.Servers, placer: p.Placer, dialer: p.Dialer, relay: p.Relay, tracing: p.Tracing,
+		store: p.Store, mirror: p.Mirror, servers: p.Servers, placer: p.Placer, dialer: p.Dialer, relay: p.Relay, tracing: p.Tracing, guards: p.Guards,
 		manifests:  &dependency{log: p.Log, name: "published manifests"},
 		serverList: &dependency{log: p.Log, name: "server list"},
 	}
@@ -210,14 +213,12 @@
 	running, end := context.WithCancel(kill)
 	defer end()
 	group, ctx := errgroup.WithContext(running)
-	front := &http.Server{
-		Handler: i.edge, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: telemetry.StandardLogger(i.log),
-	}
-	i.serve(ctx, group, s.Clients.Address, front)
-	i.serve(ctx, group, s.Readiness.Address, i.newHTTPServer(i.readinessHandler(stop)))
-	i.serve(ctx, group, s.Metrics.Address, i.newHTTPServer(i.diagnosticsHandler(func() bool { return stop.Err() != nil })))
+	front := i.newHTTPServer(i.edge)
+	i.serve(ctx, group, s.Clients.Address, front, i.guards.clients)
+	i.serve(ctx, group, s.Readiness.Address, i.newHTTPServer(i.readinessHandler(stop)), i.guards.readiness)
+	i.serve(ctx, group, s.Metrics.Address, i.newHTTPServer(i.diagnosticsHandler(func() bool { return stop.Err() != nil })), i.guards.metrics)
 	i.startControllers(ctx, stop, group)
+	group.Go(func() error { clientguard.ReturnMemory(ctx, i.guards.budget); return nil })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -245,14 +246,12 @@
 }
 
 func (i *Instance) newHTTPServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: telemetry.StandardLogger(i.log),
-	}
+	return &http.Server{Handler: handler, ErrorLog: telemetry.StandardLogger(i.log)}
 }
 
-// serve runs one HTTP server until ctx ends.
-func (i *Instance) serve(ctx context.Context, group *errgroup.Group, address string, server *http.Server) {
+// serve runs one HTTP server, protected by a guard, until ctx ends.
+func (i *Instance) serve(ctx context.Context, group *errgroup.Group, address string, server *http.Server, guard *clientguard.Guard) {
+	guard.Configure(server)
 	group.Go(func() error {
 		listener, err := listenForClients(ctx, address)
 		if err != nil {
@@ -260,7 +259,7 @@
 		}
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(guard.Listen(listener)); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Join(ErrListen, err)
 		}
 		return nil
--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return errors.Join(ErrListen, err)
 	}
-	protocols := drpcmigrate.NewListenMux(listener, len(relay.Prefix))
+	protocols := drpcmigrate.NewListenMux(i.guards.peers.Listen(listener), len(relay.Prefix))
 	relayed := protocols.Route(relay.Prefix)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
--- a/internal/fleetapp/settings.go
+++ b/internal/fleetapp/settings.go
@@ -42,13 +42,14 @@
 	Address string `json:"address" validate:"required,hostname_port"`
 }
 
-// Machine is what the process can use: memory in MB, CPU cores, the part of each core's time,
-// and the bandwidth of the network link in Mbit/s. The last two are 0 if unknown.
+// Machine is what the process can use: memory in MB, CPU cores, the part of each core's time, the
+// bandwidth of the network link in Mbit/s, and file descriptors. The last three are 0 if unknown.
 type Machine struct {
 	MemoryMB  float64 `json:"memory_mb" validate:"min=32,max=1048576"`
 	Cores     float64 `json:"cores" validate:"gt=0,max=1024"`
 	CoreShare float64 `json:"core_share" validate:"min=0,max=1"`
 	LinkMbps  float64 `json:"link_mbps" validate:"min=0,max=10000000"`
+	MaxFDs    int     `json:"max_fds" validate:"min=0,max=100000000"`
 }
 
 // Servers configures how backend servers are used.
--- a/internal/gateway/identify.go
+++ b/internal/gateway/identify.go
@@ -5,12 +5,12 @@
 	"crypto/subtle"
 	"mime"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/clientguard"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/problem"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
@@ -184,27 +184,23 @@
 // readBody reads the whole body within the limits of size and time, so that no
 // request runs whose body is incomplete.
 func (g *Gateway) readBody(c *Call) error {
-	if c.r.ContentLength > g.config.MaxBodyBytes {
-		return bodyTooLarge()
-	}
-	if c.r.Body == nil || c.r.Body == http.NoBody {
-		return nil
-	}
-	body, err := readAll(http.MaxBytesReader(c.w, c.r.Body, g.config.MaxBodyBytes), c.r.ContentLength)
+	body, err := clientguard.ReadBody(c.r, g.config.MaxBodyBytes, time.Time{})
 	if err != nil {
-		return bodyError(err)
+		c.w.Header().Set("Connection", "close")
+		return g.bodyError(err)
 	}
 	_ = c.w.control.SetReadDeadline(time.Time{})
 	c.body = body
 	return nil
 }
 
-func bodyError(err error) error {
-	var tooLarge *http.MaxBytesError
+func (g *Gateway) bodyError(err error) error {
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, clientguard.ErrTooLarge):
 		return bodyTooLarge()
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, clientguard.ErrNoMemory):
+		return problem.New(problem.Overloaded, "the instance has no memory for the body").WithRetryAfter(g.durationMean.retryAfter())
+	case errors.Is(err, clientguard.ErrTimeout):
 		return problem.New(problem.BodyTimeout, "the body didn't arrive in time")
 	default:
 		return problem.New(problem.BadRequest, "the body didn't arrive whole")
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -37,9 +37,16 @@
 	Reaches func() bool
 	// Follow returns what follows the exchanges on a new connection to the server at an address.
 	Follow func(address string) Exchanges
-	Log    *log.Logger
+	// Reserve reserves the memory of a relayed connection, ConnectionBytes, and reports whether there
+	// is any; nil for no limit.
+	Reserve func() (release func(), ok bool)
+	Log     *log.Logger
 }
 
+// ConnectionBytes is what a relayed connection uses: a buffer of 32 KB for each way, or a frame, and
+// two sockets with their goroutines.
+const ConnectionBytes = 64 << 10
+
 // Exchanges follows the requests and answers on a connection. Both methods return readers of the
 // bytes that they are given. Reading of requests fails at one that must not be passed on.
 type Exchanges interface {
@@ -98,7 +105,12 @@
 		s.cfg.Log.Debug().Err(err).Msg("relay_request_unread")
 		return
 	}
-	server, result := s.connect(ctx, address)
+	server, result := net.Conn(nil), statusUnreachable
+	release, reserved := s.reserve()
+	if reserved {
+		defer release()
+		server, result = s.connect(ctx, address)
+	}
 	if server != nil {
 		s.open.Add(1)
 		defer s.open.Add(-1)
@@ -112,6 +124,13 @@
 	reset(client)
 }
 
+func (s *Server) reserve() (func(), bool) {
+	if s.cfg.Reserve == nil {
+		return func() {}, true
+	}
+	return s.cfg.Reserve()
+}
+
 // connect connects to a server. The connection is nil if the request only asks for the status.
 func (s *Server) connect(ctx context.Context, address string) (net.Conn, status) {
 	switch {
--- a/pkg/bytebudget/budget.go
+++ b/pkg/bytebudget/budget.go
@@ -35,10 +35,13 @@
 func Purposes() []Purpose { return []Purpose{Connections, Headers, Bodies, Responses, Relay} }
 
 const (
-	// SmallBytes is the size up to which a reservation may use the whole budget. It is the size of
-	// ordinary requests with some room; larger ones leave headroomShare of the budget.
-	SmallBytes    = 64 << 10
-	headroomShare = 1.0 / 8
+	// SmallBytes is the size up to which a reservation leaves mediumHeadroom of the budget to those of
+	// up to TinyBytes, which may use all of it. Larger ones leave largeHeadroom to both. Otherwise
+	// large bodies that keep a pace would fill the budget, and ordinary requests be refused.
+	SmallBytes     = 64 << 10
+	TinyBytes      = 4 << 10
+	mediumHeadroom = 1.0 / 16
+	largeHeadroom  = 1.0 / 8
 	// connectionsShare and headersShare are the parts of the budget for connections and heads.
 	connectionsShare = 1.0 / 2
 	headersShare     = 1.0 / 4
@@ -69,7 +72,9 @@
 	mu sync.Mutex
 	// used counts the bytes of all reservations but the dropped ones, which dropping counts.
 	used, dropping int64
-	byPurpose      [purposes]int64
+	// peak is the maximum of their sum since it was last taken.
+	peak      int64
+	byPurpose [purposes]int64
 	// open are the incomplete reservations.
 	open              list
 	refusals, dropped [purposes]atomic.Int64
@@ -104,6 +109,22 @@
 	return b.byPurpose[p]
 }
 
+// InUse returns the bytes reserved for all purposes, with those of dropped reservations.
+func (b *Budget) InUse() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used + b.dropping
+}
+
+// TakePeak returns the maximum of InUse since the last call.
+func (b *Budget) TakePeak() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	peak := b.peak
+	b.peak = b.used + b.dropping
+	return peak
+}
+
 // Dropping returns the bytes of the reservations that were dropped and haven't ended.
 func (b *Budget) Dropping() int64 {
 	b.mu.Lock()
@@ -123,7 +144,6 @@
 	budget  *Budget
 	holder  Holder
 	purpose Purpose
-	began   time.Duration
 
 	// Guarded by budget.mu.
 	bytes    int64
@@ -137,7 +157,7 @@
 func (b *Budget) Begin(r *Reservation, p Purpose, holder Holder, now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r.budget, r.holder, r.purpose, r.began = b, holder, p, now
+	r.budget, r.holder, r.purpose = b, holder, p
 	r.bytes, r.dropped, r.complete, r.progress = 0, false, holder == nil, NewProgress(now)
 	if holder != nil {
 		b.open.add(r)
@@ -157,15 +177,13 @@
 	r.bytes += n
 	b.used += n
 	b.byPurpose[r.purpose] += n
+	b.peak = max(b.peak, b.used+b.dropping)
 	return nil
 }
 
 // makeRoom drops stalled reservations until n more bytes fit for r.
 func (b *Budget) makeRoom(r *Reservation, n int64, now time.Duration) bool {
-	limit := b.limit
-	if r.bytes+n > SmallBytes {
-		limit -= int64(headroomShare * float64(b.limit))
-	}
+	limit := b.limit - int64(headroom(r.bytes+n)*float64(b.limit))
 	for {
 		ofPurpose := b.byPurpose[r.purpose]+n > b.Max(r.purpose)
 		if !ofPurpose && b.used+n <= limit {
@@ -179,6 +197,18 @@
 	}
 }
 
+// headroom is the part of the budget that a reservation of a size leaves to smaller ones.
+func headroom(size int64) float64 {
+	switch {
+	case size <= TinyBytes:
+		return 0
+	case size <= SmallBytes:
+		return mediumHeadroom
+	default:
+		return largeHeadroom
+	}
+}
+
 // victim returns the stalled reservation with the slowest progress relative to its bytes; nil if
 // there is none. samePurpose limits the choice to reservations with the purpose of r.
 func (b *Budget) victim(r *Reservation, now time.Duration, samePurpose bool) *Reservation {
@@ -264,3 +294,30 @@
 	}
 	r.budget, r.holder, r.bytes = nil, nil, 0
 }
+
+// Expose makes a reservation without a holder one that can be dropped. Its progress begins now.
+func (r *Reservation) Expose(holder Holder, now time.Duration) {
+	b := r.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.holder != nil {
+		return
+	}
+	r.holder, r.complete, r.progress = holder, false, NewProgress(now)
+	b.open.add(r)
+}
+
+// Shrink releases n bytes of a reservation.
+func (r *Reservation) Shrink(n int64) {
+	b := r.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n = min(n, r.bytes)
+	r.bytes -= n
+	if r.dropped {
+		b.dropping -= n
+		return
+	}
+	b.used -= n
+	b.byPurpose[r.purpose] -= n
+}
--- a/pkg/bytebudget/budget_test.go
+++ b/pkg/bytebudget/budget_test.go
@@ -95,15 +95,19 @@
 	require.NoError(t, other.Grow(2*mb, time.Minute))
 }
 
-// Large bodies that keep their pace fill the budget and aren't dropped, but small requests are still
-// admitted.
+// Bodies that keep their pace, and those that have just begun with their first buffer, fill the budget
+// and aren't dropped, but small requests are still admitted.
 func TestSmallRequestsFitBesideLargeOnes(t *testing.T) {
 	b := bytebudget.New(8 * mb)
 	for range 7 {
 		begin(b, 0).receive(t, mb, 0)
 	}
 	require.ErrorIs(t, begin(b, 0).Grow(mb, 0), bytebudget.ErrShort)
-	require.NoError(t, begin(b, 0).Grow(bytebudget.SmallBytes, 0))
+	for begin(b, 0).Grow(bytebudget.SmallBytes, 0) == nil {
+	}
+	for range 100 {
+		require.NoError(t, begin(b, 0).Grow(bytebudget.TinyBytes, 0))
+	}
 }
 
 // Dropped bytes are in use until their holders have ended: not more than a quarter of the budget may
