Make the tests of connection limits and slow readers depend on the guards

Cause: with the limit on connections, the choice of the longest idle one, or the progress of a write taken out, the tests of internal/clientguard stayed green.

Change: TestConnectionLimit requires that the connection is closed at once, not for its timeout, and TestUnreadResponses reads a part of the response for longer than the timeout. TestUntrustedClients logs what an ordinary caller got instead of its answer.

--- a/internal/clientguard/guard_test.go
+++ b/internal/clientguard/guard_test.go
@@ -263,8 +263,9 @@
 		replace := func(closed *client) {
 			c := s.dial()
 			c.send(get("/large", ""))
-			synctest.Wait()
+			begin := time.Now()
 			assert.Zero(s, closed.status())
+			assert.Zero(s, time.Since(begin), "closed at once, not for its timeout")
 		}
 		replace(idle[0])
 		replace(idle[1])
@@ -306,7 +307,8 @@
 			n, err := c.Read(buffer)
 			require.NoError(s, err)
 			total += n
-			time.Sleep(2 * time.Second)
+			// A part of the response takes longer than the timeout.
+			time.Sleep(4 * time.Second)
 		}
 		c.Close()
 	})
--- a/internal/fleetapp/untrusted_test.go
+++ b/internal/fleetapp/untrusted_test.go
@@ -321,10 +321,14 @@
 	req.Header.Set(standin.HeaderDeadline, "5000")
 	resp, err := client.Do(req)
 	if err != nil {
+		g.Logf("ordinary request: %v", err)
 		return false
 	}
 	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		g.Logf("ordinary request: status %d, %q, %v", resp.StatusCode, body, err)
+	}
 	return err == nil && resp.StatusCode == http.StatusOK
 }
 
--- a/pkg/bytebudget/budget.go
+++ b/pkg/bytebudget/budget.go
@@ -38,7 +38,8 @@
 	// SmallBytes is the size up to which a reservation leaves mediumHeadroom of the budget to those of
 	// up to TinyBytes, which may use all of it. Larger ones leave largeHeadroom to both. Otherwise
 	// large bodies that keep a pace would fill the budget, and ordinary requests be refused.
-	SmallBytes     = 64 << 10
+	SmallBytes = 64 << 10
+	// TinyBytes is the size of most ordinary requests.
 	TinyBytes      = 4 << 10
 	mediumHeadroom = 1.0 / 16
 	largeHeadroom  = 1.0 / 8
