--- a/internal/fleetapp/events_test.go
+++ b/internal/fleetapp/events_test.go
@@ -20,7 +20,7 @@
 // exactly the events that an instance on the platform can log.
 func TestEveryLogEventIsDocumented(t *testing.T) {
 	logged := map[string]bool{}
-	for _, pattern := range []string{"../edge/*.go", "../placer/*.go", "../relay/*.go", "*.go"} {
+	for _, pattern := range []string{"../edge/*.go", "../placer/*.go", "../relay/*.go", "../clientguard/*.go", "*.go"} {
 		files, err := filepath.Glob(pattern)
 		require.NoError(t, err)
 		for _, file := range files {
