Give out a part of the stated tolerance of account limits

The deployment states by how much an account may exceed its limit.

A full bucket holds half of it in addition to the burst. Without the settings nothing changes.

--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -164,7 +164,7 @@
 		Name: s.Instance.Name, Address: s.Peers.Address,
 		Lease: s.Placing.Lease.D(), Fenced: s.Placing.ServersCheckEpochs,
 		Capacity:       leaderlease.Capacity(s.Machine.Cores*s.Machine.CoreShare, s.Machine.LinkMbps),
-		ReachesServers: dialer.Reaches,
+		ReachesServers: dialer.Reaches, Quotas: s.Accounts.tolerance(),
 	}, store, mirror, views, c, logger, registry, tracer)
 }
 
--- a/internal/fleetapp/settings.go
+++ b/internal/fleetapp/settings.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/jsonc"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
 )
 
 // ErrSettings means that the settings file could not be read.
@@ -83,6 +84,15 @@
 	// instance. One that can't find out in time refuses requests with keys.
 	StrictWithdrawal bool           `json:"strict_withdrawal"`
 	WithdrawWithin   jsonc.Duration `json:"withdraw_within" validate:"min=1s,max=1h"`
+	// An account may exceed its limit within any QuotaWindow by QuotaExcessRatio times what the limit
+	// allows there and by QuotaExcess, in the unit of the limit.
+	QuotaWindow      jsonc.Duration `json:"quota_window" validate:"min=0s,max=1h"`
+	QuotaExcessRatio float64        `json:"quota_excess_ratio" validate:"min=0,max=10"`
+	QuotaExcess      float64        `json:"quota_excess" validate:"min=0,max=1e15"`
+}
+
+func (a Accounts) tolerance() limit.QuotaTolerance {
+	return limit.QuotaTolerance{Window: a.QuotaWindow.D(), Ratio: a.QuotaExcessRatio, Amount: a.QuotaExcess}
 }
 
 // withdrawal returns the time after which an instance needs a confirmation that its manifest is the
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -25,6 +25,7 @@
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/demand"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/leaderlease"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/modelplan"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
@@ -67,6 +68,8 @@
 	// ReachesServers reports whether this instance reaches the servers. While it doesn't, another
 	// instance should place models.
 	ReachesServers func() bool
+	// Quotas is by how much accounts may exceed their limits.
+	Quotas limit.QuotaTolerance
 }
 
 // Placer is an instance's part in the placement of models, and in what else the instances know
@@ -120,7 +123,7 @@
 	}
 	e.released = p.holder.wakeAllWatchers
 	mirror.SetTeller(e.placing, p.holder.wakeAllWatchers)
-	p.quotas = newQuotaIssuer(p.name, e.canOrder, views.Instances)
+	p.quotas = newQuotaIssuer(p.name, e.canOrder, views.Instances, cfg.Quotas)
 	p.crashes, p.standings = newCrashTransport(p), newStandings(p)
 	recorder := edge.NewStandingRecorder(views, p.standings, logger)
 	p.holder.control = platform.NewControl(func(server *fleet.Server, notice platform.Notice) {
--- a/internal/placer/quotas.go
+++ b/internal/placer/quotas.go
@@ -18,6 +18,7 @@
 	canOrder func() (epoch int64, allowed bool)
 	// instances returns the number of instances that the former holder knew.
 	instances func() int
+	tolerance limit.QuotaTolerance
 	// statesShares is true if the last holder that has responded states fallback shares.
 	statesShares atomic.Bool
 
@@ -26,8 +27,8 @@
 	quotas *limit.Quotas
 }
 
-func newQuotaIssuer(name string, canOrder func() (int64, bool), instances func() int) *quotaIssuer {
-	return &quotaIssuer{name: name, canOrder: canOrder, instances: instances}
+func newQuotaIssuer(name string, canOrder func() (int64, bool), instances func() int, tolerance limit.QuotaTolerance) *quotaIssuer {
+	return &quotaIssuer{name: name, canOrder: canOrder, instances: instances, tolerance: tolerance}
 }
 
 // current returns the quotas of the current epoch; nil if this instance isn't the holder. The
@@ -40,6 +41,7 @@
 	if i.quotas == nil || epoch != i.epoch {
 		// Another instance may have granted in the meantime.
 		i.epoch, i.quotas = epoch, limit.NewQuotas(i.instances(), now)
+		i.quotas.Tolerate(i.tolerance)
 	}
 	i.quotas.Heard(i.name, now)
 	return i.quotas
--- a/pkg/limit/quota.go
+++ b/pkg/limit/quota.go
@@ -41,6 +41,9 @@
 	// its rate.
 	burstRequests = 6
 	burstExcess   = time.Second
+	// toleranceShare is the part of a tolerance that a full bucket holds in addition. The rest is for
+	// grants of one window that are used in the next, and for a change of the holder.
+	toleranceShare = 0.5
 	// maxQuotaRetry is the longest time after which an instance asks again. A raised limit becomes
 	// known within it.
 	maxQuotaRetry = quotaWindow
@@ -86,10 +89,27 @@
 	Fraction float64
 }
 
+// QuotaTolerance says by how much an account may exceed its limit within any Window: by Ratio times
+// what the limit allows there, and by Amount. Instances that each know only a part of the use refuse
+// requests below the limit without it.
+type QuotaTolerance struct {
+	Window        time.Duration
+	Ratio, Amount float64
+}
+
+// excess returns what a full bucket holds in addition.
+func (t QuotaTolerance) excess(l QuotaLimit) float64 {
+	if t.Window <= 0 {
+		return 0
+	}
+	return toleranceShare * boundedAmount((l.Rate*t.Window.Seconds()+l.Burst)*boundedAmount(t.Ratio)+boundedAmount(t.Amount))
+}
+
 // Quotas is what the holder knows of the use of all accounts. Times are those of one clock that
 // includes suspensions. It isn't safe for concurrent use.
 type Quotas struct {
-	begun time.Duration
+	begun     time.Duration
+	tolerance QuotaTolerance
 	// expected is the number of instances that the former holder knew; 0 if unknown.
 	expected  int
 	instances map[string]*quotaInstance
@@ -119,7 +139,8 @@
 
 // quotaAccount is the token bucket of one account.
 type quotaAccount struct {
-	limit QuotaLimit
+	limit     QuotaLimit
+	tolerance QuotaTolerance
 	// level is what can be granted at a time. It is negative after a charge in retrospect.
 	level     float64
 	at, asked time.Duration
@@ -155,6 +176,9 @@
 	return &Quotas{begun: now, expected: expected, instances: map[string]*quotaInstance{}, accounts: map[string]*quotaAccount{}}
 }
 
+// Tolerate sets the tolerance of all accounts. It must be called before the first Reserve.
+func (q *Quotas) Tolerate(t QuotaTolerance) { q.tolerance = t }
+
 // Heard records any message of an instance.
 func (q *Quotas) Heard(instance string, now time.Duration) {
 	known := q.instances[instance]
@@ -178,7 +202,7 @@
 	q.sweep(now)
 	a := q.accounts[account]
 	if a == nil {
-		a = &quotaAccount{limit: ask.Limit, level: ask.Limit.Burst * firstCredit, at: q.begun, settled: q.begun, shares: map[string]*quotaShare{}}
+		a = &quotaAccount{limit: ask.Limit, tolerance: q.tolerance, level: ask.Limit.Burst * firstCredit, at: q.begun, settled: q.begun, shares: map[string]*quotaShare{}}
 		a.silence = q.totalSilence(now)
 		q.accounts[account] = a
 	}
@@ -231,11 +255,11 @@
 	a.at = max(a.at, now)
 }
 
-// capacity returns the highest level: the burst, or the cost of burstRequests, or that of the largest
+// capacity returns the highest level: the burst and a part of the tolerance, or the cost of burstRequests, or that of the largest
 // request if the window allows it.
 func (a *quotaAccount) capacity() float64 {
 	burst, rate := a.limit.Burst, a.limit.Rate
-	return max(burst, min(burstRequests*a.largest, burst+rate*burstExcess.Seconds()), min(a.largest, burst+rate*quotaWindow.Seconds()))
+	return max(burst+a.tolerance.excess(a.limit), min(burstRequests*a.largest, burst+rate*burstExcess.Seconds()), min(a.largest, burst+rate*quotaWindow.Seconds()))
 }
 
 // settle charges what silent instances may use.
--- a/pkg/limit/quota_test.go
+++ b/pkg/limit/quota_test.go
@@ -191,3 +191,18 @@
 		})
 	}
 }
+
+// A bucket without a tolerance refuses requests below the limit, since the instances know the use of the
+// others late.
+func TestBucketHoldsAPartOfTheTolerance(t *testing.T) {
+	granted := func(tolerance limit.QuotaTolerance) float64 {
+		q := limit.NewQuotas(1, 0)
+		q.Tolerate(tolerance)
+		ask := limit.QuotaAsk{Need: 1e9, Limit: limit.QuotaLimit{Rate: 100, Burst: 100, Version: 1}}
+		q.Reserve("i", "a", ask, 0)
+		return q.Reserve("i", "a", ask, time.Hour).Amount
+	}
+	assert.InDelta(t, 100, granted(limit.QuotaTolerance{}), 1)
+	assert.InDelta(t, 100+0.5*(900*0.1+50), granted(limit.QuotaTolerance{Window: 8 * time.Second, Ratio: 0.1, Amount: 50}), 1)
+	assert.InDelta(t, 100, granted(limit.QuotaTolerance{Window: 8 * time.Second, Ratio: -1, Amount: math.NaN()}), 1)
+}
