Read the counters of the quota replays under their lock

Change: the replay starts its goroutines when all instances exist, and its counters are read under the lock. No check is changed.

--- a/internal/edge/quotafleet_test.go
+++ b/internal/edge/quotafleet_test.go
@@ -76,6 +76,8 @@
 		e := &Edge{cfg: Config{Name: fmt.Sprint("i", i)}, views: views, log: &log.Logger{Level: log.PanicLevel}}
 		e.quotas.init(r.now, quotaPeer{r, i}, metrics.NewRegistry())
 		r.edges = append(r.edges, e)
+	}
+	for i := range instances {
 		go r.poll(i)
 	}
 	return r
@@ -198,9 +200,18 @@
 	r.mu.Unlock()
 }
 
+// callsMade returns the number of calls to the holder so far.
+func (r *quotaReplay) callsMade() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.calls
+}
+
 // assertWithin checks each window from the given time on, which begins with a use.
 func (r *quotaReplay) assertWithin(known limit.QuotaLimit, from, to time.Duration) {
 	r.Helper()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	uses := slices.Clone(r.admitted)
 	slices.SortFunc(uses, func(a, b quotaUse) int { return int(a.at - b.at) })
 	most, mostAt := 0.0, time.Duration(0)
@@ -369,7 +380,9 @@
 				synctest.Test(t, func(t *testing.T) {
 					r := newQuotaReplay(t, instances, rate, rate)
 					r.play(30*time.Second, few(3, 1))
+					r.mu.Lock()
 					assert.Empty(t, r.refused)
+					r.mu.Unlock()
 					r.assertWithin(r.limit, 0, math.MaxInt64)
 					time.Sleep(time.Minute)
 				})
@@ -395,12 +408,15 @@
 		e, taken := r.edges[1], limit.QuotaCost{}
 		r.after(time.Millisecond/2, func() { r.thaw[1] = time.Now().Add(time.Second) })
 		_, _ = e.takeQuota(t.Context(), e.quotas.of("account"), 1000, r.limit, &taken)
-		time.Sleep(time.Until(r.thaw[1].Add(quotaAskInterval)))
-		assert.Equal(t, 1, r.calls)
+		r.waitFrozen(1)
+		time.Sleep(quotaAskInterval)
+		assert.Equal(t, 1, r.callsMade())
 		_, admitted := e.takeQuota(t.Context(), e.quotas.of("account"), 1000, r.limit, &taken)
 		assert.True(t, admitted)
-		assert.Equal(t, 2, r.calls, "the first grant has expired")
+		assert.Equal(t, 2, r.callsMade(), "the first grant has expired")
+		r.mu.Lock()
 		r.ended = true
+		r.mu.Unlock()
 		time.Sleep(time.Minute)
 	})
 }
--- a/internal/edge/quotas_test.go
+++ b/internal/edge/quotas_test.go
@@ -57,6 +57,13 @@
 	return q.holder.Reserve(q.instance, account, ask, q.clock()), nil
 }
 
+// callsMade returns the number of calls so far.
+func (q *quotas) callsMade() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.calls
+}
+
 func (quotasOf) StatesFallbackShares() bool { return true }
 
 // quotaFleet is an instance with one server, which refuses requests while it is told to, and accounts
@@ -104,11 +111,11 @@
 	inVirtualTime(t, func(t *testing.T) {
 		f, e := quotaFleet(t, plain)
 		assert.Equal(t, map[int]int{http.StatusOK: 20}, f.statuses(e, "unlimited", 20))
-		assert.Zero(t, f.quotas.calls)
+		assert.Zero(t, f.quotas.callsMade())
 		begun := time.Now()
 		first := f.statuses(e, "limited", 20)
 		// They arrive one after the other, so that calls can't be shared.
-		assert.LessOrEqual(t, f.quotas.calls, int(time.Since(begun)/(25*time.Millisecond))+5, "calls while the bucket is empty")
+		assert.LessOrEqual(t, f.quotas.callsMade(), int(time.Since(begun)/(25*time.Millisecond))+5, "calls while the bucket is empty")
 		assert.LessOrEqual(t, first[http.StatusOK], 4+1, "the burst with its excess of 1 s, and one that waited")
 		assert.GreaterOrEqual(t, first[http.StatusOK], 2)
 		assert.Equal(t, 20, first[http.StatusOK]+first[http.StatusTooManyRequests])
@@ -121,7 +128,9 @@
 func TestQuotaWithoutTheHolder(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		f, e := quotaFleet(t, plain)
+		f.quotas.mu.Lock()
 		f.quotas.silent = true
+		f.quotas.mu.Unlock()
 		begun := time.Now()
 		served := 0
 		for range 100 {
