Rely on long polls of the manifest only while the teller has read the store recently

Cause: the holder, which the store rejected from 2.5 to 11.5 s, went on telling what it knew. An instance noticed after 3 s that this was old, and read the store once; that read made its copy fresh, so that it relied on a long poll of 25 s again. That poll wasn't answered, which it noticed after 4 s: the new version was in force at 11.017 s in place of 7.02 s. Why the poll wasn't answered isn't traced.

Change: whether to rely on a long poll depends on what is told alone, not on own reads.

Evidence: TestStaleTellerIsNotReliedOn fails without the change.

--- a/internal/storemirror/mirror.go
+++ b/internal/storemirror/mirror.go
@@ -76,7 +76,10 @@
 	checkDue bool
 	bulletin *fleet.Bulletin
 
-	manifestRead    freshness
+	manifestRead freshness
+	// manifestTold is what this instance knows of the manifest from others alone. Only these notice
+	// that a long poll isn't answered.
+	manifestTold    freshness
 	manifestVersion int64
 	// document is the manifest in force as it was read.
 	document []byte
@@ -261,7 +264,7 @@
 		m.longPoll = false
 		return 0
 	}
-	m.longPoll = !tells && m.manifestRead.age(m.now()) < maxManifestAge && m.heard
+	m.longPoll = !tells && m.manifestTold.age(m.now()) < maxManifestAge && m.heard
 	if m.longPoll {
 		return platform.MaxPollWait
 	}
@@ -287,7 +290,7 @@
 func (m *Mirror) Review() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.longPoll && m.manifestRead.age(m.now()) >= maxManifestAge {
+	if m.longPoll && m.manifestTold.age(m.now()) >= maxManifestAge {
 		m.endLongPoll()
 	}
 }
@@ -341,6 +344,7 @@
 	switch {
 	case n.ManifestVersion == m.manifestVersion:
 		m.manifestRead.told(asked, n.Held, n.ManifestAge)
+		m.manifestTold.told(asked, n.Held, n.ManifestAge)
 		m.confirm(asked + n.Held - n.ConfirmationAge)
 	case n.ManifestVersion > max(m.manifestVersion, m.hinted):
 		m.hinted = n.ManifestVersion
--- a/internal/storemirror/mirror_test.go
+++ b/internal/storemirror/mirror_test.go
@@ -410,3 +410,20 @@
 	assert.True(t, interrupted(m))
 	assert.Zero(t, m.ManifestWait())
 }
+
+// A holder that the store rejects told of an old manifest. An instance whose own read was fresh relied on
+// one long poll, which wasn't answered, and refused requests on added routes for 4 s.
+func TestStaleTellerIsNotReliedOn(t *testing.T) {
+	r := newReplay(2)
+	r.teller = 0
+	teller, m := r.mirrors[0], r.mirrors[1]
+	teller.ManifestRead(3, r.now)
+	m.ManifestRead(3, r.now)
+	r.now += maxManifestAge
+	m.ManifestRead(3, r.now)
+	r.tell(1, 0)
+	assert.Equal(t, platform.PollWait, m.ManifestWait(), "the teller has read the store too long ago")
+	teller.ManifestRead(3, r.now)
+	r.tell(1, 0)
+	assert.Equal(t, platform.MaxPollWait, m.ManifestWait())
+}
