Tell others of removed servers at once after an outage of the teller alone

Cause: the holder, which reads the server list for all, had been rejected by the store from 2.5 to 11.6 s. After such an outage it defers removals by 2 s, as entries may have expired meanwhile. It told the others of the server as usable until then, with an end of the list beyond the removal, so that they never read the removal themselves. All learned of it at 13.94 s, from the holder. The class: a decision that depends on an instance's own outage was passed on to others as a fact.

Change: what is told contains the removal. Each instance defers it only if nobody that it knows had read the list meanwhile.

Evidence: TestTellerThatHadAnOutageTellsOfRemovals fails without the change, for an instance without an outage; with an outage of its own it still defers. Without the last part of the change, a deferred removal that was told never took effect; the test found that.

--- a/internal/storemirror/mirror.go
+++ b/internal/storemirror/mirror.go
@@ -337,9 +337,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.heard = true
-	m.list.applyTold(n.Entries, n.Complete && n.ListEnd >= m.next)
-	m.next = max(m.next, n.ListEnd)
+	known := m.listRead.knownAt
 	m.listRead.told(asked, n.Held, n.ListAge)
+	outage := time.Duration(0)
+	if known > 0 {
+		outage = m.listRead.knownAt - known - m.drainTimeout/readsPerDrain
+	}
+	m.list.applyTold(n.Entries, n.Complete && n.ListEnd >= m.next, outage)
+	m.next = max(m.next, n.ListEnd)
 	m.bulletin.Update(m.list.listing(), m.next)
 	switch {
 	case n.ManifestVersion == m.manifestVersion:
--- a/internal/storemirror/mirror_test.go
+++ b/internal/storemirror/mirror_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -16,6 +18,8 @@
 
 // replay is a store's server list, and instances that read it or are told, in virtual time.
 type replay struct {
+	// mu guards servers, which timers of the instances publish.
+	mu      sync.Mutex
 	now     time.Duration
 	log     []fleet.Entry
 	mirrors []*Mirror
@@ -37,7 +41,11 @@
 		m.now = func() time.Duration { return r.now }
 		m.after = func(_ time.Duration, do func()) { r.timers = append(r.timers, do) }
 		m.SetTeller(func() bool { return r.teller == i }, func() {})
-		m.OnServers(func(servers map[fleet.ServerID]*fleet.Server, _ Source) { r.servers[i] = servers })
+		m.OnServers(func(servers map[fleet.ServerID]*fleet.Server, _ Source) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.servers[i] = servers
+		})
 		r.mirrors = append(r.mirrors, m)
 		r.next[i] = -1
 	}
@@ -427,3 +435,50 @@
 	r.tell(1, 0)
 	assert.Equal(t, platform.MaxPollWait, m.ManifestWait())
 }
+
+// listed returns the servers that an instance uses.
+func (r *replay) listed(i int) map[fleet.ServerID]*fleet.Server {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.servers[i]
+}
+
+// sleep lets time pass on all clocks of a test in a bubble.
+func (r *replay) sleep(d time.Duration) {
+	time.Sleep(d)
+	r.now += d
+}
+
+// The teller defers removals after an outage of its own. It told the others, which the store served all
+// along, of servers that were gone, and they used these for up to 4 s.
+func TestTellerThatHadAnOutageTellsOfRemovals(t *testing.T) {
+	for _, others := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newReplay(2)
+			r.teller = 0
+			r.heartbeat("s0")
+			r.read(0)
+			r.read(1)
+			r.sleep(9 * time.Second)
+			if !others {
+				r.read(1)
+			}
+			r.sleep(100 * time.Millisecond)
+			r.remove("s0")
+			r.mirrors[0].ListRead(platform.ServerListBatch{
+				Entries: r.log[1:], Next: int64(len(r.log)), AtEnd: true, CurrentAt: time.Now(), Recovered: true,
+			})
+			assert.Contains(t, r.listed(0), fleet.ServerID("s0"), "its entry may have expired during the outage")
+			r.tell(1, 0)
+			if others {
+				assert.Contains(t, r.listed(1), fleet.ServerID("s0"), "the other one had an outage too")
+			} else {
+				assert.NotContains(t, r.listed(1), fleet.ServerID("s0"))
+			}
+			r.sleep(2 * fleet.MissingGrace)
+			synctest.Wait()
+			assert.NotContains(t, r.listed(0), fleet.ServerID("s0"))
+			assert.NotContains(t, r.listed(1), fleet.ServerID("s0"))
+		})
+	}
+}
--- a/internal/storemirror/serverlist.go
+++ b/internal/storemirror/serverlist.go
@@ -59,12 +59,13 @@
 }
 
 // applyTold applies entries that another instance has read. If complete is true, servers that
-// they lack are removed.
-func (l *serverList) applyTold(entries []fleet.Entry, complete bool) {
+// they lack are removed. outage is for how long nobody that this instance knows had read the list.
+func (l *serverList) applyTold(entries []fleet.Entry, complete bool, outage time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	l.lastRead = now
+	l.directory.ListRecovered(now, outage)
 	changed := false
 	if complete {
 		changed = l.directory.Replace(now, entries)
@@ -73,8 +74,8 @@
 			changed = l.directory.Apply(now, entry) || changed
 		}
 	}
-	if changed {
-		l.expire(now, true, SourceInstance)
+	if changed || !l.directory.NextExpiry().IsZero() {
+		l.expire(now, changed, SourceInstance)
 	}
 }
 
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -203,11 +203,16 @@
 }
 
 // Listing returns the newest entry of each server that was ever listed. Those without a usable
-// server are returned as removed.
+// server are returned as removed, and so are those whose removal is deferred: whether to defer it
+// depends on the outages of whoever uses the listing.
 func (d *Directory) Listing() []Entry {
 	out := make([]Entry, 0, len(d.entries))
 	for id, current := range d.entries {
-		out = append(out, Entry{ID: id, Offset: current.offset, Server: current.server, Removed: current.server == nil})
+		e := Entry{ID: id, Offset: current.offset, Server: current.server}
+		if e.Server == nil || !current.removeAt.IsZero() {
+			e.Server, e.Removed = nil, true
+		}
+		out = append(out, e)
 	}
 	return out
 }
