--- a/internal/clientguard/conn.go
+++ b/internal/clientguard/conn.go
@@ -62,8 +62,8 @@
 	early bool
 	// idleDeadlineSet means that the server has set the deadline for the idle connection.
 	idleDeadlineSet bool
-	// armed means that the deadline of the body was set, or that the connection is being closed, and last that the client has had its last
-	// chance. until is the latest deadline, zero if there is none.
+	// armed means that the deadline of the body was set, or that the connection is being closed; last
+	// means that no later deadline follows. until is the latest deadline, zero if there is none.
 	armed, last bool
 	until       time.Time
 
