Test keys on every attempt and in logs, and a holder of a build without quotas

Cause: no test showed that repeats and resumed streams get the account and not the key, that keys stay out of the log, or that the new calls fail at once at a holder that doesn't serve them.

Change: the tests; the headers' names come from the stand-in; the comments give the reason alone; one constant for an unknown age in place of two.

--- a/internal/edge/accounts_test.go
+++ b/internal/edge/accounts_test.go
@@ -1,19 +1,22 @@
 package edge_test
 
 import (
+	"bytes"
+	"maps"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/phuslu/log"
-
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/account"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/streamorigin"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
 )
@@ -27,18 +30,22 @@
 // newAccountHarness returns a harness whose manifest has accounts, and a public route.
 func newAccountHarness(t *testing.T, accounts ...account.Keys) (*harness, *standin.Server, *manifestState) {
 	w, state := newHarness(t), &manifestState{}
-	w.edge = edge.New(edge.Config{
+	w.edge = newAccountEdge(w, state, &log.Logger{Level: log.PanicLevel})
+	w.front.Config.Handler = w.edge
+	s := w.add(standin.ServerConfig{ID: "s1", Service: plain})
+	w.publishAccounts(8, accounts...)
+	return w, s, state
+}
+
+func newAccountEdge(w *harness, state *manifestState, logger *log.Logger) *edge.Edge {
+	return edge.New(edge.Config{
 		Zone: "zone-a", RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second, Instances: 1,
 		Manifest: edge.ManifestState{
 			WithdrawWithin: 5 * time.Second, ConfirmationAge: func() time.Duration { return state.age }, IsBehind: func() bool { return state.behind },
 		},
 	}, w.views, platform.NewServers(), noDemand{},
-		edge.Peers{Permits: newPermits().of("i0"), Origins: w.origins.of("i0"), Crashes: newCrashes(t).of("i0"), Standings: newStandings().of("i0")},
-		&log.Logger{Level: log.PanicLevel}, metrics.NewRegistry(), w.tracer)
-	w.front.Config.Handler = w.edge
-	s := w.add(standin.ServerConfig{ID: "s1", Service: plain})
-	w.publishAccounts(8, accounts...)
-	return w, s, state
+		edge.Peers{Permits: newPermits().of("i0"), Origins: w.origins.of("i0"), Crashes: newCrashes(w.T).of("i0"), Standings: newStandings().of("i0")},
+		logger, metrics.NewRegistry(), w.tracer)
 }
 
 func (w *harness) publishAccounts(version int64, accounts ...account.Keys) {
@@ -67,9 +74,9 @@
 	header := s.Runs()[0].Header
 	assert.Equal(t, []string{"account-a"}, header.Values(standin.HeaderAccount))
 	assert.Empty(t, header.Values(standin.HeaderKey))
-	withRank := header.Get("Cyclamenhoist-Request-Priority")
+	withRank := header.Get(standin.HeaderPriority)
 	require.Equal(t, http.StatusOK, w.do(http.MethodPost, "/write/", map[string]string{standin.HeaderKey: "key-b"}).status)
-	assert.Less(t, withRank, s.Runs()[1].Header.Get("Cyclamenhoist-Request-Priority"), "the account's rank goes before the route's")
+	assert.Less(t, withRank, s.Runs()[1].Header.Get(standin.HeaderPriority), "the account's rank goes before the route's")
 
 	for name, header := range map[string]map[string]string{
 		"no key": {}, "unknown key": {standin.HeaderKey: "key-2"}, "another case": {standin.HeaderKey: "KEY-1"}, "only the account": {standin.HeaderAccount: "account-a"},
@@ -129,3 +136,60 @@
 	state.behind = false
 	assert.Equal(t, http.StatusNotFound, w.do(http.MethodPost, "/added/", key).status)
 }
+
+// Each attempt builds its own head: repeats, and streams that go on at another server or are taken up by
+// the client, get the account and not the key as well.
+func TestEveryAttemptGetsTheAccountAndNotTheKey(t *testing.T) {
+	w := newHarness(t)
+	first, second := w.add(standin.ServerConfig{ID: "s1", Service: engine}), w.add(standin.ServerConfig{ID: "s2", Service: engine})
+	plainServers := []*standin.Server{w.add(standin.ServerConfig{ID: "p1", Service: plain}), w.add(standin.ServerConfig{ID: "p2", Service: plain})}
+	w.publish()
+	directory, err := account.NewDirectory([]account.Keys{accountA("key-1")})
+	require.NoError(t, err)
+	withAccounts := *w.views.Load().Manifest
+	withAccounts.Version++
+	withAccounts.Accounts = directory
+	require.True(t, w.views.SetManifest(&withAccounts))
+	w.origins.announced.Put("first", streamorigin.Origin{Service: engine}, time.Now())
+	key := map[string]string{standin.HeaderKey: "key-1", standin.HeaderAccount: "forged"}
+
+	for _, s := range plainServers {
+		s.SetFaults(standin.ServerFaults{Fail: true})
+	}
+	w.do(http.MethodPost, "/read/", key)
+	first.SetFaults(standin.ServerFaults{CutAfter: 3})
+	second.SetFaults(standin.ServerFaults{CutAfter: 3})
+	w.do(http.MethodPost, "/stream/", key)
+	first.SetFaults(standin.ServerFaults{})
+	second.SetFaults(standin.ServerFaults{})
+	takenUp := maps.Clone(key)
+	takenUp["Last-Event-Id"], takenUp[standin.HeaderResumes] = "4", "first"
+	require.Equal(t, http.StatusOK, w.do(http.MethodPost, "/stream/", takenUp).status)
+
+	runs := slices.Concat(first.Runs(), second.Runs(), plainServers[0].Runs(), plainServers[1].Runs())
+	assert.Len(t, runs, 5, "two of each of the first requests, one of the last")
+	for _, run := range runs {
+		assert.Equal(t, []string{"account-a"}, run.Header.Values(standin.HeaderAccount))
+		for name, values := range run.Header {
+			assert.NotContains(t, values, "key-1", name)
+		}
+	}
+}
+
+// Keys are secret: neither the log nor an answer contains them, whatever becomes of the request.
+func TestKeysAreNotLogged(t *testing.T) {
+	var written bytes.Buffer
+	w, _, state := newAccountHarness(t, accountA("secret-1"))
+	w.edge = newAccountEdge(w, state, &log.Logger{Level: log.DebugLevel, Writer: &log.IOWriter{Writer: &written}})
+	w.front.Config.Handler = w.edge
+	for _, age := range []time.Duration{0, time.Hour} {
+		state.age = age
+		for _, key := range []string{"secret-1", "secret-2"} {
+			got := w.do(http.MethodPost, "/write/", map[string]string{standin.HeaderKey: key})
+			assert.NotContains(t, got.body, "secret")
+		}
+	}
+	w.front.Close()
+	assert.Contains(t, written.String(), "key unknown")
+	assert.NotContains(t, written.String(), "secret")
+}
--- a/internal/edge/quotas_test.go
+++ b/internal/edge/quotas_test.go
@@ -94,7 +94,7 @@
 func (f *virtualFleet) statuses(e *edge.Edge, key string, n int) map[int]int {
 	statuses := map[int]int{}
 	for i := range n {
-		w := f.send(f.Context(), e, fmt.Sprint(key, time.Now(), i), "/read/a", map[string]string{"Cyclamenhoist-Credential": key})
+		w := f.send(f.Context(), e, fmt.Sprint(key, time.Now(), i), "/read/a", map[string]string{standin.HeaderKey: key})
 		statuses[w.Code]++
 		if w.Code == http.StatusTooManyRequests {
 			retry, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
--- a/internal/placer/compat_test.go
+++ b/internal/placer/compat_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"path"
 	"slices"
 	"testing"
 	"time"
@@ -12,11 +13,13 @@
 	"google.golang.org/protobuf/reflect/protoregistry"
 	"google.golang.org/protobuf/types/descriptorpb"
 	"google.golang.org/protobuf/types/dynamicpb"
+	"storj.io/drpc"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/bootclock"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/storemirror"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
 	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
 )
 
@@ -68,7 +71,7 @@
 	assert.Equal(t, int64(7), placement.Store.GetManifestVersion())
 	assert.Less(t, decodeNews(placement.Store).ConfirmationAge, time.Minute)
 	placement.Store.ConfirmedMs = 0
-	assert.Equal(t, unknownAge, decodeNews(placement.Store).ConfirmationAge, "an earlier build doesn't tell it")
+	assert.Equal(t, storemirror.NeverConfirmed, decodeNews(placement.Store).ConfirmationAge, "an earlier build doesn't tell it")
 
 	reply, err := (&service{placer: i.Placer}).Report(t.Context(), &placerpb.DemandReport{Instance: "former", Address: "10.0.0.1:1"})
 	require.NoError(t, err)
@@ -108,3 +111,47 @@
 		return err == nil && string(document) == "{}"
 	})
 }
+
+// servedCalls describes the service of a build that lacks some calls.
+type servedCalls struct {
+	placerpb.DRPCPlacerDescription
+
+	without []string
+}
+
+// NumMethods implements drpc.Description.
+func (s servedCalls) NumMethods() int { return s.DRPCPlacerDescription.NumMethods() - len(s.without) }
+
+// Method implements drpc.Description.
+func (s servedCalls) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
+	for i := range s.DRPCPlacerDescription.NumMethods() {
+		rpc, encoding, receiver, method, ok := s.DRPCPlacerDescription.Method(i)
+		if slices.Contains(s.without, path.Base(rpc)) {
+			continue
+		}
+		if n == 0 {
+			return rpc, encoding, receiver, method, ok
+		}
+		n--
+	}
+	return "", nil, nil, nil, false
+}
+
+// A holder of the build before client accounts doesn't know the calls for quotas and manifests. Both
+// fail at once, and the other calls on the same connections go on.
+func TestHolderWithoutQuotasAndManifests(t *testing.T) {
+	c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0", OnDisk: []string{"a"}})
+	c.withoutCalls = []string{"ReserveQuota", "ReadManifest"}
+	former := c.start("i0")
+	c.eventually("i0 holds the lease", former.elector.placing)
+	former.mirror.SetDocument([]byte("{}"))
+	c.withoutCalls = nil
+	i := c.start("i1")
+	i.reserve(c, permitRequest(0, 1))
+	_, err := i.ReserveQuota(t.Context(), "account", limit.QuotaAsk{Need: 1, Limit: limit.QuotaLimit{Rate: 1, Burst: 1}})
+	require.Error(t, err)
+	require.NotErrorIs(t, err, errNoHolder)
+	_, err = i.FetchManifest(t.Context())
+	require.Error(t, err)
+	i.reserve(c, permitRequest(0, 1))
+}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -41,6 +41,8 @@
 	store   *standin.Store
 	servers []*standin.Server
 	models  []string
+	// withoutCalls are the calls that instances started from now on don't serve, as earlier builds.
+	withoutCalls []string
 }
 
 func newCluster(t *testing.T, models []string, servers ...standin.ServerConfig) *cluster {
@@ -99,7 +101,7 @@
 	stop, cancel := context.WithCancel(ctx)
 	serving, endServing := context.WithCancel(context.Background())
 	mux := drpcmux.New()
-	require.NoError(c, i.Register(mux))
+	require.NoError(c, mux.Register(&service{placer: i.Placer}, servedCalls{without: c.withoutCalls}))
 	go func() { _ = peer.ServeMux(serving, listener, mux, tracer, logger) }()
 	ended := make(chan struct{})
 	go func() { defer close(ended); i.Run(ctx, stop) }()
--- a/internal/placer/storenews.go
+++ b/internal/placer/storenews.go
@@ -35,14 +35,11 @@
 	return out
 }
 
-// unknownAge is the age of what a build doesn't tell.
-const unknownAge = 365 * 24 * time.Hour
-
 func decodeNews(n *placerpb.StoreNews) storemirror.News {
 	out := storemirror.News{
 		Held: time.Duration(n.HeldMs) * time.Millisecond, ManifestVersion: n.ManifestVersion, ManifestAge: time.Duration(n.ManifestAgeMs) * time.Millisecond,
 		ListEnd: n.ListEnd, ListAge: time.Duration(n.ListAgeMs) * time.Millisecond, Complete: n.Complete,
-		ConfirmationAge: unknownAge,
+		ConfirmationAge: storemirror.NeverConfirmed,
 	}
 	if n.ConfirmedMs > 0 {
 		out.ConfirmationAge = time.Duration(n.ConfirmedMs-1) * time.Millisecond
--- a/internal/storemirror/mirror.go
+++ b/internal/storemirror/mirror.go
@@ -111,12 +111,12 @@
 		check: checkInterval + rand.N(checkSpread), list: newServerList(func(map[fleet.ServerID]*fleet.Server, Source) {}, drainTimeout/readsPerDrain),
 		bulletin: fleet.NewBulletin(), interrupt: make(chan struct{}, 1), behind: make(chan struct{}, 1),
 	}
-	m.confirmedAt.Store(int64(-neverConfirmed))
+	m.confirmedAt.Store(int64(-NeverConfirmed))
 	return m
 }
 
-// neverConfirmed is the age of a confirmation that there has never been.
-const neverConfirmed = 365 * 24 * time.Hour
+// NeverConfirmed is the age of a confirmation that there has never been, or that isn't told.
+const NeverConfirmed = 365 * 24 * time.Hour
 
 // OnServers sets what is called with the usable servers when they change. It must be called before
 // the mirror is used.
--- a/pkg/limit/quota.go
+++ b/pkg/limit/quota.go
@@ -33,12 +33,12 @@
 	// partitioned that serves most of an account's demand.
 	maxUnheard  = 2
 	unheardPart = 8
-	// quotaWindow is the time after which a request can be granted that costs more than the burst.
+	// quotaWindow is the time within which a request can be granted that costs more than the burst, and the
+	// interval at which a fallback share gets its credit.
 	quotaWindow = 8 * time.Second
 	// burstRequests is the number of the largest requests that a full bucket holds at least, as long
-	// as it isn't filled with more than burstExcess at the account's rate. With a burst of 29,000 and
-	// requests of up to 10,000, an exact bucket refuses 0.4% of those of an account that uses 1/1.8 of
-	// its rate.
+	// as it isn't filled with more than burstExcess at the account's rate. A bucket that holds two or three
+	// large requests refuses some of an account that stays below its rate, whenever they come together.
 	burstRequests = 6
 	burstExcess   = time.Second
 	// toleranceShare is the part of a tolerance that a full bucket holds in addition. The rest is for
--- a/pkg/serverpick/estimate.go
+++ b/pkg/serverpick/estimate.go
@@ -322,9 +322,8 @@
 	return (1 - free) * float64(l.holding()) / float64(slots)
 }
 
-// spreadRequests is Request.Spread where several instances send to the same servers. In replays
-// with 18 and 71 instances 1, 2 and 4 differed little, 0 rejected five times as many requests, and 8
-// kept slow servers too busy.
+// spreadRequests is Request.Spread where several instances send to the same servers. Without a spread
+// all of them choose the same server until its next report; a large one keeps slow servers too busy.
 const spreadRequests = 2
 
 // SpreadOf returns Request.Spread for a number of instances.
