Mend what a review of the guard against untrusted clients found

Cause, found by a developer who didn't write it, by reading and by runs of scratch tests: - ordinary clients that send the next request before a handler has ended counted as pipelining, and eight requests that run for seconds kept the others out: 51 of 1,800 got 503; - clients could hold the whole memory for connections, so that readiness checks and instances were refused; - behind a raw guard (operators and peers of serve), the end of a write deadline was ignored, so that TLS connections broke, and one byte ended the server's own read deadline; - a handler's write deadline was replaced, so that callers.write_timeout no longer worked; - a budget full of bodies kept new connections out, and a running request could be closed for a new one.

Change: requests are paced from the ninth in a row on, by their start; the listeners' limits together fit into the memory for connections; raw guards pass deadlines on; a handler's deadline goes first.

--- a/internal/app/guards.go
+++ b/internal/app/guards.go
@@ -26,7 +26,7 @@
 // newGuards derives the memory for callers from the limits on bodies and connections, since the settings
 // don't state that of the machine.
 func newGuards(s *settings.Settings, logger *log.Logger, registry metrics.Registry) *guards {
-	connections := int64(s.Callers.MaxConnections) * clientguard.ConnectionBytes
+	connections := int64(s.Callers.MaxConnections+operatorConnections+peerConnections) * clientguard.ConnectionBytes
 	budget := bytebudget.New(max(gateway.DefaultConfig().MaxInProgressBytes+connections, 2*connections))
 	clientguard.RegisterBudget(budget, registry)
 	raw := func(name string, most int) *clientguard.Guard {
--- a/internal/clientguard/conn.go
+++ b/internal/clientguard/conn.go
@@ -66,12 +66,17 @@
 	// means that no later deadline follows. until is the latest deadline, zero if there is none.
 	armed, last bool
 	until       time.Time
-
-	// writeUntil is the write deadline, if writeArmed. blockedSince is when the current write began.
-	writeUntil   time.Duration
-	writeArmed   bool
-	writing      bool
-	blockedSince time.Duration
+	// serverDeadline is the read deadline that the server of a raw connection has set.
+	serverDeadline time.Time
+
+	// handlerDeadline is the write deadline that the handler has set, which goes before the guard's; zero
+	// if there is none. writeUntil is the guard's, if writeArmed. blockedSince is when the current write
+	// began.
+	handlerDeadline time.Time
+	writeUntil      time.Duration
+	writeArmed      bool
+	writing         bool
+	blockedSince    time.Duration
 
 	// head, body and response are the reservations of the current request.
 	head, body, response bytebudget.Reservation
@@ -193,7 +198,8 @@
 	defer c.mu.Unlock()
 	if c.guard.cfg.Raw && c.phase == phaseHead {
 		c.phase = phaseRaw
-		_ = c.setReadDeadline(time.Time{})
+		// Only the guard's own deadline for the first byte ends.
+		_ = c.setReadDeadline(c.serverDeadline)
 	}
 	switch c.phase {
 	case phaseIdle:
@@ -295,6 +301,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase, c.armed, c.last, c.early, c.until = phaseHandler, false, false, false, time.Time{}
+	if !c.handlerDeadline.IsZero() {
+		c.handlerDeadline, c.writeArmed = time.Time{}, false
+	}
 	if c.headOpen {
 		c.head.Complete()
 	}
@@ -340,6 +349,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	if c.guard.cfg.Raw {
+		c.serverDeadline = t
+		if c.phase == phaseHead && (t.IsZero() || t.After(c.until)) {
+			return nil // the guard's deadline for the first byte is earlier
+		}
+		return c.setReadDeadline(t)
+	}
 	if t.IsZero() || t.Before(now) {
 		return c.setReadDeadline(t)
 	}
@@ -392,7 +408,7 @@
 		return rankSlowHead, -c.progress.Rate(now)
 	case c.phase == phaseBody && c.progress.Stalled(now):
 		return rankSlow, -c.progress.Rate(now)
-	case c.pipelinedInRow > 0:
+	case c.pipelinedInRow > ordinaryInRow && c.phase != phaseHandler:
 		return rankPipelined, float64(c.pipelinedInRow)
 	case c.phase == phaseHead && now-c.progress.Began() >= headPause:
 		return rankHead, float64(now - c.progress.Began())
--- a/internal/clientguard/guard.go
+++ b/internal/clientguard/guard.go
@@ -54,7 +54,10 @@
 	// of connections: 1,600 per second, a tenth of a core. Connections whose next request has already
 	// arrived never wait for the network, and with hundreds of them the scheduler of a single core
 	// hardly asks for the connections that do.
-	maxPipelined    = 64
+	maxPipelined = 64
+	// ordinaryInRow is the number of requests in a row up to which a client isn't taken to pipeline. One that
+	// has its whole answer can send the next request before the handler of the last one has ended.
+	ordinaryInRow   = 8
 	pipelinedAtOnce = 8
 	pipelinedTime   = 5 * time.Millisecond
 	// pipelineWait is the longest time that such a request waits for its turn.
@@ -211,46 +214,51 @@
 		}
 		defer c.endHandler()
 		if c.pipelinedInRow > 0 {
-			release := g.admitPipelined(c, r)
-			if release == nil {
+			if !g.admitPipelined(c, r) {
 				g.causes.add(causePipelined, r.RemoteAddr)
 				// A blocked write mustn't keep a large head in memory.
 				clear(r.Header)
 				g.cfg.Refuse(w, r)
 				return
 			}
-			defer release()
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
-// admitPipelined waits until a pipelined request may be handled, and returns nil if it may not.
-func (g *Guard) admitPipelined(c *Conn, r *http.Request) func() {
+// admitPipelined waits until a pipelined request may be handled, and reports whether it may.
+func (g *Guard) admitPipelined(c *Conn, r *http.Request) bool {
 	fields := 0
 	for _, values := range r.Header {
 		fields += len(values)
 	}
 	if c.pipelinedInRow > maxPipelined || !c.reserveFields(fields) {
-		return nil
+		return false
+	}
+	if c.pipelinedInRow <= ordinaryInRow {
+		return true
 	}
 	select {
 	case g.pipelined <- struct{}{}:
-		return g.endPipelined
+		g.returnPlace()
+		return true
 	default:
 	}
 	timer := time.NewTimer(pipelineWait)
 	defer timer.Stop()
 	select {
 	case g.pipelined <- struct{}{}:
-		return g.endPipelined
+		g.returnPlace()
+		return true
 	case <-timer.C:
 	case <-r.Context().Done():
 	}
-	return nil
+	return false
 }
 
-func (g *Guard) endPipelined() { time.AfterFunc(pipelinedTime, func() { <-g.pipelined }) }
+// returnPlace gives back the place of a pipelined request. What it paces is the start of requests, which
+// may run for seconds.
+func (g *Guard) returnPlace() { time.AfterFunc(pipelinedTime, func() { <-g.pipelined }) }
 
 func refuse(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Retry-After", "1")
@@ -326,7 +334,11 @@
 	if replaced != nil {
 		_ = replaced.closeNow()
 	}
-	_ = conn.SetReadDeadline(time.Now().Add(g.limits().HeaderTimeout))
+	deadline := time.Now().Add(g.limits().HeaderTimeout)
+	if g.cfg.Raw {
+		c.until = deadline
+	}
+	_ = conn.SetReadDeadline(deadline)
 	return c, false
 }
 
--- a/internal/clientguard/guard_test.go
+++ b/internal/clientguard/guard_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -75,6 +76,11 @@
 				fmt.Fprint(w, len(body))
 			case "/large":
 				_, _ = w.Write(make([]byte, maxBody))
+			case "/slow":
+				time.Sleep(2 * time.Second)
+			case "/deadline":
+				_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(time.Second))
+				_, _ = w.Write(make([]byte, maxBody))
 			}
 		})}
 		guard.Configure(httpServer)
@@ -313,3 +319,72 @@
 		c.Close()
 	})
 }
+
+// The guard's deadline replaced one that a handler had set, so that a setting for slow readers no longer
+// worked.
+func TestDeadlineOfTheHandlerGoesFirst(t *testing.T) {
+	serve(t, 8<<20, 10, func(s *server) {
+		c := s.dial()
+		c.send(get("/deadline", ""))
+		time.Sleep(2 * time.Second)
+		read, _ := io.ReadAll(c)
+		assert.Less(s, len(read), maxBody)
+	})
+}
+
+// Behind a raw guard, TLS connections broke once the time for a head had passed since they were accepted, as
+// the end of the handshake's deadline was ignored; and one byte ended the server's own time limit.
+func TestRawGuardKeepsTheDeadlinesOfItsServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listener := &memoryListener{make(chan net.Conn), make(chan net.Conn)}
+		guard := clientguard.New(clientguard.Config{
+			Listener: "test", MaxConnections: 10, Raw: true, Budget: bytebudget.New(8 << 20), Log: &log.Logger{Level: log.PanicLevel},
+			Registry: metrics.NewRegistry(),
+		})
+		guarded := guard.Listen(listener)
+		dial := func() (near, far net.Conn) {
+			near, end := net.Pipe()
+			go func() { listener.conns <- end }()
+			far, err := guarded.Accept()
+			require.NoError(t, err)
+			return near, far
+		}
+		near, far := dial()
+		require.NoError(t, far.SetReadDeadline(time.Now().Add(time.Second)))
+		require.NoError(t, far.SetWriteDeadline(time.Now().Add(time.Second)))
+		go func() { _, _ = near.Write([]byte("x")) }()
+		buffer := make([]byte, 1)
+		_, err := far.Read(buffer)
+		require.NoError(t, err)
+		begun := time.Now()
+		_, err = far.Read(buffer)
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		assert.LessOrEqual(t, time.Since(begun), time.Second)
+
+		require.NoError(t, far.SetReadDeadline(time.Time{}))
+		require.NoError(t, far.SetWriteDeadline(time.Time{}))
+		time.Sleep(time.Minute)
+		go func() { _, _ = near.Read(buffer) }()
+		_, err = far.Write([]byte("y"))
+		require.NoError(t, err)
+		near.Close()
+		far.Close()
+	})
+}
+
+// Ordinary clients send the next request when they have the whole answer, at times before the handler has
+// ended. Eight such requests that run for seconds kept all others out.
+func TestRequestsInARowAreServed(t *testing.T) {
+	serve(t, 8<<20, 100, func(s *server) {
+		for range 30 {
+			c := s.dial()
+			c.send(get("/slow", "") + get("/slow", ""))
+			go func() {
+				assert.Equal(s, 200, c.status())
+				assert.Equal(s, 200, c.status())
+				c.Close()
+			}()
+		}
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/clientguard/write.go
+++ b/internal/clientguard/write.go
@@ -9,10 +9,16 @@
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/bytebudget"
 )
 
-// SetWriteDeadline implements net.Conn. The server's resets are ignored, since the guard sets a
-// deadline for each write.
+// SetWriteDeadline implements net.Conn. A deadline that is set goes before those that the guard sets for
+// each write.
 func (c *Conn) SetWriteDeadline(t time.Time) error {
-	if t.IsZero() {
+	if c.guard.cfg.Raw {
+		return c.Conn.SetWriteDeadline(t)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handlerDeadline, c.writeArmed = t, false
+	if t.IsZero() || c.responseDropped.Load() {
 		return nil
 	}
 	return c.Conn.SetWriteDeadline(t)
@@ -45,6 +51,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writing, c.blockedSince = true, now
+	if !c.handlerDeadline.IsZero() {
+		return
+	}
 	if c.writeArmed && c.writeUntil-now > unreadTimeout/2 {
 		return
 	}
@@ -70,6 +79,9 @@
 		c.guard.causes.add(causeResponseDropped, c.RemoteAddr().String())
 		return false
 	}
+	if !c.handlerDeadline.IsZero() {
+		return false
+	}
 	// A part of the time may have passed before this write.
 	if n > 0 || clock()-c.blockedSince < unreadTimeout/2 {
 		c.writeArmed = false
--- a/internal/fleetapp/guards.go
+++ b/internal/fleetapp/guards.go
@@ -27,6 +27,8 @@
 	// holder has a connection of each of them, up to 300.
 	fileDescriptors = 200
 	peerShare       = 1.0 / 5
+	// peerMemoryShare is that part of the memory for connections.
+	peerMemoryShare = 1.0 / 3
 	// minConnections is the least limit of a listener, whatever the settings.
 	minConnections = 16
 )
@@ -43,16 +45,18 @@
 	return b
 }
 
-// connectionLimits returns the limits on the connections of clients and of other instances. Each request
-// of a client needs a connection to a server.
+// connectionLimits returns the limits on the connections of clients and of other instances. Together with
+// those of the other listeners they fit into the memory for connections, so that clients can't take the
+// place of load balancers and instances. Each request of a client needs a connection to a server.
 func connectionLimits(maxFDs int, budget *bytebudget.Budget) (clients, peers int) {
-	byMemory := int(budget.Max(bytebudget.Connections) / clientguard.ConnectionBytes)
-	if maxFDs == 0 {
-		return byMemory, byMemory
+	byMemory := int(budget.Max(bytebudget.Connections)/clientguard.ConnectionBytes) - readinessConnections - metricsConnections
+	peers = max(int(peerMemoryShare*float64(byMemory)), minConnections)
+	clients = byMemory - peers
+	if maxFDs > 0 {
+		peers = min(peers, max(int(peerShare*float64(maxFDs)), minConnections))
+		clients = min(clients, (maxFDs-fileDescriptors-peers-readinessConnections-metricsConnections)/2)
 	}
-	peers = max(int(peerShare*float64(maxFDs)), minConnections)
-	left := maxFDs - fileDescriptors - peers - readinessConnections - metricsConnections
-	return max(min(left/2, byMemory), minConnections), peers
+	return max(clients, minConnections), peers
 }
 
 func newGuards(s *Settings, views *edge.Views, e *edge.Edge, budget *bytebudget.Budget, logger *log.Logger, registry metrics.Registry) *guards {
--- a/internal/storemirror/mirror.go
+++ b/internal/storemirror/mirror.go
@@ -364,8 +364,8 @@
 	m.list.applyTold(n.Entries, n.Complete && n.ListEnd >= m.next, outage)
 	m.next = max(m.next, n.ListEnd)
 	m.bulletin.Update(m.list.listing(), m.next)
-	switch {
-	case n.ManifestVersion == m.manifestVersion:
+	switch n.ManifestVersion {
+	case m.manifestVersion:
 		m.manifestRead.told(asked, n.Held, n.ManifestAge)
 		m.manifestTold.told(asked, n.Held, n.ManifestAge)
 		m.confirm(asked + n.Held - n.ConfirmationAge)
--- a/pkg/bytebudget/budget.go
+++ b/pkg/bytebudget/budget.go
@@ -184,7 +184,10 @@
 
 // makeRoom drops stalled reservations until n more bytes fit for r.
 func (b *Budget) makeRoom(r *Reservation, n int64, now time.Duration) bool {
-	limit := b.limit - int64(headroom(r.bytes+n)*float64(b.limit))
+	limit := b.limit
+	if r.purpose != Connections { // each of them is small, though a listener reserves for all
+		limit -= int64(headroom(r.bytes+n) * float64(b.limit))
+	}
 	for {
 		ofPurpose := b.byPurpose[r.purpose]+n > b.Max(r.purpose)
 		if !ofPurpose && b.used+n <= limit {
