Log where, when and from whom a change of the server list was learned

No line told the hypotheses of docs/incidents/server-list-history.md apart. server_withdrawn names the teller, the store's history (Store-Era, decoded in platform/ and used for nothing else yet), the end of the list and the age of the read; removal_deferred is new and says for how long a removed server stays in use, after which outage. No logic is changed.

--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -188,12 +188,17 @@
 
 func newInstance(p instanceParams) *Instance {
 	p.Dialer.SetPeers(p.Placer.OtherInstances)
-	p.Mirror.OnServers(func(servers map[fleet.ServerID]*fleet.Server, source storemirror.Source) {
+	p.Mirror.OnServers(func(servers map[fleet.ServerID]*fleet.Server, change storemirror.Change) {
 		for _, id := range p.Views.SetServers(servers) {
-			p.Log.Info().Str("server", string(id)).Bool("listed", servers[id] != nil).Str("source", string(source)).Msg("server_withdrawn")
+			logListChange(p.Log.Info().Str("server", string(id)).Bool("listed", servers[id] != nil), change).Msg("server_withdrawn")
 		}
 		p.Edge.AnnounceStreams()
 	})
+	p.Mirror.OnDeferral(func(d storemirror.Deferral) {
+		for _, id := range d.Servers {
+			logListChange(p.Log.Info().Str("server", string(id)), d.Change).Dur("outage", d.Outage).Dur("for", d.For).Msg("removal_deferred")
+		}
+	})
 	return &Instance{
 		settings: p.Settings, log: p.Log, registry: p.Registry, views: p.Views, edge: p.Edge,
 		store: p.Store, mirror: p.Mirror, servers: p.Servers, placer: p.Placer, dialer: p.Dialer, relay: p.Relay, tracing: p.Tracing, guards: p.Guards,
@@ -202,6 +207,12 @@
 	}
 }
 
+// logListChange adds to a log entry how a change of the server list was learned.
+func logListChange(entry *log.Entry, change storemirror.Change) *log.Entry {
+	return entry.Str("source", string(change.Source)).Str("teller", change.Teller).Int64("era", change.Era).
+		Int64("list_end", change.ListEnd).Dur("list_age", change.Age)
+}
+
 // Run serves requests until stop ends and then shuts down gracefully. When kill
 // ends, it stops at once.
 func (i *Instance) Run(kill, stop context.Context) error {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -302,7 +302,9 @@
 		p.elector.holderResponded(epoch)
 		if placement.Store != nil {
 			p.elector.renewalHeard(time.Duration(placement.Store.RenewedMs) * time.Millisecond)
-			p.mirror.Hear(decodeNews(placement.Store), asked)
+			news := decodeNews(placement.Store)
+			news.Teller = r.Holder
+			p.mirror.Hear(news, asked)
 		} else {
 			p.mirror.HearNothing()
 		}
--- a/internal/storemirror/mirror.go
+++ b/internal/storemirror/mirror.go
@@ -37,6 +37,8 @@
 
 // News is what an instance tells others of the store.
 type News struct {
+	// Teller is the name of the instance that tells.
+	Teller string
 	// Held is how long the question was held before it was answered.
 	Held time.Duration
 	// ManifestVersion is the version of the newest manifest, and ManifestAge the time since that
@@ -109,7 +111,7 @@
 func New(drainTimeout time.Duration) *Mirror {
 	m := &Mirror{
 		now: bootclock.Now, after: func(d time.Duration, do func()) { time.AfterFunc(d, do) }, drainTimeout: drainTimeout, tells: func() bool { return false }, changed: func() {},
-		check: checkInterval + rand.N(checkSpread), list: newServerList(func(map[fleet.ServerID]*fleet.Server, Source) {}, drainTimeout/readsPerDrain),
+		check: checkInterval + rand.N(checkSpread), list: newServerList(func(map[fleet.ServerID]*fleet.Server, Change) {}, drainTimeout/readsPerDrain),
 		bulletin: fleet.NewBulletin(), interrupt: make(chan struct{}, 1), behind: make(chan struct{}, 1),
 	}
 	m.confirmedAt.Store(int64(-NeverConfirmed))
@@ -121,10 +123,14 @@
 
 // OnServers sets what is called with the usable servers when they change. It must be called before
 // the mirror is used.
-func (m *Mirror) OnServers(publish func(map[fleet.ServerID]*fleet.Server, Source)) {
+func (m *Mirror) OnServers(publish func(map[fleet.ServerID]*fleet.Server, Change)) {
 	m.list.publish = publish
 }
 
+// OnDeferral sets what is called after removals of servers were deferred. It must be called before
+// the mirror is used.
+func (m *Mirror) OnDeferral(deferred func(Deferral)) { m.list.deferred = deferred }
+
 // SetTeller sets how to find out whether this instance tells the others, and what to call when
 // there is something new to tell. It must be called before the mirror is used.
 func (m *Mirror) SetTeller(tells func() bool, changed func()) { m.tells, m.changed = tells, changed }
@@ -361,7 +367,9 @@
 	if known > 0 {
 		outage = m.listRead.knownAt - known - m.drainTimeout/readsPerDrain
 	}
-	m.list.applyTold(n.Entries, n.Complete && n.ListEnd >= m.next, outage)
+	m.list.applyTold(n.Entries, n.Complete && n.ListEnd >= m.next, outage, Change{
+		Source: SourceInstance, Teller: n.Teller, ListEnd: n.ListEnd, Age: m.now() - (asked + n.Held - n.ListAge),
+	})
 	m.next = max(m.next, n.ListEnd)
 	m.bulletin.Update(m.list.listing(), m.next)
 	switch n.ManifestVersion {
--- a/internal/storemirror/mirror_test.go
+++ b/internal/storemirror/mirror_test.go
@@ -40,7 +40,7 @@
 		m.now = func() time.Duration { return r.now }
 		m.after = func(_ time.Duration, do func()) { r.timers = append(r.timers, do) }
 		m.SetTeller(func() bool { return r.teller == i }, func() {})
-		m.OnServers(func(servers map[fleet.ServerID]*fleet.Server, _ Source) {
+		m.OnServers(func(servers map[fleet.ServerID]*fleet.Server, _ Change) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			r.servers[i] = servers
--- a/internal/storemirror/serverlist.go
+++ b/internal/storemirror/serverlist.go
@@ -19,11 +19,35 @@
 	SourceExpiry   Source = "expiry"
 )
 
+// Change is how an instance learned of a change of the server list.
+type Change struct {
+	Source Source
+	// Teller is the name of the instance that told of it; empty if this instance has read it.
+	Teller string
+	// Era and ListEnd are the history of the store and the offset in it up to which the list was
+	// read, and Age the time since then.
+	Era, ListEnd int64
+	Age          time.Duration
+}
+
+// Deferral is a decision to go on using servers that the list has removed, as they may register
+// again.
+type Deferral struct {
+	Change
+
+	Servers []fleet.ServerID
+	// Outage is for how long nobody that this instance knows had read the list, and For is for how
+	// long the removals are deferred.
+	Outage, For time.Duration
+}
+
 // serverList applies the batches of the server list and publishes the servers
 // that can be used. Pending removals take effect at their expiry, even if
 // nothing is read at that time.
 type serverList struct {
-	publish func(map[fleet.ServerID]*fleet.Server, Source)
+	publish func(map[fleet.ServerID]*fleet.Server, Change)
+	// deferred is called after removals were deferred.
+	deferred func(Deferral)
 	// interval is the minimum interval between two reads.
 	interval time.Duration
 
@@ -31,10 +55,13 @@
 	directory   *fleet.Directory
 	lastRead    time.Time
 	expiryTimer *time.Timer
+	// deferredBy is the change that deferred removals last, at deferredAt.
+	deferredBy Change
+	deferredAt time.Time
 }
 
-func newServerList(publish func(map[fleet.ServerID]*fleet.Server, Source), interval time.Duration) *serverList {
-	return &serverList{publish: publish, interval: interval, directory: fleet.NewDirectory(), lastRead: time.Now()}
+func newServerList(publish func(map[fleet.ServerID]*fleet.Server, Change), interval time.Duration) *serverList {
+	return &serverList{publish: publish, deferred: func(Deferral) {}, interval: interval, directory: fleet.NewDirectory(), lastRead: time.Now()}
 }
 
 // apply applies one batch.
@@ -42,9 +69,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
+	outage := time.Duration(0)
 	if b.Recovered {
 		// The failed read can have been blocked for a while before it failed.
-		l.directory.ListRecovered(now, now.Sub(l.lastRead)-l.interval)
+		outage = now.Sub(l.lastRead) - l.interval
+		l.directory.ListRecovered(now, outage)
 	}
 	l.lastRead = now
 	changed := b.Complete
@@ -55,12 +84,14 @@
 			changed = l.directory.Apply(now, entry) || changed
 		}
 	}
-	l.expire(now, changed, SourceStore)
+	change := Change{Source: SourceStore, Era: b.Era, ListEnd: b.Next, Age: now.Sub(b.CurrentAt)}
+	l.reportDeferred(now, change, outage)
+	l.expire(now, changed, change)
 }
 
 // applyTold applies entries that another instance has read. If complete is true, servers that
 // they lack are removed. outage is for how long nobody that this instance knows had read the list.
-func (l *serverList) applyTold(entries []fleet.Entry, complete bool, outage time.Duration) {
+func (l *serverList) applyTold(entries []fleet.Entry, complete bool, outage time.Duration, change Change) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -74,9 +105,20 @@
 			changed = l.directory.Apply(now, entry) || changed
 		}
 	}
+	l.reportDeferred(now, change, outage)
 	if changed || !l.directory.NextExpiry().IsZero() {
-		l.expire(now, changed, SourceInstance)
+		l.expire(now, changed, change)
+	}
+}
+
+// reportDeferred reports the removals that a change has deferred.
+func (l *serverList) reportDeferred(now time.Time, change Change, outage time.Duration) {
+	servers, until := l.directory.TakeDeferred()
+	if len(servers) == 0 {
+		return
 	}
+	l.deferredBy, l.deferredAt = change, now
+	l.deferred(Deferral{Change: change, Servers: servers, Outage: outage, For: until.Sub(now)})
 }
 
 // listing returns the newest entry of each server.
@@ -88,9 +130,9 @@
 
 // expire carries out the removals that have expired, publishes the servers if
 // they changed, and schedules the next expiry.
-func (l *serverList) expire(now time.Time, changed bool, source Source) {
+func (l *serverList) expire(now time.Time, changed bool, change Change) {
 	if l.directory.Expire(now) || changed {
-		l.publish(l.directory.Servers(), source)
+		l.publish(l.directory.Servers(), change)
 	}
 	if l.expiryTimer != nil {
 		l.expiryTimer.Stop()
@@ -102,6 +144,9 @@
 	l.expiryTimer = time.AfterFunc(next.Sub(now), func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.expire(time.Now(), false, SourceExpiry)
+		now := time.Now()
+		change := l.deferredBy
+		change.Source, change.Age = SourceExpiry, change.Age+now.Sub(l.deferredAt)
+		l.expire(now, false, change)
 	})
 }
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -90,6 +90,8 @@
 	entries map[ServerID]*directoryEntry
 	// removalsTrustedFrom is the time until which removals are deferred.
 	removalsTrustedFrom time.Time
+	// deferred are the servers whose removal was deferred since the last call of TakeDeferred.
+	deferred []ServerID
 }
 
 // NewDirectory returns an empty directory.
@@ -118,7 +120,7 @@
 			return false
 		}
 		current.offset = e.Offset
-		return d.remove(now, current)
+		return d.remove(now, e.ID, current)
 	case e.Server == nil:
 		if !known {
 			return false
@@ -141,18 +143,26 @@
 
 // remove removes the server of an entry, or defers the removal after an outage, and reports
 // whether the set of usable servers changed.
-func (d *Directory) remove(now time.Time, current *directoryEntry) bool {
+func (d *Directory) remove(now time.Time, id ServerID, current *directoryEntry) bool {
 	if current.server == nil {
 		return false
 	}
 	if now.Before(d.removalsTrustedFrom) && !current.server.Draining {
 		current.removeAt = d.removalsTrustedFrom
+		d.deferred = append(d.deferred, id)
 		return false
 	}
 	current.server, current.removeAt = nil, time.Time{}
 	return true
 }
 
+// TakeDeferred returns the servers whose removal was deferred since the last call, and until when.
+func (d *Directory) TakeDeferred() ([]ServerID, time.Time) {
+	deferred := d.deferred
+	d.deferred = nil
+	return deferred, d.removalsTrustedFrom
+}
+
 // olderThan reports whether report a of a server is older than b: by incarnation, then by
 // sequence.
 func olderThan(a, b *Server) bool {
@@ -173,7 +183,7 @@
 	}
 	for id, current := range d.entries {
 		if !present[id] {
-			changed = d.remove(now, current) || changed
+			changed = d.remove(now, id, current) || changed
 		}
 	}
 	return changed
