Run the copy of the server list on one clock, and name places in topics

No logic is changed: the deferrals of the server list run on the mirror's clock, which counts suspensions, so that tests play them in virtual time; a Cursor is where a reader goes on, and Knowledge what an instance that asks for news knows; a failed read tells when it was started.

--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -114,7 +114,7 @@
 			i.applyManifest(m, document, "store")
 		},
 		Unreadable: func(err error) { i.log.Error().Err(err).Msg("manifest_unreadable") },
-		ReadFailed: i.manifests.markLost,
+		ReadFailed: func(err error, _ time.Duration) { i.manifests.markLost(err) },
 		ReadSucceeded: func(currentSince time.Duration, atEnd bool) {
 			i.manifests.markAvailable()
 			i.mirror.ManifestRead(storemirror.ManifestReading{
@@ -200,7 +200,7 @@
 			i.serverList.markAvailable()
 			i.mirror.ListRead(b)
 		},
-		ReadFailed: i.serverList.markLost,
+		ReadFailed: func(err error, _ time.Duration) { i.serverList.markLost(err) },
 		Delay:      i.mirror.ListDelay,
 		Wait:       i.mirror.ListWait,
 		From:       i.mirror.ListFrom,
--- a/internal/placer/elector.go
+++ b/internal/placer/elector.go
@@ -77,7 +77,7 @@
 	defer cancel()
 	go e.store.Follow(ctx, platform.TopicLease, platform.Follower{
 		MinInterval: e.readInterval, FailureDelay: e.retryDelay, EndInterval: e.readNow, Deliver: e.observe,
-		ReadFailed: func(err error) { e.log.Debug().Err(err).Msg("tenure_unread") },
+		ReadFailed: func(err error, _ time.Duration) { e.log.Debug().Err(err).Msg("tenure_unread") },
 	})
 	random := rand.Float64()
 	for stop.Err() == nil && ctx.Err() == nil {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -324,10 +324,10 @@
 func (p *Placer) watchOnce(ctx context.Context, address string, epoch, version int64) (*placerpb.Placement, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout+callTimeout)
 	defer cancel()
-	listEnd, manifestVersion := p.mirror.Known()
+	known := p.mirror.Known()
 	return p.client(address).Watch(ctx, &placerpb.WatchRequest{
 		Epoch: epoch, Version: version, WaitMs: uint32(min(p.mirror.TellInterval(), watchTimeout).Milliseconds()),
-		Store: true, ListEnd: listEnd, ManifestVersion: manifestVersion, Instance: p.name,
+		Store: true, ListEnd: known.ListEnd, ManifestVersion: known.ManifestVersion, Instance: p.name,
 	})
 }
 
--- a/internal/placer/service.go
+++ b/internal/placer/service.go
@@ -8,6 +8,7 @@
 	"github.com/cyclamenhoist/cyclamenhoist/internal/bootclock"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
+	"github.com/cyclamenhoist/cyclamenhoist/internal/storemirror"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/demand"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 )
@@ -53,6 +54,7 @@
 	if r.Instance != "" && s.placer.elector.placing() {
 		s.placer.quotas.heard(r.Instance)
 	}
+	known := storemirror.Knowledge{ListEnd: r.ListEnd, ManifestVersion: r.ManifestVersion}
 	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(r.WaitMs)*time.Millisecond, watchTimeout))
 	defer cancel()
 	for {
@@ -60,10 +62,10 @@
 			return &placerpb.Placement{Tenure: s.placer.elector.leaseForPeers()}, nil
 		}
 		placement, published := s.placer.holder.placement(r.Epoch, r.Version)
-		hasNews := r.Store && s.placer.mirror.HasNews(r.ListEnd, r.ManifestVersion)
+		hasNews := r.Store && s.placer.mirror.HasNews(known)
 		if len(placement.Servers) > 0 || hasNews || ctx.Err() != nil {
 			if r.Store {
-				placement.Store = encodeNews(s.placer.mirror.Tell(r.ListEnd, bootclock.Now()-received), s.placer.elector.renewalAge())
+				placement.Store = encodeNews(s.placer.mirror.Tell(known, bootclock.Now()-received), s.placer.elector.renewalAge())
 			}
 			return placement, nil
 		}
--- a/internal/storemirror/manifest_test.go
+++ b/internal/storemirror/manifest_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -88,43 +87,34 @@
 	return r.servers[i]
 }
 
-// sleep lets time pass on all clocks of a test in a bubble.
-func (r *replay) sleep(d time.Duration) {
-	time.Sleep(d)
-	r.now += d
-}
-
 // The teller defers removals after an outage of its own. It told the others, which the store served all
 // along, of servers that were gone, and they used these for up to 4 s.
 func TestTellerThatHadAnOutageTellsOfRemovals(t *testing.T) {
 	for _, others := range []bool{false, true} {
-		synctest.Test(t, func(t *testing.T) {
-			r := newReplay(2)
-			r.teller = 0
-			r.heartbeat("s0")
-			r.read(0)
+		r := newReplay(2)
+		r.teller = 0
+		r.heartbeat("s0")
+		r.read(0)
+		r.read(1)
+		r.sleep(9 * time.Second)
+		if !others {
 			r.read(1)
-			r.sleep(9 * time.Second)
-			if !others {
-				r.read(1)
-			}
-			r.sleep(100 * time.Millisecond)
-			r.remove("s0")
-			r.mirrors[0].ListRead(platform.ServerListBatch{
-				Entries: r.log[1:], Next: int64(len(r.log)), AtEnd: true, CurrentAt: time.Now(), Recovered: true,
-			})
-			assert.Contains(t, r.listed(0), fleet.ServerID("s0"), "its entry may have expired during the outage")
-			r.tell(1, 0)
-			if others {
-				assert.Contains(t, r.listed(1), fleet.ServerID("s0"), "the other one had an outage too")
-			} else {
-				assert.NotContains(t, r.listed(1), fleet.ServerID("s0"))
-			}
-			r.sleep(2 * fleet.MissingGrace)
-			synctest.Wait()
-			assert.NotContains(t, r.listed(0), fleet.ServerID("s0"))
-			assert.NotContains(t, r.listed(1), fleet.ServerID("s0"))
+		}
+		r.sleep(100 * time.Millisecond)
+		r.remove("s0")
+		r.mirrors[0].ListRead(platform.ServerListBatch{
+			Entries: r.log[1:], Next: int64(len(r.log)), AtEnd: true, CurrentSince: r.now, Recovered: true,
 		})
+		assert.Contains(t, r.listed(0), fleet.ServerID("s0"), "its entry may have expired during the outage")
+		r.tell(1, 0)
+		if others {
+			assert.Contains(t, r.listed(1), fleet.ServerID("s0"), "the other one had an outage too")
+		} else {
+			assert.NotContains(t, r.listed(1), fleet.ServerID("s0"))
+		}
+		r.sleep(2 * fleet.MissingGrace)
+		assert.NotContains(t, r.listed(0), fleet.ServerID("s0"))
+		assert.NotContains(t, r.listed(1), fleet.ServerID("s0"))
 	}
 }
 
--- a/internal/storemirror/mirror.go
+++ b/internal/storemirror/mirror.go
@@ -114,10 +114,15 @@
 		check: checkInterval + rand.N(checkSpread), list: newServerList(func(map[fleet.ServerID]*fleet.Server, Change) {}, drainTimeout/readsPerDrain),
 		bulletin: fleet.NewBulletin(), interrupt: make(chan struct{}, 1), behind: make(chan struct{}, 1),
 	}
+	m.list.now, m.list.after = m.timeSinceBoot, m.afterFunc
 	m.confirmedAt.Store(int64(-NeverConfirmed))
 	return m
 }
 
+func (m *Mirror) timeSinceBoot() time.Duration { return m.now() }
+
+func (m *Mirror) afterFunc(d time.Duration, do func()) { m.after(d, do) }
+
 // NeverConfirmed is the age of a confirmation that there has never been, or that isn't told.
 const NeverConfirmed = 365 * 24 * time.Hour
 
@@ -160,15 +165,16 @@
 	return platform.PollWait
 }
 
-// ListFrom returns the offset from which to read the list, given the one that the last read
-// ended at; -1 to read it completely.
-func (m *Mirror) ListFrom(next int64) int64 {
+// ListFrom returns where to read the list, given the place that the last read ended at.
+func (m *Mirror) ListFrom(at platform.Cursor) platform.Cursor {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.checkDue {
-		return -1
+		at.Next = -1
+		return at
 	}
-	return max(next, m.next)
+	at.Next = max(at.Next, m.next)
+	return at
 }
 
 // ListRead applies a batch that this instance has read.
@@ -177,8 +183,7 @@
 	m.list.apply(b)
 	m.next, m.checkDue = b.Next, false
 	if b.AtEnd {
-		// The steady clock doesn't count suspensions, so a read during one seems shorter.
-		m.listRead.read(m.now() - time.Since(b.CurrentAt))
+		m.listRead.read(b.CurrentSince)
 	}
 	news := m.bulletin.Update(m.list.listing(), m.next)
 	m.mu.Unlock()
@@ -327,17 +332,23 @@
 	}
 }
 
-// Known returns the offset up to which this instance knows the server list, and the highest version
-// of the manifest that it knows of.
-func (m *Mirror) Known() (listEnd, manifestVersion int64) {
+// Knowledge is what an instance that asks for news knows already.
+type Knowledge struct {
+	// ListEnd is the offset up to which it knows the server list.
+	ListEnd int64
+	// ManifestVersion is the highest version of the manifest that it knows of.
+	ManifestVersion int64
+}
+
+// Known returns what this instance knows.
+func (m *Mirror) Known() Knowledge {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.next, max(m.manifestVersion, m.hinted)
+	return Knowledge{ListEnd: m.next, ManifestVersion: max(m.manifestVersion, m.hinted)}
 }
 
-// Tell returns the news for an instance that knows the list up to an offset. held is how long its
-// question was held.
-func (m *Mirror) Tell(listEnd int64, held time.Duration) News {
+// Tell returns the news for an instance. held is how long its question was held.
+func (m *Mirror) Tell(known Knowledge, held time.Duration) News {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
@@ -345,15 +356,15 @@
 		Held: held, ManifestVersion: m.manifestVersion, ManifestAge: m.manifestRead.age(now), ConfirmationAge: m.ConfirmationAge(),
 		ListEnd: m.bulletin.End(), ListAge: m.listRead.age(now),
 	}
-	n.Entries, n.Complete = m.bulletin.Since(listEnd)
+	n.Entries, n.Complete = m.bulletin.Since(known.ListEnd)
 	return n
 }
 
 // HasNews reports whether there is something to tell to an instance with this knowledge.
-func (m *Mirror) HasNews(listEnd, manifestVersion int64) bool {
+func (m *Mirror) HasNews(known Knowledge) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return manifestVersion < m.manifestVersion || m.bulletin.HasNews(listEnd)
+	return known.ManifestVersion < m.manifestVersion || m.bulletin.HasNews(known.ListEnd)
 }
 
 // Hear applies the news of another instance, which was asked at the given time since boot.
--- a/internal/storemirror/mirror_test.go
+++ b/internal/storemirror/mirror_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sync"
 	"testing"
 	"time"
@@ -28,17 +29,22 @@
 	// servers are the servers that each instance uses.
 	servers []map[fleet.ServerID]*fleet.Server
 	// timers are what the instances have postponed.
-	timers []func()
+	timers []timer
 	// teller is the instance that tells the others; -1 if none does.
 	teller int
 }
 
+type timer struct {
+	at time.Duration
+	do func()
+}
+
 func newReplay(instances int) *replay {
 	r := &replay{now: time.Hour, teller: -1, reads: make([]int, instances), next: make([]int64, instances), servers: make([]map[fleet.ServerID]*fleet.Server, instances)}
 	for i := range instances {
 		m := New(drainTimeout)
 		m.now = func() time.Duration { return r.now }
-		m.after = func(_ time.Duration, do func()) { r.timers = append(r.timers, do) }
+		m.after = func(d time.Duration, do func()) { r.timers = append(r.timers, timer{r.now + d, do}) }
 		m.SetTeller(func() bool { return r.teller == i }, func() {})
 		m.OnServers(func(servers map[fleet.ServerID]*fleet.Server, _ Change) {
 			r.mu.Lock()
@@ -69,9 +75,9 @@
 func (r *replay) read(i int) {
 	from := r.next[i]
 	if from >= 0 {
-		from = r.mirrors[i].ListFrom(from)
+		from = r.mirrors[i].ListFrom(platform.Cursor{Next: from}).Next
 	}
-	batch := platform.ServerListBatch{Next: int64(len(r.log)), Complete: from < 0, AtEnd: true, CurrentAt: time.Now()}
+	batch := platform.ServerListBatch{Next: int64(len(r.log)), Complete: from < 0, AtEnd: true, CurrentSince: r.now}
 	if from < 0 {
 		newest := map[fleet.ServerID]fleet.Entry{}
 		for _, e := range r.log {
@@ -93,8 +99,7 @@
 // tell tells an instance the news, which take some time on their way.
 func (r *replay) tell(i int, transit time.Duration) {
 	asked := r.now
-	end, _ := r.mirrors[i].Known()
-	news := r.mirrors[r.teller].Tell(end, 0)
+	news := r.mirrors[r.teller].Tell(r.mirrors[i].Known(), 0)
 	r.now += transit
 	r.mirrors[i].Hear(news, asked)
 	r.now -= transit
@@ -102,7 +107,7 @@
 
 // step advances the time and lets each instance read that has to.
 func (r *replay) step(d time.Duration) {
-	r.now += d
+	r.sleep(d)
 	for i, m := range r.mirrors {
 		if m.ListDelay() <= 0 {
 			r.read(i)
@@ -131,11 +136,25 @@
 	}
 }
 
-func (r *replay) runTimers() {
-	for _, do := range r.timers {
-		do()
-	}
+// sleep lets time pass, and runs what the instances have postponed until then.
+func (r *replay) sleep(d time.Duration) {
+	r.now += d
+	r.runTimersUntil(r.now)
+}
+
+// runTimers runs all that the instances have postponed.
+func (r *replay) runTimers() { r.runTimersUntil(math.MaxInt64) }
+
+func (r *replay) runTimersUntil(end time.Duration) {
+	timers := r.timers
 	r.timers = nil
+	for _, t := range timers {
+		if t.at <= end {
+			t.do()
+		} else {
+			r.timers = append(r.timers, t)
+		}
+	}
 }
 
 func (r *replay) allReads() int {
@@ -297,7 +316,7 @@
 	assert.Equal(t, platform.PollWait, teller.ManifestWait(), "the teller has to know soon that its connection is dead")
 
 	teller.ManifestRead(newestRead(4, r.now))
-	assert.True(t, teller.HasNews(0, 3))
+	assert.True(t, teller.HasNews(Knowledge{ManifestVersion: 3}))
 	r.tell(1, 0)
 	assert.False(t, interrupted(m), "the poll is about to return it")
 	r.runTimers()
--- a/internal/storemirror/serverlist.go
+++ b/internal/storemirror/serverlist.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/bootclock"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
@@ -45,34 +46,41 @@
 // that can be used. Pending removals take effect at their expiry, even if
 // nothing is read at that time.
 type serverList struct {
+	// now returns the time since boot, and after calls a function after a duration.
+	now     func() time.Duration
+	after   func(time.Duration, func())
 	publish func(map[fleet.ServerID]*fleet.Server, Change)
 	// deferred is called after removals were deferred.
 	deferred func(Deferral)
 	// interval is the minimum interval between two reads.
 	interval time.Duration
 
-	mu          sync.Mutex
-	directory   *fleet.Directory
-	lastRead    time.Time
-	expiryTimer *time.Timer
+	mu        sync.Mutex
+	directory *fleet.Directory
+	lastRead  time.Duration
+	// nextExpiry is the expiry that a timer waits for; 0 if none does.
+	nextExpiry time.Duration
 	// deferredBy is the change that deferred removals last, at deferredAt.
 	deferredBy Change
-	deferredAt time.Time
+	deferredAt time.Duration
 }
 
 func newServerList(publish func(map[fleet.ServerID]*fleet.Server, Change), interval time.Duration) *serverList {
-	return &serverList{publish: publish, deferred: func(Deferral) {}, interval: interval, directory: fleet.NewDirectory(), lastRead: time.Now()}
+	return &serverList{
+		now: bootclock.Now, after: func(d time.Duration, do func()) { time.AfterFunc(d, do) },
+		publish: publish, deferred: func(Deferral) {}, interval: interval, directory: fleet.NewDirectory(), lastRead: bootclock.Now(),
+	}
 }
 
 // apply applies one batch.
 func (l *serverList) apply(b platform.ServerListBatch) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
+	now := l.now()
 	outage := time.Duration(0)
 	if b.Recovered {
 		// The failed read can have been blocked for a while before it failed.
-		outage = now.Sub(l.lastRead) - l.interval
+		outage = now - l.lastRead - l.interval
 		l.directory.ListRecovered(now, outage)
 	}
 	l.lastRead = now
@@ -84,7 +92,7 @@
 			changed = l.directory.Apply(now, entry) || changed
 		}
 	}
-	change := Change{Source: SourceStore, Era: b.Era, ListEnd: b.Next, Age: now.Sub(b.CurrentAt)}
+	change := Change{Source: SourceStore, Era: b.Era, ListEnd: b.Next, Age: now - b.CurrentSince}
 	l.reportDeferred(now, change, outage)
 	l.expire(now, changed, change)
 }
@@ -94,7 +102,7 @@
 func (l *serverList) applyTold(entries []fleet.Entry, complete bool, outage time.Duration, change Change) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
+	now := l.now()
 	l.lastRead = now
 	l.directory.ListRecovered(now, outage)
 	changed := false
@@ -106,19 +114,19 @@
 		}
 	}
 	l.reportDeferred(now, change, outage)
-	if changed || !l.directory.NextExpiry().IsZero() {
+	if changed || l.directory.NextExpiry() != 0 {
 		l.expire(now, changed, change)
 	}
 }
 
 // reportDeferred reports the removals that a change has deferred.
-func (l *serverList) reportDeferred(now time.Time, change Change, outage time.Duration) {
+func (l *serverList) reportDeferred(now time.Duration, change Change, outage time.Duration) {
 	servers, until := l.directory.TakeDeferred()
 	if len(servers) == 0 {
 		return
 	}
 	l.deferredBy, l.deferredAt = change, now
-	l.deferred(Deferral{Change: change, Servers: servers, Outage: outage, For: until.Sub(now)})
+	l.deferred(Deferral{Change: change, Servers: servers, Outage: outage, For: until - now})
 }
 
 // listing returns the newest entry of each server.
@@ -130,23 +138,24 @@
 
 // expire carries out the removals that have expired, publishes the servers if
 // they changed, and schedules the next expiry.
-func (l *serverList) expire(now time.Time, changed bool, change Change) {
+func (l *serverList) expire(now time.Duration, changed bool, change Change) {
 	if l.directory.Expire(now) || changed {
 		l.publish(l.directory.Servers(), change)
 	}
-	if l.expiryTimer != nil {
-		l.expiryTimer.Stop()
-	}
 	next := l.directory.NextExpiry()
-	if next.IsZero() {
+	if next == 0 || next == l.nextExpiry {
 		return
 	}
-	l.expiryTimer = time.AfterFunc(next.Sub(now), func() {
+	l.nextExpiry = next
+	l.after(next-now, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		now := time.Now()
+		now := l.now()
+		if l.nextExpiry == next {
+			l.nextExpiry = 0
+		}
 		change := l.deferredBy
-		change.Source, change.Age = SourceExpiry, change.Age+now.Sub(l.deferredAt)
+		change.Source, change.Age = SourceExpiry, change.Age+now-l.deferredAt
 		l.expire(now, false, change)
 	})
 }
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -80,16 +80,16 @@
 	// lastReport is the newest report, retained after the entry is removed, so that an older
 	// report that is written again doesn't restore the server.
 	lastReport *Server
-	// removeAt is when a deferred removal takes effect; zero if none is pending.
-	removeAt time.Time
+	// removeAt is when a deferred removal takes effect; 0 if none is pending.
+	removeAt time.Duration
 }
 
-// Directory builds the current set of servers from the records of the server list. It isn't
-// safe for concurrent use.
+// Directory builds the current set of servers from the records of the server list. Times are
+// readings of a clock that includes suspensions. It isn't safe for concurrent use.
 type Directory struct {
 	entries map[ServerID]*directoryEntry
 	// removalsTrustedFrom is the time until which removals are deferred.
-	removalsTrustedFrom time.Time
+	removalsTrustedFrom time.Duration
 	// deferred are the servers whose removal was deferred since the last call of TakeDeferred.
 	deferred []ServerID
 }
@@ -102,14 +102,14 @@
 // ListRecovered records that the list is readable again after an outage. Removals are deferred
 // for MissingGrace, because servers whose entries expired during the outage may register again.
 // After an outage too short for entries to expire, removals apply immediately.
-func (d *Directory) ListRecovered(now time.Time, outage time.Duration) {
+func (d *Directory) ListRecovered(now time.Duration, outage time.Duration) {
 	if outage >= minExpiryOutage {
-		d.removalsTrustedFrom = now.Add(MissingGrace)
+		d.removalsTrustedFrom = now + MissingGrace
 	}
 }
 
 // Apply applies one record and reports whether the set of usable servers changed.
-func (d *Directory) Apply(now time.Time, e Entry) bool {
+func (d *Directory) Apply(now time.Duration, e Entry) bool {
 	current, known := d.entries[e.ID]
 	if known && e.Offset < current.offset {
 		return false
@@ -137,27 +137,27 @@
 	if olderThan(e.Server, current.lastReport) || current.server == nil && !olderThan(current.lastReport, e.Server) {
 		return false
 	}
-	current.server, current.lastReport, current.removeAt = e.Server, e.Server, time.Time{}
+	current.server, current.lastReport, current.removeAt = e.Server, e.Server, 0
 	return true
 }
 
 // remove removes the server of an entry, or defers the removal after an outage, and reports
 // whether the set of usable servers changed.
-func (d *Directory) remove(now time.Time, id ServerID, current *directoryEntry) bool {
+func (d *Directory) remove(now time.Duration, id ServerID, current *directoryEntry) bool {
 	if current.server == nil {
 		return false
 	}
-	if now.Before(d.removalsTrustedFrom) && !current.server.Draining {
+	if now < d.removalsTrustedFrom && !current.server.Draining {
 		current.removeAt = d.removalsTrustedFrom
 		d.deferred = append(d.deferred, id)
 		return false
 	}
-	current.server, current.removeAt = nil, time.Time{}
+	current.server, current.removeAt = nil, 0
 	return true
 }
 
 // TakeDeferred returns the servers whose removal was deferred since the last call, and until when.
-func (d *Directory) TakeDeferred() ([]ServerID, time.Time) {
+func (d *Directory) TakeDeferred() ([]ServerID, time.Duration) {
 	deferred := d.deferred
 	d.deferred = nil
 	return deferred, d.removalsTrustedFrom
@@ -174,7 +174,7 @@
 
 // Replace applies a complete listing, which is read after log history was lost. Servers that
 // the listing lacks are removed. It reports whether the set of usable servers changed.
-func (d *Directory) Replace(now time.Time, entries []Entry) bool {
+func (d *Directory) Replace(now time.Duration, entries []Entry) bool {
 	present := map[ServerID]bool{}
 	changed := false
 	for _, e := range entries {
@@ -190,22 +190,22 @@
 }
 
 // Expire applies deferred removals that are due and reports whether there were any.
-func (d *Directory) Expire(now time.Time) bool {
+func (d *Directory) Expire(now time.Duration) bool {
 	changed := false
 	for _, current := range d.entries {
-		if !current.removeAt.IsZero() && !now.Before(current.removeAt) {
-			current.server, current.removeAt = nil, time.Time{}
+		if current.removeAt != 0 && now >= current.removeAt {
+			current.server, current.removeAt = nil, 0
 			changed = true
 		}
 	}
 	return changed
 }
 
-// NextExpiry returns when the next deferred removal is due; the zero time if none is pending.
-func (d *Directory) NextExpiry() time.Time {
-	var next time.Time
+// NextExpiry returns when the next deferred removal is due; 0 if none is pending.
+func (d *Directory) NextExpiry() time.Duration {
+	var next time.Duration
 	for _, current := range d.entries {
-		if !current.removeAt.IsZero() && (next.IsZero() || current.removeAt.Before(next)) {
+		if current.removeAt != 0 && (next == 0 || current.removeAt < next) {
 			next = current.removeAt
 		}
 	}
@@ -219,7 +219,7 @@
 	out := make([]Entry, 0, len(d.entries))
 	for id, current := range d.entries {
 		e := Entry{ID: id, Offset: current.offset, Server: current.server}
-		if e.Server == nil || !current.removeAt.IsZero() {
+		if e.Server == nil || current.removeAt != 0 {
 			e.Server, e.Removed = nil, true
 		}
 		out = append(out, e)
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -10,7 +10,7 @@
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 )
 
-var start = time.Unix(1_800_000_000, 0)
+const start = time.Hour
 
 func server(startedAt, sequence int64) *fleet.Server {
 	return &fleet.Server{ID: "s", Address: "10.0.0.1:1", StartedAt: startedAt, Sequence: sequence}
@@ -98,15 +98,15 @@
 	d.ListRecovered(start, time.Minute)
 	assert.False(t, d.Apply(start, fleet.Entry{ID: "s", Offset: 2, Removed: true}))
 	assert.Len(t, d.Servers(), 1, "the removal is deferred")
-	assert.False(t, d.Expire(start.Add(fleet.MissingGrace-1)))
-	assert.True(t, d.Expire(start.Add(fleet.MissingGrace)))
+	assert.False(t, d.Expire(start+fleet.MissingGrace-1))
+	assert.True(t, d.Expire(start+fleet.MissingGrace))
 	assert.Empty(t, d.Servers(), "the removal takes effect after the grace period")
 
 	d.ListRecovered(start, time.Minute)
 	d.Apply(start, fleet.Entry{ID: "s", Offset: 3, Server: server(1, 2)})
 	d.Apply(start, fleet.Entry{ID: "s", Offset: 4, Removed: true})
 	d.Apply(start, fleet.Entry{ID: "s", Offset: 5, Server: server(1, 3)})
-	assert.False(t, d.Expire(start.Add(time.Hour)), "the server registered again")
+	assert.False(t, d.Expire(start+time.Hour), "the server registered again")
 }
 
 // A single failed read isn't an outage: a removal right after it applies immediately. If it
