--- a/internal/storemirror/mirror_test.go
+++ b/internal/storemirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -21,6 +22,7 @@
 	// mu guards servers, which timers of the instances publish.
 	mu      sync.Mutex
 	now     time.Duration
+	era     int64
 	log     []fleet.Entry
 	mirrors []*Mirror
 	// reads counts each instance's reads, and next is where its last one ended.
@@ -65,6 +67,11 @@
 	r.log = append(r.log, fleet.Entry{ID: id, Offset: offset, Server: s})
 }
 
+// goBack lets the store come back from a copy of the list with some records.
+func (r *replay) goBack(records int) {
+	r.log, r.era = slices.Clone(r.log[:records]), r.era+1
+}
+
 func (r *replay) heartbeat(id fleet.ServerID) { r.write(id, func(*fleet.Server) {}) }
 
 func (r *replay) remove(id fleet.ServerID) {
@@ -77,7 +84,7 @@
 	if from >= 0 {
 		from = r.mirrors[i].ListFrom(platform.Cursor{Next: from}).Next
 	}
-	batch := platform.ServerListBatch{Next: int64(len(r.log)), Complete: from < 0, AtEnd: true, CurrentSince: r.now}
+	batch := platform.ServerListBatch{Next: int64(len(r.log)), Era: r.era, Complete: from < 0, AtEnd: true, CurrentSince: r.now}
 	if from < 0 {
 		newest := map[fleet.ServerID]fleet.Entry{}
 		for _, e := range r.log {
