Defer removals from when the store can have returned, not from an instance's own first read

After an outage of its own an instance defers removals by the two seconds in which servers register again. These count from the return of the store, which can have been as early as the start of the last read that failed; the instance counted them from its first read that succeeded, up to 1.6 s later, and did so too when nothing showed that the store had been away.

A removal is now deferred for two seconds, but not beyond the time from the start of the last failed read within which leaving servers must be left; and not at all if no read failed.

Two older tests now say that reads failed during their outage, as they do.

--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -200,10 +200,13 @@
 			i.serverList.markAvailable()
 			i.mirror.ListRead(b)
 		},
-		ReadFailed: func(err error, _ time.Duration) { i.serverList.markLost(err) },
-		Delay:      i.mirror.ListDelay,
-		Wait:       i.mirror.ListWait,
-		From:       i.mirror.ListFrom,
+		ReadFailed: func(err error, started time.Duration) {
+			i.mirror.ListReadFailed(started)
+			i.serverList.markLost(err)
+		},
+		Delay: i.mirror.ListDelay,
+		Wait:  i.mirror.ListWait,
+		From:  i.mirror.ListFrom,
 	})
 }
 
--- a/internal/storemirror/history_test.go
+++ b/internal/storemirror/history_test.go
@@ -15,9 +15,6 @@
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
 
-// readFailed records that a read failed which was started at a time.
-func readFailed(*Mirror, time.Duration) {}
-
 const (
 	// soakSeeds is the number of seeds in CI, each with checksPerSeed plays. The variable sets another
 	// number, for runs by hand.
--- a/internal/storemirror/manifest_test.go
+++ b/internal/storemirror/manifest_test.go
@@ -102,6 +102,10 @@
 		}
 		r.sleep(100 * time.Millisecond)
 		r.remove("s0")
+		r.mirrors[0].ListReadFailed(r.now)
+		if others {
+			r.mirrors[1].ListReadFailed(r.now)
+		}
 		r.mirrors[0].ListRead(platform.ServerListBatch{
 			Entries: r.log[1:], Next: int64(len(r.log)), AtEnd: true, CurrentSince: r.now, Recovered: true,
 		})
--- a/internal/storemirror/mirror.go
+++ b/internal/storemirror/mirror.go
@@ -111,7 +111,7 @@
 func New(drainTimeout time.Duration) *Mirror {
 	m := &Mirror{
 		now: bootclock.Now, after: func(d time.Duration, do func()) { time.AfterFunc(d, do) }, drainTimeout: drainTimeout, tells: func() bool { return false }, changed: func() {},
-		check: checkInterval + rand.N(checkSpread), list: newServerList(func(map[fleet.ServerID]*fleet.Server, Change) {}, drainTimeout/readsPerDrain),
+		check: checkInterval + rand.N(checkSpread), list: newServerList(func(map[fleet.ServerID]*fleet.Server, Change) {}, drainTimeout/readsPerDrain, max(drainTimeout, fleet.MissingGrace)),
 		bulletin: fleet.NewBulletin(), interrupt: make(chan struct{}, 1), behind: make(chan struct{}, 1),
 	}
 	m.list.now, m.list.after = m.timeSinceBoot, m.afterFunc
@@ -177,14 +177,18 @@
 	return at
 }
 
+// ListReadFailed records that a read of this instance failed which was started at a time since boot.
+func (m *Mirror) ListReadFailed(started time.Duration) { m.list.readFailed(started) }
+
 // ListRead applies a batch that this instance has read.
 func (m *Mirror) ListRead(b platform.ServerListBatch) {
 	m.mu.Lock()
-	m.list.apply(b)
-	m.next, m.checkDue = b.Next, false
+	known := m.listRead.knownAt
 	if b.AtEnd {
 		m.listRead.read(b.CurrentSince)
 	}
+	m.list.apply(b, gap{known, max(known, b.CurrentSince)})
+	m.next, m.checkDue = b.Next, false
 	news := m.bulletin.Update(m.list.listing(), m.next)
 	m.mu.Unlock()
 	if news {
@@ -374,11 +378,7 @@
 	m.heard = true
 	known := m.listRead.knownAt
 	m.listRead.told(asked, n.Held, n.ListAge)
-	outage := time.Duration(0)
-	if known > 0 {
-		outage = m.listRead.knownAt - known - m.drainTimeout/readsPerDrain
-	}
-	m.list.applyTold(n.Entries, n.Complete && n.ListEnd >= m.next, outage, Change{
+	m.list.applyTold(n.Entries, n.Complete && n.ListEnd >= m.next, gap{known, m.listRead.knownAt}, Change{
 		Source: SourceInstance, Teller: n.Teller, ListEnd: n.ListEnd, Age: m.now() - (asked + n.Held - n.ListAge),
 	})
 	m.next = max(m.next, n.ListEnd)
--- a/internal/storemirror/serverlist.go
+++ b/internal/storemirror/serverlist.go
@@ -54,10 +54,14 @@
 	deferred func(Deferral)
 	// interval is the minimum interval between two reads.
 	interval time.Duration
+	// withdrawWithin is the time after the store has returned within which servers that it removed
+	// before must not be used any more.
+	withdrawWithin time.Duration
 
 	mu        sync.Mutex
 	directory *fleet.Directory
-	lastRead  time.Duration
+	// lastFailure is when the last read that failed was started.
+	lastFailure time.Duration
 	// nextExpiry is the expiry that a timer waits for; 0 if none does.
 	nextExpiry time.Duration
 	// deferredBy is the change that deferred removals last, at deferredAt.
@@ -65,25 +69,19 @@
 	deferredAt time.Duration
 }
 
-func newServerList(publish func(map[fleet.ServerID]*fleet.Server, Change), interval time.Duration) *serverList {
+func newServerList(publish func(map[fleet.ServerID]*fleet.Server, Change), interval, withdrawWithin time.Duration) *serverList {
 	return &serverList{
 		now: bootclock.Now, after: func(d time.Duration, do func()) { time.AfterFunc(d, do) },
-		publish: publish, deferred: func(Deferral) {}, interval: interval, directory: fleet.NewDirectory(), lastRead: bootclock.Now(),
+		publish: publish, deferred: func(Deferral) {}, interval: interval, withdrawWithin: withdrawWithin, directory: fleet.NewDirectory(),
 	}
 }
 
-// apply applies one batch.
-func (l *serverList) apply(b platform.ServerListBatch) {
+// apply applies one batch. gap is how long the list wasn't known before.
+func (l *serverList) apply(b platform.ServerListBatch, gap gap) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	outage := time.Duration(0)
-	if b.Recovered {
-		// The failed read can have been blocked for a while before it failed.
-		outage = now - l.lastRead - l.interval
-		l.directory.ListRecovered(now, outage)
-	}
-	l.lastRead = now
+	outage := l.recovered(now, gap)
 	changed := b.Complete
 	if b.Complete {
 		l.directory.Replace(now, b.Entries)
@@ -98,13 +96,12 @@
 }
 
 // applyTold applies entries that another instance has read. If complete is true, servers that
-// they lack are removed. outage is for how long nobody that this instance knows had read the list.
-func (l *serverList) applyTold(entries []fleet.Entry, complete bool, outage time.Duration, change Change) {
+// they lack are removed. gap is how long the list wasn't known before.
+func (l *serverList) applyTold(entries []fleet.Entry, complete bool, gap gap, change Change) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	l.lastRead = now
-	l.directory.ListRecovered(now, outage)
+	outage := l.recovered(now, gap)
 	changed := false
 	if complete {
 		changed = l.directory.Replace(now, entries)
@@ -119,6 +116,29 @@
 	}
 }
 
+// readFailed records that a read failed which was started at a time since boot.
+func (l *serverList) readFailed(started time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastFailure = max(l.lastFailure, started)
+}
+
+// gap is the time between two reads of the list by anyone that an instance knows. from is 0 if
+// there was none before.
+type gap struct{ from, to time.Duration }
+
+// recovered records that the list is known again after a gap, and returns the outage: how much longer
+// than between reads that was. The store can have returned as soon as the last read that failed was
+// started. If none failed during the gap, nothing shows that the store was away.
+func (l *serverList) recovered(now time.Duration, gap gap) time.Duration {
+	if gap.from == 0 || l.lastFailure < gap.from {
+		return 0
+	}
+	outage := gap.to - gap.from - l.interval
+	l.directory.ListRecovered(now, l.lastFailure+l.withdrawWithin, outage)
+	return outage
+}
+
 // reportDeferred reports the removals that a change has deferred.
 func (l *serverList) reportDeferred(now time.Duration, change Change, outage time.Duration) {
 	servers, until := l.directory.TakeDeferred()
--- a/internal/storemirror/serverlist_test.go
+++ b/internal/storemirror/serverlist_test.go
@@ -12,10 +12,9 @@
 
 // newReplayedList returns a list that works in the virtual time of a replay.
 func newReplayedList(r *replay, publish func(map[fleet.ServerID]*fleet.Server, Change)) *serverList {
-	list := newServerList(publish, time.Second)
+	list := newServerList(publish, time.Second, fleet.MissingGrace)
 	list.now = func() time.Duration { return r.now }
 	list.after = func(d time.Duration, do func()) { r.timers = append(r.timers, timer{r.now + d, do}) }
-	list.lastRead = r.now
 	return list
 }
 
@@ -27,9 +26,10 @@
 	servers := 0
 	list := newReplayedList(r, func(s map[fleet.ServerID]*fleet.Server, _ Change) { servers = len(s) })
 	entry := fleet.Entry{ID: "s", Offset: 1, Server: &fleet.Server{ID: "s", Sequence: 1}}
-	list.apply(platform.ServerListBatch{Entries: []fleet.Entry{entry}, Complete: true})
+	list.apply(platform.ServerListBatch{Entries: []fleet.Entry{entry}, Complete: true}, gap{})
 	r.sleep(9 * time.Second)
-	list.apply(platform.ServerListBatch{Entries: []fleet.Entry{{ID: "s", Offset: 2, Removed: true}}, Recovered: true})
+	list.readFailed(r.now)
+	list.apply(platform.ServerListBatch{Entries: []fleet.Entry{{ID: "s", Offset: 2, Removed: true}}, Recovered: true}, gap{r.now - 9*time.Second, r.now})
 	assert.Equal(t, 1, servers, "it may come back")
 	r.sleep(fleet.MissingGrace)
 	assert.Zero(t, servers)
@@ -43,11 +43,12 @@
 	list := newReplayedList(r, func(_ map[fleet.ServerID]*fleet.Server, c Change) { changes = append(changes, c) })
 	list.deferred = func(d Deferral) { deferrals = append(deferrals, d) }
 	entry := fleet.Entry{ID: "s", Offset: 1, Server: &fleet.Server{ID: "s", Sequence: 1}}
-	list.apply(platform.ServerListBatch{Entries: []fleet.Entry{entry}, Complete: true, Next: 2, Era: 3, CurrentSince: r.now})
+	list.apply(platform.ServerListBatch{Entries: []fleet.Entry{entry}, Complete: true, Next: 2, Era: 3, CurrentSince: r.now}, gap{})
 	assert.Equal(t, []Change{{Source: SourceStore, Era: 3, ListEnd: 2}}, changes)
 	r.sleep(9 * time.Second)
+	list.readFailed(r.now)
 	told := Change{Source: SourceInstance, Teller: "other", ListEnd: 3, Age: time.Second}
-	list.applyTold([]fleet.Entry{{ID: "s", Offset: 2, Removed: true}}, false, 8*time.Second, told)
+	list.applyTold([]fleet.Entry{{ID: "s", Offset: 2, Removed: true}}, false, gap{r.now - 9*time.Second, r.now}, told)
 	assert.Equal(t, []Deferral{{Change: told, Servers: []fleet.ServerID{"s"}, Outage: 8 * time.Second, For: fleet.MissingGrace}}, deferrals)
 	r.sleep(fleet.MissingGrace)
 	told.Source, told.Age = SourceExpiry, time.Second+fleet.MissingGrace
--- a/internal/storemirror/world_test.go
+++ b/internal/storemirror/world_test.go
@@ -80,7 +80,6 @@
 
 	cursor    platform.Cursor
 	recovered bool
-	failedAt  time.Duration
 	retry     time.Duration
 	nextRead  time.Duration
 	waits     bool
@@ -136,7 +135,6 @@
 	p := &worldInstance{m: New(drainTimeout), wasUsed: map[string]bool{}, withdrawn: map[string]bool{}, cursor: platform.Cursor{Next: -1}, disturbedUntil: w.now}
 	p.m.now = func() time.Duration { return w.now }
 	p.m.after = func(d time.Duration, do func()) { w.timers = append(w.timers, timer{w.now + d, do}) }
-	p.m.list.lastRead = w.now
 	p.m.SetTeller(func() bool { return w.teller == i }, func() {})
 	p.m.OnServers(func(servers map[fleet.ServerID]*fleet.Server, _ Change) { p.used = servers })
 	w.instances[i] = p
@@ -333,8 +331,7 @@
 }
 
 func (w *world) failRead(p *worldInstance) {
-	p.failedAt = p.poll.started
-	readFailed(p.m, p.failedAt)
+	p.m.ListReadFailed(p.poll.started)
 	p.poll, p.recovered, p.waits = nil, true, true
 	p.retry = min(max(p.retry*3/2, readRetryDelay), maxReadRetryDelay)
 	p.nextRead = w.now + p.retry
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -100,11 +100,11 @@
 }
 
 // ListRecovered records that the list is readable again after an outage. Removals are deferred
-// for MissingGrace, because servers whose entries expired during the outage may register again.
-// After an outage too short for entries to expire, removals apply immediately.
-func (d *Directory) ListRecovered(now time.Duration, outage time.Duration) {
+// for MissingGrace, but not beyond latest, because servers whose entries expired during the outage
+// may register again. After an outage too short for entries to expire, removals apply immediately.
+func (d *Directory) ListRecovered(now, latest, outage time.Duration) {
 	if outage >= minExpiryOutage {
-		d.removalsTrustedFrom = now + MissingGrace
+		d.removalsTrustedFrom = max(d.removalsTrustedFrom, min(now+MissingGrace, latest))
 	}
 }
 
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -95,14 +95,14 @@
 func TestEntriesThatExpiredDuringAnOutage(t *testing.T) {
 	d := fleet.NewDirectory()
 	d.Apply(start, fleet.Entry{ID: "s", Offset: 1, Server: server(1, 1)})
-	d.ListRecovered(start, time.Minute)
+	d.ListRecovered(start, start+time.Hour, time.Minute)
 	assert.False(t, d.Apply(start, fleet.Entry{ID: "s", Offset: 2, Removed: true}))
 	assert.Len(t, d.Servers(), 1, "the removal is deferred")
 	assert.False(t, d.Expire(start+fleet.MissingGrace-1))
 	assert.True(t, d.Expire(start+fleet.MissingGrace))
 	assert.Empty(t, d.Servers(), "the removal takes effect after the grace period")
 
-	d.ListRecovered(start, time.Minute)
+	d.ListRecovered(start, start+time.Hour, time.Minute)
 	d.Apply(start, fleet.Entry{ID: "s", Offset: 3, Server: server(1, 2)})
 	d.Apply(start, fleet.Entry{ID: "s", Offset: 4, Removed: true})
 	d.Apply(start, fleet.Entry{ID: "s", Offset: 5, Server: server(1, 3)})
@@ -114,7 +114,7 @@
 func TestRemovalHoldsAfterALostRead(t *testing.T) {
 	d := fleet.NewDirectory()
 	d.Apply(start, fleet.Entry{ID: "s", Offset: 1, Server: server(1, 1)})
-	d.ListRecovered(start, 600*time.Millisecond)
+	d.ListRecovered(start, start+time.Hour, 600*time.Millisecond)
 	assert.True(t, d.Apply(start, fleet.Entry{ID: "s", Offset: 2, Removed: true}))
 	assert.Empty(t, d.Servers())
 }
@@ -124,7 +124,7 @@
 	draining := server(1, 1)
 	draining.Draining = true
 	d.Apply(start, fleet.Entry{ID: "s", Offset: 1, Server: draining})
-	d.ListRecovered(start, time.Minute)
+	d.ListRecovered(start, start+time.Hour, time.Minute)
 	assert.True(t, d.Apply(start, fleet.Entry{ID: "s", Offset: 2, Removed: true}))
 }
 
