Tell of the server list by editions of the teller's bulletin, not by offsets

An instance wasn't told that a server leaves, and sent requests to it for up to two minutes, though what it was told made its copy look fresh. What an instance lacks was decided by the offset up to which it knew the list. Tellers counted that up for changes they had found without a new record, so that another teller's next record, or an instance's own next read, began behind it.

A teller's bulletin has an ID and counts revisions; an instance says which edition it was told last, with a digest of the servers that it knows. Another teller sends the complete list if the digests differ, and nothing if they are the same. The ID changes when a teller has read or heard a complete list, since a server can have come and gone between. The end that is told is that of the store's list. A removal found in a complete list counts from its end, so that no older report undoes it.

Beside builds that tell by offsets alone, both sides read the list themselves; of what such a teller says only newer reports of known servers count. The wire stays readable both ways.

--- a/internal/placer/compat_test.go
+++ b/internal/placer/compat_test.go
@@ -85,7 +85,7 @@
 // An entry of the server list is the same after it was told.
 func TestNewsIsDecodedAsTold(t *testing.T) {
 	news := storemirror.News{
-		Held: time.Second, ManifestVersion: 3, ManifestAge: 2 * time.Second, ListEnd: 9, ListAge: time.Millisecond, Complete: true,
+		Held: time.Second, List: fleet.Edition{ID: 1 << 63, Revision: 8}, ManifestVersion: 3, ManifestAge: 2 * time.Second, ListEnd: 9, ListAge: time.Millisecond, Complete: true,
 		Entries: []fleet.Entry{
 			{ID: "s", Offset: 5, Server: &fleet.Server{
 				ID: "s", Service: summaries, Address: "10.0.0.2:1", Zone: "z", Version: "v2", StartedAt: 77, Sequence: 4, Slots: 12,
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -327,7 +327,8 @@
 	known := p.mirror.Known()
 	return p.client(address).Watch(ctx, &placerpb.WatchRequest{
 		Epoch: epoch, Version: version, WaitMs: uint32(min(p.mirror.TellInterval(), watchTimeout).Milliseconds()),
-		Store: true, ListEnd: known.ListEnd, ManifestVersion: known.ManifestVersion, Instance: p.name,
+		Store: true, ListEnd: known.ListEnd, ManifestVersion: known.ManifestVersion,
+		Bulletin: known.List.ID, Revision: known.List.Revision, ListDigest: known.List.Digest, Editions: known.Editions, Instance: p.name,
 	})
 }
 
--- a/internal/placer/service.go
+++ b/internal/placer/service.go
@@ -54,7 +54,9 @@
 	if r.Instance != "" && s.placer.elector.placing() {
 		s.placer.quotas.heard(r.Instance)
 	}
-	known := storemirror.Knowledge{ListEnd: r.ListEnd, ManifestVersion: r.ManifestVersion}
+	known := storemirror.Knowledge{
+		Editions: r.Editions, List: fleet.Edition{ID: r.Bulletin, Revision: r.Revision, Digest: r.ListDigest}, ListEnd: r.ListEnd, ManifestVersion: r.ManifestVersion,
+	}
 	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(r.WaitMs)*time.Millisecond, watchTimeout))
 	defer cancel()
 	for {
--- a/internal/placer/storenews.go
+++ b/internal/placer/storenews.go
@@ -18,7 +18,7 @@
 	out := &placerpb.StoreNews{
 		HeldMs: uint32(max(n.Held.Milliseconds(), 0)), ManifestVersion: n.ManifestVersion, ManifestAgeMs: milliseconds(n.ManifestAge),
 		ListEnd: n.ListEnd, ListAgeMs: milliseconds(n.ListAge), Complete: n.Complete, RenewedMs: milliseconds(renewed),
-		ConfirmedMs: min(milliseconds(n.ConfirmationAge), math.MaxUint32-1) + 1,
+		ConfirmedMs: min(milliseconds(n.ConfirmationAge), math.MaxUint32-1) + 1, Bulletin: n.List.ID, Revision: n.List.Revision,
 	}
 	for _, e := range n.Entries {
 		listed := &placerpb.ListedServer{Id: string(e.ID), Offset: e.Offset, Removed: e.Removed}
@@ -39,7 +39,7 @@
 	out := storemirror.News{
 		Held: time.Duration(n.HeldMs) * time.Millisecond, ManifestVersion: n.ManifestVersion, ManifestAge: time.Duration(n.ManifestAgeMs) * time.Millisecond,
 		ListEnd: n.ListEnd, ListAge: time.Duration(n.ListAgeMs) * time.Millisecond, Complete: n.Complete,
-		ConfirmationAge: storemirror.NeverConfirmed,
+		ConfirmationAge: storemirror.NeverConfirmed, List: fleet.Edition{ID: n.Bulletin, Revision: n.Revision},
 	}
 	if n.ConfirmedMs > 0 {
 		out.ConfirmationAge = time.Duration(n.ConfirmedMs-1) * time.Millisecond
--- a/internal/storemirror/doc.go
+++ b/internal/storemirror/doc.go
@@ -10,5 +10,8 @@
 //   - How current the copy is counts from when the teller read the store, by the instance's own
 //     clock: a message that was delayed on its way, or whose sender was paused, makes it older.
 //   - Entries are ordered by their offsets in the store's log, whoever tells them.
+//   - What an instance lacks is known from the edition of the teller's bulletin that it was told last, or
+//     from a digest of what it knows, never from an offset: two tellers differ in what they have
+//     found by a given offset.
 //   - A manifest is always read from the store. What is told is only that there is a newer one.
 package storemirror
--- a/internal/storemirror/mirror.go
+++ b/internal/storemirror/mirror.go
@@ -47,11 +47,14 @@
 	ManifestAge     time.Duration
 	// ConfirmationAge is the time since that version was certain to be the newest one.
 	ConfirmationAge time.Duration
+	// List is the edition of the server list that is known with these news. Its digest isn't told,
+	// and its ID is 0 if the teller is of a build that tells by offsets alone.
+	List fleet.Edition
 	// ListAge is the time since the server list was read, up to the offset ListEnd.
 	ListEnd int64
 	ListAge time.Duration
-	// Entries are those that changed since the offset up to which the other instance knows the
-	// list, or all usable servers if Complete is true.
+	// Entries are those that changed since the edition that the other instance knows, or all usable
+	// servers if Complete is true.
 	Entries  []fleet.Entry
 	Complete bool
 }
@@ -76,7 +79,11 @@
 	// compares the complete list.
 	next     int64
 	checkDue bool
-	bulletin *fleet.Bulletin
+	// listKnown is true once this instance knows the complete list.
+	listKnown bool
+	bulletin  *fleet.Bulletin
+	// told is the edition that this instance was told last.
+	told fleet.Edition
 
 	manifestRead freshness
 	// manifestTold is what this instance knows of the manifest from others alone. Only these notice
@@ -126,6 +133,9 @@
 // NeverConfirmed is the age of a confirmation that there has never been, or that isn't told.
 const NeverConfirmed = 365 * 24 * time.Hour
 
+// neverRead is the age of a list that isn't told. It fits into the 32 bits that older builds read.
+const neverRead = 30 * 24 * time.Hour
+
 // OnServers sets what is called with the usable servers when they change. It must be called before
 // the mirror is used.
 func (m *Mirror) OnServers(publish func(map[fleet.ServerID]*fleet.Server, Change)) {
@@ -186,10 +196,14 @@
 	known := m.listRead.knownAt
 	if b.AtEnd {
 		m.listRead.read(b.CurrentSince)
+		m.listKnown = true
 	}
 	m.list.apply(b, gap{known, max(known, b.CurrentSince)})
+	if b.Complete && b.Next >= m.next {
+		m.bulletin.Renew()
+	}
 	m.next, m.checkDue = b.Next, false
-	news := m.bulletin.Update(m.list.listing(), m.next)
+	news := m.bulletin.Update(m.list.listing())
 	m.mu.Unlock()
 	if news {
 		m.changed()
@@ -338,6 +352,10 @@
 
 // Knowledge is what an instance that asks for news knows already.
 type Knowledge struct {
+	// Editions is false for a build that knows the server list by its offset alone.
+	Editions bool
+	// List is the edition of the server list that it was told last, with the digest of its own list.
+	List fleet.Edition
 	// ListEnd is the offset up to which it knows the server list.
 	ListEnd int64
 	// ManifestVersion is the highest version of the manifest that it knows of.
@@ -348,7 +366,9 @@
 func (m *Mirror) Known() Knowledge {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return Knowledge{ListEnd: m.next, ManifestVersion: max(m.manifestVersion, m.hinted)}
+	list := m.told
+	list.Digest = m.bulletin.Edition().Digest
+	return Knowledge{Editions: true, List: list, ListEnd: m.next, ManifestVersion: max(m.manifestVersion, m.hinted)}
 }
 
 // Tell returns the news for an instance. held is how long its question was held.
@@ -358,9 +378,14 @@
 	now := m.now()
 	n := News{
 		Held: held, ManifestVersion: m.manifestVersion, ManifestAge: m.manifestRead.age(now), ConfirmationAge: m.ConfirmationAge(),
-		ListEnd: m.bulletin.End(), ListAge: m.listRead.age(now),
+		List: m.bulletin.Edition(), ListEnd: m.next, ListAge: m.listRead.age(now),
 	}
-	n.Entries, n.Complete = m.bulletin.Since(known.ListEnd)
+	if !known.Editions || !m.listKnown {
+		// The other one has to read the list itself: an offset doesn't say what it lacks.
+		n.List, n.ListEnd, n.ListAge = fleet.Edition{}, known.ListEnd, neverRead
+		return n
+	}
+	n.Entries, n.Complete = m.bulletin.Since(known.List)
 	return n
 }
 
@@ -368,7 +393,7 @@
 func (m *Mirror) HasNews(known Knowledge) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return known.ManifestVersion < m.manifestVersion || m.bulletin.HasNews(known.ListEnd)
+	return known.ManifestVersion < m.manifestVersion || known.Editions && m.listKnown && m.bulletin.HasNews(known.List)
 }
 
 // Hear applies the news of another instance, which was asked at the given time since boot.
@@ -376,13 +401,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.heard = true
-	known := m.listRead.knownAt
-	m.listRead.told(asked, n.Held, n.ListAge)
-	m.list.applyTold(n.Entries, n.Complete && n.ListEnd >= m.next, gap{known, m.listRead.knownAt}, Change{
-		Source: SourceInstance, Teller: n.Teller, ListEnd: n.ListEnd, Age: m.now() - (asked + n.Held - n.ListAge),
-	})
-	m.next = max(m.next, n.ListEnd)
-	m.bulletin.Update(m.list.listing(), m.next)
+	m.hearList(n, asked)
 	switch n.ManifestVersion {
 	case m.manifestVersion:
 		m.manifestRead.told(asked, n.Held, n.ManifestAge)
@@ -393,6 +412,26 @@
 	}
 }
 
+// hearList applies the news of the server list. A build that tells by offsets alone can leave out what
+// the instance lacks: its news don't make the copy fresher.
+func (m *Mirror) hearList(n News, asked time.Duration) {
+	change := Change{Source: SourceInstance, Teller: n.Teller, ListEnd: n.ListEnd, Age: m.now() - (asked + n.Held - n.ListAge)}
+	if n.List.ID == 0 {
+		m.list.applyReports(n.Entries, change)
+	} else {
+		known := m.listRead.knownAt
+		m.listRead.told(asked, n.Held, n.ListAge)
+		complete := n.Complete && n.ListEnd >= m.next
+		if complete {
+			m.bulletin.Renew()
+		}
+		m.list.applyTold(n.Entries, complete, m.next, gap{known, m.listRead.knownAt}, change)
+		m.next = max(m.next, n.ListEnd)
+		m.told, m.listKnown = n.List, true
+	}
+	m.bulletin.Update(m.list.listing())
+}
+
 // HearOfManifest records that another instance knows a manifest of this version.
 func (m *Mirror) HearOfManifest(version int64) {
 	m.mu.Lock()
--- a/internal/storemirror/mirror_test.go
+++ b/internal/storemirror/mirror_test.go
@@ -291,7 +291,7 @@
 	r := newReplay(2)
 	r.teller = 0
 	r.run(time.Second)
-	r.mirrors[1].Hear(News{ListEnd: int64(len(r.log)), Entries: []fleet.Entry{{ID: "invented", Server: &fleet.Server{ID: "invented"}}}}, r.now)
+	r.mirrors[1].Hear(News{List: fleet.Edition{ID: 1}, ListEnd: int64(len(r.log)), Entries: []fleet.Entry{{ID: "invented", Offset: int64(len(r.log)), Server: &fleet.Server{ID: "invented"}}}}, r.now)
 	require.Contains(t, r.servers[1], fleet.ServerID("invented"))
 	r.run(checkInterval + checkSpread + time.Second)
 	assert.NotContains(t, r.servers[1], fleet.ServerID("invented"))
@@ -395,3 +395,50 @@
 	r.mirrors[1].HearNothing()
 	assert.Equal(t, platform.PollWait, r.mirrors[1].ManifestWait())
 }
+
+// Beside builds that tell by offsets alone, each instance reads the list itself.
+func TestListOfBuildsThatTellByOffset(t *testing.T) {
+	r := newReplay(2)
+	r.heartbeat("s0")
+	r.read(0)
+	r.read(1)
+	r.write("s0", func(s *fleet.Server) { s.Draining = true })
+	r.heartbeat("s1")
+	r.read(0)
+	m := r.mirrors[1]
+	news := r.mirrors[0].Tell(Knowledge{ListEnd: 1}, 0)
+	assert.Equal(t, int64(1), news.ListEnd)
+	assert.Empty(t, news.Entries)
+	assert.Greater(t, news.ListAge, 24*time.Hour)
+	assert.False(t, r.mirrors[0].HasNews(Knowledge{}))
+
+	r.now += time.Second
+	m.Hear(News{ListEnd: 9, Entries: slices.Concat(r.log, []fleet.Entry{{ID: "s0", Offset: 8, Removed: true}})}, r.now)
+	assert.LessOrEqual(t, m.ListDelay(), time.Duration(0), "its copy isn't fresher")
+	assert.Equal(t, int64(1), m.Known().ListEnd)
+	assert.Len(t, r.servers[1], 1, "what it lacks isn't known")
+	assert.True(t, r.servers[1]["s0"].Draining, "a server's own report counts")
+}
+
+// A new teller sends nothing to an instance that knows the same servers, from wherever.
+func TestSameListIsNotToldAgainAfterATakeover(t *testing.T) {
+	r := newReplay(3)
+	r.heartbeat("s0")
+	r.write("s1", func(s *fleet.Server) { s.Draining = true })
+	for i := range r.mirrors {
+		r.read(i)
+	}
+	for _, teller := range []int{0, 2, 0} {
+		r.teller = teller
+		known := r.mirrors[1].Known()
+		assert.False(t, r.mirrors[teller].HasNews(known))
+		assert.Empty(t, r.mirrors[teller].Tell(known, 0).Entries)
+		r.tell(1, 0)
+		r.heartbeat("s0")
+		r.read(teller)
+	}
+	r.teller = 1
+	r.write("s0", func(s *fleet.Server) { s.Draining = true })
+	r.read(1)
+	assert.Len(t, r.mirrors[1].Tell(r.mirrors[0].Known(), 0).Entries, 2, "the lists differ")
+}
--- a/internal/storemirror/serverlist.go
+++ b/internal/storemirror/serverlist.go
@@ -1,6 +1,7 @@
 package storemirror
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -84,7 +85,7 @@
 	outage := l.recovered(now, gap)
 	changed := b.Complete
 	if b.Complete {
-		l.directory.Replace(now, b.Entries)
+		l.directory.Replace(now, b.Entries, b.Next)
 	} else {
 		for _, entry := range b.Entries {
 			changed = l.directory.Apply(now, entry) || changed
@@ -95,16 +96,19 @@
 	l.expire(now, changed, change)
 }
 
-// applyTold applies entries that another instance has read. If complete is true, servers that
-// they lack are removed. gap is how long the list wasn't known before.
-func (l *serverList) applyTold(entries []fleet.Entry, complete bool, gap gap, change Change) {
+// applyTold applies entries that another instance has read. If complete is true, they are all usable
+// servers up to the end that the change names. known is the offset up to which this instance knows the
+// list, and gap how long it didn't before.
+func (l *serverList) applyTold(entries []fleet.Entry, complete bool, known int64, gap gap, change Change) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
 	outage := l.recovered(now, gap)
 	changed := false
+	// A server that isn't known, with an entry before that offset, has been removed since.
+	entries = slices.DeleteFunc(entries, func(e fleet.Entry) bool { return e.Offset < known && !l.directory.Has(e.ID) })
 	if complete {
-		changed = l.directory.Replace(now, entries)
+		changed = l.directory.Replace(now, entries, change.ListEnd)
 	} else {
 		for _, entry := range entries {
 			changed = l.directory.Apply(now, entry) || changed
@@ -139,6 +143,19 @@
 	return outage
 }
 
+// applyReports applies the reports among entries whose places in the list aren't known.
+func (l *serverList) applyReports(entries []fleet.Entry, change Change) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changed := false
+	for _, entry := range entries {
+		if entry.Server != nil {
+			changed = l.directory.ApplyReport(entry.Server) || changed
+		}
+	}
+	l.expire(l.now(), changed, change)
+}
+
 // reportDeferred reports the removals that a change has deferred.
 func (l *serverList) reportDeferred(now time.Duration, change Change, outage time.Duration) {
 	servers, until := l.directory.TakeDeferred()
--- a/internal/storemirror/serverlist_test.go
+++ b/internal/storemirror/serverlist_test.go
@@ -48,7 +48,7 @@
 	r.sleep(9 * time.Second)
 	list.readFailed(r.now)
 	told := Change{Source: SourceInstance, Teller: "other", ListEnd: 3, Age: time.Second}
-	list.applyTold([]fleet.Entry{{ID: "s", Offset: 2, Removed: true}}, false, gap{r.now - 9*time.Second, r.now}, told)
+	list.applyTold([]fleet.Entry{{ID: "s", Offset: 2, Removed: true}}, false, 2, gap{r.now - 9*time.Second, r.now}, told)
 	assert.Equal(t, []Deferral{{Change: told, Servers: []fleet.ServerID{"s"}, Outage: 8 * time.Second, For: fleet.MissingGrace}}, deferrals)
 	r.sleep(fleet.MissingGrace)
 	told.Source, told.Age = SourceExpiry, time.Second+fleet.MissingGrace
--- a/pkg/fleet/bulletin.go
+++ b/pkg/fleet/bulletin.go
@@ -1,48 +1,67 @@
 package fleet
 
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/hash64"
+)
+
 // Bulletin keeps a server list in the form in which an instance tells it to others. Entries that
 // differ in their sequence or in their models alone count as unchanged: servers write them about
 // every second, and the placement tells the models. It isn't safe for concurrent use.
 type Bulletin struct {
-	// since is the offset of the list from which on all changes are known; -1 if none are.
-	since, end int64
-	told       map[ServerID]toldEntry
+	id       uint64
+	revision int64
+	told     map[ServerID]toldEntry
+	digest   uint64
 }
 
 type toldEntry struct {
 	entry Entry
-	// changedAt is the end of the list when the entry last changed.
+	// changedAt is the revision in which the entry last changed.
 	changedAt int64
 }
 
-// NewBulletin returns an empty bulletin.
+// Edition is a state of a bulletin, as one that was told of it knows it.
+type Edition struct {
+	// ID identifies the bulletin; 0 if none was told.
+	ID uint64
+	// Revision counts the changes of that bulletin.
+	Revision int64
+	// Digest is that of the usable servers that are known, from whomever. Lists in which requests
+	// are routed alike have the same; that of an empty list is 0.
+	Digest uint64
+}
+
+// NewBulletin returns an empty bulletin with an ID of its own.
 func NewBulletin() *Bulletin {
-	return &Bulletin{since: -1, end: -1, told: map[ServerID]toldEntry{}}
+	return &Bulletin{id: rand.Uint64() | 1, told: map[ServerID]toldEntry{}}
 }
 
-// Update records the newest entries of the list up to an offset, and reports whether there is
-// something new to tell.
-func (b *Bulletin) Update(listing []Entry, end int64) bool {
-	if b.since < 0 {
-		b.since = end
-	}
-	last, news := b.end, false
-	b.end = max(b.end, end)
+// Update records the newest entry of each server, and reports whether there is something new to tell.
+func (b *Bulletin) Update(listing []Entry) bool {
+	news := false
 	for _, e := range listing {
 		before, known := b.told[e.ID]
-		if !known && e.Removed || known && !differs(before.entry, e) {
+		// Another instance can know a server that was listed and removed between two updates.
+		if known && !differs(before.entry, e) {
 			continue
 		}
-		if b.end == last {
-			// Others have been told up to this offset without the change.
-			b.end++
+		if !news {
+			news = true
+			b.revision++
 		}
-		b.told[e.ID] = toldEntry{entry: e, changedAt: b.end}
-		news = true
+		b.digest += entryDigest(e) - entryDigest(before.entry)
+		b.told[e.ID] = toldEntry{entry: e, changedAt: b.revision}
 	}
 	return news
 }
 
+// Renew gives the bulletin another ID, because what it holds doesn't follow from what it held: a
+// server can have been listed and removed in between that others know.
+func (b *Bulletin) Renew() { b.id = rand.Uint64() | 1 }
+
 // differs reports whether an entry differs from an earlier one in what requests are routed by.
 func differs(before, after Entry) bool {
 	if before.Removed || after.Removed {
@@ -53,30 +72,40 @@
 		x.StartedAt != y.StartedAt || x.Slots != y.Slots || x.Draining != y.Draining
 }
 
-// End returns the highest offset up to which the list was known; -1 if it wasn't. It doesn't fall
-// if the store comes back from an older copy of the list, and can be higher than the list's end by
-// the changes that were found without a new record.
-func (b *Bulletin) End() int64 { return b.end }
+// entryDigest returns the part of an entry in the digest of a list; 0 if it has no usable server.
+func entryDigest(e Entry) uint64 {
+	s := e.Server
+	if s == nil {
+		return 0
+	}
+	return hash64.Mix(hash64.String(fmt.Sprintf("%q %q %q %q %q %d %d %t", s.ID, s.Service, s.Address, s.Zone, s.Version, s.StartedAt, s.Slots, s.Draining)))
+}
+
+// Edition returns the current state.
+func (b *Bulletin) Edition() Edition {
+	return Edition{ID: b.id, Revision: b.revision, Digest: b.digest}
+}
 
-// Since returns the entries that have changed since an offset of the list, up to which the
-// recipient knows it. If the recipient may hold servers whose removal isn't known here, complete
-// is true and the entries are all usable servers.
-func (b *Bulletin) Since(offset int64) (changed []Entry, complete bool) {
-	complete = offset < b.since
+// Since returns the entries that one who knows an edition lacks: those that have changed since, if it is
+// of this bulletin, and nothing if its list is the same. Otherwise complete is true, and the entries
+// are all usable servers.
+func (b *Bulletin) Since(known Edition) (changed []Entry, complete bool) {
+	if known.ID != b.id && known.Digest == b.digest {
+		return nil, false
+	}
+	complete = known.ID != b.id
 	for _, told := range b.told {
-		if complete && !told.entry.Removed || !complete && told.changedAt > offset {
+		if complete && !told.entry.Removed || !complete && told.changedAt > known.Revision {
 			changed = append(changed, told.entry)
 		}
 	}
 	return changed, complete
 }
 
-// HasNews reports whether an entry has changed since an offset of the list.
-func (b *Bulletin) HasNews(offset int64) bool {
-	for _, told := range b.told {
-		if told.changedAt > offset {
-			return true
-		}
+// HasNews reports whether one who knows an edition lacks something.
+func (b *Bulletin) HasNews(known Edition) bool {
+	if known.ID != b.id {
+		return known.Digest != b.digest
 	}
-	return false
+	return known.Revision < b.revision
 }
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -141,6 +141,20 @@
 	return true
 }
 
+// Has reports whether a server is or was listed.
+func (d *Directory) Has(id ServerID) bool { return d.entries[id] != nil }
+
+// ApplyReport applies a report whose place in the list isn't known, and reports whether the set of
+// usable servers changed. It counts only if it is newer than that of a server that is listed.
+func (d *Directory) ApplyReport(s *Server) bool {
+	current, known := d.entries[s.ID]
+	if !known || current.server == nil || !olderThan(current.lastReport, s) {
+		return false
+	}
+	current.server, current.lastReport = s, s
+	return true
+}
+
 // remove removes the server of an entry, or defers the removal after an outage, and reports
 // whether the set of usable servers changed.
 func (d *Directory) remove(now time.Duration, id ServerID, current *directoryEntry) bool {
@@ -172,9 +186,9 @@
 	return a.Sequence < b.Sequence
 }
 
-// Replace applies a complete listing, which is read after log history was lost. Servers that
-// the listing lacks are removed. It reports whether the set of usable servers changed.
-func (d *Directory) Replace(now time.Duration, entries []Entry) bool {
+// Replace applies a complete listing of the list up to an offset. Servers that the listing lacks
+// are removed. It reports whether the set of usable servers changed.
+func (d *Directory) Replace(now time.Duration, entries []Entry, end int64) bool {
 	present := map[ServerID]bool{}
 	changed := false
 	for _, e := range entries {
@@ -183,6 +197,8 @@
 	}
 	for id, current := range d.entries {
 		if !present[id] {
+			// A report before the end is outdated, whoever tells it.
+			current.offset = max(current.offset, end-1)
 			changed = d.remove(now, id, current) || changed
 		}
 	}
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -132,7 +132,7 @@
 	d := fleet.NewDirectory()
 	d.Apply(start, fleet.Entry{ID: "s", Offset: 1, Server: server(1, 1)})
 	d.Apply(start, fleet.Entry{ID: "u", Offset: 2, Server: server(1, 1)})
-	assert.True(t, d.Replace(start, []fleet.Entry{{ID: "u", Offset: 2, Server: server(1, 1)}}))
+	assert.True(t, d.Replace(start, []fleet.Entry{{ID: "u", Offset: 2, Server: server(1, 1)}}, 4))
 	assert.Contains(t, d.Servers(), fleet.ServerID("u"))
 	assert.NotContains(t, d.Servers(), fleet.ServerID("s"))
 }
