Order the server list by the eras of the store's history, and rely on told lists that are the same

Store-Era is part of every place in a topic. A reader that gets another era reads the complete topic; positions of the server list are ordered by era, then offset. A removed server that the copy lists counts again with its next report, and servers that the copy lacks have the time to register again that they have after an outage. An era that is missing or can't be read changes nothing; one that falls is taken for a new history. What instances tell names the era.

The test found more ways in which an edition that was adopted hid a difference: own reads between a question and its answer, a teller that had started in the new history, one that was behind. So a told list counts only if the two lists then have the same digest; otherwise the instance reads the complete list itself, and relies on no teller until it has.

--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -209,8 +209,8 @@
 
 // logListChange adds to a log entry how a change of the server list was learned.
 func logListChange(entry *log.Entry, change storemirror.Change) *log.Entry {
-	return entry.Str("source", string(change.Source)).Str("teller", change.Teller).Int64("era", change.Era).
-		Int64("list_end", change.ListEnd).Dur("list_age", change.Age)
+	return entry.Str("source", string(change.Source)).Str("teller", change.Teller).Int64("era", change.ListEnd.Era).
+		Int64("list_end", change.ListEnd.Offset).Dur("list_age", change.Age)
 }
 
 // Run serves requests until stop ends and then shuts down gracefully. When kill
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -16,7 +16,6 @@
 	"go.opentelemetry.io/otel/trace"
 	"storj.io/drpc/drpcmux"
 
-	"github.com/cyclamenhoist/cyclamenhoist/internal/bootclock"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/peer"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
@@ -286,9 +285,9 @@
 			continue
 		}
 		var placement *placerpb.Placement
-		asked, err := bootclock.Now(), errNoHolder
+		known, err := p.mirror.Known(), errNoHolder
 		if held && r.Address != p.address {
-			placement, err = p.watchOnce(ctx, r.Address, epoch, version)
+			placement, err = p.watchOnce(ctx, r.Address, epoch, version, known)
 		}
 		if err != nil || !placement.Placing {
 			p.log.Debug().Err(err).Str("holder", r.Holder).Msg("placement_unread")
@@ -304,7 +303,7 @@
 			p.elector.renewalHeard(time.Duration(placement.Store.RenewedMs) * time.Millisecond)
 			news := decodeNews(placement.Store)
 			news.Teller = r.Holder
-			p.mirror.Hear(news, asked)
+			p.mirror.Hear(news, known)
 		} else {
 			p.mirror.HearNothing()
 		}
@@ -321,13 +320,12 @@
 	return max(minWatchInterval, time.Duration(instances)*watchIntervalPerInstance)
 }
 
-func (p *Placer) watchOnce(ctx context.Context, address string, epoch, version int64) (*placerpb.Placement, error) {
+func (p *Placer) watchOnce(ctx context.Context, address string, epoch, version int64, known storemirror.Knowledge) (*placerpb.Placement, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout+callTimeout)
 	defer cancel()
-	known := p.mirror.Known()
 	return p.client(address).Watch(ctx, &placerpb.WatchRequest{
 		Epoch: epoch, Version: version, WaitMs: uint32(min(p.mirror.TellInterval(), watchTimeout).Milliseconds()),
-		Store: true, ListEnd: known.ListEnd, ManifestVersion: known.ManifestVersion,
+		Store: true, ListEra: known.ListEnd.Era, ListEnd: known.ListEnd.Offset, ManifestVersion: known.ManifestVersion,
 		Bulletin: known.List.ID, Revision: known.List.Revision, ListDigest: known.List.Digest, Editions: known.Editions, Instance: p.name,
 	})
 }
--- a/internal/placer/service.go
+++ b/internal/placer/service.go
@@ -55,7 +55,7 @@
 		s.placer.quotas.heard(r.Instance)
 	}
 	known := storemirror.Knowledge{
-		Editions: r.Editions, List: fleet.Edition{ID: r.Bulletin, Revision: r.Revision, Digest: r.ListDigest}, ListEnd: r.ListEnd, ManifestVersion: r.ManifestVersion,
+		Editions: r.Editions, List: fleet.Edition{ID: r.Bulletin, Revision: r.Revision, Digest: r.ListDigest}, ListEnd: fleet.Position{Era: r.ListEra, Offset: r.ListEnd}, ManifestVersion: r.ManifestVersion,
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(r.WaitMs)*time.Millisecond, watchTimeout))
 	defer cancel()
--- a/internal/placer/storenews.go
+++ b/internal/placer/storenews.go
@@ -17,11 +17,11 @@
 func encodeNews(n storemirror.News, renewed time.Duration) *placerpb.StoreNews {
 	out := &placerpb.StoreNews{
 		HeldMs: uint32(max(n.Held.Milliseconds(), 0)), ManifestVersion: n.ManifestVersion, ManifestAgeMs: milliseconds(n.ManifestAge),
-		ListEnd: n.ListEnd, ListAgeMs: milliseconds(n.ListAge), Complete: n.Complete, RenewedMs: milliseconds(renewed),
-		ConfirmedMs: min(milliseconds(n.ConfirmationAge), math.MaxUint32-1) + 1, Bulletin: n.List.ID, Revision: n.List.Revision,
+		ListEra: n.ListEnd.Era, ListEnd: n.ListEnd.Offset, ListAgeMs: milliseconds(n.ListAge), Complete: n.Complete, RenewedMs: milliseconds(renewed),
+		ConfirmedMs: min(milliseconds(n.ConfirmationAge), math.MaxUint32-1) + 1, Bulletin: n.List.ID, Revision: n.List.Revision, ListDigest: n.List.Digest,
 	}
 	for _, e := range n.Entries {
-		listed := &placerpb.ListedServer{Id: string(e.ID), Offset: e.Offset, Removed: e.Removed}
+		listed := &placerpb.ListedServer{Id: string(e.ID), Era: e.At.Era, Offset: e.At.Offset, Removed: e.Removed}
 		if s := e.Server; s != nil {
 			listed.Service, listed.Address, listed.Zone, listed.Version = s.Service, s.Address, s.Zone, s.Version
 			listed.Born, listed.Sequence, listed.Slots = s.StartedAt, s.Sequence, int32(s.Slots)
@@ -38,14 +38,14 @@
 func decodeNews(n *placerpb.StoreNews) storemirror.News {
 	out := storemirror.News{
 		Held: time.Duration(n.HeldMs) * time.Millisecond, ManifestVersion: n.ManifestVersion, ManifestAge: time.Duration(n.ManifestAgeMs) * time.Millisecond,
-		ListEnd: n.ListEnd, ListAge: time.Duration(n.ListAgeMs) * time.Millisecond, Complete: n.Complete,
-		ConfirmationAge: storemirror.NeverConfirmed, List: fleet.Edition{ID: n.Bulletin, Revision: n.Revision},
+		ListEnd: fleet.Position{Era: n.ListEra, Offset: n.ListEnd}, ListAge: time.Duration(n.ListAgeMs) * time.Millisecond, Complete: n.Complete,
+		ConfirmationAge: storemirror.NeverConfirmed, List: fleet.Edition{ID: n.Bulletin, Revision: n.Revision, Digest: n.ListDigest},
 	}
 	if n.ConfirmedMs > 0 {
 		out.ConfirmationAge = time.Duration(n.ConfirmedMs-1) * time.Millisecond
 	}
 	for _, listed := range n.Servers {
-		e := fleet.Entry{ID: fleet.ServerID(listed.Id), Offset: listed.Offset, Removed: listed.Removed}
+		e := fleet.Entry{ID: fleet.ServerID(listed.Id), At: fleet.Position{Era: listed.Era, Offset: listed.Offset}, Removed: listed.Removed}
 		if !listed.Removed {
 			e.Server = &fleet.Server{
 				ID: e.ID, Service: listed.Service, Address: listed.Address, Zone: listed.Zone, Version: listed.Version,
--- a/internal/storemirror/doc.go
+++ b/internal/storemirror/doc.go
@@ -9,9 +9,11 @@
 // Invariants:
 //   - How current the copy is counts from when the teller read the store, by the instance's own
 //     clock: a message that was delayed on its way, or whose sender was paused, makes it older.
-//   - Entries are ordered by their offsets in the store's log, whoever tells them.
-//   - What an instance lacks is known from the edition of the teller's bulletin that it was told last, or
-//     from a digest of what it knows, never from an offset: two tellers differ in what they have
-//     found by a given offset.
+//   - Entries are ordered by the era of the store's history and by their offsets in it, whoever tells
+//     them.
+//   - What is told makes the copy as fresh as the teller's only if both hold the same servers then, by a
+//     digest. Otherwise, and if the teller knows less, the instance reads the list itself.
+//   - What an instance lacks is known from the edition of the teller's bulletin that it was told last,
+//     never from an offset: two tellers differ in what they have found by a given one.
 //   - A manifest is always read from the store. What is told is only that there is a newer one.
 package storemirror
--- a/internal/storemirror/mirror.go
+++ b/internal/storemirror/mirror.go
@@ -47,11 +47,11 @@
 	ManifestAge     time.Duration
 	// ConfirmationAge is the time since that version was certain to be the newest one.
 	ConfirmationAge time.Duration
-	// List is the edition of the server list that is known with these news. Its digest isn't told,
-	// and its ID is 0 if the teller is of a build that tells by offsets alone.
+	// List is the edition of the server list that is known with these news. Its ID is 0 if the list isn't
+	// told, or by offsets alone.
 	List fleet.Edition
-	// ListAge is the time since the server list was read, up to the offset ListEnd.
-	ListEnd int64
+	// ListAge is the time since the server list was read, up to the position ListEnd.
+	ListEnd fleet.Position
 	ListAge time.Duration
 	// Entries are those that changed since the edition that the other instance knows, or all usable
 	// servers if Complete is true.
@@ -75,15 +75,17 @@
 	mu       sync.Mutex
 	list     *serverList
 	listRead freshness
-	// next is the offset up to which the list is known. checkDue means that the next read
+	// end is the position up to which the list is known. checkDue means that the next read
 	// compares the complete list.
-	next     int64
+	end      fleet.Position
 	checkDue bool
 	// listKnown is true once this instance knows the complete list.
 	listKnown bool
 	bulletin  *fleet.Bulletin
-	// told is the edition that this instance was told last.
-	told fleet.Edition
+	// told is the edition that this instance was told last. differs means that its list wasn't the same
+	// as the teller's then, so that it has to read the complete list.
+	told    fleet.Edition
+	differs bool
 
 	manifestRead freshness
 	// manifestTold is what this instance knows of the manifest from others alone. Only these notice
@@ -162,7 +164,7 @@
 	if tells {
 		return m.listRead.readAt + m.drainTimeout/tellerReadsPerDrain - now
 	}
-	m.checkDue = now-m.listRead.readAt >= m.check
+	m.checkDue = m.differs || now-m.listRead.readAt >= m.check
 	return m.listRead.readIn(now, m.drainTimeout/readsPerDrain, m.check)
 }
 
@@ -183,7 +185,9 @@
 		at.Next = -1
 		return at
 	}
-	at.Next = max(at.Next, m.next)
+	if (fleet.Position{Era: at.Era, Offset: at.Next}).Before(m.end) {
+		return platform.Cursor{Era: m.end.Era, Next: m.end.Offset}
+	}
 	return at
 }
 
@@ -193,16 +197,18 @@
 // ListRead applies a batch that this instance has read.
 func (m *Mirror) ListRead(b platform.ServerListBatch) {
 	m.mu.Lock()
-	known := m.listRead.knownAt
+	known, end := m.listRead.knownAt, fleet.Position{Era: b.Era, Offset: b.Next}
 	if b.AtEnd {
 		m.listRead.read(b.CurrentSince)
-		m.listKnown = true
 	}
-	m.list.apply(b, gap{known, max(known, b.CurrentSince)})
-	if b.Complete && b.Next >= m.next {
-		m.bulletin.Renew()
+	if b.Complete && b.Era < m.end.Era {
+		m.list.forgetPositions()
+	}
+	m.list.apply(b, gap{known, max(known, b.CurrentSince), m.listKnown && b.Era != m.end.Era})
+	m.end, m.checkDue, m.listKnown = end, false, m.listKnown || b.AtEnd
+	if b.Complete {
+		m.differs = false
 	}
-	m.next, m.checkDue = b.Next, false
 	news := m.bulletin.Update(m.list.listing())
 	m.mu.Unlock()
 	if news {
@@ -352,12 +358,15 @@
 
 // Knowledge is what an instance that asks for news knows already.
 type Knowledge struct {
-	// Editions is false for a build that knows the server list by its offset alone.
+	// At is the time since boot at which it asks, by its own clock.
+	At time.Duration
+	// Editions is false if it can't be told of the server list: it knows that by its offset alone, or has
+	// to read it itself.
 	Editions bool
 	// List is the edition of the server list that it was told last, with the digest of its own list.
 	List fleet.Edition
-	// ListEnd is the offset up to which it knows the server list.
-	ListEnd int64
+	// ListEnd is the position up to which it knows the server list.
+	ListEnd fleet.Position
 	// ManifestVersion is the highest version of the manifest that it knows of.
 	ManifestVersion int64
 }
@@ -368,7 +377,7 @@
 	defer m.mu.Unlock()
 	list := m.told
 	list.Digest = m.bulletin.Edition().Digest
-	return Knowledge{Editions: true, List: list, ListEnd: m.next, ManifestVersion: max(m.manifestVersion, m.hinted)}
+	return Knowledge{At: m.now(), Editions: !m.differs, List: list, ListEnd: m.end, ManifestVersion: max(m.manifestVersion, m.hinted)}
 }
 
 // Tell returns the news for an instance. held is how long its question was held.
@@ -378,10 +387,10 @@
 	now := m.now()
 	n := News{
 		Held: held, ManifestVersion: m.manifestVersion, ManifestAge: m.manifestRead.age(now), ConfirmationAge: m.ConfirmationAge(),
-		List: m.bulletin.Edition(), ListEnd: m.next, ListAge: m.listRead.age(now),
+		List: m.bulletin.Edition(), ListEnd: m.end, ListAge: m.listRead.age(now),
 	}
-	if !known.Editions || !m.listKnown {
-		// The other one has to read the list itself: an offset doesn't say what it lacks.
+	if !known.Editions || !m.listKnown || m.isBehind(known) {
+		// The other one has to read the list itself. An offset alone doesn't say what it lacks.
 		n.List, n.ListEnd, n.ListAge = fleet.Edition{}, known.ListEnd, neverRead
 		return n
 	}
@@ -389,19 +398,24 @@
 	return n
 }
 
+// isBehind reports whether an instance knows the list further than this one, which then has nothing
+// to tell it.
+func (m *Mirror) isBehind(known Knowledge) bool { return m.end.Before(known.ListEnd) }
+
 // HasNews reports whether there is something to tell to an instance with this knowledge.
 func (m *Mirror) HasNews(known Knowledge) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return known.ManifestVersion < m.manifestVersion || known.Editions && m.listKnown && m.bulletin.HasNews(known.List)
+	return known.ManifestVersion < m.manifestVersion || known.Editions && m.listKnown && !m.isBehind(known) && m.bulletin.HasNews(known.List)
 }
 
-// Hear applies the news of another instance, which was asked at the given time since boot.
-func (m *Mirror) Hear(n News, asked time.Duration) {
+// Hear applies the news that another instance has told, given what this one knew when it asked.
+func (m *Mirror) Hear(n News, known Knowledge) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.heard = true
-	m.hearList(n, asked)
+	asked := known.At
+	m.hearList(n, known)
 	switch n.ManifestVersion {
 	case m.manifestVersion:
 		m.manifestRead.told(asked, n.Held, n.ManifestAge)
@@ -412,24 +426,28 @@
 	}
 }
 
-// hearList applies the news of the server list. A build that tells by offsets alone can leave out what
-// the instance lacks: its news don't make the copy fresher.
-func (m *Mirror) hearList(n News, asked time.Duration) {
-	change := Change{Source: SourceInstance, Teller: n.Teller, ListEnd: n.ListEnd, Age: m.now() - (asked + n.Held - n.ListAge)}
+// hearList applies the news of the server list. They make this copy as fresh as the teller's only if the
+// two are the same then; else this instance reads the list itself. A build that tells by offsets alone
+// can leave out what this instance lacks.
+func (m *Mirror) hearList(n News, known Knowledge) {
+	change := Change{Source: SourceInstance, Teller: n.Teller, ListEnd: n.ListEnd, Age: m.now() - (known.At + n.Held - n.ListAge)}
 	if n.List.ID == 0 {
 		m.list.applyReports(n.Entries, change)
-	} else {
-		known := m.listRead.knownAt
-		m.listRead.told(asked, n.Held, n.ListAge)
-		complete := n.Complete && n.ListEnd >= m.next
-		if complete {
-			m.bulletin.Renew()
-		}
-		m.list.applyTold(n.Entries, complete, m.next, gap{known, m.listRead.knownAt}, change)
-		m.next = max(m.next, n.ListEnd)
-		m.told, m.listKnown = n.List, true
+		m.bulletin.Update(m.list.listing())
+		return
+	}
+	if n.ListEnd.Before(m.end) {
+		return // this instance has read the list meanwhile
 	}
+	fresh := m.listRead
+	fresh.told(known.At, n.Held, n.ListAge)
+	m.list.applyTold(n.Entries, n.Complete, m.end, gap{m.listRead.knownAt, fresh.knownAt, m.listKnown && n.ListEnd.Era != m.end.Era}, change)
 	m.bulletin.Update(m.list.listing())
+	if m.bulletin.Edition().Digest != n.List.Digest {
+		m.told, m.differs, m.checkDue = fleet.Edition{}, true, true
+		return
+	}
+	m.listRead, m.told, m.end, m.listKnown = fresh, n.List, n.ListEnd, true
 }
 
 // HearOfManifest records that another instance knows a manifest of this version.
--- a/internal/storemirror/serverlist.go
+++ b/internal/storemirror/serverlist.go
@@ -26,10 +26,9 @@
 	Source Source
 	// Teller is the name of the instance that told of it; empty if this instance has read it.
 	Teller string
-	// Era and ListEnd are the history of the store and the offset in it up to which the list was
-	// read, and Age the time since then.
-	Era, ListEnd int64
-	Age          time.Duration
+	// ListEnd is the position up to which the list was read, and Age the time since then.
+	ListEnd fleet.Position
+	Age     time.Duration
 }
 
 // Deferral is a decision to go on using servers that the list has removed, as they may register
@@ -85,30 +84,30 @@
 	outage := l.recovered(now, gap)
 	changed := b.Complete
 	if b.Complete {
-		l.directory.Replace(now, b.Entries, b.Next)
+		l.directory.Replace(now, fleet.Listing{Entries: b.Entries, End: fleet.Position{Era: b.Era, Offset: b.Next}})
 	} else {
 		for _, entry := range b.Entries {
 			changed = l.directory.Apply(now, entry) || changed
 		}
 	}
-	change := Change{Source: SourceStore, Era: b.Era, ListEnd: b.Next, Age: now - b.CurrentSince}
+	change := Change{Source: SourceStore, ListEnd: fleet.Position{Era: b.Era, Offset: b.Next}, Age: now - b.CurrentSince}
 	l.reportDeferred(now, change, outage)
 	l.expire(now, changed, change)
 }
 
 // applyTold applies entries that another instance has read. If complete is true, they are all usable
-// servers up to the end that the change names. known is the offset up to which this instance knows the
+// servers up to the end that the change names. known is the position up to which this instance knows the
 // list, and gap how long it didn't before.
-func (l *serverList) applyTold(entries []fleet.Entry, complete bool, known int64, gap gap, change Change) {
+func (l *serverList) applyTold(entries []fleet.Entry, complete bool, known fleet.Position, gap gap, change Change) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
 	outage := l.recovered(now, gap)
 	changed := false
-	// A server that isn't known, with an entry before that offset, has been removed since.
-	entries = slices.DeleteFunc(entries, func(e fleet.Entry) bool { return e.Offset < known && !l.directory.Has(e.ID) })
+	// A server that isn't known, with an entry before that position, has been removed since.
+	entries = slices.DeleteFunc(entries, func(e fleet.Entry) bool { return e.At.Before(known) && !l.directory.Has(e.ID) })
 	if complete {
-		changed = l.directory.Replace(now, entries, change.ListEnd)
+		changed = l.directory.Replace(now, fleet.Listing{Entries: entries, End: change.ListEnd})
 	} else {
 		for _, entry := range entries {
 			changed = l.directory.Apply(now, entry) || changed
@@ -129,16 +128,26 @@
 
 // gap is the time between two reads of the list by anyone that an instance knows. from is 0 if
 // there was none before.
-type gap struct{ from, to time.Duration }
+type gap struct {
+	from, to time.Duration
+	// newHistory means that the store has come back from an older copy meanwhile.
+	newHistory bool
+}
 
 // recovered records that the list is known again after a gap, and returns the outage: how much longer
 // than between reads that was. The store can have returned as soon as the last read that failed was
 // started. If none failed during the gap, nothing shows that the store was away.
 func (l *serverList) recovered(now time.Duration, gap gap) time.Duration {
-	if gap.from == 0 || l.lastFailure < gap.from {
+	if gap.from == 0 {
 		return 0
 	}
 	outage := gap.to - gap.from - l.interval
+	if gap.newHistory {
+		l.directory.HistoryChanged(now, max(l.lastFailure, gap.from)+l.withdrawWithin)
+	}
+	if l.lastFailure < gap.from {
+		return outage
+	}
 	l.directory.ListRecovered(now, l.lastFailure+l.withdrawWithin, outage)
 	return outage
 }
@@ -156,6 +165,12 @@
 	l.expire(l.now(), changed, change)
 }
 
+func (l *serverList) forgetPositions() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.directory.ForgetPositions()
+}
+
 // reportDeferred reports the removals that a change has deferred.
 func (l *serverList) reportDeferred(now time.Duration, change Change, outage time.Duration) {
 	servers, until := l.directory.TakeDeferred()
--- a/pkg/fleet/bulletin.go
+++ b/pkg/fleet/bulletin.go
@@ -58,10 +58,6 @@
 	return news
 }
 
-// Renew gives the bulletin another ID, because what it holds doesn't follow from what it held: a
-// server can have been listed and removed in between that others know.
-func (b *Bulletin) Renew() { b.id = rand.Uint64() | 1 }
-
 // differs reports whether an entry differs from an earlier one in what requests are routed by.
 func differs(before, after Entry) bool {
 	if before.Removed || after.Removed {
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -56,16 +56,36 @@
 	return false
 }
 
+// Position is a place in the server list. Positions are ordered by the era of the store's history, which
+// rises when the store comes back from an older copy and gives out offsets again, and by the offset in it.
+type Position struct {
+	// Era is 0 if the store states none.
+	Era, Offset int64
+}
+
+// Before reports whether p comes before q.
+func (p Position) Before(q Position) bool {
+	return p.Era < q.Era || p.Era == q.Era && p.Offset < q.Offset
+}
+
 // Entry is one record of the server list.
 type Entry struct {
-	ID     ServerID
-	Offset int64
+	ID ServerID
+	At Position
 	// Server is nil if the record is a removal, or if it can't be decoded.
 	Server *Server
 	// Removed distinguishes a removal from a record that can't be decoded.
 	Removed bool
 }
 
+// Listing is a complete server list.
+type Listing struct {
+	// Entries are those of all usable servers.
+	Entries []Entry
+	// End is the position after the last record that is included.
+	End Position
+}
+
 // MissingGrace is how long after an outage of the server list a server whose entry expired
 // during the outage can take to register again. The platform specifies this value.
 const MissingGrace = 2 * time.Second
@@ -75,7 +95,7 @@
 const minExpiryOutage = 1500 * time.Millisecond
 
 type directoryEntry struct {
-	offset int64
+	at     Position
 	server *Server // nil if the entry lists no usable server
 	// lastReport is the newest report, retained after the entry is removed, so that an older
 	// report that is written again doesn't restore the server.
@@ -104,14 +124,22 @@
 // may register again. After an outage too short for entries to expire, removals apply immediately.
 func (d *Directory) ListRecovered(now, latest, outage time.Duration) {
 	if outage >= minExpiryOutage {
-		d.removalsTrustedFrom = max(d.removalsTrustedFrom, min(now+MissingGrace, latest))
+		d.deferRemovals(now, latest)
 	}
 }
 
+// HistoryChanged records that the store has come back from an older copy. Removals are deferred as
+// after an outage, because servers that registered after the copy register again.
+func (d *Directory) HistoryChanged(now, latest time.Duration) { d.deferRemovals(now, latest) }
+
+func (d *Directory) deferRemovals(now, latest time.Duration) {
+	d.removalsTrustedFrom = max(d.removalsTrustedFrom, min(now+MissingGrace, latest))
+}
+
 // Apply applies one record and reports whether the set of usable servers changed.
 func (d *Directory) Apply(now time.Duration, e Entry) bool {
 	current, known := d.entries[e.ID]
-	if known && e.Offset < current.offset {
+	if known && e.At.Before(current.at) {
 		return false
 	}
 	switch {
@@ -119,21 +147,29 @@
 		if !known {
 			return false
 		}
-		current.offset = e.Offset
+		current.at = e.At
 		return d.remove(now, e.ID, current)
 	case e.Server == nil:
 		if !known {
 			return false
 		}
-		current.offset = e.Offset
+		current.at = e.At
 		changed := current.server != nil
 		current.server = nil
 		return changed
 	case !known:
-		d.entries[e.ID] = &directoryEntry{offset: e.Offset, server: e.Server, lastReport: e.Server}
+		d.entries[e.ID] = &directoryEntry{at: e.At, server: e.Server, lastReport: e.Server}
 		return true
+	case current.server == nil && e.At.Era > current.at.Era:
+		// The report can be older than the removal, which the store's copy lacks. If the server is
+		// running, it soon writes a newer one.
+		current.at = e.At
+		if olderThan(current.lastReport, e.Server) {
+			current.lastReport = e.Server
+		}
+		return false
 	}
-	current.offset = e.Offset
+	current.at = e.At
 	if olderThan(e.Server, current.lastReport) || current.server == nil && !olderThan(current.lastReport, e.Server) {
 		return false
 	}
@@ -141,6 +177,14 @@
 	return true
 }
 
+// ForgetPositions lets entries of any position count, because the store's history has been replaced by
+// one of a lower era. Reports are still ordered among themselves.
+func (d *Directory) ForgetPositions() {
+	for _, current := range d.entries {
+		current.at = Position{}
+	}
+}
+
 // Has reports whether a server is or was listed.
 func (d *Directory) Has(id ServerID) bool { return d.entries[id] != nil }
 
@@ -186,19 +230,21 @@
 	return a.Sequence < b.Sequence
 }
 
-// Replace applies a complete listing of the list up to an offset. Servers that the listing lacks
-// are removed. It reports whether the set of usable servers changed.
-func (d *Directory) Replace(now time.Duration, entries []Entry, end int64) bool {
+// Replace applies a complete list. Servers that it lacks are removed. It reports whether the set of
+// usable servers changed.
+func (d *Directory) Replace(now time.Duration, l Listing) bool {
 	present := map[ServerID]bool{}
 	changed := false
-	for _, e := range entries {
+	for _, e := range l.Entries {
 		present[e.ID] = true
 		changed = d.Apply(now, e) || changed
 	}
 	for id, current := range d.entries {
 		if !present[id] {
 			// A report before the end is outdated, whoever tells it.
-			current.offset = max(current.offset, end-1)
+			if last := (Position{l.End.Era, l.End.Offset - 1}); current.at.Before(last) {
+				current.at = last
+			}
 			changed = d.remove(now, id, current) || changed
 		}
 	}
@@ -234,7 +280,7 @@
 func (d *Directory) Listing() []Entry {
 	out := make([]Entry, 0, len(d.entries))
 	for id, current := range d.entries {
-		e := Entry{ID: id, Offset: current.offset, Server: current.server}
+		e := Entry{ID: id, At: current.at, Server: current.server}
 		if e.Server == nil || current.removeAt != 0 {
 			e.Server, e.Removed = nil, true
 		}
