--- a/internal/storemirror/history_test.go
+++ b/internal/storemirror/history_test.go
@@ -191,6 +191,28 @@
 	require.True(t, r.servers[1]["s0"].Draining)
 }
 
+// Servers that the store's copy lacks, since they registered after it, stay in use until they have had the
+// time to register again.
+func TestServersThatTheCopyLacksStayInUse(t *testing.T) {
+	for _, teller := range []int{-1, 0} {
+		w := newWorld(3, 2)
+		w.teller = teller
+		require.NoError(t, w.run(4*time.Second, w.checkLeft))
+		w.startServer("new")
+		require.NoError(t, w.run(time.Second, w.checkLeft))
+		w.goBack(1500*time.Millisecond, 100*time.Millisecond)
+		w.servers[2].nextBeat = w.store.awayUntil + heartbeat
+		require.NoError(t, w.run(4*time.Second, func() error {
+			for i, p := range w.instances {
+				if p.used["new"] == nil {
+					return fmt.Errorf("instance %d doesn't use it after %v", i, w.now-w.store.disturbedUntil)
+				}
+			}
+			return nil
+		}), "teller %d", teller)
+	}
+}
+
 // The store's era never falls, unless somebody replaces the store. Servers that leave then are left, too.
 func TestStoreOfALowerEra(t *testing.T) {
 	w := newWorld(3, 2)
--- a/internal/storemirror/mirror.go
+++ b/internal/storemirror/mirror.go
@@ -441,7 +441,7 @@
 	}
 	fresh := m.listRead
 	fresh.told(known.At, n.Held, n.ListAge)
-	m.list.applyTold(n.Entries, n.Complete, m.end, gap{m.listRead.knownAt, fresh.knownAt, m.listKnown && n.ListEnd.Era != m.end.Era}, change)
+	m.list.applyTold(n.Entries, n.Complete, gap{m.listRead.knownAt, fresh.knownAt, m.listKnown && n.ListEnd.Era != m.end.Era}, change)
 	m.bulletin.Update(m.list.listing())
 	if m.bulletin.Edition().Digest != n.List.Digest {
 		m.told, m.differs, m.checkDue = fleet.Edition{}, true, true
--- a/internal/storemirror/serverlist.go
+++ b/internal/storemirror/serverlist.go
@@ -1,7 +1,6 @@
 package storemirror
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -96,16 +95,13 @@
 }
 
 // applyTold applies entries that another instance has read. If complete is true, they are all usable
-// servers up to the end that the change names. known is the position up to which this instance knows the
-// list, and gap how long it didn't before.
-func (l *serverList) applyTold(entries []fleet.Entry, complete bool, known fleet.Position, gap gap, change Change) {
+// servers up to the end that the change names. gap is how long the list wasn't known before.
+func (l *serverList) applyTold(entries []fleet.Entry, complete bool, gap gap, change Change) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
 	outage := l.recovered(now, gap)
 	changed := false
-	// A server that isn't known, with an entry before that position, has been removed since.
-	entries = slices.DeleteFunc(entries, func(e fleet.Entry) bool { return e.At.Before(known) && !l.directory.Has(e.ID) })
 	if complete {
 		changed = l.directory.Replace(now, fleet.Listing{Entries: entries, End: change.ListEnd})
 	} else {
--- a/internal/storemirror/serverlist_test.go
+++ b/internal/storemirror/serverlist_test.go
@@ -48,9 +48,23 @@
 	r.sleep(9 * time.Second)
 	list.readFailed(r.now)
 	told := Change{Source: SourceInstance, Teller: "other", ListEnd: fleet.Position{Offset: 3}, Age: time.Second}
-	list.applyTold([]fleet.Entry{{ID: "s", At: fleet.Position{Offset: 2}, Removed: true}}, false, fleet.Position{Offset: 2}, gap{from: r.now - 9*time.Second, to: r.now}, told)
+	list.applyTold([]fleet.Entry{{ID: "s", At: fleet.Position{Offset: 2}, Removed: true}}, false, gap{from: r.now - 9*time.Second, to: r.now}, told)
 	assert.Equal(t, []Deferral{{Change: told, Servers: []fleet.ServerID{"s"}, Outage: 8 * time.Second, For: fleet.MissingGrace}}, deferrals)
 	r.sleep(fleet.MissingGrace)
 	told.Source, told.Age = SourceExpiry, time.Second+fleet.MissingGrace
 	assert.Equal(t, told, changes[len(changes)-1])
 }
+
+// Nothing shows that the store was away if no read failed since the list was last known.
+func TestNoDeferralWithoutAFailedRead(t *testing.T) {
+	r := newReplay(0)
+	servers := 0
+	list := newReplayedList(r, func(s map[fleet.ServerID]*fleet.Server, _ Change) { servers = len(s) })
+	list.withdrawWithin = 20 * time.Second
+	entry := fleet.Entry{ID: "s", At: fleet.Position{Offset: 1}, Server: &fleet.Server{ID: "s", Sequence: 1}}
+	list.apply(platform.ServerListBatch{Entries: []fleet.Entry{entry}, Complete: true}, gap{})
+	list.readFailed(r.now)
+	r.sleep(9 * time.Second)
+	list.applyTold([]fleet.Entry{{ID: "s", At: fleet.Position{Offset: 2}, Removed: true}}, false, gap{from: r.now - 8*time.Second, to: r.now}, Change{})
+	assert.Zero(t, servers)
+}
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -185,9 +185,6 @@
 	}
 }
 
-// Has reports whether a server is or was listed.
-func (d *Directory) Has(id ServerID) bool { return d.entries[id] != nil }
-
 // ApplyReport applies a report whose place in the list isn't known, and reports whether the set of
 // usable servers changed. It counts only if it is newer than that of a server that is listed.
 func (d *Directory) ApplyReport(s *Server) bool {
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -159,3 +159,26 @@
 		}
 	})
 }
+
+// The store came back from an older copy, which lists a server that was removed since. What the copy says
+// doesn't bring it back; what the server writes afterwards does.
+func TestCopyDoesNotRestoreARemovedServer(t *testing.T) {
+	at := func(era, offset int64) fleet.Position { return fleet.Position{Era: era, Offset: offset} }
+	d := fleet.NewDirectory()
+	d.Apply(start, fleet.Entry{ID: "s", At: at(1, 50), Server: server(1, 4)})
+	d.Apply(start, fleet.Entry{ID: "s", At: at(1, 90), Removed: true})
+	copied := fleet.Entry{ID: "s", At: at(2, 80), Server: server(1, 7)}
+	d.Replace(start, fleet.Listing{Entries: []fleet.Entry{copied}, End: at(2, 81)})
+	assert.Empty(t, d.Servers())
+	d.Apply(start, copied)
+	assert.Empty(t, d.Servers(), "read or told again")
+	d.Apply(start, fleet.Entry{ID: "s", At: at(2, 85), Server: server(1, 8)})
+	assert.Len(t, d.Servers(), 1)
+
+	d.Replace(start, fleet.Listing{End: at(3, 70)})
+	assert.Empty(t, d.Servers())
+	d.Apply(start, fleet.Entry{ID: "s", At: at(3, 60), Server: server(1, 9)})
+	assert.Empty(t, d.Servers(), "it was removed by the end of the list")
+	d.Apply(start, fleet.Entry{ID: "s", At: at(3, 71), Server: server(1, 9)})
+	assert.Len(t, d.Servers(), 1, "the copy lacked it, so that its next report is a new one")
+}
