--- a/internal/placer/compat_test.go
+++ b/internal/placer/compat_test.go
@@ -20,6 +20,7 @@
 	"github.com/cyclamenhoist/cyclamenhoist/internal/storemirror"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
+	"github.com/cyclamenhoist/cyclamenhoist/platform"
 	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
 )
 
@@ -82,6 +83,29 @@
 	assert.Empty(t, reply.Peers, "they are known")
 }
 
+// A build that knows the server list by its offset alone is told nothing of it that it would rely on.
+func TestListIsNotToldByOffset(t *testing.T) {
+	c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0", OnDisk: []string{"a"}})
+	i := c.start("i0")
+	c.eventually("it holds the lease", i.elector.placing)
+	i.mirror.ListRead(platform.ServerListBatch{
+		Entries: []fleet.Entry{{ID: "s", At: fleet.Position{Era: 2, Offset: 7}, Server: &fleet.Server{ID: "s"}}},
+		Next:    8, Era: 2, Complete: true, AtEnd: true, CurrentSince: bootclock.Now(),
+	})
+	placement, err := (&service{placer: i.Placer}).Watch(t.Context(), &placerpb.WatchRequest{Store: true, ListEnd: 3})
+	require.NoError(t, err)
+	told := placement.Store
+	assert.Empty(t, told.Servers)
+	assert.Equal(t, int64(3), told.ListEnd)
+	assert.Greater(t, time.Duration(told.ListAgeMs)*time.Millisecond, 24*time.Hour, "it reads the list itself")
+
+	placement, err = (&service{placer: i.Placer}).Watch(t.Context(), &placerpb.WatchRequest{Store: true, Editions: true})
+	require.NoError(t, err)
+	assert.Len(t, placement.Store.Servers, 1)
+	assert.True(t, placement.Store.Complete)
+	assert.Equal(t, fleet.Position{Era: 2, Offset: 8}, decodeNews(placement.Store).ListEnd)
+}
+
 // An entry of the server list is the same after it was told.
 func TestNewsIsDecodedAsTold(t *testing.T) {
 	news := storemirror.News{
