Don't let a report that was written late bring a removed server back at told instances

Instances used servers again that had left, for as long as their entries stayed in the list (a report of a server can be written after its removal). An instance that is told of the list doesn't read the reports in which nothing changes, so that such a report was newer than the last one that it knew.

A removed server whose last report isn't known for certain counts again with its second report. With a removal its last report is told, and of a server that is back that the teller found it so. A report that repeats the last one no longer ends the deferral of a removal.

TestLateReportDoesNotRestoreARemovedServer fails without it.

--- a/internal/placer/storenews.go
+++ b/internal/placer/storenews.go
@@ -21,7 +21,10 @@
 		ConfirmedMs: min(milliseconds(n.ConfirmationAge), math.MaxUint32-1) + 1, Bulletin: n.List.ID, Revision: n.List.Revision, ListDigest: n.List.Digest,
 	}
 	for _, e := range n.Entries {
-		listed := &placerpb.ListedServer{Id: string(e.ID), Era: e.At.Era, Offset: e.At.Offset, Removed: e.Removed}
+		listed := &placerpb.ListedServer{Id: string(e.ID), Era: e.At.Era, Offset: e.At.Offset, Removed: e.Removed, Restored: e.Restored}
+		if e.Removed {
+			listed.Born, listed.Sequence, listed.Exact = e.LastReport.StartedAt, e.LastReport.Sequence, e.LastReport.Exact
+		}
 		if s := e.Server; s != nil {
 			listed.Service, listed.Address, listed.Zone, listed.Version = s.Service, s.Address, s.Zone, s.Version
 			listed.Born, listed.Sequence, listed.Slots = s.StartedAt, s.Sequence, int32(s.Slots)
@@ -45,8 +48,10 @@
 		out.ConfirmationAge = time.Duration(n.ConfirmedMs-1) * time.Millisecond
 	}
 	for _, listed := range n.Servers {
-		e := fleet.Entry{ID: fleet.ServerID(listed.Id), At: fleet.Position{Era: listed.Era, Offset: listed.Offset}, Removed: listed.Removed}
-		if !listed.Removed {
+		e := fleet.Entry{ID: fleet.ServerID(listed.Id), At: fleet.Position{Era: listed.Era, Offset: listed.Offset}, Removed: listed.Removed, Restored: listed.Restored}
+		if listed.Removed {
+			e.LastReport = fleet.LastReport{StartedAt: listed.Born, Sequence: listed.Sequence, Exact: listed.Exact}
+		} else {
 			e.Server = &fleet.Server{
 				ID: e.ID, Service: listed.Service, Address: listed.Address, Zone: listed.Zone, Version: listed.Version,
 				StartedAt: listed.Born, Sequence: listed.Sequence, Slots: max(int(listed.Slots), 0),
--- a/internal/storemirror/serverlist.go
+++ b/internal/storemirror/serverlist.go
@@ -109,6 +109,7 @@
 			changed = l.directory.Apply(now, entry) || changed
 		}
 	}
+	l.directory.ReportsSkipped()
 	l.reportDeferred(now, change, outage)
 	if changed || l.directory.NextExpiry() != 0 {
 		l.expire(now, changed, change)
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -76,6 +76,18 @@
 	Server *Server
 	// Removed distinguishes a removal from a record that can't be decoded.
 	Removed bool
+	// LastReport is the last report of a server that is told to be removed.
+	LastReport LastReport
+	// Restored means that whoever tells of the server has found that it was removed, and was running
+	// afterwards.
+	Restored bool
+}
+
+// LastReport identifies the newest report of a server that is known.
+type LastReport struct {
+	StartedAt, Sequence int64
+	// Exact means that no later report of the server was written before its removal.
+	Exact bool
 }
 
 // Listing is a complete server list.
@@ -100,6 +112,10 @@
 	// lastReport is the newest report, retained after the entry is removed, so that an older
 	// report that is written again doesn't restore the server.
 	lastReport *Server
+	// restored is as in Entry.
+	restored bool
+	// exact means that every report of the server before the current position has been read.
+	exact bool
 	// removeAt is when a deferred removal takes effect; 0 if none is pending.
 	removeAt time.Duration
 }
@@ -148,6 +164,7 @@
 			return false
 		}
 		current.at = e.At
+		current.learnLast(e.LastReport)
 		return d.remove(now, e.ID, current)
 	case e.Server == nil:
 		if !known {
@@ -158,25 +175,48 @@
 		current.server = nil
 		return changed
 	case !known:
-		d.entries[e.ID] = &directoryEntry{at: e.At, server: e.Server, lastReport: e.Server}
+		d.entries[e.ID] = &directoryEntry{at: e.At, server: e.Server, lastReport: e.Server, exact: true}
 		return true
-	case current.server == nil && e.At.Era > current.at.Era:
-		// The report can be older than the removal, which the store's copy lacks. If the server is
-		// running, it soon writes a newer one.
-		current.at = e.At
+	case current.isGone() && !e.Restored && (e.At.Era > current.at.Era || !current.exact):
+		// The report can be older than the removal: the store's copy lacks that, or the report was
+		// written late, and is newer than the last one that is known. If the server is running, it
+		// soon writes another one.
+		current.at, current.exact = e.At, true
 		if olderThan(current.lastReport, e.Server) {
 			current.lastReport = e.Server
 		}
 		return false
 	}
 	current.at = e.At
-	if olderThan(e.Server, current.lastReport) || current.server == nil && !olderThan(current.lastReport, e.Server) {
+	if olderThan(e.Server, current.lastReport) || current.isGone() && !olderThan(current.lastReport, e.Server) {
 		return false
 	}
-	current.server, current.lastReport, current.removeAt = e.Server, e.Server, 0
+	current.restored = current.restored || current.isGone()
+	current.server, current.lastReport, current.exact, current.removeAt = e.Server, e.Server, true, 0
 	return true
 }
 
+// isGone reports whether the list has removed the server, also if that is deferred.
+func (c *directoryEntry) isGone() bool { return c.server == nil || c.removeAt != 0 }
+
+// learnLast applies what another instance knows of a removed server's last report.
+func (c *directoryEntry) learnLast(last LastReport) {
+	if report := (&Server{StartedAt: last.StartedAt, Sequence: last.Sequence}); olderThan(c.lastReport, report) {
+		c.lastReport = report
+	}
+	c.exact = c.exact || last.Exact
+}
+
+// ReportsSkipped records that servers may have written further reports of the same content, which
+// weren't read because the list is told.
+func (d *Directory) ReportsSkipped() {
+	for _, current := range d.entries {
+		if !current.isGone() {
+			current.exact = false
+		}
+	}
+}
+
 // ForgetPositions lets entries of any position count, because the store's history has been replaced by
 // one of a lower era. Reports are still ordered among themselves.
 func (d *Directory) ForgetPositions() {
@@ -280,6 +320,9 @@
 		e := Entry{ID: id, At: current.at, Server: current.server}
 		if e.Server == nil || current.removeAt != 0 {
 			e.Server, e.Removed = nil, true
+			e.LastReport = LastReport{StartedAt: current.lastReport.StartedAt, Sequence: current.lastReport.Sequence, Exact: current.exact}
+		} else {
+			e.Restored = current.restored
 		}
 		out = append(out, e)
 	}
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -182,3 +182,29 @@
 	d.Apply(start, fleet.Entry{ID: "s", At: at(3, 71), Server: server(1, 9)})
 	assert.Len(t, d.Servers(), 1, "the copy lacked it, so that its next report is a new one")
 }
+
+// A told instance doesn't read the reports in which nothing changes. One of them that was written after the
+// server's removal brought it back.
+func TestLateReportDoesNotRestoreARemovedServer(t *testing.T) {
+	put := func(offset, sequence int64) fleet.Entry {
+		return fleet.Entry{ID: "s", At: fleet.Position{Offset: offset}, Server: server(1, sequence)}
+	}
+	for _, told := range []bool{false, true} {
+		d := fleet.NewDirectory()
+		d.Apply(start, put(1, 1))
+		d.ReportsSkipped()
+		removed := fleet.Entry{ID: "s", At: fleet.Position{Offset: 9}, Removed: true}
+		if told {
+			removed.LastReport = fleet.LastReport{StartedAt: 1, Sequence: 7, Exact: true}
+		}
+		d.Apply(start, removed)
+		d.Apply(start, put(10, 6))
+		assert.Empty(t, d.Servers(), "told: %v", told)
+		if !told {
+			d.Apply(start, put(11, 6))
+			assert.Empty(t, d.Servers(), "the same report")
+		}
+		d.Apply(start, put(12, 8))
+		assert.Len(t, d.Servers(), 1, "told: %v", told)
+	}
+}
