--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -177,7 +177,7 @@
 	case !known:
 		d.entries[e.ID] = &directoryEntry{at: e.At, server: e.Server, lastReport: e.Server, exact: true}
 		return true
-	case current.isGone() && !e.Restored && (e.At.Era > current.at.Era || !current.exact):
+	case current.isGone() && !e.Restored && (e.At.Era > current.at.Era || !current.exact && e.Server.StartedAt == current.lastReport.StartedAt):
 		// The report can be older than the removal: the store's copy lacks that, or the report was
 		// written late, and is newer than the last one that is known. If the server is running, it
 		// soon writes another one.
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -206,5 +206,10 @@
 		}
 		d.Apply(start, put(12, 8))
 		assert.Len(t, d.Servers(), 1, "told: %v", told)
+
+		d.ReportsSkipped()
+		d.Apply(start, fleet.Entry{ID: "s", At: fleet.Position{Offset: 13}, Removed: true})
+		d.Apply(start, fleet.Entry{ID: "s", At: fleet.Position{Offset: 14}, Server: server(2, 1)})
+		assert.Len(t, d.Servers(), 1, "it has started again")
 	}
 }
