--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -213,3 +213,26 @@
 		assert.Len(t, d.Servers(), 1, "it has started again")
 	}
 }
+
+// A report that repeats the last one doesn't end the deferral of a removal, and a teller that has found the
+// server running again is believed.
+func TestDeferredRemovalEndsWithANewerReport(t *testing.T) {
+	put := func(offset, sequence int64) fleet.Entry {
+		return fleet.Entry{ID: "s", At: fleet.Position{Offset: offset}, Server: server(1, sequence)}
+	}
+	d := fleet.NewDirectory()
+	d.Apply(start, put(1, 4))
+	d.ListRecovered(start, start+time.Hour, time.Minute)
+	d.Apply(start, fleet.Entry{ID: "s", At: fleet.Position{Offset: 2}, Removed: true})
+	d.Apply(start, put(3, 4))
+	assert.True(t, d.Expire(start+fleet.MissingGrace))
+	assert.Empty(t, d.Servers())
+
+	d.Apply(start, put(4, 5))
+	d.ReportsSkipped()
+	d.Apply(start+time.Minute, fleet.Entry{ID: "s", At: fleet.Position{Offset: 5}, Removed: true})
+	back := put(6, 8)
+	back.Restored = true
+	d.Apply(start+time.Minute, back)
+	assert.Len(t, d.Servers(), 1)
+}
