Drop a field of the server list's batches that nothing reads any more

Since the outage is counted from when the list was last known, and from the start of failed reads, not from whether the read before had failed. No logic is changed.

--- a/internal/storemirror/manifest_test.go
+++ b/internal/storemirror/manifest_test.go
@@ -107,7 +107,7 @@
 			r.mirrors[1].ListReadFailed(r.now)
 		}
 		r.mirrors[0].ListRead(platform.ServerListBatch{
-			Entries: r.log[1:], Next: int64(len(r.log)), AtEnd: true, CurrentSince: r.now, Recovered: true,
+			Entries: r.log[1:], Next: int64(len(r.log)), AtEnd: true, CurrentSince: r.now,
 		})
 		assert.Contains(t, r.listed(0), fleet.ServerID("s0"), "its entry may have expired during the outage")
 		r.tell(1, 0)
--- a/internal/storemirror/serverlist_test.go
+++ b/internal/storemirror/serverlist_test.go
@@ -29,7 +29,7 @@
 	list.apply(platform.ServerListBatch{Entries: []fleet.Entry{entry}, Complete: true}, gap{})
 	r.sleep(9 * time.Second)
 	list.readFailed(r.now)
-	list.apply(platform.ServerListBatch{Entries: []fleet.Entry{{ID: "s", At: fleet.Position{Offset: 2}, Removed: true}}, Recovered: true}, gap{from: r.now - 9*time.Second, to: r.now})
+	list.apply(platform.ServerListBatch{Entries: []fleet.Entry{{ID: "s", At: fleet.Position{Offset: 2}, Removed: true}}}, gap{from: r.now - 9*time.Second, to: r.now})
 	assert.Equal(t, 1, servers, "it may come back")
 	r.sleep(fleet.MissingGrace)
 	assert.Zero(t, servers)
--- a/internal/storemirror/world_test.go
+++ b/internal/storemirror/world_test.go
@@ -369,7 +369,7 @@
 		p.poll = &worldPoll{started: w.now, at: platform.Cursor{Era: poll.at.Era, Next: -1}, end: int64(len(w.store.log))}
 		return
 	}
-	b.Recovered, b.CurrentSince = p.recovered, poll.started
+	b.CurrentSince = poll.started
 	if len(b.Entries) == 0 {
 		b.CurrentSince += poll.wait
 	}
