--- a/review/_lab/client.go
+++ b/review/_lab/client.go
@@ -21,6 +21,11 @@
 	body   string
 	err    error
 	signed bool
+	// instance is where the request was sent, and server the runner that answered. headAt is when the head
+	// of the answer came, and limited means that it names a limit.
+	instance, server string
+	headAt           time.Time
+	limited          bool
 }
 
 // served reports whether the client got a complete success.
@@ -62,7 +67,7 @@
 }
 
 func (c *client) exchange(to *instance, id string, q request) reply {
-	r := reply{id: id, model: q.model, sent: time.Now()}
+	r := reply{id: id, model: q.model, sent: time.Now(), instance: to.name}
 	defer func() { r.took = time.Since(r.sent) }()
 	ctx, cancel := context.WithTimeout(context.Background(), q.limit)
 	defer cancel()
@@ -82,6 +87,7 @@
 		return r
 	}
 	defer func() { _ = resp.Body.Close() }()
+	r.headAt, r.server, r.limited = time.Now(), resp.Header.Get("Cyclamenhoist-Instance-Id"), resp.Header.Get("Server-Limit") != ""
 	body, err := io.ReadAll(resp.Body)
 	r.status, r.body, r.err, r.signed = resp.StatusCode, string(body), err, resp.Header.Get("Cyclamenhoist-Response-Signature") != ""
 	r.took = time.Since(r.sent)
--- a/review/_lab/instance.go
+++ b/review/_lab/instance.go
@@ -167,12 +167,28 @@
 	return l
 }
 
+// The ports of instances lie below those that the kernel gives to outgoing connections, which could
+// take one before the instance listens on it. Each process of this program has a range of its own, so
+// that the ports of a stopped instance stay free.
+const (
+	firstPort  = 15_000
+	portRange  = 60
+	portRanges = 280
+)
+
+var nextPort = firstPort + portRange*(os.Getpid()%portRanges)
+
 func freePorts(n int) []string {
 	var out []string
-	for range n {
-		l := listenLoopback()
-		defer func() { _ = l.Close() }()
-		out = append(out, l.Addr().String())
+	for len(out) < n {
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		nextPort++
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		check(l.Close())
+		out = append(out, address)
 	}
 	return out
 }
--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -9,6 +9,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"time"
 )
@@ -24,6 +25,8 @@
 	trouble   bool
 	stop      chan struct{}
 
+	runnersMu sync.Mutex
+
 	leaseMu     sync.Mutex
 	leaseHolder string
 	// claimed gets the next holder that isn't claimedNot.
@@ -84,7 +87,7 @@
 
 // keepRegistered lets the runners write their entries.
 func (d *deployment) keepRegistered() {
-	for _, r := range d.runners {
+	for _, r := range d.listRunners() {
 		r.register(d.store)
 	}
 	go func() {
@@ -93,10 +96,28 @@
 			case <-d.stop:
 				return
 			case <-time.After(heartbeat):
-				for _, r := range d.runners {
+				for _, r := range d.listRunners() {
 					r.register(d.store)
 				}
 			}
 		}
 	}()
 }
+
+func (d *deployment) listRunners() []*runner {
+	d.runnersMu.Lock()
+	defer d.runnersMu.Unlock()
+	return slices.Clone(d.runners)
+}
+
+func (d *deployment) addRunner(r *runner) {
+	d.runnersMu.Lock()
+	defer d.runnersMu.Unlock()
+	d.runners = append(d.runners, r)
+}
+
+func (d *deployment) removeRunner(gone *runner) {
+	d.runnersMu.Lock()
+	defer d.runnersMu.Unlock()
+	d.runners = slices.DeleteFunc(d.runners, func(r *runner) bool { return r == gone })
+}
--- a/review/_lab/runner.go
+++ b/review/_lab/runner.go
@@ -11,8 +11,16 @@
 	"time"
 )
 
-// heartbeat is the interval at which a runner writes its entry.
-const heartbeat = 1200 * time.Millisecond
+const (
+	// contact is the bound contactMs.
+	contact = 3 * time.Second
+	// heartbeat is the interval at which a runner writes its entry, and expiry how long the store waits for
+	// a silent runner.
+	heartbeat = 1200 * time.Millisecond
+	expiry    = 3 * heartbeat
+	// backAfter is how long a runner that has crashed is away.
+	backAfter = 2500 * time.Millisecond
+)
 
 // runnerConfig describes a runner.
 type runnerConfig struct {
@@ -26,8 +34,14 @@
 	// events and pause are the number of events of a stream and the time before each.
 	events int
 	pause  time.Duration
+	// first is the time before the first event, in place of pause.
+	first time.Duration
+	// header is in all answers.
+	header http.Header
 	// work is how long a request to a plain service takes.
 	work time.Duration
+	// admit decides in place of slots whether a request runs.
+	admit func(w http.ResponseWriter) bool
 	// respond replaces the answer to a request that runs.
 	respond func(w http.ResponseWriter, r *http.Request, run *run)
 }
@@ -53,6 +67,8 @@
 	rec  *recorder
 	addr string
 
+	server *http.Server
+
 	mu       sync.Mutex
 	models   map[string]bool
 	running  map[string]int
@@ -62,6 +78,9 @@
 	orders   []orderCall
 	runs     []run
 	inWork   int
+	arrivals []arrival
+	// cut means that the runner has lost its path to the store.
+	cut bool
 	// overloaded counts orders beyond the memory.
 	overloaded int
 }
@@ -73,10 +92,17 @@
 	}
 	listener := listenLoopback()
 	r.addr = listener.Addr().String()
-	go func() { _ = http.Serve(listener, http.HandlerFunc(r.handle)) }()
+	r.server = &http.Server{Handler: http.HandlerFunc(r.handle)}
+	go func() { _ = r.server.Serve(listener) }()
 	return r
 }
 
+// crash ends the runner: nothing listens any more, and all channels end.
+func (r *runner) crash() {
+	r.rec.printf("%s crashes", r.cfg.id)
+	_ = r.server.Close()
+}
+
 // residents returns what the runner holds. The caller holds the lock.
 func (r *runner) residents() []map[string]any {
 	names := []string{}
@@ -95,9 +121,26 @@
 	return map[string]any{"inMemory": []string{}, "onDisk": allModels}
 }
 
+// arrival is a request that reached a runner.
+type arrival struct {
+	at time.Time
+	id string
+}
+
+// setCut cuts the runner's path to the store, or heals it.
+func (r *runner) setCut(cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = cut
+}
+
 // register writes the entry of the runner, as it does every heartbeat.
 func (r *runner) register(s *store) {
 	r.mu.Lock()
+	if r.cut {
+		r.mu.Unlock()
+		return
+	}
 	r.entrySeq++
 	entry := map[string]any{
 		"service": r.cfg.service, "address": r.addr, "zone": r.cfg.zone, "version": "v1", "slotCount": r.cfg.slots,
@@ -208,15 +251,19 @@
 	id := req.Header.Get("Cyclamenhoist-Attempt-Id")
 	model, _, _ := strings.Cut(req.Header.Get("Cyclamenhoist-Model"), "/")
 	header := w.Header()
+	for name, values := range r.cfg.header {
+		header[name] = values
+	}
 	header.Set("Cyclamenhoist-Attempt-Id", id)
+	header.Set("Cyclamenhoist-Instance-Id", r.cfg.id)
 	r.mu.Lock()
+	r.arrivals = append(r.arrivals, arrival{time.Now(), id})
 	if r.cfg.room > 0 && !r.models[model] {
 		r.mu.Unlock()
-		header.Set("Cyclamenhoist-Instance-Id", r.cfg.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if r.inWork >= r.cfg.slots {
+	if r.cfg.admit == nil && r.inWork >= r.cfg.slots || r.cfg.admit != nil && !r.cfg.admit(w) {
 		r.mu.Unlock()
 		header.Set("Cyclamenhoist-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -226,7 +273,9 @@
 	r.runs = append(r.runs, this)
 	r.inWork++
 	r.running[model]++
-	header.Set("Cyclamenhoist-Runner-Load", fmt.Sprintf("%d,0,%d", r.inWork, r.cfg.slots))
+	if r.cfg.admit == nil {
+		header.Set("Cyclamenhoist-Runner-Load", fmt.Sprintf("%d,0,%d", r.inWork, r.cfg.slots))
+	}
 	r.mu.Unlock()
 	r.rec.run(this)
 	defer func() {
@@ -254,7 +303,11 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(w)
 	for i := after + 1; i <= r.cfg.events; i++ {
-		if !sleepOrGone(req, r.cfg.pause) {
+		wait := r.cfg.pause
+		if i == after+1 && r.cfg.first > 0 {
+			wait = r.cfg.first
+		}
+		if !sleepOrGone(req, wait) {
 			panic(http.ErrAbortHandler)
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
--- a/review/_lab/store.go
+++ b/review/_lab/store.go
@@ -19,10 +19,12 @@
 	rec  *recorder
 	addr string
 
-	mu      sync.Mutex
-	topics  map[string]*topic
-	era     int
-	down    bool
+	mu     sync.Mutex
+	topics map[string]*topic
+	era    int
+	down   bool
+	// silent means that calls get no answer while the store is down; else their channels are reset.
+	silent  bool
 	changed chan struct{}
 	// onAppend is called with each record that is appended by a caller.
 	onAppend func(topic string, offset int, key string, value []byte)
@@ -48,7 +50,7 @@
 			down, era := s.down, s.era
 			s.mu.Unlock()
 			if down {
-				closeConn(w)
+				s.noAnswer(w, r)
 				return
 			}
 			w.Header().Set("Store-Era", strconv.Itoa(era))
@@ -58,6 +60,15 @@
 	return s
 }
 
+// noAnswer leaves a call without an answer, as long as its caller waits or until the channel ends.
+func (s *store) noAnswer(w http.ResponseWriter, r *http.Request) {
+	if s.silent {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}
+	closeConn(w)
+}
+
 // closeConn ends a channel without an answer.
 func closeConn(w http.ResponseWriter) {
 	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
