--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/cyclamenhoist ] && [ -x target/review/lab ] || exit 2
-TROUBLE="${TROUBLE:-1}" exec target/review/lab recover-after-outage "$here/record.txt"
+TROUBLE="${TROUBLE:-1}" exec target/review/lab added-after-outage "$here/record.txt"
--- a/review/_lab/client.go
+++ b/review/_lab/client.go
@@ -13,9 +13,9 @@
 
 // reply is how one request ended.
 type reply struct {
-	id, model string
-	sent      time.Time
-	took      time.Duration
+	id, model, path string
+	sent            time.Time
+	took            time.Duration
 	// status is 0 if no answer came.
 	status int
 	body   string
@@ -67,7 +67,7 @@
 }
 
 func (c *client) exchange(to *instance, id string, q request) reply {
-	r := reply{id: id, model: q.model, sent: time.Now(), instance: to.name}
+	r := reply{id: id, model: q.model, path: q.path, sent: time.Now(), instance: to.name}
 	defer func() { r.took = time.Since(r.sent) }()
 	ctx, cancel := context.WithTimeout(context.Background(), q.limit)
 	defer cancel()
--- a/review/_lab/drill.go
+++ b/review/_lab/drill.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"syscall"
 	"time"
 )
 
@@ -15,7 +14,6 @@
 
 func init() {
 	cases["epoch-after-drill"] = epochAfterDrill
-	cases["recover-after-outage"] = recoverAfterOutage
 }
 
 // build starts the store's records, the runners and the instances.
@@ -115,75 +113,6 @@
 	drillAfterClaim = 100 * time.Millisecond
 )
 
-// recoverAfterOutage: the store is away for a few seconds, some time after a planned restart of a machine
-// that doesn't hold the lease.
-func recoverAfterOutage(d *deployment) bool {
-	d.store.silent = true
-	d.build(6, false)
-	time.Sleep(5 * time.Second)
-	holder := d.holder()
-	for _, i := range d.instances {
-		if i != holder {
-			i.signal(syscall.SIGTERM)
-			i.wait()
-			i.start()
-			i.awaitReady(20 * time.Second)
-			break
-		}
-	}
-	return d.recoverBroken(func() {
-		d.say("the store goes away")
-		d.store.setDown(true)
-		time.Sleep(outage)
-		d.store.setDown(false)
-		d.say("the store is back")
-	})
-}
-
-// outage is how long the store is away.
-const outage = 4500 * time.Millisecond
-
-// recoverBroken plays traffic with a fault, and checks the rule RECOVER from the store's return on.
-func (d *deployment) recoverBroken(fault func()) bool {
-	const faultAfter, recoverS, traffic = 20 * time.Second, 12 * time.Second, 62 * time.Second
-	began := time.Now()
-	go d.traffic(began.Add(traffic))
-	time.Sleep(faultAfter)
-	down := time.Now()
-	if d.trouble {
-		fault()
-	} else {
-		time.Sleep(outage)
-	}
-	back := time.Now()
-	time.Sleep(time.Until(began.Add(traffic)))
-	var before, after, servedBefore, servedAfter int
-	for _, r := range d.client.all() {
-		switch {
-		case r.sent.Before(down):
-			before++
-			if r.served() {
-				servedBefore++
-			}
-		case r.sent.After(back.Add(recoverS)):
-			after++
-			if r.served() {
-				servedAfter++
-			}
-		}
-	}
-	d.say("before the store went away %d of %d requests were served; of those sent later than %d s after it was back, %d of %d", servedBefore, before, recoverS/time.Second, servedAfter, after)
-	d.say("the system has written %d records of its lease", d.store.end(leaseTopic))
-	if before == 0 || after == 0 || 4*servedBefore < before {
-		unusable("too few requests were served before the store went away")
-	}
-	if 4*servedAfter < after {
-		d.say("RECOVER: less than a quarter is served")
-		return true
-	}
-	return false
-}
-
 // holder returns the instance that wrote the last record of the lease.
 func (d *deployment) holder() *instance {
 	d.leaseMu.Lock()
--- a/review/_lab/manifest.go
+++ b/review/_lab/manifest.go
@@ -10,6 +10,7 @@
 	modelPath  = "/lohu930/"
 	unsafePath = "/puxa403/"
 	safePath   = "/cufi504/"
+	addedPath  = "/added77/"
 	modelCount = 24
 )
 
@@ -22,19 +23,23 @@
 	return out
 }()
 
-// manifest returns a manifest like that of the site's wire examples.
-func manifest(version int) map[string]any {
+// manifest returns a manifest like that of the site's wire examples, with further routes for models.
+func manifest(version int, added ...string) map[string]any {
 	models := []any{}
 	for _, name := range allModels {
 		models = append(models, map[string]any{"name": name, "weightsMb": 72700.0, "loadS": 6.0, "adapters": 0, "adapterMb": 66.0, "warmupS": 0.4, "diskS": 0.76})
 	}
+	routes := []any{
+		modelRoute("r-model", modelPath),
+		map[string]any{"name": "r-unsafe", "host": host, "pathPrefix": unsafePath, "kind": "unsafe", "timeoutMs": 1500, "targetLatencyMs": 300, "priority": 2, "service": plainName, "maxAttempts": 1, "sticky": false, "canResume": false},
+		map[string]any{"name": "r-safe", "host": host, "pathPrefix": safePath, "kind": "safe", "timeoutMs": 1500, "targetLatencyMs": 300, "priority": 2, "service": plainName, "maxAttempts": 2, "sticky": false, "canResume": false},
+	}
+	for n, path := range added {
+		routes = append(routes, modelRoute(fmt.Sprint("r-added", n), path))
+	}
 	return map[string]any{
 		"version": version,
-		"routes": []any{
-			map[string]any{"name": "r-model", "host": host, "pathPrefix": modelPath, "kind": "streaming", "timeoutMs": 6000, "targetLatencyMs": 800, "priority": 1, "service": engineName, "maxAttempts": 2, "sticky": true, "canResume": true, "gapTargetMs": 400},
-			map[string]any{"name": "r-unsafe", "host": host, "pathPrefix": unsafePath, "kind": "unsafe", "timeoutMs": 1500, "targetLatencyMs": 300, "priority": 2, "service": plainName, "maxAttempts": 1, "sticky": false, "canResume": false},
-			map[string]any{"name": "r-safe", "host": host, "pathPrefix": safePath, "kind": "safe", "timeoutMs": 1500, "targetLatencyMs": 300, "priority": 2, "service": plainName, "maxAttempts": 2, "sticky": false, "canResume": false},
-		},
+		"routes":  routes,
 		"services": []any{
 			map[string]any{"name": engineName, "healthPath": "/healthz", "maxConnections": 370, "protocol": "h1", "tls": false, "runtime": map[string]any{
 				"slotCount": 64, "kvTokens": 232000, "hostMb": 130000.0, "diskMb": 1000000.0, "models": models, "weightsMb": 200000.0, "adapterSlots": 8, "loadsPerS": 2.1,
@@ -45,6 +50,10 @@
 	}
 }
 
+func modelRoute(name, path string) map[string]any {
+	return map[string]any{"name": name, "host": host, "pathPrefix": path, "kind": "streaming", "timeoutMs": 6000, "targetLatencyMs": 800, "priority": 1, "service": engineName, "maxAttempts": 2, "sticky": true, "canResume": true, "gapTargetMs": 400}
+}
+
 // bounds are those of the site.
 func bounds(requireFence bool) map[string]any {
 	return map[string]any{
