--- a/review/_lab/brittle.go
+++ b/review/_lab/brittle.go
@@ -37,6 +37,7 @@
 // brittleRunner is one incarnation.
 type brittleRunner struct {
 	service *brittleService
+	started time.Time
 	runner  *runner
 	zone    string
 
@@ -52,7 +53,7 @@
 	s.starts++
 	id := fmt.Sprintf("i-p%d", s.starts)
 	s.mu.Unlock()
-	b := &brittleRunner{service: s, zone: zone, slots: make(chan struct{}, plainSlots)}
+	b := &brittleRunner{service: s, started: time.Now(), zone: zone, slots: make(chan struct{}, plainSlots)}
 	b.runner = newRunner(s.d.rec, runnerConfig{id: id, service: plainName, zone: zone, slots: plainSlots, admit: b.admit, respond: b.respond})
 	s.d.addRunner(b.runner)
 	b.runner.register(s.d.store)
@@ -66,7 +67,7 @@
 	room := plainSlots + 24
 	if !since.IsZero() {
 		w.Header().Set("Server-Brittle", fmt.Sprint(tolerated))
-		if time.Since(since) > contact {
+		if time.Since(since) > contact && time.Since(b.started) > contact {
 			room = plainSlots + brittleQueue
 		}
 	}
