--- a/review/_lab/brittle.go
+++ b/review/_lab/brittle.go
@@ -15,13 +15,12 @@
 	tolerated    = 10
 	brittleQueue = 2
 	plainSlots   = 6
-	// plainWork is the site's 60 ms, on runners that are four times as slow as usual.
-	plainWork = 240 * time.Millisecond
+	plainWork    = 60 * time.Millisecond
 	// plainRunners is the number of runners of the plain service, and load the requests a second.
-	plainRunners = 4
+	plainRunners = 5
 	// runnerCut is how long a runner is partitioned from the store.
 	runnerCut = 5 * time.Second
-	load      = 75
+	load      = 300
 )
 
 // brittleService is a plain service whose runners are brittle from a time on.
