--- a/review/_lab/brittle.go
+++ b/review/_lab/brittle.go
@@ -12,12 +12,14 @@
 const (
 	// tolerated is the Server-Brittle that the runners name: one that turns more requests away in a second
 	// falls over. brittleQueue is how many they let wait then.
-	tolerated    = 10
+	tolerated    = 5
 	brittleQueue = 2
 	plainSlots   = 6
 	plainWork    = 60 * time.Millisecond
-	// plainRunners is the number of runners of the plain service, and load the requests a second.
-	plainRunners = 5
+	// plainRunners is the number of runners of the plain service, plainInstances that of the site's machines,
+	// and load the requests a second.
+	plainRunners   = 5
+	plainInstances = 8
 	// runnerCut is how long a runner is partitioned from the store.
 	runnerCut = 5 * time.Second
 	load      = 300
@@ -131,7 +133,7 @@
 	}
 	d.store.put("keyed.op", "config", manifest(7))
 	d.keepRegistered()
-	for n := range 6 {
+	for n := range plainInstances {
 		d.addInstance(n, zones[n%3], false)
 	}
 	for _, i := range d.instances {
