placer: log and count what the store answers to appends of the lease

Two cases of the review (two holders after a drill, nobody places models after an outage) have several possible causes that no line of the logs tells apart: none names the era of an answer, the end that a refused append reports, or whether an accepted append made its instance the holder.

tenure_history_changed, tenure_appended, the fields end and era of tenure_append_failed, self and epoch_read of tenure_heard, and the counters lease_appends, lease_appends_failed and lease_histories do.

--- a/internal/placer/elector.go
+++ b/internal/placer/elector.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/bootclock"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
@@ -47,9 +48,15 @@
 	// released is called after this instance has released the lease.
 	released func()
 
+	// appends and failedAppends count the calls that write to the topic of the lease, and histories
+	// the changes of the store's era.
+	appends, failedAppends, histories metrics.Counter
+
 	mu    sync.Mutex
 	state *leaderlease.State
 	read  bool
+	// end is the place up to which the lease was read last.
+	end platform.Cursor
 	// successors are the instances that the last holder named to follow it, in order.
 	successors []string
 	// handover is the instance to release the lease to; "" to keep it.
@@ -63,9 +70,11 @@
 	changed chan struct{}
 }
 
-func newElector(store *platform.Store, logger *log.Logger, cfg leaderlease.Config, capacity float64, known, reaches func() bool) *elector {
+func newElector(store *platform.Store, logger *log.Logger, registry metrics.Registry, cfg leaderlease.Config, capacity float64, known, reaches func() bool) *elector {
 	return &elector{
-		store: store, log: logger, self: cfg.Self, known: known, reaches: reaches, capacity: capacity, released: func() {},
+		appends: metrics.NewRegisteredCounter("lease_appends", registry), failedAppends: metrics.NewRegisteredCounter("lease_appends_failed", registry),
+		histories: metrics.NewRegisteredCounter("lease_histories", registry),
+		store:     store, log: logger, self: cfg.Self, known: known, reaches: reaches, capacity: capacity, released: func() {},
 		state: leaderlease.New(cfg), changed: make(chan struct{}, 1), readNow: make(chan struct{}, 1),
 	}
 }
@@ -131,6 +140,12 @@
 	defer e.mu.Unlock()
 	now := bootclock.Now()
 	before := e.state.Epoch()
+	if e.read && (b.Era != e.end.Era || b.Next < e.end.Next) {
+		e.histories.Inc(1)
+		e.log.Warn().Int64("era", b.Era).Int64("former_era", e.end.Era).Int64("end", b.Next).Int64("former_end", e.end.Next).
+			Bool("self", e.state.IsHolder()).Msg("tenure_history_changed")
+	}
+	e.end = platform.Cursor{Era: b.Era, Next: b.Next}
 	for _, record := range b.Records {
 		var r leaderlease.Record
 		if record.Key != leaseKey || record.Value == nil {
@@ -171,15 +186,19 @@
 		return errors.Wrap(err, "encode lease record")
 	}
 	started := bootclock.Now()
-	offset, err := e.store.AppendAt(ctx, platform.TopicLease, leaseKey, at, value)
+	e.appends.Inc(1)
+	appended, err := e.store.AppendAt(ctx, platform.TopicLease, leaseKey, at, value)
 	if err != nil {
-		e.log.Info().Err(err).Int64("at", at).Msg("tenure_append_failed")
+		e.failedAppends.Inc(1)
+		e.log.Info().Err(err).Int64("at", at).Int64("end", appended.End).Int64("era", appended.Era).Msg("tenure_append_failed")
 		signal(e.readNow)
 		return err
 	}
 	e.mu.Lock()
 	before := e.state.Epoch()
-	e.state.Appended(offset, r, started)
+	e.state.Appended(appended.Offset, r, started)
+	e.log.Debug().Int64("offset", appended.Offset).Int64("era", appended.Era).Int64("epoch", e.state.Epoch()).Bool("released", r.Released).
+		Bool("self", e.state.IsHolder()).Msg("tenure_appended")
 	e.logChange(before)
 	e.mu.Unlock()
 	if r.Released {
@@ -299,7 +318,8 @@
 	_, before, _ := e.state.Holder()
 	e.state.ObservePeer(leaderlease.Record{Holder: t.Holder, Incarnation: t.Life, Address: t.Address}, t.Epoch)
 	if r, epoch, _ := e.state.Holder(); epoch != before {
-		e.log.Info().Str("holder", r.Holder).Int64("epoch", epoch).Msg("tenure_heard")
+		e.log.Info().Str("holder", r.Holder).Int64("epoch", epoch).Int64("epoch_read", e.state.Epoch()).
+			Bool("self", r.Incarnation == e.self.Incarnation).Msg("tenure_heard")
 	}
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -102,7 +102,7 @@
 
 // New returns a Placer, which Run starts.
 func New(cfg Config, store *platform.Store, mirror *storemirror.Mirror, views *edge.Views, collector *Collector, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *Placer {
-	e := newElector(store, logger, leaderlease.Config{
+	e := newElector(store, logger, registry, leaderlease.Config{
 		Self:          leaderlease.Record{Holder: cfg.Name, Incarnation: uuid.NewString(), Address: cfg.Address},
 		LeaseDuration: cfg.Lease, Fenced: cfg.Fenced,
 	}, cfg.Capacity, views.Known, cfg.ReachesServers)
