leaderlease: epochs rise whatever a drill of the store loses

Cause: positions of one history of the store were taken for those of another. State compared offsets without their era, so that its end never went back and records of the new history counted as read; an epoch was an offset plus one, so that it could repeat or fall; the era that each answer states was dropped.

Change: a claim states its epoch in its record, one more than the highest that the claimant knows, and the first one in a history adds 2^20 for each era. Records of another era claim nothing. In a new history the holder claims anew at once while its lease runs, since nobody else can have claimed it meanwhile; the others wait for a lease duration, in which a holder that doesn't know of the new history ceases to order. An answer of another era to an append makes the next read of the lease a complete one. Without a drill, epochs beside former builds are the same as theirs.

--- a/internal/placer/elector.go
+++ b/internal/placer/elector.go
@@ -55,8 +55,9 @@
 	mu    sync.Mutex
 	state *leaderlease.State
 	read  bool
-	// end is the place up to which the lease was read last.
-	end platform.Cursor
+	// doubtedAt is when an answer of the store was of another history than the state, so that the lease has
+	// to be read completely; 0 if it hasn't.
+	doubtedAt time.Duration
 	// successors are the instances that the last holder named to follow it, in order.
 	successors []string
 	// handover is the instance to release the lease to; "" to keep it.
@@ -67,7 +68,9 @@
 	confirmed bool
 	// readNow triggers an immediate read of the lease.
 	readNow chan struct{}
-	changed chan struct{}
+	// interrupt ends a long poll, to read the lease completely.
+	interrupt chan struct{}
+	changed   chan struct{}
 }
 
 func newElector(store *platform.Store, logger *log.Logger, registry metrics.Registry, cfg leaderlease.Config, capacity float64, known, reaches func() bool) *elector {
@@ -75,7 +78,7 @@
 		appends: metrics.NewRegisteredCounter("lease_appends", registry), failedAppends: metrics.NewRegisteredCounter("lease_appends_failed", registry),
 		histories: metrics.NewRegisteredCounter("lease_histories", registry),
 		store:     store, log: logger, self: cfg.Self, known: known, reaches: reaches, capacity: capacity, released: func() {},
-		state: leaderlease.New(cfg), changed: make(chan struct{}, 1), readNow: make(chan struct{}, 1),
+		state: leaderlease.New(cfg), changed: make(chan struct{}, 1), readNow: make(chan struct{}, 1), interrupt: make(chan struct{}, 1),
 	}
 }
 
@@ -85,7 +88,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go e.store.Follow(ctx, platform.TopicLease, platform.Follower{
-		MinInterval: e.readInterval, FailureDelay: e.retryDelay, EndInterval: e.readNow, Deliver: e.observe,
+		MinInterval: e.readInterval, FailureDelay: e.retryDelay, EndInterval: e.readNow, Interrupt: e.interrupt, From: e.readFrom, Deliver: e.observe,
 		ReadFailed: func(err error, _ time.Duration) { e.log.Debug().Err(err).Msg("tenure_unread") },
 	})
 	random := rand.Float64()
@@ -140,12 +143,9 @@
 	defer e.mu.Unlock()
 	now := bootclock.Now()
 	before := e.state.Epoch()
-	if e.read && (b.Era != e.end.Era || b.Next < e.end.Next) {
-		e.histories.Inc(1)
-		e.log.Warn().Int64("era", b.Era).Int64("former_era", e.end.Era).Int64("end", b.Next).Int64("former_end", e.end.Next).
-			Bool("self", e.state.IsHolder()).Msg("tenure_history_changed")
+	if b.Complete {
+		e.observeHistory(b, now)
 	}
-	e.end = platform.Cursor{Era: b.Era, Next: b.Next}
 	for _, record := range b.Records {
 		var r leaderlease.Record
 		if record.Key != leaseKey || record.Value == nil {
@@ -166,21 +166,60 @@
 	signal(e.changed)
 }
 
+// observeHistory applies the place up to which the lease was read completely.
+func (e *elector) observeHistory(b platform.Batch, now time.Duration) {
+	era, end, self := e.state.Era(), e.state.End(), e.state.IsHolder()
+	if e.state.BeginHistory(b.Era, b.Next, b.CurrentSince, now) {
+		e.histories.Inc(1)
+		e.log.Warn().Int64("era", b.Era).Int64("former_era", era).Int64("end", b.Next).Int64("former_end", end).
+			Bool("self", self).Msg("tenure_history_changed")
+	}
+	if b.CurrentSince >= e.doubtedAt {
+		e.doubtedAt = 0
+	}
+}
+
+// doubtHistory makes the next read of the lease a complete one, if the store's answer to an append is of
+// another history than the state.
+func (e *elector) doubtHistory(answer platform.Appended, at int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	known := e.state.Era()
+	if (answer.Era == known || answer.Era == 0) && (answer.End == 0 || answer.End >= at) {
+		return false
+	}
+	e.doubtedAt = bootclock.Now()
+	signal(e.interrupt)
+	signal(e.readNow)
+	return true
+}
+
+// readFrom returns where to read the lease next.
+func (e *elector) readFrom(at platform.Cursor) platform.Cursor {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.doubtedAt != 0 {
+		at.Next = -1
+	}
+	return at
+}
+
 func (e *elector) logChange(before int64) {
 	if r, epoch, held := e.state.Holder(); e.state.Epoch() != before && held {
 		e.log.Info().Str("holder", r.Holder).Int64("epoch", epoch).Bool("self", e.state.IsHolder()).Msg("tenure_changed")
 	}
 }
 
+// errOtherHistory means that the store has come back from an older copy since the lease was read.
+var errOtherHistory = errors.New("the store has another history")
+
 // append claims or renews the lease, or releases it as the record says. If the result of an
 // append is lost, the next read resolves it: a repeated append is conditional on the same end of
 // the log.
 func (e *elector) append(ctx context.Context, release leaderlease.Record) error {
 	e.mu.Lock()
-	at := e.state.End()
+	at, r := e.state.Propose(release)
 	e.mu.Unlock()
-	r := e.self
-	r.Released, r.Successor = release.Released, release.Successor
 	value, err := json.Marshal(r)
 	if err != nil {
 		return errors.Wrap(err, "encode lease record")
@@ -191,12 +230,18 @@
 	if err != nil {
 		e.failedAppends.Inc(1)
 		e.log.Info().Err(err).Int64("at", at).Int64("end", appended.End).Int64("era", appended.Era).Msg("tenure_append_failed")
+		e.doubtHistory(appended, at)
 		signal(e.readNow)
 		return err
 	}
+	if e.doubtHistory(appended, at) {
+		// The record was based on another history, in which it claims nothing.
+		e.log.Warn().Int64("offset", appended.Offset).Int64("era", appended.Era).Int64("epoch", r.Epoch).Msg("tenure_appended_to_other_history")
+		return errOtherHistory
+	}
 	e.mu.Lock()
 	before := e.state.Epoch()
-	e.state.Appended(appended.Offset, r, started)
+	e.state.Appended(appended.Offset, r, started, bootclock.Now())
 	e.log.Debug().Int64("offset", appended.Offset).Int64("era", appended.Era).Int64("epoch", e.state.Epoch()).Bool("released", r.Released).
 		Bool("self", e.state.IsHolder()).Msg("tenure_appended")
 	e.logChange(before)
@@ -243,11 +288,13 @@
 	}
 }
 
-// holderResponded records that the holder of an epoch responded.
-func (e *elector) holderResponded(epoch int64) {
+// holderResponded records that the holder, with this record, responded and stated its epoch. That is a
+// later one than was read if it has claimed the lease anew.
+func (e *elector) holderResponded(r leaderlease.Record, epoch int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.lastContact = bootclock.Now()
+	e.state.ObservePeer(r, epoch)
 	e.state.HolderResponded(epoch, e.lastContact)
 }
 
@@ -349,7 +396,7 @@
 func (e *elector) canOrder() (int64, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.state.Epoch(), e.state.CanOrder(bootclock.Now())
+	return e.state.Epoch(), e.doubtedAt == 0 && e.state.CanOrder(bootclock.Now())
 }
 
 func signal(c chan struct{}) {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -218,7 +218,7 @@
 	if !reply.Placing {
 		return errNoHolder
 	}
-	p.elector.holderResponded(reply.Tenure.GetEpoch())
+	p.elector.holderResponded(r, reply.Tenure.GetEpoch())
 	p.elector.setSuccessors(reply.Successors)
 	p.quotas.statesShares.Store(reply.StatesFallbackShares)
 	if reply.PeersVersion == 0 || reply.PeersVersion != message.PeersVersion {
@@ -298,7 +298,7 @@
 			continue
 		}
 		epoch, version = placement.Epoch, placement.Version
-		p.elector.holderResponded(epoch)
+		p.elector.holderResponded(r, epoch)
 		if placement.Store != nil {
 			p.elector.renewalHeard(time.Duration(placement.Store.RenewedMs) * time.Millisecond)
 			news := decodeNews(placement.Store)
--- a/pkg/leaderlease/leaderlease.go
+++ b/pkg/leaderlease/leaderlease.go
@@ -8,16 +8,22 @@
 // its claims, renewals and releases are recorded.
 //
 // Invariants:
-//   - There is one holder in any prefix of the log: the writer of its last record.
-//   - The epoch of a holder is the offset of the first record of its unbroken run of
-//     records, plus one. Two holders never share an epoch, and a later holder has a
-//     higher one.
-//   - A holder that has read a later record of another instance sends no more orders.
+//   - There is one holder in any prefix of the log: the writer of its last record that is of the log's
+//     history. A record of an earlier history claims nothing.
+//   - Two holders never share an epoch, and a later holder has a higher one, whatever the log has lost.
+//     A claim states its epoch: at least one more than that of the record before it and than its own
+//     offset. The first claim in a history adds eraEpochs for each era, so that it is higher than all
+//     epochs of earlier histories, also of those whose records are lost.
+//   - In a new history the lease is claimed anew. Only the holder may do so at once, and only while its
+//     lease runs: nobody else can have claimed it meanwhile. The others wait for a whole lease duration,
+//     in which a holder of the former history that doesn't know of the new one ceases to order.
+//   - A holder that has read a later record of another instance sends no more orders. What it is told of
+//     its own lease never counts.
 //
-// Safety doesn't depend on clocks. The epoch is a fencing token: servers reject orders with an
-// epoch lower than the highest one they have received, and each order names the state of the
-// server that it is based on. Clocks only determine when to claim the lease, and how long a
-// holder that can't reach the log continues.
+// Safety doesn't depend on clocks within one history. The epoch is a fencing token: servers reject orders
+// with an epoch lower than the highest one they have received, and each order names the state of the
+// server that it is based on. Clocks determine when to claim the lease, and how long a holder that can't
+// reach the log continues.
 package leaderlease
 
 import "time"
@@ -34,6 +40,11 @@
 	// Successor is the name of the instance that a holder releases the lease to. The others
 	// leave it some time to claim the lease. It is empty if any instance may follow.
 	Successor string `json:"successor,omitempty"`
+	// Epoch is the epoch of the holder; 0 in records of builds that don't state it.
+	Epoch int64 `json:"epoch,omitempty"`
+	// Era is the era of the log's history that the record was written for; 0 if the log states none, and
+	// in records of builds that don't state it.
+	Era int64 `json:"era,omitempty"`
 }
 
 // Config configures a State.
@@ -55,6 +66,14 @@
 	// successorHeadStart is how long the other instances wait for the successor that a holder
 	// has named.
 	successorHeadStart = 500 * time.Millisecond
+	// eraEpochs is how many epochs each era of the log's history adds. It is more than the records that
+	// the topic of the lease can lose in one drill.
+	eraEpochs = 1 << 20
+	// maxEras is the number of eras that are told apart by their epochs alone. MaxEpoch bounds epochs, so
+	// that they fit into JSON numbers and into the sequences that are derived from them.
+	maxEras = 1 << 18
+	// MaxEpoch is the highest epoch that is believed.
+	MaxEpoch = 1<<39 - 1
 )
 
 // State is the lease as known to one instance. It isn't safe for concurrent use. Times are
@@ -63,9 +82,24 @@
 	cfg Config
 
 	initialized bool
-	end         int64
-	last        Record
-	epoch       int64
+	// era is the era of the log's history; 0 if the log states none.
+	era int64
+	end int64
+	// endKnownAt is when the end was last learned.
+	endKnownAt time.Duration
+	// copiedUntil is the offset before which records are those of a copy from which the log came back.
+	copiedUntil int64
+	// unclaimed means that nobody is known to have claimed the lease in the log's current history. The
+	// last record is of an earlier one then. ranOn means that this instance held the lease when it learned
+	// of the new history, and that its lease was running.
+	unclaimed, ranOn bool
+	last             Record
+	epoch            int64
+	// derived means that the epoch was derived from a record that needn't be the first one of the holder's
+	// run. The holder's epoch isn't higher.
+	derived bool
+	// highest is the highest epoch that is known from any history, or from a peer.
+	highest     int64
 	lastContact time.Duration
 	renewed     time.Duration
 	// superseded means that a server rejected this instance's epoch. The log may still accept
@@ -83,9 +117,34 @@
 // ObserveEnd records that the log was read up to end.
 func (s *State) ObserveEnd(end int64, now time.Duration) {
 	if !s.initialized {
-		s.initialized, s.lastContact = true, now
+		// An empty log may be a copy from before the first claim.
+		s.initialized, s.lastContact, s.unclaimed = true, now, s.era > 0
 	}
-	s.end = max(s.end, end)
+	s.advance(end, now)
+}
+
+func (s *State) advance(end int64, now time.Duration) {
+	if end > s.end {
+		s.end, s.endKnownAt = end, now
+	}
+}
+
+// BeginHistory records that the log was read from its beginning on, and up to end, in a history of
+// this era; 0 if the log states none. started is when the read was started. It reports whether the log
+// has come back from an older copy since it was read last: the era is another one, or the log ends before
+// an end that was known when the read was started.
+func (s *State) BeginHistory(era, end int64, started, now time.Duration) bool {
+	if !s.initialized {
+		s.era = era
+		return false
+	}
+	if era == s.era && (end >= s.end || started < s.endKnownAt) {
+		return false
+	}
+	s.ranOn = (s.ranOn || s.IsHolder()) && now-s.renewed < s.cfg.LeaseDuration
+	s.unclaimed = true
+	s.era, s.end, s.endKnownAt, s.copiedUntil, s.lastContact = era, end, now, end, now
+	return true
 }
 
 // LogRecovered records that the log is readable again after an outage. No holder could renew
@@ -96,10 +155,17 @@
 	}
 }
 
-// HolderResponded records that the holder of the epoch answered a request, which counts like a
-// renewal.
+// HolderResponded records that the holder answered a request and stated this epoch, which counts like a
+// renewal if it is that of the lease.
 func (s *State) HolderResponded(epoch int64, now time.Duration) {
-	if _, held, _ := s.Holder(); held == epoch {
+	if s.derived && s.peerEpoch <= s.epoch && epoch > 0 && epoch < s.epoch {
+		s.epoch = epoch
+	}
+	if _, held, _ := s.Holder(); held != epoch {
+		return
+	}
+	s.derived = s.derived && epoch != s.epoch
+	if !s.unclaimed {
 		s.lastContact = now
 	}
 }
@@ -107,30 +173,89 @@
 // Observe applies a record of the log. Records arrive in log order; a repeated record is
 // ignored.
 func (s *State) Observe(offset int64, r Record, now time.Duration) {
-	if s.initialized && offset < s.end {
+	if s.initialized && offset < s.end && offset >= s.copiedUntil {
 		return
 	}
-	if !s.initialized || r.Incarnation != s.last.Incarnation || s.last.Released {
-		s.epoch = offset + 1
+	if s.isFormer(offset, r) {
+		s.observeFormer(offset, r, now)
+		return
+	}
+	first := s.last.Incarnation == "" || s.unclaimed
+	if first || r.Incarnation != s.last.Incarnation || s.last.Released || r.Epoch > 0 && r.Epoch != s.epoch {
+		s.derived = r.Epoch == 0 && !s.initialized
+		s.epoch = epochOf(offset, r)
 		s.superseded = false
 	}
-	s.initialized, s.end, s.last, s.lastContact = true, offset+1, r, now
+	s.highest = max(s.highest, s.epoch)
+	s.initialized, s.unclaimed, s.ranOn, s.last, s.lastContact = true, false, false, r, now
+	s.advance(offset+1, now)
+}
+
+// epochOf returns the epoch that the first record of a run states, or that it has by its offset.
+func epochOf(offset int64, r Record) int64 {
+	if r.Epoch > 0 && r.Epoch <= MaxEpoch {
+		return r.Epoch
+	}
+	return offset + 1
+}
+
+// isFormer reports whether a record was written for an earlier history: it was copied, or its append
+// was accepted in another history than the one that it was based on.
+func (s *State) isFormer(offset int64, r Record) bool {
+	if r.Era == 0 || s.era == 0 {
+		return offset < s.copiedUntil
+	}
+	return r.Era != s.era
+}
+
+// observeFormer applies a record of an earlier history, which only says who was the holder.
+func (s *State) observeFormer(offset int64, r Record, now time.Duration) {
+	s.highest = max(s.highest, epochOf(offset, r))
+	if !s.initialized {
+		s.initialized, s.unclaimed, s.lastContact = true, true, now
+	}
+	if s.unclaimed && s.last.Incarnation == "" {
+		s.last, s.epoch = r, epochOf(offset, r)
+	}
+	s.advance(offset+1, now)
+}
+
+// Propose returns the record with which to claim or renew the lease, or to release it as release says,
+// and the offset at which it must be appended.
+func (s *State) Propose(release Record) (at int64, r Record) {
+	r = s.cfg.Self
+	r.Released, r.Successor, r.Era, r.Epoch = release.Released, release.Successor, s.era, s.epoch
+	if !s.IsHolder() {
+		r.Epoch = s.nextEpoch()
+	}
+	return s.end, r
+}
+
+// nextEpoch returns the epoch of a claim at the end of the log.
+func (s *State) nextEpoch() int64 {
+	epoch := max(s.end, s.highest) + 1
+	if s.unclaimed {
+		epoch = max(epoch, s.era%maxEras*eraEpochs+s.end+1)
+	}
+	return epoch
 }
 
 // Appended records that the log accepted a record of this instance at offset. started is when
-// the append was sent.
-func (s *State) Appended(offset int64, r Record, started time.Duration) {
+// the append was sent, and now when its answer arrived.
+func (s *State) Appended(offset int64, r Record, started, now time.Duration) {
 	s.Observe(offset, r, started)
-	s.renewed = started
+	s.renewed, s.endKnownAt = started, now
 }
 
 // ObservePeer records a lease that a peer has read from the log. It only determines where to
 // report and whether to stop ordering. Claims and orders require records that this instance
 // has read itself.
 func (s *State) ObservePeer(r Record, epoch int64) {
-	if epoch > s.epoch && epoch > s.peerEpoch {
-		s.peerRecord, s.peerEpoch = r, epoch
+	if epoch > MaxEpoch || epoch <= s.epoch || epoch <= s.peerEpoch {
+		return
 	}
+	s.peerRecord, s.peerEpoch = r, epoch
+	s.highest = max(s.highest, epoch)
 }
 
 // Holder returns the record and the epoch of the holder; false if there is none.
@@ -144,9 +269,12 @@
 // IsHolder reports whether this instance holds the lease, as far as it knows.
 func (s *State) IsHolder() bool {
 	r, _, held := s.Holder()
-	return held && r.Incarnation == s.cfg.Self.Incarnation
+	return held && !s.unclaimed && r.Incarnation == s.cfg.Self.Incarnation
 }
 
+// Era returns the era of the log's history; 0 if the log states none.
+func (s *State) Era() int64 { return s.era }
+
 // Epoch returns the epoch of the last record that was read.
 func (s *State) Epoch() int64 { return s.epoch }
 
@@ -194,6 +322,11 @@
 	switch {
 	case s.IsHolder():
 		return s.renewed + s.cfg.LeaseDuration/renewalsPerLease
+	case s.unclaimed && s.ranOn:
+		return s.lastContact
+	case s.unclaimed:
+		// What the last record says isn't known to have been the last word of its history.
+		return s.lastContact + s.cfg.LeaseDuration + claimDelay
 	case s.last.Incarnation != "" && s.last.Holder == s.cfg.Self.Holder && !s.last.Released:
 		// The holder was an earlier process of this instance, which has ended.
 		return s.lastContact
--- a/pkg/leaderlease/leaderlease_test.go
+++ b/pkg/leaderlease/leaderlease_test.go
@@ -23,7 +23,7 @@
 	s := newState("a", true)
 	s.ObserveEnd(0, time.Second)
 	assert.Equal(t, time.Second, s.NextAppend(0))
-	s.Appended(0, record("a"), time.Second)
+	s.Appended(0, record("a"), time.Second, time.Second)
 	assert.True(t, s.IsHolder())
 	assert.Equal(t, int64(1), s.Epoch())
 	assert.True(t, s.CanOrder(time.Second))
@@ -31,8 +31,8 @@
 
 func TestRenewalKeepsTheEpoch(t *testing.T) {
 	s := newState("a", true)
-	s.Appended(0, record("a"), 0)
-	s.Appended(1, record("a"), time.Second)
+	s.Appended(0, record("a"), 0, 0)
+	s.Appended(1, record("a"), time.Second, time.Second)
 	assert.Equal(t, int64(1), s.Epoch())
 	assert.Equal(t, int64(2), s.End())
 }
@@ -65,7 +65,7 @@
 	s.Observe(4, earlier, time.Second)
 	assert.False(t, s.IsHolder())
 	assert.Equal(t, time.Second, s.NextAppend(0))
-	s.Appended(5, record("a"), time.Second)
+	s.Appended(5, record("a"), time.Second, time.Second)
 	assert.Equal(t, int64(6), s.Epoch(), "a new epoch")
 }
 
@@ -85,14 +85,14 @@
 	s.Observe(4, record("a"), 0)
 	s.Observe(5, released, time.Second)
 	assert.Equal(t, time.Second, s.NextAppend(0))
-	s.Appended(6, record("b"), time.Second)
+	s.Appended(6, record("b"), time.Second, time.Second)
 	assert.Equal(t, int64(7), s.Epoch(), "a new epoch")
 }
 
 func TestHolderThatCantRenew(t *testing.T) {
 	strict, fenced := newState("a", false), newState("a", true)
-	strict.Appended(0, record("a"), 0)
-	fenced.Appended(0, record("a"), 0)
+	strict.Appended(0, record("a"), 0, 0)
+	fenced.Appended(0, record("a"), 0, 0)
 	assert.False(t, strict.CanOrder(lease), "without fencing the lease expires")
 	assert.True(t, fenced.CanOrder(lease))
 	assert.False(t, fenced.CanOrder(time.Minute))
@@ -100,14 +100,14 @@
 
 func TestSupersededHolderOrdersNothing(t *testing.T) {
 	s := newState("a", true)
-	s.Appended(0, record("a"), 0)
+	s.Appended(0, record("a"), 0, 0)
 	assert.True(t, s.MarkSuperseded())
 	assert.False(t, s.MarkSuperseded(), "already known")
 	assert.False(t, s.CanOrder(0))
-	s.Appended(1, record("a"), 0)
+	s.Appended(1, record("a"), 0, 0)
 	assert.False(t, s.CanOrder(0), "a renewal doesn't reset it")
 	s.Observe(2, record("b"), 0)
-	s.Appended(3, record("a"), 0)
+	s.Appended(3, record("a"), 0, 0)
 	assert.True(t, s.CanOrder(0), "a new epoch does")
 }
 
@@ -124,7 +124,7 @@
 // reports. It doesn't allow the instance to claim or to order.
 func TestLeaseReportedByPeers(t *testing.T) {
 	s := newState("a", true)
-	s.Appended(0, record("a"), 0)
+	s.Appended(0, record("a"), 0, 0)
 	s.ObservePeer(record("b"), 1)
 	assert.True(t, s.IsHolder(), "an epoch that isn't later is ignored")
 	s.ObservePeer(record("b"), 7)
