storemirror, fleetapp: log doubted registrations and services without servers

registration_doubted names each server that is listed again and isn't used; service_unserved, service_served and the gauge services_unserved say so of services.

--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -75,6 +75,7 @@
 
 	// manifests and serverList record whether the store can be read.
 	manifests, serverList *dependency
+	unserved              *unservedServices
 }
 
 // New assembles an instance without starting anything. The settings are loaded
@@ -199,7 +200,13 @@
 			logListChange(p.Log.Info().Str("server", string(id)), d.Change).Dur("outage", d.Outage).Dur("for", d.For).Msg("removal_deferred")
 		}
 	})
+	p.Mirror.OnDoubt(func(servers []fleet.ServerID, change storemirror.Change) {
+		for _, id := range servers {
+			logListChange(p.Log.Info().Str("server", string(id)), change).Msg("registration_doubted")
+		}
+	})
 	return &Instance{
+		unserved: newUnservedServices(p.Log, p.Registry),
 		settings: p.Settings, log: p.Log, registry: p.Registry, views: p.Views, edge: p.Edge,
 		store: p.Store, mirror: p.Mirror, servers: p.Servers, placer: p.Placer, dialer: p.Dialer, relay: p.Relay, tracing: p.Tracing, guards: p.Guards,
 		manifests:  &dependency{log: p.Log, name: "published manifests"},
--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -210,11 +210,15 @@
 	})
 }
 
-// reviewInterval is the interval at which the mirror of the store is reviewed.
+// reviewInterval is the interval at which the mirror of the store, and the services without servers, are
+// reviewed.
 const reviewInterval = time.Second
 
 func (i *Instance) reviewMirror(ctx context.Context) {
 	for pause.For(ctx, reviewInterval) {
 		i.mirror.Review()
+		if i.views.Known() {
+			i.unserved.review(i.views.Load(), time.Now())
+		}
 	}
 }
--- a/internal/storemirror/mirror.go
+++ b/internal/storemirror/mirror.go
@@ -148,6 +148,10 @@
 // the mirror is used.
 func (m *Mirror) OnDeferral(deferred func(Deferral)) { m.list.deferred = deferred }
 
+// OnDoubt sets what is called with servers that are listed again and aren't used, because their report can
+// be older than their removal. It must be called before the mirror is used.
+func (m *Mirror) OnDoubt(doubted func([]fleet.ServerID, Change)) { m.list.doubted = doubted }
+
 // SetTeller sets how to find out whether this instance tells the others, and what to call when
 // there is something new to tell. It must be called before the mirror is used.
 func (m *Mirror) SetTeller(tells func() bool, changed func()) { m.tells, m.changed = tells, changed }
--- a/internal/storemirror/serverlist.go
+++ b/internal/storemirror/serverlist.go
@@ -51,6 +51,8 @@
 	publish func(map[fleet.ServerID]*fleet.Server, Change)
 	// deferred is called after removals were deferred.
 	deferred func(Deferral)
+	// doubted is called after the registration of servers was doubted.
+	doubted func([]fleet.ServerID, Change)
 	// interval is the minimum interval between two reads.
 	interval time.Duration
 	// withdrawWithin is the time after the store has returned within which servers that it removed
@@ -71,7 +73,7 @@
 func newServerList(publish func(map[fleet.ServerID]*fleet.Server, Change), interval, withdrawWithin time.Duration) *serverList {
 	return &serverList{
 		now: bootclock.Now, after: func(d time.Duration, do func()) { time.AfterFunc(d, do) },
-		publish: publish, deferred: func(Deferral) {}, interval: interval, withdrawWithin: withdrawWithin, directory: fleet.NewDirectory(),
+		publish: publish, deferred: func(Deferral) {}, doubted: func([]fleet.ServerID, Change) {}, interval: interval, withdrawWithin: withdrawWithin, directory: fleet.NewDirectory(),
 	}
 }
 
@@ -90,7 +92,7 @@
 		}
 	}
 	change := Change{Source: SourceStore, ListEnd: fleet.Position{Era: b.Era, Offset: b.Next}, Age: now - b.CurrentSince}
-	l.reportDeferred(now, change, outage)
+	l.reportDecisions(now, change, outage)
 	l.expire(now, changed, change)
 }
 
@@ -110,7 +112,7 @@
 		}
 	}
 	l.directory.ReportsSkipped()
-	l.reportDeferred(now, change, outage)
+	l.reportDecisions(now, change, outage)
 	if changed || l.directory.NextExpiry() != 0 {
 		l.expire(now, changed, change)
 	}
@@ -168,8 +170,11 @@
 	l.directory.ForgetPositions()
 }
 
-// reportDeferred reports the removals that a change has deferred.
-func (l *serverList) reportDeferred(now time.Duration, change Change, outage time.Duration) {
+// reportDecisions reports the removals that a change has deferred, and the registrations that it made doubtful.
+func (l *serverList) reportDecisions(now time.Duration, change Change, outage time.Duration) {
+	if doubted := l.directory.TakeDoubted(); len(doubted) > 0 {
+		l.doubted(doubted, change)
+	}
 	servers, until := l.directory.TakeDeferred()
 	if len(servers) == 0 {
 		return
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -126,8 +126,9 @@
 	entries map[ServerID]*directoryEntry
 	// removalsTrustedFrom is the time until which removals are deferred.
 	removalsTrustedFrom time.Duration
-	// deferred are the servers whose removal was deferred since the last call of TakeDeferred.
-	deferred []ServerID
+	// deferred are the servers whose removal was deferred since the last call of TakeDeferred, and doubted
+	// those whose registration was doubted since the last call of TakeDoubted.
+	deferred, doubted []ServerID
 }
 
 // NewDirectory returns an empty directory.
@@ -185,6 +186,7 @@
 		if olderThan(current.lastReport, e.Server) {
 			current.lastReport = e.Server
 		}
+		d.doubted = append(d.doubted, e.ID)
 		return false
 	}
 	current.at = e.At
@@ -258,6 +260,14 @@
 	return deferred, d.removalsTrustedFrom
 }
 
+// TakeDoubted returns the servers that are listed again, and that aren't used since the last call because
+// their report can be older than their removal.
+func (d *Directory) TakeDoubted() []ServerID {
+	doubted := d.doubted
+	d.doubted = nil
+	return doubted
+}
+
 // olderThan reports whether report a of a server is older than b: by incarnation, then by
 // sequence.
 func olderThan(a, b *Server) bool {
