fleet: ask a removed server that is listed again whether it runs

Cause: an instance that was told of the list took a server's first report after its removal for one that was written late, and waited for another one. None follows, as the entry changes only when more than the sequence changes. The same premise let an instance that had read every record believe a late report.

Change: a report of a removed incarnation is in doubt, whatever its sequence. The instance asks the server at its health path; the teller at once, and tells the others that the server is restored; the others leave it up to a second. A server that can't be asked is used once its entry has outlived the time in which it would have expired. Whether a server runs is known by the server alone: two orders of events leave the same records. The knowledge of whether all reports were read (exact) is no longer used, and told as true to builds that rely on it.

--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -185,6 +185,7 @@
 	Relay    *relay.Server
 	Tracing  *telemetry.Tracing
 	Guards   *guards
+	Recorder *edge.StandingRecorder
 }
 
 func newInstance(p instanceParams) *Instance {
@@ -200,11 +201,8 @@
 			logListChange(p.Log.Info().Str("server", string(id)), d.Change).Dur("outage", d.Outage).Dur("for", d.For).Msg("removal_deferred")
 		}
 	})
-	p.Mirror.OnDoubt(func(servers []fleet.ServerID, change storemirror.Change) {
-		for _, id := range servers {
-			logListChange(p.Log.Info().Str("server", string(id)), change).Msg("registration_doubted")
-		}
-	})
+	checker := newDoubtChecker(p.Log, p.Views, p.Recorder)
+	p.Mirror.SetDoubtChecks(storemirror.DoubtChecks{Check: checker.check, Grace: checker.grace, Event: checker.logDoubt})
 	return &Instance{
 		unserved: newUnservedServices(p.Log, p.Registry),
 		settings: p.Settings, log: p.Log, registry: p.Registry, views: p.Views, edge: p.Edge,
--- a/internal/storemirror/mirror.go
+++ b/internal/storemirror/mirror.go
@@ -87,6 +87,10 @@
 	told    fleet.Edition
 	differs bool
 
+	doubts doubtChecks
+	// skippedAt is when this instance was last told of records that it won't read.
+	skippedAt time.Duration
+
 	manifestRead freshness
 	// manifestTold is what this instance knows of the manifest from others alone. Only these notice
 	// that a long poll isn't answered.
@@ -121,6 +125,7 @@
 	m := &Mirror{
 		now: bootclock.Now, after: func(d time.Duration, do func()) { time.AfterFunc(d, do) }, drainTimeout: drainTimeout, tells: func() bool { return false }, changed: func() {},
 		check: checkInterval + rand.N(checkSpread), list: newServerList(func(map[fleet.ServerID]*fleet.Server, Change) {}, drainTimeout/readsPerDrain, max(drainTimeout, fleet.MissingGrace)),
+		doubts:   newDoubtChecks(),
 		bulletin: fleet.NewBulletin(), interrupt: make(chan struct{}, 1), behind: make(chan struct{}, 1),
 	}
 	m.list.now, m.list.after = m.timeSinceBoot, m.afterFunc
@@ -148,10 +153,6 @@
 // the mirror is used.
 func (m *Mirror) OnDeferral(deferred func(Deferral)) { m.list.deferred = deferred }
 
-// OnDoubt sets what is called with servers that are listed again and aren't used, because their report can
-// be older than their removal. It must be called before the mirror is used.
-func (m *Mirror) OnDoubt(doubted func([]fleet.ServerID, Change)) { m.list.doubted = doubted }
-
 // SetTeller sets how to find out whether this instance tells the others, and what to call when
 // there is something new to tell. It must be called before the mirror is used.
 func (m *Mirror) SetTeller(tells func() bool, changed func()) { m.tells, m.changed = tells, changed }
@@ -218,6 +219,7 @@
 	if news {
 		m.changed()
 	}
+	m.checkDoubts()
 }
 
 // ManifestReading is the result of a read of the manifest topic.
@@ -415,6 +417,9 @@
 
 // Hear applies the news that another instance has told, given what this one knew when it asked.
 func (m *Mirror) Hear(n News, known Knowledge) {
+	if len(n.Entries) > 0 {
+		defer m.checkDoubts()
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.heard = true
@@ -451,6 +456,9 @@
 		m.told, m.differs, m.checkDue = fleet.Edition{}, true, true
 		return
 	}
+	if m.end.Before(n.ListEnd) {
+		m.skippedAt = m.now()
+	}
 	m.listRead, m.told, m.end, m.listKnown = fresh, n.List, n.ListEnd, true
 }
 
--- a/internal/storemirror/serverlist.go
+++ b/internal/storemirror/serverlist.go
@@ -13,11 +13,13 @@
 type Source string
 
 // SourceStore and SourceInstance mean that this instance has read the change, or was told of it by
-// another one; SourceExpiry that a removal it had learned before has taken effect.
+// another one; SourceExpiry that a removal it had learned before has taken effect; SourceServer that a server
+// in doubt was found to be running.
 const (
 	SourceStore    Source = "store"
 	SourceInstance Source = "instance"
 	SourceExpiry   Source = "expiry"
+	SourceServer   Source = "server"
 )
 
 // Change is how an instance learned of a change of the server list.
@@ -51,8 +53,6 @@
 	publish func(map[fleet.ServerID]*fleet.Server, Change)
 	// deferred is called after removals were deferred.
 	deferred func(Deferral)
-	// doubted is called after the registration of servers was doubted.
-	doubted func([]fleet.ServerID, Change)
 	// interval is the minimum interval between two reads.
 	interval time.Duration
 	// withdrawWithin is the time after the store has returned within which servers that it removed
@@ -73,7 +73,7 @@
 func newServerList(publish func(map[fleet.ServerID]*fleet.Server, Change), interval, withdrawWithin time.Duration) *serverList {
 	return &serverList{
 		now: bootclock.Now, after: func(d time.Duration, do func()) { time.AfterFunc(d, do) },
-		publish: publish, deferred: func(Deferral) {}, doubted: func([]fleet.ServerID, Change) {}, interval: interval, withdrawWithin: withdrawWithin, directory: fleet.NewDirectory(),
+		publish: publish, deferred: func(Deferral) {}, interval: interval, withdrawWithin: withdrawWithin, directory: fleet.NewDirectory(),
 	}
 }
 
@@ -92,7 +92,7 @@
 		}
 	}
 	change := Change{Source: SourceStore, ListEnd: fleet.Position{Era: b.Era, Offset: b.Next}, Age: now - b.CurrentSince}
-	l.reportDecisions(now, change, outage)
+	l.reportDeferred(now, change, outage)
 	l.expire(now, changed, change)
 }
 
@@ -111,8 +111,7 @@
 			changed = l.directory.Apply(now, entry) || changed
 		}
 	}
-	l.directory.ReportsSkipped()
-	l.reportDecisions(now, change, outage)
+	l.reportDeferred(now, change, outage)
 	if changed || l.directory.NextExpiry() != 0 {
 		l.expire(now, changed, change)
 	}
@@ -170,11 +169,31 @@
 	l.directory.ForgetPositions()
 }
 
-// reportDecisions reports the removals that a change has deferred, and the registrations that it made doubtful.
-func (l *serverList) reportDecisions(now time.Duration, change Change, outage time.Duration) {
-	if doubted := l.directory.TakeDoubted(); len(doubted) > 0 {
-		l.doubted(doubted, change)
-	}
+// doubts returns the reports in doubt.
+func (l *serverList) doubts() []fleet.Doubt {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.directory.Doubts()
+}
+
+// confirm ends a doubt, and reports whether the server is used now.
+func (l *serverList) confirm(doubt fleet.Doubt, change Change) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	confirmed := l.directory.Confirm(doubt)
+	l.expire(l.now(), confirmed, change)
+	return confirmed
+}
+
+// failedSince reports whether a read failed that was started after a time since boot.
+func (l *serverList) failedSince(since time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lastFailure >= since
+}
+
+// reportDeferred reports the removals that a change has deferred.
+func (l *serverList) reportDeferred(now time.Duration, change Change, outage time.Duration) {
 	servers, until := l.directory.TakeDeferred()
 	if len(servers) == 0 {
 		return
--- a/pkg/fleet/bulletin.go
+++ b/pkg/fleet/bulletin.go
@@ -58,14 +58,16 @@
 	return news
 }
 
-// differs reports whether an entry differs from an earlier one in what requests are routed by.
+// differs reports whether an entry differs from an earlier one in what requests are routed by, or in that the
+// server was removed and restored since, which others may not know.
 func differs(before, after Entry) bool {
 	if before.Removed || after.Removed {
-		return before.Removed != after.Removed
+		return before.Removed != after.Removed || before.doubted != after.doubted
 	}
 	x, y := before.Server, after.Server
 	return x.Service != y.Service || x.Address != y.Address || x.Zone != y.Zone || x.Version != y.Version ||
-		x.StartedAt != y.StartedAt || x.Slots != y.Slots || x.Draining != y.Draining
+		x.StartedAt != y.StartedAt || x.Slots != y.Slots || x.Draining != y.Draining ||
+		before.restoredAt != after.restoredAt
 }
 
 // entryDigest returns the part of an entry in the digest of a list; 0 if it has no usable server.
@@ -84,14 +86,14 @@
 
 // Since returns the entries that one who knows an edition lacks: those that have changed since, if it is
 // of this bulletin, and nothing if its list is the same. Otherwise complete is true, and the entries
-// are all usable servers.
+// are all usable servers, and the removals of those in doubt, which aren't removed up to the end of the list.
 func (b *Bulletin) Since(known Edition) (changed []Entry, complete bool) {
 	if known.ID != b.id && known.Digest == b.digest {
 		return nil, false
 	}
 	complete = known.ID != b.id
 	for _, told := range b.told {
-		if complete && !told.entry.Removed || !complete && told.changedAt > known.Revision {
+		if complete && (!told.entry.Removed || told.entry.doubted) || !complete && told.changedAt > known.Revision {
 			changed = append(changed, told.entry)
 		}
 	}
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -81,12 +81,16 @@
 	// Restored means that whoever tells of the server has found that it was removed, and was running
 	// afterwards.
 	Restored bool
+	// restoredAt is the position of the report that restored the server last.
+	restoredAt Position
+	// doubted means that the server is listed again, by a report that may be older than the removal.
+	doubted bool
 }
 
 // LastReport identifies the newest report of a server that is known.
 type LastReport struct {
 	StartedAt, Sequence int64
-	// Exact means that no later report of the server was written before its removal.
+	// Exact tells builds that can't check a server to use it after its next report. This build doesn't read it.
 	Exact bool
 }
 
@@ -109,13 +113,18 @@
 type directoryEntry struct {
 	at     Position
 	server *Server // nil if the entry lists no usable server
-	// lastReport is the newest report, retained after the entry is removed, so that an older
-	// report that is written again doesn't restore the server.
+	// lastReport is the newest report whose place in the list is known to be before a removal or to be listed. It
+	// is retained after the entry is removed, so that an older report that is written again doesn't restore the
+	// server.
 	lastReport *Server
-	// restored is as in Entry.
-	restored bool
-	// exact means that every report of the server before the current position has been read.
-	exact bool
+	// restored and restoredAt are as in Entry.
+	restored   bool
+	restoredAt Position
+	// removed means that the list has removed the server since its last report that was used, at removedAt.
+	// doubt is a report that may be older than the removal.
+	removed   bool
+	removedAt Position
+	doubt     Doubt
 	// removeAt is when a deferred removal takes effect; 0 if none is pending.
 	removeAt time.Duration
 }
@@ -126,9 +135,8 @@
 	entries map[ServerID]*directoryEntry
 	// removalsTrustedFrom is the time until which removals are deferred.
 	removalsTrustedFrom time.Duration
-	// deferred are the servers whose removal was deferred since the last call of TakeDeferred, and doubted
-	// those whose registration was doubted since the last call of TakeDoubted.
-	deferred, doubted []ServerID
+	// deferred are the servers whose removal was deferred since the last call of TakeDeferred.
+	deferred []ServerID
 }
 
 // NewDirectory returns an empty directory.
@@ -171,33 +179,63 @@
 		if !known {
 			return false
 		}
-		current.at = e.At
+		current.at, current.doubt = e.At, Doubt{}
 		changed := current.server != nil
 		current.server = nil
 		return changed
 	case !known:
-		d.entries[e.ID] = &directoryEntry{at: e.At, server: e.Server, lastReport: e.Server, exact: true}
+		d.entries[e.ID] = &directoryEntry{at: e.At, server: e.Server, lastReport: e.Server}
 		return true
-	case current.isGone() && !e.Restored && (e.At.Era > current.at.Era || !current.exact && e.Server.StartedAt == current.lastReport.StartedAt):
-		// The report can be older than the removal: the store's copy lacks that, or the report was
-		// written late, and is newer than the last one that is known. If the server is running, it
-		// soon writes another one.
-		current.at, current.exact = e.At, true
-		if olderThan(current.lastReport, e.Server) {
-			current.lastReport = e.Server
-		}
-		d.doubted = append(d.doubted, e.ID)
-		return false
+	case current.removed && (e.At.Era > current.at.Era || e.Server.StartedAt == current.lastReport.StartedAt):
+		current.at = e.At
+		return d.relist(now, e, current)
 	}
 	current.at = e.At
+	if current.server != nil && olderThan(e.Server, current.server) {
+		return false
+	}
 	if olderThan(e.Server, current.lastReport) || current.isGone() && !olderThan(current.lastReport, e.Server) {
 		return false
 	}
-	current.restored = current.restored || current.isGone()
-	current.server, current.lastReport, current.exact, current.removeAt = e.Server, e.Server, true, 0
+	current.use(e.Server)
 	return true
 }
 
+// use makes the server of a report usable.
+func (c *directoryEntry) use(s *Server) {
+	if c.isGone() {
+		c.restored, c.restoredAt = true, c.at
+	}
+	c.server, c.lastReport, c.removeAt, c.removed, c.doubt = s, s, 0, false, Doubt{}
+}
+
+// relist applies a report of a server that was removed, and reports whether the set of usable servers changed. The
+// report can be older than the removal: the store's copy lacks that, or the report was written late. Its
+// sequence doesn't tell, and the server needn't write another one if it is running: reports in which only the
+// sequence changes leave no record.
+func (d *Directory) relist(now time.Duration, e Entry, current *directoryEntry) bool {
+	switch {
+	case e.Server.StartedAt < current.lastReport.StartedAt:
+		return false // the server has started again since
+	case e.Restored, e.Server.Draining: // a draining server gets no new requests
+		current.use(e.Server)
+		return true
+	}
+	current.doubtReport(e.Server, now)
+	return false
+}
+
+// doubtReport records a report that may be older than the removal. A newer one doesn't begin the doubt anew: who checks the
+// server finds out about both.
+func (c *directoryEntry) doubtReport(s *Server, now time.Duration) {
+	switch {
+	case c.doubt.Server == nil || c.doubt.Server.StartedAt != s.StartedAt:
+		c.doubt = Doubt{Server: s, Since: now}
+	case olderThan(c.doubt.Server, s):
+		c.doubt.Server = s
+	}
+}
+
 // isGone reports whether the list has removed the server, also if that is deferred.
 func (c *directoryEntry) isGone() bool { return c.server == nil || c.removeAt != 0 }
 
@@ -206,17 +244,6 @@
 	if report := (&Server{StartedAt: last.StartedAt, Sequence: last.Sequence}); olderThan(c.lastReport, report) {
 		c.lastReport = report
 	}
-	c.exact = c.exact || last.Exact
-}
-
-// ReportsSkipped records that servers may have written further reports of the same content, which
-// weren't read because the list is told.
-func (d *Directory) ReportsSkipped() {
-	for _, current := range d.entries {
-		if !current.isGone() {
-			current.exact = false
-		}
-	}
 }
 
 // ForgetPositions lets entries of any position count, because the store's history has been replaced by
@@ -231,16 +258,17 @@
 // usable servers changed. It counts only if it is newer than that of a server that is listed.
 func (d *Directory) ApplyReport(s *Server) bool {
 	current, known := d.entries[s.ID]
-	if !known || current.server == nil || !olderThan(current.lastReport, s) {
+	if !known || current.server == nil || !olderThan(current.server, s) {
 		return false
 	}
-	current.server, current.lastReport = s, s
+	current.server = s
 	return true
 }
 
 // remove removes the server of an entry, or defers the removal after an outage, and reports
 // whether the set of usable servers changed.
 func (d *Directory) remove(now time.Duration, id ServerID, current *directoryEntry) bool {
+	current.removed, current.removedAt, current.doubt = true, current.at, Doubt{}
 	if current.server == nil {
 		return false
 	}
@@ -260,12 +288,39 @@
 	return deferred, d.removalsTrustedFrom
 }
 
-// TakeDoubted returns the servers that are listed again, and that aren't used since the last call because
-// their report can be older than their removal.
-func (d *Directory) TakeDoubted() []ServerID {
-	doubted := d.doubted
-	d.doubted = nil
-	return doubted
+// Doubt is the newest report of a removed server that may be older than its removal, so that the server
+// isn't used.
+type Doubt struct {
+	Server *Server
+	// Since is when the first such report was read.
+	Since time.Duration
+}
+
+// Is reports whether two doubts are the same, perhaps by different reports.
+func (d Doubt) Is(other Doubt) bool {
+	return d.Server != nil && other.Server != nil && d.Server.ID == other.Server.ID && d.Server.StartedAt == other.Server.StartedAt && d.Since == other.Since
+}
+
+// Doubts returns the reports in doubt.
+func (d *Directory) Doubts() []Doubt {
+	var doubts []Doubt
+	for _, current := range d.entries {
+		if current.doubt.Server != nil {
+			doubts = append(doubts, current.doubt)
+		}
+	}
+	return doubts
+}
+
+// Confirm ends a doubt, as the server was found to be running after its report had been read, and not to
+// leave. It reports whether the set of usable servers changed; it doesn't if the list has said otherwise since.
+func (d *Directory) Confirm(doubt Doubt) bool {
+	current := d.entries[doubt.Server.ID]
+	if current == nil || !current.doubt.Is(doubt) {
+		return false
+	}
+	current.use(current.doubt.Server)
+	return true
 }
 
 // olderThan reports whether report a of a server is older than b: by incarnation, then by
@@ -330,9 +385,12 @@
 		e := Entry{ID: id, At: current.at, Server: current.server}
 		if e.Server == nil || current.removeAt != 0 {
 			e.Server, e.Removed = nil, true
-			e.LastReport = LastReport{StartedAt: current.lastReport.StartedAt, Sequence: current.lastReport.Sequence, Exact: current.exact}
+			if current.doubt.Server != nil {
+				e.At, e.doubted = current.removedAt, true // others may know that the report isn't older
+			}
+			e.LastReport = LastReport{StartedAt: current.lastReport.StartedAt, Sequence: current.lastReport.Sequence, Exact: true}
 		} else {
-			e.Restored = current.restored
+			e.Restored, e.restoredAt = current.restored, current.restoredAt
 		}
 		out = append(out, e)
 	}
--- a/pkg/fleet/manifest.go
+++ b/pkg/fleet/manifest.go
@@ -123,6 +123,8 @@
 // Service is a set of backend servers with the same function.
 type Service struct {
 	Name string
+	// HealthPath is the path at which servers say whether they are healthy; empty if not stated.
+	HealthPath string
 	// Engine is nil for a service that runs no models.
 	Engine *Engine
 }
