storemirror: a second late report extends the life of an entry

The time in which an entry would have expired counts from the newest report now. Where each heartbeat leaves a record, a server that can't be asked is used when the first report is 14 s old; a late one is seconds late.

--- a/internal/storemirror/doubts.go
+++ b/internal/storemirror/doubts.go
@@ -13,7 +13,9 @@
 	maxRecheckDelay = 2 * time.Second
 	// maxDoubtAge is the age at which a server in doubt is no longer checked. Its entry has expired by then, or has
 	// outlived that time at an instance that reads the list.
-	maxDoubtAge = 10 * time.Second
+	maxDoubtAge = 20 * time.Second
+	// maxLateness is how late the store can write a report: a call without an answer may be executed seconds later.
+	maxLateness = 10 * time.Second
 	// maxEntryLife is the time after which the entry of a server that doesn't write any more has expired:
 	// three heartbeats, which come about every second.
 	maxEntryLife = 4 * time.Second
@@ -92,12 +94,16 @@
 }
 
 // outlived reports whether this instance has read the list for so long that the entry in doubt would have expired if
-// the server didn't write any more. Entries needn't expire during an outage of the list, and who is told of it isn't told
-// that they did.
+// the server didn't write any more. Late reports that are still to come extend an entry's life. Entries needn't expire
+// during an outage of the list, and who is told of it isn't told that they did.
 func (m *Mirror) outlived(doubt fleet.Doubt) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.listRead.readAt-doubt.Since >= maxEntryLife && m.skippedAt < doubt.Since && !m.list.failedSince(doubt.Since)
+	current, doubted := m.currentDoubt(doubt)
+	if !doubted || m.skippedAt >= doubt.Since || m.list.failedSince(doubt.Since) {
+		return false
+	}
+	return m.listRead.readAt-current.Renewed >= maxEntryLife || m.listRead.readAt-current.Since >= maxLateness+maxEntryLife
 }
 
 // endDoubt uses the server in doubt if confirmed is true, and reports whether the doubt has ended.
@@ -105,7 +111,8 @@
 	m.mu.Lock()
 	age := m.now() - doubt.Since
 	used := confirmed && m.list.confirm(doubt, Change{Source: SourceServer, ListEnd: m.end, Age: m.listRead.age(m.now())})
-	ended := used || !m.isDoubted(doubt)
+	_, doubted := m.currentDoubt(doubt)
+	ended := used || !doubted
 	if ended && m.doubts.inFlight[doubt.Server.ID].Is(doubt) {
 		delete(m.doubts.inFlight, doubt.Server.ID)
 	}
@@ -120,11 +127,12 @@
 	return ended
 }
 
-func (m *Mirror) isDoubted(doubt fleet.Doubt) bool {
+// currentDoubt returns a doubt with its newest report; false if it has ended.
+func (m *Mirror) currentDoubt(doubt fleet.Doubt) (fleet.Doubt, bool) {
 	for _, current := range m.list.doubts() {
 		if current.Is(doubt) {
-			return true
+			return current, true
 		}
 	}
-	return false
+	return fleet.Doubt{}, false
 }
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -230,9 +230,9 @@
 func (c *directoryEntry) doubtReport(s *Server, now time.Duration) {
 	switch {
 	case c.doubt.Server == nil || c.doubt.Server.StartedAt != s.StartedAt:
-		c.doubt = Doubt{Server: s, Since: now}
+		c.doubt = Doubt{Server: s, Since: now, Renewed: now}
 	case olderThan(c.doubt.Server, s):
-		c.doubt.Server = s
+		c.doubt.Server, c.doubt.Renewed = s, now
 	}
 }
 
@@ -292,8 +292,8 @@
 // isn't used.
 type Doubt struct {
 	Server *Server
-	// Since is when the first such report was read.
-	Since time.Duration
+	// Since is when the first such report was read, and Renewed when the newest one was.
+	Since, Renewed time.Duration
 }
 
 // Is reports whether two doubts are the same, perhaps by different reports.
