leaderlease: an instance knows its own lease best

Cause: an instance that starts later derived the holder's epoch from a renewal and told it the holder, which didn't take itself for the holder any more. Its own record counted as that of an earlier process, which is followed at once; each append was accepted, kept all others from claiming, and changed nothing.

Change: what an instance is told of its own lease never counts. An own record as the last one of the log is waited for like any other holder's. An epoch that was derived from a record without one isn't told to others, and the holder's own answer corrects it. Appends are limited to six in a lease duration, four at once.

Evidence: TestHolderHearsOfItsOwnLease, TestOwnRecordIsNotThatOfAnEarlierProcess, TestDerivedEpochIsCorrectedByTheHolder and placer.TestHolderIsToldOfItsOwnLease fail on the code before (epoch 18 where 1 is expected).

--- a/internal/placer/elector.go
+++ b/internal/placer/elector.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/bootclock"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
@@ -32,6 +33,10 @@
 	holderHealthyFor = 3 * time.Second
 	// appendRetryInterval is the delay before a failed append is retried.
 	appendRetryInterval = 300 * time.Millisecond
+	// appendsPerLease and appendBurst limit the appends of an instance, whatever it takes its state for: a
+	// holder renews three times in a lease duration, and all instances share the store's limit of calls.
+	appendsPerLease = 6
+	appendBurst     = 4
 )
 
 // elector claims, renews and releases the lease.
@@ -48,6 +53,7 @@
 	// released is called after this instance has released the lease.
 	released func()
 
+	limiter *rate.Limiter
 	// appends and failedAppends count the calls that write to the topic of the lease, and histories
 	// the changes of the store's era.
 	appends, failedAppends, histories metrics.Counter
@@ -75,6 +81,7 @@
 
 func newElector(store *platform.Store, logger *log.Logger, registry metrics.Registry, cfg leaderlease.Config, capacity float64, known, reaches func() bool) *elector {
 	return &elector{
+		limiter: rate.NewLimiter(rate.Every(cfg.LeaseDuration/appendsPerLease), appendBurst),
 		appends: metrics.NewRegisteredCounter("lease_appends", registry), failedAppends: metrics.NewRegisteredCounter("lease_appends_failed", registry),
 		histories: metrics.NewRegisteredCounter("lease_histories", registry),
 		store:     store, log: logger, self: cfg.Self, known: known, reaches: reaches, capacity: capacity, released: func() {},
@@ -217,6 +224,9 @@
 // append is lost, the next read resolves it: a repeated append is conditional on the same end of
 // the log.
 func (e *elector) append(ctx context.Context, release leaderlease.Record) error {
+	if err := e.limiter.Wait(ctx); err != nil {
+		return errors.Wrap(err, "wait for the append limit")
+	}
 	e.mu.Lock()
 	at, r := e.state.Propose(release)
 	e.mu.Unlock()
@@ -372,8 +382,10 @@
 
 // leaseForPeers returns the lease for peers that can't read it from the store.
 func (e *elector) leaseForPeers() *placerpb.Tenure {
-	r, epoch, held := e.holder()
-	if !held {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, epoch, held := e.state.Holder()
+	if !held || !e.state.IsEpochKnown() {
 		return nil
 	}
 	return &placerpb.Tenure{Holder: r.Holder, Life: r.Incarnation, Address: r.Address, Epoch: epoch}
--- a/internal/placer/history_test.go
+++ b/internal/placer/history_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"context"
 	"encoding/json"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/leaderlease"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
@@ -38,15 +40,54 @@
 	before := c.store.Appends()
 	c.store.SetEra("2")
 	c.eventually("it holds a later epoch", func() bool { now, allowed := i.elector.canOrder(); return allowed && now > epoch })
-	page, err := platform.NewStore(c.store.Address()).Read(t.Context(), platform.TopicLease, int64(before), 0)
-	require.NoError(t, err)
 	former := 0
-	for _, record := range page.Records {
-		var r leaderlease.Record
-		require.NoError(t, json.Unmarshal(record.Value, &r))
+	for _, r := range c.leaseRecords(before) {
 		if r.Era == 1 {
 			former++
 		}
 	}
 	assert.LessOrEqual(t, former, 2, "records for the former history: one when that ended, and one that shows it")
 }
+
+// leaseRecords returns the records of the lease from an offset on.
+func (c *cluster) leaseRecords(from int) []leaderlease.Record {
+	page, err := platform.NewStore(c.store.Address()).Read(c.Context(), platform.TopicLease, int64(from), 0)
+	require.NoError(c, err)
+	records := make([]leaderlease.Record, len(page.Records))
+	for i, record := range page.Records {
+		require.NoError(c, json.Unmarshal(record.Value, &records[i]))
+	}
+	return records
+}
+
+// An instance that had started later told the holder of its own lease with a later epoch, and the holder ceased to place
+// models: it appended a record every few milliseconds.
+func TestHolderIsToldOfItsOwnLease(t *testing.T) {
+	c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0", OnDisk: []string{"a"}})
+	i := c.start("i0")
+	c.eventually("i0 holds the lease", i.elector.placing)
+	r, epoch, _ := i.elector.holder()
+	i.elector.receiveLease(&placerpb.Tenure{Holder: r.Holder, Life: r.Incarnation, Address: r.Address, Epoch: epoch + 16})
+	defer i.collector.Wait(wantModel("a"))()
+	c.eventually("it loads a model", func() bool { return c.holds(0, "a") })
+	now, allowed := i.elector.canOrder()
+	assert.True(t, allowed)
+	assert.Equal(t, epoch, now)
+	for _, written := range c.leaseRecords(0) {
+		assert.Equal(t, epoch, written.Epoch, "it claims nothing anew")
+	}
+}
+
+// However often an append is due, an instance doesn't use up the store's limit of writes, which all share.
+func TestAppendsAreLimited(t *testing.T) {
+	c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0", OnDisk: []string{"a"}})
+	i := c.start("i0")
+	c.eventually("i0 holds the lease", i.elector.placing)
+	ctx, cancel := context.WithTimeout(t.Context(), i.elector.state.LeaseDuration())
+	defer cancel()
+	accepted := 0
+	for i.elector.append(ctx, leaderlease.Record{}) == nil {
+		accepted++
+	}
+	assert.LessOrEqual(t, accepted, appendsPerLease+appendBurst)
+}
--- a/pkg/leaderlease/drill_test.go
+++ b/pkg/leaderlease/drill_test.go
@@ -177,7 +177,12 @@
 // record at the offset was the newest one.
 func (w *drillWorld) tellDerived(to *drillNode, offset int) {
 	if offset < len(w.log) && w.runs(to) && !w.log[offset].Released {
+		ordered := to.state.CanOrder(w.now)
 		to.state.ObservePeer(w.log[offset], int64(offset)+1)
+		own := fmt.Sprint(to.name, "/", to.process) == w.log[offset].Incarnation
+		if own && ordered && !to.state.CanOrder(w.now) {
+			w.broken = fmt.Sprintf("%v: %s doesn't order any more, as it is told of its own lease", w.now-time.Hour, to.name)
+		}
 	}
 }
 
--- a/pkg/leaderlease/leaderlease.go
+++ b/pkg/leaderlease/leaderlease.go
@@ -158,7 +158,11 @@
 // HolderResponded records that the holder answered a request and stated this epoch, which counts like a
 // renewal if it is that of the lease.
 func (s *State) HolderResponded(epoch int64, now time.Duration) {
-	if s.derived && s.peerEpoch <= s.epoch && epoch > 0 && epoch < s.epoch {
+	switch {
+	case s.peerEpoch > s.epoch:
+		// A build that states no epochs may have derived a later one and told it.
+		s.peerEpoch = epoch
+	case s.derived && epoch > 0 && epoch < s.epoch:
 		s.epoch = epoch
 	}
 	if _, held, _ := s.Holder(); held != epoch {
@@ -251,8 +255,8 @@
 // report and whether to stop ordering. Claims and orders require records that this instance
 // has read itself.
 func (s *State) ObservePeer(r Record, epoch int64) {
-	if epoch > MaxEpoch || epoch <= s.epoch || epoch <= s.peerEpoch {
-		return
+	if epoch > MaxEpoch || epoch <= s.epoch || epoch <= s.peerEpoch || r.Incarnation == s.cfg.Self.Incarnation {
+		return // what this instance did is known best by itself
 	}
 	s.peerRecord, s.peerEpoch = r, epoch
 	s.highest = max(s.highest, epoch)
@@ -261,7 +265,7 @@
 // Holder returns the record and the epoch of the holder; false if there is none.
 func (s *State) Holder() (Record, int64, bool) {
 	if s.peerEpoch > s.epoch {
-		return s.peerRecord, s.peerEpoch, s.peerRecord.Incarnation != s.cfg.Self.Incarnation
+		return s.peerRecord, s.peerEpoch, true
 	}
 	return s.last, s.epoch, s.initialized && s.last.Incarnation != "" && !s.last.Released
 }
@@ -272,6 +276,10 @@
 	return held && !s.unclaimed && r.Incarnation == s.cfg.Self.Incarnation
 }
 
+// IsEpochKnown reports whether the epoch of the holder is the one that the holder uses itself. Otherwise it
+// was derived from a record that needn't be the first one of the holder's run.
+func (s *State) IsEpochKnown() bool { return s.peerEpoch > s.epoch || !s.derived }
+
 // Era returns the era of the log's history; 0 if the log states none.
 func (s *State) Era() int64 { return s.era }
 
@@ -327,7 +335,7 @@
 	case s.unclaimed:
 		// What the last record says isn't known to have been the last word of its history.
 		return s.lastContact + s.cfg.LeaseDuration + claimDelay
-	case s.last.Incarnation != "" && s.last.Holder == s.cfg.Self.Holder && !s.last.Released:
+	case s.last.Holder == s.cfg.Self.Holder && s.last.Incarnation != s.cfg.Self.Incarnation && !s.last.Released && s.last.Incarnation != "":
 		// The holder was an earlier process of this instance, which has ended.
 		return s.lastContact
 	case s.last.Released && s.last.Successor == s.cfg.Self.Holder:
--- a/pkg/leaderlease/leaderlease_test.go
+++ b/pkg/leaderlease/leaderlease_test.go
@@ -145,3 +145,46 @@
 	assert.Equal(t, "c", r.Incarnation, "records of the log override reports of peers")
 	assert.Equal(t, int64(10), epoch)
 }
+
+// An instance that had started later derived the holder's epoch from a renewal, and told the holder of it: the
+// holder didn't take itself for the holder any more, and appended records without end.
+func TestHolderHearsOfItsOwnLease(t *testing.T) {
+	for _, fenced := range []bool{false, true} {
+		s := newState("a", fenced)
+		s.Appended(0, record("a"), 0, 0)
+		s.Appended(16, record("a"), time.Second, time.Second)
+		s.ObservePeer(record("a"), 17)
+		assert.True(t, s.IsHolder())
+		assert.True(t, s.CanOrder(time.Second))
+		assert.Equal(t, int64(1), s.Epoch())
+		assert.Equal(t, time.Second+lease/3, s.NextAppend(0))
+	}
+}
+
+// An instance that is told of a later holder and finds its own record as the last one waits for that holder.
+func TestOwnRecordIsNotThatOfAnEarlierProcess(t *testing.T) {
+	s := newState("a", false)
+	s.Appended(0, record("a"), 0, 0)
+	s.ObservePeer(record("b"), 7)
+	assert.Equal(t, lease, s.NextAppend(0))
+	_, claim := s.Propose(leaderlease.Record{})
+	assert.Equal(t, int64(8), claim.Epoch, "later than the one that it was told of")
+}
+
+// A later start derives an epoch that is too high from the record of a build that states none. The holder's own
+// answer corrects it, and until then it isn't told to others.
+func TestDerivedEpochIsCorrectedByTheHolder(t *testing.T) {
+	s := newState("c", false)
+	s.Observe(16, record("a"), 0)
+	assert.False(t, s.IsEpochKnown())
+	s.HolderResponded(1, 9*time.Second)
+	assert.True(t, s.IsEpochKnown())
+	assert.Equal(t, int64(1), s.Epoch())
+	assert.Equal(t, 9*time.Second+lease, s.NextAppend(0))
+
+	s.ObservePeer(record("a"), 17)
+	s.HolderResponded(1, 10*time.Second)
+	_, epoch, _ := s.Holder()
+	assert.Equal(t, int64(1), epoch, "told by another instance that had started later")
+	assert.Equal(t, 10*time.Second+lease, s.NextAppend(0))
+}
