leaderlease: only the holder's own answer corrects its epoch

By reading: an answer that arrived after another holder had become known was taken for that one's statement of its epoch. A record without an epoch that is the first one after a drill is as uncertain as the newest one at a start.

--- a/internal/placer/elector.go
+++ b/internal/placer/elector.go
@@ -305,7 +305,9 @@
 	defer e.mu.Unlock()
 	e.lastContact = bootclock.Now()
 	e.state.ObservePeer(r, epoch)
-	e.state.HolderResponded(epoch, e.lastContact)
+	if holder, _, _ := e.state.Holder(); holder.Incarnation == r.Incarnation {
+		e.state.HolderResponded(epoch, e.lastContact)
+	}
 }
 
 // renewalHeard records how long ago the holder renewed the lease, as it says itself. If it hasn't
--- a/pkg/leaderlease/leaderlease.go
+++ b/pkg/leaderlease/leaderlease.go
@@ -155,8 +155,8 @@
 	}
 }
 
-// HolderResponded records that the holder answered a request and stated this epoch, which counts like a
-// renewal if it is that of the lease.
+// HolderResponded records that the instance that Holder returns answered a request and stated this epoch, which
+// counts like a renewal if it is that of the lease.
 func (s *State) HolderResponded(epoch int64, now time.Duration) {
 	switch {
 	case s.peerEpoch > s.epoch:
@@ -186,7 +186,7 @@
 	}
 	first := s.last.Incarnation == "" || s.unclaimed
 	if first || r.Incarnation != s.last.Incarnation || s.last.Released || r.Epoch > 0 && r.Epoch != s.epoch {
-		s.derived = r.Epoch == 0 && !s.initialized
+		s.derived = r.Epoch == 0 && offset > 0 && (!s.initialized || s.unclaimed)
 		s.epoch = epochOf(offset, r)
 		s.superseded = false
 	}
