edge: log who ended an attempt, and which requests the end of a process cuts

Callers saw accepted streams end without an answer, and the logs couldn't tell three causes apart: that the instance had ended the runs itself, that the server had, or that the process had. attempt_failed now names who ended the attempt, for how long the server had been silent, how much had been forwarded, whether a retry was charged in advance and what the budget held. No logic is changed.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -81,14 +81,14 @@
 			q.edge.release(q.service, b)
 			return q.accountForRuns(refused(reasonBudget, jitter(time.Second))), false
 		}
-		fault := q.attempt(ctx, b)
+		fault, by := q.attempt(ctx, b)
 		if fault != retry.FaultNotSent {
 			q.sends++
 		}
 		if fault == retry.FaultNone {
 			return outcome{}, true
 		}
-		q.logFault(b, fault)
+		q.logFault(b, fault, by)
 		if out, again := q.afterFailure(ctx, b, fault); !again {
 			return out, false
 		}
@@ -134,9 +134,11 @@
 	return false
 }
 
-func (q *request) logFault(b *backend, fault retry.Fault) {
+func (q *request) logFault(b *backend, fault retry.Fault, by endedBy) {
 	q.edge.log.Info().Str("request", q.head.ID).Str("server", string(b.server.ID)).Str("fault", fault.String()).
-		Int("status", q.status).Str("model", q.model).Int("sends", q.sends).Int("runs", q.runs).
+		Str("ended_by", string(by)).Int("status", q.status).Str("model", q.model).Int("sends", q.sends).Int("runs", q.runs).
+		Int("events", q.progress.events).Dur("silent", q.progress.silentFor(time.Now())).
+		Bool("reserved", q.retryReserved.Load()).Float64("budget", q.edge.budget(q.service).Left(q.edge.elapsed())).
 		Dur("left", time.Until(q.deadline)).Msg("attempt_failed")
 }
 
@@ -175,8 +177,8 @@
 }
 
 // attempt sends the request to a server on which it holds a slot, and forwards a valid
-// answer to the client.
-func (q *request) attempt(ctx context.Context, b *backend) retry.Fault {
+// answer to the client. If it fails, it returns why, and who ended it.
+func (q *request) attempt(ctx context.Context, b *backend) (retry.Fault, endedBy) {
 	probe, _ := b.stats.health.Admit(q.edge.elapsed())
 	defer q.edge.release(q.service, b)
 	if q.model != "" {
@@ -186,6 +188,7 @@
 	}
 
 	q.status = 0
+	q.at.Store(&b.server.ID)
 	q.progress.attemptBegins(b.server.ID, b.stats.inFlight.Load()-1, time.Now())
 	b.stats.rateLimit.recordSent(q.sends > 0)
 	if q.lastEvent >= 0 {
@@ -213,7 +216,7 @@
 	if errors.Is(err, platform.ErrWithdrawn) {
 		// This is no evidence about the server.
 		b.stats.health.Released(probe)
-		return retry.FaultNotSent
+		return retry.FaultNotSent, endedByServer
 	}
 	if err != nil {
 		fault = sendFault(err)
@@ -223,14 +226,16 @@
 	} else {
 		fault = q.handleAnswer(b, answer, watchdog)
 	}
+	by := endedByServer
 	switch {
 	case fault != retry.FaultNone && ctx.Err() != nil && !fault.NeverRan():
 		// The client or the deadline ended the attempt, which is no evidence about the
 		// server.
 		b.stats.health.Released(probe)
-		return retry.FaultCanceled
+		return retry.FaultCanceled, q.interruptedBy(ctx)
 	case fault != retry.FaultNone && stalled.Load() && !fault.NeverRan():
-		fault = retry.FaultTimeout
+		fault, by = retry.FaultTimeout, endedByInstance
+		q.edge.runsGivenUp.Inc(1)
 	}
 	q.recordHealth(b, fault, probe)
 	if fault == retry.FaultNone {
@@ -239,7 +244,7 @@
 	if fault == retry.FaultBeforeFirstByte || fault == retry.FaultAfterFirstByte {
 		q.investigateCrash(b)
 	}
-	return fault
+	return fault, by
 }
 
 func sendFault(err error) retry.Fault {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -96,6 +96,8 @@
 
 	unanswered unanswered
 
+	running running
+
 	keys confirmation
 
 	quotas accountQuotas
@@ -109,6 +111,10 @@
 	budgetInstances int
 
 	served, refusals, failures, repeats metrics.Counter
+	// runsGivenUp counts runs that this instance has ended because their server was silent, and
+	// endedAfterRun the requests that may have run and ended without a server's answer, by reason.
+	runsGivenUp   metrics.Counter
+	endedAfterRun reasonCounters
 	// keysUnknown and keysUnconfirmed count the requests that were refused for their keys.
 	keysUnknown, keysUnconfirmed metrics.Counter
 	latency                      metrics.Timer
@@ -142,6 +148,10 @@
 		failures:   metrics.NewRegisteredCounter("edge_failed", registry),
 		repeats:    metrics.NewRegisteredCounter("edge_repeats", registry),
 		latency:    metrics.NewRegisteredTimer("edge_latency_ns", registry),
+		running:    running{requests: map[*request]struct{}{}},
+
+		runsGivenUp:   metrics.NewRegisteredCounter("edge_runs_given_up", registry),
+		endedAfterRun: reasonCounters{prefix: "edge_ended_after_run_", registry: registry},
 
 		refusedEarly:       metrics.NewRegisteredCounter("edge_refused_early", registry),
 		firstEventExpected: metrics.NewRegisteredTimer("edge_first_event_expected_ns", registry),
--- a/internal/edge/progress.go
+++ b/internal/edge/progress.go
@@ -67,6 +67,18 @@
 	p.lastEventAt, p.writingAtLast = now, p.writing
 }
 
+// silentFor returns how long the server of the last attempt has sent nothing.
+func (p *progress) silentFor(now time.Time) time.Duration {
+	since := p.sentAt
+	if p.lastEventAt.After(since) {
+		since = p.lastEventAt
+	}
+	if since.IsZero() {
+		return 0
+	}
+	return now.Sub(since)
+}
+
 // missedObjective reports whether an answered request was late for its route: its answer, or
 // the first event of its stream, came after the latency objective, or events paused too long.
 func (p *progress) missedObjective(route *fleet.Route, took time.Duration) bool {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -102,6 +102,10 @@
 	// another server.
 	partForwarded bool
 	progress      progress
+	// at is the server of the current or the last attempt, and forwarded the number of writes with
+	// events. Both are read when the process ends.
+	at        atomic.Pointer[fleet.ServerID]
+	forwarded atomic.Int64
 }
 
 // ServeHTTP serves one client request.
@@ -111,6 +115,8 @@
 	q := &request{edge: e, w: w, arrived: time.Now(), lastEvent: -1, triedBackoff: triedBackoff, tried: map[fleet.ServerID]bool{}}
 	out, ok := q.accept(r)
 	if ok {
+		e.running.add(q)
+		defer e.running.remove(q)
 		ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 		defer cancel()
 		ctx, span := e.tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer),
@@ -158,6 +164,10 @@
 	if q.sends > 0 || q.progress.queued > 0 {
 		entry = q.progress.log(entry)
 	}
+	if q.runs > 0 {
+		e.endedAfterRun.count(out.reason)
+		entry = entry.Float64("budget", e.budget(q.service).Left(e.elapsed()))
+	}
 	if q.route != nil && !q.deadline.IsZero() {
 		entry = entry.Str("route", q.route.Name).Dur("limit", q.deadline.Sub(q.arrived))
 	}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -101,6 +101,7 @@
 	written := time.Now()
 	q.progress.writing += written.Sub(writing)
 	q.progress.eventsForwarded(q.arrived, written)
+	q.forwarded.Store(int64(q.progress.events))
 	if q.promptRead != nil {
 		q.promptRead()
 	}
--- a/internal/edge/virtual_test.go
+++ b/internal/edge/virtual_test.go
@@ -43,6 +43,8 @@
 	crashes   *crashes
 	standings *standings
 	instances []*edge.Edge
+	// logger is that of the instances.
+	logger *log.Logger
 }
 
 // inVirtualTime runs a test in a synctest bubble.
@@ -55,7 +57,7 @@
 func newVirtualFleet(t *testing.T) *virtualFleet {
 	// The handlers of closed servers, and the checks of crashed ones, end before the bubble does.
 	t.Cleanup(func() { time.Sleep(time.Minute) })
-	return &virtualFleet{T: t, servers: map[fleet.ServerID]*fleet.Server{}, permits: newPermits(), quotas: newQuotas(), origins: newOrigins(), crashes: newCrashes(t), standings: newStandings(), listeners: &memoryListeners{byAddress: map[string]*memoryListener{}}}
+	return &virtualFleet{T: t, servers: map[fleet.ServerID]*fleet.Server{}, permits: newPermits(), quotas: newQuotas(), origins: newOrigins(), crashes: newCrashes(t), standings: newStandings(), listeners: &memoryListeners{byAddress: map[string]*memoryListener{}}, logger: &log.Logger{Level: log.PanicLevel}}
 }
 
 // addServer starts a server and lists it.
@@ -92,7 +94,7 @@
 	f.origins.add(name, views)
 	return edge.New(edge.Config{Name: name, Zone: "zone-a", RetryRatio: 0.2, RetryExtra: 200, RetryWindow: 10 * time.Second, Instances: instances, Clock: f.quotas.clock},
 		views, servers, noDemand{},
-		edge.Peers{Permits: f.permits.of(name), Quotas: f.quotas.of(name), Origins: f.origins.of(name), Crashes: f.crashes.of(name), Standings: f.standings.of(name)}, &log.Logger{Level: log.PanicLevel}, metrics.NewRegistry(),
+		edge.Peers{Permits: f.permits.of(name), Quotas: f.quotas.of(name), Origins: f.origins.of(name), Crashes: f.crashes.of(name), Standings: f.standings.of(name)}, f.logger, metrics.NewRegistry(),
 		noop.NewTracerProvider().Tracer(""))
 }
 
--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -330,6 +330,7 @@
 	pause.For(grace, drainDelay)
 	if err := front.Shutdown(grace); err != nil {
 		i.log.Warn().Err(err).Int64("requests", i.edge.InFlight()).Msg("drain_cut_short")
+		i.edge.LogCut()
 	}
 	i.relay.Wait(grace)
 }
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -104,6 +104,12 @@
 	}
 }
 
+// Left returns the retries that the budget holds.
+func (b *Budget) Left(now time.Duration) float64 {
+	b.refill(now)
+	return float64(b.tokens.Load()) / tokenUnit
+}
+
 // Denied returns the number of retries that the budget did not allow.
 func (b *Budget) Denied() uint64 { return b.denied.Load() }
 
