edge: a failing test of answers that are given up for refusals

A server that is silent for 1.2 s, before its answer or after its first event, and goes on; two that refuse for 0.3, 1 or 10 s; 1, 2, 4 or 200 extra retries; with and without the instance stopping; a resumable stream and a repeatable request, four one after the other, in virtual time. What the silent server has begun to run must be answered whole.

--- /dev/null
+++ b/internal/edge/abandonedanswer_test.go
@@ -0,0 +1,108 @@
+package edge_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
+)
+
+// refusingServer refuses requests as a full one does, from its first request on for a time; then it
+// answers.
+type refusingServer struct {
+	silentServer
+
+	refuses time.Duration
+	since   atomic.Pointer[time.Time]
+}
+
+func (s *refusingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	s.since.CompareAndSwap(nil, &now)
+	if now.Sub(*s.since.Load()) < s.refuses {
+		refuseFull(w, r)
+		return
+	}
+	s.silentServer.ServeHTTP(w, r)
+}
+
+// refuseFull answers as a server that has no room.
+func refuseFull(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(standin.HeaderID, r.Header.Get(standin.HeaderID))
+	w.Header().Set(standin.HeaderNotExecuted, "full")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// A sound server that was silent for a second lost its request to servers that refused it, and then to an
+// empty retry budget.
+func TestSilentAnswerWasGivenUpForRefusals(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/read/x"} {
+		for _, before := range []bool{false, true} {
+			for _, refuses := range []time.Duration{300 * time.Millisecond, time.Second, 10 * time.Second} {
+				for _, extra := range []float64{1, 2, 4, 200} {
+					for _, stops := range []bool{false, true} {
+						name := fmt.Sprintf("%s before %v refuses %v extra %v stops %v", path, before, refuses, extra, stops)
+						t.Run(name, func(t *testing.T) {
+							inVirtualTime(t, func(t *testing.T) {
+								playSilenceBesideRefusals(t, path, before, refuses, extra, stops)
+							})
+						})
+					}
+				}
+			}
+		}
+	}
+}
+
+// playSilenceBesideRefusals sends four requests, one after the other, to an instance with a server that
+// falls silent and two that refuse.
+func playSilenceBesideRefusals(t *testing.T, path string, before bool, refuses time.Duration, extra float64, stops bool) {
+	f := newVirtualFleet(t)
+	f.retryExtra = extra
+	var runs sync.Map
+	for _, service := range []string{plain, engine} {
+		count := 0
+		if service == engine {
+			count = 6
+		}
+		add := func(id string, handler http.Handler) {
+			f.addServer(&fleet.Server{
+				ID: fleet.ServerID(service + id), Service: service, Zone: "zone-a", Version: "v1", Slots: 8,
+				Models: []fleet.Resident{{Model: "m"}},
+			}, handler)
+		}
+		silent := &silentServer{before: before, events: count}
+		add("silent", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			runs.Store(r.Header.Get(standin.HeaderID), true)
+			silent.ServeHTTP(w, r)
+		}))
+		for _, id := range []string{"full0", "full1"} {
+			add(id, &refusingServer{silentServer: silentServer{events: count}, refuses: refuses})
+		}
+	}
+	e := f.newInstance("i0", f.newViews(testManifest()), 1)
+	want := "first second"
+	if path == "/stream/x" {
+		want = events(1, 6)
+	}
+	for i := range 4 {
+		if stops && i == 1 {
+			now := time.Now()
+			e.Drain(now.Add(8*time.Second), now.Add(8*time.Second))
+		}
+		id := fmt.Sprint("id", i)
+		got := f.send(t.Context(), e, id, path, map[string]string{standin.HeaderModel: "m"})
+		if _, ran := runs.Load(id); !ran && got.Code == http.StatusServiceUnavailable {
+			continue // refused by the full servers alone
+		}
+		assert.Equal(t, http.StatusOK, got.Code, "request %d", i)
+		assert.Equal(t, want, got.Body.String(), "request %d", i)
+	}
+}
--- a/internal/edge/virtual_test.go
+++ b/internal/edge/virtual_test.go
@@ -43,8 +43,9 @@
 	crashes   *crashes
 	standings *standings
 	instances []*edge.Edge
-	// logger is that of the instances.
-	logger *log.Logger
+	// logger is that of the instances, and retryExtra the number of retries that they share.
+	logger     *log.Logger
+	retryExtra float64
 }
 
 // inVirtualTime runs a test in a synctest bubble.
@@ -57,7 +58,7 @@
 func newVirtualFleet(t *testing.T) *virtualFleet {
 	// The handlers of closed servers, and the checks of crashed ones, end before the bubble does.
 	t.Cleanup(func() { time.Sleep(time.Minute) })
-	return &virtualFleet{T: t, servers: map[fleet.ServerID]*fleet.Server{}, permits: newPermits(), quotas: newQuotas(), origins: newOrigins(), crashes: newCrashes(t), standings: newStandings(), listeners: &memoryListeners{byAddress: map[string]*memoryListener{}}, logger: &log.Logger{Level: log.PanicLevel}}
+	return &virtualFleet{T: t, servers: map[fleet.ServerID]*fleet.Server{}, permits: newPermits(), quotas: newQuotas(), origins: newOrigins(), crashes: newCrashes(t), standings: newStandings(), listeners: &memoryListeners{byAddress: map[string]*memoryListener{}}, logger: &log.Logger{Level: log.PanicLevel}, retryExtra: 200}
 }
 
 // addServer starts a server and lists it.
@@ -92,7 +93,7 @@
 func (f *virtualFleet) newInstanceWith(name string, views *edge.Views, instances int, servers *platform.Servers) *edge.Edge {
 	views.SetInstances(instances)
 	f.origins.add(name, views)
-	return edge.New(edge.Config{Name: name, Zone: "zone-a", RetryRatio: 0.2, RetryExtra: 200, RetryWindow: 10 * time.Second, Instances: instances, Clock: f.quotas.clock},
+	return edge.New(edge.Config{Name: name, Zone: "zone-a", RetryRatio: 0.2, RetryExtra: f.retryExtra, RetryWindow: 10 * time.Second, Instances: instances, Clock: f.quotas.clock},
 		views, servers, noDemand{},
 		edge.Peers{Permits: f.permits.of(name), Quotas: f.quotas.of(name), Origins: f.origins.of(name), Crashes: f.crashes.of(name), Standings: f.standings.of(name)}, f.logger, metrics.NewRegistry(),
 		noop.NewTracerProvider().Tracer(""))
