edge: keep a silent attempt until another server has begun to answer

Callers saw accepted streams cut, and repeatable requests answered 502, that a sound server would have ended a second later. An attempt whose server was silent was canceled as soon as another server was listed and one retry was withdrawn; the other server could refuse, which used the retry up, and then the budget was spent.

While the incumbent of a request is silent, the request is now sent to another server as well, if one has room and the budget a retry. The first of the two to send a new event, or a whole answer, goes on, and the other is canceled: nothing is ended for a server that may still refuse. All runs count against maxAttempts, those that were overtaken too. A successor goes on from the last event that the client had when it was sent; once the incumbent has forwarded another one, it is canceled, so pieces of two runs aren't joined.

--- a/internal/edge/brittle.go
+++ b/internal/edge/brittle.go
@@ -92,7 +92,8 @@
 }
 
 // recordBrittle records whether the server says that it is brittle, and whether it had no room.
-func (q *request) recordBrittle(b *backend, answer *platform.Answer) {
+func (a *attempt) recordBrittle(answer *platform.Answer) {
+	q, b := a.request, a.backend
 	if !answersRequest(answer) {
 		return
 	}
@@ -104,7 +105,7 @@
 		return
 	}
 	if answer.ToleratedRejections >= 0 || answer.Signed { // a refusal needn't state it
-		changed, rate := b.stats.brittle.stated(answer.ToleratedRejections, q.edge.brittleLoad(b), q.progress.sentAt, time.Now())
+		changed, rate := b.stats.brittle.stated(answer.ToleratedRejections, q.edge.brittleLoad(b), a.progress.sentAt, time.Now())
 		if changed {
 			logBrittle(q.edge.log, b.server.ID, q.head.ID, answer.ToleratedRejections, rate)
 		}
--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -150,12 +150,12 @@
 
 // investigateCrash finds out, in the background, whether the server whose exchange has broken
 // off has crashed.
-func (q *request) investigateCrash(b *backend) {
+func (a *attempt) investigateCrash() {
 	var unanswered *crashcause.Request
-	if q.lastEvent < 0 {
-		unanswered = &q.identity
+	if a.call.ResumeAfter < 0 && a.progress.firstEventAt.IsZero() {
+		unanswered = &a.request.identity
 	}
-	q.edge.investigateCrash(b, unanswered, q.progress.sentAt)
+	a.request.edge.investigateCrash(a.backend, unanswered, a.progress.sentAt)
 }
 
 func (e *Edge) investigateCrash(b *backend, unanswered *crashcause.Request, sentAt time.Time) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -111,10 +111,11 @@
 	budgetInstances int
 
 	served, refusals, failures, repeats metrics.Counter
-	// runsGivenUp counts runs that this instance has ended because their server was silent, and
-	// endedAfterRun the requests that may have run and ended without a server's answer, by reason.
-	runsGivenUp   metrics.Counter
-	endedAfterRun reasonCounters
+	// runsSuperseded counts runs that this instance has ended because another server has begun to answer,
+	// and runsOvertaken those that it has ended because the server that had been silent went on.
+	// endedAfterRun counts requests that may have run and ended without a server's answer, by reason.
+	runsSuperseded, runsOvertaken metrics.Counter
+	endedAfterRun                 reasonCounters
 	// keysUnknown and keysUnconfirmed count the requests that were refused for their keys.
 	keysUnknown, keysUnconfirmed metrics.Counter
 	latency                      metrics.Timer
@@ -150,8 +151,9 @@
 		latency:    metrics.NewRegisteredTimer("edge_latency_ns", registry),
 		running:    running{requests: map[*request]struct{}{}},
 
-		runsGivenUp:   metrics.NewRegisteredCounter("edge_runs_given_up", registry),
-		endedAfterRun: reasonCounters{prefix: "edge_ended_after_run_", registry: registry},
+		runsSuperseded: metrics.NewRegisteredCounter("edge_runs_superseded", registry),
+		runsOvertaken:  metrics.NewRegisteredCounter("edge_runs_overtaken", registry),
+		endedAfterRun:  reasonCounters{prefix: "edge_ended_after_run_", registry: registry},
 
 		refusedEarly:       metrics.NewRegisteredCounter("edge_refused_early", registry),
 		firstEventExpected: metrics.NewRegisteredTimer("edge_first_event_expected_ns", registry),
--- /dev/null
+++ b/internal/edge/handover.go
@@ -0,0 +1,320 @@
+package edge
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/retry"
+)
+
+// successorRecheckInterval is how often a request whose server is silent checks whether it may be sent
+// to another one, if it couldn't before.
+const successorRecheckInterval = 50 * time.Millisecond
+
+var (
+	// errSuperseded ends an attempt because another server has begun to answer.
+	errSuperseded = errors.New("another server has begun to answer")
+	// errOvertaken ends a successor because the server that was silent, or another one, goes on.
+	errOvertaken = errors.New("another attempt goes on")
+)
+
+// handover holds the attempts of a request that may still answer it. The incumbent writes to the client.
+// While it is silent, the request is sent to other servers as well. The first one to send a part of its
+// answer goes on, and the others are canceled: what is in hand isn't given up for a server that may
+// still refuse or fail.
+type handover struct {
+	request *request
+	// ctx is the context of the request.
+	ctx context.Context
+
+	mu sync.Mutex
+	// changed is signaled when a successor has begun to answer or has failed.
+	changed   *sync.Cond
+	incumbent *attempt
+	// successors are the other attempts, and chosen is the one that has begun to answer.
+	successors []*attempt
+	chosen     *attempt
+	// forwarding means that the incumbent has something for the client.
+	forwarding bool
+	// silentAt is when the incumbent counts as silent, and alarm runs onSilence then.
+	silentAt time.Time
+	alarm    *time.Timer
+	// tried lists the servers to avoid. Once there are no others, they are tried again at forgetAt, and
+	// backoff is the delay until then.
+	tried    map[fleet.ServerID]bool
+	forgetAt time.Time
+	backoff  time.Duration
+	// sends and runs count the successors that have ended as those of the request are counted, and
+	// open those that haven't.
+	sends, runs, open int
+	ended             sync.WaitGroup
+}
+
+// begin makes an attempt the incumbent.
+func (h *handover) begin(a *attempt) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.changed == nil {
+		h.changed = sync.NewCond(&h.mu)
+	}
+	h.incumbent, h.forwarding = a, false
+	if h.tried == nil {
+		h.tried, h.backoff = maps.Clone(h.request.tried), triedBackoff
+	}
+	h.tried[a.backend.server.ID] = true
+	h.watch(a.firstByteTimeout())
+}
+
+// watch sets when the incumbent counts as silent.
+func (h *handover) watch(after time.Duration) {
+	if len(h.successors) == 0 && !h.attemptsLeft() {
+		return
+	}
+	h.silentAt = time.Now().Add(after)
+	if h.alarm == nil {
+		h.alarm = time.AfterFunc(after, h.onSilence)
+		return
+	}
+	h.alarm.Reset(after)
+}
+
+// attemptsLeft reports whether the request may be sent to one more server.
+func (h *handover) attemptsLeft() bool {
+	q := h.request
+	return q.route.Idempotent() && !q.partForwarded && q.runs+h.runs+h.open+1 < q.route.MaxAttempts
+}
+
+// repeatable reports whether another server may still answer the request if the incumbent fails.
+func (h *handover) repeatable() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.successors) > 0 || h.chosen != nil || h.attemptsLeft()
+}
+
+// onSilence sends the request to another server while the incumbent is silent.
+func (h *handover) onSilence() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.incumbent == nil || h.forwarding || h.chosen != nil || h.ctx.Err() != nil || time.Now().Before(h.silentAt) || !h.attemptsLeft() {
+		return
+	}
+	b := h.reserveSuccessor()
+	if b == nil {
+		h.watch(successorRecheckInterval)
+		return
+	}
+	s := h.request.newAttempt(h.ctx, b)
+	s.begun = make(chan struct{})
+	h.successors = append(h.successors, s)
+	h.tried[b.server.ID] = true
+	h.open++
+	h.ended.Add(1)
+	go h.run(s)
+	h.watch(s.firstByteTimeout())
+}
+
+// reserveSuccessor reserves a slot on another server, and the retry. It returns nil if there is no server
+// with room, or no retry left.
+func (h *handover) reserveSuccessor() *backend {
+	q := h.request
+	budget, elapsed := q.edge.budget(q.service), q.edge.elapsed()
+	if budget.Left(elapsed) < 1 {
+		return nil
+	}
+	b, state := q.choose(q.edge.views.Load(), h.tried)
+	switch {
+	case state == waitTried:
+		h.forgetTried()
+		return nil
+	case b == nil || !b.stats.health.Usable(elapsed) || !budget.Withdraw(elapsed):
+		return nil
+	}
+	q.edge.repeats.Inc(1)
+	b.stats.inFlight.Add(1)
+	return b
+}
+
+// forgetTried lets the servers that have refused the request be tried again.
+func (h *handover) forgetTried() {
+	now := time.Now()
+	if h.forgetAt.IsZero() {
+		h.forgetAt = now.Add(h.backoff)
+	}
+	if now.Before(h.forgetAt) {
+		return
+	}
+	h.backoff, h.forgetAt = min(2*h.backoff, triedBackoffMax), time.Time{}
+	clear(h.tried)
+	for _, a := range append(slices.Clone(h.successors), h.incumbent) {
+		h.tried[a.backend.server.ID] = true
+	}
+}
+
+// run sends the request to a successor, until it has begun to answer or has failed.
+func (h *handover) run(s *attempt) {
+	defer h.ended.Done()
+	s.fault = s.beginAnswer()
+	if h.offer(s) {
+		close(s.begun)
+		return
+	}
+	// The request goes on without this attempt.
+	if s.answer != nil {
+		s.closeUnread()
+	}
+	withdrawn := context.Cause(s.ctx) != nil
+	if s.fault == retry.FaultNone {
+		s.cancel(errOvertaken)
+		s.fault = retry.FaultCanceled
+	}
+	s.end()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.open--
+	h.count(s)
+	s.log(h.request.sends+h.sends, h.request.runs+h.runs)
+	if h.incumbent != nil && !h.forwarding && len(h.successors) == 0 && !withdrawn {
+		h.watch(0)
+	}
+}
+
+// offer reports whether the request goes on with a successor: it has begun to answer before the
+// incumbent and the others, or has become the incumbent meanwhile.
+func (h *handover) offer(s *attempt) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.incumbent == s {
+		return true
+	}
+	at := slices.Index(h.successors, s)
+	if at < 0 {
+		return false
+	}
+	h.successors = slices.Delete(h.successors, at, at+1)
+	h.changed.Broadcast()
+	if s.fault != retry.FaultNone {
+		return false
+	}
+	h.open--
+	h.chosen = s
+	h.cancelSuccessors()
+	h.incumbent.cancel(errSuperseded)
+	return true
+}
+
+// count counts an attempt that has ended.
+func (h *handover) count(s *attempt) {
+	if s.fault != retry.FaultNotSent {
+		h.sends++
+	}
+	if !s.fault.NeverRan() {
+		h.runs++
+	}
+}
+
+// cancelSuccessors cancels the successors. They count as open until they have ended.
+func (h *handover) cancelSuccessors() {
+	for _, s := range h.successors {
+		s.cancel(errOvertaken)
+	}
+	h.successors = nil
+}
+
+// goOn is called before the incumbent writes to the client, or ends the request. It reports false if a
+// successor has begun to answer before. The first events after a silence are held for a moment if
+// the route has an objective for the gap between events: the successor is likely to be faster.
+func (h *handover) goOn(a *attempt, hold time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.awaitSuccessors(hold)
+	if h.chosen != nil || h.incumbent != a {
+		return false
+	}
+	h.forwarding = true
+	h.cancelSuccessors()
+	return true
+}
+
+// awaitSuccessors waits until one of the successors has begun to answer, all have failed, or the last one
+// was sent that long ago.
+func (h *handover) awaitSuccessors(hold time.Duration) {
+	if len(h.successors) == 0 || h.chosen != nil {
+		return
+	}
+	left := hold - time.Since(h.successors[len(h.successors)-1].progress.sentAt)
+	expired := left <= 0
+	timer := time.AfterFunc(left, func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		expired = true
+		h.changed.Broadcast()
+	})
+	defer timer.Stop()
+	for !expired && h.chosen == nil && len(h.successors) > 0 {
+		h.changed.Wait()
+	}
+}
+
+// waits is called when the incumbent waits for more of a stream.
+func (h *handover) waits(stall time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.forwarding = false
+	if len(h.successors) == 0 && h.chosen == nil {
+		h.watch(stall)
+	}
+}
+
+// next returns the attempt that goes on after the incumbent has failed; nil if there is none.
+func (h *handover) next() *attempt {
+	h.mu.Lock()
+	next := h.chosen
+	h.incumbent, h.chosen = nil, nil
+	if next == nil && len(h.successors) > 0 && h.ctx.Err() == nil {
+		next, h.successors = h.successors[0], h.successors[1:]
+		h.open--
+	}
+	if next != nil {
+		h.incumbent, h.forwarding = next, false
+		h.watch(next.firstByteTimeout())
+	}
+	h.mu.Unlock()
+	if next == nil {
+		h.settle()
+	}
+	return next
+}
+
+// settle cancels the successors, waits for their ends and counts them for the request.
+func (h *handover) settle() {
+	h.mu.Lock()
+	chosen := h.chosen
+	h.incumbent, h.chosen = nil, nil
+	h.cancelSuccessors()
+	h.mu.Unlock()
+	if chosen != nil {
+		chosen.closeUnread()
+		chosen.cancel(errOvertaken)
+		chosen.fault = retry.FaultCanceled
+		chosen.end()
+	}
+	h.ended.Wait()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if chosen != nil {
+		h.count(chosen)
+	}
+	if h.alarm != nil {
+		h.alarm.Stop()
+	}
+	h.request.sends += h.sends
+	h.request.runs += h.runs
+	maps.Copy(h.request.tried, h.tried)
+	h.sends, h.runs, h.tried = 0, 0, nil
+}
--- a/internal/edge/progress.go
+++ b/internal/edge/progress.go
@@ -14,35 +14,47 @@
 type progress struct {
 	// queued is the time spent waiting for a server, over all attempts.
 	queued time.Duration
-	// server is the server of the last attempt. ahead is how many other requests of this
-	// instance were in flight there when the attempt began, and load is what the server's
-	// last answer reported.
+	// attemptProgress is that of the last attempt.
+	attemptProgress
+
+	// firstEvent is the time from the arrival of the request to its first event, events is
+	// the number of writes with events, and longestPause the longest time between two of
+	// these.
+	firstEvent, longestPause time.Duration
+	events                   int
+	lastEventAt              time.Time
+	// writing is how long events were being written to the client, and writingAtLast that at
+	// lastEventAt. A client that reads slowly says nothing about the server.
+	writing, writingAtLast time.Duration
+}
+
+// attemptProgress records how far an attempt got.
+type attemptProgress struct {
+	// ahead is how many other requests of this instance were in flight at the server when the
+	// attempt began, and load is what the server's answer reported.
 	server  fleet.ServerID
 	sentAt  time.Time
 	ahead   int64
 	load    platform.ServerLoad
 	hasLoad bool
-	// expected is the expected time from sending the last attempt to its first event, and
-	// slowness how many times as long work was expected to take there as at other servers.
+	// expected is the expected time from sending the attempt to its first event, and slowness how
+	// many times as long work was expected to take there as at other servers.
 	expected time.Duration
 	slowness float64
-	// firstID and lastID are the IDs of the first and the last event of the last attempt.
+	// firstID and lastID are the IDs of the first and the last event.
 	firstID, lastID int64
-	// firstEvent is the time from the arrival of the request to its first event, events is
-	// the number of writes with events, and longestPause the longest time between two of
-	// these.
-	firstEvent, longestPause  time.Duration
-	events                    int
-	firstEventAt, lastEventAt time.Time
-	// writing is how long events were being written to the client, and writingAtFirst and writingAtLast
-	// that at firstEventAt and lastEventAt. A client that reads slowly says nothing about the server.
-	writing, writingAtFirst, writingAtLast time.Duration
+	// firstEventAt and latestEventAt are when the first and the latest event were forwarded, and
+	// writingAtFirst is the progress's writing at the first one.
+	firstEventAt, latestEventAt time.Time
+	writingAtFirst              time.Duration
 }
 
-// attemptBegins records the start of an attempt.
-func (p *progress) attemptBegins(server fleet.ServerID, ahead int64, now time.Time) {
-	p.server, p.ahead, p.hasLoad, p.sentAt, p.firstEventAt = server, ahead, false, now, time.Time{}
-	p.firstID, p.lastID = 0, 0
+// firstEventEstimate is what is expected of a server that is chosen for a request.
+type firstEventEstimate struct {
+	// firstEvent is the time until the first event, and slowness how many times as long work takes
+	// there as at other servers.
+	firstEvent time.Duration
+	slowness   float64
 }
 
 // observation returns what a completed attempt shows about its server.
@@ -64,19 +76,20 @@
 		p.firstEventAt, p.writingAtFirst = now, p.writing
 	}
 	p.events++
-	p.lastEventAt, p.writingAtLast = now, p.writing
+	p.lastEventAt, p.latestEventAt, p.writingAtLast = now, now, p.writing
 }
 
-// silentFor returns how long the server of the last attempt has sent nothing.
-func (p *progress) silentFor(now time.Time) time.Duration {
-	since := p.sentAt
-	if p.lastEventAt.After(since) {
-		since = p.lastEventAt
-	}
-	if since.IsZero() {
-		return 0
+// attemptBegins records the start of an attempt.
+func (p *attemptProgress) attemptBegins(server fleet.ServerID, ahead int64, now time.Time) {
+	*p = attemptProgress{server: server, ahead: ahead, sentAt: now}
+}
+
+// silentFor returns how long the server has sent no event.
+func (p *attemptProgress) silentFor(now time.Time) time.Duration {
+	if p.latestEventAt.IsZero() {
+		return now.Sub(p.sentAt)
 	}
-	return now.Sub(since)
+	return now.Sub(p.latestEventAt)
 }
 
 // missedObjective reports whether an answered request was late for its route: its answer, or
--- a/internal/edge/queuewait_test.go
+++ b/internal/edge/queuewait_test.go
@@ -95,6 +95,6 @@
 	q := &request{edge: e, route: quick, service: "engine", model: "m", arrived: now, deadline: now.Add(harnessTimeout)}
 	b.ReportAllocs()
 	for b.Loop() {
-		q.choose(views.Load())
+		q.choose(views.Load(), nil)
 	}
 }
--- a/internal/edge/ratelimit.go
+++ b/internal/edge/ratelimit.go
@@ -232,7 +232,8 @@
 }
 
 // recordRateLimit records the rate limit of an answer.
-func (q *request) recordRateLimit(b *backend, answer *platform.Answer) {
+func (a *attempt) recordRateLimit(answer *platform.Answer) {
+	q, b := a.request, a.backend
 	if !answersRequest(answer) {
 		return
 	}
@@ -243,7 +244,7 @@
 	if answer.RateLimit == limit.Unlimited && !answer.Signed {
 		return // a refusal needn't state the limit
 	}
-	ended, event := b.stats.rateLimit.observe(answer.RateLimit, q.progress.sentAt, time.Now())
+	ended, event := b.stats.rateLimit.observe(answer.RateLimit, a.progress.sentAt, time.Now())
 	event.log(q.edge.log, b.server.ID, q.head.ID)
 	if ended {
 		q.edge.tellLimitEnded(b)
--- /dev/null
+++ b/internal/edge/run.go
@@ -0,0 +1,149 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/retry"
+)
+
+// runUnlessBlocked runs the request. It is refused, or canceled by block, if one of its traits is
+// found to crash servers before one has begun to answer it.
+func (q *request) runUnlessBlocked(ctx context.Context, block context.CancelCauseFunc) (outcome, bool) {
+	q.edge.unanswered.add(q, block)
+	defer q.edge.unanswered.remove(q)
+	if trait, blocked := q.edge.crashes.Blocked(q.identity); blocked {
+		return refused(blockedReason(trait), 0), false
+	}
+	out, ok := q.run(ctx)
+	if !ok && errors.Is(context.Cause(ctx), errBlocked) {
+		trait, _ := q.edge.crashes.Blocked(q.identity)
+		out = q.accountForRuns(refused(blockedReason(trait), 0))
+	}
+	return out, ok
+}
+
+// run sends the request to servers until it is answered or no further attempt is allowed.
+// It reports true if the client has received a server's answer.
+func (q *request) run(ctx context.Context) (outcome, bool) {
+	if q.resumes() {
+		if out, ok := q.findOrigin(ctx); !ok {
+			return out, false
+		}
+	}
+	if q.route.Kind == fleet.KindStream {
+		defer q.edge.begun.end(q.streamID())
+	}
+	q.expected = q.edge.workload(q.service).Estimate(q.workloadKind(), q.route.TargetLatency)
+	if q.model != "" {
+		q.edge.demand.Arrived(q.want())
+	}
+	q.handover.request, q.handover.ctx = q, ctx
+	return q.sendToServers(ctx)
+}
+
+// sendToServers makes attempts until one succeeds or no further one is allowed.
+func (q *request) sendToServers(ctx context.Context) (outcome, bool) {
+	for {
+		b, out, ok := q.reserveServer(ctx)
+		if !ok {
+			return q.accountForRuns(out), false
+		}
+		q.client.ReleaseResponse()
+		a := q.newAttempt(ctx, b)
+		q.progress.attemptProgress = *a.progress
+		a.progress = &q.progress.attemptProgress
+		q.handover.begin(a)
+		for a != nil {
+			if a.perform() == retry.FaultNone {
+				q.handover.settle()
+				return outcome{}, true
+			}
+			q.count(a)
+			a.log(q.sends, q.runs)
+			a = q.handover.next()
+		}
+		if out, again := q.afterFailure(ctx); !again {
+			return out, false
+		}
+	}
+}
+
+// reserveServer waits for a server, reserves a slot on it and charges the attempt to the retry budget.
+func (q *request) reserveServer(ctx context.Context) (*backend, outcome, bool) {
+	b, out, ok := q.findServer(ctx)
+	switch {
+	case !ok:
+		return nil, out, false
+	case ctx.Err() != nil:
+		q.edge.release(q.service, b)
+		return nil, refused(reasonTimeout, 0), false
+	case !q.reserveAttempt():
+		q.edge.release(q.service, b)
+		return nil, refused(reasonBudget, jitter(time.Second)), false
+	}
+	return b, outcome{}, true
+}
+
+// reserveAttempt charges the attempt to the service's retry budget, and reports false if
+// the budget is exhausted. Attempts are free until one of them has reached a server.
+func (q *request) reserveAttempt() bool {
+	budget := q.edge.budget(q.service)
+	if q.sends == 0 {
+		if !q.budgetCounted {
+			q.budgetCounted = true
+			budget.RecordFirstAttempt(q.edge.elapsed())
+		}
+		return true
+	}
+	if !budget.Withdraw(q.edge.elapsed()) {
+		return false
+	}
+	q.edge.repeats.Inc(1)
+	return true
+}
+
+// count counts an attempt that has failed.
+func (q *request) count(a *attempt) {
+	if a.fault != retry.FaultNotSent {
+		q.sends++
+	}
+	if !a.fault.NeverRan() {
+		q.runs++
+	}
+	if a.avoid || !a.fault.NeverRan() || q.model == "" || a.fault == retry.FaultNotSent {
+		q.tried[a.backend.server.ID] = true
+	}
+}
+
+// afterFailure decides whether another attempt follows failed ones. If none does, it
+// returns the outcome and false.
+func (q *request) afterFailure(ctx context.Context) (outcome, bool) {
+	if ctx.Err() != nil {
+		return q.accountForRuns(refused(reasonTimeout, 0)), false
+	}
+	if q.runs == 0 {
+		return outcome{}, true
+	}
+	if q.partForwarded || !q.route.Idempotent() || q.runs >= q.route.MaxAttempts {
+		return q.accountForRuns(refused(reasonLost, 0)), false
+	}
+	return outcome{}, true
+}
+
+// accountForRuns changes a refusal into an unknown outcome if the request may have been
+// executed.
+func (q *request) accountForRuns(out outcome) outcome {
+	if q.runs == 0 {
+		return out
+	}
+	out.status, out.retryAfter = http.StatusBadGateway, 0
+	if out.reason == reasonTimeout || out.reason == reasonTooLate {
+		out.status = http.StatusGatewayTimeout
+	}
+	return out
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -54,8 +54,6 @@
 	sharedPart float64
 	// expected is the time that the request is expected to take of a server.
 	expected workload.Estimate
-	// promptRead records that the server of the current attempt has read the prompt.
-	promptRead func()
 	// slots is how many requests a server of the service runs concurrently; 0 if unknown.
 	slots int
 
@@ -74,8 +72,10 @@
 	runs  int
 	// triedBackoff is the delay before the servers in tried are tried again.
 	triedBackoff time.Duration
-	// retryReserved means that the next attempt is already charged to the retry budget.
-	retryReserved atomic.Bool
+	// handover holds the attempts that may still answer the request.
+	handover handover
+	// estimate is what was expected of the server that was chosen last.
+	estimate firstEventEstimate
 	// permitsAwaited are the rate limits whose permits the request waits for.
 	permitsAwaited []*rateLimit
 	// awaitsBrittle means that the request has been found to be in time for brittle servers.
@@ -85,8 +85,6 @@
 	expectedWait time.Duration
 	// awaitsLoad means that the permits won't do, but another server may load the model.
 	awaitsLoad bool
-	// status is the HTTP status of the last answer, or 0 if there was none.
-	status int
 	// budgetCounted means that the request has added its share to the retry budget.
 	budgetCounted bool
 	// lastEvent is the ID of the last stream event sent to the client, or negative if
--- a/internal/edge/slots.go
+++ b/internal/edge/slots.go
@@ -122,7 +122,7 @@
 	s.dispatchedAt, s.dispatchedView = now, view
 	s.order.Dispatch(now, func(ticket *slotqueue.Ticket) (granted, full bool) {
 		w := s.waits[ticket]
-		b, _ := w.request.choose(view)
+		b, _ := w.request.choose(view, w.request.tried)
 		if b == nil {
 			// A request that skips servers it has tried does not show that these servers
 			// are full.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -10,7 +10,6 @@
 	"github.com/go-faster/errors"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/retry"
-	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
 
 const (
@@ -26,50 +25,87 @@
 
 // stream forwards events as they arrive, and combines events that arrive together into
 // one write. An incomplete event is not forwarded.
-func (q *request) stream(b *backend, answer *platform.Answer, watchdog *time.Timer) retry.Fault {
-	stall := q.stallTimeout()
+func (a *attempt) stream() retry.Fault {
+	q, answer := a.request, a.answer
 	flusher := http.NewResponseController(q.w)
-	buffer := make([]byte, 0, streamBufferBytes)
+	buffer, err := a.body, a.readErr
+	arrived := len(buffer)
 	for {
-		if len(buffer) == cap(buffer) {
-			buffer = append(buffer, 0)[:len(buffer)]
-		}
-		n, err := answer.Body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if n > 0 {
-			watchdog.Reset(stall)
-			rest, writeErr := q.forwardEvents(answer, flusher, buffer)
+		if arrived > 0 {
+			if hasEvent(buffer) && !q.handover.goOn(a, q.route.GapTarget) {
+				answer.Close(false)
+				return retry.FaultTimeout
+			}
+			rest, writeErr := a.forwardEvents(flusher, buffer)
 			if writeErr != nil {
 				answer.Close(false)
 				return retry.FaultAfterFirstByte
 			}
 			buffer = append(buffer[:0], rest...)
 			if q.headWritten && q.streamVersion() == "" {
-				q.began.Store(&b.server.Version)
+				q.began.Store(&a.backend.server.Version)
 			}
+			q.handover.waits(q.stallTimeout())
 		}
 		switch {
-		case err == io.EOF && len(buffer) == 0 && q.headWritten:
+		case errors.Is(err, io.EOF) && len(buffer) == 0 && q.headWritten:
 			answer.Close(true)
 			return retry.FaultNone
 		case err != nil, len(buffer) > maxEventBytes:
 			answer.Close(false)
 			return retry.FaultAfterFirstByte
 		}
+		before := len(buffer)
+		buffer, err = a.readMore(buffer)
+		arrived = len(buffer) - before
 	}
 }
 
-// stallTimeout returns how long a stream can stall before it is resumed at another
-// server.
-func (q *request) stallTimeout() time.Duration {
-	if q.lastAttempt() {
-		return noTimeout
+// readMore reads the next part of the answer into a buffer, which it extends if it is full.
+func (a *attempt) readMore(buffer []byte) ([]byte, error) {
+	switch {
+	case buffer == nil:
+		buffer = make([]byte, 0, streamBufferBytes)
+	case len(buffer) == cap(buffer):
+		buffer = append(buffer, 0)[:len(buffer)]
+	}
+	n, err := a.answer.Body.Read(buffer[len(buffer):cap(buffer)])
+	return buffer[:len(buffer)+n], err
+}
+
+// awaitEvent reads the stream of a successor until it has an event that the client hasn't, or has
+// ended because there is none left.
+func (a *attempt) awaitEvent() retry.Fault {
+	for {
+		a.body, a.readErr = a.readMore(a.body)
+		complete := bytes.LastIndex(a.body, eventEnd) + len(eventEnd)
+		if !hasEvent(a.body) {
+			complete = 0
+		}
+		fresh, _, err := newEvents(a.body[:complete], a.call.ResumeAfter)
+		switch {
+		case err == nil && len(fresh) > 0:
+			return retry.FaultNone
+		case err == nil && errors.Is(a.readErr, io.EOF) && complete == len(a.body) && a.resumed:
+			return retry.FaultNone
+		case err != nil, a.readErr != nil, len(a.body) > maxEventBytes:
+			a.answer.Close(false)
+			return retry.FaultAfterFirstByte
+		}
 	}
+}
+
+// hasEvent reports whether data has a complete event.
+func hasEvent(data []byte) bool { return bytes.Contains(data, eventEnd) }
+
+// stallTimeout returns how long a stream can stall before it is sent to another server as well.
+func (q *request) stallTimeout() time.Duration {
 	return max(stallTimeoutGaps*q.route.GapTarget, minFirstByteTimeout)
 }
 
 // forwardEvents writes the complete events at the start of data and returns the rest.
-func (q *request) forwardEvents(answer *platform.Answer, flusher *http.ResponseController, data []byte) ([]byte, error) {
+func (a *attempt) forwardEvents(flusher *http.ResponseController, data []byte) ([]byte, error) {
+	q := a.request
 	end := bytes.LastIndex(data, eventEnd)
 	if end < 0 {
 		return data, nil
@@ -80,7 +116,7 @@
 		return nil, err
 	}
 	if !q.headWritten {
-		q.writeHead(answer, -1)
+		q.writeHead(a.answer, -1)
 	}
 	if len(fresh) == 0 {
 		return rest, nil
@@ -102,8 +138,8 @@
 	q.progress.writing += written.Sub(writing)
 	q.progress.eventsForwarded(q.arrived, written)
 	q.forwarded.Store(int64(q.progress.events))
-	if q.promptRead != nil {
-		q.promptRead()
+	if a.promptRead != nil {
+		a.promptRead()
 	}
 	if err := flusher.Flush(); err != nil {
 		return nil, errors.Wrap(err, "flush events")
--- a/internal/edge/view_test.go
+++ b/internal/edge/view_test.go
@@ -24,7 +24,7 @@
 
 func (b *slotHarness) chosen() *backend {
 	q := b.request(quick, "m")
-	server, _ := q.choose(b.edge.views.Load())
+	server, _ := q.choose(b.edge.views.Load(), nil)
 	return server
 }
 
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/serverpick"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/workload"
 )
@@ -52,7 +53,7 @@
 		// Requests that are already queued have precedence.
 		q.edge.dispatchSlots(q.service)
 		view := q.edge.views.Load()
-		b, state := q.choose(view)
+		b, state := q.choose(view, q.tried)
 		if b != nil {
 			b.stats.inFlight.Add(1)
 			return b, outcome{}, true
@@ -90,7 +91,9 @@
 	waitVersion           // the service has no server of the version that began the stream
 )
 
-func (q *request) choose(view *View) (*backend, waitState) {
+// choose returns a server that can serve the request now, but for those in tried, and takes the permit and
+// the turn that the request needs there. If there is none, it returns why.
+func (q *request) choose(view *View, tried map[fleet.ServerID]bool) (*backend, waitState) {
 	all := view.services[q.service]
 	if len(all) == 0 {
 		return nil, waitServer
@@ -112,7 +115,7 @@
 		load := b.loadAt(service, now)
 		candidates = append(candidates, serverpick.Candidate{
 			ID: string(b.server.ID), Hash: b.hash, Slowness: b.stats.speed.Slowness(now), SameZone: b.server.Zone == q.edge.cfg.Zone, Slots: b.server.Slots,
-			Load: load, Usable: b.stats.health.Usable(elapsed), Tried: q.tried[b.server.ID],
+			Load: load, Usable: b.stats.health.Usable(elapsed), Tried: tried[b.server.ID],
 			NeedsPermit: !b.stats.rateLimit.usable(now), Paced: !q.edge.brittleUsable(b, load, now),
 		})
 	}
@@ -180,7 +183,7 @@
 			continue
 		}
 		if holders[i].stats.rateLimit.take(now) {
-			q.progress.expected, q.progress.slowness = pick.FirstEvent(&candidates[i]), candidates[i].Slowness
+			q.estimate = firstEventEstimate{firstEvent: pick.FirstEvent(&candidates[i]), slowness: candidates[i].Slowness}
 			return holders[i], waitNone
 		}
 		// Another request has taken the permit.
