edge: give a retry back to the budget if it reached no server

Callers saw streams cut, "retry budget spent", whose server had broken off and whose other servers couldn't be connected to. Each attempt that reached no server was charged as a retry, though the limit counts what arrives at servers. The charge is now given back when an attempt ends as not sent.

--- a/internal/edge/abandonedanswer_test.go
+++ b/internal/edge/abandonedanswer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -106,3 +107,32 @@
 		assert.Equal(t, want, got.Body.String(), "request %d", i)
 	}
 }
+
+// A stream that its server had broken off was cut because attempts at servers that weren't reached had used the
+// retry budget up.
+func TestUnreachableServersUsedTheRetryBudgetUp(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := newVirtualFleet(t)
+		f.retryExtra = 1
+		add := func(id, zone string, handler http.Handler) {
+			server := &fleet.Server{
+				ID: fleet.ServerID(id), Service: engine, Zone: zone, Version: "v1", Slots: 8, Models: []fleet.Resident{{Model: "m"}},
+			}
+			if handler == nil {
+				server.Address = fmt.Sprintf("10.0.1.%d:80", len(f.servers))
+				f.servers[server.ID] = server
+				return
+			}
+			f.addServer(server, handler)
+		}
+		add("breaks off", "zone-a", serveScript(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+		views := f.newViews(testManifest())
+		e := f.newInstance("i0", views, 1)
+		add("unreached0", "zone-a", nil)
+		add("unreached1", "zone-a", nil)
+		add("sound", "zone-b", &silentServer{events: 6})
+		time.AfterFunc(time.Millisecond, func() { views.SetServers(maps.Clone(f.servers)) })
+		got := f.send(t.Context(), e, "id", "/stream/x", map[string]string{standin.HeaderModel: "m"})
+		assert.Equal(t, events(1, 6), got.Body.String())
+	})
+}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -35,6 +35,8 @@
 	span        trace.Span
 	call        platform.Call
 	probe       bool
+	// charged means that the attempt is charged to the retry budget.
+	charged bool
 	// resumed means that the client had the head of an answer when the attempt began.
 	resumed bool
 	// progress is that of the request while the attempt is its incumbent.
@@ -249,6 +251,10 @@
 		a.promptRead()
 	}
 	a.by = endedByServer
+	if a.charged && a.fault == retry.FaultNotSent {
+		q.edge.budget(q.service).Refund()
+		q.edge.repeats.Dec(1)
+	}
 	switch {
 	case a.withdrawn:
 		// This is no evidence about the server.
--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -110,7 +110,7 @@
 		return
 	}
 	s := h.request.newAttempt(h.ctx, b)
-	s.begun = make(chan struct{})
+	s.charged, s.begun = true, make(chan struct{})
 	h.successors = append(h.successors, s)
 	h.tried[b.server.ID] = true
 	h.open++
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -55,6 +55,7 @@
 		}
 		q.client.ReleaseResponse()
 		a := q.newAttempt(ctx, b)
+		a.charged = q.sends > 0
 		q.progress.attemptProgress = *a.progress
 		a.progress = &q.progress.attemptProgress
 		q.handover.begin(a)
