edge: deliver a server's whole error if its repeat doesn't come about

Callers of repeatable requests got 502 "retry budget spent", or 504 at their time limit, though a server had answered with a whole, signed 500: it was put aside for a repeat at another server, which the budget then denied or all others refused. The answer is now kept, and delivered as it is when no other server answers; at once if the repeat would have to wait.

TestServersErrorWasLostForARepeat was red before in its three cases (502, 502, 504).

--- a/internal/edge/abandonedanswer_test.go
+++ b/internal/edge/abandonedanswer_test.go
@@ -136,3 +136,36 @@
 		assert.Equal(t, events(1, 6), got.Body.String())
 	})
 }
+
+// A server's whole error was replaced by one of the instance when the retry budget didn't allow the repeat.
+func TestServersErrorWasLostForARepeat(t *testing.T) {
+	for _, extra := range []float64{0, 1, 200} {
+		t.Run(fmt.Sprint("extra ", extra), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				f := newVirtualFleet(t)
+				f.retryExtra = extra
+				var received atomic.Int64
+				failOnce := func(w http.ResponseWriter, r *http.Request) {
+					if received.Add(1) > 1 {
+						refuseFull(w, r)
+						return
+					}
+					w.Header().Set(standin.HeaderID, r.Header.Get(standin.HeaderID))
+					w.Header().Set(standin.HeaderSignature, "signed")
+					w.WriteHeader(http.StatusInternalServerError)
+					_, _ = fmt.Fprint(w, "the server's error")
+				}
+				for n := range 3 {
+					f.addServer(&fleet.Server{ID: fleet.ServerID(fmt.Sprint("s", n)), Service: plain, Zone: "zone-a", Slots: 8}, http.HandlerFunc(failOnce))
+				}
+				e := f.newInstance("i0", f.newViews(testManifest()), 1)
+				sent := time.Now()
+				got := f.send(t.Context(), e, "id", "/read/x", nil)
+				assert.Less(t, time.Since(sent), 500*time.Millisecond, "the route's objective")
+				assert.Equal(t, http.StatusInternalServerError, got.Code)
+				assert.Equal(t, "the server's error", got.Body.String())
+				assert.Equal(t, "signed", got.Header().Get(standin.HeaderSignature))
+			})
+		})
+	}
+}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -63,6 +63,8 @@
 	withdrawn bool
 	// avoid means that the server is not to be tried again soon.
 	avoid bool
+	// failedAnswer is the server's own error, put aside for another attempt.
+	failedAnswer *bufferedAnswer
 }
 
 // newAttempt returns an attempt at a server on which the request holds a slot.
@@ -198,7 +200,7 @@
 		return retry.FaultAfterFirstByte
 	}
 	if a.serverFailed() {
-		a.closeUnread()
+		a.setAside()
 		return retry.FaultServerError
 	}
 	return retry.FaultNone
--- a/internal/edge/buffered.go
+++ b/internal/edge/buffered.go
@@ -9,6 +9,7 @@
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/retry"
+	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
 
 const (
@@ -23,6 +24,12 @@
 	copyBufferBytes = 32 << 10
 )
 
+// bufferedAnswer is a whole answer of a server.
+type bufferedAnswer struct {
+	answer *platform.Answer
+	body   []byte
+}
+
 // forwardBuffered reads the whole answer before it writes any of it to the client, so
 // that a truncated answer can still be requested from another server. This isn't possible
 // with an answer that is too long to be buffered.
@@ -35,7 +42,7 @@
 	}
 	switch {
 	case a.serverFailed() && q.repeatAfterError():
-		a.closeUnread()
+		a.setAside()
 		return retry.FaultServerError
 	case q.headWritten:
 		a.closeUnread()
@@ -46,16 +53,21 @@
 	case !a.whole:
 		return a.forwardLong()
 	}
-	q.writeHead(a.answer, len(a.body))
-	q.client.SendResponse()
-	// The HTTP server handles a disconnected client, so the error is ignored.
-	_, _ = q.w.Write(a.body)
+	q.writeBuffered(&bufferedAnswer{answer: a.answer, body: a.body})
 	return retry.FaultNone
 }
 
 // serverFailed reports whether the answer is a server's error.
 func (a *attempt) serverFailed() bool { return a.answer.Status >= http.StatusInternalServerError }
 
+// setAside keeps a server's error for the client in case no other server answers.
+func (a *attempt) setAside() {
+	a.closeUnread()
+	if a.whole {
+		a.failedAnswer = &bufferedAnswer{answer: a.answer, body: a.body}
+	}
+}
+
 // closeUnread closes an answer that hasn't been read to its end.
 func (a *attempt) closeUnread() {
 	if !a.whole {
@@ -63,6 +75,14 @@
 	}
 }
 
+// writeBuffered writes a whole answer to the client.
+func (q *request) writeBuffered(b *bufferedAnswer) {
+	q.writeHead(b.answer, len(b.body))
+	q.client.SendResponse()
+	// The HTTP server handles a disconnected client, so the error is ignored.
+	_, _ = q.w.Write(b.body)
+}
+
 // repeatAfterError reports whether the request is retried on another server after a
 // server error.
 func (q *request) repeatAfterError() bool {
--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -216,6 +216,9 @@
 	if !s.fault.NeverRan() {
 		h.runs++
 	}
+	if s.failedAnswer != nil {
+		h.request.failedAnswer = s.failedAnswer
+	}
 }
 
 // cancelSuccessors cancels the successors. They count as open until they have ended.
--- a/internal/edge/outcome.go
+++ b/internal/edge/outcome.go
@@ -35,6 +35,7 @@
 	reasonRequestBlocked  reason = "the request crashes servers"
 	reasonBrittle         reason = "servers bear no more requests"
 	reasonRest            reason = "servers want no requests for a time"
+	reasonTried           reason = "no other server for a repeat"
 	reasonBusy            reason = "servers busy for longer than the request can wait"
 	reasonTooLate         reason = "too little time left"
 	reasonLost            reason = "answer lost"
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -43,7 +43,12 @@
 		q.edge.demand.Arrived(q.want())
 	}
 	q.handover.request, q.handover.ctx = q, ctx
-	return q.sendToServers(ctx)
+	out, ok := q.sendToServers(ctx)
+	if !ok && q.failedAnswer != nil && !q.headWritten {
+		q.writeBuffered(q.failedAnswer)
+		return outcome{}, true
+	}
+	return out, ok
 }
 
 // sendToServers makes attempts until one succeeds or no further one is allowed.
@@ -53,7 +58,9 @@
 		if !ok {
 			return q.accountForRuns(out), false
 		}
-		q.client.ReleaseResponse()
+		if q.failedAnswer == nil {
+			q.client.ReleaseResponse()
+		}
 		a := q.newAttempt(ctx, b)
 		a.charged = q.sends > 0
 		q.progress.attemptProgress = *a.progress
@@ -76,18 +83,21 @@
 
 // reserveServer waits for a server, reserves a slot on it and charges the attempt to the retry budget.
 func (q *request) reserveServer(ctx context.Context) (*backend, outcome, bool) {
-	b, out, ok := q.findServer(ctx)
-	switch {
-	case !ok:
-		return nil, out, false
-	case ctx.Err() != nil:
-		q.edge.release(q.service, b)
-		return nil, refused(reasonTimeout, 0), false
-	case !q.reserveAttempt():
+	for {
+		b, out, ok := q.findServer(ctx)
+		if !ok {
+			return nil, out, false
+		}
+		if ctx.Err() != nil {
+			q.edge.release(q.service, b)
+			return nil, refused(reasonTimeout, 0), false
+		}
+		if q.reserveAttempt() {
+			return b, outcome{}, true
+		}
 		q.edge.release(q.service, b)
 		return nil, refused(reasonBudget, jitter(time.Second)), false
 	}
-	return b, outcome{}, true
 }
 
 // reserveAttempt charges the attempt to the service's retry budget, and reports false if
@@ -116,6 +126,9 @@
 	if !a.fault.NeverRan() {
 		q.runs++
 	}
+	if a.failedAnswer != nil {
+		q.failedAnswer = a.failedAnswer
+	}
 	if a.avoid || !a.fault.NeverRan() || q.model == "" || a.fault == retry.FaultNotSent {
 		q.tried[a.backend.server.ID] = true
 	}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -74,6 +74,8 @@
 	triedBackoff time.Duration
 	// handover holds the attempts that may still answer the request.
 	handover handover
+	// failedAnswer is a server's error that is forwarded if no other server answers.
+	failedAnswer *bufferedAnswer
 	// estimate is what was expected of the server that was chosen last.
 	estimate firstEventEstimate
 	// permitsAwaited are the rate limits whose permits the request waits for.
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -243,6 +243,10 @@
 // continues to wait.
 func (q *request) checkRefusal(state waitState, view *View) (outcome, bool) {
 	now := time.Now()
+	if q.failedAnswer != nil {
+		// That answer is delivered at once if the repeat has to wait.
+		return refused(reasonTried, 0), true
+	}
 	if !now.Before(q.waitLimit()) {
 		if q.usefulUntil().Sub(now) > minServiceTime {
 			return refused(reasonStopping, jitter(minRetryAfter)), true
