edge: a request that may have run waits for the retry budget

Callers whose server had broken off got 502, or half a stream, at once when the budget was empty, with seconds of their time left, though each further request adds to the budget. A request that may have run can't be refused as not run, so ending it early spares nobody anything. It now waits until the budget has a retry, up to the time by which a server must be found. Others are refused at once as before.

--- a/internal/edge/abandonedanswer_test.go
+++ b/internal/edge/abandonedanswer_test.go
@@ -169,3 +169,43 @@
 		})
 	}
 }
+
+// A request that had run, and whose server broke off, was answered 502 at once while the retry budget was empty,
+// though it had seconds left and each further request adds to the budget.
+func TestRequestThatHadRunDidNotWaitForTheRetryBudget(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/read/x"} {
+		t.Run(path, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				f := newVirtualFleet(t)
+				f.retryExtra = 0
+				// The first attempts of two requests are broken off; the first retry takes what the budget holds.
+				var brokenOff sync.Map
+				sound := [2]http.Handler{&silentServer{}, &silentServer{events: 6}}
+				for i, service := range []string{plain, engine} {
+					for n := range 2 {
+						f.addServer(&fleet.Server{
+							ID: fleet.ServerID(fmt.Sprint(service, n)), Service: service, Zone: "zone-a", Version: "v1", Slots: 8,
+							Models: []fleet.Resident{{Model: "m"}},
+						}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+							id := r.Header.Get(standin.HeaderID)
+							if _, again := brokenOff.LoadOrStore(id, true); !again && (id == "id0" || id == "id1") {
+								panic(http.ErrAbortHandler)
+							}
+							sound[i].ServeHTTP(w, r)
+						}))
+					}
+				}
+				e := f.newInstance("i0", f.newViews(testManifest()), 1)
+				var all sync.WaitGroup
+				for i := range 12 {
+					all.Go(func() {
+						time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+						got := f.send(t.Context(), e, fmt.Sprint("id", i), path, map[string]string{standin.HeaderModel: "m"})
+						assert.Equal(t, http.StatusOK, got.Code, "request %d", i)
+					})
+				}
+				all.Wait()
+			})
+		})
+	}
+}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/retry"
 )
 
@@ -84,6 +85,9 @@
 // reserveServer waits for a server, reserves a slot on it and charges the attempt to the retry budget.
 func (q *request) reserveServer(ctx context.Context) (*backend, outcome, bool) {
 	for {
+		if !q.awaitRetry(ctx) {
+			return nil, refused(reasonBudget, 0), false
+		}
 		b, out, ok := q.findServer(ctx)
 		if !ok {
 			return nil, out, false
@@ -96,10 +100,28 @@
 			return b, outcome{}, true
 		}
 		q.edge.release(q.service, b)
-		return nil, refused(reasonBudget, jitter(time.Second)), false
+		if q.runs == 0 {
+			return nil, refused(reasonBudget, jitter(time.Second)), false
+		}
 	}
 }
 
+// awaitRetry waits until the budget has a retry for a request that may have run. It reports false if there
+// is none in time. Other requests don't wait, since they can be refused as not run.
+func (q *request) awaitRetry(ctx context.Context) bool {
+	budget := q.edge.budget(q.service)
+	for q.runs > 0 && budget.Left(q.edge.elapsed()) < 1 {
+		if q.failedAnswer != nil || ctx.Err() != nil || !time.Now().Before(q.waitLimit()) {
+			return false
+		}
+		pause.For(ctx, retryRecheckInterval)
+	}
+	return true
+}
+
+// retryRecheckInterval is how often a request that waits for a retry checks the budget.
+const retryRecheckInterval = 20 * time.Millisecond
+
 // reserveAttempt charges the attempt to the service's retry budget, and reports false if
 // the budget is exhausted. Attempts are free until one of them has reached a server.
 func (q *request) reserveAttempt() bool {
