edge: a request that may have run waits for a server as long as its client does

Callers had half a stream cut, 502 "model not loaded in time", with seconds of their time left: the wait for a model ended after 0.6 of the whole time, counted from the arrival, and a moment without a listed server, or without one of the stream's version, ended it at once. Those limits leave a refused client time to try elsewhere, which one whose request may have run can't. Such a request now waits until its client would leave: for a stream that has begun, the client's patience after the last event. It still ends at once if the manifest no longer has the model, if the load in progress ends too late, or if all its servers rest for longer.

TestBegunStreamWasCutForWantOfAServer was red before in both cases.

--- a/internal/edge/abandonedanswer_test.go
+++ b/internal/edge/abandonedanswer_test.go
@@ -209,3 +209,42 @@
 		})
 	}
 }
+
+// A stream that had begun was cut at once because no server held its model, or none was listed, for a moment.
+func TestBegunStreamWasCutForWantOfAServer(t *testing.T) {
+	server := func(id string, models ...fleet.Resident) *fleet.Server {
+		return &fleet.Server{ID: fleet.ServerID(id), Service: engine, Zone: "zone-a", Version: "v1", Slots: 8, Models: models}
+	}
+	for _, other := range []bool{true, false} {
+		t.Run(fmt.Sprint("another server is listed ", other), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				f := newVirtualFleet(t)
+				f.addServer(server("first", fleet.Resident{Model: "m"}), serveScript(func(w http.ResponseWriter, _ *http.Request) {
+					for i := 2; i <= 18; i++ {
+						time.Sleep(200 * time.Millisecond)
+						_, _ = fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", i, i)
+						_ = http.NewResponseController(w).Flush()
+					}
+					panic(http.ErrAbortHandler)
+				}))
+				views := f.newViews(testManifest())
+				e := f.newInstance("i0", views, 1)
+				f.addServer(server("second", fleet.Resident{Model: "m"}), &silentServer{events: 20})
+				without := map[fleet.ServerID]*fleet.Server{}
+				if other {
+					empty := *f.servers["second"]
+					empty.Models = nil
+					without["second"] = &empty
+				}
+				time.AfterFunc(3390*time.Millisecond, func() { views.SetServers(without) })
+				time.AfterFunc(3900*time.Millisecond, func() {
+					listed := *f.servers["second"]
+					listed.Sequence++
+					views.SetServers(map[fleet.ServerID]*fleet.Server{"second": &listed})
+				})
+				got := f.send(t.Context(), e, "id", "/stream/x", map[string]string{standin.HeaderModel: "m"})
+				assert.Equal(t, events(1, 20), got.Body.String())
+			})
+		})
+	}
+}
--- a/internal/edge/brittle.go
+++ b/internal/edge/brittle.go
@@ -123,7 +123,7 @@
 // checkBrittle refuses a request for which the brittle servers of a plain service have no turn in
 // time, behind the requests that wait already.
 func (q *request) checkBrittle(view *View, now time.Time) (outcome, bool) {
-	if q.model != "" || q.awaitsBrittle {
+	if q.model != "" || q.awaitsBrittle || q.runs > 0 {
 		return outcome{}, false
 	}
 	perSecond := 0.0
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -240,7 +240,8 @@
 }
 
 // checkRefusal decides whether a request that no server can serve is refused now or
-// continues to wait.
+// continues to wait. One that may have run isn't refused for what is only expected, since its
+// client couldn't simply send it again.
 func (q *request) checkRefusal(state waitState, view *View) (outcome, bool) {
 	now := time.Now()
 	if q.failedAnswer != nil {
@@ -255,9 +256,9 @@
 	}
 	switch state {
 	case waitServer:
-		return refused(reasonNoServer, jitter(time.Second)), true
+		return refused(reasonNoServer, jitter(time.Second)), q.runs == 0
 	case waitVersion:
-		return refused(reasonNoVersion, 0), true
+		return refused(reasonNoVersion, 0), q.runs == 0
 	case waitPermit:
 		return q.checkRateLimits(view, now)
 	case waitRest:
@@ -290,18 +291,22 @@
 		return outcome{}, false
 	case loading && loadedAt.After(now) && view.Holders(q.service, q.head.Model) == 0:
 		return refused(reasonNoModel, jitter(loadedAt.Sub(now))), true
-	case now.Sub(q.arrived) > q.modelWait():
+	case !q.awaitsModel(now):
 		return refused(reasonNoModel, jitter(time.Second)), true
 	}
 	return outcome{}, false
 }
 
+// awaitsModel reports whether the request still waits for a model that no server is loading.
+func (q *request) awaitsModel(now time.Time) bool {
+	return q.runs > 0 || now.Sub(q.arrived) <= q.modelWait()
+}
+
 // checkQueue refuses a request that waits for a slot if those before it take much longer than it can
-// wait, and no other server is about to load the model. A request that may have run isn't refused,
-// since its client couldn't simply send it again.
+// wait, and no other server is about to load the model.
 func (q *request) checkQueue(view *View, now time.Time) (outcome, bool) {
 	left := q.waitLimit().Sub(now)
-	if q.runs > 0 || q.headWritten || q.expectedWait <= refusalMargin*left || q.loadsInTime(view) {
+	if q.runs > 0 || q.expectedWait <= refusalMargin*left || q.loadsInTime(view) {
 		return outcome{}, false
 	}
 	q.edge.refusedEarly.Inc(1)
@@ -322,8 +327,8 @@
 		q.awaitsLoad = false
 		return outcome{}, false
 	}
-	q.awaitsLoad = q.loadsInTime(view) || now.Sub(q.arrived) <= q.modelWait() && q.canLoadElsewhere(view)
-	if q.awaitsLoad {
+	q.awaitsLoad = q.loadsInTime(view) || q.awaitsModel(now) && q.canLoadElsewhere(view)
+	if q.awaitsLoad || q.runs > 0 {
 		return outcome{}, false
 	}
 	return refused(reasonRateLimit, jitter(before)), true
@@ -334,7 +339,7 @@
 func (q *request) checkRest(view *View, now time.Time) (outcome, bool) {
 	left := q.restLeft(view, now)
 	if left <= q.waitLimit().Sub(now) ||
-		q.loadsInTime(view) || now.Sub(q.arrived) <= q.modelWait() && q.canLoadElsewhere(view) {
+		q.loadsInTime(view) || q.awaitsModel(now) && q.canLoadElsewhere(view) {
 		return outcome{}, false
 	}
 	return refused(reasonRest, jitter(left)), true
@@ -384,10 +389,20 @@
 
 // usefulUntil is when the client leaves if nothing more is sent to it.
 func (q *request) usefulUntil() time.Time {
-	if q.headWritten {
-		return q.deadline
+	if !q.headWritten {
+		return q.leavesAt
+	}
+	if patience := q.route.Patience(); patience > 0 && !q.progress.lastEventAt.IsZero() {
+		return earlier(q.progress.lastEventAt.Add(patience), q.deadline)
+	}
+	return q.deadline
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
 	}
-	return q.leavesAt
+	return a
 }
 
 // waitLimit returns until when the request can wait for a server.
