edge: a stopping instance resumes streams until it stops

It now waits for a server until the instance stops.

TestStoppingInstanceDidNotResumeAStream was red before.

--- a/internal/edge/abandonedanswer_test.go
+++ b/internal/edge/abandonedanswer_test.go
@@ -96,7 +96,7 @@
 	for i := range 4 {
 		if stops && i == 1 {
 			now := time.Now()
-			e.Drain(now.Add(8*time.Second), now.Add(8*time.Second))
+			e.Drain(now.Add(8*time.Second), now.Add(8*time.Second), now.Add(8*time.Second))
 		}
 		id := fmt.Sprint("id", i)
 		got := f.send(t.Context(), e, id, path, map[string]string{standin.HeaderModel: "m"})
@@ -248,3 +248,28 @@
 		})
 	}
 }
+
+// A stopping instance cut a stream that it had to resume, two seconds before its end.
+func TestStoppingInstanceDidNotResumeAStream(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := newVirtualFleet(t)
+		add := func(id string, handler http.Handler) {
+			f.addServer(&fleet.Server{
+				ID: fleet.ServerID(id), Service: engine, Zone: "zone-a", Version: "v1", Slots: 8, Models: []fleet.Resident{{Model: "m"}},
+			}, handler)
+		}
+		add("breaks off", serveScript(func(http.ResponseWriter, *http.Request) {
+			time.Sleep(time.Second)
+			panic(http.ErrAbortHandler)
+		}))
+		views := f.newViews(testManifest())
+		e := f.newInstance("i0", views, 1)
+		add("full", &refusingServer{silentServer: silentServer{events: 6}, refuses: time.Second})
+		delete(f.servers, "breaks off")
+		time.AfterFunc(time.Millisecond, func() { views.SetServers(maps.Clone(f.servers)) })
+		now := time.Now()
+		e.Drain(now.Add(time.Second), now.Add(500*time.Millisecond), now.Add(4*time.Second))
+		got := f.send(t.Context(), e, "id", "/stream/x", map[string]string{standin.HeaderModel: "m"})
+		assert.Equal(t, events(1, 6), got.Body.String())
+	})
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -76,10 +76,11 @@
 	started  time.Time
 
 	draining atomic.Bool
-	// waitUntil is when waiting requests are refused, and acceptUntil when new requests
-	// are, in nanoseconds after started. Both are 0 while the instance is not draining.
-	waitUntil, acceptUntil atomic.Int64
-	inFlight               atomic.Int64
+	// acceptUntil is when new requests are refused, waitUntil when those that wait are, and stopsAt
+	// when those end that may have run, in nanoseconds after started. All are 0 while the instance is
+	// not draining.
+	acceptUntil, waitUntil, stopsAt atomic.Int64
+	inFlight                        atomic.Int64
 	// permitsDownUntil is when the next permits are reserved after a reservation has failed, in
 	// nanoseconds after started.
 	permitsDownUntil atomic.Int64
@@ -182,10 +183,12 @@
 
 // Drain makes every further answer close its connection. New requests are refused from
 // acceptUntil on, because they might outlive the instance, and waiting requests are
-// refused from waitUntil on.
-func (e *Edge) Drain(acceptUntil, waitUntil time.Time) {
+// refused from waitUntil on. Requests that may have run can't be refused: they wait for a server
+// until stopsAt, when the instance stops.
+func (e *Edge) Drain(acceptUntil, waitUntil, stopsAt time.Time) {
 	e.acceptUntil.Store(int64(acceptUntil.Sub(e.started)))
 	e.waitUntil.Store(int64(waitUntil.Sub(e.started)))
+	e.stopsAt.Store(int64(stopsAt.Sub(e.started)))
 	e.draining.Store(true)
 }
 
@@ -195,16 +198,18 @@
 	return until == 0 || int64(e.elapsed()) < until
 }
 
-// waitLimit returns when a request with the given deadline must have been assigned a
-// server.
-func (e *Edge) waitLimit(deadline time.Time) time.Time {
+// waitLimit returns when a request with the given deadline, which may have run or not, must have been
+// assigned a server.
+func (e *Edge) waitLimit(deadline time.Time, mayHaveRun bool) time.Time {
 	limit := deadline.Add(-minServiceTime)
-	if by := e.waitUntil.Load(); by != 0 {
-		if end := e.started.Add(time.Duration(by)); end.Before(limit) {
-			return end
-		}
+	by := e.waitUntil.Load()
+	if mayHaveRun {
+		by = e.stopsAt.Load()
 	}
-	return limit
+	if by == 0 {
+		return limit
+	}
+	return earlier(e.started.Add(time.Duration(by)), limit)
 }
 
 // InFlight returns the number of requests in progress.
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -406,7 +406,7 @@
 }
 
 // waitLimit returns until when the request can wait for a server.
-func (q *request) waitLimit() time.Time { return q.edge.waitLimit(q.usefulUntil()) }
+func (q *request) waitLimit() time.Time { return q.edge.waitLimit(q.usefulUntil(), q.runs > 0) }
 
 // inTime reports whether a model that is loaded at the given time is of use to the client.
 func (q *request) inTime(loadedAt time.Time) bool {
--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -326,7 +326,8 @@
 	defer cancel()
 	i.relay.Refuse()
 	now := time.Now()
-	i.edge.Drain(now.Add(drainAcceptTime), now.Add(i.settings.Shutdown.Grace.D()-drainExecutionReserve))
+	end := now.Add(i.settings.Shutdown.Grace.D())
+	i.edge.Drain(now.Add(drainAcceptTime), end.Add(-drainExecutionReserve), end.Add(-exitReserve))
 	pause.For(grace, drainDelay)
 	if err := front.Shutdown(grace); err != nil {
 		i.log.Warn().Err(err).Int64("requests", i.edge.InFlight()).Msg("drain_cut_short")
