edge: a successor isn't canceled for a server that has broken off meanwhile

A stream whose server sent an event after a silence and then broke off was cut, although a successor that was about to answer would have ended it: the event was held back while the successor was awaited, nothing was read of the server meanwhile, and when the hold ended the successor was canceled for it. The stream is now read on while its events are held back; if it breaks off, they are dropped and the successor goes on. The count of a failed attempt also moves under the handover's lock: the alarm read it.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -54,6 +54,8 @@
 	body    []byte
 	whole   bool
 	readErr error
+	// ahead is what is read of the answer while its events are held back; nil if they aren't.
+	ahead *readAhead
 	// status is the HTTP status of the answer, or 0 if there was none.
 	status int
 	// fault is how the attempt has failed, and by who has ended it.
--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -230,13 +230,13 @@
 }
 
 // goOn is called before the incumbent writes to the client, or ends the request. It reports false if a
-// successor has begun to answer before. The first events after a silence are held for a moment if
+// successor has begun to answer before, or may still and the incumbent has broken off. The first events after a silence are held for a moment if
 // the route has an objective for the gap between events: the successor is likely to be faster.
 func (h *handover) goOn(a *attempt, hold time.Duration) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.awaitSuccessors(hold)
-	if h.chosen != nil || h.incumbent != a {
+	h.awaitSuccessors(a, hold)
+	if h.chosen != nil || h.incumbent != a || a.ahead.brokeOff() && len(h.successors) > 0 {
 		return false
 	}
 	h.forwarding = true
@@ -246,12 +246,19 @@
 
 // awaitSuccessors waits until one of the successors has begun to answer, all have failed, or the last one
 // was sent that long ago.
-func (h *handover) awaitSuccessors(hold time.Duration) {
-	if len(h.successors) == 0 || h.chosen != nil {
+func (h *handover) awaitSuccessors(a *attempt, hold time.Duration) {
+	if len(h.successors) == 0 || h.chosen != nil || hold <= 0 {
 		return
 	}
 	left := hold - time.Since(h.successors[len(h.successors)-1].progress.sentAt)
-	expired := left <= 0
+	if left <= 0 {
+		return
+	}
+	if a.ahead == nil {
+		a.ahead = &readAhead{}
+		go a.ahead.run(h, a.answer.Body)
+	}
+	expired := false
 	timer := time.AfterFunc(left, func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -259,9 +266,10 @@
 		h.changed.Broadcast()
 	})
 	defer timer.Stop()
-	for !expired && h.chosen == nil && len(h.successors) > 0 {
+	for !expired && h.chosen == nil && len(h.successors) > 0 && a.ahead.err == nil {
 		h.changed.Wait()
 	}
+	a.ahead.stop = true
 }
 
 // waits is called when the incumbent waits for more of a stream.
@@ -274,9 +282,12 @@
 	}
 }
 
-// next returns the attempt that goes on after the incumbent has failed; nil if there is none.
-func (h *handover) next() *attempt {
+// next counts the incumbent, which has failed, and returns the attempt that goes on; nil if there is
+// none.
+func (h *handover) next(failed *attempt) *attempt {
 	h.mu.Lock()
+	h.request.count(failed)
+	failed.log(h.request.sends+h.sends, h.request.runs+h.runs)
 	next := h.chosen
 	h.incumbent, h.chosen = nil, nil
 	if next == nil && len(h.successors) > 0 && h.ctx.Err() == nil {
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -72,9 +72,7 @@
 				q.handover.settle()
 				return outcome{}, true
 			}
-			q.count(a)
-			a.log(q.sends, q.runs)
-			a = q.handover.next()
+			a = q.handover.next(a)
 		}
 		if out, again := q.afterFailure(ctx); !again {
 			return out, false
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -34,7 +34,7 @@
 		if arrived > 0 {
 			if hasEvent(buffer) && !q.handover.goOn(a, q.route.GapTarget) {
 				answer.Close(false)
-				return retry.FaultTimeout
+				return retry.FaultAfterFirstByte
 			}
 			rest, writeErr := a.forwardEvents(flusher, buffer)
 			if writeErr != nil {
@@ -63,6 +63,11 @@
 
 // readMore reads the next part of the answer into a buffer, which it extends if it is full.
 func (a *attempt) readMore(buffer []byte) ([]byte, error) {
+	if ahead := a.ahead; ahead != nil {
+		a.ahead = nil
+		data, err := ahead.take(&a.request.handover)
+		return append(buffer, data...), err
+	}
 	switch {
 	case buffer == nil:
 		buffer = make([]byte, 0, streamBufferBytes)
