edge: tests of what a handover must not cost

Cause: before an attempt is kept until its successor answers, what that must not make worse has to be held.

Three instances before silent, dark, refusing, unreachable and crashed servers keep the retry budget in every window. A stream at a dark server goes on at another one after twice the objective.

--- a/internal/edge/heldanswers_test.go
+++ b/internal/edge/heldanswers_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -48,9 +49,10 @@
 // trouble is what the servers of a play do beside answering at once.
 type trouble struct {
 	name string
-	// silent, fails, breaks and refuses are the shares of the requests at which a server falls silent,
-	// answers with a 500, breaks off and refuses. Each server falls silent in none or twice the share.
-	silent, fails, breaks, refuses float64
+	// silent, dark, fails, breaks and refuses are the shares of the requests at which a server falls silent
+	// for a time, for ever, answers with a 500, breaks off and refuses. Each server falls silent for a time
+	// in none or twice the share.
+	silent, dark, fails, breaks, refuses float64
 	// states are those that each server is in now and then, for a part of the time.
 	states []serverState
 	part   float64
@@ -105,8 +107,8 @@
 	return from + time.Duration(random.Int64N(int64(to-from)))
 }
 
-// newHeldPlay draws a play.
-func newHeldPlay(t *testing.T, seed int) *heldPlay {
+// newHeldPlay draws a play with one of the given troubles.
+func newHeldPlay(t *testing.T, seed int, troubles []trouble) *heldPlay {
 	p := &heldPlay{
 		scriptedFleet: newScriptedFleet(t), seed: uint64(seed), maxAttempts: 1 + seed/len(heldExtras)%3, manifest: 1,
 		listed: map[fleet.ServerID]*fleet.Server{}, states: map[fleet.ServerID]serverState{}, until: map[fleet.ServerID]time.Time{},
@@ -147,6 +149,9 @@
 		return script{refuses: "full"}
 	}
 	out := script{after: random.IntN(scriptedEvents), fails: random.Float64() < p.trouble.fails, breaksOff: random.Float64() < p.trouble.breaks}
+	if p.trouble.dark > 0 {
+		out.dark = random.Float64() < p.trouble.dark
+	}
 	if random.Float64() < silent {
 		lasts := between(random, 300*time.Millisecond, 2*time.Second)
 		if random.IntN(2) == 0 {
@@ -280,13 +285,18 @@
 	}
 	ctx, leave := context.WithCancel(p.Context())
 	defer leave()
-	if p.leaves && random.IntN(2) == 0 {
-		defer time.AfterFunc(between(random, 0, 3*time.Second), leave).Stop()
+	stays := 2 * heldLimit
+	if p.leaves {
+		stays = between(random, 0, 3*time.Second)
 	}
+	defer time.AfterFunc(stays, leave).Stop()
 	p.playMu.Lock()
 	e := p.edges[random.IntN(len(p.edges))]
 	p.playMu.Unlock()
 	got := p.ask(ctx, e, id, heldPaths[random.IntN(len(heldPaths))], limit)
+	if got.gone = got.ended; got.ended.Sub(got.arrived) > stays {
+		got.gone = got.arrived.Add(stays)
+	}
 	p.playMu.Lock()
 	defer p.playMu.Unlock()
 	p.replies = append(p.replies, got)
@@ -328,6 +338,7 @@
 	end()
 	troubled.Wait()
 	time.Sleep(2 * heldLimit)
+	synctest.Wait()
 }
 
 // replaced reports whether a run of a stream isn't needed, because another one had the stream in hand:
@@ -400,7 +411,7 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			inVirtualTime(t, func(t *testing.T) {
-				p := newHeldPlay(t, seed)
+				p := newHeldPlay(t, seed, troubles)
 				p.run()
 				whole := 0
 				for _, got := range p.replies {
--- a/internal/edge/scriptedserver_test.go
+++ b/internal/edge/scriptedserver_test.go
@@ -27,6 +27,8 @@
 	// each of them and before each part of another answer.
 	scriptedEvents = 6
 	scriptedGap    = 30 * time.Millisecond
+	// scriptedSlots is the number of slots of each server.
+	scriptedSlots = 8
 	// connectTimeout is how long it takes to give up a connection to an unreachable server.
 	connectTimeout = 300 * time.Millisecond
 )
@@ -51,6 +53,9 @@
 	dark bool
 }
 
+// always returns the script for every request.
+func always(s script) func(string, int) script { return func(string, int) script { return s } }
+
 // step is a part of an answer and the pause before it.
 type step struct {
 	pause time.Duration
@@ -253,7 +258,7 @@
 // addScripted starts a server and lists it.
 func (f *scriptedFleet) addScripted(id, service, version string, scriptOf func(id string, n int) script) *scriptedServer {
 	s := &scriptedServer{runRecord: f.runRecord, scriptOf: scriptOf, visits: map[string]int{}, entry: &fleet.Server{
-		ID: fleet.ServerID(id), Service: service, Zone: "zone-a", Version: version, Slots: 8, Models: []fleet.Resident{{Model: "m"}},
+		ID: fleet.ServerID(id), Service: service, Zone: "zone-a", Version: version, Slots: scriptedSlots, Models: []fleet.Resident{{Model: "m"}},
 		Address: fmt.Sprintf("10.0.0.%d:80", len(f.scripted)+1),
 	}}
 	f.scripted[s.entry.ID], f.servers[s.entry.ID] = s, s.entry
@@ -318,9 +323,10 @@
 
 // scriptedReply is what a client has got for a request.
 type scriptedReply struct {
-	id, path        string
-	arrived, ended  time.Time
-	deadline        time.Time
+	id, path                 string
+	arrived, deadline, ended time.Time
+	// gone is when the client has left or got the end of the answer.
+	gone            time.Time
 	status          int
 	body            string
 	closed, hasLeft bool
