gateway: a retry avoids the server that failed

Callers of hedged classes lost requests to one broken server: the retry of a hedged attempt that had answered first and then broken off went to the same server again and spared the first server, which was only slow. forward excluded the server of the first attempt, whichever had failed. It now excludes the server whose answer failed.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -56,6 +56,8 @@
 	// Set by forward.
 	attempts int
 	server   port.ServerID
+	// excluded lists the servers on which the request has failed.
+	excluded []port.ServerID
 	// possiblyRan is set before the first byte can reach a backend server. It
 	// is cleared once it is proven that no server executed the request.
 	possiblyRan bool
@@ -77,6 +79,9 @@
 	return next.Handle(c)
 }
 
+// exclude keeps the next attempt from a server on which this one has failed.
+func (c *Call) exclude(server port.ServerID) { c.excluded = append(c.excluded, server) }
+
 // responseWriter records the status and the size of the response. A status of
 // zero means that the response hasn't begun.
 type responseWriter struct {
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -76,6 +76,8 @@
 	busy     int
 	outcomes []OutcomeKind
 	retries  int
+	// maxRetries is the retry budget; zero for no limit.
+	maxRetries int
 }
 
 type fakeAttempt struct {
@@ -95,6 +97,9 @@
 func (r *fakeRouter) Pick(_ time.Time, q PickQuery) (Attempt, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if q.Retry && r.maxRetries > 0 && r.retries >= r.maxRetries {
+		return nil, ErrNoBudget
+	}
 	if q.Retry {
 		r.retries++
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -53,13 +53,12 @@
 		run, cancelRun = context.WithDeadline(context.WithoutCancel(c.ctx), c.deadline)
 		defer cancelRun()
 	}
-	var excluded []port.ServerID
 	var last *failure
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval = firstRetryDelay
 	delays.MaxInterval = maxRetryDelay
 	for {
-		attempt, err := g.acquire(ctx, c, excluded)
+		attempt, err := g.acquire(ctx, c)
 		if err != nil {
 			return g.acquireProblem(c, last, err)
 		}
@@ -74,7 +73,7 @@
 		if !g.canRetry(c, last) || !pause.For(ctx, delays.NextBackOff()) {
 			return last.problem
 		}
-		excluded = append(excluded, attempt.Server().ID)
+		c.exclude(c.server)
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/kept_test.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/jsonc"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/targets"
+)
+
+// virtual is a gateway in memory, for tests on virtual time.
+type virtual struct {
+	*testing.T
+
+	gateway *Gateway
+	router  *fakeRouter
+	waker   *fakeWaker
+}
+
+// repeatableView has one class, which is repeatable and hedged.
+var repeatableView = hedgedView{class: targets.Class{
+	Name: "chat", Repeatable: true, Hedge: true, MaxWait: jsonc.Duration(5 * time.Second),
+}}
+
+// newVirtual returns a gateway with two servers, s1 and s2. Only attempts of a hedged one are hedged.
+func newVirtual(t *testing.T, hedged bool, backend backendFunc, change ...func(*Deps)) *virtual {
+	v := &virtual{T: t, waker: &fakeWaker{ready: make(chan struct{}), reply: WakeReply{Accepted: true, ReadyIn: time.Second}}}
+	v.router = &fakeRouter{servers: []port.Server{{ID: "s1"}, {ID: "s2"}}, capacity: 100, absent: map[port.ModelID]bool{}}
+	deps := Deps{
+		Snapshot: func() View { return repeatableView }, Router: v.router, Waker: v.waker,
+		Backend: backend, Clock: port.SystemClock{},
+	}
+	if hedged {
+		deps.Router = hedgedRouter{v.router, nil}
+	}
+	for _, f := range change {
+		f(&deps)
+	}
+	v.gateway = New(deps)
+	return v
+}
+
+// send sends a request and returns its answer and how long it took.
+func (v *virtual) send(path, body string) (reply, time.Duration) {
+	began := time.Now()
+	request := httptest.NewRequestWithContext(v.Context(), http.MethodPost, path, strings.NewReader(body))
+	request.Header.Set("Content-Type", "application/json")
+	recorder := httptest.NewRecorder()
+	v.gateway.Handler().ServeHTTP(recorder, request)
+	took := time.Since(began)
+	result := recorder.Result()
+	defer result.Body.Close()
+	return reply{status: recorder.Code, header: result.Header, body: recorder.Body.String()}, took
+}
+
+// end checks that nothing is left of the requests.
+func (v *virtual) end() {
+	v.gateway.stop()
+	synctest.Wait()
+	require.True(v, v.gateway.Endings().Balanced(), "%+v", v.gateway.Endings())
+	require.Zero(v, v.router.busy, "reserved capacity not released")
+}
+
+// after waits, and returns an error once the attempt is cancelled.
+func after(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(port.ErrUnknownOutcome, "cancelled")
+	}
+}
+
+// The retry of a hedged attempt that broke off went to its server again, and spared the one that was only slow.
+func TestRetryAvoidsTheServerThatFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		var servers []port.ServerID
+		v := newVirtual(t, true, func(ctx context.Context, s port.Server, r *http.Request) (*http.Response, error) {
+			mu.Lock()
+			servers = append(servers, s.ID)
+			attempts := len(servers)
+			mu.Unlock()
+			switch attempts {
+			case 1:
+				return nil, after(ctx, time.Minute)
+			case 2:
+				return faultBroken.do(r)
+			}
+			return wholeResponse(200, wholeChat), nil
+		})
+		got, _ := v.send("/v1/chat/completions", chatBody)
+		require.Equal(t, http.StatusOK, got.status, got.body)
+		v.end()
+		require.Equal(t, []port.ServerID{"s1", "s2", "s1"}, servers)
+	})
+}
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -43,11 +43,11 @@
 // acquire reserves capacity on a backend server. A first attempt waits in the
 // queue until the model is ready or capacity is free, but no longer than
 // startBy. It doesn't overtake requests that are already queued.
-func (g *Gateway) acquire(ctx context.Context, c *Call, exclude []port.ServerID) (Attempt, error) {
+func (g *Gateway) acquire(ctx context.Context, c *Call) (Attempt, error) {
 	lastReason := g.lastReason(c.queueKey())
 	waiting, _ := g.queues.Waiting(c.queueKey())
-	if waiting == 0 || len(exclude) > 0 {
-		attempt, err := g.deps.Router.Pick(g.now(), c.pickQuery(exclude))
+	if waiting == 0 || len(c.excluded) > 0 {
+		attempt, err := g.deps.Router.Pick(g.now(), c.pickQuery(c.excluded))
 		if err == nil {
 			return attempt, nil
 		}
