gateway: keep a hedged run until another attempt has an answer

Callers of hedged classes got a 502 although a server was about to answer them. The result that came first ended the other attempt, also if it was a 503, 429, 500 or "no model" of a server that executed nothing, and the retry for it may have no budget. If both attempts failed, only the last one counted: a request that may have run was reported as not run, and every failure was reported to the router as a reset connection.

Both attempts are now kept until one has an answer for the caller. If neither has, the result that is worth most to the caller counts, and of two failures the one that may have been executed; both servers are then excluded and the router hears what happened.

TestRefusedHedgeKeepsTheRun (503, 429, 500, no model) and TestHedgesThatFailMayHaveRun failed before: 502, 502, 500, a second run, and 503 "not run". TestHedging expected a reset for an attempt that wasn't sent; it now expects "not sent", of the same strength.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -21,20 +21,13 @@
 // relayAnswer relays a backend server's answer to the caller. It returns a
 // failure if the caller doesn't get the answer.
 func (g *Gateway) relayAnswer(ctx context.Context, c *Call, reservation *reservation, response *http.Response) *failure {
-	if c.engine && response.StatusCode == http.StatusNotFound {
-		// The model was loaded when the snapshot was made. An engine without
-		// the model executes nothing, so the request waits until the model is
-		// loaded again.
-		return reservation.releaseFailed(&failure{kind: OutcomeAbsent, notExecuted: true,
-			problem: problem.New(problem.NoCapacity, "the model is no longer loaded").WithRetryAfter(g.durationMean.retryAfter())})
-	}
+	f := g.putAside(c, response)
 	// A retryable status of an engine is never passed to the caller as the answer.
 	// That of a plain service can be its regular answer, so the caller gets it
 	// unless another server can be tried.
 	last := !c.repeatable || c.attempts+1 >= g.config.MaxAttempts
-	if isRetryableStatus(response.StatusCode) && (c.engine || !last) {
-		return reservation.releaseFailed(&failure{kind: OutcomeServerError,
-			problem: problem.New(problem.ServerFailed, "the backend server answered "+response.Status)})
+	if f != nil && (c.engine || !last) {
+		return reservation.releaseFailed(f)
 	}
 	if c.engine && isEventStream(response.Header) {
 		return g.relayStream(ctx, c, reservation, response)
@@ -46,6 +39,23 @@
 	return g.relayWhole(ctx, c, reservation, response)
 }
 
+// putAside returns the failure of an attempt whose answer the caller doesn't get
+// while another server can be tried, or nil.
+func (g *Gateway) putAside(c *Call, response *http.Response) *failure {
+	switch {
+	case c.engine && response.StatusCode == http.StatusNotFound:
+		// The model was loaded when the snapshot was made. An engine without
+		// the model executes nothing, so the request waits until the model is
+		// loaded again.
+		return &failure{kind: OutcomeAbsent, notExecuted: true,
+			problem: problem.New(problem.NoCapacity, "the model is no longer loaded").WithRetryAfter(g.durationMean.retryAfter())}
+	case isRetryableStatus(response.StatusCode):
+		return &failure{kind: OutcomeServerError,
+			problem: problem.New(problem.ServerFailed, "the backend server answered "+response.Status)}
+	}
+	return nil
+}
+
 func isRetryableStatus(status int) bool {
 	switch status {
 	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout, http.StatusTooManyRequests:
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -22,18 +22,26 @@
 // sentAttempt is an attempt whose request has been sent, with its result.
 type sentAttempt struct {
 	reservation *reservation
-	cancel      context.CancelFunc
-	response    *http.Response
-	err         error
+	// ctx is the context of the attempt, which cancel ends.
+	ctx      context.Context
+	cancel   context.CancelFunc
+	response *http.Response
+	err      error
 }
 
-// discard cancels the slower attempt of two and releases its reservation.
-func (s *sentAttempt) discard() {
+func newSentAttempt(ctx context.Context, r *reservation) *sentAttempt {
+	s := &sentAttempt{reservation: r}
+	s.ctx, s.cancel = context.WithCancel(ctx)
+	return s
+}
+
+// discard cancels the attempt and releases its reservation.
+func (s *sentAttempt) discard(kind OutcomeKind) {
 	s.cancel()
 	if s.response != nil {
 		_ = s.response.Body.Close()
 	}
-	s.reservation.release(OutcomeCanceled)
+	s.reservation.release(kind)
 }
 
 // sendReleasingOnPanic calls send and releases the first reservation if send
@@ -52,42 +60,100 @@
 
 // send sends the request to the server of the first attempt. If the request can
 // be hedged and the first byte takes too long, it is also sent to a second
-// server. The first answer that begins is used, and the other attempt is
-// cancelled. The caller must call cancel on the result once the answer has been
+// server. The caller must call cancel on the result once the answer has been
 // read.
 func (g *Gateway) send(ctx context.Context, c *Call, first *reservation) (won *sentAttempt) {
 	delay, hedged := g.hedgeDelay(c, first)
+	slow := newSentAttempt(ctx, first)
 	if !hedged {
-		return g.roundTrip(ctx, c, first)
+		g.roundTrip(c, slow)
+		return slow
 	}
-	answers := make(chan *sentAttempt, 2)
-	go func() { answers <- g.roundTripRecovered(ctx, c, first) }()
+	results := make(chan *sentAttempt, 2)
+	go func() { results <- g.roundTripRecovered(c, slow) }()
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
-	case s := <-answers:
+	case s := <-results:
 		return s
 	case <-timer.C:
 	}
 	second := g.reserveHedge(c, first)
 	if second == nil {
-		return <-answers
+		return <-results
 	}
-	go func() { answers <- g.roundTripRecovered(ctx, c, second) }()
-	return firstToAnswer(answers)
+	hedge := newSentAttempt(ctx, second)
+	go func() { results <- g.roundTripRecovered(c, hedge) }()
+	return g.pickResult(c, results, slow, hedge)
 }
 
-// firstToAnswer returns the attempt whose answer begins first, or the last one
-// if both fail.
-func firstToAnswer(answers <-chan *sentAttempt) *sentAttempt {
-	s := <-answers
-	if s.err == nil {
-		go func() { (<-answers).discard() }()
-		return s
+// pickResult returns the first of two attempts whose answer begins, and cancels
+// the other one. It keeps both until then: a failure, or an answer that the
+// caller wouldn't get while another server can be tried, ends neither.
+func (g *Gateway) pickResult(c *Call, results <-chan *sentAttempt, slow, hedge *sentAttempt) *sentAttempt {
+	won, lost := <-results, hedge
+	if won == hedge {
+		lost = slow
 	}
-	s.cancel()
-	s.reservation.release(OutcomeReset)
-	return <-answers
+	if g.rankOf(c, won) == rankAnswer {
+		go func() { (<-results).discard(OutcomeCanceled) }()
+		return won
+	}
+	if won.err != nil {
+		won.reservation.release(g.outcomeOf(c, won))
+	}
+	<-results
+	if g.rankOf(c, lost) > g.rankOf(c, won) {
+		won, lost = lost, won
+	}
+	c.exclude(lost.reservation.attempt.Server().ID)
+	lost.discard(g.outcomeOf(c, lost))
+	return won
+}
+
+// resultRank orders the results of two attempts by what they are worth to the
+// caller. Of two failures the one that may have been executed counts, because
+// the request must not be reported as not run.
+type resultRank int
+
+const (
+	rankNotExecuted resultRank = iota
+	rankUnknown
+	rankPutAside
+	rankServerError
+	rankAnswer
+)
+
+func (g *Gateway) rankOf(c *Call, s *sentAttempt) resultRank {
+	f := g.failureOf(c, s)
+	switch {
+	case f != nil && f.notExecuted:
+		return rankNotExecuted
+	case s.err != nil:
+		return rankUnknown
+	case f != nil:
+		return rankPutAside
+	case s.response.StatusCode >= http.StatusInternalServerError:
+		return rankServerError
+	default:
+		return rankAnswer
+	}
+}
+
+// failureOf returns the failure of an attempt that has no answer for the caller,
+// or nil.
+func (g *Gateway) failureOf(c *Call, s *sentAttempt) *failure {
+	if s.err != nil {
+		return g.classifySendError(s.ctx, s.err)
+	}
+	return g.putAside(c, s.response)
+}
+
+func (g *Gateway) outcomeOf(c *Call, s *sentAttempt) OutcomeKind {
+	if f := g.failureOf(c, s); f != nil {
+		return f.kind
+	}
+	return statusOutcome(s.response.StatusCode)
 }
 
 func (g *Gateway) hedgeDelay(c *Call, first *reservation) (time.Duration, bool) {
@@ -113,31 +179,30 @@
 
 // roundTripRecovered calls roundTrip and recovers from a panic, which would
 // otherwise end the process because it runs on a goroutine of its own.
-func (g *Gateway) roundTripRecovered(ctx context.Context, c *Call, r *reservation) (s *sentAttempt) {
+func (g *Gateway) roundTripRecovered(c *Call, s *sentAttempt) *sentAttempt {
 	defer func() {
 		if value := recover(); value != nil {
 			g.deps.Logger.Error().Str("trace_id", c.traceID).Any("panic", value).Msg("panic")
-			s = &sentAttempt{reservation: r, cancel: func() {}, err: errors.Wrap(port.ErrUnknownOutcome, "panic")}
+			s.err = errors.Wrap(port.ErrUnknownOutcome, "panic")
 		}
 	}()
-	return g.roundTrip(ctx, c, r)
+	g.roundTrip(c, s)
+	return s
 }
 
 // roundTrip sends the request to one server and returns when its answer begins.
-func (g *Gateway) roundTrip(ctx context.Context, c *Call, r *reservation) *sentAttempt {
-	ctx, cancel := context.WithCancel(ctx)
-	s := &sentAttempt{reservation: r, cancel: cancel}
+func (g *Gateway) roundTrip(c *Call, s *sentAttempt) {
+	r := s.reservation
 	server := r.attempt.Server()
-	ctx, span := g.startSpan(ctx, "send", attribute.String("server", string(server.ID)))
+	ctx, span := g.startSpan(s.ctx, "send", attribute.String("server", string(server.ID)))
 	defer span.End()
 	request, err := g.outboundRequest(ctx, c, server)
 	if err != nil {
 		s.err = errUnsendable
-		return s
+		return
 	}
 	s.response, s.err = g.deps.Backend.Do(ctx, server, request) //nolint:bodyclose // by discard, or by tryServer
 	if s.err == nil {
 		r.firstByte = g.now().Sub(r.started)
 	}
-	return s
 }
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -93,7 +93,7 @@
 		},
 		"the second attempt fails": {
 			class: targets.Class{Repeatable: true, Hedge: true}, secondFails: true, answer: `"first"`,
-			outcomes: []OutcomeKind{OutcomeReset, OutcomeAnswered},
+			outcomes: []OutcomeKind{OutcomeNotSent, OutcomeAnswered},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/gateway/kept_test.go
+++ b/internal/gateway/kept_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/problem"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/jsonc"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/targets"
@@ -81,6 +82,55 @@
 	}
 }
 
+// A silent but sound run was cancelled for a hedged attempt that was refused.
+func TestRefusedHedgeKeepsTheRun(t *testing.T) {
+	for name, second := range map[string]func() (*http.Response, error){
+		"503":      func() (*http.Response, error) { return wholeResponse(503, `{}`), nil },
+		"429":      func() (*http.Response, error) { return wholeResponse(429, `{}`), nil },
+		"500":      func() (*http.Response, error) { return wholeResponse(500, `{}`), nil },
+		"no model": func() (*http.Response, error) { return wholeResponse(404, `{}`), nil },
+		"refused":  func() (*http.Response, error) { return nil, errors.Wrap(port.ErrRefused, "full") },
+		"not sent": func() (*http.Response, error) { return nil, errors.Wrap(port.ErrNotSent, "connection refused") },
+		"reset":    func() (*http.Response, error) { return nil, errors.Wrap(port.ErrUnknownOutcome, "reset") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				v := newVirtual(t, true, func(ctx context.Context, s port.Server, _ *http.Request) (*http.Response, error) {
+					if s.ID == "s2" {
+						return second()
+					}
+					if err := after(ctx, time.Second); err != nil {
+						return nil, err
+					}
+					return wholeResponse(200, wholeChat), nil
+				})
+				v.router.maxRetries = 1
+				got, took := v.send("/v1/chat/completions", chatBody)
+				require.Equal(t, http.StatusOK, got.status, got.body)
+				require.Equal(t, wholeChat, got.body)
+				require.Equal(t, time.Second, took)
+				v.end()
+			})
+		})
+	}
+}
+
+// A request of which one hedged attempt may have run was reported as not run, as the other hadn't.
+func TestHedgesThatFailMayHaveRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := newVirtual(t, true, func(ctx context.Context, s port.Server, _ *http.Request) (*http.Response, error) {
+			if s.ID == "s2" {
+				return nil, errors.Join(after(ctx, 2*time.Second), errors.Wrap(port.ErrNotSent, "unreachable"))
+			}
+			return nil, errors.Join(after(ctx, time.Second), errors.Wrap(port.ErrUnknownOutcome, "reset"))
+		}, func(d *Deps) { d.Config.MaxAttempts = 1 })
+		got, _ := v.send("/v1/chat/completions", chatBody)
+		requireProblem(t, got, problem.ServerFailed)
+		require.ElementsMatch(t, []OutcomeKind{OutcomeReset, OutcomeNotSent}, v.router.outcomes)
+		v.end()
+	})
+}
+
 // The retry of a hedged attempt that broke off went to its server again, and spared the one that was only slow.
 func TestRetryAvoidsTheServerThatFailed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
