gateway: cancel the slower hedged attempt when the other begins to answer

A server went on executing a request whose caller was already reading the answer of another server, until that answer had ended or the slower one had begun. The loser was only cancelled once its own result came. It is now cancelled when the other attempt is chosen.

TestSlowerAttemptIsCancelledWhenTheOtherBegins failed before: cancelled only after the answer had ended.

--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -96,6 +96,7 @@
 		lost = slow
 	}
 	if g.rankOf(c, won) == rankAnswer {
+		lost.cancel()
 		go func() { (<-results).discard(OutcomeCanceled) }()
 		return won
 	}
--- a/internal/gateway/kept_test.go
+++ b/internal/gateway/kept_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -131,6 +132,42 @@
 	})
 }
 
+// A hedged attempt ran on at its server for as long as the answer of the other one took.
+func TestSlowerAttemptIsCancelledWhenTheOtherBegins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var cancelled time.Time
+		v := newVirtual(t, true, func(ctx context.Context, s port.Server, _ *http.Request) (*http.Response, error) {
+			if s.ID == "s1" {
+				err := after(ctx, time.Minute)
+				cancelled = time.Now()
+				return nil, err
+			}
+			r := wholeResponse(200, wholeChat)
+			r.Body = io.NopCloser(slowReader{ctx, strings.NewReader(wholeChat)})
+			return r, nil
+		})
+		began := time.Now()
+		got, took := v.send("/v1/chat/completions", chatBody)
+		require.Equal(t, wholeChat, got.body)
+		require.Greater(t, took, time.Second)
+		v.end()
+		require.Equal(t, time.Millisecond, cancelled.Sub(began))
+	})
+}
+
+// slowReader takes a second for each read.
+type slowReader struct {
+	ctx context.Context
+	io.Reader
+}
+
+func (r slowReader) Read(p []byte) (int, error) {
+	if err := after(r.ctx, time.Second); err != nil {
+		return 0, err
+	}
+	return r.Reader.Read(p)
+}
+
 // The retry of a hedged attempt that broke off went to its server again, and spared the one that was only slow.
 func TestRetryAvoidsTheServerThatFailed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
