gateway: deliver a whole answer whose repeat doesn't come about

Callers of a plain service got a 502 of the instance in place of the server's own 503 (or 429, 502, 504), body and Retry-After included: the answer was put aside for a repeat at another server, and the repeat had no budget, found no server, or failed. The answer is now read whole and held, and delivered if no further attempt has one. An answer too large to be held isn't put aside. The answer of a hedged attempt that has to wait for the other one is read whole too, so that it outlives the deadline. Answers of engines with these statuses still aren't passed on: that is the product's interface.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -24,9 +24,9 @@
 	f := g.putAside(c, response)
 	// A retryable status of an engine is never passed to the caller as the answer.
 	// That of a plain service can be its regular answer, so the caller gets it
-	// unless another server can be tried.
+	// unless another server can be tried, and if no attempt there has an answer.
 	last := !c.repeatable || c.attempts+1 >= g.config.MaxAttempts
-	if f != nil && (c.engine || !last) {
+	if f != nil && (c.engine || !last && g.hold(c, response)) {
 		return reservation.releaseFailed(f)
 	}
 	if c.engine && isEventStream(response.Header) {
@@ -86,13 +86,7 @@
 	// Release the server before writing, because the caller may read slowly.
 	reservation.release(statusOutcome(response.StatusCode))
 	c.recordAnswer(response, body)
-	header := c.w.Header()
-	copyHeader(header, response.Header)
-	removeHopByHopHeaders(header)
-	if err := g.sendWhole(c, response.StatusCode, body); err != nil {
-		return callerGone()
-	}
-	return nil
+	return g.deliver(c, response, body)
 }
 
 func isJSON(h http.Header) bool {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -58,6 +58,8 @@
 	server   port.ServerID
 	// excluded lists the servers on which the request has failed.
 	excluded []port.ServerID
+	// held is the last answer that was put aside, or nil.
+	held *heldAnswer
 	// possiblyRan is set before the first byte can reach a backend server. It
 	// is cleared once it is proven that no server executed the request.
 	possiblyRan bool
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -41,8 +41,20 @@
 func (f *failure) Error() string { return f.problem.Error() }
 
 // forward attempts backend servers until one answers or no further attempt is
-// allowed.
+// allowed. An answer that was put aside is then delivered.
 func (g *Gateway) forward(c *Call) error {
+	err := g.tryServers(c)
+	if err == nil || c.held == nil || c.w.status != 0 {
+		return err
+	}
+	c.server = c.held.server
+	if f := g.deliver(c, c.held.response, c.held.body); f != nil {
+		return f.problem
+	}
+	return nil
+}
+
+func (g *Gateway) tryServers(c *Call) error {
 	ctx, cancel := context.WithDeadline(c.ctx, c.deadline)
 	defer cancel()
 	run := ctx
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -95,6 +95,10 @@
 	if won == hedge {
 		lost = slow
 	}
+	if won.response != nil && g.rankOf(c, won) != rankAnswer {
+		// The answer must not be lost if the other attempt outlasts the deadline.
+		g.bufferResult(won)
+	}
 	if g.rankOf(c, won) == rankAnswer {
 		lost.cancel()
 		go func() { (<-results).discard(OutcomeCanceled) }()
@@ -112,6 +116,14 @@
 	return won
 }
 
+// bufferResult reads an answer into memory. One that breaks off is a failure.
+func (g *Gateway) bufferResult(s *sentAttempt) {
+	if _, _, err := g.buffer(s.response); err != nil {
+		_ = s.response.Body.Close()
+		s.response, s.err = nil, errors.Wrap(port.ErrUnknownOutcome, "answer broke off")
+	}
+}
+
 // resultRank orders the results of two attempts by what they are worth to the
 // caller. Of two failures the one that may have been executed counts, because
 // the request must not be reported as not run.
--- a/internal/gateway/kept_test.go
+++ b/internal/gateway/kept_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -192,3 +193,64 @@
 		require.Equal(t, []port.ServerID{"s1", "s2", "s1"}, servers)
 	})
 }
+
+// A caller got a 502 in place of a service's whole answer, which was put aside for a repeat that wasn't made.
+func TestErrorAnswerIsDeliveredIfItsRepeatIsnt(t *testing.T) {
+	const body = `{"closed":"until noon"}`
+	for name, c := range map[string]struct {
+		change func(v *virtual)
+		repeat func(ctx context.Context) (*http.Response, error)
+		took   time.Duration
+	}{
+		"no budget": {change: func(v *virtual) { v.router.maxRetries, v.router.retries = 1, 1 }},
+		"no server": {change: func(v *virtual) { v.router.servers = v.router.servers[:1] }},
+		"not sent": {repeat: func(context.Context) (*http.Response, error) {
+			return nil, errors.Wrap(port.ErrNotSent, "connection refused")
+		}},
+		"reset": {repeat: func(context.Context) (*http.Response, error) {
+			return nil, errors.Wrap(port.ErrUnknownOutcome, "reset")
+		}},
+		"broken off": {repeat: func(context.Context) (*http.Response, error) { return faultBroken.do(nil) }},
+		"silent": {took: 2 * time.Second, repeat: func(ctx context.Context) (*http.Response, error) {
+			return nil, after(ctx, time.Minute)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var attempts atomic.Int32
+				v := newVirtual(t, false, func(ctx context.Context, _ port.Server, _ *http.Request) (*http.Response, error) {
+					if attempts.Add(1) == 1 {
+						return wholeResponse(http.StatusServiceUnavailable, body), nil
+					}
+					return c.repeat(ctx)
+				}, func(d *Deps) { d.Config.DefaultTimeout, d.Config.MaxAttempts = 2*time.Second, 2 })
+				if c.change != nil {
+					c.change(v)
+				}
+				got, took := v.send("/entries/7", "crew")
+				require.Equal(t, http.StatusServiceUnavailable, got.status, got.body)
+				require.Equal(t, body, got.body)
+				require.Less(t, took, c.took+time.Second)
+				v.end()
+			})
+		})
+	}
+}
+
+// A whole answer was lost when the hedged attempt beside it stayed silent until the deadline.
+func TestErrorAnswerOutlivesASilentHedge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := newVirtual(t, true, func(ctx context.Context, s port.Server, _ *http.Request) (*http.Response, error) {
+			if s.ID == "s1" {
+				return nil, after(ctx, time.Minute)
+			}
+			r := wholeResponse(500, wholeChat)
+			r.Body = io.NopCloser(slowReader{ctx, strings.NewReader(wholeChat)})
+			return r, nil
+		}, func(d *Deps) { d.Config.DefaultTimeout = 10 * time.Second })
+		got, _ := v.send("/v1/chat/completions", chatBody)
+		require.Equal(t, 500, got.status, got.body)
+		require.Equal(t, wholeChat, got.body)
+		v.end()
+	})
+}
