app: give a retry back to the budget if it reached no server

Callers got "no capacity", "unreachable" or a cut stream from services whose retry budget had been spent on servers that nobody reached: a retry was charged before a server was looked for, so that it cost one if there was none, if every server was full, if the connection was refused, or if a queued request had been refused meanwhile. The budget limits what arrives at servers beside first attempts. OutcomeUnused tells capacity on which nothing was sent from a cancelled run.

TestRetryThatReachesNoServerIsGivenBack failed before (no server: 19 of 20 left). TestWaitingRetryCountsOnce holds at the gateway; its fake charges as the router does now, only for a retry that gets a server.

--- a/internal/app/router.go
+++ b/internal/app/router.go
@@ -52,18 +52,18 @@
 	if q.Retry && !budget.Withdraw(now.Sub(r.start)) {
 		return nil, gateway.ErrNoBudget
 	}
+	a := &attempt{onModelAbsent: r.onModelAbsent, endUse: func(time.Duration) {}, refund: func() {}}
+	if q.Retry {
+		a.refund = budget.Refund
+	}
 	choice, err := r.routing.Pick(now, routing.Query{
 		Service: q.Service, Model: q.Model, PrefixHash: q.PrefixHash, Exclude: q.Exclude,
 	})
-	var full *routing.CapacityError
-	switch {
-	case err == nil:
-	case errors.As(err, &full):
-		return nil, &gateway.CapacityError{RetryAfter: full.RetryAfter}
-	default:
-		return nil, errors.Join(gateway.ErrNoReplica, err)
+	if err != nil {
+		a.refund()
+		return nil, pickError(err)
 	}
-	a := &attempt{choice: choice, onModelAbsent: r.onModelAbsent, endUse: func(time.Duration) {}}
+	a.choice = choice
 	if !q.Retry {
 		budget.RecordFirstAttempt(now.Sub(r.start))
 	}
@@ -73,11 +73,21 @@
 	return a, nil
 }
 
+func pickError(err error) error {
+	var full *routing.CapacityError
+	if errors.As(err, &full) {
+		return &gateway.CapacityError{RetryAfter: full.RetryAfter}
+	}
+	return errors.Join(gateway.ErrNoReplica, err)
+}
+
 type attempt struct {
 	choice routing.Choice
 	// onModelAbsent is called with a server that no longer had the model.
 	onModelAbsent func(port.Server)
 	endUse        func(took time.Duration)
+	// refund gives the retry back to the budget, if the attempt is one.
+	refund func()
 }
 
 // Server implements gateway.Attempt.
@@ -92,6 +102,9 @@
 // Done implements gateway.Attempt.
 func (a *attempt) Done(now time.Time, o gateway.Outcome) {
 	a.endUse(o.Total)
+	if o.Kind == gateway.OutcomeNotSent || o.Kind == gateway.OutcomeUnused {
+		a.refund()
+	}
 	if o.Kind == gateway.OutcomeAbsent {
 		a.onModelAbsent(a.choice.Server)
 	}
@@ -113,7 +126,7 @@
 		return routing.OutcomeServed
 	case gateway.OutcomeRefused:
 		return routing.OutcomeOverloaded
-	case gateway.OutcomeCanceled, gateway.OutcomeAbsent:
+	case gateway.OutcomeCanceled, gateway.OutcomeAbsent, gateway.OutcomeUnused:
 		return routing.OutcomeCanceled
 	default:
 		return routing.OutcomeFailed
--- a/internal/gateway/deps.go
+++ b/internal/gateway/deps.go
@@ -66,7 +66,8 @@
 	Exclude []port.ServerID
 	// Retry marks every attempt but the first. NotExecuted marks attempts
 	// before which certainly no server has executed the request. The Router
-	// applies the retry budget by both.
+	// applies the retry budget by both. It charges only a retry that reaches a
+	// server.
 	Retry, NotExecuted bool
 }
 
@@ -98,6 +99,9 @@
 	// OutcomeAbsent means that the engine no longer has the model and executed
 	// nothing.
 	OutcomeAbsent
+	// OutcomeUnused means that the gateway sent nothing. It says nothing about
+	// the server.
+	OutcomeUnused
 )
 
 // Outcome is the result of an attempt, as reported to the Router.
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -100,9 +100,6 @@
 	if q.Retry && r.maxRetries > 0 && r.retries >= r.maxRetries {
 		return nil, ErrNoBudget
 	}
-	if q.Retry {
-		r.retries++
-	}
 	if r.absent[q.Model] {
 		return nil, ErrNoReplica
 	}
@@ -112,6 +109,9 @@
 	for _, s := range r.servers {
 		if !contains(q.Exclude, s.ID) {
 			r.busy++
+			if q.Retry {
+				r.retries++
+			}
 			return &fakeAttempt{router: r, server: s}, nil
 		}
 	}
@@ -127,6 +127,13 @@
 	return false
 }
 
+// change changes the router while requests are in progress.
+func (r *fakeRouter) change(f func(r *fakeRouter)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(r)
+}
+
 func (r *fakeRouter) setReady(model port.ModelID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -180,7 +180,7 @@
 func (g *Gateway) classifySendError(ctx context.Context, err error) *failure {
 	switch {
 	case errors.Is(err, errUnsendable):
-		return &failure{kind: OutcomeCanceled, notExecuted: true, final: true,
+		return &failure{kind: OutcomeUnused, notExecuted: true, final: true,
 			problem: problem.New(problem.BadRequest, "the request can't be passed on")}
 	case errors.Is(err, port.ErrRefused):
 		return &failure{kind: OutcomeRefused, notExecuted: true,
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -101,9 +101,6 @@
 	// Capacity may have become free between Pick and Enter.
 	g.queues.SignalNext(queueKey)
 	pickQuery := c.pickQuery(nil)
-	// A retry is charged to the retry budget when a server is first requested.
-	// Further polls of the same attempt aren't charged again.
-	pickQuery.Retry = false
 	timer := time.NewTimer(c.startBy.Sub(g.now()))
 	defer timer.Stop()
 	for {
@@ -135,7 +132,7 @@
 		return attempt, nil
 	}
 	err := g.queues.Refused(key, ticket)
-	attempt.Done(g.now(), Outcome{Kind: OutcomeCanceled})
+	attempt.Done(g.now(), Outcome{Kind: OutcomeUnused})
 	g.queues.SignalNext(key)
 	return nil, g.refusalProblem(key, err)
 }
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -104,6 +104,9 @@
 	}
 }
 
+// Refund returns a retry that was withdrawn for an attempt that reached no server.
+func (b *Budget) Refund() { b.deposit(tokenUnit) }
+
 // Left returns the retries that the budget holds.
 func (b *Budget) Left(now time.Duration) float64 {
 	b.refill(now)
