gateway: a request whose run failed waits for a server

Callers of repeatable classes got half a stream, or a 502, at once when their server had broken off and at that moment no other had the model, room, or the budget a retry, with most of their time left; the stream's first attempt would have waited for the same. acquire let only requests wait that certainly hadn't run, and the time to start counts from the arrival, so that a longer stream had none left. A request that may have run, which can't be refused as not run, now waits too, and has the time to start of its class again after each attempt, within its deadline; its wait wakes the model. A request with a whole answer held gets that at once, and one that no server executed is refused at once for lack of budget, as before.

TestBrokenRunWaitsForAServer failed before in all six cases (stream and run; no model, no room, no budget): 502 or an error event after 6 s instead of the answer after 9 s.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -50,7 +50,8 @@
 	repeatable bool
 
 	// Set by setDeadline. The caller needs the whole answer by deadline. The
-	// request must be sent to a backend server by startBy.
+	// request must be sent to a backend server by startBy; one that may have run
+	// has the same time again after each attempt.
 	deadline, startBy time.Time
 
 	// Set by forward.
@@ -84,6 +85,12 @@
 // exclude keeps the next attempt from a server on which this one has failed.
 func (c *Call) exclude(server port.ServerID) { c.excluded = append(c.excluded, server) }
 
+// restartWait gives a request whose run has failed at the time now the time to
+// start again.
+func (c *Call) restartWait(now time.Time) {
+	c.startBy = now.Add(min(time.Duration(c.class.MaxWait), c.deadline.Sub(now)))
+}
+
 // responseWriter records the status and the size of the response. A status of
 // zero means that the response hasn't begun.
 type responseWriter struct {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -86,6 +86,9 @@
 			return last.problem
 		}
 		c.exclude(c.server)
+		if c.possiblyRan {
+			c.restartWait(g.now())
+		}
 	}
 }
 
--- a/internal/gateway/kept_test.go
+++ b/internal/gateway/kept_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/problem"
@@ -69,6 +70,7 @@
 // end checks that nothing is left of the requests.
 func (v *virtual) end() {
 	v.gateway.stop()
+	v.gateway.background.Wait()
 	synctest.Wait()
 	require.True(v, v.gateway.Endings().Balanced(), "%+v", v.gateway.Endings())
 	require.Zero(v, v.router.busy, "reserved capacity not released")
@@ -254,3 +256,79 @@
 		v.end()
 	})
 }
+
+// A repeatable run and a stream that a server had broken off were ended because no server had their
+// model, or room, at that moment.
+func TestBrokenRunWaitsForAServer(t *testing.T) {
+	noModel := func(r *fakeRouter) { r.absent[testModel] = true }
+	noRoom := func(r *fakeRouter) { r.capacity = 0 }
+	noBudget := func(r *fakeRouter) { r.retries = r.maxRetries }
+	for name, c := range map[string]struct {
+		withdraw func(r *fakeRouter)
+		body     string
+	}{
+		"stream, no model": {noModel, streamBody}, "stream, no room": {noRoom, streamBody},
+		"run, no model": {noModel, chatBody}, "run, no room": {noRoom, chatBody},
+		"stream, no budget": {noBudget, streamBody}, "run, no budget": {noBudget, chatBody},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var attempts atomic.Int32
+				var v *virtual
+				v = newVirtual(t, false, func(_ context.Context, _ port.Server, r *http.Request) (*http.Response, error) {
+					switch {
+					case attempts.Add(1) > 1 && c.body == chatBody:
+						return wholeResponse(200, wholeChat), nil
+					case attempts.Load() > 1:
+						assert.Equal(t, "0", r.Header.Get(headerLastEventID))
+						return eventResponse(strings.NewReader("id: 1\ndata: 1\n\ndata: [DONE]\n\n")), nil
+					}
+					stream, server := io.Pipe()
+					go func() { _, _ = io.WriteString(server, "id: 0\ndata: 0\n\n") }()
+					// By then a first attempt of the class could no longer wait.
+					time.AfterFunc(6*time.Second, func() {
+						v.router.change(c.withdraw)
+						_ = server.CloseWithError(io.ErrUnexpectedEOF)
+					})
+					time.AfterFunc(9*time.Second, func() {
+						v.router.change(func(r *fakeRouter) { r.capacity, r.retries = 100, 0; delete(r.absent, testModel) })
+					})
+					if c.body == streamBody {
+						return eventResponse(stream), nil
+					}
+					_, err := io.ReadAll(stream)
+					return nil, errors.Join(port.ErrUnknownOutcome, err)
+				})
+				v.router.maxRetries = 1
+				got, took := v.send("/v1/chat/completions", c.body)
+				if c.body == streamBody {
+					require.Equal(t, "id: 0\ndata: 0\n\nid: 1\ndata: 1\n\ndata: [DONE]\n\n", got.body)
+				} else {
+					require.Equal(t, wholeChat, got.body)
+				}
+				require.InDelta(t, 9, took.Seconds(), 0.5)
+				require.Equal(t, 1, v.router.retries)
+				v.end()
+			})
+		})
+	}
+}
+
+// TestRefusedRequestDoesntWaitForTheBudget checks that a request that no server executed is refused at once.
+func TestRefusedRequestDoesntWaitForTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := newVirtual(t, false, func(context.Context, port.Server, *http.Request) (*http.Response, error) {
+			return nil, errors.Wrap(port.ErrRefused, "full")
+		})
+		v.router.maxRetries, v.router.retries = 1, 1
+		got, took := v.send("/v1/chat/completions", chatBody)
+		requireProblem(t, got, problem.NoCapacity)
+		require.Less(t, took, firstRetryDelay*2)
+		v.end()
+	})
+}
+
+func eventResponse(events io.Reader) *http.Response {
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(events), ContentLength: -1,
+		Header: http.Header{"Content-Type": {"text/event-stream"}}}
+}
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -40,9 +40,9 @@
 	}
 }
 
-// acquire reserves capacity on a backend server. A first attempt waits in the
-// queue until the model is ready or capacity is free, but no longer than
-// startBy. It doesn't overtake requests that are already queued.
+// acquire reserves capacity on a backend server. The request waits in the queue
+// until the model is ready or capacity is free, but no longer than startBy. A
+// first attempt doesn't overtake requests that are already queued.
 func (g *Gateway) acquire(ctx context.Context, c *Call) (Attempt, error) {
 	lastReason := g.lastReason(c.queueKey())
 	waiting, _ := g.queues.Waiting(c.queueKey())
@@ -51,7 +51,7 @@
 		if err == nil {
 			return attempt, nil
 		}
-		if c.possiblyRan || errors.Is(err, ErrNoBudget) {
+		if !c.worthWaiting(err) {
 			return nil, errors.Wrap(err, "pick again")
 		}
 		lastReason = err
@@ -66,6 +66,13 @@
 	return attempt, err
 }
 
+// worthWaiting reports whether a request for which there is no server at the
+// moment waits for one. It doesn't if there is an answer to deliver at once, or
+// if it can be refused as not run for lack of budget.
+func (c *Call) worthWaiting(reason error) bool {
+	return c.held == nil && (c.possiblyRan || !errors.Is(reason, ErrNoBudget))
+}
+
 // The metrics of the Server-Timing header. They tell how long the request
 // waited for its model to be loaded, or for free capacity.
 const (
