gateway: count hedged attempts

A hedged request reached servers once more often than MaxAttempts allows, since the two attempts counted as one. Both count now, and a request that may be sent only once isn't hedged. The attempts in the log line of a request include the hedged one.

TestHedgedAttemptsCount failed before: 2 sends with a limit of 1.

--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -171,7 +171,7 @@
 
 func (g *Gateway) hedgeDelay(c *Call, first *reservation) (time.Duration, bool) {
 	h, ok := first.attempt.(hedger)
-	if !ok || !c.class.Hedge || !c.repeatable || c.attempts > 0 {
+	if !ok || !c.class.Hedge || !c.repeatable || c.attempts > 0 || g.config.MaxAttempts < 2 {
 		return 0, false
 	}
 	return h.HedgeAfter(c.deadline.Sub(g.now()))
@@ -187,6 +187,7 @@
 		return nil
 	}
 	g.hedges.Add(1)
+	c.attempts++
 	return &reservation{attempt: attempt, g: g, queueKey: c.queueKey(), started: g.now()}
 }
 
