gateway: name the requests that the end of a drain cuts

Operators couldn't tell from a request's id whether the end of its instance had cut it: the lines drain and drained hold a count, and the process ends before the request has a line of its own. Drain now logs request_cut for each request in progress at its end, at most 100 lines, the oldest first, with the path, the time taken and the last server.

TestDrainNamesWhatItCuts failed before: no line for 101 requests.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
@@ -61,6 +62,9 @@
 	excluded []port.ServerID
 	// held is the last answer that was put aside, or nil.
 	held *heldAnswer
+	// sentTo is the last server that the request was sent to; nil if there is
+	// none. Other goroutines may read it.
+	sentTo atomic.Pointer[port.ServerID]
 	// possiblyRan is set before the first byte can reach a backend server. It
 	// is cleared once it is proven that no server executed the request.
 	possiblyRan bool
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -79,6 +79,7 @@
 	g.stop()
 	if report.Unfinished > 0 {
 		g.deps.Logger.Warn().Str("event", "drain").Int64("cut", report.Unfinished).Dur("took", report.Duration).Msg("")
+		g.logCut()
 	}
 	return report
 }
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -1,15 +1,21 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
+	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/problem"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
 // TestDrain checks the order of a shutdown: readiness fails first, late
@@ -97,3 +103,31 @@
 		require.Equal(t, http.StatusOK, got.status)
 	}
 }
+
+// The end of a drain counted the requests that it cuts and didn't name them.
+func TestDrainNamesWhatItCuts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var lines bytes.Buffer
+		v := newVirtual(t, false, func(ctx context.Context, _ port.Server, _ *http.Request) (*http.Response, error) {
+			return nil, after(ctx, time.Minute)
+		}, func(d *Deps) {
+			d.Config.DrainDelay, d.Config.DefaultTimeout = time.Nanosecond, 5*time.Second
+			d.Logger = &log.Logger{Level: log.WarnLevel, Writer: &log.IOWriter{Writer: &lines}}
+		})
+		const requests = maxCutLogged + 1
+		v.router.capacity = requests
+		var running sync.WaitGroup
+		for range requests {
+			running.Go(func() { v.send("/v1/chat/completions", chatBody) })
+		}
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		require.EqualValues(t, requests, v.gateway.Drain(ctx).Unfinished)
+		require.Equal(t, maxCutLogged, strings.Count(lines.String(), `"event":"request_cut"`))
+		require.Contains(t, lines.String(), `"path":"/v1/chat/completions"`)
+		require.Contains(t, lines.String(), `"server":"s1"`)
+		running.Wait()
+		v.end()
+	})
+}
--- a/internal/gateway/endings.go
+++ b/internal/gateway/endings.go
@@ -47,6 +47,7 @@
 	}
 	c.ended = true
 	defer g.inProgress.Add(-1)
+	defer g.calls.remove(c)
 	p := g.problemOf(c, err)
 	g.countEnding(c, p)
 	g.logEnding(c, p)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	durationMean durationMean
 	endings      endings
 	inProgress   atomic.Int64
+	calls        callSet
 	// hedges counts the second attempts that were started beside a slow first
 	// one.
 	hedges     atomic.Int64
@@ -160,5 +161,6 @@
 	c.view = g.deps.Snapshot()
 	g.endings.accepted.Add(1)
 	g.inProgress.Add(1)
+	g.calls.add(c)
 	return c
 }
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -208,6 +208,7 @@
 func (g *Gateway) roundTrip(c *Call, s *sentAttempt) {
 	r := s.reservation
 	server := r.attempt.Server()
+	c.sentTo.Store(&server.ID)
 	ctx, span := g.startSpan(s.ctx, "send", attribute.String("server", string(server.ID)))
 	defer span.End()
 	request, err := g.outboundRequest(ctx, c, server)
