gateway: refuse what still waits at the end of a drain

Callers whose requests still waited for a server when shutdown.limit was reached saw their connection close, which says that the request may have run. Nothing had run, and another instance could have served them. The end of a drain now ends these waits: such a request is refused as not run ("stopping", with Retry-After), and one whose run has failed ends as that failure does. Drain gives the answers 100 ms to be written, and doesn't count them as cut.

TestDrainRefusesWhatStillWaits failed before: the wait went on after the drain had ended.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -23,6 +23,10 @@
 // requests are in flight.
 const drainPollInterval = 10 * time.Millisecond
 
+// refusalTime bounds the time for refusing the requests that wait for a server
+// at the end of a drain.
+const refusalTime = 100 * time.Millisecond
+
 func (g *Gateway) stopped() bool { return g.state.Load() == stateStopped }
 
 // Ready reports whether the gateway should receive new requests.
@@ -66,8 +70,9 @@
 // Drain shuts the gateway down. The readiness probe fails at once, requests
 // that arrive within Config.DrainDelay are still served, and then new
 // requests are refused while the in-flight ones finish. Drain returns when no
-// request is in flight or when ctx ends. In the latter case the report counts
-// the requests that were cut off.
+// request is in flight or when ctx ends. In the latter case the requests that
+// still wait for a server are refused, and the report counts those that are cut
+// off.
 func (g *Gateway) Drain(ctx context.Context) DrainReport {
 	start := g.now()
 	g.state.CompareAndSwap(stateServing, stateDraining)
@@ -75,8 +80,13 @@
 	g.state.Store(stateStopped)
 	for g.inProgress.Load() > 0 && pause.For(ctx, drainPollInterval) {
 	}
-	report := DrainReport{Unfinished: g.inProgress.Load(), Duration: g.now().Sub(start)}
+	running := g.inProgress.Load() - g.queues.Stats().Waiting
 	g.stop()
+	refused, cancel := context.WithTimeout(context.WithoutCancel(ctx), refusalTime)
+	defer cancel()
+	for g.inProgress.Load() > running && pause.For(refused, drainPollInterval) {
+	}
+	report := DrainReport{Unfinished: g.inProgress.Load(), Duration: g.now().Sub(start)}
 	if report.Unfinished > 0 {
 		g.deps.Logger.Warn().Str("event", "drain").Int64("cut", report.Unfinished).Dur("took", report.Duration).Msg("")
 		g.logCut()
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -104,6 +104,27 @@
 	}
 }
 
+// Requests that still waited for a server at the end of a drain were cut, although they could be refused as not run.
+func TestDrainRefusesWhatStillWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := newVirtual(t, false, func(context.Context, port.Server, *http.Request) (*http.Response, error) {
+			return wholeResponse(200, wholeChat), nil
+		}, func(d *Deps) { d.Config.DrainDelay = time.Nanosecond })
+		v.router.change(func(r *fakeRouter) { r.absent[testModel] = true })
+		drained := make(chan DrainReport, 1)
+		time.AfterFunc(time.Second, func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			drained <- v.gateway.Drain(ctx)
+		})
+		got, took := v.send("/v1/chat/completions", chatBody)
+		requireProblem(t, got, problem.Stopping)
+		require.Equal(t, 2*time.Second, took)
+		require.Zero(t, (<-drained).Unfinished)
+		v.end()
+	})
+}
+
 // The end of a drain counted the requests that it cuts and didn't name them.
 func TestDrainNamesWhatItCuts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -116,6 +116,11 @@
 		case <-ctx.Done():
 			g.queues.Withdraw(queueKey, ticket)
 			return nil, problem.New(problem.Canceled, "the caller went away while the request waited")
+		case <-g.runContext.Done():
+			if !g.queues.Withdraw(queueKey, ticket) {
+				return nil, g.refusalProblem(queueKey, g.queues.Refused(queueKey, ticket))
+			}
+			return nil, problem.New(problem.Stopping, "the instance stopped while the request waited").WithRetryAfter(minRetryAfter)
 		case <-timer.C:
 			return nil, g.waitTimedOut(queueKey, ticket, reason)
 		}
