relay: pass on the answer of a server that reads no more

Callers behind another instance lost a whole answer, such as a 413 or a rejection, if the server had answered without reading the rest of the request: writing the rest failed, and the relay then reset both connections with the answer in its hands. What can't be written to the server is now discarded; reading from the server tells whether it has answered, closed or broken off. When the client closes its connection, the one to the server is still reset.

TestAnswerOfAServerThatReadsNoMoreIsRelayed failed before: the client's connection was closed without the answer.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -6,8 +6,11 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/phuslu/log"
@@ -271,3 +274,48 @@
 		assert.Equal(t, request, <-asked)
 	})
 }
+
+// earlyServer is the connection to a server that has answered and reads no more of the request.
+type earlyServer struct {
+	net.Conn
+
+	answer *strings.Reader
+	closed atomic.Bool
+}
+
+func (*earlyServer) Write([]byte) (int, error) { return 0, syscall.EPIPE }
+func (s *earlyServer) Close() error            { s.closed.Store(true); return nil }
+
+func (s *earlyServer) Read(p []byte) (int, error) {
+	time.Sleep(10 * time.Millisecond)
+	if s.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return s.answer.Read(p)
+}
+
+// The whole answer of a server that didn't read the rest of the request was discarded.
+func TestAnswerOfAServerThatReadsNoMoreIsRelayed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := &earlyServer{answer: strings.NewReader("too large")}
+		s := NewServer(ServerConfig{
+			Zone: "zone-a", Log: &log.Logger{Level: log.PanicLevel}, Reaches: func() bool { return true },
+			Accepts: func(string) bool { return true }, Follow: func(string) Exchanges { return unfollowed{} },
+			Dial: func(context.Context, string, string) (net.Conn, error) { return server, nil },
+		})
+		client, relayed := net.Pipe()
+		go s.handle(t.Context(), relayed)
+		go func() { _, _ = io.WriteString(client, "10.0.0.1:80\nquestion") }()
+		reader := bufio.NewReader(client)
+		reply, err := readLine(reader)
+		require.NoError(t, err)
+		require.Equal(t, "czone-a", reply)
+		got, err := io.ReadAll(&frameReader{conn: reader})
+		require.NoError(t, err)
+		assert.Equal(t, "too large", string(got))
+		require.NoError(t, client.Close())
+		s.Wait(t.Context())
+		synctest.Wait()
+		assert.True(t, server.closed.Load(), "the connection to the server ends with the client's")
+	})
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -157,14 +157,29 @@
 	}
 }
 
+// requestWriter writes to a server until that fails, and discards the rest: the server may have
+// answered without reading all of a request. Reading from it tells whether it has.
+type requestWriter struct {
+	to     io.Writer
+	failed bool
+}
+
+func (w *requestWriter) Write(p []byte) (int, error) {
+	if !w.failed {
+		_, err := w.to.Write(p)
+		w.failed = err != nil
+	}
+	return len(p), nil
+}
+
 // relay copies both ways until either end closes its connection.
 func (s *Server) relay(client net.Conn, fromClient io.Reader, server net.Conn, fromServer io.Reader) {
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		// An error means that the client has reset its connection, that a request must not be passed
-		// on, or that either connection is broken.
-		_, _ = io.Copy(server, fromClient)
+		// An error means that the client has reset its connection, or that a request must not be
+		// passed on.
+		_, _ = io.Copy(&requestWriter{to: server}, fromClient)
 		reset(server)
 		reset(client)
 	}()
