relay: log the connections that the end of the process cuts

An instance that relays connections for others ended them with its process without a line, so that an attempt that broke off at another instance couldn't be told from one that the server had broken off. Wait now logs how many connections are left.

TestWaitSaysWhatTheEndCuts failed before: no line.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -319,3 +320,16 @@
 		assert.True(t, server.closed.Load(), "the connection to the server ends with the client's")
 	})
 }
+
+// The end of a relaying instance cut connections without a word.
+func TestWaitSaysWhatTheEndCuts(t *testing.T) {
+	var lines bytes.Buffer
+	f := newFixture(t, true)
+	f.relay.cfg.Log = &log.Logger{Level: log.WarnLevel, Writer: &log.IOWriter{Writer: &lines}}
+	client, _ := f.connect()
+	defer client.Close()
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	f.relay.Wait(ended)
+	assert.Contains(t, lines.String(), `"connections":1,"message":"relays_cut"`)
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -83,10 +83,13 @@
 // Refuse refuses further connections, because the instance is about to stop.
 func (s *Server) Refuse() { s.draining.Store(true) }
 
-// Wait waits until the open connections have ended or ctx ends.
+// Wait waits until the open connections have ended or ctx ends, and logs how many are left then.
 func (s *Server) Wait(ctx context.Context) {
 	for s.open.Load() > 0 && pause.For(ctx, drainCheckInterval) {
 	}
+	if left := s.open.Load(); left > 0 {
+		s.cfg.Log.Warn().Int64("connections", left).Msg("relays_cut")
+	}
 }
 
 func (s *Server) handle(ctx context.Context, client net.Conn) {
