--- a/internal/gateway/kept_test.go
+++ b/internal/gateway/kept_test.go
@@ -349,3 +349,47 @@
 	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(events), ContentLength: -1,
 		Header: http.Header{"Content-Type": {"text/event-stream"}}}
 }
+
+// TestNoRunIsLeftWithoutItsCaller checks that every run ends at once when its caller disconnects, also a hedged one.
+func TestNoRunIsLeftWithoutItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var running atomic.Int32
+		v := newVirtual(t, true, func(ctx context.Context, _ port.Server, _ *http.Request) (*http.Response, error) {
+			running.Add(1)
+			defer running.Add(-1)
+			return nil, after(ctx, time.Minute)
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		request := httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/chat/completions", strings.NewReader(chatBody))
+		request.Header.Set("Content-Type", "application/json")
+		go v.gateway.Handler().ServeHTTP(httptest.NewRecorder(), request)
+		time.Sleep(time.Second)
+		require.EqualValues(t, 2, running.Load())
+		cancel()
+		synctest.Wait()
+		require.Zero(t, running.Load())
+		v.end()
+	})
+}
+
+// TestPiecesOfHedgedStreamsArentJoined checks that a stream has the events of one attempt until that breaks off, and is then
+// continued at its position.
+func TestPiecesOfHedgedStreamsArentJoined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var sent atomic.Int32
+		v := newVirtual(t, true, func(ctx context.Context, _ port.Server, r *http.Request) (*http.Response, error) {
+			n := sent.Add(1)
+			if n == 1 { // begins to answer after the hedged attempt
+				return eventResponse(strings.NewReader("id: 0\ndata: a0\n\nid: 1\ndata: a1\n\ndata: [DONE]\n\n")), after(ctx, 10*time.Millisecond)
+			}
+			if n == 2 {
+				return eventResponse(breakingReader{io.MultiReader(strings.NewReader("id: 0\ndata: b0\n\n"), slowReader{ctx, strings.NewReader("")})}), nil
+			}
+			assert.Equal(t, "0", r.Header.Get(headerLastEventID))
+			return eventResponse(strings.NewReader("id: 1\ndata: b1\n\ndata: [DONE]\n\n")), nil
+		})
+		got, _ := v.send("/v1/chat/completions", streamBody)
+		require.Equal(t, "id: 0\ndata: b0\n\nid: 1\ndata: b1\n\ndata: [DONE]\n\n", got.body)
+		v.end()
+	})
+}
