--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
@@ -50,12 +51,20 @@
 	repeatable bool
 
 	// Set by setDeadline. The caller needs the whole answer by deadline. The
-	// request must be sent to a backend server by startBy.
+	// request must be sent to a backend server by startBy; one that may have run
+	// has the same time again after each attempt.
 	deadline, startBy time.Time
 
 	// Set by forward.
 	attempts int
 	server   port.ServerID
+	// excluded lists the servers on which the request has failed.
+	excluded []port.ServerID
+	// held is the last answer that was put aside, or nil.
+	held *heldAnswer
+	// sentTo is the last server that the request was sent to; nil if there is
+	// none. Other goroutines may read it.
+	sentTo atomic.Pointer[port.ServerID]
 	// possiblyRan is set before the first byte can reach a backend server. It
 	// is cleared once it is proven that no server executed the request.
 	possiblyRan bool
@@ -77,6 +86,15 @@
 	return next.Handle(c)
 }
 
+// exclude keeps the next attempt from a server on which this one has failed.
+func (c *Call) exclude(server port.ServerID) { c.excluded = append(c.excluded, server) }
+
+// restartWait gives a request whose run has failed at the time now the time to
+// start again.
+func (c *Call) restartWait(now time.Time) {
+	c.startBy = now.Add(min(time.Duration(c.class.MaxWait), c.deadline.Sub(now)))
+}
+
 // responseWriter records the status and the size of the response. A status of
 // zero means that the response hasn't begun.
 type responseWriter struct {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -41,8 +41,20 @@
 func (f *failure) Error() string { return f.problem.Error() }
 
 // forward attempts backend servers until one answers or no further attempt is
-// allowed.
+// allowed. An answer that was put aside is then delivered.
 func (g *Gateway) forward(c *Call) error {
+	err := g.tryServers(c)
+	if err == nil || c.held == nil || c.w.status != 0 {
+		return err
+	}
+	c.server = c.held.server
+	if f := g.deliver(c, c.held.response, c.held.body); f != nil {
+		return f.problem
+	}
+	return nil
+}
+
+func (g *Gateway) tryServers(c *Call) error {
 	ctx, cancel := context.WithDeadline(c.ctx, c.deadline)
 	defer cancel()
 	run := ctx
@@ -53,13 +65,12 @@
 		run, cancelRun = context.WithDeadline(context.WithoutCancel(c.ctx), c.deadline)
 		defer cancelRun()
 	}
-	var excluded []port.ServerID
 	var last *failure
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval = firstRetryDelay
 	delays.MaxInterval = maxRetryDelay
 	for {
-		attempt, err := g.acquire(ctx, c, excluded)
+		attempt, err := g.acquire(ctx, c)
 		if err != nil {
 			return g.acquireProblem(c, last, err)
 		}
@@ -74,7 +85,10 @@
 		if !g.canRetry(c, last) || !pause.For(ctx, delays.NextBackOff()) {
 			return last.problem
 		}
-		excluded = append(excluded, attempt.Server().ID)
+		c.exclude(c.server)
+		if c.possiblyRan {
+			c.restartWait(g.now())
+		}
 	}
 }
 
@@ -169,7 +183,7 @@
 func (g *Gateway) classifySendError(ctx context.Context, err error) *failure {
 	switch {
 	case errors.Is(err, errUnsendable):
-		return &failure{kind: OutcomeCanceled, notExecuted: true, final: true,
+		return &failure{kind: OutcomeUnused, notExecuted: true, final: true,
 			problem: problem.New(problem.BadRequest, "the request can't be passed on")}
 	case errors.Is(err, port.ErrRefused):
 		return &failure{kind: OutcomeRefused, notExecuted: true,
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -40,18 +40,18 @@
 	}
 }
 
-// acquire reserves capacity on a backend server. A first attempt waits in the
-// queue until the model is ready or capacity is free, but no longer than
-// startBy. It doesn't overtake requests that are already queued.
-func (g *Gateway) acquire(ctx context.Context, c *Call, exclude []port.ServerID) (Attempt, error) {
+// acquire reserves capacity on a backend server. The request waits in the queue
+// until the model is ready or capacity is free, but no longer than startBy. A
+// first attempt doesn't overtake requests that are already queued.
+func (g *Gateway) acquire(ctx context.Context, c *Call) (Attempt, error) {
 	lastReason := g.lastReason(c.queueKey())
 	waiting, _ := g.queues.Waiting(c.queueKey())
-	if waiting == 0 || len(exclude) > 0 {
-		attempt, err := g.deps.Router.Pick(g.now(), c.pickQuery(exclude))
+	if waiting == 0 || len(c.excluded) > 0 {
+		attempt, err := g.deps.Router.Pick(g.now(), c.pickQuery(c.excluded))
 		if err == nil {
 			return attempt, nil
 		}
-		if c.possiblyRan || errors.Is(err, ErrNoBudget) {
+		if !c.worthWaiting(err) {
 			return nil, errors.Wrap(err, "pick again")
 		}
 		lastReason = err
@@ -66,6 +66,13 @@
 	return attempt, err
 }
 
+// worthWaiting reports whether a request for which there is no server at the
+// moment waits for one. It doesn't if there is an answer to deliver at once, or
+// if it can be refused as not run for lack of budget.
+func (c *Call) worthWaiting(reason error) bool {
+	return c.held == nil && (c.possiblyRan || !errors.Is(reason, ErrNoBudget))
+}
+
 // The metrics of the Server-Timing header. They tell how long the request
 // waited for its model to be loaded, or for free capacity.
 const (
@@ -100,10 +107,6 @@
 	}
 	// Capacity may have become free between Pick and Enter.
 	g.queues.SignalNext(queueKey)
-	pickQuery := c.pickQuery(nil)
-	// A retry is charged to the retry budget when a server is first requested.
-	// Further polls of the same attempt aren't charged again.
-	pickQuery.Retry = false
 	timer := time.NewTimer(c.startBy.Sub(g.now()))
 	defer timer.Stop()
 	for {
@@ -112,6 +115,11 @@
 		case <-ctx.Done():
 			g.queues.Withdraw(queueKey, ticket)
 			return nil, problem.New(problem.Canceled, "the caller went away while the request waited")
+		case <-g.runContext.Done():
+			if !g.queues.Withdraw(queueKey, ticket) {
+				return nil, g.refusalProblem(queueKey, g.queues.Refused(queueKey, ticket))
+			}
+			return nil, problem.New(problem.Stopping, "the instance stopped while the request waited").WithRetryAfter(minRetryAfter)
 		case <-timer.C:
 			return nil, g.waitTimedOut(queueKey, ticket, reason)
 		}
@@ -119,7 +127,7 @@
 			return nil, g.refusalProblem(queueKey, err)
 		}
 		var attempt Attempt
-		attempt, reason = g.deps.Router.Pick(g.now(), pickQuery)
+		attempt, reason = g.pickWaiting(c)
 		if reason == nil {
 			return g.dequeue(queueKey, ticket, attempt)
 		}
@@ -127,6 +135,16 @@
 	}
 }
 
+// pickWaiting selects a server for a request that has waited: one on which it
+// hasn't failed, if there is any.
+func (g *Gateway) pickWaiting(c *Call) (Attempt, error) {
+	attempt, err := g.deps.Router.Pick(g.now(), c.pickQuery(c.excluded))
+	if errors.Is(err, ErrNoReplica) && len(c.excluded) > 0 {
+		return g.deps.Router.Pick(g.now(), c.pickQuery(nil))
+	}
+	return attempt, err
+}
+
 // dequeue removes the request from the queue once it has capacity on a server.
 // If the request was refused in the meantime, the capacity is released for
 // another one.
@@ -135,7 +153,7 @@
 		return attempt, nil
 	}
 	err := g.queues.Refused(key, ticket)
-	attempt.Done(g.now(), Outcome{Kind: OutcomeCanceled})
+	attempt.Done(g.now(), Outcome{Kind: OutcomeUnused})
 	g.queues.SignalNext(key)
 	return nil, g.refusalProblem(key, err)
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -83,10 +83,13 @@
 // Refuse refuses further connections, because the instance is about to stop.
 func (s *Server) Refuse() { s.draining.Store(true) }
 
-// Wait waits until the open connections have ended or ctx ends.
+// Wait waits until the open connections have ended or ctx ends, and logs how many are left then.
 func (s *Server) Wait(ctx context.Context) {
 	for s.open.Load() > 0 && pause.For(ctx, drainCheckInterval) {
 	}
+	if left := s.open.Load(); left > 0 {
+		s.cfg.Log.Warn().Int64("connections", left).Msg("relays_cut")
+	}
 }
 
 func (s *Server) handle(ctx context.Context, client net.Conn) {
@@ -157,14 +160,29 @@
 	}
 }
 
+// requestWriter writes to a server until that fails, and discards the rest: the server may have
+// answered without reading all of a request. Reading from it tells whether it has.
+type requestWriter struct {
+	to     io.Writer
+	failed bool
+}
+
+func (w *requestWriter) Write(p []byte) (int, error) {
+	if !w.failed {
+		_, err := w.to.Write(p)
+		w.failed = err != nil
+	}
+	return len(p), nil
+}
+
 // relay copies both ways until either end closes its connection.
 func (s *Server) relay(client net.Conn, fromClient io.Reader, server net.Conn, fromServer io.Reader) {
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		// An error means that the client has reset its connection, that a request must not be passed
-		// on, or that either connection is broken.
-		_, _ = io.Copy(server, fromClient)
+		// An error means that the client has reset its connection, or that a request must not be
+		// passed on.
+		_, _ = io.Copy(&requestWriter{to: server}, fromClient)
 		reset(server)
 		reset(client)
 	}()
