fleetapp: the soak starts a process again if its address was taken

Such a process is no longer one of its instance, its four addresses are reserved together, and the list of processes is read under its lock.

--- a/internal/fleetapp/silencesoak_test.go
+++ b/internal/fleetapp/silencesoak_test.go
@@ -90,7 +90,7 @@
 	stops.Go(func() { stopInTurn(playing, t, plan, instances) })
 	views := runSoakClients(sending, plan, instances)
 	for _, i := range instances {
-		for n, p := range i.processes {
+		for n, p := range i.all() {
 			if !p.running() && p.stoppedAt().IsZero() {
 				t.Errorf("seed %d: process %d of %s has ended by itself:\n%s", seed, n, i.name, p.log)
 			}
@@ -175,7 +175,7 @@
 	}
 	stopped, killed := 0, 0
 	for _, i := range instances {
-		for _, p := range i.processes {
+		for _, p := range i.all() {
 			if !p.stoppedAt().IsZero() {
 				stopped++
 			}
--- a/internal/fleetapp/silencesoakinstances_test.go
+++ b/internal/fleetapp/silencesoakinstances_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -75,17 +77,19 @@
 			t.Errorf("%s has ended before it was ready:\n%s", i.name, p.log)
 			return nil
 		}
+		i.forget(p)
 	}
 	t.Errorf("%s finds no free address", i.name)
 	return nil
 }
 
 func (i *soakInstance) launch(t *testing.T) *soakProcess {
+	addresses := freeAddresses(t, 4)
 	p := &soakProcess{
-		instance: i.name, front: freeAddress(t), readiness: freeAddress(t), log: &processLog{}, ended: make(chan struct{}),
+		instance: i.name, front: addresses[0], readiness: addresses[1], log: &processLog{}, ended: make(chan struct{}),
 	}
 	path := filepath.Join(i.directory, i.name+".jsonc")
-	settings := fmt.Sprintf(soakSettingsFormat, i.name, i.store, p.front, p.readiness, freeAddress(t), freeAddress(t),
+	settings := fmt.Sprintf(soakSettingsFormat, i.name, i.store, p.front, p.readiness, addresses[2], addresses[3],
 		i.plan.retryRatio, i.plan.retryExtra, i.plan.instances, int(soakGrace.Seconds()))
 	require.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
 	p.cmd = exec.Command(i.binary, "edge", "--settings", path)
@@ -101,6 +105,18 @@
 	return p
 }
 
+// freeAddresses returns different addresses on which nobody listens.
+func freeAddresses(t *testing.T, count int) []string {
+	var addresses []string
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer l.Close()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses
+}
+
 // current returns the newest process.
 func (i *soakInstance) current() *soakProcess {
 	i.mu.Lock()
@@ -108,6 +124,20 @@
 	return i.processes[len(i.processes)-1]
 }
 
+// forget removes a process that couldn't listen.
+func (i *soakInstance) forget(p *soakProcess) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.processes = slices.DeleteFunc(i.processes, func(other *soakProcess) bool { return other == p })
+}
+
+// all returns all processes, the oldest first.
+func (i *soakInstance) all() []*soakProcess {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return slices.Clone(i.processes)
+}
+
 // stop sends SIGTERM and SIGKILL after the grace period, and returns when the process has ended.
 func (p *soakProcess) stop(ctx context.Context) {
 	p.mu.Lock()
@@ -166,10 +196,8 @@
 
 // logOf returns the lines of an instance's processes about a request, and those that tell of stops.
 func (i *soakInstance) logOf(id string) string {
-	i.mu.Lock()
-	defer i.mu.Unlock()
 	var out strings.Builder
-	for n, p := range i.processes {
+	for n, p := range i.all() {
 		for line := range strings.Lines(p.log.String()) {
 			if strings.Contains(line, "request="+id+" ") || strings.Contains(line, "event=draining") || strings.Contains(line, "event=drain_cut_short") {
 				fmt.Fprintf(&out, "    %s process %d: %s", i.name, n, line)
