edge: a successor that begins to answer as its client leaves doesn't end the process

An instance could end with all its streams: when the incumbent had failed because the client had left, or the time limit had passed, the successors stayed eligible until they were canceled a moment later, and one whose first event had been read by then canceled an incumbent that wasn't there. The successors are now withdrawn in the same step that finds that none goes on.

TestSuccessorBeginsAfterTheClientHasLeft panicked before (invalid memory address).

--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -294,6 +294,9 @@
 		next, h.successors = h.successors[0], h.successors[1:]
 		h.open--
 	}
+	if next == nil {
+		h.cancelSuccessors()
+	}
 	if next != nil {
 		h.incumbent, h.forwarding = next, false
 		h.watch(next.firstByteTimeout())
