fleetapp: requests that wait until the end of the grace period get their answer

A request that may have run and waits for a server while its instance stops was to be ended in the moment in which connections are closed, or just after it: its client would see a closed connection instead of a 502, and the log no request_ended. Such waits now end 250 ms before, and all times of a drain are counted from one moment.

TestWaitingRequestsAreAnsweredBeforeTheEnd holds the schedule; with stopsAt at the end, as before, it fails.

--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -316,18 +316,35 @@
 	// exitReserve is the part of the grace period reserved for ending the
 	// process.
 	exitReserve = 500 * time.Millisecond
+	// finalAnswerReserve is the time before that in which requests that found no
+	// server any more are answered, instead of being cut.
+	finalAnswerReserve = 250 * time.Millisecond
 )
 
+// drainSchedule says when the phases of a drain end.
+type drainSchedule struct {
+	// acceptUntil, waitUntil and stopsAt are the arguments of edge.Drain. At the end, connections are
+	// closed.
+	acceptUntil, waitUntil, stopsAt, end time.Time
+}
+
+func newDrainSchedule(now time.Time, grace time.Duration) drainSchedule {
+	end := now.Add(grace - exitReserve)
+	return drainSchedule{
+		acceptUntil: now.Add(drainAcceptTime), waitUntil: now.Add(grace - drainExecutionReserve),
+		stopsAt: end.Add(-finalAnswerReserve), end: end,
+	}
+}
+
 // drain keeps serving until the load balancer has noticed, and then until the
 // in-flight requests have ended or the grace period is over.
 func (i *Instance) drain(ctx context.Context, front *http.Server) {
 	i.log.Info().Int64("requests", i.edge.InFlight()).Msg("draining")
-	grace, cancel := context.WithTimeout(ctx, i.settings.Shutdown.Grace.D()-exitReserve)
+	schedule := newDrainSchedule(time.Now(), i.settings.Shutdown.Grace.D())
+	grace, cancel := context.WithDeadline(ctx, schedule.end)
 	defer cancel()
 	i.relay.Refuse()
-	now := time.Now()
-	end := now.Add(i.settings.Shutdown.Grace.D())
-	i.edge.Drain(now.Add(drainAcceptTime), end.Add(-drainExecutionReserve), end.Add(-exitReserve))
+	i.edge.Drain(schedule.acceptUntil, schedule.waitUntil, schedule.stopsAt)
 	pause.For(grace, drainDelay)
 	if err := front.Shutdown(grace); err != nil {
 		i.log.Warn().Err(err).Int64("requests", i.edge.InFlight()).Msg("drain_cut_short")
