edge: an error of a server doesn't end a stream that has begun

A stream of a route with three attempts or more was cut at its next wait if a successor had answered 500 before its first event: that answer was still kept for the client, though it can't follow events. It is now disregarded once the client has the head of another answer.

TestSuccessorsErrorCutABegunStream was red before in the case with the error.

--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -45,13 +45,16 @@
 	}
 	q.handover.request, q.handover.ctx = q, ctx
 	out, ok := q.sendToServers(ctx)
-	if !ok && q.failedAnswer != nil && !q.headWritten {
+	if !ok && q.hasFailedAnswer() {
 		q.writeBuffered(q.failedAnswer)
 		return outcome{}, true
 	}
 	return out, ok
 }
 
+// hasFailedAnswer reports whether a server's error is there for the client if no other server answers.
+func (q *request) hasFailedAnswer() bool { return q.failedAnswer != nil && !q.headWritten }
+
 // sendToServers makes attempts until one succeeds or no further one is allowed.
 func (q *request) sendToServers(ctx context.Context) (outcome, bool) {
 	for {
@@ -109,7 +112,7 @@
 func (q *request) awaitRetry(ctx context.Context) bool {
 	budget := q.edge.budget(q.service)
 	for q.runs > 0 && budget.Left(q.edge.elapsed()) < 1 {
-		if q.failedAnswer != nil || ctx.Err() != nil || !time.Now().Before(q.waitLimit()) {
+		if q.hasFailedAnswer() || ctx.Err() != nil || !time.Now().Before(q.waitLimit()) {
 			return false
 		}
 		pause.For(ctx, retryRecheckInterval)
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -244,7 +244,7 @@
 // client couldn't simply send it again.
 func (q *request) checkRefusal(state waitState, view *View) (outcome, bool) {
 	now := time.Now()
-	if q.failedAnswer != nil {
+	if q.hasFailedAnswer() {
 		// That answer is delivered at once if the repeat has to wait.
 		return refused(reasonTried, 0), true
 	}
