edge: successors leave a retry for requests whose server has failed

A stream whose server broke off was cut, "retry budget spent", because a silent request had been sent to a full server again and again, one retry each time. A silent request has its answer in hand still; one whose server failed has nothing else. A successor is now begun only if the budget keeps one retry beside its own, as far as it can hold two, and if the request has time for an answer.

TestSuccessorsTookTheRetriesOfLostAnswers was red before in the case beside a silent request.

--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -13,9 +13,14 @@
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/retry"
 )
 
-// successorRecheckInterval is how often a request whose server is silent checks whether it may be sent
-// to another one, if it couldn't before.
-const successorRecheckInterval = 50 * time.Millisecond
+const (
+	// successorRecheckInterval is how often a request whose server is silent checks whether it may be
+	// sent to another one, if it couldn't before.
+	successorRecheckInterval = 50 * time.Millisecond
+	// successorReserve is the number of retries that a successor leaves in the budget, as far as it can
+	// hold as many, for requests whose server has failed.
+	successorReserve = 1
+)
 
 var (
 	// errSuperseded ends an attempt because another server has begun to answer.
@@ -124,7 +129,7 @@
 func (h *handover) reserveSuccessor() *backend {
 	q := h.request
 	budget, elapsed := q.edge.budget(q.service), q.edge.elapsed()
-	if budget.Left(elapsed) < 1 {
+	if budget.Left(elapsed) < min(1+successorReserve, budget.Config().Burst) || time.Until(q.deadline) < minServiceTime {
 		return nil
 	}
 	b, state := q.choose(q.edge.views.Load(), h.tried)
--- a/internal/edge/successor_test.go
+++ b/internal/edge/successor_test.go
@@ -74,3 +74,51 @@
 		})
 	}
 }
+
+// Successors of a silent stream, which a full server refused, took the retry that another stream needed whose server had
+// broken off.
+func TestSuccessorsTookTheRetriesOfLostAnswers(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		t.Run(fmt.Sprint("beside a silent request: ", silent), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				f := newVirtualFleet(t)
+				f.retryExtra = 16
+				with := func(id, model string) *fleet.Server {
+					s := modelServer(id)
+					s.Models = []fleet.Resident{{Model: model}}
+					return s
+				}
+				list, _ := manifestParts()
+				manifest := fleet.NewManifest(1, list, []fleet.Service{{Name: plain}, {Name: engine, Engine: &fleet.Engine{
+					Slots: 8, WeightsMB: 100, Models: map[string]fleet.Model{"m": {Name: "m", WeightsMB: 10}, "n": {Name: "n", WeightsMB: 10}},
+				}}}, fleet.CallerLimits{MaxBodyBytes: 1000})
+				f.addServer(with("silent", "m"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					time.Sleep(2500 * time.Millisecond)
+					(&silentServer{events: 6}).ServeHTTP(w, r)
+				}))
+				f.addServer(with("breaks off", "n"), serveScript(func(w http.ResponseWriter, r *http.Request) {
+					time.Sleep(200 * time.Millisecond)
+					panic(http.ErrAbortHandler)
+				}))
+				views := f.newViews(manifest)
+				e := f.newInstance("i0", views, 1)
+				f.addServer(with("full", "m"), &refusingServer{silentServer: silentServer{events: 6}, refuses: time.Minute})
+				views.SetServers(maps.Clone(f.servers))
+				f.addServer(with("sound", "n"), &silentServer{events: 6})
+				done := make(chan string, 1)
+				go func() {
+					if !silent {
+						done <- events(1, 6)
+						return
+					}
+					done <- f.send(t.Context(), e, "id0", "/stream/x", map[string]string{standin.HeaderModel: "m"}).Body.String()
+				}()
+				time.Sleep(1500 * time.Millisecond)
+				time.AfterFunc(time.Millisecond, func() { views.SetServers(maps.Clone(f.servers)) })
+				got := f.send(t.Context(), e, "id1", "/stream/x", map[string]string{standin.HeaderModel: "n"})
+				assert.Equal(t, events(1, 6), got.Body.String(), "stream whose server broke off")
+				assert.Equal(t, events(1, 6), <-done, "silent stream")
+			})
+		})
+	}
+}
