edge: a server that goes on and falls silent again is watched again

A stream that fell silent a second time went on at another server only after the first-byte timeout of a successor that had been canceled while it was connecting, 1.47 s in all where two stalls are 0.8 s: while the canceled one hadn't ended, no alarm was set. The alarm is now set whatever hasn't ended, and checks the attempts when it goes off. A successor that ends after the incumbent has gone on no longer has another one begun at once.

TestCanceledSuccessorLeftTheServerUnwatched was red before in one of two cases.

--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -47,9 +47,11 @@
 	chosen     *attempt
 	// forwarding means that the incumbent has something for the client.
 	forwarding bool
-	// silentAt is when the incumbent counts as silent, and alarm runs onSilence then.
+	// silentAt is when the incumbent counts as silent, and alarm runs onSilence then. silent means that
+	// it has counted as silent since its last event.
 	silentAt time.Time
 	alarm    *time.Timer
+	silent   bool
 	// tried lists the servers to avoid. Once there are no others, they are tried again at forgetAt, and
 	// backoff is the delay until then.
 	tried    map[fleet.ServerID]bool
@@ -68,7 +70,7 @@
 	if h.changed == nil {
 		h.changed = sync.NewCond(&h.mu)
 	}
-	h.incumbent, h.forwarding = a, false
+	h.incumbent, h.forwarding, h.silent = a, false, false
 	if h.tried == nil {
 		h.tried, h.backoff = maps.Clone(h.request.tried), triedBackoff
 	}
@@ -78,7 +80,7 @@
 
 // watch sets when the incumbent counts as silent.
 func (h *handover) watch(after time.Duration) {
-	if len(h.successors) == 0 && !h.attemptsLeft() {
+	if !h.repeats(h.request.runs + h.runs) {
 		return
 	}
 	h.silentAt = time.Now().Add(after)
@@ -90,9 +92,13 @@
 }
 
 // attemptsLeft reports whether the request may be sent to one more server.
-func (h *handover) attemptsLeft() bool {
-	q := h.request
-	return q.route.Idempotent() && !q.partForwarded && q.runs+h.runs+h.open+1 < q.route.MaxAttempts
+func (h *handover) attemptsLeft() bool { return h.repeats(h.request.runs + h.runs + h.open) }
+
+// repeats reports whether the request may be sent to one more server, beside the incumbent and the given
+// number of others.
+func (h *handover) repeats(others int) bool {
+	route := h.request.route
+	return route.Idempotent() && !h.request.partForwarded && others+1 < route.MaxAttempts
 }
 
 // repeatable reports whether another server may still answer the request if the incumbent fails.
@@ -109,6 +115,7 @@
 	if h.incumbent == nil || h.forwarding || h.chosen != nil || h.ctx.Err() != nil || time.Now().Before(h.silentAt) || !h.attemptsLeft() {
 		return
 	}
+	h.silent = true
 	b := h.reserveSuccessor()
 	if b == nil {
 		h.watch(successorRecheckInterval)
@@ -184,7 +191,7 @@
 	h.open--
 	h.count(s)
 	s.log(h.request.sends+h.sends, h.request.runs+h.runs)
-	if h.incumbent != nil && !h.forwarding && len(h.successors) == 0 && !withdrawn {
+	if h.silent && h.incumbent != nil && h.chosen == nil && len(h.successors) == 0 && !withdrawn {
 		h.watch(0)
 	}
 }
@@ -244,7 +251,7 @@
 	if h.chosen != nil || h.incumbent != a || a.ahead.brokeOff() && len(h.successors) > 0 {
 		return false
 	}
-	h.forwarding = true
+	h.forwarding, h.silent = true, false
 	h.cancelSuccessors()
 	return true
 }
@@ -303,7 +310,7 @@
 		h.cancelSuccessors()
 	}
 	if next != nil {
-		h.incumbent, h.forwarding = next, false
+		h.incumbent, h.forwarding, h.silent = next, false, false
 		h.watch(next.firstByteTimeout())
 	}
 	h.mu.Unlock()
--- a/internal/edge/successor_test.go
+++ b/internal/edge/successor_test.go
@@ -1,8 +1,10 @@
 package edge_test
 
 import (
+	"context"
 	"fmt"
 	"maps"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -11,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/platform"
 	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
 )
 
@@ -122,3 +125,46 @@
 		})
 	}
 }
+
+// A stream whose server went on and fell silent again wasn't watched if its successor was canceled while connecting.
+func TestCanceledSuccessorLeftTheServerUnwatched(t *testing.T) {
+	for _, at := range []time.Duration{350 * time.Millisecond, 550 * time.Millisecond} {
+		t.Run(fmt.Sprint("second event at ", at), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				f := newVirtualFleet(t)
+				f.addServer(modelServer("a"), serveScript(func(w http.ResponseWriter, r *http.Request) {
+					time.Sleep(at)
+					writeEvent(w, 2)
+					time.Sleep(20 * time.Second) // dark
+				}))
+				list, services := manifestParts()
+				for i := range list {
+					list[i].GapTarget = 0
+				}
+				views := f.newViews(fleet.NewManifest(1, list, services, fleet.CallerLimits{MaxBodyBytes: 1000}))
+				dark := modelServer("b")
+				dark.Address = "10.0.1.1:80"
+				servers := platform.NewServersWithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+					if address == dark.Address {
+						select {
+						case <-ctx.Done():
+						case <-time.After(300 * time.Millisecond):
+						}
+						return nil, context.DeadlineExceeded
+					}
+					return f.dial(ctx, network, address)
+				})
+				e := f.newInstanceWith("i0", views, 1, servers)
+				withB := maps.Clone(f.servers)
+				withB["b"] = dark
+				time.AfterFunc(time.Millisecond, func() { views.SetServers(withB) })
+				f.addServer(modelServer("c"), &silentServer{events: 6})
+				time.AfterFunc(700*time.Millisecond, func() { views.SetServers(maps.Clone(f.servers)) })
+				sent := time.Now()
+				got := f.send(t.Context(), e, "id", "/stream/x", map[string]string{standin.HeaderModel: "m"})
+				assert.LessOrEqual(t, time.Since(sent), at+2*400*time.Millisecond, "twice the least stall")
+				assert.Equal(t, events(1, 6), got.Body.String())
+			})
+		})
+	}
+}
