fleetapp: the soak names answers that were lost to a later server that broke off

An instance can hand a sound run over to a server that has begun to answer and then breaks off by its script. The answer is lost, as the first run would have ended it in time; it stays a fault, in a class of its own, so that the counts tell it from runs that were given up for refusals.

--- a/internal/fleetapp/silencesoakcheck_test.go
+++ b/internal/fleetapp/silencesoakcheck_test.go
@@ -62,7 +62,11 @@
 	limit := v.mustEndBy(stopped)
 	for _, a := range runs {
 		if in := limit.Sub(a.due); a.sound() && in >= soakSlack {
-			add(v.lossClass(a), "%s would have ended the answer %v after the client lost it, %v before it had to",
+			class := v.lossClass(a)
+			if last := runs[len(runs)-1]; !last.sound() {
+				class += ", by a later server that broke off"
+			}
+			add(class, "%s would have ended the answer %v after the client lost it, %v before it had to",
 				a.run(), a.due.Sub(v.ended).Round(time.Millisecond), in.Round(time.Millisecond))
 			return faults
 		}
