edge: a successor that isn't sent takes no permit; a late load doesn't end a begun stream

A silent request took a permit of a rate-limited server, or a turn of a brittle one, each 50 ms and dropped it if the server was ejected or the budget was spent meanwhile, at the cost of other requests; a server is now chosen only if one that hasn't been tried may get the request. A stream that has begun was also still ended for a load that is expected to end late: it waits until its client would leave. stream_resumed and the count of repeated requests name successors as repeats of the instance.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -69,8 +69,9 @@
 	failedAnswer *bufferedAnswer
 }
 
-// newAttempt returns an attempt at a server on which the request holds a slot.
-func (q *request) newAttempt(parent context.Context, b *backend) *attempt {
+// newAttempt returns an attempt at a server on which the request holds a slot. repeated means that another
+// one has reached a server.
+func (q *request) newAttempt(parent context.Context, b *backend, repeated bool) *attempt {
 	a := &attempt{request: q, backend: b, parent: parent, resumed: q.headWritten, progress: &attemptProgress{}}
 	a.probe, _ = b.stats.health.Admit(q.edge.elapsed())
 	if q.model != "" {
@@ -79,9 +80,9 @@
 	}
 	a.progress.attemptBegins(b.server.ID, b.stats.inFlight.Load()-1, time.Now())
 	a.progress.expected, a.progress.slowness = q.estimate.firstEvent, q.estimate.slowness
-	b.stats.rateLimit.recordSent(q.sends > 0)
+	b.stats.rateLimit.recordSent(repeated)
 	if q.lastEvent >= 0 {
-		q.logResumption(b)
+		q.logResumption(b, repeated)
 	}
 	ctx, span := q.edge.tracer.Start(parent, "attempt", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("server", string(b.server.ID))))
--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -121,7 +121,7 @@
 		h.watch(successorRecheckInterval)
 		return
 	}
-	s := h.request.newAttempt(h.ctx, b)
+	s := h.request.newAttempt(h.ctx, b, true)
 	s.charged, s.begun = true, make(chan struct{})
 	h.successors = append(h.successors, s)
 	h.tried[b.server.ID] = true
@@ -139,12 +139,13 @@
 	if budget.Left(elapsed) < min(1+successorReserve, budget.Config().Burst) || time.Until(q.deadline) < minServiceTime {
 		return nil
 	}
-	b, state := q.choose(q.edge.views.Load(), h.tried)
-	switch {
-	case state == waitTried:
-		h.forgetTried()
+	// A server that isn't used in the end mustn't lose a permit or a turn.
+	view := q.edge.views.Load()
+	if !h.hasAlternative(view, elapsed) {
 		return nil
-	case b == nil || !b.stats.health.Usable(elapsed) || !budget.Withdraw(elapsed):
+	}
+	b, _ := q.choose(view, h.tried)
+	if b == nil || !budget.Withdraw(elapsed) {
 		return nil
 	}
 	q.edge.repeats.Inc(1)
@@ -152,6 +153,24 @@
 	return b
 }
 
+// hasAlternative reports whether a server that hasn't been tried can get the request.
+func (h *handover) hasAlternative(view *View, elapsed time.Duration) bool {
+	q, now, untried := h.request, time.Now(), false
+	for _, b := range view.services[q.service] {
+		if h.tried[b.server.ID] || !q.servedBy(b) {
+			continue
+		}
+		untried = true
+		if b.stats.health.Usable(elapsed) && b.stats.rateLimit.usable(now) && b.stats.standing.accepts() {
+			return true
+		}
+	}
+	if !untried {
+		h.forgetTried()
+	}
+	return false
+}
+
 // forgetTried lets the servers that have refused the request be tried again.
 func (h *handover) forgetTried() {
 	now := time.Now()
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -65,7 +65,7 @@
 		if q.failedAnswer == nil {
 			q.client.ReleaseResponse()
 		}
-		a := q.newAttempt(ctx, b)
+		a := q.newAttempt(ctx, b, q.sends > 0)
 		a.charged = q.sends > 0
 		q.progress.attemptProgress = *a.progress
 		a.progress = &q.progress.attemptProgress
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -164,9 +164,9 @@
 
 // logResumption logs that a stream is resumed at a server, by the client in a new request or by
 // this instance within its answer.
-func (q *request) logResumption(b *backend) {
+func (q *request) logResumption(b *backend, repeated bool) {
 	by := "client"
-	if q.sends > 0 {
+	if repeated {
 		by = "instance"
 	}
 	q.edge.log.Info().Str("request", q.head.ID).Str("first_attempt", q.head.FirstAttempt).Int64("after", q.lastEvent).
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -289,7 +289,7 @@
 	switch {
 	case loading && q.inTime(loadedAt):
 		return outcome{}, false
-	case loading && loadedAt.After(now) && view.Holders(q.service, q.head.Model) == 0:
+	case loading && loadedAt.After(now) && view.Holders(q.service, q.head.Model) == 0 && q.runs == 0:
 		return refused(reasonNoModel, jitter(loadedAt.Sub(now))), true
 	case !q.awaitsModel(now):
 		return refused(reasonNoModel, jitter(time.Second)), true
