modelplan: adapters that share a server's slots take turns of a second

What callers saw: with more adapters of a model asked for than its server has slots for, the server loaded and unloaded the same ones some twenty times a second, and requests for the last by name waited for their whole time.

Cause, traced in the simulation: adapters were placed by name, and which requests wait is known 50 ms late. An adapter that had just been unloaded for another still counted as waited for, came first by name and took the slot back. Apart from that, an adapter displaced another as soon as it was asked for. The planner knew neither since when a server holds an adapter nor when one left it.

The holder records when adapters came and when they left, for an unload that waits for requests when a report shows its end.

--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -258,7 +258,7 @@
 				continue
 			}
 			state := t.models[key.Model]
-			if !t.known || t.busy || state == nil || key.Adapter != "" && !state.adapters[key.Adapter] {
+			if !t.known || t.busy || state == nil || key.Adapter != "" && !state.holds(key.Adapter) {
 				continue
 			}
 			// Requests wait for permits of a server that states a rate limit.
--- a/internal/placer/tracked.go
+++ b/internal/placer/tracked.go
@@ -34,6 +34,8 @@
 	known    bool
 	sequence int64
 	models   map[string]*modelState
+	// unloaded maps adapters to when they were last unloaded from the server.
+	unloaded map[modelplan.AdapterID]time.Time
 	inMemory map[string]bool
 	onDisk   map[string]bool
 	// callInFlight is true during a call to the server, and busy while the server executes an
@@ -60,12 +62,18 @@
 }
 
 type modelState struct {
-	since    time.Time
-	adapters map[string]bool
+	since time.Time
+	// adapters maps the adapters that the server holds to when it began to.
+	adapters map[string]time.Time
+}
+
+func (m *modelState) holds(adapter string) bool {
+	_, held := m.adapters[adapter]
+	return held
 }
 
 func newTrackedServer(server *fleet.Server, now time.Time) *trackedServer {
-	return &trackedServer{server: server, nextReportAt: now, models: map[string]*modelState{}}
+	return &trackedServer{server: server, nextReportAt: now, models: map[string]*modelState{}, unloaded: map[modelplan.AdapterID]time.Time{}}
 }
 
 // retryDelay returns the delay before the report is fetched again after a failure.
@@ -93,22 +101,23 @@
 	}
 	models := make(map[string]*modelState, len(r.Models))
 	for _, resident := range r.Models {
-		state := &modelState{since: now, adapters: map[string]bool{}}
+		state := &modelState{since: now, adapters: map[string]time.Time{}}
 		if held := t.models[resident.Model]; held != nil {
 			state.since = held.since
 		} else if !t.known {
 			state.since = time.Time{}
 		}
 		for _, adapter := range resident.Adapters {
-			state.adapters[adapter] = true
+			state.adapters[adapter] = t.heldSince(resident.Model, adapter, now)
 		}
 		models[resident.Model] = state
 	}
 	for _, pending := range r.Pending {
 		if held := models[pending.Model]; held != nil {
-			held.adapters[pending.Adapter] = true
+			held.adapters[pending.Adapter] = t.heldSince(pending.Model, pending.Adapter, now)
 		}
 	}
+	t.recordUnloads(models, now)
 	t.models, t.inMemory, t.onDisk = models, setOf(r.InMemory), setOf(r.OnDisk)
 	t.known, t.uncertain, t.staleReports, t.sequence, t.busy = true, false, 0, r.Sequence, r.Busy
 	if r.Busy {
@@ -120,6 +129,30 @@
 	return true
 }
 
+// heldSince returns when the server began to hold an adapter that a report lists: the zero time if
+// it did before the first report.
+func (t *trackedServer) heldSince(model, adapter string, now time.Time) time.Time {
+	if !t.known {
+		return time.Time{}
+	}
+	if state := t.models[model]; state != nil && state.holds(adapter) {
+		return state.adapters[adapter]
+	}
+	return now
+}
+
+// recordUnloads records the end of the unloads that waited for requests, given the models that a
+// report lists.
+func (t *trackedServer) recordUnloads(reported map[string]*modelState, now time.Time) {
+	for id, at := range t.unloaded {
+		state, after := t.models[id.Model], reported[id.Model]
+		waited := state != nil && state.holds(id.Adapter) && at.After(state.adapters[id.Adapter])
+		if waited && (after == nil || !after.holds(id.Adapter)) {
+			t.unloaded[id] = now
+		}
+	}
+}
+
 // isLoadDue reports whether a load should have ended that no report has confirmed yet. It is
 // false for loads from the weight store, which slow each other down, so that their end can't
 // be predicted.
@@ -129,7 +162,7 @@
 
 // markLoaded records that the load in progress has ended.
 func (t *trackedServer) markLoaded(now time.Time) {
-	t.models[t.loading] = &modelState{since: now, adapters: map[string]bool{}}
+	t.models[t.loading] = &modelState{since: now, adapters: map[string]time.Time{}}
 	t.loading, t.busy, t.nextReportAt = "", false, now.Add(refreshInterval)
 }
 
@@ -153,9 +186,10 @@
 		delete(t.models, a.Model)
 	case modelplan.LoadAdapter:
 		if held := t.models[a.Model]; held != nil {
-			held.adapters[a.Adapter] = true
+			held.adapters[a.Adapter] = now
 		}
 	case modelplan.UnloadAdapter:
+		t.unloaded[modelplan.AdapterID{Model: a.Model, Adapter: a.Adapter}] = now
 		if !done {
 			// Requests still use the adapter, so its slot remains occupied until a report says
 			// otherwise.
@@ -171,7 +205,7 @@
 	s := modelplan.Server{
 		ID: string(t.server.ID), Version: t.server.Version, MemoryMB: engine.WeightsMB,
 		Busy:    !t.known || t.uncertain || t.callInFlight || t.busy,
-		Loading: t.loading, FromStore: t.fromStore, InMemory: t.inMemory, OnDisk: t.onDisk,
+		Loading: t.loading, FromStore: t.fromStore, InMemory: t.inMemory, OnDisk: t.onDisk, Unloaded: t.unloaded,
 	}
 	if t.reservedFor != "" {
 		// The load that follows the unload occupies the weight store from now on.
@@ -180,9 +214,9 @@
 	for name, state := range t.models {
 		key := demand.Key{Service: t.server.Service, Model: name}
 		resident := modelplan.Resident{Model: name, Since: state.since, LastUsed: tracker.LastUsed(key), Running: running[demand.Placement{Server: s.ID, Model: name}]}
-		for adapter := range state.adapters {
+		for adapter, since := range state.adapters {
 			key.Adapter = adapter
-			resident.Adapters = append(resident.Adapters, modelplan.Adapter{Name: adapter, LastUsed: tracker.LastUsed(key)})
+			resident.Adapters = append(resident.Adapters, modelplan.Adapter{Name: adapter, LastUsed: tracker.LastUsed(key), Since: since})
 		}
 		s.Models = append(s.Models, resident)
 	}
--- a/pkg/modelplan/adapterturns_test.go
+++ b/pkg/modelplan/adapterturns_test.go
@@ -110,9 +110,13 @@
 		resident := &s.Models[slices.IndexFunc(s.Models, func(r modelplan.Resident) bool { return r.Model == action.Model })]
 		resident.Adapters = slices.DeleteFunc(resident.Adapters, func(held modelplan.Adapter) bool { return held.Name == action.Adapter })
 		a.madeFor[s.ID], a.unloaded[s.ID+action.Adapter] = action.EvictedFor, a.now
+		if s.Unloaded == nil {
+			s.Unloaded = map[modelplan.AdapterID]time.Time{}
+		}
+		s.Unloaded[modelplan.AdapterID{Model: action.Model, Adapter: action.Adapter}] = a.now
 	case modelplan.LoadAdapter:
 		resident := &s.Models[slices.IndexFunc(s.Models, func(r modelplan.Resident) bool { return r.Model == action.Model })]
-		resident.Adapters = append(resident.Adapters, modelplan.Adapter{Name: action.Adapter, LastUsed: a.now})
+		resident.Adapters = append(resident.Adapters, modelplan.Adapter{Name: action.Adapter, LastUsed: a.now, Since: a.now})
 		a.loads++
 		if at, known := a.unloaded[s.ID+action.Adapter]; known && a.now.Sub(at) < reloadedSoon {
 			a.reloads++
--- a/pkg/modelplan/plan.go
+++ b/pkg/modelplan/plan.go
@@ -18,8 +18,10 @@
 
 // Adapter is an adapter that a server holds.
 type Adapter struct {
-	Name     string
-	LastUsed time.Time
+	Name string
+	// LastUsed is the time of the last request for the adapter on any server. Since is when this
+	// server began to hold the adapter.
+	LastUsed, Since time.Time
 }
 
 // Resident is a model that a server holds.
@@ -47,8 +49,10 @@
 	Loading   string
 	FromStore bool
 	Models    []Resident
-	InMemory  map[string]bool
-	OnDisk    map[string]bool
+	// Unloaded maps adapters to when they were last unloaded from the server.
+	Unloaded map[AdapterID]time.Time
+	InMemory map[string]bool
+	OnDisk   map[string]bool
 	// Limited means that the server states a limit on its rate of requests. RateLimit is that
 	// limit per second.
 	Limited   bool
@@ -158,8 +162,8 @@
 	// unrequestedServerDivisor limits a model that was never requested to one in this many
 	// servers, with a minimum of two servers.
 	unrequestedServerDivisor = 5
-	// minResidency is how long a model stays on a server after its load, so that the requests
-	// that waited for it are served.
+	// minResidency is how long a model or an adapter stays on a server after its load, so that
+	// the requests that waited for it are served.
 	minResidency = 400 * time.Millisecond
 	// idleUnloadTime is the time that unloading an idle model adds to a load.
 	idleUnloadTime = 80 * time.Millisecond
@@ -231,50 +235,6 @@
 	return names
 }
 
-// placeAdapters loads the adapters that requests wait for, on servers that hold their model.
-func (p *planner) placeAdapters() {
-	for _, model := range p.modelsByWeight(func(_ string, d Demand) float64 { return float64(len(d.Adapters)) }) {
-		names := make([]string, 0, len(p.state.Demand[model].Adapters))
-		for name := range p.state.Demand[model].Adapters {
-			names = append(names, name)
-		}
-		sort.Strings(names)
-		for _, name := range names {
-			p.placeAdapter(model, name, p.byModel[model])
-		}
-	}
-}
-
-// placeAdapter loads an adapter on that of the given servers that holds its model and has the
-// fewest adapters. Servers that state a rate limit count only if all that hold the model do. If
-// the server lacks a free slot or memory, its least recently used adapter is unloaded first.
-func (p *planner) placeAdapter(model, name string, servers []*Server) {
-	var best *Server
-	for _, s := range servers {
-		resident := s.resident(model)
-		if resident == nil || s.Limited && p.replicas(model) > 0 {
-			continue
-		}
-		if resident.hasAdapter(name) {
-			return
-		}
-		if !p.ordered[s.ID] && (best == nil || s.adapterCount() < best.adapterCount()) {
-			best = s
-		}
-	}
-	if best == nil {
-		return
-	}
-	if best.adapterCount() < p.state.AdapterSlots && p.freeMemory(best) >= p.state.Models[model].AdapterMB {
-		p.addAction(Action{Server: best.ID, Kind: LoadAdapter, Model: model, Adapter: name})
-		return
-	}
-	oldModel, oldest := best.leastRecentlyUsedAdapter()
-	if oldModel != "" {
-		p.addAction(Action{Server: best.ID, Kind: UnloadAdapter, Model: oldModel, Adapter: oldest, EvictedFor: adapterPath(model, name)})
-	}
-}
-
 // placeMissing places models that requests wait for and that no server holds or loads, or only
 // servers whose rate limits make these requests wait.
 func (p *planner) placeMissing() {
--- a/pkg/modelplan/server.go
+++ b/pkg/modelplan/server.go
@@ -1,7 +1,5 @@
 package modelplan
 
-import "time"
-
 // resident returns the entry of a model that the server holds, or nil.
 func (s *Server) resident(model string) *Resident {
 	for i := range s.Models {
@@ -44,18 +42,6 @@
 	return n
 }
 
-func (s *Server) leastRecentlyUsedAdapter() (model, adapter string) {
-	var oldest time.Time
-	for i := range s.Models {
-		for _, a := range s.Models[i].Adapters {
-			if adapter == "" || a.LastUsed.Before(oldest) {
-				model, adapter, oldest = s.Models[i].Model, a.Name, a.LastUsed
-			}
-		}
-	}
-	return model, adapter
-}
-
 func (r *Resident) hasAdapter(name string) bool {
 	for _, a := range r.Adapters {
 		if a.Name == name {
@@ -65,9 +51,6 @@
 	return false
 }
 
-// adapterPath returns the name under which an action refers to an adapter.
-func adapterPath(model, adapter string) string { return model + "/" + adapter }
-
 func removeServer(servers []*Server, s *Server) []*Server {
 	out := make([]*Server, 0, len(servers))
 	for _, other := range servers {
--- a/pkg/modelplan/versions.go
+++ b/pkg/modelplan/versions.go
@@ -23,7 +23,12 @@
 		p.place(model, d.Waiting, true, ofVersion)
 		return
 	}
-	for _, name := range slices.Sorted(maps.Keys(d.Adapters)) {
-		p.placeAdapter(model, name, holders)
+	waits := make([]AdapterID, 0, len(d.Adapters))
+	for name := range d.Adapters {
+		waits = append(waits, AdapterID{model, name})
+	}
+	p.sortByTurn(waits, func(string) []*Server { return holders })
+	for _, wait := range waits {
+		p.placeAdapter(model, wait.Adapter, holders)
 	}
 }
