edge: events are held for a successor only while it may be the faster one

After a silence, the first events of a stream were held for up to the route's gap objective, 0.4 s, also if the successor had long been expected to answer (84 ms in one line of the log): its clients got them that much later for nothing. They are now held for at most twice the time in which the successor's first event was expected.

--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -20,6 +20,9 @@
 	// successorReserve is the number of retries that a successor leaves in the budget, as far as it can
 	// hold as many, for requests whose server has failed.
 	successorReserve = 1
+	// holdPerExpected is for how long events are held for a successor, in multiples of the time in which
+	// its first event was expected. One that takes longer isn't the faster one.
+	holdPerExpected = 2
 )
 
 var (
@@ -281,7 +284,11 @@
 	if len(h.successors) == 0 || h.chosen != nil || hold <= 0 {
 		return
 	}
-	left := hold - time.Since(h.successors[len(h.successors)-1].progress.sentAt)
+	last := h.successors[len(h.successors)-1].progress
+	if last.expected > 0 {
+		hold = min(hold, holdPerExpected*last.expected)
+	}
+	left := hold - time.Since(last.sentAt)
 	if left <= 0 {
 		return
 	}
