crashcause: crashes count until their requests are answered

Sound requests were lost with the servers.

Cause: a crash was forgotten after a minute, so that what comes less often than three times a minute was never blocked; and copies that were sent before the first of them had crashed its server are one trial, of which three were needed. The class is evidence that is forgotten by time while what it is about comes back more rarely: crashes under parts of prompts, the number of answers, the trial after a block, and a full memory, which took no further crashes, were the same.

Change: a crash counts until its traits were answered, an hour after the last crash under one of them, or a minute after a block has explained it. The number of crashes bounds the evidence, and the least suspect are forgotten first. The last answers to the traits of remembered crashes are kept as long as these. Two trials are enough if copies have crashed four servers. One crash blocks again within an hour after a block. TestManyRequestsAreLost counts the crashes of the service by another function; what it asserts is the same. The messages between instances are unchanged.

--- a/pkg/crashcause/answers.go
+++ b/pkg/crashcause/answers.go
@@ -3,9 +3,10 @@
 import "time"
 
 const (
-	// countInterval is the resolution at which answers are counted.
-	countInterval = 50 * time.Millisecond
-	countSlots    = int(evidenceTTL/countInterval) + 1
+	// countInterval is the resolution at which the answers of an evidenceTTL are counted, and
+	// longCountInterval that of a rareEvidenceTTL.
+	countInterval     = 50 * time.Millisecond
+	longCountInterval = 10 * time.Second
 )
 
 // answerLog remembers when requests were answered, for an evidenceTTL at least unless there are too
@@ -14,7 +15,7 @@
 	// parts and wholes are kept apart, as nearly each request has a content of its own.
 	parts, wholes lastAnswers
 	// services are the numbers of answers to requests for each service.
-	services map[string]*answerCounts
+	services map[string]*serviceAnswers
 }
 
 // lastAnswers are the times at which requests with a trait were last answered.
@@ -26,42 +27,55 @@
 	recentSince, olderSince time.Time
 }
 
-// answerCounts counts the answers of an evidenceTTL.
+// serviceAnswers counts the answers of one service.
+type serviceAnswers struct{ recent, long *answerCounts }
+
+// answerCounts counts answers over a time.
 type answerCounts struct {
-	// counts is a ring of the numbers of answers per countInterval. begun is the time from which
-	// on, and at the newest interval up to which answers are counted.
-	counts  [countSlots]uint32
+	interval time.Duration
+	// counts is a ring of the numbers of answers per interval. begun is the time from which
+	// on, and counted the newest interval up to which answers are counted.
+	counts  []uint32
 	begun   time.Time
 	counted int64
 }
 
+func newAnswerCounts(over, interval time.Duration) *answerCounts {
+	return &answerCounts{interval: interval, counts: make([]uint32, int(over/interval)+1)}
+}
+
 func newAnswerLog() *answerLog {
-	return &answerLog{services: map[string]*answerCounts{}}
+	return &answerLog{services: map[string]*serviceAnswers{}}
 }
 
 // count counts an answer to a request for a service.
 func (l *answerLog) count(service string, now time.Time) {
 	counts := l.services[service]
 	if counts == nil {
-		counts = &answerCounts{}
+		counts = &serviceAnswers{newAnswerCounts(evidenceTTL, countInterval), newAnswerCounts(rareEvidenceTTL, longCountInterval)}
 		l.services[service] = counts
 	}
-	counts.count(now)
+	counts.recent.count(now)
+	counts.long.count(now)
 }
 
 // since returns the number of answers to requests for a service since a time, less those of the
-// countInterval that it lies in.
+// interval that it lies in. If the time isn't known, it is that of the last evidenceTTL.
 func (l *answerLog) since(service string, at, now time.Time) int64 {
-	if counts := l.services[service]; counts != nil {
-		return counts.since(at, now)
+	counts := l.services[service]
+	if counts == nil {
+		return 0
+	}
+	if age := now.Sub(at); age > evidenceTTL && age < maxEvidenceAge {
+		return max(counts.long.since(at, now), counts.recent.since(at, now))
 	}
-	return 0
+	return counts.recent.since(at, now)
 }
 
 // count counts an answer.
 func (l *answerCounts) count(now time.Time) {
 	l.advance(now)
-	l.counts[l.counted%int64(countSlots)]++
+	l.counts[l.counted%int64(len(l.counts))]++
 }
 
 // advance clears the intervals that have begun since the last answer.
@@ -69,9 +83,10 @@
 	if l.begun.IsZero() {
 		l.begun = now
 	}
-	current := max(int64(now.Sub(l.begun)/countInterval), l.counted)
-	for from := max(l.counted+1, current-int64(countSlots)+1); from <= current; from++ {
-		l.counts[from%int64(countSlots)] = 0
+	slots := int64(len(l.counts))
+	current := max(int64(now.Sub(l.begun)/l.interval), l.counted)
+	for from := max(l.counted+1, current-slots+1); from <= current; from++ {
+		l.counts[from%slots] = 0
 	}
 	l.counted = current
 }
@@ -84,11 +99,11 @@
 	l.advance(now)
 	first := int64(0)
 	if at.After(l.begun) {
-		first = int64(at.Sub(l.begun)/countInterval) + 1
+		first = int64(at.Sub(l.begun)/l.interval) + 1
 	}
-	n := int64(0)
-	for from := max(first, l.counted-int64(countSlots)+1, 0); from <= l.counted; from++ {
-		n += int64(l.counts[from%int64(countSlots)])
+	n, slots := int64(0), int64(len(l.counts))
+	for from := max(first, l.counted-slots+1, 0); from <= l.counted; from++ {
+		n += int64(l.counts[from%slots])
 	}
 	return n
 }
--- a/pkg/crashcause/decide.go
+++ b/pkg/crashcause/decide.go
@@ -36,10 +36,12 @@
 	// Servers that crash at one moment, with copies of a request that were sent before, are one
 	// trial.
 	trials int
+	// recentTrials is the number of these within an evidenceTTL.
+	recentTrials int
 	// example is one of the requests; the only one of a whole request.
 	example Request
-	// last is the time of the last of the crashes.
-	last time.Time
+	// first and last are the times of the first and the last of the crashes.
+	first, last time.Time
 	// own is true if a request of this instance is among them.
 	own bool
 }
@@ -52,34 +54,42 @@
 	wholes int
 }
 
-// evidence returns what speaks against each trait, and the crashes of each service.
-func (f *Finder) evidence() ([]*traitEvidence, map[string]*serviceCrashes) {
-	traits, services := map[string]*traitEvidence{}, map[string]*serviceCrashes{}
+// evidence returns what speaks against each trait that may lead to a decision.
+func (f *Finder) evidence(now time.Time) []*traitEvidence {
+	traits := map[string]*traitEvidence{}
 	inOrder := slices.SortedFunc(maps.Keys(f.crashes), func(a, b Server) int { return f.crashes[a].at.Compare(f.crashes[b].at) })
 	for _, server := range inOrder {
 		c := f.crashes[server]
 		service := c.service()
-		all := services[service]
-		if all == nil {
-			all = &serviceCrashes{}
-			services[service] = all
-		}
-		all.crashes++
-		all.requests += len(c.requests)
 		for key, r := range c.requests {
 			for depth, trait := range r.traits() {
-				if c.at.After(f.answered.last(trait)) {
-					addEvidence(traits, trait, service, depth).add(server, c.at, key, r)
+				if f.mayMatter(trait) && c.at.After(f.lastAnswered(trait)) {
+					addEvidence(traits, trait, service, depth).add(server, c.at, key, r, now)
 				}
 			}
 		}
 	}
-	for _, e := range traits {
-		if IsWhole(e.trait) {
-			services[e.service].wholes++
+	return slices.Collect(maps.Values(traits))
+}
+
+// crashesSince returns the crashes of a service since a time.
+func (f *Finder) crashesSince(service string, since time.Time) serviceCrashes {
+	var all serviceCrashes
+	wholes := map[string]bool{}
+	for _, c := range f.crashes {
+		if c.service() != service || c.at.Before(since) {
+			continue
+		}
+		all.crashes++
+		all.requests += len(c.requests)
+		for _, r := range c.requests {
+			if whole := r.whole(); whole != "" && c.at.After(f.lastAnswered(whole)) {
+				wholes[whole] = true
+			}
 		}
 	}
-	return slices.Collect(maps.Values(traits)), services
+	all.wholes = len(wholes)
+	return all
 }
 
 func addEvidence(traits map[string]*traitEvidence, trait, service string, depth int) *traitEvidence {
@@ -93,9 +103,15 @@
 }
 
 // add adds a request of the next crash in the order of time.
-func (e *traitEvidence) add(server Server, at time.Time, key string, r *crashRequest) {
+func (e *traitEvidence) add(server Server, at time.Time, key string, r *crashRequest, now time.Time) {
 	if len(e.crashes) == 0 || !r.SentAt.Before(e.last) {
 		e.trials++
+		if now.Sub(at) <= evidenceTTL {
+			e.recentTrials++
+		}
+	}
+	if len(e.crashes) == 0 {
+		e.first = at
 	}
 	e.crashes[server], e.requests[key], e.own, e.example = true, true, e.own || r.own, r.Request
 	e.last = later(e.last, at)
@@ -105,8 +121,7 @@
 type decision struct {
 	*Finder
 
-	now      time.Time
-	services map[string]*serviceCrashes
+	now time.Time
 	// parts are all that crashes happened under, and wholes the whole requests to decide on.
 	parts, wholes []*traitEvidence
 	// explained are the crashes of traits that are blocked or about to be, and byWhole those of
@@ -124,15 +139,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.expire(now)
-	all, services := f.evidence()
-	d := &decision{Finder: f, now: now, services: services, explained: servers{}}
-	for _, e := range all {
+	d := &decision{Finder: f, now: now, explained: servers{}}
+	for _, e := range f.evidence(now) {
 		whole, blocked := IsWhole(e.trait), d.isBlocked(e)
 		_, again := d.blocks[e.trait]
 		switch {
 		case !whole:
 			d.parts = append(d.parts, e)
-		case !blocked && (again || e.trials >= minCrashes):
+		case !blocked && (again || e.trials >= minCrashes || e.crashedUnderCopies()):
 			d.wholes = append(d.wholes, e)
 		}
 		if blocked {
@@ -185,14 +199,14 @@
 		case unexplained == 0:
 			continue
 		case again: // one crash is enough
-		case e.trials == minCrashes && unexplained < minCrashes:
+		case e.trials <= minCrashes && unexplained < minCrashes:
 			continue // other traits explain some of them
 		case e.trials < ambiguousCrashes && d.hasRivalPart(e):
 			continue
 		}
 		explains = true
 		if again || len(wholes) == 1 || e.trials >= ambiguousCrashes {
-			d.block(e, before, again || e.trials >= certainCrashes)
+			d.block(e, before, again || d.isCertain(e))
 		}
 	}
 	if explains {
@@ -235,13 +249,16 @@
 // because the crashes are certain evidence. The other instances are always asked first: one of them
 // may have answered a request with the trait between the crashes.
 func (d *decision) block(e *traitEvidence, before Block, certain bool) {
-	if !e.own || len(d.blocks) >= maxBlocks && before.Blocks == 0 {
+	if !e.own || before.Blocks == 0 && !d.hasRoomForBlock(d.now) {
 		return // an instance whose requests crashed the servers decides
 	}
-	since := d.answered.unansweredSince(e.trait)
+	since := d.countedSince(e)
 	others, heard := d.others[e.trait]
 	heard = heard && others.since.Equal(since) && !others.heardAt.Before(e.last)
 	if !heard || !certain && d.chanceIfSound(e, d.answered.since(e.service, since, d.now)+others.answers) > chanceOfError {
+		if d.now.Sub(e.last) > evidenceTTL {
+			return // the next crash decides
+		}
 		d.questions = append(d.questions, Question{Trait: e.trait, Service: e.service, Since: since})
 		return
 	}
@@ -256,10 +273,10 @@
 // chanceIfSound returns the highest chance that what is observed happens with a sound trait. Of many
 // whole requests, the one that looks worst is observed.
 func (d *decision) chanceIfSound(e *traitEvidence, answers int64) float64 {
-	all := d.services[e.service]
+	all := d.crashesSince(e.service, earlier(e.first, d.now.Add(-evidenceTTL)))
 	requestsPerCrash := float64(all.requests) / float64(all.crashes)
 	if IsWhole(e.trait) {
-		return float64(all.wholes) * chanceIfSound(e.trials, all.crashes, requestsPerCrash, answers)
+		return float64(all.wholes) * chanceIfSound(e.occurs(), all.crashes, requestsPerCrash, answers)
 	}
 	return chanceIfSound(len(e.crashes), all.crashes, requestsPerCrash, answers)
 }
--- a/pkg/crashcause/doc.go
+++ b/pkg/crashcause/doc.go
@@ -12,6 +12,7 @@
 // Invariants:
 //   - The last part of a prompt, which belongs to one request alone, is never blocked.
 //   - A trait with which a request has been answered since the last crash under it is not blocked.
+//   - A crash counts only as long as the answers to its traits since are known.
 //   - Of several parts that explain the same crashes, only the most specific one is blocked.
 //   - A part is not blocked for crashes that a single request explains, nor a request for crashes
 //     that another one explains.
--- a/pkg/crashcause/finder.go
+++ b/pkg/crashcause/finder.go
@@ -24,19 +24,30 @@
 	ownCrashes = 2
 	// chanceOfError is the accepted chance that what is observed happens with a sound part.
 	chanceOfError = 1e-4
-	// evidenceTTL is how long a crash counts, and how long answers are remembered.
+	// minCopyTrials and minCopyCrashes are the trials, and the crashes in these, after which a whole
+	// request is blocked whose copies crash several servers in each trial.
+	minCopyTrials  = 2
+	minCopyCrashes = 4
+	// evidenceTTL is how long a crash counts that a block explains, how long after a crash the
+	// others are asked, and how long the answers to all traits are remembered.
 	evidenceTTL = time.Minute
+	// rareEvidenceTTL is how long a crash counts that nothing explains, after the last crash under one of
+	// its traits.
+	rareEvidenceTTL = time.Hour
 	// blockTime is the duration of the first block. Each further one lasts twice as long, up to
 	// maxBlockTime.
 	blockTime    = 5 * time.Minute
 	maxBlockTime = 2 * time.Hour
 	// retrialTime is how long after a block a single crash blocks the trait again.
-	retrialTime = 10 * time.Minute
-	// maxCrashes bounds the crashes that are remembered, maxCrashRequests the requests of each,
+	retrialTime = rareEvidenceTTL
+	// maxCrashes bounds the crashes that are remembered, of which evictedCrashes are forgotten at a
+	// time; maxCrashRequests bounds the requests of each, maxToldRequests those told to a new instance,
 	// maxBlocks the blocked traits, and maxAnswered the traits whose answers are remembered within
 	// an evidenceTTL.
 	maxCrashes       = 256
+	evictedCrashes   = 16
 	maxCrashRequests = 64
+	maxToldRequests  = 1 << 13
 	maxBlocks        = 256
 	maxAnswered      = 1 << 13
 )
@@ -49,6 +60,8 @@
 	mu       sync.Mutex
 	crashes  map[Server]*crash
 	answered *answerLog
+	// suspects are the traits of the remembered crashes.
+	suspects map[string]*suspect
 	blocks   map[string]Block
 	// others are the replies of other instances, by trait.
 	others map[string]otherAnswers
@@ -85,7 +98,9 @@
 
 // NewFinder returns a Finder without evidence.
 func NewFinder() *Finder {
-	return &Finder{crashes: map[Server]*crash{}, answered: newAnswerLog(), blocks: map[string]Block{}, others: map[string]otherAnswers{}}
+	return &Finder{
+		crashes: map[Server]*crash{}, answered: newAnswerLog(), suspects: map[string]*suspect{}, blocks: map[string]Block{}, others: map[string]otherAnswers{},
+	}
 }
 
 // Blocked returns the blocked trait of a request, and false if it has none.
@@ -103,14 +118,15 @@
 }
 
 // Answered records that a server has begun to answer a request. It returns the evidence that
-// other instances need to know, which is empty unless it ends a block.
+// other instances need to know, which is empty unless it ends a block or clears a suspect.
 func (f *Finder) Answered(r Request, now time.Time) Evidence {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.answered.count(r.Service, now)
 	var tell Evidence
 	for _, trait := range r.traits() {
-		if f.setAnswered(trait, now) {
+		cleared := f.clears(trait, now)
+		if f.setAnswered(trait, now) || cleared {
 			tell.Answers = append(tell.Answers, Answer{Trait: trait, At: now})
 		}
 	}
@@ -130,7 +146,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, a := range e.Answers {
-		if a.At.After(f.answered.last(a.Trait)) && now.Sub(a.At) < evidenceTTL {
+		if a.At.After(f.lastAnswered(a.Trait)) && now.Sub(a.At) < evidenceTTL {
 			f.setAnswered(a.Trait, earlier(a.At, now))
 		}
 	}
@@ -138,12 +154,12 @@
 		f.addCrash(c, false, now)
 	}
 	for _, b := range e.Blocks {
-		if at := f.answered.last(b.Trait); at.After(b.LastCrash) {
+		if at := f.lastAnswered(b.Trait); at.After(b.LastCrash) {
 			tell.Answers = append(tell.Answers, Answer{Trait: b.Trait, At: at})
 			continue
 		}
 		known, found := f.blocks[b.Trait]
-		if found && !b.Until.After(known.Until) || !now.Before(b.Until) || len(f.blocks) >= maxBlocks && !found {
+		if found && !b.Until.After(known.Until) || !now.Before(b.Until) || !found && !f.hasRoomForBlock(now) {
 			continue
 		}
 		b.Until = earlier(b.Until, now.Add(maxBlockTime))
@@ -156,25 +172,33 @@
 	return blocks, tell
 }
 
-// setAnswered records an answer, and reports whether it ends a block.
+// setAnswered records an answer, and reports whether it ends a block, or the trial after it.
 func (f *Finder) setAnswered(trait string, at time.Time) bool {
 	f.answered.set(trait, at)
+	if s := f.suspects[trait]; s != nil {
+		s.answeredAt = later(s.answeredAt, at)
+	}
 	b, found := f.blocks[trait]
 	if !found || !at.After(b.LastCrash) {
 		return false
 	}
 	delete(f.blocks, trait)
 	f.publishBlocks(at)
-	return at.Before(b.Until)
+	return true
 }
 
-// Evidence returns all that this instance knows, for one that has just started.
+// Evidence returns what this instance knows, for one that has just started: what tells most if it is much.
 func (f *Finder) Evidence(now time.Time) Evidence {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.expire(now)
 	var e Evidence
-	for server, c := range f.crashes {
+	weight, told := f.weights(), 0
+	for _, server := range f.byWeight(weight) {
+		c := f.crashes[server]
+		if told += len(c.requests); told > maxToldRequests {
+			break
+		}
 		known := Crash{Server: server, At: c.at}
 		for _, r := range c.requests {
 			known.Requests = append(known.Requests, r.LostRequest)
@@ -190,13 +214,13 @@
 }
 
 func (f *Finder) addCrash(c Crash, own bool, now time.Time) {
-	if now.Sub(c.At) > evidenceTTL {
+	if now.Sub(c.At) > maxEvidenceAge {
 		return
 	}
 	known := f.crashes[c.Server]
 	if known == nil {
 		if len(f.crashes) >= maxCrashes {
-			return
+			f.evict()
 		}
 		known = &crash{at: c.At, requests: map[string]*crashRequest{}}
 		f.crashes[c.Server] = known
@@ -206,6 +230,7 @@
 		key := r.key()
 		if known.requests[key] == nil && len(known.requests) < maxCrashRequests {
 			known.requests[key] = &crashRequest{LostRequest: r}
+			f.suspect(r.Request, c.At)
 		}
 		if lost := known.requests[key]; lost != nil {
 			lost.own = lost.own || own
@@ -216,7 +241,7 @@
 
 // expire removes what is too old to count.
 func (f *Finder) expire(now time.Time) {
-	maps.DeleteFunc(f.crashes, func(_ Server, c *crash) bool { return now.Sub(c.at) > evidenceTTL })
+	f.expireCrashes(now)
 	maps.DeleteFunc(f.others, func(_ string, o otherAnswers) bool { return now.Sub(o.heardAt) > evidenceTTL })
 	maps.DeleteFunc(f.blocks, func(_ string, b Block) bool { return now.Sub(b.Until) > retrialTime })
 }
@@ -227,7 +252,7 @@
 	defer f.mu.Unlock()
 	replies := make([]Reply, 0, len(questions))
 	for _, q := range questions {
-		replies = append(replies, Reply{Trait: q.Trait, Answers: f.answered.since(q.Service, q.Since, now), AnsweredAt: f.answered.last(q.Trait)})
+		replies = append(replies, Reply{Trait: q.Trait, Answers: f.answered.since(q.Service, q.Since, now), AnsweredAt: f.lastAnswered(q.Trait)})
 	}
 	return replies
 }
@@ -243,7 +268,7 @@
 				continue
 			}
 			heard.answers += max(r.Answers, 0)
-			if r.AnsweredAt.After(f.answered.last(q.Trait)) {
+			if r.AnsweredAt.After(f.lastAnswered(q.Trait)) {
 				f.setAnswered(q.Trait, r.AnsweredAt)
 			}
 		}
--- a/pkg/crashcause/whole_test.go
+++ b/pkg/crashcause/whole_test.go
@@ -125,11 +125,10 @@
 	}
 	assert.Equal(t, []string{whole("again")}, lost(1).decide())
 	e := lost(3)
-	evidence, services := e.evidence()
-	d := &decision{Finder: e.Finder, services: services, now: e.now}
-	for _, found := range evidence {
+	d := &decision{Finder: e.Finder, now: e.now}
+	for _, found := range e.evidence(e.now) {
 		if found.trait == whole("again") {
-			assert.Less(t, d.chanceIfSound(found, 140)/float64(services["s"].wholes), chanceOfError, "without the others it would be")
+			assert.Less(t, d.chanceIfSound(found, 140)/float64(d.crashesSince("s", time.Time{}).wholes), chanceOfError, "without the others it would be")
 		}
 	}
 	assert.Empty(t, e.decide())
