storemirror: a test of the second late report

A second late report extends the life of the entry of a server that has left.

TestSecondLateReportOfAServerThatLeft plays two reports that are written 3 to 3.5 s apart after the removal, with and without a teller. With only the comparison in doubts.go reversed each of its 12 plays fails, at 13.8 or 15.85 s.

Result: passes, also with the race detector; the package's tests pass.

--- a/internal/storemirror/history_test.go
+++ b/internal/storemirror/history_test.go
@@ -297,3 +297,24 @@
 	require.NoError(t, w.run(15*time.Second, w.checkLeft))
 	require.NoError(t, w.checkAgreement())
 }
+
+// A second late report extended the life of the entry of a server that had left, so that the server was used again.
+func TestSecondLateReportOfAServerThatLeft(t *testing.T) {
+	for between := entryExpiry - 12*worldTick; between < entryExpiry; between += 2 * worldTick {
+		for _, teller := range []int{-1, 0} {
+			w := newWorld(2, 2)
+			w.teller = teller
+			require.NoError(t, w.run(6*time.Second, w.check))
+			left := w.servers[0]
+			first := *left.report()
+			require.NoError(t, w.run(2*heartbeat, w.check))
+			second := *left.report()
+			left.gone, left.removes = true, true
+			require.NoError(t, w.run(time.Second, w.check))
+			w.late = []lateReport{{at: w.now, server: left, report: first}, {at: w.now + between, server: left, report: second}}
+			require.NoError(t, w.run(20*time.Second, w.check), "%v between the reports, teller %d", between, teller)
+			require.True(t, left.relisted)
+			require.NoError(t, w.checkAgreement())
+		}
+	}
+}
