--- a/internal/placer/history_test.go
+++ b/internal/placer/history_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -91,3 +93,40 @@
 	}
 	assert.LessOrEqual(t, accepted, appendsPerLease+appendBurst)
 }
+
+// A former holder's answer that arrived after another one had become known was taken for that one's statement of its epoch.
+func TestLateAnswerOfAFormerHolder(t *testing.T) {
+	former := leaderlease.Record{Holder: "i0", Incarnation: "i0/1", Address: "10.0.0.1:1"}
+	holder := leaderlease.Record{Holder: "i1", Incarnation: "i1/1", Address: "10.0.0.2:1"}
+	for name, learn := range map[string]func(e *elector){
+		"told": func(e *elector) {
+			e.receiveLease(&placerpb.Tenure{Holder: holder.Holder, Life: holder.Incarnation, Address: holder.Address, Epoch: 18})
+		},
+		"read, without an epoch": func(e *elector) {
+			value, err := json.Marshal(holder)
+			require.NoError(t, err)
+			e.observe(platform.Batch{Records: []platform.Record{{Offset: 17, Key: leaseKey, Value: value}}, Next: 18, Complete: true})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newElector(nil, &log.Logger{Level: log.PanicLevel}, metrics.NewRegistry(), leaderlease.Config{
+				Self: leaderlease.Record{Holder: "i2", Incarnation: "i2/1"}, LeaseDuration: time.Second,
+			}, 1, func() bool { return true }, func() bool { return true })
+			e.receiveLease(&placerpb.Tenure{Holder: former.Holder, Life: former.Incarnation, Address: former.Address, Epoch: 1})
+			learn(e)
+			known := e.state.IsEpochKnown()
+
+			e.holderResponded(former, 1)
+			r, epoch, held := e.holder()
+			assert.True(t, held)
+			assert.Equal(t, holder, r)
+			assert.Equal(t, int64(18), epoch)
+			assert.Equal(t, known, e.state.IsEpochKnown())
+
+			e.holderResponded(holder, 16)
+			r, epoch, _ = e.holder()
+			assert.Equal(t, holder, r)
+			assert.Equal(t, int64(16), epoch, "the holder's own answer corrects it")
+		})
+	}
+}
--- a/pkg/leaderlease/leaderlease_test.go
+++ b/pkg/leaderlease/leaderlease_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/leaderlease"
 )
@@ -188,3 +189,21 @@
 	assert.Equal(t, int64(1), epoch, "told by another instance that had started later")
 	assert.Equal(t, 10*time.Second+lease, s.NextAppend(0))
 }
+
+// An epoch that was derived from the first record after a drill counted as known, and the holder's answer didn't correct it.
+func TestEpochDerivedAfterADrillIsCorrectedByTheHolder(t *testing.T) {
+	s := newState("c", false)
+	s.Observe(0, record("a"), 0)
+	assert.True(t, s.IsEpochKnown(), "the first record of the log is the first one of a run")
+	require.True(t, s.BeginHistory(2, 8, time.Second, time.Second))
+	s.Observe(8, record("a"), 2*time.Second)
+	assert.False(t, s.IsEpochKnown())
+	s.HolderResponded(1, 3*time.Second)
+	assert.True(t, s.IsEpochKnown())
+	assert.Equal(t, int64(1), s.Epoch())
+	assert.Equal(t, 3*time.Second+lease, s.NextAppend(0))
+
+	require.True(t, s.BeginHistory(3, 0, 4*time.Second, 4*time.Second))
+	s.Observe(0, record("b"), 5*time.Second)
+	assert.True(t, s.IsEpochKnown(), "as above, after a drill that lost everything")
+}
