edge: what is known of a server outlives the time its entry is away

Callers saw a brittle server cut off their requests after its entry had been away for seconds, as it fell over: all instances sent it at once what they held back. A server that states a rate limit got more than it allows.

Cause: Views.publish dropped the stats of an incarnation (brittle, rate limit, load, health, requests in flight) when the list lost it, and began anew when the same incarnation was listed again.

The pace of a brittle server goes on with a part of one turn, different for each instance; turns and its rate don't grow while nothing can be sent.

--- a/internal/edge/brittle.go
+++ b/internal/edge/brittle.go
@@ -52,6 +52,13 @@
 	p.limit.Served(took, load)
 }
 
+// resume goes on after the server wasn't listed for a time.
+func (p *brittlePace) resume(phase float64, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit.Resume(phase, now)
+}
+
 // rate returns the requests per second that this instance sends to the server.
 func (p *brittlePace) rate() float64 {
 	p.mu.Lock()
--- a/internal/edge/brittle_test.go
+++ b/internal/edge/brittle_test.go
@@ -31,6 +31,7 @@
 	rejected         []time.Time
 	downUntil        time.Time
 	falls, served    int
+	fell             func() // called in the background; may be nil
 	freed            *sync.Cond
 }
 
@@ -75,6 +76,9 @@
 	if s.tolerated > 0 && len(s.rejected) > s.tolerated && !now.Before(s.fewerFrom) {
 		s.falls++
 		s.rejected, s.downUntil = nil, now.Add(3*time.Second)
+		if s.fell != nil {
+			go s.fell()
+		}
 	}
 }
 
--- a/internal/edge/standing.go
+++ b/internal/edge/standing.go
@@ -283,7 +283,7 @@
 func (v *Views) updateStandings(now time.Time) {
 	for key, known := range v.standings {
 		v.applyList(key, known, now)
-		if !known.unlistedAt.IsZero() && !known.remembered(now) {
+		if !known.unlistedAt.IsZero() && v.stats[key] == nil && !known.remembered(now) {
 			delete(v.standings, key)
 		}
 	}
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -66,6 +66,9 @@
 	crash     crashCheck
 	brittle   brittlePace
 	standing  *standing
+	// unlistedAt is when the server was first missing in the list; the zero time while it is listed. It
+	// is guarded by the lock of the Views.
+	unlistedAt time.Time
 	// missing maps models that the server reported as absent to a missingRecord; a later
 	// residency or missingTTL clears the entry.
 	missing sync.Map
@@ -200,8 +203,9 @@
 	urgencies urgencies
 	servers   map[fleet.ServerID]*fleet.Server
 	residency map[fleet.ServerID]Residency
-	stats     map[statsKey]*stats
-	groups    map[string]*retry.Group
+	// stats are those of the listed servers, and of others that may be listed again.
+	stats  map[statsKey]*stats
+	groups map[string]*retry.Group
 	// standings are those of the listed servers, and of others that still matter.
 	standings map[statsKey]*standing
 }
@@ -336,18 +340,12 @@
 // view can at worst be sent to a server that has just started draining and refuses it.
 func (v *Views) publish() {
 	view := &View{Manifest: v.manifest, urgencies: v.urgencies, services: map[string][]*backend{}, engines: map[fleet.ServerID]*fleet.Server{}, superseded: make(chan struct{})}
-	retained := make(map[statsKey]*stats, len(v.servers))
 	counts := map[string]int{}
 	now := time.Now()
 	v.updateStandings(now)
 	for id, server := range v.servers {
 		counts[server.Service]++
-		key := statsKey{id, server.StartedAt}
-		serverStats := v.stats[key]
-		if serverStats == nil {
-			serverStats = &stats{group: v.group(server.Service), standing: v.standingOf(key, now)}
-		}
-		retained[key] = serverStats
+		serverStats := v.listedStats(server, now)
 		if serverStats.standing.leaving.Load() && !server.Draining {
 			// The server has said so before its entry does.
 			view.leaving = append(view.leaving, Standing{Server: id, StartedAt: server.StartedAt, Leaving: true})
@@ -362,12 +360,7 @@
 			view.services[server.Service] = append(view.services[server.Service], v.backendOf(server, serverStats))
 		}
 	}
-	for key, serverStats := range v.stats {
-		if retained[key] == nil {
-			serverStats.health.Forget(serverStats.group)
-		}
-	}
-	v.stats = retained
+	v.forgetStats(now)
 	for service, n := range counts {
 		v.group(service).Resize(n)
 	}
@@ -385,26 +378,6 @@
 	close(old.superseded)
 }
 
-func (v *Views) group(service string) *retry.Group {
-	group := v.groups[service]
-	if group == nil {
-		group = retry.NewGroup(retry.EjectConfig{Failures: ejectFailures, MaxShare: ejectMaxShare, Max: ejectMax})
-		v.groups[service] = group
-	}
-	return group
-}
-
-const (
-	// ejectFailures is the number of consecutive failures that ejects a server. It is low
-	// because a request waits until its timeout for a server that does not answer.
-	ejectFailures = 3
-	// ejectMaxShare is the maximum share of a service's servers that can be ejected, so
-	// that most servers stay in use whatever they answer.
-	ejectMaxShare = 0.4
-	// ejectMax is the maximum duration of one ejection; disturbances last some seconds.
-	ejectMax = 4 * time.Second
-)
-
 func (v *Views) backendOf(server *fleet.Server, serverStats *stats) *backend {
 	b := &backend{server: server, hash: serverpick.HashID(string(server.ID)), stats: serverStats, models: map[string]bool{}}
 	models, sequence := server.Models, int64(-1)
--- a/internal/edge/view_test.go
+++ b/internal/edge/view_test.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -64,6 +66,41 @@
 	assert.Equal(t, []string{"n"}, set(0, 6, "n"))
 }
 
+// What is known of servers that are no longer listed is bounded in number and time, and that of a listed
+// one stays.
+func TestUnlistedServersAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		views := NewViews()
+		list := func(from, to int) {
+			servers := map[fleet.ServerID]*fleet.Server{"listed": {ID: "listed", Service: "plain", Slots: 4, StartedAt: 1}}
+			for n := from; n < to; n++ {
+				id := fleet.ServerID(fmt.Sprint("s", n))
+				servers[id] = &fleet.Server{ID: id, Service: "plain", Slots: 4, StartedAt: 1}
+			}
+			views.SetServers(servers)
+		}
+		list(0, maxUnlistedStats)
+		listed, first := views.stats[statsKey{"listed", 1}], views.stats[statsKey{"s0", 1}]
+		first.inFlight.Add(1)
+		time.Sleep(time.Second)
+		list(0, 0)
+		time.Sleep(time.Second)
+		list(0, 1)
+		assert.Same(t, first, views.stats[statsKey{"s0", 1}], "with its requests")
+		assert.Same(t, first.standing, views.standings[statsKey{"s0", 1}])
+		list(maxUnlistedStats, maxUnlistedStats+10)
+		time.Sleep(time.Second)
+		list(0, 0)
+		assert.Len(t, views.stats, maxUnlistedStats+1)
+		assert.Same(t, first, views.stats[statsKey{"s0", 1}], "it was listed later than others")
+		time.Sleep(statsTTL)
+		list(0, 0)
+		assert.Equal(t, map[statsKey]*stats{{"listed", 1}: listed}, views.stats)
+		list(0, 0)
+		assert.Len(t, views.standings, 1)
+	})
+}
+
 // A request whose service has exhausted its retry budget gets only its first attempt.
 func TestNoRetryBeyondBudget(t *testing.T) {
 	b := newSlotHarness(t, 4)
--- a/pkg/limit/brittle.go
+++ b/pkg/limit/brittle.go
@@ -109,6 +109,12 @@
 	return b.rate
 }
 
+// Resume goes on with a server that no requests could be sent to for a time, in which no turns add up.
+// phase, from 0 to 1, is different for each instance, to spread their first requests over time.
+func (b *Brittle) Resume(phase float64, now time.Time) {
+	b.tokens, b.filledAt, b.limited = phase, now, false
+}
+
 // Usable reports whether a request can be sent now.
 func (b *Brittle) Usable(load BrittleLoad, now time.Time) bool {
 	if !b.brittle {
