edge: a server that has said nothing yet is paced while its service is brittle

Callers saw each new incarnation of a brittle server fall over as soon as it was listed, every few seconds: all instances sent it what they held back, without a pace until its first answer.

Cause: that the servers of a service are brittle was kept for each incarnation, so that it ended with it.

Change: the service keeps it (limit.ServiceBrittle), with the mean service time. Logged as server_presumed_brittle.

--- a/internal/edge/brittle.go
+++ b/internal/edge/brittle.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,21 +17,89 @@
 
 // brittlePace paces the requests to one incarnation of a server while it says that it is brittle.
 type brittlePace struct {
+	service *brittleService
 	// active is true while the server is brittle. It can be read without the lock.
 	active atomic.Bool
 
 	mu    sync.Mutex
 	limit limit.Brittle
+	// saidAt is when the request was sent whose answer has last said that the server isn't brittle,
+	// and listedAt when the list had the server for the first time, or again.
+	saidAt, listedAt time.Time
+}
+
+// brittleService is what the servers of a service say together. It outlives them.
+type brittleService struct {
+	// active is true once a server has said that it is brittle. It can be read without the lock.
+	active atomic.Bool
+
+	mu    sync.Mutex
+	limit limit.ServiceBrittle
+}
+
+func (v *Views) brittleService(name string) *brittleService {
+	service := v.services[name]
+	if service == nil {
+		service = &brittleService{}
+		v.services[name] = service
+	}
+	return service
+}
+
+func (s *brittleService) stated(tolerated int, sent, now time.Time) {
+	if tolerated < 0 && !s.active.Load() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit.Stated(tolerated, sent, now)
+	s.active.Store(s.limit.IsBrittle(now))
+}
+
+func (s *brittleService) served(took time.Duration, load limit.BrittleLoad) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit.Served(took, load)
+}
+
+func (s *brittleService) serviceTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limit.ServiceTime()
+}
+
+// presume takes the server for brittle if its service is and it hasn't said otherwise lately. It
+// reports whether it does so from now on.
+func (p *brittlePace) presume(load limit.BrittleLoad, phase float64, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.service.mu.Lock()
+	defer p.service.mu.Unlock()
+	if p.limit.IsBrittle() || !p.service.limit.Concerns(p.saidAt, now) {
+		return false
+	}
+	p.limit.Presume(&p.service.limit, load, p.listedAt, phase, now)
+	p.active.Store(p.limit.IsBrittle())
+	return p.limit.IsBrittle()
+}
+
+// resume goes on after the server wasn't listed for a time.
+func (p *brittlePace) resume(phase float64, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listedAt = now
+	p.limit.Resume(phase, now)
 }
 
 // stated records what an answer states, and reports whether the server has become brittle or has
 // ceased to be.
 func (p *brittlePace) stated(tolerated int, load limit.BrittleLoad, sent, now time.Time) (changed bool, rate float64) {
-	if tolerated < 0 && !p.active.Load() {
-		return false, limit.Unlimited
-	}
+	p.service.stated(tolerated, sent, now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if tolerated < 0 && sent.After(p.saidAt) {
+		p.saidAt = sent
+	}
 	before := p.limit.IsBrittle()
 	p.limit.Stated(tolerated, load, sent, now)
 	p.active.Store(p.limit.IsBrittle())
@@ -47,18 +116,12 @@
 }
 
 func (p *brittlePace) served(took time.Duration, load limit.BrittleLoad) {
+	p.service.served(took, load)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.limit.Served(took, load)
 }
 
-// resume goes on after the server wasn't listed for a time.
-func (p *brittlePace) resume(phase float64, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.limit.Resume(phase, now)
-}
-
 // rate returns the requests per second that this instance sends to the server.
 func (p *brittlePace) rate() float64 {
 	p.mu.Lock()
@@ -69,18 +132,32 @@
 // brittleLoad returns what the pace of a server depends on.
 func (e *Edge) brittleLoad(b *backend) limit.BrittleLoad {
 	instances := cmp.Or(e.views.Instances(), e.cfg.Instances, assumedInstances)
-	return limit.BrittleLoad{Slots: b.server.Slots, Waiting: int(b.stats.waiting.Load()), Instances: instances}
+	return limit.BrittleLoad{
+		Slots: b.server.Slots, Waiting: int(b.stats.waiting.Load()), Instances: instances, ServiceTime: b.stats.brittle.service.serviceTime(),
+	}
 }
 
 // brittleUsable reports whether a request can be sent to the server now.
 func (e *Edge) brittleUsable(b *backend, load serverpick.Load, now time.Time) bool {
 	p := &b.stats.brittle
-	if !p.active.Load() {
+	if !p.active.Load() && !e.presumeBrittle(b, now) {
 		return true
 	}
+	pace := e.brittleLoad(b)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.limit.Usable(e.brittleLoad(b), now) && load.LastKnown() < int64(b.server.Slots)
+	return p.limit.Usable(pace, now) && load.LastKnown() < int64(b.server.Slots)
+}
+
+// presumeBrittle takes a server for brittle if its service is, and reports whether it does so from now
+// on.
+func (e *Edge) presumeBrittle(b *backend, now time.Time) bool {
+	p := &b.stats.brittle
+	if !p.service.active.Load() || !p.presume(e.brittleLoad(b), rand.Float64(), now) {
+		return false
+	}
+	e.log.Info().Str("server", string(b.server.ID)).Str("service", b.server.Service).Float64("rate", p.rate()).Msg("server_presumed_brittle")
+	return true
 }
 
 // takeBrittle takes the turn of a request, and reports false if there is none.
--- a/internal/edge/brittleentry_test.go
+++ b/internal/edge/brittleentry_test.go
@@ -114,9 +114,14 @@
 		time time.Duration
 		as   entryReturn
 	}{
-		"as the review played it": {8, 5, 5, 2, 300, 1, 2 * time.Second, sameIncarnation},
-		"none waits":              {8, 5, 5, 0, 300, 1, 2 * time.Second, sameIncarnation},
-		"many instances":          {40, 5, 5, 2, 300, 1, 2 * time.Second, sameIncarnation},
+		"as the review played it":    {8, 5, 5, 2, 300, 1, 2 * time.Second, sameIncarnation},
+		"restarted":                  {8, 5, 5, 2, 300, 1, 2 * time.Second, newStart},
+		"the whole service, new IDs": {8, 5, 5, 2, 300, 5, 2 * time.Second, newID},
+		"two tolerated, new ID":      {8, 5, 2, 2, 300, 1, 2 * time.Second, newID},
+		"none waits":                 {8, 5, 5, 0, 300, 1, 2 * time.Second, sameIncarnation},
+		"overload, new ID":           {8, 5, 5, 2, 600, 1, 2 * time.Second, newID},
+		"many instances":             {40, 5, 5, 2, 300, 1, 2 * time.Second, sameIncarnation},
+		"many instances, new ID":     {40, 5, 5, 2, 300, 1, 2 * time.Second, newID},
 	} {
 		t.Run(name, func(t *testing.T) {
 			inVirtualTime(t, func(t *testing.T) {
--- a/internal/edge/remembered.go
+++ b/internal/edge/remembered.go
@@ -25,6 +25,7 @@
 	switch {
 	case known == nil:
 		known = &stats{group: v.group(server.Service), standing: v.standingOf(key, now)}
+		known.brittle.service, known.brittle.listedAt = v.brittleService(server.Service), now
 		v.stats[key] = known
 	case !known.unlistedAt.IsZero():
 		known.unlistedAt = time.Time{}
--- a/internal/edge/remembered_test.go
+++ b/internal/edge/remembered_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"testing"
 	"time"
 
@@ -63,3 +64,38 @@
 		go views.SetServers(maps.Clone(servers))
 	}
 }
+
+// Servers that change their word each second, and name huge numbers, are used, and what they say doesn't
+// let the others of their service fall over.
+func TestBrittleServersThatChangeTheirWord(t *testing.T) {
+	for name, changing := range map[string]int{"all": 5, "one of them": 1} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				f := newBrittleFleet(t, 8, 5, func() *brittleServer { return newBrittleServer(6, 24, 60*time.Millisecond) })
+				f.setBrittle(5, 2)
+				go func() {
+					for second := range 14 {
+						time.Sleep(time.Second)
+						for _, s := range f.brittle[:changing] {
+							s.say(math.MaxInt32 * (second % 2))
+						}
+						if second > 4 {
+							f.startAgain(second%5, 500*time.Millisecond, entryReturn(second%3))
+						}
+					}
+				}()
+				f.sendPlain(14*time.Second, 300, "/write/x")
+				falls, served := f.counts()
+				assert.LessOrEqual(t, falls, 2)
+				assert.Greater(t, float64(served), leastServed*300*14)
+			})
+		})
+	}
+}
+
+// say changes what the server says, and nothing else.
+func (s *brittleServer) say(tolerated int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tolerated = tolerated
+}
--- a/internal/edge/standing.go
+++ b/internal/edge/standing.go
@@ -169,7 +169,7 @@
 		event.log(r.log, server.ID, request.ID)
 	}
 	if answer.ToleratedErr == nil && answer.ToleratedRejections >= 0 {
-		load := limit.BrittleLoad{Slots: server.Slots, Waiting: answer.Load.Waiting, Instances: cmp.Or(r.views.Instances(), assumedInstances)}
+		load := limit.BrittleLoad{Slots: server.Slots, Waiting: answer.Load.Waiting, Instances: cmp.Or(r.views.Instances(), assumedInstances), ServiceTime: known.brittle.service.serviceTime()}
 		if changed, rate := known.brittle.stated(answer.ToleratedRejections, load, request.PassedOnAt, now); changed {
 			logBrittle(r.log, server.ID, request.ID, answer.ToleratedRejections, rate)
 		}
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -204,8 +204,9 @@
 	servers   map[fleet.ServerID]*fleet.Server
 	residency map[fleet.ServerID]Residency
 	// stats are those of the listed servers, and of others that may be listed again.
-	stats  map[statsKey]*stats
-	groups map[string]*retry.Group
+	stats    map[statsKey]*stats
+	groups   map[string]*retry.Group
+	services map[string]*brittleService
 	// standings are those of the listed servers, and of others that still matter.
 	standings map[statsKey]*standing
 }
@@ -219,7 +220,7 @@
 func NewViews() *Views {
 	v := &Views{
 		residency: map[fleet.ServerID]Residency{}, stats: map[statsKey]*stats{},
-		groups: map[string]*retry.Group{}, standings: map[statsKey]*standing{},
+		groups: map[string]*retry.Group{}, services: map[string]*brittleService{}, standings: map[statsKey]*standing{},
 	}
 	v.current.Store(&View{superseded: make(chan struct{})})
 	return v
--- a/pkg/limit/brittle.go
+++ b/pkg/limit/brittle.go
@@ -48,18 +48,27 @@
 
 // BrittleLoad is what the pace depends on: the slots of the server, how many requests waited there
 // at its last answer, and the number of instances.
-type BrittleLoad struct{ Slots, Waiting, Instances int }
+type BrittleLoad struct {
+	Slots, Waiting, Instances int
+	// ServiceTime is that of the service, for a server that hasn't served a request yet; 0 if it is
+	// unknown.
+	ServiceTime time.Duration
+}
 
 // Served records that a request has been served within a time.
 func (b *Brittle) Served(took time.Duration, load BrittleLoad) {
+	b.serviceTime = meanServiceTime(b.serviceTime, took, load)
+}
+
+func meanServiceTime(before, took time.Duration, load BrittleLoad) time.Duration {
 	slots := float64(max(load.Slots, 1))
 	// A request that waits takes no slot.
 	inSlot := took.Seconds() * slots / (slots + float64(max(load.Waiting, 0)))
-	mean := b.serviceTime.Seconds()
+	mean := before.Seconds()
 	if mean == 0 {
 		mean = inSlot
 	}
-	b.serviceTime = time.Duration((mean + serviceTimeWeight*(inSlot-mean)) * float64(time.Second))
+	return time.Duration((mean + serviceTimeWeight*(inSlot-mean)) * float64(time.Second))
 }
 
 // Stated records what an answer to a request that was sent at sent states: the rejections within
@@ -67,8 +76,7 @@
 func (b *Brittle) Stated(tolerated int, load BrittleLoad, sent, now time.Time) {
 	switch {
 	case tolerated >= 0 && !b.brittle:
-		b.rate = max(brittleUtilization*b.capacity(load)/float64(max(load.Instances, 1)), minBrittleRate)
-		b.brittle, b.tokens, b.filledAt, b.backedOff = true, 0, now, now
+		b.begin(load, 0, now)
 		fallthrough
 	case tolerated >= 0:
 		b.tolerated, b.statedAt = tolerated, now
@@ -77,6 +85,12 @@
 	}
 }
 
+// begin begins the pace with a part of the first turn.
+func (b *Brittle) begin(load BrittleLoad, turn float64, now time.Time) {
+	b.rate = max(brittleUtilization*b.capacity(load)/float64(max(load.Instances, 1)), minBrittleRate)
+	b.brittle, b.tokens, b.filledAt, b.backedOff, b.limited = true, turn, now, now, false
+}
+
 // Rejected records that the server had no room for a request.
 func (b *Brittle) Rejected(now time.Time) {
 	if !b.brittle {
@@ -91,6 +105,9 @@
 // capacity returns the requests per second that the server can serve.
 func (b *Brittle) capacity(load BrittleLoad) float64 {
 	serviceTime := b.serviceTime
+	if serviceTime <= 0 {
+		serviceTime = load.ServiceTime
+	}
 	if serviceTime <= 0 {
 		serviceTime = defaultServiceTime
 	}
@@ -109,12 +126,6 @@
 	return b.rate
 }
 
-// Resume goes on with a server that no requests could be sent to for a time, in which no turns add up.
-// phase, from 0 to 1, is different for each instance, to spread their first requests over time.
-func (b *Brittle) Resume(phase float64, now time.Time) {
-	b.tokens, b.filledAt, b.limited = phase, now, false
-}
-
 // Usable reports whether a request can be sent now.
 func (b *Brittle) Usable(load BrittleLoad, now time.Time) bool {
 	if !b.brittle {
