--- a/internal/edge/standing.go
+++ b/internal/edge/standing.go
@@ -169,7 +169,7 @@
 		event.log(r.log, server.ID, request.ID)
 	}
 	if answer.ToleratedErr == nil && answer.ToleratedRejections >= 0 {
-		load := limit.BrittleLoad{Slots: server.Slots, Waiting: answer.Load.Waiting, Instances: cmp.Or(r.views.Instances(), assumedInstances)}
+		load := limit.BrittleLoad{Slots: server.Slots, Waiting: answer.Load.Waiting, Instances: cmp.Or(r.views.Instances(), assumedInstances), ServiceTime: known.brittle.service.serviceTime()}
 		if changed, rate := known.brittle.stated(answer.ToleratedRejections, load, request.PassedOnAt, now); changed {
 			logBrittle(r.log, server.ID, request.ID, answer.ToleratedRejections, rate)
 		}
@@ -283,7 +283,7 @@
 func (v *Views) updateStandings(now time.Time) {
 	for key, known := range v.standings {
 		v.applyList(key, known, now)
-		if !known.unlistedAt.IsZero() && !known.remembered(now) {
+		if !known.unlistedAt.IsZero() && v.stats[key] == nil && !known.remembered(now) {
 			delete(v.standings, key)
 		}
 	}
