edge: a wait for a retry that the time limit ends is named so

A request that waited for the retry budget until its time limit ended as "retry budget spent" with 502, which inflated the count of what the budget costs; it ends as "time limit" with 504 now. The comments and branches of the handover are made plainer beside it.

--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -263,9 +263,9 @@
 	h.successors = nil
 }
 
-// goOn is called before the incumbent writes to the client, or ends the request. It reports false if a
-// successor has begun to answer before, or may still and the incumbent has broken off. The first events after a silence are held for a moment if
-// the route has an objective for the gap between events: the successor is likely to be faster.
+// goOn is called before the incumbent writes to the client. It reports false if a successor has begun to
+// answer before, or may still do so while the incumbent has broken off. The first events after a silence
+// are held for at most the given time, since a server that was silent is likely to be the slower one.
 func (h *handover) goOn(a *attempt, hold time.Duration) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -332,12 +332,12 @@
 		next, h.successors = h.successors[0], h.successors[1:]
 		h.open--
 	}
-	if next == nil {
-		h.cancelSuccessors()
-	}
 	if next != nil {
 		h.incumbent, h.forwarding, h.silent = next, false, false
 		h.watch(next.firstByteTimeout())
+	} else {
+		// A successor that begins to answer from now on is too late.
+		h.cancelSuccessors()
 	}
 	h.mu.Unlock()
 	if next == nil {
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -87,6 +87,9 @@
 func (q *request) reserveServer(ctx context.Context) (*backend, outcome, bool) {
 	for {
 		if !q.awaitRetry(ctx) {
+			if ctx.Err() != nil {
+				return nil, refused(reasonTimeout, 0), false
+			}
 			return nil, refused(reasonBudget, 0), false
 		}
 		b, out, ok := q.findServer(ctx)
