--- a/review/_lab-2/takeups/main.go
+++ b/review/_lab-2/takeups/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -33,7 +34,11 @@
 	record := lab.NewRecord()
 	platform := lab.NewPlatform()
 	var runners []*lab.Runner
-	for n, v := range []string{"v1", "v1", "v2", "v2"} {
+	versions := []string{"v1", "v1", "v2", "v2"}
+	if os.Getenv("VERSIONS") == "1" {
+		versions = []string{"v1", "v1", "v1", "v1"}
+	}
+	for n, v := range versions {
 		r := lab.NewRunner(lab.RunnerConfig{ID: fmt.Sprintf("i-%s-%d", v, n), Service: "assistant", Zone: []string{"zone-a", "zone-b"}[n%2], Version: v, Slots: 64, Models: []string{"m1"}, Events: 110, Pause: 100 * time.Millisecond})
 		runners = append(runners, r)
 		platform.List(r, "ready")
