--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,5 @@
 # TROUBLE=0 leaves the disruption out. Needs the build of deploy/system.toml and review/build-2.sh.
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
+[ -x target/cyclamenhoist ] && [ -x target/review-2/joined ] || { echo "not built" >&2; exit 2; }
 exec target/review-2/joined "$folder"
