edge, placer: the log says what a stream of unknown origin is taken to have begun at

stream_resumed named a version only. It couldn't tell an origin that an instance or a keeper knew from one that was guessed, nor who guessed and how far back the knowledge reached. stream_origin_unknown and stream_version_vouched_for do.

--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -120,6 +120,7 @@
 	origin, known := q.edge.origins.Origin(ctx, question)
 	if !known {
 		version, sole := view.SoleVersion(q.service, within, time.Now())
+		q.logAssumedVersion(view, version)
 		if !sole {
 			return refused(reasonNoOrigin, jitter(minRetryAfter)), false
 		}
@@ -137,6 +138,15 @@
 	return outcome{}, true
 }
 
+// logAssumedVersion logs what a stream of unknown origin is taken to have begun at; an empty version
+// means that it is refused.
+func (q *request) logAssumedVersion(view *View, version string) {
+	now := time.Now()
+	q.edge.log.Info().Str("request", q.head.ID).Str("first_attempt", q.head.FirstAttempt).Int64("after", q.head.LastEventID).
+		Str("assumed", version).Strs("versions", view.recentVersions(q.service, now)).Dur("servers_known_for", now.Sub(view.knownSince)).
+		Msg("stream_origin_unknown")
+}
+
 // recordOrigin records that the stream begins, or goes on, at a server. Other instances need to
 // know only if the service has had several versions.
 func (q *request) recordOrigin(b *backend) {
--- a/internal/placer/origins.go
+++ b/internal/placer/origins.go
@@ -122,6 +122,7 @@
 		return streamorigin.Origin{}, false
 	}
 	for version := range sole {
+		p.log.Info().Str("first_attempt", q.Stream).Str("assumed", version).Msg("stream_version_vouched_for")
 		return streamorigin.Origin{Service: q.Service, Version: version}, true
 	}
 	return streamorigin.Origin{}, false
