edge, placer: which versions a service has had is kept on the store

Cause: an instance took the only version that it had seen for the one that began the stream, once it, or another instance that it asked, had known the servers for the route's timeout. A stream can be older: it lasts over several attempts, and began under an earlier manifest. stream_version_vouched_for shows 12 such conclusions 7.4 s after the start.

The holder now records the versions of the last 60 s on the store when they change.

--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -25,16 +25,14 @@
 type OriginQuestion struct {
 	// Stream is the client's attempt that received the first event; empty if it isn't known.
 	Stream string
-	// Service is the service that would continue the stream, and Within the longest time that the
-	// stream can have lasted. An instance that has known all versions of the service for that long
-	// knows the origin if there was only one.
+	// Service is the service that would continue the stream. An instance that knows all versions which
+	// the service has had knows the origin if there was only one.
 	Service string
-	Within  time.Duration
 }
 
-// versionsOf returns the versions of the listed servers, and those that were listed before
-// within streamorigin.TTL.
-func versionsOf(servers map[fleet.ServerID]*fleet.Server, before map[string]map[string]time.Time, now time.Time) map[string]map[string]time.Time {
+// versionsOf returns the versions of the listed servers, those that were listed before within
+// streamorigin.TTL, and those that are recorded.
+func versionsOf(servers map[fleet.ServerID]*fleet.Server, before map[string]map[string]time.Time, recorded map[string][]string, now time.Time) map[string]map[string]time.Time {
 	out := map[string]map[string]time.Time{}
 	set := func(service, version string, last time.Time) {
 		if out[service] == nil {
@@ -52,6 +50,11 @@
 			}
 		}
 	}
+	for service, versions := range recorded {
+		for _, version := range versions {
+			set(service, version, now)
+		}
+	}
 	for _, server := range servers {
 		set(server.Service, server.Version, time.Time{})
 	}
@@ -70,26 +73,49 @@
 	return out
 }
 
-// SoleVersion returns the only software version that the servers of a service have had within a
-// time. It reports false if there were several or none, or if this instance hasn't known the
-// servers for that long: one that has just started doesn't know those that left before.
-func (v *View) SoleVersion(service string, within time.Duration, now time.Time) (string, bool) {
-	if v.knownSince.IsZero() || now.Sub(v.knownSince) < within {
-		return "", false
-	}
+// KnowsVersions reports whether this instance knows all versions at which streams that still last can
+// have begun: it has known the servers for as long, or has learned which versions they had before.
+func (v *View) KnowsVersions(now time.Time) bool {
+	return !v.knownSince.IsZero() && (v.versionsComplete || now.Sub(v.knownSince) >= streamorigin.TTL)
+}
+
+// SoleVersion returns the only software version at which streams of a service that still last can have
+// begun. It reports false if there were several or none, or if this instance doesn't know that.
+func (v *View) SoleVersion(service string, now time.Time) (string, bool) {
 	versions := v.recentVersions(service, now)
-	if len(versions) != 1 {
+	if len(versions) != 1 || !v.KnowsVersions(now) {
 		return "", false
 	}
 	return versions[0], true
 }
 
-// longestStream returns the longest time that a stream of a route lasts.
-func longestStream(route *fleet.Route) time.Duration {
-	if route.Timeout <= 0 {
-		return streamorigin.TTL
+// CanBeSoleVersion reports whether this instance has seen no other version of the service at which
+// streams that still last can have begun.
+func (v *View) CanBeSoleVersion(service, version string, now time.Time) bool {
+	return !slices.ContainsFunc(v.recentVersions(service, now), func(seen string) bool { return seen != version })
+}
+
+// VersionRecord returns the versions at which streams that still last can have begun.
+func (v *View) VersionRecord(now time.Time) streamorigin.VersionRecord {
+	out := streamorigin.VersionRecord{Complete: v.KnowsVersions(now), Services: map[string][]string{}}
+	for service := range v.versions {
+		if versions := v.recentVersions(service, now); len(versions) > 0 {
+			slices.Sort(versions)
+			out.Services[service] = versions
+		}
 	}
-	return min(route.Timeout, streamorigin.TTL)
+	return out
+}
+
+// AddVersions adds versions that servers have had to those that this instance has seen. If the record is
+// complete, there were no others before this instance started.
+func (v *Views) AddVersions(r streamorigin.VersionRecord) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.versionsComplete = v.versionsComplete || r.Complete
+	v.recorded = r.Services
+	v.publish()
+	v.recorded = nil
 }
 
 // resumes reports whether the client takes up a stream that began in an earlier attempt.
@@ -115,11 +141,10 @@
 // findOrigin finds the version at which the client's stream began. It reports false with the
 // outcome if the version isn't known, since a stream can't change it.
 func (q *request) findOrigin(ctx context.Context) (outcome, bool) {
-	view, within := q.edge.views.Load(), longestStream(q.route)
-	question := OriginQuestion{Stream: q.head.FirstAttempt, Service: q.service, Within: within}
-	origin, known := q.edge.origins.Origin(ctx, question)
+	origin, known := q.edge.origins.Origin(ctx, OriginQuestion{Stream: q.head.FirstAttempt, Service: q.service})
+	view := q.edge.views.Load()
 	if !known {
-		version, sole := view.SoleVersion(q.service, within, time.Now())
+		version, sole := view.SoleVersion(q.service, time.Now())
 		q.logAssumedVersion(view, version)
 		if !sole {
 			return refused(reasonNoOrigin, jitter(minRetryAfter)), false
@@ -148,16 +173,16 @@
 }
 
 // recordOrigin records that the stream begins, or goes on, at a server. Other instances need to
-// know only if the service has had several versions.
+// know unless the service is known to have had a single version.
 func (q *request) recordOrigin(b *backend) {
 	stream := q.streamID()
 	if q.route.Kind != fleet.KindStream || !q.route.CanResume || stream == "" {
 		return
 	}
 	origin := streamorigin.Origin{Service: q.service, Version: b.server.Version}
-	announce := len(q.edge.views.Load().recentVersions(q.service, time.Now())) > 1
-	q.edge.origins.Began(stream, origin, announce)
-	if !announce {
+	_, sole := q.edge.views.Load().SoleVersion(q.service, time.Now())
+	q.edge.origins.Began(stream, origin, !sole)
+	if sole {
 		q.edge.begun.begin(stream, origin)
 	}
 }
--- a/internal/edge/streamversion_test.go
+++ b/internal/edge/streamversion_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/streamorigin"
 	"github.com/cyclamenhoist/cyclamenhoist/platform/standin"
 )
 
@@ -91,7 +92,7 @@
 		f.addInstance(instanceName(n))
 	}
 	// The instances have known the servers for longer than a stream lasts.
-	time.Sleep(streamTimeout)
+	time.Sleep(streamorigin.TTL)
 	return f
 }
 
@@ -322,3 +323,30 @@
 		})
 	}
 }
+
+// TestTakeUpOfAStreamOlderThanItsRouteAllows: instances that had been killed took the version that they had
+// seen since for the only one after the route's timeout, and joined it to streams that began at another one
+// (review/6). A stream can be older: it lasts over several attempts, and began under an earlier manifest.
+func TestTakeUpOfAStreamOlderThanItsRouteAllows(t *testing.T) {
+	for _, wait := range []time.Duration{0, streamTimeout, 2 * streamTimeout, streamorigin.TTL / 2} {
+		t.Run(wait.String(), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				f := newVersionFleet(t, 2, "v1")
+				ctx, closeConnection := context.WithCancel(t.Context())
+				time.AfterFunc(55*time.Millisecond, closeConnection)
+				begun := f.stream(ctx, f.instances[0], "first", nil)
+				f.addEngine("new", "v2")
+				f.removeVersion("v1")
+				f.origins.forget()
+				f.origins.restart()
+				f.addInstance("restarted")
+				restarted := f.addInstance("also restarted")
+				time.Sleep(wait)
+				rest := f.stream(t.Context(), restarted, "again", map[string]string{"Last-Event-Id": "2", standin.HeaderResumes: "first"})
+				versions, _ := versionsIn(begun.Body.String() + rest.Body.String())
+				assert.Equal(t, map[string]bool{"v1": true}, versions)
+				assert.Equal(t, http.StatusServiceUnavailable, rest.Code)
+			})
+		})
+	}
+}
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -34,6 +34,8 @@
 	versions map[string]map[string]time.Time
 	// knownSince is when this instance first knew the servers; the zero time if it doesn't.
 	knownSince time.Time
+	// versionsComplete means that versions has all that servers have had before this instance started.
+	versionsComplete bool
 	// leaving are the servers that have said that they leave before their entry does.
 	leaving   []Standing
 	urgencies urgencies
@@ -209,6 +211,9 @@
 	services map[string]*brittleService
 	// standings are those of the listed servers, and of others that still matter.
 	standings map[statsKey]*standing
+	// versionsComplete is as in View. recorded are versions to add to the next view.
+	versionsComplete bool
+	recorded         map[string][]string
 }
 
 type statsKey struct {
@@ -371,7 +376,7 @@
 		}
 	}
 	old := v.current.Load()
-	view.versions, view.knownSince = versionsOf(v.servers, old.versions, now), old.knownSince
+	view.versions, view.versionsComplete, view.knownSince = versionsOf(v.servers, old.versions, v.recorded, now), v.versionsComplete, old.knownSince
 	if v.servers != nil && view.knownSince.IsZero() {
 		view.knownSince = now
 	}
--- a/internal/edge/virtual_test.go
+++ b/internal/edge/virtual_test.go
@@ -254,7 +254,7 @@
 		return origin, true
 	}
 	for name, views := range o.views {
-		if version, known := views.Load().SoleVersion(q.Service, q.Within, time.Now()); known && name != o.instance && !o.lost[name] {
+		if version, known := views.Load().SoleVersion(q.Service, time.Now()); known && name != o.instance && !o.lost[name] {
 			return streamorigin.Origin{Service: q.Service, Version: version}, true
 		}
 	}
--- a/internal/placer/elector.go
+++ b/internal/placer/elector.go
@@ -50,8 +50,9 @@
 
 	// capacity is how much of a holder's work this instance can do.
 	capacity float64
-	// released is called after this instance has released the lease.
-	released func()
+	// released is called after this instance has released the lease, and nothingRanBefore if this
+	// instance has started before the lease was first claimed.
+	released, nothingRanBefore func()
 
 	limiter *rate.Limiter
 	// appends and failedAppends count the calls that write to the topic of the lease, and histories
@@ -84,7 +85,7 @@
 		limiter: rate.NewLimiter(rate.Every(cfg.LeaseDuration/appendsPerLease), appendBurst),
 		appends: metrics.NewRegisteredCounter("lease_appends", registry), failedAppends: metrics.NewRegisteredCounter("lease_appends_failed", registry),
 		histories: metrics.NewRegisteredCounter("lease_histories", registry),
-		store:     store, log: logger, self: cfg.Self, known: known, reaches: reaches, capacity: capacity, released: func() {},
+		store:     store, log: logger, self: cfg.Self, known: known, reaches: reaches, capacity: capacity, released: func() {}, nothingRanBefore: func() {},
 		state: leaderlease.New(cfg), changed: make(chan struct{}, 1), readNow: make(chan struct{}, 1), interrupt: make(chan struct{}, 1),
 	}
 }
@@ -153,6 +154,9 @@
 	if b.Complete {
 		e.observeHistory(b, now)
 	}
+	if !e.read && b.Complete && len(b.Records) == 0 && b.Next == 0 {
+		e.nothingRanBefore()
+	}
 	for _, record := range b.Records {
 		var r leaderlease.Record
 		if record.Key != leaseKey || record.Value == nil {
--- a/internal/placer/origins.go
+++ b/internal/placer/origins.go
@@ -96,7 +96,7 @@
 	defer cancel()
 	keepers := p.originKeepers(q.Stream, originLookups)
 	replies := make(chan *placerpb.StreamOrigin, len(keepers))
-	query := &placerpb.OriginQuery{Stream: q.Stream, Service: q.Service, WithinMs: milliseconds(q.Within)}
+	query := &placerpb.OriginQuery{Stream: q.Stream, Service: q.Service, WithinMs: milliseconds(streamorigin.TTL)}
 	for _, address := range keepers {
 		go func() {
 			reply, err := p.client(address).FindOrigin(ctx, query)
@@ -114,7 +114,7 @@
 			p.origins.memory.Put(q.Stream, origin, time.Now())
 			return origin, true
 		}
-		if version := reply.GetSoleVersion(); version != "" {
+		if version := reply.GetSoleVersion(); version != "" && p.views.Load().CanBeSoleVersion(q.Service, version, time.Now()) {
 			sole[version] = true
 		}
 	}
@@ -142,8 +142,7 @@
 	origin, known := s.placer.origins.memory.Get(r.Stream)
 	reply := &placerpb.StreamOrigin{Stream: r.Stream, Service: origin.Service, ServerVersion: origin.Version}
 	if !known && r.Service != "" {
-		within := time.Duration(r.WithinMs) * time.Millisecond
-		reply.SoleVersion, _ = s.placer.views.Load().SoleVersion(r.Service, within, time.Now())
+		reply.SoleVersion, _ = s.placer.views.Load().SoleVersion(r.Service, time.Now())
 	}
 	return reply, nil
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -27,6 +27,7 @@
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/limit"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/modelplan"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/pause"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/streamorigin"
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
 
@@ -84,6 +85,7 @@
 	permits   *permitIssuer
 	quotas    *quotaIssuer
 	origins   *origins
+	versions  *versionRecorder
 	crashes   *crashTransport
 	standings *standings
 	views     *edge.Views
@@ -121,6 +123,8 @@
 		},
 	}
 	e.released = p.holder.wakeAllWatchers
+	e.nothingRanBefore = func() { views.AddVersions(streamorigin.VersionRecord{Complete: true}) }
+	p.versions = &versionRecorder{store: store, views: views, elector: e, era: func() int64 { return mirror.Known().ListEnd.Era }, log: logger}
 	mirror.SetTeller(e.placing, p.holder.wakeAllWatchers)
 	p.quotas = newQuotaIssuer(p.name, e.canOrder, views.Instances, cfg.Quotas)
 	p.crashes, p.standings = newCrashTransport(p), newStandings(p)
@@ -140,6 +144,8 @@
 	group.Go(func() { p.reportDemand(ctx) })
 	group.Go(func() { p.watch(ctx) })
 	group.Go(func() { p.sendOrigins(ctx) })
+	group.Go(func() { p.versions.read(ctx) })
+	group.Go(func() { p.versions.record(ctx) })
 	group.Go(func() { p.crashes.outbox.run(ctx) })
 	group.Go(func() { p.standings.outbox.run(ctx) })
 	group.Go(func() { p.crashes.readAll(ctx) })
@@ -210,6 +216,7 @@
 	defer cancel()
 	message := encodeDemand(p.name, p.address, report)
 	message.Capacity, message.PeersVersion = float32(p.elector.capacity), p.peersVersion.Load()
+	message.LacksVersions = !p.views.Load().KnowsVersions(time.Now())
 	reply, err := p.client(r.Address).Report(ctx, message)
 	if err != nil {
 		return err
@@ -221,6 +228,9 @@
 	p.elector.holderResponded(r, reply.Tenure.GetEpoch())
 	p.elector.setSuccessors(reply.Successors)
 	p.quotas.statesShares.Store(reply.StatesFallbackShares)
+	if len(reply.Versions) > 0 {
+		p.views.AddVersions(decodeVersions(reply.Versions))
+	}
 	if reply.PeersVersion == 0 || reply.PeersVersion != message.PeersVersion {
 		p.setPeers(reply.Peers, reply.PeersVersion)
 	}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -43,6 +43,8 @@
 	models  []string
 	// withoutCalls are the calls that instances started from now on don't serve, as earlier builds.
 	withoutCalls []string
+	// version is the software version of the servers, as instances started from now on see them first.
+	version string
 }
 
 func newCluster(t *testing.T, models []string, servers ...standin.ServerConfig) *cluster {
@@ -84,7 +86,7 @@
 	servers := map[fleet.ServerID]*fleet.Server{}
 	for n, s := range c.servers {
 		id := fleet.ServerID(s.ID())
-		servers[id] = &fleet.Server{ID: id, Service: summaries, Address: s.Address(), Slots: 8, Sequence: int64(n)}
+		servers[id] = &fleet.Server{ID: id, Service: summaries, Address: s.Address(), Slots: 8, Sequence: int64(n), Version: c.version}
 	}
 	engine := &fleet.Engine{Slots: 8, WeightsMB: 201, AdapterSlots: 2, LoadsPerSecond: 10, Models: map[string]fleet.Model{}}
 	for _, m := range c.models {
--- a/internal/placer/service.go
+++ b/internal/placer/service.go
@@ -35,6 +35,9 @@
 	if r.PeersVersion != version {
 		reply.Peers = peers
 	}
+	if r.LacksVersions {
+		reply.Versions = encodeVersions(s.placer.views.Load().VersionRecord(time.Now()))
+	}
 	return reply, nil
 }
 
