placer: where streams began is kept on the store while a service has several versions

Instances tell the holder of the lease of such streams with the demand that they report; the holder appends at most two batches a second. A take-up that no instance can answer reads them, once a second at most. Streams of services with one version cost nothing.

--- a/internal/placer/origins.go
+++ b/internal/placer/origins.go
@@ -28,6 +28,8 @@
 // origins keeps the origins of streams, and exchanges them with other instances.
 type origins struct {
 	memory *streamorigin.Memory
+	// unreported are the streams that began here and that the holder has yet to record.
+	unreported unreportedOrigins
 
 	mu sync.Mutex
 	// pending are the origins to send, by the address of the instance.
@@ -45,6 +47,7 @@
 	if !announce {
 		return
 	}
+	p.origins.unreported.add(stream, origin, time.Now())
 	record := &placerpb.StreamOrigin{Stream: stream, Service: origin.Service, ServerVersion: origin.Version}
 	p.origins.mu.Lock()
 	defer p.origins.mu.Unlock()
@@ -86,12 +89,26 @@
 	}
 }
 
-// Origin returns where a stream began, as far as this instance or one of its keepers knows. If none
-// of them does, but one has known that there was a single version all the time, it is that.
+// Origin returns where a stream began, as far as this instance or one of its keepers knows. If none of them
+// does, it is the only version that the service has had, or what the store says.
 func (p *Placer) Origin(ctx context.Context, q edge.OriginQuestion) (streamorigin.Origin, bool) {
 	if origin, known := p.origins.memory.Get(q.Stream); known {
 		return origin, true
 	}
+	if origin, known := p.askForOrigin(ctx, q); known {
+		return origin, true
+	}
+	if version, sole := p.views.Load().SoleVersion(q.Service, time.Now()); sole {
+		return streamorigin.Origin{Service: q.Service, Version: version}, true
+	}
+	if q.Stream == "" {
+		return streamorigin.Origin{}, false
+	}
+	return p.originLog.find(ctx, q.Stream)
+}
+
+// askForOrigin asks the keepers of a stream where it began, or whether there was one version all the time.
+func (p *Placer) askForOrigin(ctx context.Context, q edge.OriginQuestion) (streamorigin.Origin, bool) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
 	keepers := p.originKeepers(q.Stream, originLookups)
--- a/internal/placer/origins_test.go
+++ b/internal/placer/origins_test.go
@@ -120,7 +120,7 @@
 
 // recordedVersions returns the versions on the store.
 func (c *cluster) recordedVersions() streamorigin.VersionRecord {
-	snapshot, err := platform.NewStore(c.store.Address()).Newest(c.Context(), platform.TopicVersions)
+	snapshot, err := c.reader.Newest(c.Context(), platform.TopicVersions)
 	assert.NoError(c, err)
 	for _, record := range snapshot.Records {
 		found, err := streamorigin.DecodeVersionRecord(record.Value)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -85,6 +85,7 @@
 	permits   *permitIssuer
 	quotas    *quotaIssuer
 	origins   *origins
+	originLog *originLog
 	versions  *versionRecorder
 	crashes   *crashTransport
 	standings *standings
@@ -124,7 +125,9 @@
 	}
 	e.released = p.holder.wakeAllWatchers
 	e.nothingRanBefore = func() { views.AddVersions(streamorigin.VersionRecord{Complete: true}) }
-	p.versions = &versionRecorder{store: store, views: views, elector: e, era: func() int64 { return mirror.Known().ListEnd.Era }, log: logger}
+	era := func() int64 { return mirror.Known().ListEnd.Era }
+	p.versions = &versionRecorder{store: store, views: views, elector: e, era: era, log: logger}
+	p.originLog = newOriginLog(store, e, era, p.origins.memory, logger, registry)
 	mirror.SetTeller(e.placing, p.holder.wakeAllWatchers)
 	p.quotas = newQuotaIssuer(p.name, e.canOrder, views.Instances, cfg.Quotas)
 	p.crashes, p.standings = newCrashTransport(p), newStandings(p)
@@ -144,6 +147,7 @@
 	group.Go(func() { p.reportDemand(ctx) })
 	group.Go(func() { p.watch(ctx) })
 	group.Go(func() { p.sendOrigins(ctx) })
+	group.Go(func() { p.originLog.write(ctx) })
 	group.Go(func() { p.versions.read(ctx) })
 	group.Go(func() { p.versions.record(ctx) })
 	group.Go(func() { p.crashes.outbox.run(ctx) })
@@ -197,14 +201,17 @@
 	if withHistory {
 		report = report.WithHistory(p.collector.history())
 	}
+	origins := p.origins.unreported.next(withHistory)
 	if p.elector.placing() {
 		epoch, _ := p.elector.canOrder()
+		p.originLog.journal.Add(origins, time.Now())
+		p.origins.unreported.reported(origins)
 		p.quotas.statesShares.Store(true)
 		p.setPeers(p.holder.receiveReport(p.name, p.address, p.elector.capacity, report))
 		p.historySent.reported(r.Incarnation, epoch, withHistory)
 		return nil
 	}
-	if report.Empty() && !withHistory && p.skippedReports < maxSkippedReports {
+	if report.Empty() && !withHistory && len(origins) == 0 && p.skippedReports < maxSkippedReports {
 		p.skippedReports++
 		return nil
 	}
@@ -216,6 +223,7 @@
 	defer cancel()
 	message := encodeDemand(p.name, p.address, report)
 	message.Capacity, message.PeersVersion = float32(p.elector.capacity), p.peersVersion.Load()
+	message.Origins = encodeOrigins(origins)
 	message.LacksVersions = !p.views.Load().KnowsVersions(time.Now())
 	reply, err := p.client(r.Address).Report(ctx, message)
 	if err != nil {
@@ -225,6 +233,7 @@
 	if !reply.Placing {
 		return errNoHolder
 	}
+	p.origins.unreported.reported(origins)
 	p.elector.holderResponded(r, reply.Tenure.GetEpoch())
 	p.elector.setSuccessors(reply.Successors)
 	p.quotas.statesShares.Store(reply.StatesFallbackShares)
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -38,7 +38,9 @@
 type cluster struct {
 	*testing.T
 
-	store   *standin.Store
+	store *standin.Store
+	// reader reads the store as the test does.
+	reader  *platform.Store
 	servers []*standin.Server
 	models  []string
 	// withoutCalls are the calls that instances started from now on don't serve, as earlier builds.
@@ -50,6 +52,7 @@
 func newCluster(t *testing.T, models []string, servers ...standin.ServerConfig) *cluster {
 	c := &cluster{T: t, store: standin.NewStore(), models: models}
 	t.Cleanup(c.store.Close)
+	c.reader = platform.NewStore(c.store.Address())
 	for _, cfg := range servers {
 		cfg.Service, cfg.Zone, cfg.Slots, cfg.ModelCapacity = summaries, "zone-a", 8, 2
 		s := standin.NewServer(cfg)
--- a/internal/placer/service.go
+++ b/internal/placer/service.go
@@ -27,6 +27,7 @@
 		return &placerpb.DemandReply{Tenure: lease}, nil
 	}
 	s.placer.quotas.heard(r.Instance)
+	s.placer.originLog.journal.Add(decodeOrigins(r.Origins), time.Now())
 	peers, version := s.placer.holder.receiveReport(r.Instance, r.Address, float64(finiteCapacity(r.Capacity)), decodeDemand(r))
 	reply := &placerpb.DemandReply{
 		Placing: true, Instances: uint32(len(peers)), Tenure: lease, PeersVersion: version, Successors: s.placer.holder.successors(),
