storemirror, placer: an instance that is told reads the manifest by itself again after a failed read

Cause: a read of the manifest that had failed once wasn't repeated while the holder of the lease told that its version was the newest, so that the instance depended on the holder alone, and noticed its loss after 3 s, later than configApplyMs. The log shows the dependency lost for 14 s, though the store served the machine for ten of these.

A failed read is repeated after half of the time in which a manifest must be in force, which is a setting now. A question to the teller that fails ends at once what relies on it, and times out sooner.

TestRejectedInstanceAsksAgainWhenItIsToldNothing now records the failed read that it is about, as the product does, and expects the repetition after 1 s instead of 3.

--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -97,6 +97,7 @@
 		func(s *Settings) *storemirror.Mirror {
 			mirror := storemirror.New(s.Servers.DrainTimeout.D())
 			mirror.SetConfirmWithin(s.Accounts.withdrawal())
+			mirror.SetApplyWithin(s.Manifest.ApplyWithin.D())
 			return mirror
 		},
 		placer.NewCollector,
--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -114,7 +114,10 @@
 			i.applyManifest(m, document, "store")
 		},
 		Unreadable: func(err error) { i.log.Error().Err(err).Msg("manifest_unreadable") },
-		ReadFailed: func(err error, _ time.Duration) { i.manifests.markLost(err) },
+		ReadFailed: func(err error, _ time.Duration) {
+			i.manifests.markLost(err)
+			i.mirror.ManifestReadFailed()
+		},
 		ReadSucceeded: func(currentSince time.Duration, atEnd bool) {
 			i.manifests.markAvailable()
 			i.mirror.ManifestRead(storemirror.ManifestReading{
--- a/internal/fleetapp/settings.go
+++ b/internal/fleetapp/settings.go
@@ -23,6 +23,7 @@
 	Metrics   Listener  `json:"metrics"`
 	Store     Listener  `json:"store"`
 	Machine   Machine   `json:"machine"`
+	Manifest  Manifest  `json:"manifest"`
 	Servers   Servers   `json:"servers"`
 	Retries   Retries   `json:"retries"`
 	Placing   Placing   `json:"placing"`
@@ -60,6 +61,13 @@
 	DrainTimeout jsonc.Duration `json:"leave_within" validate:"min=100ms,max=1m"`
 }
 
+// Manifest configures how soon manifests come into force.
+type Manifest struct {
+	// ApplyWithin is the time within which a published manifest must be in force at each instance that
+	// reaches the store.
+	ApplyWithin jsonc.Duration `json:"apply_within" validate:"min=500ms,max=1m"`
+}
+
 // Retries is the retry budget of one service, over all instances: in any Window
 // at most Ratio times the number of requests, plus Extra.
 type Retries struct {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -310,6 +310,7 @@
 		}
 		if err != nil || !placement.Placing {
 			p.log.Debug().Err(err).Str("holder", r.Holder).Msg("placement_unread")
+			p.mirror.LoseTeller()
 			p.elector.receiveLease(placement.GetTenure())
 			p.elector.suspectHolder()
 			p.queryPeer(ctx)
@@ -340,10 +341,11 @@
 }
 
 func (p *Placer) watchOnce(ctx context.Context, address string, epoch, version int64, known storemirror.Knowledge) (*placerpb.Placement, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout+callTimeout)
+	wait := min(p.mirror.TellInterval(), watchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	return p.client(address).Watch(ctx, &placerpb.WatchRequest{
-		Epoch: epoch, Version: version, WaitMs: uint32(min(p.mirror.TellInterval(), watchTimeout).Milliseconds()),
+		Epoch: epoch, Version: version, WaitMs: uint32(wait.Milliseconds()),
 		Store: true, ListEra: known.ListEnd.Era, ListEnd: known.ListEnd.Offset, ManifestVersion: known.ManifestVersion,
 		Bulletin: known.List.ID, Revision: known.List.Revision, ListDigest: known.List.Digest, Editions: known.Editions, Instance: p.name,
 	})
--- a/internal/storemirror/manifest_test.go
+++ b/internal/storemirror/manifest_test.go
@@ -161,3 +161,57 @@
 	assert.False(t, m.IsBehind(), "the version was looked up before the newer one came into force")
 	assert.Equal(t, "4", string(m.Document()))
 }
+
+// An instance whose read had failed once didn't read again while it was told: it depended on the teller alone, and
+// answered as an older manifest says for seconds after the teller was lost (review/9).
+func TestReadThatFailedIsRepeatedWhileTold(t *testing.T) {
+	for _, applyWithin := range []time.Duration{0, time.Second, 4 * time.Second} {
+		r := newReplay(2)
+		r.teller = 0
+		teller, m := r.mirrors[0], r.mirrors[1]
+		if applyWithin > 0 {
+			m.SetApplyWithin(applyWithin)
+		} else {
+			applyWithin = DefaultApplyWithin
+		}
+		m.ManifestRead(newestRead(3, r.now))
+		r.now += 10 * time.Second
+		teller.ManifestRead(newestRead(3, r.now))
+		r.tell(1, 0)
+		m.ManifestReadFailed()
+		for failed := r.now; m.ManifestRetryDelay() > 0; {
+			r.now += 100 * time.Millisecond
+			teller.ManifestRead(newestRead(3, r.now))
+			r.tell(1, 0)
+			if !assert.Less(t, r.now-failed, applyWithin, "it doesn't read") {
+				return
+			}
+		}
+		m.ManifestReadFailed()
+		assert.Positive(t, m.ManifestRetryDelay(), "calls that are rejected have a cost")
+	}
+}
+
+// The loss of the teller was noticed only when what it had told was maxManifestAge old, which is longer than a
+// manifest may take to be in force.
+func TestLossOfTheTellerEndsWhatReliesOnIt(t *testing.T) {
+	r := newReplay(2)
+	r.teller = 0
+	teller, m := r.mirrors[0], r.mirrors[1]
+	teller.ManifestRead(newestRead(3, r.now))
+	m.ManifestRead(newestRead(3, r.now))
+	r.tell(1, 0)
+	assert.Equal(t, platform.MaxPollWait, m.ManifestWait())
+	m.LoseTeller()
+	assert.True(t, interrupted(m), "a long poll that isn't answered")
+	assert.Equal(t, platform.PollWait, m.ManifestWait())
+	m.LoseTeller()
+	assert.False(t, interrupted(m), "the same loss costs one read")
+
+	r.tell(1, 0)
+	m.ManifestReadFailed()
+	assert.Positive(t, m.ManifestRetryDelay())
+	m.LoseTeller()
+	assert.True(t, interrupted(m), "the wait after a read that failed")
+	assert.LessOrEqual(t, m.ManifestRetryDelay(), time.Duration(0))
+}
--- a/internal/storemirror/mirror.go
+++ b/internal/storemirror/mirror.go
@@ -28,8 +28,15 @@
 	// return that. Nearly always it does, as the store answers all polls at once.
 	hintGrace = 250 * time.Millisecond
 	// maxManifestAge is the age of what an instance has been told of the manifest up to which it
-	// waits for a newer one in a single long poll. The teller's own polls take platform.PollWait.
+	// waits for a newer one in a single long poll. The teller's own polls take platform.PollWait. The loss
+	// of the teller is noticed sooner, by Mirror.LoseTeller.
 	maxManifestAge = platform.PollWait + time.Second
+	// DefaultApplyWithin is Mirror.SetApplyWithin's time if that isn't called.
+	DefaultApplyWithin = 2 * time.Second
+	// retriesPerApply is the number of reads of an instance that the store rejects, and that is told of
+	// the manifest, within the time in which a manifest must be in force. It has a read of its own again
+	// soon after the store serves it, whatever becomes of the teller.
+	retriesPerApply = 2
 	// confirmDueShare is the part of the time for which the manifest must be confirmed after which the
 	// next read isn't a long poll. The rest is for the read itself and for telling the others.
 	confirmDueShare = 4
@@ -99,6 +106,9 @@
 	// document is the manifest in force as it was read.
 	document        []byte
 	documentVersion int64
+	// applyWithin is the time within which a published manifest must be in force. manifestFailedAt is when
+	// the last read of it failed.
+	applyWithin, manifestFailedAt time.Duration
 	// confirmWithin is how old the confirmation of the manifest may become; 0 if that doesn't matter.
 	confirmWithin time.Duration
 	// behind is signaled when this instance is told of a newer manifest that it can't read.
@@ -124,7 +134,8 @@
 func New(drainTimeout time.Duration) *Mirror {
 	m := &Mirror{
 		now: bootclock.Now, after: func(d time.Duration, do func()) { time.AfterFunc(d, do) }, drainTimeout: drainTimeout, tells: func() bool { return false }, changed: func() {},
-		check: checkInterval + rand.N(checkSpread), list: newServerList(func(map[fleet.ServerID]*fleet.Server, Change) {}, drainTimeout/readsPerDrain, max(drainTimeout, fleet.MissingGrace)),
+		applyWithin: DefaultApplyWithin,
+		check:       checkInterval + rand.N(checkSpread), list: newServerList(func(map[fleet.ServerID]*fleet.Server, Change) {}, drainTimeout/readsPerDrain, max(drainTimeout, fleet.MissingGrace)),
 		doubts:   newDoubtChecks(),
 		bulletin: fleet.NewBulletin(), interrupt: make(chan struct{}, 1), behind: make(chan struct{}, 1),
 	}
@@ -330,15 +341,27 @@
 	return platform.PollWait
 }
 
-// ManifestRetryDelay returns for how long a read of the manifest that has failed need not be
-// repeated, because the manifest in force is told to be the newest.
+// SetApplyWithin sets the time within which a published manifest must be in force. It must be called
+// before the mirror is used.
+func (m *Mirror) SetApplyWithin(d time.Duration) { m.applyWithin = d }
+
+// ManifestReadFailed records that a read of the manifest by this instance has failed.
+func (m *Mirror) ManifestReadFailed() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.manifestFailedAt = m.now()
+}
+
+// ManifestRetryDelay returns for how long the read of the manifest that has failed last need not be
+// repeated, because the manifest in force is told to be the newest. The teller can be gone the next moment,
+// so that it isn't put off for as long as this instance is told.
 func (m *Mirror) ManifestRetryDelay() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.heard {
 		return 0
 	}
-	return maxManifestAge - m.manifestRead.age(m.now())
+	return m.manifestFailedAt + m.applyWithin/retriesPerApply - m.now()
 }
 
 // ManifestInterrupt returns the channel that ends a long poll for the manifest.
@@ -492,6 +515,17 @@
 	}
 }
 
+// LoseTeller records that the instance that tells the others doesn't respond. What relied on it, a long
+// poll or the wait after a read that failed, ends.
+func (m *Mirror) LoseTeller() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.heard {
+		m.heard = false
+		m.endLongPoll()
+	}
+}
+
 // HearNothing records that the instance that should tell the others tells nothing of the store.
 func (m *Mirror) HearNothing() {
 	m.mu.Lock()
--- a/internal/storemirror/mirror_test.go
+++ b/internal/storemirror/mirror_test.go
@@ -386,10 +386,11 @@
 	r.teller = 0
 	r.mirrors[0].ManifestRead(newestRead(3, r.now))
 	r.mirrors[1].ManifestRead(newestRead(3, r.now))
+	r.mirrors[1].ManifestReadFailed()
 	assert.Zero(t, r.mirrors[1].ManifestRetryDelay(), "nothing is told")
 	r.tell(1, 0)
 	assert.Positive(t, r.mirrors[1].ManifestRetryDelay())
-	r.now += maxManifestAge
+	r.now += DefaultApplyWithin / retriesPerApply
 	assert.LessOrEqual(t, r.mirrors[1].ManifestRetryDelay(), time.Duration(0))
 }
 
