httpanswer: one place decides what the head of an answer is

Cause: requests, relayed heads, control calls, the store and the product's own edge each took for a head what the standard library lets through, and any status under 200 for an informational one.

All of them ask internal/httpanswer now: a status from 100 to 599, names that are tokens, informational heads but 101 skipped.

--- a/internal/adapter/httpcall/send.go
+++ b/internal/adapter/httpcall/send.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/cyclamenhoist/cyclamenhoist/internal/httpanswer"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/port"
 )
 
@@ -81,7 +82,7 @@
 func Send(c *http.Client, r *http.Request) (*http.Response, error) {
 	a := &attempt{}
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: a.gotConn})
-	resp, err := transportOf(c).RoundTrip(r.WithContext(ctx))
+	resp, err := httpanswer.Transport{Base: transportOf(c)}.RoundTrip(r.WithContext(ctx))
 	if err == nil {
 		return resp, nil
 	}
--- /dev/null
+++ b/internal/relay/answers_test.go
@@ -0,0 +1,45 @@
+package relay
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cyclamenhoist/cyclamenhoist/internal/httpanswer/answertest"
+	"github.com/cyclamenhoist/cyclamenhoist/pkg/fleet"
+	"github.com/cyclamenhoist/cyclamenhoist/platform"
+)
+
+// Heads are judged by the instance whose request it is, and bodies that were broken off are relayed as such.
+func TestRelayedAnswersAreWhole(t *testing.T) {
+	f := newFixture(t, true)
+	servers := platform.NewServersWithDial(f.dialer.Dial)
+	for _, a := range append(answertest.Heads(), answertest.Endings()...) {
+		t.Run(a.Name, func(t *testing.T) {
+			var body []byte
+			if a.Early || strings.HasPrefix(a.Name, "late") {
+				body = make([]byte, answertest.UploadBytes)
+			}
+			address := answertest.Serve(t, a, func(http.Header) string { return "" })
+			answer, err := servers.Send(t.Context(), platform.Call{
+				Server: &fleet.Server{ID: "s", Address: address}, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{},
+				Body: body, RequestID: "id", Remaining: time.Minute, ResumeAfter: -1, NewConnection: true,
+			})
+			var got []byte
+			if err == nil {
+				got, err = io.ReadAll(answer.Body)
+				answer.Close(false)
+			}
+			if !a.Whole {
+				assert.Error(t, err, "the body is %q", got)
+				return
+			}
+			assert.NoError(t, err)
+			assert.Equal(t, a.Want, string(got))
+		})
+	}
+}
