httpanswer, relay: an answer that ends with its connection is whole only if its request was written

Cause: the reset is reported once, and the writer of the upload got it; the reader saw the end of the stream. A relay has the same two halves and passed the end on as a proper one.

The body's end now asks for the upload's, at all readers of answers, and waits a second for a write in progress. A relay whose write has failed delivers the bytes and ends without the frame that says so.

TestAnswerOfAServerThatReadsNoMoreIsRelayed expected a proper end after a failed write: it still expects all bytes, and now that the end doesn't pass for a proper one, as only a length can tell that the answer is whole.

--- a/internal/adapter/httpcall/answers_test.go
+++ b/internal/adapter/httpcall/answers_test.go
@@ -16,7 +16,7 @@
 // The transport of the product's own edge took the same bytes for answers as the platform's (see
 // platform.TestWhatIsAWholeAnswer).
 func TestWhatIsAWholeAnswer(t *testing.T) {
-	for _, a := range append(answertest.Heads(), answertest.Endings()...) {
+	for _, a := range append(append(answertest.Heads(), answertest.Endings()...), answertest.Uploads()...) {
 		t.Run(a.Name, func(t *testing.T) {
 			t.Parallel()
 			var body []byte
--- a/internal/httpanswer/httpanswer.go
+++ b/internal/httpanswer/httpanswer.go
@@ -7,13 +7,21 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 	"golang.org/x/net/http/httpguts"
 )
 
-// ErrMalformed means that bytes are no answer in HTTP/1.1.
-var ErrMalformed = errors.New("answer malformed")
+// ErrMalformed means that bytes are no answer in HTTP/1.1, and ErrCutOff that an answer was broken off.
+var (
+	ErrMalformed = errors.New("answer malformed")
+	ErrCutOff    = errors.New("answer broken off")
+)
+
+// uploadEndTimeout is how long the end of an answer that ends with its connection is held back until the
+// rest of its request is written. A write to a connection that was reset fails within a round trip.
+const uploadEndTimeout = time.Second
 
 const (
 	minStatus = 100
@@ -104,6 +112,23 @@
 	return u.hasEnded() && u.err == nil
 }
 
+// await returns nil if the request is written to its end, at once or soon.
+func (u *Upload) await() error {
+	u.mu.Lock()
+	ended := u.ended
+	u.mu.Unlock()
+	timeout := time.NewTimer(uploadEndTimeout)
+	defer timeout.Stop()
+	select {
+	case <-ended:
+	case <-timeout.C:
+		return errors.New("request not written to its end")
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.err
+}
+
 // Body returns the body of an answer to the request that upload follows. It ends with io.EOF only if the
 // answer is whole.
 func Body(resp *http.Response, upload *Upload) io.ReadCloser {
@@ -140,9 +165,19 @@
 	if err := checkNames(b.resp.Trailer); err != nil {
 		return err
 	}
+	if !endsWithConnection(b.resp) {
+		return nil
+	}
+	if err := b.upload.await(); err != nil {
+		return errors.Join(ErrCutOff, err)
+	}
 	return nil
 }
 
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // Transport is an HTTP/1.1 transport whose answers are whole. The head of one that isn't is reported as
 // ErrMalformed, and its connection closed.
 type Transport struct {
--- a/internal/relay/answers_test.go
+++ b/internal/relay/answers_test.go
@@ -14,11 +14,12 @@
 	"github.com/cyclamenhoist/cyclamenhoist/platform"
 )
 
-// Heads are judged by the instance whose request it is, and bodies that were broken off are relayed as such.
+// A relay hid that the server had reset its connection while a long upload was written to it: its writer got the
+// error, and its reader passed the end of the stream on as the end of the answer.
 func TestRelayedAnswersAreWhole(t *testing.T) {
 	f := newFixture(t, true)
 	servers := platform.NewServersWithDial(f.dialer.Dial)
-	for _, a := range append(answertest.Heads(), answertest.Endings()...) {
+	for _, a := range append(append(answertest.Heads(), answertest.Endings()...), answertest.Uploads()...) {
 		t.Run(a.Name, func(t *testing.T) {
 			var body []byte
 			if a.Early || strings.HasPrefix(a.Name, "late") {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -287,6 +287,8 @@
 func (*earlyServer) Write([]byte) (int, error) { return 0, syscall.EPIPE }
 func (s *earlyServer) Close() error            { s.closed.Store(true); return nil }
 
+func (*earlyServer) SetWriteDeadline(time.Time) error { return nil }
+
 func (s *earlyServer) Read(p []byte) (int, error) {
 	time.Sleep(10 * time.Millisecond)
 	if s.closed.Load() {
@@ -295,7 +297,8 @@
 	return s.answer.Read(p)
 }
 
-// The whole answer of a server that didn't read the rest of the request was discarded.
+// The whole answer of a server that didn't read the rest of the request was discarded. Whether it is whole is
+// decided by its length: the server may have reset the connection, which the failed write has shown.
 func TestAnswerOfAServerThatReadsNoMoreIsRelayed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		server := &earlyServer{answer: strings.NewReader("too large")}
@@ -311,9 +314,13 @@
 		reply, err := readLine(reader)
 		require.NoError(t, err)
 		require.Equal(t, "czone-a", reply)
-		got, err := io.ReadAll(&frameReader{conn: reader})
+		frames := &frameReader{conn: reader}
+		got := make([]byte, len("too large"))
+		_, err = io.ReadFull(frames, got)
 		require.NoError(t, err)
 		assert.Equal(t, "too large", string(got))
+		_, err = frames.Read(got)
+		assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
 		require.NoError(t, client.Close())
 		s.Wait(t.Context())
 		synctest.Wait()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -20,6 +21,8 @@
 	requestTimeout = 2 * time.Second
 	// endTimeout is how long a client has to close its connection after the server has.
 	endTimeout = 2 * time.Second
+	// uploadEndTimeout is how long a write of a request may take once the server has ended its side.
+	uploadEndTimeout = time.Second
 	// drainCheckInterval is how often Wait checks whether the relayed connections have ended.
 	drainCheckInterval = 50 * time.Millisecond
 )
@@ -163,11 +166,16 @@
 // requestWriter writes to a server until that fails, and discards the rest: the server may have
 // answered without reading all of a request. Reading from it tells whether it has.
 type requestWriter struct {
-	to     io.Writer
-	failed bool
+	to io.Writer
+
+	// writing is locked during a write.
+	writing sync.Mutex
+	failed  bool
 }
 
 func (w *requestWriter) Write(p []byte) (int, error) {
+	w.writing.Lock()
+	defer w.writing.Unlock()
 	if !w.failed {
 		_, err := w.to.Write(p)
 		w.failed = err != nil
@@ -175,18 +183,58 @@
 	return len(p), nil
 }
 
+// hasFailed reports whether a write has failed. It waits for one in progress.
+func (w *requestWriter) hasFailed() bool {
+	w.writing.Lock()
+	defer w.writing.Unlock()
+	return w.failed
+}
+
+// errRequestCutOff means that the server has ended its connection before it had read a request.
+var errRequestCutOff = errors.New("server ended while a request was written to it")
+
+// answerReader reads from a server. A reset of the connection is reported once: if the writer gets it, the
+// reader sees the end of the stream.
+type answerReader struct {
+	io.Reader
+
+	// server is the connection, whose write is ended before the writer is asked.
+	server  net.Conn
+	request *requestWriter
+}
+
+// Read implements io.Reader.
+func (r *answerReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	// A write that the server doesn't take any more must not block.
+	if deadlineErr := r.server.SetWriteDeadline(time.Now().Add(uploadEndTimeout)); deadlineErr != nil || r.request.hasFailed() {
+		return n, errRequestCutOff
+	}
+	return n, io.EOF
+}
+
 // relay copies both ways until either end closes its connection.
 func (s *Server) relay(client net.Conn, fromClient io.Reader, server net.Conn, fromServer io.Reader) {
-	ended := make(chan struct{})
+	ended, request := make(chan struct{}), &requestWriter{to: server}
 	go func() {
 		defer close(ended)
 		// An error means that the client has reset its connection, or that a request must not be
 		// passed on.
-		_, _ = io.Copy(&requestWriter{to: server}, fromClient)
+		_, _ = io.Copy(request, fromClient)
 		reset(server)
 		reset(client)
 	}()
-	if err := copyFrames(client, fromServer); err != nil {
+	switch err := copyFrames(client, &answerReader{fromServer, server, request}); {
+	case errors.Is(err, errRequestCutOff):
+		// What the server has sent can be a whole answer by its length. The stream ends without the empty
+		// frame, which tells the client that the server hasn't ended it properly.
+		if half, ok := client.(interface{ CloseWrite() error }); ok {
+			_ = half.CloseWrite() // the connection is reset in any case
+		}
+	case err != nil:
 		return
 	}
 	// A reset would discard what the client hasn't read yet, so it closes the connection first.
