--- a/internal/edge/unreachable_test.go
+++ b/internal/edge/unreachable_test.go
@@ -142,6 +142,7 @@
 
 func (unfollowed) Requests(from io.Reader) io.Reader { return from }
 func (unfollowed) Answers(from io.Reader) io.Reader  { return from }
+func (unfollowed) RequestBytes() int64               { return -1 }
 
 func (f *paths) setDeaf(name string, deaf bool) {
 	f.mu.Lock()
--- a/internal/relay/answers_test.go
+++ b/internal/relay/answers_test.go
@@ -18,6 +18,9 @@
 // error, and its reader passed the end of the stream on as the end of the answer.
 func TestRelayedAnswersAreWhole(t *testing.T) {
 	f := newFixture(t, true)
+	f.relay.cfg.Follow = func(string) Exchanges {
+		return platform.NewExchanges(func(platform.RelayedRequest) bool { return true }, func(platform.RelayedRequest, *platform.Answer) {})
+	}
 	servers := platform.NewServersWithDial(f.dialer.Dial)
 	for _, a := range append(append(answertest.Heads(), answertest.Endings()...), answertest.Uploads()...) {
 		t.Run(a.Name, func(t *testing.T) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -39,6 +39,7 @@
 
 func (unfollowed) Requests(from io.Reader) io.Reader { return from }
 func (unfollowed) Answers(from io.Reader) io.Reader  { return from }
+func (unfollowed) RequestBytes() int64               { return -1 }
 
 func listen(t *testing.T) net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -50,11 +50,14 @@
 // two sockets with their goroutines.
 const ConnectionBytes = 64 << 10
 
-// Exchanges follows the requests and answers on a connection. Both methods return readers of the
-// bytes that they are given. Reading of requests fails at one that must not be passed on.
+// Exchanges follows the requests and answers on a connection. Requests and Answers return readers of the
+// bytes that they are given. Reading of requests fails at one that must not be passed on. RequestBytes
+// returns the length of all requests that have been read so far, to the end of the last one; negative if it
+// isn't known.
 type Exchanges interface {
 	Requests(from io.Reader) io.Reader
 	Answers(from io.Reader) io.Reader
+	RequestBytes() int64
 }
 
 // Server relays connections of other instances to servers.
@@ -125,8 +128,7 @@
 	if _, err := client.Write([]byte(string(result) + s.cfg.Zone + "\n")); err != nil || server == nil {
 		return
 	}
-	exchanges := s.cfg.Follow(address)
-	s.relay(client, exchanges.Requests(reader), server, exchanges.Answers(server))
+	s.relay(client, reader, server, s.cfg.Follow(address))
 	reset(client)
 }
 
@@ -168,66 +170,99 @@
 type requestWriter struct {
 	to io.Writer
 
-	// writing is locked during a write.
-	writing sync.Mutex
+	mu      sync.Mutex
+	written int64
 	failed  bool
+	// progress has a buffered signal after a write.
+	progress chan struct{}
+}
+
+func newRequestWriter(to io.Writer) *requestWriter {
+	return &requestWriter{to: to, progress: make(chan struct{}, 1)}
 }
 
 func (w *requestWriter) Write(p []byte) (int, error) {
-	w.writing.Lock()
-	defer w.writing.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if !w.failed {
-		_, err := w.to.Write(p)
+		n, err := w.to.Write(p)
+		w.written += int64(n)
 		w.failed = err != nil
 	}
+	select {
+	case w.progress <- struct{}{}:
+	default:
+	}
 	return len(p), nil
 }
 
-// hasFailed reports whether a write has failed. It waits for one in progress.
-func (w *requestWriter) hasFailed() bool {
-	w.writing.Lock()
-	defer w.writing.Unlock()
-	return w.failed
+// state returns what has been written, and whether a write has failed. It waits for one in progress.
+func (w *requestWriter) state() (written int64, failed bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.written, w.failed
 }
 
 // errRequestCutOff means that the server has ended its connection before it had read a request.
 var errRequestCutOff = errors.New("server ended while a request was written to it")
 
-// answerReader reads from a server. A reset of the connection is reported once: if the writer gets it, the
-// reader sees the end of the stream.
+// answerReader reads from a server. Its end is an orderly one only if all requests were written to their ends:
+// a reset of the connection is reported once, and if the writer gets it, the reader sees the end of the
+// stream.
 type answerReader struct {
 	io.Reader
 
-	// server is the connection, whose write is ended before the writer is asked.
 	server  net.Conn
 	request *requestWriter
+	// requestBytes returns the length of all requests; negative if it isn't known.
+	requestBytes func() int64
 }
 
 // Read implements io.Reader.
 func (r *answerReader) Read(p []byte) (int, error) {
 	n, err := r.Reader.Read(p)
-	if !errors.Is(err, io.EOF) {
-		return n, err
+	if errors.Is(err, io.EOF) && !r.awaitRequest() {
+		err = errRequestCutOff
 	}
+	return n, err
+}
+
+// awaitRequest reports whether all requests are written to their ends, at once or soon.
+func (r *answerReader) awaitRequest() bool {
 	// A write that the server doesn't take any more must not block.
-	if deadlineErr := r.server.SetWriteDeadline(time.Now().Add(uploadEndTimeout)); deadlineErr != nil || r.request.hasFailed() {
-		return n, errRequestCutOff
+	if err := r.server.SetWriteDeadline(time.Now().Add(uploadEndTimeout)); err != nil {
+		return false
+	}
+	timeout := time.NewTimer(uploadEndTimeout)
+	defer timeout.Stop()
+	for {
+		written, failed := r.request.state()
+		switch length := r.requestBytes(); {
+		case failed:
+			return false
+		case length < 0 || written >= length:
+			return true
+		}
+		select {
+		case <-r.request.progress:
+		case <-timeout.C:
+			return false
+		}
 	}
-	return n, io.EOF
 }
 
 // relay copies both ways until either end closes its connection.
-func (s *Server) relay(client net.Conn, fromClient io.Reader, server net.Conn, fromServer io.Reader) {
-	ended, request := make(chan struct{}), &requestWriter{to: server}
+func (s *Server) relay(client net.Conn, fromClient io.Reader, server net.Conn, exchanges Exchanges) {
+	ended, request := make(chan struct{}), newRequestWriter(server)
 	go func() {
 		defer close(ended)
 		// An error means that the client has reset its connection, or that a request must not be
 		// passed on.
-		_, _ = io.Copy(request, fromClient)
+		_, _ = io.Copy(request, exchanges.Requests(fromClient))
 		reset(server)
 		reset(client)
 	}()
-	switch err := copyFrames(client, &answerReader{fromServer, server, request}); {
+	switch err := copyFrames(client, &answerReader{exchanges.Answers(server), server, request, exchanges.RequestBytes}); {
 	case errors.Is(err, errRequestCutOff):
 		// What the server has sent can be a whole answer by its length. The stream ends without the empty
 		// frame, which tells the client that the server hasn't ended it properly.
