httpanswer: a transport that doesn't say how it sends isn't waited for

Below a transport without httptrace, as in tests or around a wrapper, the end of a body without length would have been held back for a second and then taken for broken off. Read in the code; no run showed it.

--- a/internal/httpanswer/httpanswer.go
+++ b/internal/httpanswer/httpanswer.go
@@ -202,10 +202,14 @@
 	if err != nil {
 		return nil, err
 	}
+	mu.Lock()
+	defer mu.Unlock()
+	if conn == nil {
+		// The transport under this one doesn't say how it sends requests.
+		upload.End(nil)
+	}
 	if err := CheckHead(resp); err != nil {
 		// What follows belongs to no request.
-		mu.Lock()
-		defer mu.Unlock()
 		if conn != nil {
 			_ = conn.Close()
 		}
