placer: streams that go on while a report is on its way are reported

A report's streams were found again by the name of the last one. If that stream had gone on at another server meanwhile, and was announced once more, those between counted as reported, and only a new holder would have heard of them. They are counted instead, and bounded while there is no holder. TestStreamsAreReportedToANewHolderAgain has the case.

--- a/internal/placer/originlog.go
+++ b/internal/placer/originlog.go
@@ -30,15 +30,17 @@
 	// originResendTime is for how long streams that have begun are told to a new holder of the lease,
 	// because the one before may not have written them.
 	originResendTime = 10 * time.Second
+	// maxUnreportedOrigins bounds the streams that an instance keeps for the holder, while there is none.
+	maxUnreportedOrigins = 1 << 14
 )
 
 // unreportedOrigins are the announced streams of this instance that the holder hasn't been told of.
 type unreportedOrigins struct {
 	mu sync.Mutex
-	// recent are the streams of the last originResendTime, in the order in which they began. The last
-	// unreported of them haven't been reported.
-	recent     []announcedStream
-	unreported int
+	// recent are the streams of the last originResendTime, in the order in which they began, and begun is
+	// the number of all that have begun. The first reported of these have been reported.
+	recent          []announcedStream
+	begun, reported int
 }
 
 type announcedStream struct {
@@ -51,19 +53,20 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.recent = append(u.recent, announcedStream{streamorigin.Entry{Stream: stream, Origin: origin}, now})
-	u.unreported++
+	u.begun++
 	expired := 0
-	for expired < len(u.recent)-u.unreported && now.Sub(u.recent[expired].at) > originResendTime {
+	for expired < len(u.recent)-(u.begun-u.reported) && now.Sub(u.recent[expired].at) > originResendTime {
 		expired++
 	}
-	u.recent = u.recent[expired:]
+	u.recent = u.recent[max(expired, len(u.recent)-maxUnreportedOrigins):]
 }
 
-// next returns the streams to report: all recent ones if the holder is new.
-func (u *unreportedOrigins) next(newHolder bool) []streamorigin.Entry {
+// next returns the streams to report, all recent ones if the holder is new, and the number of those that
+// have begun up to the last of them.
+func (u *unreportedOrigins) next(newHolder bool) ([]streamorigin.Entry, int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	from := len(u.recent) - u.unreported
+	from := max(len(u.recent)-(u.begun-u.reported), 0)
 	if newHolder {
 		from = 0
 	}
@@ -71,21 +74,14 @@
 	for _, s := range u.recent[from:] {
 		out = append(out, s.Entry)
 	}
-	return out
+	return out, u.begun
 }
 
-// reported records that the streams that next returned were reported.
-func (u *unreportedOrigins) reported(streams []streamorigin.Entry) {
+// markReported records that the streams up to that number were reported.
+func (u *unreportedOrigins) markReported(begun int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if len(streams) == 0 {
-		return
-	}
-	for n, s := range u.recent {
-		if s.Stream == streams[len(streams)-1].Stream {
-			u.unreported = min(u.unreported, len(u.recent)-n-1)
-		}
-	}
+	u.reported = max(u.reported, begun)
 }
 
 // originLog keeps the origins of streams on the store, for instances that start after all others were
--- a/internal/placer/originlog_test.go
+++ b/internal/placer/originlog_test.go
@@ -113,20 +113,33 @@
 	assert.Equal(t, int64(1), i.originLog.writes.Count())
 }
 
-// Streams are reported once to each holder, those of the last seconds to a new one again.
+// Streams are reported once to each holder, those of the last seconds to a new one again. A stream that goes on
+// while a report is on its way is announced again.
 func TestStreamsAreReportedToANewHolderAgain(t *testing.T) {
 	var u unreportedOrigins
 	now := time.Unix(1_800_000_000, 0)
 	origin := streamorigin.Origin{Service: "s", Version: "v1"}
+	names := func(newHolder bool) (out []string) {
+		streams, _ := u.next(newHolder)
+		for _, s := range streams {
+			out = append(out, s.Stream)
+		}
+		return out
+	}
 	u.add("a", origin, now)
-	first := u.next(false)
+	_, begun := u.next(false)
 	u.add("b", origin, now.Add(time.Second))
-	assert.Len(t, first, 1)
-	u.reported(first)
-	assert.Equal(t, "b", u.next(false)[0].Stream)
-	assert.Len(t, u.next(true), 2)
-	u.reported(u.next(true))
-	assert.Empty(t, u.next(false))
+	u.add("a", origin, now.Add(time.Second))
+	u.markReported(begun)
+	assert.Equal(t, []string{"b", "a"}, names(false))
+	assert.Equal(t, []string{"a", "b", "a"}, names(true))
+	_, begun = u.next(true)
+	u.markReported(begun)
+	assert.Empty(t, names(false))
 	u.add("c", origin, now.Add(originResendTime+500*time.Millisecond))
-	assert.Len(t, u.next(true), 2, "a is too old")
+	assert.Equal(t, []string{"b", "a", "c"}, names(true), "the first is too old")
+	for n := range 2 * maxUnreportedOrigins {
+		u.add(fmt.Sprint(n), origin, now.Add(originResendTime))
+	}
+	assert.Len(t, names(false), maxUnreportedOrigins)
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -201,11 +201,11 @@
 	if withHistory {
 		report = report.WithHistory(p.collector.history())
 	}
-	origins := p.origins.unreported.next(withHistory)
+	origins, begun := p.origins.unreported.next(withHistory)
 	if p.elector.placing() {
 		epoch, _ := p.elector.canOrder()
 		p.originLog.journal.Add(origins, time.Now())
-		p.origins.unreported.reported(origins)
+		p.origins.unreported.markReported(begun)
 		p.quotas.statesShares.Store(true)
 		p.setPeers(p.holder.receiveReport(p.name, p.address, p.elector.capacity, report))
 		p.historySent.reported(r.Incarnation, epoch, withHistory)
@@ -233,7 +233,7 @@
 	if !reply.Placing {
 		return errNoHolder
 	}
-	p.origins.unreported.reported(origins)
+	p.origins.unreported.markReported(begun)
 	p.elector.holderResponded(r, reply.Tenure.GetEpoch())
 	p.elector.setSuccessors(reply.Successors)
 	p.quotas.statesShares.Store(reply.StatesFallbackShares)
