--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -113,9 +113,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.versionsComplete = v.versionsComplete || r.Complete
-	v.recorded = r.Services
-	v.publish()
-	v.recorded = nil
+	v.publishWith(r.Services)
 }
 
 // resumes reports whether the client takes up a stream that began in an earlier attempt.
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -211,9 +211,8 @@
 	services map[string]*brittleService
 	// standings are those of the listed servers, and of others that still matter.
 	standings map[statsKey]*standing
-	// versionsComplete is as in View. recorded are versions to add to the next view.
+	// versionsComplete is as in View.
 	versionsComplete bool
-	recorded         map[string][]string
 }
 
 type statsKey struct {
@@ -344,7 +343,10 @@
 
 // publish builds and publishes the next view. A request that still reads the previous
 // view can at worst be sent to a server that has just started draining and refuses it.
-func (v *Views) publish() {
+func (v *Views) publish() { v.publishWith(nil) }
+
+// publishWith publishes a view that also has versions that were recorded elsewhere, by service.
+func (v *Views) publishWith(recorded map[string][]string) {
 	view := &View{Manifest: v.manifest, urgencies: v.urgencies, services: map[string][]*backend{}, engines: map[fleet.ServerID]*fleet.Server{}, superseded: make(chan struct{})}
 	counts := map[string]int{}
 	now := time.Now()
@@ -376,7 +378,7 @@
 		}
 	}
 	old := v.current.Load()
-	view.versions, view.versionsComplete, view.knownSince = versionsOf(v.servers, old.versions, v.recorded, now), v.versionsComplete, old.knownSince
+	view.versions, view.versionsComplete, view.knownSince = versionsOf(v.servers, old.versions, recorded, now), v.versionsComplete, old.knownSince
 	if v.servers != nil && view.knownSince.IsZero() {
 		view.knownSince = now
 	}
--- a/internal/httpanswer/httpanswer.go
+++ b/internal/httpanswer/httpanswer.go
@@ -19,6 +19,9 @@
 	ErrCutOff    = errors.New("answer broken off")
 )
 
+// errUnwritten means that a request isn't written to its end although its answer has ended.
+var errUnwritten = errors.New("request not written to its end")
+
 // uploadEndTimeout is how long the end of an answer that ends with its connection is held back until the
 // rest of its request is written. A write to a connection that was reset fails within a round trip.
 const uploadEndTimeout = time.Second
@@ -122,7 +125,7 @@
 	select {
 	case <-ended:
 	case <-timeout.C:
-		return errors.New("request not written to its end")
+		return errUnwritten
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -150,7 +153,7 @@
 		return 0, b.result
 	}
 	n, err := b.ReadCloser.Read(p)
-	if !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
 	b.result = io.EOF
