cli: a second SIGTERM changes nothing

Cause: the second signal of any kind ended the process at once, a convention of terminals. A platform has SIGKILL for that. SIGTERM now begins a graceful shutdown however often it comes; a second SIGINT still ends the process.

--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -13,8 +13,8 @@
 const edgeHelp = `Runs one entry instance on the platform. It reads the routes, services and
 backend servers from the platform's metadata store, and its settings from
 FILE or from the file that the environment variable ` + platform.SettingsVariable + `
-names. The first SIGTERM or SIGINT shuts the instance down gracefully, the
-second terminates it immediately.
+names. SIGTERM or SIGINT shuts the instance down gracefully. A further SIGTERM
+changes nothing; a second SIGINT, or SIGKILL, terminates it immediately.
 
 Example:
   cyclamenhoist edge --print-defaults > edge.jsonc
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -14,8 +14,9 @@
 )
 
 const serveHelp = `Runs one entry instance with the settings in FILE. The file is validated
-completely before any listener opens. The first SIGTERM or SIGINT shuts the
-instance down gracefully, the second terminates it immediately.
+completely before any listener opens. SIGTERM or SIGINT shuts the instance down
+gracefully. A further SIGTERM changes nothing; a second SIGINT, or SIGKILL,
+terminates it immediately.
 
 Example:
   cyclamenhoist serve --print-defaults > settings.jsonc
