--- a/internal/placer/originlog.go
+++ b/internal/placer/originlog.go
@@ -223,14 +223,15 @@
 }
 
 // remember adds the streams of records to those that this instance knows. Of two records that name a
-// stream, the later one counts.
+// stream, the later one counts. The newest are added last: they are kept if there are very many.
 func (l *originLog) remember(records []platform.Record) []streamorigin.Entry {
-	slices.SortFunc(records, func(a, b platform.Record) int { return cmp.Compare(b.Offset, a.Offset) })
+	slices.SortFunc(records, func(a, b platform.Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	if len(records) > 0 {
-		l.newest = records[0].Key
+		l.newest = records[len(records)-1].Key
 	}
 	now := time.Now()
 	var all []streamorigin.Entry
+	added := map[string]bool{}
 	for _, record := range records {
 		entries, err := streamorigin.DecodeSegment(record.Value)
 		if err != nil {
@@ -238,8 +239,9 @@
 			continue
 		}
 		for _, e := range entries {
-			if _, known := l.memory.Get(e.Stream); !known {
+			if _, known := l.memory.Get(e.Stream); !known || added[e.Stream] {
 				l.memory.Put(e.Stream, e.Origin, now)
+				added[e.Stream] = true
 			}
 		}
 		all = append(all, entries...)
--- a/pkg/streamorigin/journal.go
+++ b/pkg/streamorigin/journal.go
@@ -84,10 +84,11 @@
 	mu sync.Mutex
 	// next is the number of the next segment.
 	next int
-	// recent are the streams that were added within TTL, and pending those that aren't written yet.
-	recent  map[string]timedOrigin
-	pending []Entry
-	pruned  time.Time
+	// Streams are added to recent, which becomes older after a TTL, or if there are very many. pending are
+	// those that aren't written yet.
+	recent, older map[string]timedOrigin
+	recentSince   time.Time
+	pending       []Entry
 }
 
 type timedOrigin struct {
@@ -103,20 +104,31 @@
 func (j *Journal) Add(entries []Entry, now time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if now.Sub(j.pruned) > TTL || len(j.recent) >= maxOrigins {
-		maps.DeleteFunc(j.recent, func(_ string, o timedOrigin) bool { return now.Sub(o.at) > TTL })
-		j.pruned = now
-	}
 	for _, e := range entries {
-		known, found := j.recent[e.Stream]
-		if found && known.Origin == e.Origin || len(e.Stream) > maxStreamBytes || len(j.pending) >= maxOrigins || !found && len(j.recent) >= maxOrigins {
+		known, found := j.get(e.Stream)
+		if found && known.Origin == e.Origin || len(e.Stream) > maxStreamBytes || len(j.pending) >= maxOrigins {
 			continue
 		}
-		j.recent[e.Stream] = timedOrigin{e.Origin, now}
+		j.put(e, now)
 		j.pending = append(j.pending, e)
 	}
 }
 
+func (j *Journal) get(stream string) (timedOrigin, bool) {
+	if origin, known := j.recent[stream]; known {
+		return origin, true
+	}
+	origin, known := j.older[stream]
+	return origin, known
+}
+
+func (j *Journal) put(e Entry, now time.Time) {
+	if now.Sub(j.recentSince) > TTL || len(j.recent) >= maxOrigins {
+		j.recent, j.older, j.recentSince = map[string]timedOrigin{}, j.recent, now
+	}
+	j.recent[e.Stream] = timedOrigin{e.Origin, now}
+}
+
 // Continue makes the journal go on after the newest segment that is stored, which has the key; empty if
 // there is none. entries are the streams of all stored segments.
 func (j *Journal) Continue(key string, entries []Entry, now time.Time) {
@@ -126,8 +138,8 @@
 		j.next = (last + 1) % journalSegments
 	}
 	for _, e := range entries {
-		if _, known := j.recent[e.Stream]; !known && len(j.recent) < maxOrigins {
-			j.recent[e.Stream] = timedOrigin{e.Origin, now}
+		if _, known := j.get(e.Stream); !known {
+			j.put(e, now)
 		}
 	}
 }
@@ -137,9 +149,12 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.pending = nil
-	for stream, o := range j.recent {
-		if now.Sub(o.at) <= TTL {
-			j.pending = append(j.pending, Entry{stream, o.Origin})
+	for _, generation := range []map[string]timedOrigin{j.older, j.recent} {
+		for stream, o := range generation {
+			// A stream whose origin has changed is in both.
+			if newest, _ := j.get(stream); newest == o && now.Sub(o.at) <= TTL {
+				j.pending = append(j.pending, Entry{stream, o.Origin})
+			}
 		}
 	}
 }
--- a/pkg/streamorigin/journal_test.go
+++ b/pkg/streamorigin/journal_test.go
@@ -103,6 +103,31 @@
 	assert.Equal(t, 3, segments)
 }
 
+// At the size to design for, 15,000 streams a second can begin: the memory is bounded, and the newest streams are
+// written.
+func TestJournalOfVeryManyStreams(t *testing.T) {
+	j, now := NewJournal(), time.Unix(1_800_000_000, 0)
+	const perStep = 7500
+	for step := range 60 {
+		var entries []Entry
+		for n := range perStep {
+			entries = append(entries, Entry{fmt.Sprint(step, "/", n), Origin{"s", "v"}})
+		}
+		now = now.Add(500 * time.Millisecond)
+		j.Add(entries, now)
+		written := 0
+		for s, due := j.Next(); due; s, due = j.Next() {
+			written += len(s.Entries)
+			j.Written(s)
+		}
+		require.Equal(t, perStep, written)
+	}
+	assert.LessOrEqual(t, len(j.recent)+len(j.older), 2*maxOrigins)
+	j.Rewrite(now)
+	assert.LessOrEqual(t, len(j.pending), 2*maxOrigins)
+	assert.GreaterOrEqual(t, len(j.pending), maxOrigins)
+}
+
 func FuzzDecodeSegment(f *testing.F) {
 	f.Add([]byte(`[{"service":"s","version":"v1","streams":["a","b"]}]`))
 	f.Add([]byte(`{}`))
@@ -118,3 +143,26 @@
 		assert.ElementsMatch(t, entries, back)
 	})
 }
+
+// BenchmarkJournal is a holder's work, and the bytes that it writes, for each stream that begins while its service
+// has several versions.
+func BenchmarkJournal(b *testing.B) {
+	j, now := NewJournal(), time.Unix(1_800_000_000, 0)
+	size := 0
+	for n := range b.N {
+		j.Add([]Entry{{fmt.Sprintf("%016x", n), Origin{"service", fmt.Sprint("v", n%2)}}}, now)
+		if n%maxSegmentStreams != maxSegmentStreams-1 {
+			continue
+		}
+		now = now.Add(100 * time.Millisecond)
+		for s, due := j.Next(); due; s, due = j.Next() {
+			value, err := s.Encode()
+			if err != nil {
+				b.Fatal(err)
+			}
+			size += len(value)
+			j.Written(s)
+		}
+	}
+	b.ReportMetric(float64(size)/float64(b.N), "B/stream")
+}
