--- a/internal/placer/originlog.go
+++ b/internal/placer/originlog.go
@@ -50,6 +50,9 @@
 }
 
 func (u *unreportedOrigins) add(stream string, origin streamorigin.Origin, now time.Time) {
+	if len(stream) > streamorigin.MaxStreamBytes {
+		return // it isn't recorded
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.recent = append(u.recent, announcedStream{streamorigin.Entry{Stream: stream, Origin: origin}, now})
--- a/internal/placer/originlog_test.go
+++ b/internal/placer/originlog_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -142,4 +143,9 @@
 		u.add(fmt.Sprint(n), origin, now.Add(originResendTime))
 	}
 	assert.Len(t, names(false), maxUnreportedOrigins)
+
+	_, begun = u.next(false)
+	u.markReported(begun)
+	u.add(strings.Repeat("x", streamorigin.MaxStreamBytes+1), origin, now)
+	assert.Empty(t, names(false), "clients choose the names")
 }
--- a/pkg/streamorigin/journal.go
+++ b/pkg/streamorigin/journal.go
@@ -16,12 +16,15 @@
 	// journalSegments is the number of segments whose keys differ. Later ones replace earlier ones, so
 	// that the journal doesn't grow. One page of the store has 500 records.
 	journalSegments = 480
-	// maxSegmentStreams is the maximum number of streams in a segment, and maxStreamBytes the length of
-	// the name of a stream above which it isn't recorded. A segment fits into one record of the store.
+	// maxSegmentStreams is the maximum number of streams in a segment, which fits into one record of the
+	// store.
 	maxSegmentStreams = 1000
-	maxStreamBytes    = 128
 )
 
+// MaxStreamBytes is the length of the name of a stream above which it isn't recorded. Clients choose the
+// names.
+const MaxStreamBytes = 128
+
 // Entry is a stream with its origin.
 type Entry struct {
 	Stream string
@@ -106,7 +109,7 @@
 	defer j.mu.Unlock()
 	for _, e := range entries {
 		known, found := j.get(e.Stream)
-		if found && known.Origin == e.Origin || len(e.Stream) > maxStreamBytes || len(j.pending) >= maxOrigins {
+		if found && known.Origin == e.Origin || len(e.Stream) > MaxStreamBytes || len(j.pending) >= maxOrigins {
 			continue
 		}
 		j.put(e, now)
--- a/pkg/streamorigin/journal_test.go
+++ b/pkg/streamorigin/journal_test.go
@@ -86,11 +86,11 @@
 // Names that clients choose don't make a segment larger than a record of the store.
 func TestSegmentsFitIntoARecord(t *testing.T) {
 	j, now := NewJournal(), time.Unix(1_800_000_000, 0)
-	j.Add([]Entry{{strings.Repeat("x", maxStreamBytes+1), Origin{"s", "v"}}}, now)
+	j.Add([]Entry{{strings.Repeat("x", MaxStreamBytes+1), Origin{"s", "v"}}}, now)
 	_, due := j.Next()
 	assert.False(t, due)
 	for n := range 3 * maxSegmentStreams {
-		j.Add([]Entry{{fmt.Sprintf("%0*d", maxStreamBytes, n), Origin{"s", "v"}}}, now)
+		j.Add([]Entry{{fmt.Sprintf("%0*d", MaxStreamBytes, n), Origin{"s", "v"}}}, now)
 	}
 	segments := 0
 	for s, due := j.Next(); due; s, due = j.Next() {
