--- a/internal/placer/compat_test.go
+++ b/internal/placer/compat_test.go
@@ -189,3 +189,43 @@
 	i.mirror.ManifestRead(storemirror.ManifestReading{InForce: 9, Newest: 9, CurrentSince: bootclock.Now(), AtEnd: true})
 	c.eventually("i0 has heard of it", holder.mirror.IsBehind)
 }
+
+// Builds that know neither recorded versions nor recorded streams read the demand and the replies of this one, and
+// get none.
+func TestDemandOfBuildsWithoutRecordedStreams(t *testing.T) {
+	report := &placerpb.DemandReport{
+		Instance: "i0", Address: "10.0.0.1:1", Capacity: 1, LacksVersions: true,
+		Origins: []*placerpb.StreamOrigin{{Stream: "s", Service: summaries, ServerVersion: "v1"}},
+	}
+	reply := &placerpb.DemandReply{
+		Placing: true, Instances: 2, Successors: []string{"i1"}, Versions: []*placerpb.ServiceVersions{{Service: summaries, Versions: []string{"v1"}}},
+	}
+	file := protodesc.ToFileDescriptorProto(placerpb.File_internal_placer_placerpb_placer_proto)
+	for _, message := range file.MessageType {
+		if name := message.GetName(); name == "DemandReport" || name == "DemandReply" {
+			message.Field = slices.DeleteFunc(message.Field, func(f *descriptorpb.FieldDescriptorProto) bool {
+				return slices.Contains([]string{"lacks_versions", "origins", "versions"}, f.GetName())
+			})
+		}
+	}
+	former, err := protodesc.NewFile(file, protoregistry.GlobalFiles)
+	require.NoError(t, err)
+	pass := func(sent, back proto.Message) {
+		data, err := proto.Marshal(sent)
+		require.NoError(t, err)
+		read := dynamicpb.NewMessage(former.Messages().ByName(sent.ProtoReflect().Descriptor().Name()))
+		require.NoError(t, proto.Unmarshal(data, read))
+		read.SetUnknown(nil)
+		data, err = proto.Marshal(read)
+		require.NoError(t, err)
+		require.NoError(t, proto.Unmarshal(data, back))
+	}
+	var backReport placerpb.DemandReport
+	pass(report, &backReport)
+	report.LacksVersions, report.Origins = false, nil
+	assert.True(t, proto.Equal(report, &backReport))
+	var backReply placerpb.DemandReply
+	pass(reply, &backReply)
+	reply.Versions = nil
+	assert.True(t, proto.Equal(reply, &backReply))
+}
