--- a/review/_lab-3/main.go
+++ b/review/_lab-3/main.go
@@ -18,6 +18,7 @@
 }
 
 var cases = map[string]func(*caseRun) (broken bool, err error){
+	"foreign-entry":  foreignEntry,
 	"long-ids":       longIDs,
 	"two-holders":    twoHolders,
 	"unknown-models": unknownModels,
--- a/review/_lab-3/untrusted.go
+++ b/review/_lab-3/untrusted.go
@@ -21,10 +21,12 @@
 	// untrustedConnections are those of untrusted clients at each machine, and untrustedPerSecond the
 	// requests that they send there together.
 	untrustedConnections = 16
-	untrustedPerSecond   = 900
-	untrustedFor         = 95 * time.Second
+	untrustedPerSecond   = 1000
+	untrustedFor         = 100 * time.Second
+	// sentAhead is the number of requests that are sent ahead on one connection.
+	sentAhead = 500
 	// nameBytes is the length of the names that they send. The manifest allows heads of 16 KB.
-	nameBytes = 12 << 10
+	nameBytes = 15 << 10
 	// ordinaryInterval is the interval of the requests of ordinary clients.
 	ordinaryInterval = 100 * time.Millisecond
 	// machinesForFault and endsForFault: the rule is broken if on so many machines processes end so often.
@@ -34,7 +36,7 @@
 
 // unknownModels lets untrusted clients ask for models that don't exist, each request for another one.
 func unknownModels(c *caseRun) (broken bool, err error) {
-	return exhaustMemory(c, func() (id, model string) {
+	return exhaustMemory(c, sendAhead, func() (id, model string) {
 		id = randomID()
 		return id, id + strings.Repeat("x", nameBytes)
 	})
@@ -42,14 +44,18 @@
 
 // longIDs lets untrusted clients ask for a model that is loaded, with long IDs of their attempts.
 func longIDs(c *caseRun) (broken bool, err error) {
-	return exhaustMemory(c, func() (id, model string) { return randomID() + strings.Repeat("x", nameBytes), loadedModel })
+	return exhaustMemory(c, sendAndRead, func() (id, model string) { return randomID() + strings.Repeat("x", nameBytes), loadedModel })
 }
 
 func randomID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
+// sendRequests sends requests on one connection until one fails or ctx ends. It counts those that are sent, and the
+// answers with success if it reads any.
+type sendRequests func(ctx context.Context, conn net.Conn, next func() (id, model string), sent, answered *atomic.Int64)
+
 // exhaustMemory lets untrusted clients send requests of legal size, whose IDs and models next returns, beside
 // those of ordinary clients. The rule is broken if processes of two machines end by themselves three times.
-func exhaustMemory(c *caseRun, next func() (id, model string)) (broken bool, err error) {
+func exhaustMemory(c *caseRun, send sendRequests, next func() (id, model string)) (broken bool, err error) {
 	platform := newPlatform()
 	defer platform.close()
 	var machines []*machine
@@ -79,7 +85,7 @@
 			continue
 		}
 		for range untrustedConnections {
-			clients.Go(func() { sendUntrusted(ctx, m.front, next, &untrusted, &answered) })
+			clients.Go(func() { sendUntrusted(ctx, m.front, send, next, &untrusted, &answered) })
 		}
 	}
 	for ctx.Err() == nil {
@@ -116,46 +122,71 @@
 	return faulty
 }
 
-// sendUntrusted sends requests on one connection, each after the answer to the one before, at an even rate.
-func sendUntrusted(ctx context.Context, address string, next func() (id, model string), sent, answered *atomic.Int64) {
-	pace := time.Second * untrustedConnections / untrustedPerSecond
+// sendUntrusted sends requests on one connection after the other.
+func sendUntrusted(ctx context.Context, address string, send sendRequests, next func() (id, model string), sent, answered *atomic.Int64) {
 	for ctx.Err() == nil {
 		conn, err := net.DialTimeout("tcp", address, time.Second)
 		if err != nil {
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
-		reader := bufio.NewReader(conn)
-		due := time.Now()
-		for ctx.Err() == nil {
-			time.Sleep(time.Until(due))
-			due = due.Add(pace)
-			if late := time.Now().Add(-time.Second); due.Before(late) {
-				due = late
-			}
-			_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
-			id, model := next()
-			if _, err := fmt.Fprintf(conn, "POST /s/x HTTP/1.1\r\nHost: %s\r\nCyclamenhoist-Attempt-Id: %s\r\nCyclamenhoist-Model: %s\r\nCyclamenhoist-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n", host, id, model); err != nil {
-				break
-			}
-			sent.Add(1)
-			resp, err := http.ReadResponse(reader, nil)
-			if err != nil {
-				break
-			}
-			_, err = io.Copy(io.Discard, resp.Body)
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK && err == nil {
-				answered.Add(1)
-			}
-			if resp.Close || err != nil {
-				break
-			}
-		}
+		send(ctx, conn, next, sent, answered)
 		_ = conn.Close()
 	}
 }
 
+// untrustedPace is the interval of the requests on one connection.
+const untrustedPace = time.Second * untrustedConnections / untrustedPerSecond
+
+// writeRequest writes a request without a body.
+func writeRequest(conn net.Conn, id, model string) error {
+	_ = conn.SetWriteDeadline(time.Now().Add(5 * time.Second))
+	_, err := fmt.Fprintf(conn, "POST /s/x HTTP/1.1\r\nHost: %s\r\nCyclamenhoist-Attempt-Id: %s\r\nCyclamenhoist-Model: %s\r\nCyclamenhoist-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n", host, id, model)
+	return err
+}
+
+// sendAhead sends requests ahead, at an even rate, and reads no answers.
+func sendAhead(ctx context.Context, conn net.Conn, next func() (id, model string), sent, _ *atomic.Int64) {
+	for n := 0; n < sentAhead && ctx.Err() == nil; n++ {
+		id, model := next()
+		if writeRequest(conn, id, model) != nil {
+			return
+		}
+		sent.Add(1)
+		time.Sleep(untrustedPace)
+	}
+}
+
+// sendAndRead sends requests at an even rate, each after the answer to the one before.
+func sendAndRead(ctx context.Context, conn net.Conn, next func() (id, model string), sent, answered *atomic.Int64) {
+	reader, due := bufio.NewReader(conn), time.Now()
+	for ctx.Err() == nil {
+		time.Sleep(time.Until(due))
+		due = due.Add(untrustedPace)
+		if late := time.Now().Add(-time.Second); due.Before(late) {
+			due = late
+		}
+		id, model := next()
+		if writeRequest(conn, id, model) != nil {
+			return
+		}
+		sent.Add(1)
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK && err == nil {
+			answered.Add(1)
+		}
+		if resp.Close || err != nil {
+			return
+		}
+	}
+}
+
 // ordinaryClient sends requests for a model that is loaded, and counts those that are served.
 func ordinaryClient(ctx context.Context, r *record, m *machine, served, unserved *atomic.Int64) {
 	client := &http.Client{Timeout: 5 * time.Second}
