--- a/review/_lab-3/instances.go
+++ b/review/_lab-3/instances.go
@@ -98,9 +98,46 @@
 		return nil, err
 	}
 	m.output, err = os.Create(filepath.Join(dir, name+".log"))
+	startedMachines.add(m)
 	return m, err
 }
 
+// machineList is a list of machines. It is safe for concurrent use.
+type machineList struct {
+	mu   sync.Mutex
+	list []*machine
+}
+
+// startedMachines are all machines of this run, whose processes end with it.
+var startedMachines machineList
+
+func (l *machineList) add(m *machine) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list = append(l.list, m)
+}
+
+func (l *machineList) stopAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, m := range l.list {
+		m.stop()
+	}
+}
+
+// errEnded means that a process ended by itself in a case that isn't about that.
+var errEnded = errors.New("a process ended by itself")
+
+// checkRunning returns an error if a process of the machines has ended by itself.
+func checkRunning(machines []*machine) error {
+	for _, m := range machines {
+		if ends, _, _ := m.counts(); ends > 0 {
+			return fmt.Errorf("%w: %s", errEnded, m.name)
+		}
+	}
+	return nil
+}
+
 // start starts the process with the command of the deploy file.
 func (m *machine) start() error {
 	command := exec.Command("target/cyclamenhoist", "edge")
--- a/review/_lab-3/main.go
+++ b/review/_lab-3/main.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // caseRun is one run of a case.
@@ -43,6 +45,15 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
+	defer startedMachines.stopAll()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		startedMachines.stopAll()
+		_ = os.RemoveAll(dir)
+		os.Exit(2)
+	}()
 	broken, err := cases[os.Args[1]](&caseRun{dir: dir, record: r, trouble: os.Getenv("TROUBLE") != "0"})
 	switch {
 	case err != nil:
--- a/review/_lab-3/untrusted.go
+++ b/review/_lab-3/untrusted.go
@@ -181,18 +181,21 @@
 }
 
 func ordinaryRequest(client *http.Client, address, id, model string) (int, error) {
-	return routeRequest(client, address, "/s/", id, model)
+	return routeRequest(client, address, "/s/", id, model, 5*time.Second)
 }
 
-func routeRequest(client *http.Client, address, path, id, model string) (int, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+address+path+id, strings.NewReader("x"))
+// routeRequest sends a request that the client waits for at most that long.
+func routeRequest(client *http.Client, address, path, id, model string, within time.Duration) (int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path+id, strings.NewReader("x"))
 	if err != nil {
 		return 0, err
 	}
 	req.Host = host
 	req.Header.Set(standin.HeaderID, id)
 	req.Header.Set(standin.HeaderModel, model)
-	req.Header.Set(standin.HeaderDeadline, "5000")
+	req.Header.Set(standin.HeaderDeadline, fmt.Sprint(max(within.Milliseconds(), 1)))
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0, err
