--- a/review/_lab-3/twoholders.go
+++ b/review/_lab-3/twoholders.go
@@ -94,6 +94,9 @@
 	}
 	cancel()
 	clients.Wait()
+	if err := checkRunning(machines); err != nil {
+		return false, err
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	orders := 0
