--- a/review/_lab-3/oddname.go
+++ b/review/_lab-3/oddname.go
@@ -110,8 +110,13 @@
 	all.Wait()
 	firstShare, addedShare := first.share(), added.share()
 	c.record.say("first route: %d served, %d not; added route: %d served, %d not", first.served.Load(), first.unserved.Load(), added.served.Load(), added.unserved.Load())
-	judged := added.served.Load() + added.unserved.Load()
-	return judged >= minJudged && addedShare < servedShare*firstShare, nil
+	if err := checkRunning(append(zones["zone-a"], zones["zone-b"]...)); err != nil {
+		return false, err
+	}
+	if judged := added.served.Load() + added.unserved.Load(); judged < minJudged {
+		return false, fmt.Errorf("only %d requests to judge", judged)
+	}
+	return addedShare < servedShare*firstShare, nil
 }
 
 func (r *routeClients) share() float64 {
@@ -119,15 +124,20 @@
 	return served / max(served+float64(r.unserved.Load()), 1)
 }
 
+// timeLimit is the time limit of a client, for both of its attempts.
+const timeLimit = 5 * time.Second
+
 // run sends requests one after the other. A request that fails is tried once more at another machine of the zone,
-// within its time limit.
+// on a new channel and within the client's time limit.
 func (r *routeClients) run(ctx context.Context, rec *record, machines []*machine) {
-	client := &http.Client{Timeout: 5 * time.Second}
+	kept := &http.Client{}
+	again := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	for n := 0; ctx.Err() == nil; n++ {
-		for try := range 2 {
+		until := time.Now().Add(timeLimit)
+		for try, client := range []*http.Client{kept, again} {
 			m := machines[(n+try)%len(machines)]
 			id := randomID()
-			status, err := routeRequest(client, m.front, r.path, id, r.model)
+			status, err := routeRequest(client, m.front, r.path, id, r.model, time.Until(until))
 			rec.line("%s: request %s on %s for %s: status %d, %v", m.name, id, r.path, r.model, status, err)
 			if ctx.Err() != nil {
 				return
