--- a/review/_lab-3/crashagain.go
+++ b/review/_lab-3/crashagain.go
@@ -28,10 +28,10 @@
 	expiresAfter = 3600 * time.Millisecond
 	// badInterval is the interval at which the request comes that crashes servers.
 	badInterval = 5 * time.Second
-	// powerLosses is how often all machines lose power, powerEvery the time from one to the next.
-	powerLosses = 2
-	powerEvery  = 24 * time.Second
-	firstPhase  = 28 * time.Second
+	// kills is how often the processes of all machines are killed, killEvery the time from one to the next.
+	kills      = 2
+	killEvery  = 24 * time.Second
+	firstPhase = 28 * time.Second
 	// lateRetriesAllowed are those that the rule allows.
 	lateRetriesAllowed = 3
 	badPath            = "/s/bad"
@@ -141,8 +141,8 @@
 	})
 }
 
-// crashAgain lets a request come again and again that crashes each server that runs it, and all machines lose
-// power. The rule is broken if the request reaches servers more than three times, sent by machines in touch
+// crashAgain lets a request come again and again that crashes each server that runs it, and the processes of
+// all machines are killed. The rule is broken if the request reaches servers more than three times, sent by machines in touch
 // later than contactMs after the third crash.
 func crashAgain(c *caseRun) (broken bool, err error) {
 	store := standin.NewStore()
@@ -191,7 +191,7 @@
 	}
 	var calmSince []time.Time // when all machines were back, in order
 	calmSince = append(calmSince, time.Now())
-	var lost []time.Time
+	var killed []time.Time
 	bad := func(until time.Time) {
 		for n := 0; time.Now().Add(badInterval).Before(until); n++ {
 			time.Sleep(badInterval)
@@ -203,10 +203,10 @@
 		time.Sleep(time.Until(until))
 	}
 	bad(time.Now().Add(firstPhase))
-	for range powerLosses {
+	for range kills {
 		if c.trouble {
-			lost = append(lost, time.Now())
-			c.record.line("all machines lose power")
+			killed = append(killed, time.Now())
+			c.record.line("the processes of all machines are killed")
 			for _, m := range machines {
 				if err := m.signal(syscall.SIGKILL); err != nil {
 					return false, err
@@ -220,20 +220,23 @@
 			}
 			calmSince = append(calmSince, time.Now())
 		}
-		bad(time.Now().Add(powerEvery))
+		bad(time.Now().Add(killEvery))
 	}
 	cancel()
 	clients.Wait()
 	group.mu.Lock()
 	defer group.mu.Unlock()
+	if len(group.crashes) < 3 {
+		return false, fmt.Errorf("only %d crashes", len(group.crashes))
+	}
 	late := 0
 	for _, at := range group.arrivals {
-		if len(group.crashes) < 3 || at.Before(group.crashes[2].Add(contact)) {
+		if at.Before(group.crashes[2].Add(contact)) {
 			continue
 		}
 		inTouch := false
 		for i, since := range calmSince {
-			inTouch = inTouch || at.After(since.Add(contact)) && (i >= len(lost) || at.Before(lost[i]))
+			inTouch = inTouch || at.After(since.Add(contact)) && (i >= len(killed) || at.Before(killed[i]))
 		}
 		if inTouch {
 			late++
