--- a/review/_lab-3/instances.go
+++ b/review/_lab-3/instances.go
@@ -51,10 +51,16 @@
 // firstPort and lastPort bound the ports of the machines. Ports of outgoing connections begin above them.
 const firstPort, lastPort = 18000, 31999
 
-// freeAddress returns a loopback address that nothing listens on.
+// takenPorts are those that this run has given out, also to processes that don't listen yet.
+var takenPorts sync.Map
+
+// freeAddress returns a loopback address that nothing listens on, and another one each time.
 func freeAddress() (string, error) {
 	for range 100 {
 		address := fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(lastPort-firstPort+1))
+		if _, taken := takenPorts.LoadOrStore(address, true); taken {
+			continue
+		}
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
