placer: logs say which view a claim, a renewal and an order came from

tenure_appended and tenure_append_failed now say what was sent and the view that it was decided from, order_given how long before the lease was renewed, and ordering_changed when an instance begins and ceases to order.

No behaviour changes. go test ./internal/placer ./pkg/leaderlease passes.

--- a/internal/placer/elector.go
+++ b/internal/placer/elector.go
@@ -112,6 +112,7 @@
 		successor := e.handover
 		handover := e.state.IsHolder() && successor != ""
 		e.handover = ""
+		decided := e.viewLocked()
 		e.mu.Unlock()
 		if cut {
 			e.log.Warn().Msg("tenure_released_unreachable_servers")
@@ -120,13 +121,13 @@
 		}
 		if handover {
 			e.log.Info().Str("successor", successor).Float64("capacity", e.capacity).Msg("tenure_handed_over")
-			if err := e.append(ctx, leaderlease.Record{Released: true, Successor: successor}); err != nil {
+			if err := e.append(ctx, leaderlease.Record{Released: true, Successor: successor}, decided); err != nil {
 				pause.Until(stop, e.changed, appendRetryInterval)
 			}
 			continue
 		}
 		if due {
-			if err := e.append(ctx, leaderlease.Record{}); err != nil {
+			if err := e.append(ctx, leaderlease.Record{}, decided); err != nil {
 				pause.Until(stop, e.changed, appendRetryInterval)
 			}
 			continue
@@ -140,12 +141,29 @@
 // so this instance continues to place models until the release succeeds.
 func (e *elector) release(ctx context.Context) {
 	for e.isHolder() && ctx.Err() == nil {
-		if err := e.append(ctx, leaderlease.Record{Released: true}); err != nil {
+		if err := e.append(ctx, leaderlease.Record{Released: true}, e.view()); err != nil {
 			pause.For(ctx, appendRetryInterval)
 		}
 	}
 }
 
+// leaseView is what an append was decided from: the holder, and for how long nothing was known of it.
+type leaseView struct {
+	holder string
+	silent time.Duration
+}
+
+func (e *elector) view() leaseView {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.viewLocked()
+}
+
+func (e *elector) viewLocked() leaseView {
+	r, _, _ := e.state.Holder()
+	return leaseView{holder: r.Holder, silent: e.state.Silent(bootclock.Now())}
+}
+
 func (e *elector) observe(b platform.Batch) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -224,16 +242,22 @@
 // errOtherHistory means that the store has come back from an older copy since the lease was read.
 var errOtherHistory = errors.New("the store has another history")
 
-// append claims or renews the lease, or releases it as the record says. If the result of an
+// append claims or renews the lease, or releases it as the record says, which was decided from a view. If the result of an
 // append is lost, the next read resolves it: a repeated append is conditional on the same end of
 // the log.
-func (e *elector) append(ctx context.Context, release leaderlease.Record) error {
+func (e *elector) append(ctx context.Context, release leaderlease.Record, decided leaseView) error {
 	if err := e.limiter.Wait(ctx); err != nil {
 		return errors.Wrap(err, "wait for the append limit")
 	}
 	e.mu.Lock()
 	at, r := e.state.Propose(release)
+	renewal := e.state.IsHolder()
 	e.mu.Unlock()
+	describe := func(entry *log.Entry, appended platform.Appended, started time.Duration) *log.Entry {
+		return entry.Bool("renewal", renewal).Bool("released", r.Released).Str("successor", r.Successor).Int64("epoch", r.Epoch).
+			Str("decided_holder", decided.holder).Dur("decided_silent", decided.silent).Int64("at", at).
+			Dur("took", bootclock.Now()-started).Int64("end", appended.End).Int64("era", appended.Era)
+	}
 	value, err := json.Marshal(r)
 	if err != nil {
 		return errors.Wrap(err, "encode lease record")
@@ -243,7 +267,7 @@
 	appended, err := e.store.AppendAt(ctx, platform.TopicLease, leaseKey, at, value)
 	if err != nil {
 		e.failedAppends.Inc(1)
-		e.log.Info().Err(err).Int64("at", at).Int64("end", appended.End).Int64("era", appended.Era).Msg("tenure_append_failed")
+		describe(e.log.Info().Err(err), appended, started).Msg("tenure_append_failed")
 		e.doubtHistory(appended, at)
 		signal(e.readNow)
 		return err
@@ -256,8 +280,7 @@
 	e.mu.Lock()
 	before := e.state.Epoch()
 	e.state.Appended(appended.Offset, r, started, bootclock.Now())
-	e.log.Debug().Int64("offset", appended.Offset).Int64("era", appended.Era).Int64("epoch", e.state.Epoch()).Bool("released", r.Released).
-		Bool("self", e.state.IsHolder()).Msg("tenure_appended")
+	describe(e.log.Debug(), appended, started).Bool("self", e.state.IsHolder()).Msg("tenure_appended")
 	e.logChange(before)
 	e.mu.Unlock()
 	if r.Released {
--- a/internal/placer/history_test.go
+++ b/internal/placer/history_test.go
@@ -88,7 +88,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), i.elector.state.LeaseDuration())
 	defer cancel()
 	accepted := 0
-	for i.elector.append(ctx, leaderlease.Record{}) == nil {
+	for i.elector.append(ctx, leaderlease.Record{}, leaseView{}) == nil {
 		accepted++
 	}
 	assert.LessOrEqual(t, accepted, appendsPerLease+appendBurst)
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -88,9 +88,15 @@
 
 // run reconciles until ctx ends, while this instance is allowed to send orders.
 func (h *holder) run(ctx context.Context) {
+	ordering := false
 	for ctx.Err() == nil {
 		pause.Until(ctx, h.wake, idlePlanInterval)
-		if epoch, allowed := h.elector.canOrder(); allowed {
+		epoch, allowed := h.elector.canOrder()
+		if allowed != ordering {
+			ordering = allowed
+			h.log.Info().Bool("allowed", allowed).Int64("epoch", epoch).Dur("renewed_ago", h.elector.renewalAge()).Msg("ordering_changed")
+		}
+		if allowed {
 			h.reconcile(ctx, epoch)
 			pause.For(ctx, planInterval)
 		}
@@ -361,7 +367,7 @@
 	if !errors.Is(err, platform.ErrOrderBusy) {
 		h.log.Info().Str("server", string(order.Server.ID)).Str("order", a.Kind.String()).Str("model", a.Model).
 			Str("adapter", a.Adapter).Str("for", a.EvictedFor).Bool("from_store", a.FromStore).Dur("takes", a.Duration).
-			Int64("expect", order.Expect).Int64("epoch", order.Epoch).Err(err).Msg("order_given")
+			Int64("expect", order.Expect).Int64("epoch", order.Epoch).Dur("renewed_ago", h.elector.renewalAge()).Err(err).Msg("order_given")
 	}
 	return err
 }
--- a/pkg/leaderlease/leaderlease.go
+++ b/pkg/leaderlease/leaderlease.go
@@ -292,6 +292,9 @@
 // Renewed returns when this instance last claimed or renewed the lease.
 func (s *State) Renewed() time.Duration { return s.renewed }
 
+// Silent returns for how long nothing was known of the holder.
+func (s *State) Silent(now time.Duration) time.Duration { return now - s.lastContact }
+
 // End returns the offset at which the next record must be appended.
 func (s *State) End() int64 { return s.end }
 
