--- a/internal/placer/elector.go
+++ b/internal/placer/elector.go
@@ -39,11 +39,19 @@
 	appendBurst     = 4
 )
 
+// leaseLog is the store, as far as the lease needs it.
+type leaseLog interface {
+	AppendAt(ctx context.Context, topic, key string, at int64, value []byte) (platform.Appended, error)
+	Follow(ctx context.Context, topic string, f platform.Follower)
+}
+
 // elector claims, renews and releases the lease.
 type elector struct {
-	store *platform.Store
+	store leaseLog
 	log   *log.Logger
-	self  leaderlease.Record
+	// now returns the time on a clock that includes suspensions of the machine.
+	now  func() time.Duration
+	self leaderlease.Record
 	// known reports whether this instance knows the servers, and reaches whether it reaches them.
 	// Otherwise another instance should hold the lease.
 	known, reaches func() bool
@@ -80,12 +88,12 @@
 	changed   chan struct{}
 }
 
-func newElector(store *platform.Store, logger *log.Logger, registry metrics.Registry, cfg leaderlease.Config, capacity float64, known, reaches func() bool) *elector {
+func newElector(store leaseLog, logger *log.Logger, registry metrics.Registry, cfg leaderlease.Config, capacity float64, known, reaches func() bool) *elector {
 	return &elector{
 		limiter: rate.NewLimiter(rate.Every(cfg.LeaseDuration/appendsPerLease), appendBurst),
 		appends: metrics.NewRegisteredCounter("lease_appends", registry), failedAppends: metrics.NewRegisteredCounter("lease_appends_failed", registry),
 		histories: metrics.NewRegisteredCounter("lease_histories", registry),
-		store:     store, log: logger, self: cfg.Self, known: known, reaches: reaches, capacity: capacity, released: func() {}, nothingRanBefore: func() {},
+		store:     store, log: logger, now: bootclock.Now, self: cfg.Self, known: known, reaches: reaches, capacity: capacity, released: func() {}, nothingRanBefore: func() {},
 		state: leaderlease.New(cfg), changed: make(chan struct{}, 1), readNow: make(chan struct{}, 1), interrupt: make(chan struct{}, 1),
 	}
 }
@@ -104,7 +112,7 @@
 		e.mu.Lock()
 		wait := time.Second
 		if e.read {
-			wait = e.state.NextAppend(leaderlease.ClaimDelay(e.self.Holder, e.capacity, e.successors, random)) - bootclock.Now()
+			wait = e.state.NextAppend(leaderlease.ClaimDelay(e.self.Holder, e.capacity, e.successors, random)) - e.now()
 		}
 		reaches := e.reaches()
 		due := e.read && wait <= 0 && reaches && (e.state.IsHolder() || e.known())
@@ -161,13 +169,13 @@
 
 func (e *elector) viewLocked() leaseView {
 	r, _, _ := e.state.Holder()
-	return leaseView{holder: r.Holder, silent: e.state.Silent(bootclock.Now())}
+	return leaseView{holder: r.Holder, silent: e.state.Silent(e.now())}
 }
 
 func (e *elector) observe(b platform.Batch) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := bootclock.Now()
+	now := e.now()
 	before := e.state.Epoch()
 	if b.Complete {
 		e.observeHistory(b, now)
@@ -217,7 +225,7 @@
 	if (answer.Era == known || answer.Era == 0) && (answer.End == 0 || answer.End >= at) {
 		return false
 	}
-	e.doubtedAt = bootclock.Now()
+	e.doubtedAt = e.now()
 	signal(e.interrupt)
 	signal(e.readNow)
 	return true
@@ -256,13 +264,13 @@
 	describe := func(entry *log.Entry, appended platform.Appended, started time.Duration) *log.Entry {
 		return entry.Bool("renewal", renewal).Bool("released", r.Released).Str("successor", r.Successor).Int64("epoch", r.Epoch).
 			Str("decided_holder", decided.holder).Dur("decided_silent", decided.silent).Int64("at", at).
-			Dur("took", bootclock.Now()-started).Int64("end", appended.End).Int64("era", appended.Era)
+			Dur("took", e.now()-started).Int64("end", appended.End).Int64("era", appended.Era)
 	}
 	value, err := json.Marshal(r)
 	if err != nil {
 		return errors.Wrap(err, "encode lease record")
 	}
-	started := bootclock.Now()
+	started := e.now()
 	e.appends.Inc(1)
 	appended, err := e.store.AppendAt(ctx, platform.TopicLease, leaseKey, at, value)
 	if err != nil {
@@ -279,7 +287,7 @@
 	}
 	e.mu.Lock()
 	before := e.state.Epoch()
-	e.state.Appended(appended.Offset, r, started, bootclock.Now())
+	e.state.Appended(appended.Offset, r, started, e.now())
 	describe(e.log.Debug(), appended, started).Bool("self", e.state.IsHolder()).Msg("tenure_appended")
 	e.logChange(before)
 	e.mu.Unlock()
@@ -330,7 +338,7 @@
 func (e *elector) holderResponded(r leaderlease.Record, epoch int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.lastContact = bootclock.Now()
+	e.lastContact = e.now()
 	e.state.ObservePeer(r, epoch)
 	if holder, _, _ := e.state.Holder(); holder.Incarnation == r.Incarnation {
 		e.state.HolderResponded(epoch, e.lastContact)
@@ -354,7 +362,7 @@
 func (e *elector) renewalAge() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return bootclock.Now() - e.state.Renewed()
+	return e.now() - e.state.Renewed()
 }
 
 // suspectHolder triggers a read of the lease, because the holder doesn't respond or no longer
@@ -369,7 +377,7 @@
 func (e *elector) readInterval() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := bootclock.Now()
+	now := e.now()
 	switch {
 	case e.state.IsHolder() && now-e.state.Renewed() < e.state.LeaseDuration():
 		// The condition of the next renewal shows whether another instance has claimed the lease.
@@ -391,7 +399,7 @@
 	if !e.confirmed {
 		return 0
 	}
-	return e.lastContact + holderHealthyFor - bootclock.Now()
+	return e.lastContact + holderHealthyFor - e.now()
 }
 
 // receiveLease records the lease as known to a peer.
@@ -437,7 +445,7 @@
 func (e *elector) canOrder() (int64, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.state.Epoch(), e.doubtedAt == 0 && e.state.CanOrder(bootclock.Now())
+	return e.state.Epoch(), e.doubtedAt == 0 && e.state.CanOrder(e.now())
 }
 
 func signal(c chan struct{}) {
