placer: a claim is proposed from the view that it was decided from

Cause: runElection decided that a claim was due, then append waited for the limit of appends, up to half a second once the outage had used up its burst, and only then made the record. If another instance's claim was read in between, the condition of the append was that of the newer view, in which the claim wasn't due, and the store accepted it. A release that waited was written over another holder's record in the same way.

Propose now says whether the record is due, and makes it from the same state. The limit is asked before: what has to wait is decided anew. If the log grows after that, the condition of the append fails.

--- a/internal/placer/elector.go
+++ b/internal/placer/elector.go
@@ -33,6 +33,8 @@
 	holderHealthyFor = 3 * time.Second
 	// appendRetryInterval is the delay before a failed append is retried.
 	appendRetryInterval = 300 * time.Millisecond
+	// minElectionWait is the minimum delay between two decisions about the lease without a change.
+	minElectionWait = appendRetryInterval / 3
 	// appendsPerLease and appendBurst limit the appends of an instance, whatever it takes its state for: a
 	// holder renews three times in a lease duration, and all instances share the store's limit of calls.
 	appendsPerLease = 6
@@ -109,67 +111,99 @@
 	})
 	random := rand.Float64()
 	for stop.Err() == nil && ctx.Err() == nil {
-		e.mu.Lock()
-		wait := time.Second
-		if e.read {
-			wait = e.state.NextAppend(leaderlease.ClaimDelay(e.self.Holder, e.capacity, e.successors, random)) - e.now()
-		}
-		reaches := e.reaches()
-		due := e.read && wait <= 0 && reaches && (e.state.IsHolder() || e.known())
-		cut := e.state.IsHolder() && !reaches
-		successor := e.handover
-		handover := e.state.IsHolder() && successor != ""
-		e.handover = ""
-		decided := e.viewLocked()
-		e.mu.Unlock()
-		if cut {
+		if e.isHolder() && !e.reaches() {
 			e.log.Warn().Msg("tenure_released_unreachable_servers")
 			e.release(stop)
 			continue
 		}
-		if handover {
-			e.log.Info().Str("successor", successor).Float64("capacity", e.capacity).Msg("tenure_handed_over")
-			if err := e.append(ctx, leaderlease.Record{Released: true, Successor: successor}, decided); err != nil {
-				pause.Until(stop, e.changed, appendRetryInterval)
-			}
+		p, wait := e.next(random)
+		if p == nil {
+			pause.Until(stop, e.changed, max(wait, minElectionWait))
 			continue
 		}
-		if due {
-			if err := e.append(ctx, leaderlease.Record{}, decided); err != nil {
-				pause.Until(stop, e.changed, appendRetryInterval)
-			}
-			continue
+		if err := e.append(ctx, p); err != nil {
+			pause.Until(stop, e.changed, appendRetryInterval)
 		}
-		pause.Until(stop, e.changed, max(wait, appendRetryInterval/3))
 	}
 	e.release(ctx)
 }
 
-// release releases the lease. During an outage of the store no other instance can take over,
-// so this instance continues to place models until the release succeeds.
-func (e *elector) release(ctx context.Context) {
-	for e.isHolder() && ctx.Err() == nil {
-		if err := e.append(ctx, leaderlease.Record{Released: true}, e.view()); err != nil {
-			pause.For(ctx, appendRetryInterval)
-		}
-	}
-}
+// proposal is a record to append, and the view of the lease that it was decided from: the holder, and for how
+// long nothing was known of it.
+type proposal struct {
+	leaderlease.Proposal
 
-// leaseView is what an append was decided from: the holder, and for how long nothing was known of it.
-type leaseView struct {
 	holder string
 	silent time.Duration
 }
 
-func (e *elector) view() leaseView {
+// describe adds the proposal and the store's answer to a log entry.
+func (p *proposal) describe(entry *log.Entry, answer platform.Appended, took time.Duration) *log.Entry {
+	return entry.Bool("renewal", p.Renewal).Bool("released", p.Record.Released).Str("successor", p.Record.Successor).Int64("epoch", p.Record.Epoch).
+		Str("decided_holder", p.holder).Dur("decided_silent", p.silent).Int64("at", p.At).
+		Dur("took", took).Int64("end", answer.End).Int64("era", answer.Era)
+}
+
+// next returns the record that is due, or nil and when to ask again. The record must be appended at once: any
+// wait comes before it is decided, so that the decision, the record and the condition of its append are of the
+// same view of the lease.
+func (e *elector) next(random float64) (*proposal, time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.viewLocked()
+	if !e.read {
+		return nil, time.Second
+	}
+	if !e.state.IsHolder() {
+		e.handover = ""
+	}
+	if e.handover != "" {
+		p, wait := e.propose(e.state.ProposeRelease(e.handover))
+		if p != nil {
+			e.log.Info().Str("successor", e.handover).Float64("capacity", e.capacity).Msg("tenure_handed_over")
+			e.handover = ""
+		}
+		return p, wait
+	}
+	delay := leaderlease.ClaimDelay(e.self.Holder, e.capacity, e.successors, random)
+	if wait := e.state.NextAppend(delay) - e.now(); wait > 0 {
+		return nil, wait
+	}
+	if !e.reaches() || !e.state.IsHolder() && !e.known() {
+		return nil, 0
+	}
+	return e.propose(e.state.Propose(delay, e.now()))
 }
 
-func (e *elector) viewLocked() leaseView {
+// propose admits a proposal that is due, or returns nil and when the limit of appends may admit one. The caller
+// must hold the lock.
+func (e *elector) propose(p leaderlease.Proposal, due bool) (*proposal, time.Duration) {
+	if !due {
+		return nil, 0
+	}
+	admission := e.limiter.Reserve()
+	if wait := admission.Delay(); wait > 0 {
+		admission.Cancel()
+		return nil, wait
+	}
 	r, _, _ := e.state.Holder()
-	return leaseView{holder: r.Holder, silent: e.state.Silent(e.now())}
+	return &proposal{Proposal: p, holder: r.Holder, silent: e.state.Silent(e.now())}, 0
+}
+
+// release releases the lease. During an outage of the store no other instance can take over,
+// so this instance continues to place models until the release succeeds.
+func (e *elector) release(ctx context.Context) {
+	for e.isHolder() && ctx.Err() == nil {
+		e.mu.Lock()
+		p, wait := e.propose(e.state.ProposeRelease(""))
+		e.mu.Unlock()
+		if p == nil {
+			pause.For(ctx, max(wait, minElectionWait))
+			continue
+		}
+		if err := e.append(ctx, p); err != nil {
+			pause.For(ctx, appendRetryInterval)
+		}
+	}
 }
 
 func (e *elector) observe(b platform.Batch) {
@@ -250,48 +284,36 @@
 // errOtherHistory means that the store has come back from an older copy since the lease was read.
 var errOtherHistory = errors.New("the store has another history")
 
-// append claims or renews the lease, or releases it as the record says, which was decided from a view. If the result of an
-// append is lost, the next read resolves it: a repeated append is conditional on the same end of
-// the log.
-func (e *elector) append(ctx context.Context, release leaderlease.Record, decided leaseView) error {
-	if err := e.limiter.Wait(ctx); err != nil {
-		return errors.Wrap(err, "wait for the append limit")
-	}
-	e.mu.Lock()
-	at, r := e.state.Propose(release)
-	renewal := e.state.IsHolder()
-	e.mu.Unlock()
-	describe := func(entry *log.Entry, appended platform.Appended, started time.Duration) *log.Entry {
-		return entry.Bool("renewal", renewal).Bool("released", r.Released).Str("successor", r.Successor).Int64("epoch", r.Epoch).
-			Str("decided_holder", decided.holder).Dur("decided_silent", decided.silent).Int64("at", at).
-			Dur("took", e.now()-started).Int64("end", appended.End).Int64("era", appended.Era)
-	}
-	value, err := json.Marshal(r)
+// append appends a record to the lease. If the result is lost, the next read resolves it: a repeated append is
+// conditional on the same end of the log.
+func (e *elector) append(ctx context.Context, p *proposal) error {
+	value, err := json.Marshal(p.Record)
 	if err != nil {
 		return errors.Wrap(err, "encode lease record")
 	}
 	started := e.now()
 	e.appends.Inc(1)
-	appended, err := e.store.AppendAt(ctx, platform.TopicLease, leaseKey, at, value)
+	appended, err := e.store.AppendAt(ctx, platform.TopicLease, leaseKey, p.At, value)
+	now := e.now()
 	if err != nil {
 		e.failedAppends.Inc(1)
-		describe(e.log.Info().Err(err), appended, started).Msg("tenure_append_failed")
-		e.doubtHistory(appended, at)
+		p.describe(e.log.Info().Err(err), appended, now-started).Msg("tenure_append_failed")
+		e.doubtHistory(appended, p.At)
 		signal(e.readNow)
 		return err
 	}
-	if e.doubtHistory(appended, at) {
+	if e.doubtHistory(appended, p.At) {
 		// The record was based on another history, in which it claims nothing.
-		e.log.Warn().Int64("offset", appended.Offset).Int64("era", appended.Era).Int64("epoch", r.Epoch).Msg("tenure_appended_to_other_history")
+		e.log.Warn().Int64("offset", appended.Offset).Int64("era", appended.Era).Int64("epoch", p.Record.Epoch).Msg("tenure_appended_to_other_history")
 		return errOtherHistory
 	}
 	e.mu.Lock()
 	before := e.state.Epoch()
-	e.state.Appended(appended.Offset, r, started, e.now())
-	describe(e.log.Debug(), appended, started).Bool("self", e.state.IsHolder()).Msg("tenure_appended")
+	e.state.Appended(appended.Offset, p.Record, started, now)
+	p.describe(e.log.Debug(), appended, now-started).Bool("self", e.state.IsHolder()).Msg("tenure_appended")
 	e.logChange(before)
 	e.mu.Unlock()
-	if r.Released {
+	if p.Record.Released {
 		signal(e.readNow)
 		e.released()
 	}
--- a/pkg/leaderlease/leaderlease.go
+++ b/pkg/leaderlease/leaderlease.go
@@ -17,6 +17,8 @@
 //   - In a new history the lease is claimed anew. Only the holder may do so at once, and only while its
 //     lease runs: nobody else can have claimed it meanwhile. The others wait for a whole lease duration,
 //     in which a holder of the former history that doesn't know of the new one ceases to order.
+//   - A record is proposed from the same state in which it was found to be due. If the log grows before it is
+//     appended, its condition fails, and it is judged anew.
 //   - A holder that has read a later record of another instance sends no more orders. What it is told of
 //     its own lease never counts.
 //
@@ -224,15 +226,38 @@
 	s.advance(offset+1, now)
 }
 
-// Propose returns the record with which to claim or renew the lease, or to release it as release says,
-// and the offset at which it must be appended.
-func (s *State) Propose(release Record) (at int64, r Record) {
-	r = s.cfg.Self
-	r.Released, r.Successor, r.Era, r.Epoch = release.Released, release.Successor, s.era, s.epoch
+// Proposal is a record to append, decided and made from one state of the log as it was read.
+type Proposal struct {
+	// At is the offset at which the record must be appended. If the log has grown since, it doesn't end there.
+	At     int64
+	Record Record
+	// Renewal means that the record renews the lease of its holder. Otherwise it claims or releases it.
+	Renewal bool
+}
+
+// Propose returns the record with which to claim or renew the lease, and whether that is due. A record that
+// isn't due must not be appended. claimDelay is this instance's ClaimDelay.
+func (s *State) Propose(claimDelay, now time.Duration) (p Proposal, due bool) {
+	p = s.proposal()
+	p.Renewal = s.IsHolder()
+	return p, s.initialized && now >= s.NextAppend(claimDelay)
+}
+
+// ProposeRelease returns the record with which to release the lease, to the successor unless it is empty, and
+// whether there is a lease to release.
+func (s *State) ProposeRelease(successor string) (p Proposal, due bool) {
+	p = s.proposal()
+	p.Record.Released, p.Record.Successor = true, successor
+	return p, s.IsHolder()
+}
+
+func (s *State) proposal() Proposal {
+	r := s.cfg.Self
+	r.Era, r.Epoch = s.era, s.epoch
 	if !s.IsHolder() {
 		r.Epoch = s.nextEpoch()
 	}
-	return s.end, r
+	return Proposal{At: s.end, Record: r}
 }
 
 // nextEpoch returns the epoch of a claim at the end of the log.
