placer: no order outlasts the lease of its epoch

Cause: canOrder judged the moment in which an order was sent, and nothing the time that it is under way. For the same reason an instance that lost the lease and claimed it anew could send an order of the new epoch beside one of the old.

Orders are now sent only if the time that the lease has left is longer than the order timeout. They are counted while they are under way, and an order of another epoch waits until they have ended.

The state's own tests are TestNoOrderIsUnderWayWhenTheLeaseEnds and TestEpochsOfOneInstanceDoNotOverlap.

--- a/internal/placer/callwindow_test.go
+++ b/internal/placer/callwindow_test.go
@@ -21,7 +21,7 @@
 
 const (
 	replayedReportBytes = 3000
-	replayedTimeout     = 300 // ms, as orderTimeout in platform
+	replayedTimeout     = 300 // ms, as platform.OrderTimeout
 )
 
 func (r linkReplay) isDark(server int) bool { return r.darkEvery > 0 && server%r.darkEvery == 0 }
--- a/internal/placer/elector.go
+++ b/internal/placer/elector.go
@@ -470,6 +470,31 @@
 	return e.state.Epoch(), e.doubtedAt == 0 && e.state.CanOrder(e.now())
 }
 
+// beginOrder reports whether an order with this epoch may be sent. If so, its context ends when the order must
+// have ended, and end must be called then.
+func (e *elector) beginOrder(ctx context.Context, epoch int64) (_ context.Context, end func(), allowed bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.doubtedAt != 0 {
+		return ctx, nil, false
+	}
+	left, allowed := e.state.BeginOrder(epoch, e.now())
+	if !allowed {
+		return ctx, nil, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	return ctx, func() {
+		cancel()
+		e.endOrder()
+	}, true
+}
+
+func (e *elector) endOrder() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.EndOrder()
+}
+
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/internal/placer/elector_test.go
+++ b/internal/placer/elector_test.go
@@ -23,7 +23,7 @@
 const (
 	electionLease = 3 * time.Second
 	// electionSeeds is how many plays of an election a test makes.
-	electionSeeds = 8
+	electionSeeds = 40
 )
 
 // electionWorld is a store and the electors of several instances in virtual time, and a judge of what
@@ -40,8 +40,11 @@
 	// away until turnsAwayUntil.
 	downUntil, turnsAwayUntil time.Duration
 	turnsAway                 string
-	electors                  []*elector
-	appends                   int
+	// peersCut means that instances don't reach each other, and slowOrders that all orders take long. Otherwise one
+	// in ten does.
+	peersCut, slowOrders bool
+	electors             []*elector
+	appends              int
 
 	highest     int64
 	last        string
@@ -133,18 +136,37 @@
 	w.highest, w.last, w.lastOrderOf[name] = max(w.highest, epoch), name, now
 }
 
+// sendOrder sends an order, which may reach the server late.
+func (w *electionWorld) sendOrder(ctx context.Context, e *elector, epoch int64) {
+	_, end, allowed := e.beginOrder(ctx, epoch)
+	if !allowed {
+		return
+	}
+	most := 5 * time.Millisecond
+	if w.slowOrders || w.delay(10) == 0 {
+		most = platform.OrderTimeout
+	}
+	delay := w.delay(most)
+	go func() {
+		time.Sleep(delay)
+		w.order(e.self.Holder, epoch)
+		end()
+	}()
+}
+
 // run plays one instance: it sends orders while it may, and otherwise asks the holder, as it knows it, which
 // answers if it takes itself for the holder.
 func (w *electionWorld) run(ctx context.Context, e *elector) {
 	go e.runElection(ctx, ctx)
 	for pause.For(ctx, 20*time.Millisecond+w.delay(30*time.Millisecond)) {
-		if epoch, allowed := e.canOrder(); allowed {
-			w.order(e.self.Holder, epoch)
+		epoch, allowed := e.canOrder()
+		if allowed {
+			w.sendOrder(ctx, e, epoch)
 			continue
 		}
 		r, _, held := e.holder()
 		for _, other := range w.electors {
-			if !held || other.self.Incarnation != r.Incarnation {
+			if w.peersCut || !held || other.self.Incarnation != r.Incarnation {
 				continue
 			}
 			if epoch, allowed := other.canOrder(); allowed {
@@ -168,7 +190,7 @@
 	for i := range instances {
 		name := fmt.Sprint("i", i)
 		e := newElector(storeOf{w, name}, &log.Logger{Level: log.PanicLevel}, metrics.NewRegistry(), leaderlease.Config{
-			Self: leaderlease.Record{Holder: name, Incarnation: name + "/1", Address: name}, LeaseDuration: electionLease,
+			Self: leaderlease.Record{Holder: name, Incarnation: name + "/1", Address: name}, LeaseDuration: electionLease, OrderTimeout: platform.OrderTimeout,
 		}, 1, always, always)
 		e.now = w.now
 		w.electors = append(w.electors, e)
@@ -219,7 +241,37 @@
 				time.Sleep(2 * electionLease)
 				assert.Equal(t, before, w.owner(t), "an undisturbed holder keeps the lease")
 				cancel()
-				synctest.Wait()
+				time.Sleep(platform.OrderTimeout) // for orders that are under way
+				assert.Empty(t, w.broken)
+			})
+		})
+	}
+}
+
+// The orders of a holder that was cut off from the store and from its peers reached a server that doesn't check epochs
+// after those of the next holder, as they could be sent until its lease ended.
+func TestLateOrdersOfACutOffHolder(t *testing.T) {
+	for seed := range uint64(electionSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newElectionWorld(seed)
+				w.peersCut, w.slowOrders = true, true
+				w.add(4)
+				ctx, cancel := context.WithCancel(t.Context())
+				for _, e := range w.electors {
+					go w.run(ctx, e)
+				}
+				for range 10 {
+					time.Sleep(4*time.Second + w.delay(time.Second))
+					former := w.owner(t)
+					w.mu.Lock()
+					w.turnsAway, w.turnsAwayUntil = former, w.now()+3*electionLease
+					w.mu.Unlock()
+					time.Sleep(2 * electionLease)
+					assert.NotEqual(t, former, w.owner(t), "another instance takes over")
+				}
+				cancel()
+				time.Sleep(platform.OrderTimeout) // for orders that are under way
 				assert.Empty(t, w.broken)
 			})
 		})
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -338,12 +338,13 @@
 // sendOrder sends an order and applies its result to the server's state. The error is
 // platform.ErrOrderBusy also if the server wants nothing from this instance for a time.
 func (h *holder) sendOrder(ctx context.Context, t *trackedServer, a modelplan.Action, order platform.Order) error {
-	if epoch, allowed := h.elector.canOrder(); !allowed || epoch != order.Epoch {
-		return platform.ErrOrderFenced
-	}
 	if h.views.RestLeft(order.Server, time.Now()) > 0 {
 		return platform.ErrOrderBusy
 	}
+	ctx, end, allowed := h.elector.beginOrder(ctx, order.Epoch)
+	if !allowed {
+		return platform.ErrOrderFenced
+	}
 	h.orders.Inc(1)
 	if a.FromStore {
 		// Counted before the order is sent, because a load may have started even if the
@@ -353,6 +354,7 @@
 		h.mu.Unlock()
 	}
 	done, err := h.control.SendOrder(ctx, order)
+	end()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err == nil {
@@ -378,11 +380,11 @@
 	t.callInFlight = true
 	order := platform.Order{Server: t.server, Model: t.loading, Expect: t.sequence, Holder: h.name, Epoch: h.epoch}
 	go func() {
-		epoch, allowed := h.elector.canOrder()
 		done, err := false, platform.ErrOrderFenced
-		if allowed && epoch == order.Epoch {
+		if ctx, end, allowed := h.elector.beginOrder(ctx, order.Epoch); allowed {
 			h.orders.Inc(1)
 			done, err = h.control.SendOrder(ctx, order)
+			end()
 		}
 		h.mu.Lock()
 		defer h.mu.Unlock()
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -107,7 +107,7 @@
 func New(cfg Config, store *platform.Store, mirror *storemirror.Mirror, views *edge.Views, collector *Collector, logger *log.Logger, registry metrics.Registry, tracer trace.Tracer) *Placer {
 	e := newElector(store, logger, registry, leaderlease.Config{
 		Self:          leaderlease.Record{Holder: cfg.Name, Incarnation: uuid.NewString(), Address: cfg.Address},
-		LeaseDuration: cfg.Lease, Fenced: cfg.Fenced,
+		LeaseDuration: cfg.Lease, OrderTimeout: platform.OrderTimeout, Fenced: cfg.Fenced,
 	}, cfg.Capacity, views.Known, cfg.ReachesServers)
 	permits := newPermitIssuer()
 	dialer := &net.Dialer{Timeout: callTimeout, KeepAliveConfig: peer.KeepAlive()}
--- a/pkg/leaderlease/leaderlease.go
+++ b/pkg/leaderlease/leaderlease.go
@@ -19,6 +19,8 @@
 //     in which a holder of the former history that doesn't know of the new one ceases to order.
 //   - A record is proposed from the same state in which it was found to be due. If the log grows before it is
 //     appended, its condition fails, and it is judged anew.
+//   - Without fencing no order is under way when the lease of its epoch ends, and none of a later epoch is sent
+//     before those of an earlier one have ended.
 //   - A holder that has read a later record of another instance sends no more orders. What it is told of
 //     its own lease never counts.
 //
@@ -54,6 +56,8 @@
 	Self Record
 	// LeaseDuration is how long an unreachable holder is waited for.
 	LeaseDuration time.Duration
+	// OrderTimeout is how long an order can be under way.
+	OrderTimeout time.Duration
 	// Fenced means that servers reject orders with an older epoch.
 	Fenced bool
 }
@@ -107,6 +111,9 @@
 	// superseded means that a server rejected this instance's epoch. The log may still accept
 	// a renewal if its later records weren't read, so a renewal doesn't reset the flag.
 	superseded bool
+	// orders is the number of orders that are under way, and ordersEpoch their epoch.
+	orders      int
+	ordersEpoch int64
 	// peerRecord is a later lease that a peer reported, which this instance hasn't read from
 	// the log yet.
 	peerRecord Record
@@ -323,18 +330,34 @@
 // End returns the offset at which the next record must be appended.
 func (s *State) End() int64 { return s.end }
 
-// CanOrder reports whether this instance is allowed to send orders now.
+// CanOrder reports whether this instance is allowed to send orders now, so that they end before its lease does.
 func (s *State) CanOrder(now time.Duration) bool {
-	if !s.IsHolder() || s.superseded {
-		return false
-	}
+	return s.IsHolder() && !s.superseded && s.orderTimeLeft(now) > s.cfg.OrderTimeout
+}
+
+// orderTimeLeft returns for how long the holder's orders can go on without a renewal.
+func (s *State) orderTimeLeft(now time.Duration) time.Duration {
 	limit := s.cfg.LeaseDuration
 	if s.cfg.Fenced {
 		limit *= outageLeases
 	}
-	return now-s.renewed < limit
+	return s.renewed + limit - now
 }
 
+// BeginOrder reports whether an order with this epoch may be sent now, and how long it can be under way. It
+// must be followed by EndOrder then. Orders with a later epoch wait for those with an earlier one to end.
+func (s *State) BeginOrder(epoch int64, now time.Duration) (left time.Duration, allowed bool) {
+	if !s.CanOrder(now) || epoch != s.epoch || s.orders > 0 && s.ordersEpoch != epoch {
+		return 0, false
+	}
+	s.orders++
+	s.ordersEpoch = epoch
+	return s.orderTimeLeft(now), true
+}
+
+// EndOrder records that an order that BeginOrder allowed was answered or given up.
+func (s *State) EndOrder() { s.orders-- }
+
 // MarkSuperseded records that a server rejected this instance's epoch, and reports whether
 // that wasn't known before.
 func (s *State) MarkSuperseded() bool {
--- a/pkg/leaderlease/leaderlease_test.go
+++ b/pkg/leaderlease/leaderlease_test.go
@@ -208,3 +208,34 @@
 	s.Observe(0, record("b"), 5*time.Second)
 	assert.True(t, s.IsEpochKnown(), "as above, after a drill that lost everything")
 }
+
+// An order that was sent just before the lease of its epoch ended reached a server that doesn't check epochs after one
+// of the next holder.
+func TestNoOrderIsUnderWayWhenTheLeaseEnds(t *testing.T) {
+	const timeout = 300 * time.Millisecond
+	s := leaderlease.New(leaderlease.Config{Self: record("a"), LeaseDuration: lease, OrderTimeout: timeout})
+	s.Appended(0, record("a"), time.Second, time.Second)
+	left, allowed := s.BeginOrder(1, 2*time.Second)
+	assert.True(t, allowed)
+	assert.Equal(t, lease-time.Second, left)
+	_, allowed = s.BeginOrder(1, time.Second+lease-timeout)
+	assert.False(t, allowed)
+	assert.False(t, s.CanOrder(time.Second+lease-timeout))
+}
+
+// A holder that loses the lease and claims it anew sent orders of the new epoch beside one of the old epoch.
+func TestEpochsOfOneInstanceDoNotOverlap(t *testing.T) {
+	s := newState("a", false)
+	s.Appended(0, record("a"), 0, 0)
+	_, allowed := s.BeginOrder(1, 0)
+	require.True(t, allowed)
+	s.Observe(1, record("b"), 0)
+	s.Appended(2, record("a"), lease, lease)
+	_, allowed = s.BeginOrder(3, lease)
+	assert.False(t, allowed, "one of epoch 1 is under way")
+	s.EndOrder()
+	_, allowed = s.BeginOrder(1, lease)
+	assert.False(t, allowed, "decided under epoch 1")
+	_, allowed = s.BeginOrder(3, lease)
+	assert.True(t, allowed)
+}
