placer: only a server's rejection supersedes the holder

A holder whose lease had run out in an outage, and that renewed it afterwards, could place no models any more, while its renewals kept all others from claiming the lease: callers of models that weren't loaded waited until it was restarted.

Cause: confirmLoad took an order that it hadn't sent, because the lease had run out, for one that a server had rejected, and marked the epoch superseded. A renewal doesn't reset that.

TestUnsentConfirmationDoesNotSupersedeTheHolder failed before the change.

--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -381,7 +381,8 @@
 	order := platform.Order{Server: t.server, Model: t.loading, Expect: t.sequence, Holder: h.name, Epoch: h.epoch}
 	go func() {
 		done, err := false, platform.ErrOrderFenced
-		if ctx, end, allowed := h.elector.beginOrder(ctx, order.Epoch); allowed {
+		ctx, end, sent := h.elector.beginOrder(ctx, order.Epoch)
+		if sent {
 			h.orders.Inc(1)
 			done, err = h.control.SendOrder(ctx, order)
 			end()
@@ -403,9 +404,11 @@
 			// The model isn't loaded, or the result is unknown; the next report shows it. The
 			// repeated order may have started another load from the weight store.
 			t.uncertain = true
-			h.storeLimiter.record(now)
-			h.log.Info().Str("server", string(order.Server.ID)).Str("model", order.Model).Err(err).Msg("load_unconfirmed")
-			if errors.Is(err, platform.ErrOrderFenced) {
+			if sent {
+				h.storeLimiter.record(now)
+			}
+			h.log.Info().Str("server", string(order.Server.ID)).Str("model", order.Model).Bool("sent", sent).Err(err).Msg("load_unconfirmed")
+			if sent && errors.Is(err, platform.ErrOrderFenced) {
 				h.elector.superseded(order.Epoch)
 			}
 		}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -286,6 +286,36 @@
 	assert.NotContains(t, c.servers[0].Orders(), "load b")
 }
 
+// A load was to be confirmed when the holder wasn't allowed to order for a time. It took its epoch for rejected by a
+// server, and placed no models any more, while its renewals kept others from the lease.
+func TestUnsentConfirmationDoesNotSupersedeTheHolder(t *testing.T) {
+	c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0", OnDisk: []string{"a"}})
+	i := c.start("i0")
+	c.eventually("the instance is allowed to order", i.elector.placing)
+	doubt := func(at time.Duration) {
+		i.elector.mu.Lock()
+		defer i.elector.mu.Unlock()
+		i.elector.doubtedAt = at
+	}
+	epoch, _ := i.elector.canOrder()
+	doubt(math.MaxInt64)
+	tracked := newTrackedServer(i.views.Load().Engines()["s0"], time.Now())
+	tracked.loading = "a"
+	func() {
+		i.holder.mu.Lock()
+		defer i.holder.mu.Unlock()
+		i.holder.beginEpoch(epoch, time.Now())
+		i.holder.confirmLoad(t.Context(), tracked)
+	}()
+	c.eventually("the confirmation has ended", func() bool {
+		i.holder.mu.Lock()
+		defer i.holder.mu.Unlock()
+		return !tracked.callInFlight
+	})
+	doubt(0)
+	assert.True(t, i.elector.placing())
+}
+
 func TestReportsOlderThanOrdersAreIgnored(t *testing.T) {
 	start := time.Unix(1_800_000_000, 0)
 	tr := newTrackedServer(&fleet.Server{ID: "s"}, start)
