leaderlease: a restarted holder waits for the orders of its earlier process

A process that found the lease held by its own earlier process claimed it at once.

The claim now waits for the order timeout, 300 ms, unless servers check epochs. TestRestartedHolderWaitsForEarlierOrders failed before the change.

--- a/pkg/leaderlease/leaderlease.go
+++ b/pkg/leaderlease/leaderlease.go
@@ -387,8 +387,11 @@
 		// What the last record says isn't known to have been the last word of its history.
 		return s.lastContact + s.cfg.LeaseDuration + claimDelay
 	case s.last.Holder == s.cfg.Self.Holder && s.last.Incarnation != s.cfg.Self.Incarnation && !s.last.Released && s.last.Incarnation != "":
-		// The holder was an earlier process of this instance, which has ended.
-		return s.lastContact
+		// The holder was an earlier process of this instance, which has ended. Its orders may be under way.
+		if s.cfg.Fenced {
+			return s.lastContact
+		}
+		return s.lastContact + s.cfg.OrderTimeout
 	case s.last.Released && s.last.Successor == s.cfg.Self.Holder:
 		return s.lastContact
 	case s.last.Released && s.last.Successor != "":
--- a/pkg/leaderlease/leaderlease_test.go
+++ b/pkg/leaderlease/leaderlease_test.go
@@ -70,6 +70,16 @@
 	assert.Equal(t, int64(6), s.Epoch(), "a new epoch")
 }
 
+// The earlier process of an instance was killed while an order was on its way, which reached a server that doesn't check
+// epochs after one of the process that had claimed the lease at once.
+func TestRestartedHolderWaitsForEarlierOrders(t *testing.T) {
+	s := leaderlease.New(leaderlease.Config{Self: record("a"), LeaseDuration: lease, OrderTimeout: 300 * time.Millisecond})
+	earlier := record("a")
+	earlier.Incarnation = "a, earlier"
+	s.Observe(4, earlier, time.Second)
+	assert.Equal(t, 1300*time.Millisecond, s.NextAppend(0))
+}
+
 func TestHolderThatAnswersIsAlive(t *testing.T) {
 	s := newState("b", false)
 	s.Observe(4, record("a"), time.Second)
