placer: a release takes effect when no order of its epoch can follow

A holder that handed the lease over went on sending orders until it knew that its release was in the log, and its orders under way reached servers that don't check epochs after those of the successor, which claims at once. If the answer to the release got lost, it went on until it had read the log.

A release is now proposed only when no order is under way, and none is sent from then on until an answer shows that the holder still has the lease. After a lost answer it renews at the same offset at once, which shows that. Where servers check epochs, it goes on after a lost answer, so that an outage of the store during a shutdown stops nobody.

--- a/internal/placer/elector.go
+++ b/internal/placer/elector.go
@@ -157,13 +157,14 @@
 		e.handover = ""
 	}
 	if e.handover != "" {
-		p, wait := e.propose(e.state.ProposeRelease(e.handover))
+		p, wait := e.proposeRelease(e.handover)
 		if p != nil {
 			e.log.Info().Str("successor", e.handover).Float64("capacity", e.capacity).Msg("tenure_handed_over")
 			e.handover = ""
 		}
 		return p, wait
 	}
+	e.state.KeepLease()
 	delay := leaderlease.ClaimDelay(e.self.Holder, e.capacity, e.successors, random)
 	if wait := e.state.NextAppend(delay) - e.now(); wait > 0 {
 		return nil, wait
@@ -171,33 +172,45 @@
 	if !e.reaches() || !e.state.IsHolder() && !e.known() {
 		return nil, 0
 	}
-	return e.propose(e.state.Propose(delay, e.now()))
+	if wait := e.limited(); wait > 0 {
+		return nil, wait
+	}
+	return e.decide(e.state.Propose(delay, e.now())), 0
 }
 
-// propose admits a proposal that is due, or returns nil and when the limit of appends may admit one. The caller
-// must hold the lock.
-func (e *elector) propose(p leaderlease.Proposal, due bool) (*proposal, time.Duration) {
-	if !due {
-		return nil, 0
-	}
-	admission := e.limiter.Reserve()
-	if wait := admission.Delay(); wait > 0 {
-		admission.Cancel()
+// proposeRelease returns the release of the lease, or nil and when to ask again. The caller must hold the lock.
+func (e *elector) proposeRelease(successor string) (*proposal, time.Duration) {
+	// A holder that waits for the limit goes on sending orders.
+	if wait := e.limited(); wait > 0 {
 		return nil, wait
 	}
+	return e.decide(e.state.ProposeRelease(successor)), platform.OrderTimeout
+}
+
+// limited returns for how long the limit of appends admits none.
+func (e *elector) limited() time.Duration {
+	missing := 1 - e.limiter.Tokens()
+	return time.Duration(missing / float64(e.limiter.Limit()) * float64(time.Second))
+}
+
+// decide returns the proposal if it is due and the limit of appends admits it. The caller must hold the lock.
+func (e *elector) decide(p leaderlease.Proposal, due bool) *proposal {
+	if !due || !e.limiter.Allow() {
+		return nil
+	}
 	r, _, _ := e.state.Holder()
-	return &proposal{Proposal: p, holder: r.Holder, silent: e.state.Silent(e.now())}, 0
+	return &proposal{Proposal: p, holder: r.Holder, silent: e.state.Silent(e.now())}
 }
 
-// release releases the lease. During an outage of the store no other instance can take over,
-// so this instance continues to place models until the release succeeds.
+// release releases the lease. During an outage of the store no other instance can take over, so this instance
+// continues to place models between its attempts if servers reject superseded epochs.
 func (e *elector) release(ctx context.Context) {
 	for e.isHolder() && ctx.Err() == nil {
 		e.mu.Lock()
-		p, wait := e.propose(e.state.ProposeRelease(""))
+		p, wait := e.proposeRelease("")
 		e.mu.Unlock()
 		if p == nil {
-			pause.For(ctx, max(wait, minElectionWait))
+			pause.Until(ctx, e.changed, max(wait, minElectionWait))
 			continue
 		}
 		if err := e.append(ctx, p); err != nil {
@@ -296,6 +309,7 @@
 	appended, err := e.store.AppendAt(ctx, platform.TopicLease, leaseKey, p.At, value)
 	now := e.now()
 	if err != nil {
+		e.notAppended(p, !errors.Is(err, platform.ErrStoreLost))
 		e.failedAppends.Inc(1)
 		p.describe(e.log.Info().Err(err), appended, now-started).Msg("tenure_append_failed")
 		e.doubtHistory(appended, p.At)
@@ -304,6 +318,7 @@
 	}
 	if e.doubtHistory(appended, p.At) {
 		// The record was based on another history, in which it claims nothing.
+		e.notAppended(p, true)
 		e.log.Warn().Int64("offset", appended.Offset).Int64("era", appended.Era).Int64("epoch", p.Record.Epoch).Msg("tenure_appended_to_other_history")
 		return errOtherHistory
 	}
@@ -320,6 +335,12 @@
 	return nil
 }
 
+func (e *elector) notAppended(p *proposal, refused bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.NotAppended(p.Proposal, refused)
+}
+
 func (e *elector) isHolder() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -492,7 +513,9 @@
 func (e *elector) endOrder() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.state.EndOrder()
+	if e.state.EndOrder() {
+		signal(e.changed)
+	}
 }
 
 func signal(c chan struct{}) {
--- a/pkg/leaderlease/leaderlease.go
+++ b/pkg/leaderlease/leaderlease.go
@@ -21,6 +21,8 @@
 //     appended, its condition fails, and it is judged anew.
 //   - Without fencing no order is under way when the lease of its epoch ends, and none of a later epoch is sent
 //     before those of an earlier one have ended.
+//   - A holder sends no orders while it releases the lease, and releases it when none is under way. Without fencing
+//     it sends none either after a release whose answer got lost, until a later answer shows that it holds the lease.
 //   - A holder that has read a later record of another instance sends no more orders. What it is told of
 //     its own lease never counts.
 //
@@ -114,6 +116,9 @@
 	// orders is the number of orders that are under way, and ordersEpoch their epoch.
 	orders      int
 	ordersEpoch int64
+	// releasing means that a release is about to be appended, or is being appended. releaseLost means that the answer to
+	// one got lost, so that the log may have accepted it.
+	releasing, releaseLost bool
 	// peerRecord is a later lease that a peer reported, which this instance hasn't read from
 	// the log yet.
 	peerRecord Record
@@ -153,6 +158,7 @@
 	s.ranOn = (s.ranOn || s.IsHolder()) && now-s.renewed < s.cfg.LeaseDuration
 	s.unclaimed = true
 	s.era, s.end, s.endKnownAt, s.copiedUntil, s.lastContact = era, end, now, end, now
+	s.releasing, s.releaseLost = false, false
 	return true
 }
 
@@ -201,6 +207,8 @@
 	}
 	s.highest = max(s.highest, s.epoch)
 	s.initialized, s.unclaimed, s.ranOn, s.last, s.lastContact = true, false, false, r, now
+	// The condition of a release that is on its way fails now.
+	s.releasing, s.releaseLost = false, false
 	s.advance(offset+1, now)
 }
 
@@ -251,13 +259,26 @@
 }
 
 // ProposeRelease returns the record with which to release the lease, to the successor unless it is empty, and
-// whether there is a lease to release.
+// whether it can be appended: only when no order is under way. From then on this instance sends no orders until
+// NotAppended says that it still holds the lease.
 func (s *State) ProposeRelease(successor string) (p Proposal, due bool) {
 	p = s.proposal()
 	p.Record.Released, p.Record.Successor = true, successor
-	return p, s.IsHolder()
+	s.releasing = s.IsHolder()
+	return p, s.releasing && s.orders == 0
 }
 
+// NotAppended records that the log didn't accept a proposal. refused means that it can't accept it any more;
+// otherwise the answer got lost.
+func (s *State) NotAppended(p Proposal, refused bool) {
+	if p.Record.Released {
+		s.releasing, s.releaseLost = false, s.releaseLost || !refused
+	}
+}
+
+// KeepLease records that a release is no longer pursued, and that none is being appended.
+func (s *State) KeepLease() { s.releasing = false }
+
 func (s *State) proposal() Proposal {
 	r := s.cfg.Self
 	r.Era, r.Epoch = s.era, s.epoch
@@ -332,7 +353,8 @@
 
 // CanOrder reports whether this instance is allowed to send orders now, so that they end before its lease does.
 func (s *State) CanOrder(now time.Duration) bool {
-	return s.IsHolder() && !s.superseded && s.orderTimeLeft(now) > s.cfg.OrderTimeout
+	mayHaveReleased := s.releasing || s.releaseLost && !s.cfg.Fenced
+	return s.IsHolder() && !s.superseded && !mayHaveReleased && s.orderTimeLeft(now) > s.cfg.OrderTimeout
 }
 
 // orderTimeLeft returns for how long the holder's orders can go on without a renewal.
@@ -355,8 +377,12 @@
 	return s.orderTimeLeft(now), true
 }
 
-// EndOrder records that an order that BeginOrder allowed was answered or given up.
-func (s *State) EndOrder() { s.orders-- }
+// EndOrder records that an order that BeginOrder allowed was answered or given up, and reports whether a release
+// can be appended now that waited for it.
+func (s *State) EndOrder() (releasable bool) {
+	s.orders--
+	return s.releasing && s.orders == 0
+}
 
 // MarkSuperseded records that a server rejected this instance's epoch, and reports whether
 // that wasn't known before.
@@ -379,6 +405,8 @@
 // expired one. claimDelay is this instance's ClaimDelay.
 func (s *State) NextAppend(claimDelay time.Duration) time.Duration {
 	switch {
+	case s.IsHolder() && s.releaseLost:
+		return s.renewed // A renewal at the same offset shows whether the log has accepted the release.
 	case s.IsHolder():
 		return s.renewed + s.cfg.LeaseDuration/renewalsPerLease
 	case s.unclaimed && s.ranOn:
