leaderlease: holders don't take turns within a lease duration

After a hand-over or a release, an instance could claim the lease again while its own orders of the tenure before were less than a lease duration old.

An instance notes when an order of it was last under way, and claims a lease that another one has held since only a lease duration later. A process that has just started doesn't know what its earlier process ordered, and waits as long from its start, unless servers check epochs or the last holder was itself.

--- a/internal/placer/elector.go
+++ b/internal/placer/elector.go
@@ -513,7 +513,7 @@
 func (e *elector) endOrder() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.state.EndOrder() {
+	if e.state.EndOrder(e.now()) {
 		signal(e.changed)
 	}
 }
--- a/internal/placer/elector_test.go
+++ b/internal/placer/elector_test.go
@@ -304,6 +304,7 @@
 				cancel()
 				time.Sleep(platform.OrderTimeout) // for orders that are under way
 				assert.Empty(t, w.broken)
+				assert.Empty(t, w.turns)
 			})
 		})
 	}
--- a/pkg/leaderlease/drill_test.go
+++ b/pkg/leaderlease/drill_test.go
@@ -35,6 +35,9 @@
 	highest int64
 	broken  string
 	appends int
+	// last is who ordered last, and orderedAt when each instance did.
+	last      string
+	orderedAt map[string]time.Duration
 	// mutation is the rule that isn't kept.
 	mutation mutation
 }
@@ -76,7 +79,7 @@
 const drillOrderTimeout = 300 * time.Millisecond
 
 func newDrillWorld(instances int, fenced bool, era int64) *drillWorld {
-	w := &drillWorld{now: time.Hour, fenced: fenced, era: era, seen: map[int64]string{}}
+	w := &drillWorld{now: time.Hour, fenced: fenced, era: era, seen: map[int64]string{}, orderedAt: map[string]time.Duration{}}
 	for i := range instances {
 		w.nodes = append(w.nodes, &drillNode{name: fmt.Sprint("i", i)})
 		w.restart(w.nodes[i])
@@ -210,7 +213,7 @@
 
 // arrive plays the arrival of an order at the server, which sees who sends which epoch.
 func (w *drillWorld) arrive(o drillOrder) {
-	defer o.state.EndOrder()
+	defer o.state.EndOrder(w.now)
 	if w.fenced && o.epoch < w.highest {
 		if o.state.Epoch() == o.epoch {
 			o.state.MarkSuperseded()
@@ -223,6 +226,10 @@
 	if o.epoch < w.highest {
 		w.broken = fmt.Sprintf("%v: %s orders with epoch %d after %d", w.now-time.Hour, o.name, o.epoch, w.highest)
 	}
+	if before, ordered := w.orderedAt[o.name]; ordered && !w.fenced && w.last != o.name && w.now-before < lease {
+		w.broken = fmt.Sprintf("%v: %s takes turns with %s, %v after its order before", w.now-time.Hour, o.name, w.last, w.now-before)
+	}
+	w.last, w.orderedAt[o.name] = o.name, w.now
 	w.seen[o.epoch], w.highest = o.name, max(w.highest, o.epoch)
 }
 
--- a/pkg/leaderlease/leaderlease.go
+++ b/pkg/leaderlease/leaderlease.go
@@ -23,6 +23,8 @@
 //     before those of an earlier one have ended.
 //   - A holder sends no orders while it releases the lease, and releases it when none is under way. Without fencing
 //     it sends none either after a release whose answer got lost, until a later answer shows that it holds the lease.
+//   - An instance that has sent orders, and after which another one has held the lease, claims it again only when a
+//     lease duration has passed: holders don't take turns within it.
 //   - A holder that has read a later record of another instance sends no more orders. What it is told of
 //     its own lease never counts.
 //
@@ -119,6 +121,8 @@
 	// releasing means that a release is about to be appended, or is being appended. releaseLost means that the answer to
 	// one got lost, so that the log may have accepted it.
 	releasing, releaseLost bool
+	// orderedAt is when an order of this instance was last under way, possibly one of an earlier process.
+	orderedAt time.Duration
 	// peerRecord is a later lease that a peer reported, which this instance hasn't read from
 	// the log yet.
 	peerRecord Record
@@ -132,11 +136,23 @@
 func (s *State) ObserveEnd(end int64, now time.Duration) {
 	if !s.initialized {
 		// An empty log may be a copy from before the first claim.
-		s.initialized, s.lastContact, s.unclaimed = true, now, s.era > 0
+		s.initialize(now)
+		s.lastContact, s.unclaimed = now, s.era > 0
 	}
 	s.advance(end, now)
 }
 
+// initialize records that the log has been read. An earlier process of this instance may have sent orders until now.
+func (s *State) initialize(now time.Duration) {
+	if s.initialized {
+		return
+	}
+	s.initialized, s.orderedAt = true, now
+	if s.cfg.Fenced {
+		s.orderedAt -= s.cfg.LeaseDuration
+	}
+}
+
 func (s *State) advance(end int64, now time.Duration) {
 	if end > s.end {
 		s.end, s.endKnownAt = end, now
@@ -206,7 +222,8 @@
 		s.superseded = false
 	}
 	s.highest = max(s.highest, s.epoch)
-	s.initialized, s.unclaimed, s.ranOn, s.last, s.lastContact = true, false, false, r, now
+	s.initialize(now)
+	s.unclaimed, s.ranOn, s.last, s.lastContact = false, false, r, now
 	// The condition of a release that is on its way fails now.
 	s.releasing, s.releaseLost = false, false
 	s.advance(offset+1, now)
@@ -233,7 +250,8 @@
 func (s *State) observeFormer(offset int64, r Record, now time.Duration) {
 	s.highest = max(s.highest, epochOf(offset, r))
 	if !s.initialized {
-		s.initialized, s.unclaimed, s.lastContact = true, true, now
+		s.initialize(now)
+		s.unclaimed, s.lastContact = true, now
 	}
 	if s.unclaimed && s.last.Incarnation == "" {
 		s.last, s.epoch = r, epochOf(offset, r)
@@ -373,14 +391,15 @@
 		return 0, false
 	}
 	s.orders++
-	s.ordersEpoch = epoch
+	s.ordersEpoch, s.orderedAt = epoch, now
 	return s.orderTimeLeft(now), true
 }
 
 // EndOrder records that an order that BeginOrder allowed was answered or given up, and reports whether a release
 // can be appended now that waited for it.
-func (s *State) EndOrder() (releasable bool) {
+func (s *State) EndOrder(now time.Duration) (releasable bool) {
 	s.orders--
+	s.orderedAt = now
 	return s.releasing && s.orders == 0
 }
 
@@ -409,6 +428,15 @@
 		return s.renewed // A renewal at the same offset shows whether the log has accepted the release.
 	case s.IsHolder():
 		return s.renewed + s.cfg.LeaseDuration/renewalsPerLease
+	case s.last.Incarnation != "" && s.last.Holder != s.cfg.Self.Holder:
+		return max(s.nextClaim(claimDelay), s.orderedAt+s.cfg.LeaseDuration)
+	}
+	return s.nextClaim(claimDelay)
+}
+
+// nextClaim returns when the lease can be claimed, as far as its holder is concerned.
+func (s *State) nextClaim(claimDelay time.Duration) time.Duration {
+	switch {
 	case s.unclaimed && s.ranOn:
 		return s.lastContact
 	case s.unclaimed:
--- a/pkg/leaderlease/leaderlease_test.go
+++ b/pkg/leaderlease/leaderlease_test.go
@@ -243,7 +243,7 @@
 	s.Appended(2, record("a"), lease, lease)
 	_, allowed = s.BeginOrder(3, lease)
 	assert.False(t, allowed, "one of epoch 1 is under way")
-	s.EndOrder()
+	s.EndOrder(lease)
 	_, allowed = s.BeginOrder(1, lease)
 	assert.False(t, allowed, "decided under epoch 1")
 	_, allowed = s.BeginOrder(3, lease)
