placer: a former holder doesn't replace the record of versions

A holder that lost the lease between reading the versions on the store and writing them replaced the next holder's record. A version that only that one knew was lost; instances that start after all others would take one version for the only one.

The record is written on the condition that the topic ends where this holder has read and written. Otherwise it reads the record again and adds it to its own.

TestVersionsOfALaterHolderAreKept failed before the change.

--- a/internal/placer/origins_test.go
+++ b/internal/placer/origins_test.go
@@ -1,10 +1,12 @@
 package placer
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/internal/placer/placerpb"
@@ -153,3 +155,26 @@
 	assert.Empty(t, i.soleVersion())
 	assert.Empty(t, other.soleVersion())
 }
+
+// A former holder's late write replaced the record of the next holder, which had added a version.
+func TestVersionsOfALaterHolderAreKept(t *testing.T) {
+	c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0"})
+	c.version = "v1"
+	i := c.start("i0")
+	recorded := func() []string {
+		snapshot, err := c.reader.Newest(t.Context(), platform.TopicVersions)
+		if err != nil || len(snapshot.Records) == 0 {
+			return nil
+		}
+		record, err := streamorigin.DecodeVersionRecord(snapshot.Records[0].Value)
+		assert.NoError(t, err)
+		return record.Services[summaries]
+	}
+	c.eventually("the version is recorded", func() bool { return slices.Equal(recorded(), []string{"v1"}) })
+	later, err := streamorigin.VersionRecord{Complete: true, Services: map[string][]string{summaries: {"v1", "v9"}}}.Encode()
+	require.NoError(t, err)
+	_, err = c.reader.Append(t.Context(), platform.TopicVersions, versionsKey, later)
+	require.NoError(t, err)
+	i.withVersion("v2")
+	c.eventually("what both know is recorded", func() bool { return slices.Equal(recorded(), []string{"v1", "v2", "v9"}) })
+}
--- a/internal/placer/versions.go
+++ b/internal/placer/versions.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/phuslu/log"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
@@ -36,28 +37,28 @@
 	log *log.Logger
 
 	// epoch is the tenure in which this instance has read the record, and written what it wrote then,
-	// in the era writtenEra. Only record accesses them.
-	epoch, writtenEra int64
-	written           streamorigin.VersionRecord
+	// in the era writtenEra. end is the end of the topic then. Only record accesses them.
+	epoch, writtenEra, end int64
+	written                streamorigin.VersionRecord
 }
 
 // read reads the record after the start of this instance, until it could or the versions are known from
 // elsewhere.
 func (r *versionRecorder) read(ctx context.Context) {
 	for ctx.Err() == nil && !r.views.Load().KnowsVersions(time.Now()) {
-		if _, err := r.readOnce(ctx); err == nil {
+		if _, _, err := r.readOnce(ctx); err == nil {
 			return
 		}
 		pause.For(ctx, versionsRetryDelay)
 	}
 }
 
-// readOnce reads the record and adds it to what this instance knows.
-func (r *versionRecorder) readOnce(ctx context.Context) (streamorigin.VersionRecord, error) {
+// readOnce reads the record and adds it to what this instance knows. It also returns the end of the topic.
+func (r *versionRecorder) readOnce(ctx context.Context) (_ streamorigin.VersionRecord, end int64, _ error) {
 	snapshot, err := r.store.Newest(ctx, platform.TopicVersions)
 	if err != nil {
 		r.log.Debug().Err(err).Msg("versions_unread")
-		return streamorigin.VersionRecord{}, err
+		return streamorigin.VersionRecord{}, 0, err
 	}
 	for _, record := range snapshot.Records {
 		if record.Key != versionsKey {
@@ -70,9 +71,9 @@
 			break
 		}
 		r.views.AddVersions(found)
-		return found, nil
+		return found, snapshot.Next, nil
 	}
-	return streamorigin.VersionRecord{}, nil
+	return streamorigin.VersionRecord{}, snapshot.Next, nil
 }
 
 // record keeps the record up to date until ctx ends, while this instance holds the lease.
@@ -89,14 +90,14 @@
 }
 
 // update writes the versions that this instance knows if the record lacks some, or has others. In a new
-// tenure it first adds what the record has.
+// tenure, and if the topic doesn't end where it has read and written, it first adds what the record has.
 func (r *versionRecorder) update(ctx context.Context, epoch int64) error {
 	if epoch != r.epoch {
-		found, err := r.readOnce(ctx)
+		found, end, err := r.readOnce(ctx)
 		if err != nil {
 			return err
 		}
-		r.epoch, r.written, r.writtenEra = epoch, found, r.era()
+		r.epoch, r.written, r.writtenEra, r.end = epoch, found, r.era(), end
 	}
 	known, era := r.views.Load().VersionRecord(time.Now()), r.era()
 	if known.Equal(r.written) && era <= r.writtenEra {
@@ -106,12 +107,15 @@
 	if err != nil {
 		return err
 	}
-	appended, err := r.store.Append(ctx, platform.TopicVersions, versionsKey, value)
+	appended, err := r.store.AppendAt(ctx, platform.TopicVersions, versionsKey, r.end, value)
 	if err != nil {
-		r.log.Info().Err(err).Msg("versions_unrecorded")
+		r.log.Info().Err(err).Int64("at", r.end).Int64("end", appended.End).Msg("versions_unrecorded")
+		if !errors.Is(err, platform.ErrStoreRefused) {
+			r.epoch = 0 // read again
+		}
 		return err
 	}
-	r.written, r.writtenEra = known, max(era, appended.Era)
+	r.written, r.writtenEra, r.end = known, max(era, appended.Era), appended.End
 	r.log.Info().Any("services", known.Services).Bool("complete", known.Complete).Int64("offset", appended.Offset).Msg("versions_recorded")
 	return nil
 }
