placer: a former holder doesn't replace a segment of stream origins

A former holder that wrote late used the same key, and replaced the next holder's segment; or the next holder replaced its. The origins in it were lost: such streams are refused when clients take them up again after all instances were lost.

Otherwise it is continued again.

--- a/internal/placer/originlog.go
+++ b/internal/placer/originlog.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/singleflight"
@@ -100,8 +101,9 @@
 	writes, failedWrites, reads metrics.Counter
 
 	journal *streamorigin.Journal
-	// writtenEra is the highest era of the store's history that write knows of.
-	writtenEra int64
+	// writtenEra is the highest era of the store's history that write knows of. end is where the topic ended
+	// when the journal was continued or written.
+	writtenEra, end int64
 
 	reading singleflight.Group
 	mu      sync.Mutex
@@ -139,7 +141,10 @@
 		}
 		l.observeEra(l.era())
 		if err := l.writePending(ctx); err != nil {
-			l.log.Info().Err(err).Msg("origins_unrecorded")
+			l.log.Info().Err(err).Int64("at", l.end).Msg("origins_unrecorded")
+			if !errors.Is(err, platform.ErrStoreRefused) {
+				tenure = 0 // continue where the topic ends
+			}
 			pause.For(ctx, originWriteRetryDelay)
 		}
 	}
@@ -161,6 +166,7 @@
 	entries, err := l.readNew(ctx)
 	if err == nil {
 		l.journal.Continue(l.newest, entries, time.Now())
+		l.end = l.at.Next
 	}
 	return err
 }
@@ -176,11 +182,12 @@
 			return err
 		}
 		l.writes.Inc(1)
-		appended, err := l.store.Append(ctx, platform.TopicOrigins, segment.Key, value)
+		appended, err := l.store.AppendAt(ctx, platform.TopicOrigins, segment.Key, l.end, value)
 		if err != nil {
 			l.failedWrites.Inc(1)
 			return err
 		}
+		l.end = appended.End
 		l.journal.Written(segment)
 		l.observeEra(appended.Era)
 		l.log.Debug().Str("key", segment.Key).Int("streams", len(segment.Entries)).Msg("origins_recorded")
--- a/internal/placer/originlog_test.go
+++ b/internal/placer/originlog_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/cyclamenhoist/cyclamenhoist/internal/edge"
 	"github.com/cyclamenhoist/cyclamenhoist/pkg/streamorigin"
@@ -161,3 +162,27 @@
 	u.add(strings.Repeat("x", streamorigin.MaxStreamBytes+1), origin, now)
 	assert.Empty(t, names(false), "clients choose the names")
 }
+
+// A former holder's late write replaced a segment of the next holder: the origins of its streams were lost.
+func TestOriginsOfALaterHolderAreKept(t *testing.T) {
+	c := newCluster(t, []string{"a"}, standin.ServerConfig{ID: "s0"})
+	i := c.start("i0")
+	c.eventually("it holds the lease", i.elector.placing)
+	began := func(stream string) {
+		i.originLog.journal.Add([]streamorigin.Entry{{Stream: stream, Origin: streamorigin.Origin{Service: summaries, Version: "v1"}}}, time.Now())
+	}
+	began("first")
+	c.eventually("the first stream is recorded", func() bool { return c.recordedStreams() == 1 })
+	segment, err := streamorigin.Segment{Entries: []streamorigin.Entry{{Stream: "of a later holder", Origin: streamorigin.Origin{Service: summaries}}}}.Encode()
+	require.NoError(t, err)
+	_, err = c.reader.Append(t.Context(), platform.TopicOrigins, "1", segment)
+	require.NoError(t, err)
+	began("second")
+	c.eventually("the second stream is recorded", func() bool {
+		i.originLog.mu.Lock()
+		defer i.originLog.mu.Unlock()
+		_, due := i.originLog.journal.Next()
+		return !due
+	})
+	assert.Equal(t, 3, c.recordedStreams())
+}
