--- a/internal/fleetapp/app.go
+++ b/internal/fleetapp/app.go
@@ -75,6 +75,7 @@
 
 	// manifests and serverList record whether the store can be read.
 	manifests, serverList *dependency
+	unusable              *unusableEntries
 	unserved              *unservedServices
 }
 
@@ -210,6 +211,7 @@
 		store: p.Store, mirror: p.Mirror, servers: p.Servers, placer: p.Placer, dialer: p.Dialer, relay: p.Relay, tracing: p.Tracing, guards: p.Guards,
 		manifests:  &dependency{log: p.Log, name: "published manifests"},
 		serverList: &dependency{log: p.Log, name: "server list"},
+		unusable:   &unusableEntries{log: p.Log, counter: metrics.NewRegisteredCounter("server_entries_unusable", p.Registry)},
 	}
 }
 
--- a/internal/fleetapp/controllers.go
+++ b/internal/fleetapp/controllers.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmigrate"
 	"storj.io/drpc/drpcmux"
@@ -197,10 +198,33 @@
 	return nil
 }
 
+// unusableLogInterval is the minimum interval between two log entries about unusable entries of the server list.
+const unusableLogInterval = time.Minute
+
+// unusableEntries counts the entries of the server list that can't be used, as those of another writer. Only
+// watchServers accesses it.
+type unusableEntries struct {
+	log      *log.Logger
+	counter  metrics.Counter
+	loggedAt time.Time
+}
+
+func (u *unusableEntries) record(entries int, now time.Time) {
+	if entries == 0 {
+		return
+	}
+	u.counter.Inc(int64(entries))
+	if now.Sub(u.loggedAt) >= unusableLogInterval {
+		u.loggedAt = now
+		u.log.Warn().Int("entries", entries).Int64("entries_since_start", u.counter.Count()).Msg("server_entries_unusable")
+	}
+}
+
 func (i *Instance) watchServers(ctx context.Context) {
 	i.store.WatchServers(ctx, platform.ServerWatch{
 		Deliver: func(b platform.ServerListBatch) {
 			i.serverList.markAvailable()
+			i.unusable.record(b.Unusable, time.Now())
 			i.mirror.ListRead(b)
 		},
 		ReadFailed: func(err error, started time.Duration) {
