--- a/internal/placer/proposal.go
+++ b/internal/placer/proposal.go
@@ -86,7 +86,8 @@
 }
 
 // release releases the lease. During an outage of the store no other instance can take over, so this instance
-// continues to place models between its attempts if servers reject superseded epochs.
+// continues to place models between its attempts. If servers don't reject superseded epochs, it ceases to when the
+// answer to a release gets lost.
 func (e *elector) release(ctx context.Context) {
 	for e.isHolder() && ctx.Err() == nil {
 		e.mu.Lock()
